--- /dev/null
+++ b/route/decision/decision.go
@@ -0,0 +1,135 @@
+// Package decision records why a request was sent where it was, made to wait
+// or refused: one log line each, and a bounded memory of the latest for
+// `cicadactl explain`.
+package decision
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Kind is what was decided.
+type Kind string
+
+// Kinds of decision.
+const (
+	Admit  Kind = "admit"
+	Refuse Kind = "refuse"
+	Route  Kind = "route"
+	Resume Kind = "resume"
+	Place  Kind = "place"
+	Finish Kind = "finish"
+)
+
+// Alternative is a candidate that was weighed, with its figure: lower is
+// better.
+type Alternative struct {
+	Name  string  `json:"name"`
+	Score float64 `json:"score"`
+}
+
+// Decision is one routing or placement decision.
+type Decision struct {
+	At           time.Time     `json:"at"`
+	Request      string        `json:"request"`
+	Kind         Kind          `json:"kind"`
+	Team         string        `json:"team,omitempty"`
+	Service      string        `json:"service,omitempty"`
+	Chosen       string        `json:"chosen,omitempty"`
+	Reason       string        `json:"reason"`
+	Alternatives []Alternative `json:"alternatives,omitempty"`
+	// Figures are the numbers behind the reason, by name and with units.
+	Figures map[string]float64 `json:"figures,omitempty"`
+	// Revision is the document revision that was in force.
+	Revision int64 `json:"revision,omitempty"`
+}
+
+// Recorder logs decisions and remembers the latest.
+type Recorder interface {
+	Record(Decision)
+}
+
+const (
+	shardCount = 16
+	// perShard bounds the memory: 16 shards of 256 decisions of about 400 bytes
+	// are 1.6 MB, a fortieth of the node's 64 MB.
+	perShard = 256
+)
+
+// Log is the Recorder of a node. State is in shards by request id, each under
+// its own lock, so that recording does not serialise the data path.
+type Log struct {
+	logger hclog.Logger
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu     sync.Mutex
+	latest [perShard]Decision
+	next   int
+}
+
+// NewLog returns a Log that writes its lines to logger at info level.
+func NewLog(logger hclog.Logger) *Log {
+	return &Log{logger: logger}
+}
+
+// Record logs d and remembers it. Safe for concurrent use.
+func (l *Log) Record(d Decision) {
+	if l.logger.IsInfo() {
+		l.logger.Info("decision", fields(d)...)
+	}
+	s := l.shard(d.Request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest[s.next] = d
+	s.next = (s.next + 1) % perShard
+}
+
+// Explain returns what is remembered of a request, oldest first.
+func (l *Log) Explain(request string) []Decision {
+	s := l.shard(request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []Decision
+	for i := range perShard {
+		d := s.latest[(s.next+i)%perShard]
+		if d.Request == request && request != "" {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+func (l *Log) shard(request string) *shard {
+	h := fnv.New32a()
+	h.Write([]byte(request))
+	return &l.shards[h.Sum32()%shardCount]
+}
+
+func fields(d Decision) []any {
+	f := []any{"request", d.Request, "kind", d.Kind, "reason", d.Reason}
+	f = appendNamed(f, "team", d.Team)
+	f = appendNamed(f, "service", d.Service)
+	f = appendNamed(f, "chosen", d.Chosen)
+	for _, a := range d.Alternatives {
+		f = append(f, "alternative."+a.Name, a.Score)
+	}
+	for name, value := range d.Figures {
+		f = append(f, name, value)
+	}
+	if d.Revision > 0 {
+		f = append(f, "revision", d.Revision)
+	}
+	return f
+}
+
+func appendNamed(f []any, name, value string) []any {
+	if value == "" {
+		return f
+	}
+	return append(f, name, value)
+}
--- /dev/null
+++ b/route/directory/directory.go
@@ -0,0 +1,110 @@
+// Package directory is the environment document in force, laid out for the
+// data path: teams by the digest of their keys, services and endpoints by
+// name. A Directory never changes; a new document makes a new one.
+package directory
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/cicadatack/cicadatack/platform/document"
+)
+
+// Directory is one revision of the document. Safe for concurrent use.
+type Directory struct {
+	Document *document.Document
+	Revision int64
+	Digest   string
+
+	teams     map[[sha256.Size]byte]*document.Team
+	services  map[string]*document.Service
+	endpoints map[string]document.Endpoint
+}
+
+// Build indexes a checked document.
+func Build(doc *document.Document, revision int64, digest string) *Directory {
+	d := &Directory{
+		Document:  doc,
+		Revision:  revision,
+		Digest:    digest,
+		teams:     map[[sha256.Size]byte]*document.Team{},
+		services:  map[string]*document.Service{},
+		endpoints: map[string]document.Endpoint{},
+	}
+	for i := range doc.Teams {
+		d.addTeam(&doc.Teams[i])
+	}
+	for i := range doc.Services {
+		d.services[doc.Services[i].Name] = &doc.Services[i]
+	}
+	for _, e := range doc.Endpoints {
+		d.endpoints[e.Name] = e
+	}
+	return d
+}
+
+func (d *Directory) addTeam(t *document.Team) {
+	for _, key := range t.KeySHA256 {
+		raw, err := hex.DecodeString(key)
+		if err != nil || len(raw) != sha256.Size {
+			continue // refused by document.Parse
+		}
+		d.teams[[sha256.Size]byte(raw)] = t
+	}
+}
+
+// Team returns the team that a caller's key belongs to. Looking up the digest
+// rather than the key leaves nothing to compare byte by byte, so the time
+// taken tells nothing of other keys.
+func (d *Directory) Team(key string) (*document.Team, bool) {
+	t, ok := d.teams[sha256.Sum256([]byte(key))]
+	return t, ok
+}
+
+// Service returns a service by name.
+func (d *Directory) Service(name string) (*document.Service, bool) {
+	s, ok := d.services[name]
+	return s, ok
+}
+
+// Endpoint returns an endpoint by name.
+func (d *Directory) Endpoint(name string) (document.Endpoint, bool) {
+	e, ok := d.endpoints[name]
+	return e, ok
+}
+
+// MayCall says whether a team may call a service.
+func MayCall(t *document.Team, service string) bool {
+	if len(t.Services) == 0 {
+		return true
+	}
+	for _, s := range t.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// NonIdempotent says whether a call of a plain service may be placed at most
+// once. A method that the document does not list but that HTTP itself does not
+// call idempotent is still repeatable: the document decides.
+func NonIdempotent(p *document.Plain, method, path string) bool {
+	for _, c := range p.NonIdempotent {
+		if strings.EqualFold(c.Method, method) && strings.HasPrefix(path, c.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// BearerKey returns the key in the Authorization header, or "".
+func BearerKey(r *http.Request) string {
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,173 @@
+// Package link is a TCP link that can be cut, frozen or slowed, put between a
+// node and what it talks to. It is for tests only.
+package link
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// copyBuffer is how many bytes are passed on at a time.
+const copyBuffer = 16 << 10
+
+// Link passes connections from its own address on to a target.
+type Link struct {
+	target   string
+	listener net.Listener
+
+	mu     sync.Mutex
+	cond   *sync.Cond
+	conns  map[net.Conn]bool
+	cut    bool
+	frozen bool
+	delay  time.Duration
+	passed int64
+}
+
+// Listen opens a link on a free loopback port.
+func Listen(target string) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	l.cond = sync.NewCond(&l.mu)
+	go l.accept()
+	return l, nil
+}
+
+// Address is where to connect in place of the target.
+func (l *Link) Address() string {
+	return l.listener.Addr().String()
+}
+
+// Cut closes every connection and refuses new ones until Heal.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	l.closeAll()
+}
+
+// Freeze holds back every byte, both ways, with the connections left open.
+func (l *Link) Freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = true
+}
+
+// Slow delays each piece of data by d.
+func (l *Link) Slow(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// Heal ends every fault.
+func (l *Link) Heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = false
+	l.frozen = false
+	l.delay = 0
+	l.cond.Broadcast()
+}
+
+// Bytes is how many bytes have passed, both ways together.
+func (l *Link) Bytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passed
+}
+
+// Close ends the link and its connections.
+func (l *Link) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	l.frozen = false
+	l.closeAll()
+	l.cond.Broadcast()
+	return l.listener.Close()
+}
+
+func (l *Link) closeAll() {
+	for c := range l.conns {
+		c.Close()
+		delete(l.conns, c)
+	}
+}
+
+func (l *Link) accept() {
+	for {
+		near, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.join(near)
+	}
+}
+
+func (l *Link) join(near net.Conn) {
+	if !l.add(near) {
+		return
+	}
+	far, err := net.Dial("tcp", l.target)
+	if err != nil || !l.add(far) {
+		l.drop(near)
+		return
+	}
+	go l.pass(near, far)
+	l.pass(far, near)
+}
+
+func (l *Link) add(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		c.Close()
+		return false
+	}
+	l.conns[c] = true
+	return true
+}
+
+func (l *Link) drop(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Close()
+	delete(l.conns, c)
+}
+
+func (l *Link) pass(from, to net.Conn) {
+	defer l.drop(from)
+	defer l.drop(to)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			l.hold(n)
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits out the faults in force and counts the bytes.
+func (l *Link) hold(n int) {
+	l.mu.Lock()
+	for l.frozen {
+		l.cond.Wait()
+	}
+	delay := l.delay
+	l.passed += int64(n)
+	l.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
