--- /dev/null
+++ b/node/metrics/metrics.go
@@ -0,0 +1,156 @@
+// Package metrics names every figure that a node reports and serves them in
+// the Prometheus text form. docs/OPERATIONS.md lists them with their alarms.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	prefix = "cicadatack"
+	// reportInterval is how often tally hands its figures over. A scrape sees
+	// figures at most this old.
+	reportInterval = time.Second
+)
+
+// Label names.
+const (
+	labelService = "service"
+	labelOutcome = "outcome"
+	labelReason  = "reason"
+	labelTeam    = "team"
+)
+
+// Delay buckets in seconds, from under a millisecond on loopback to the ten
+// seconds after which nobody waits for a first token.
+var delayBuckets = tally.DurationBuckets{
+	500 * time.Microsecond,
+	time.Millisecond,
+	2 * time.Millisecond,
+	5 * time.Millisecond,
+	10 * time.Millisecond,
+	25 * time.Millisecond,
+	50 * time.Millisecond,
+	100 * time.Millisecond,
+	250 * time.Millisecond,
+	500 * time.Millisecond,
+	time.Second,
+	2 * time.Second,
+	5 * time.Second,
+	10 * time.Second,
+}
+
+// Metrics are the figures of one node. Safe for concurrent use.
+type Metrics struct {
+	scope  tally.Scope
+	closer io.Closer
+	http   http.Handler
+}
+
+// New returns the figures of a node named node.
+func New(node string) *Metrics {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Tags:                   map[string]string{"node": node},
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, http: reporter.HTTPHandler()}
+}
+
+// Handler serves the figures.
+func (m *Metrics) Handler() http.Handler {
+	return m.http
+}
+
+// Close hands over the last figures.
+func (m *Metrics) Close() error {
+	return m.closer.Close()
+}
+
+// Request counts a final answer by service, team and outcome.
+func (m *Metrics) Request(service, team, outcome string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelTeam:    team,
+		labelOutcome: outcome,
+	}).Counter("requests_total").Inc(1)
+}
+
+// Refused counts a refusal by its reason.
+func (m *Metrics) Refused(service, reason string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  reason,
+	}).Counter("refused_total").Inc(1)
+}
+
+// FirstToken records how long a caller waited for the first token.
+func (m *Metrics) FirstToken(service string, d time.Duration) {
+	m.service(service).Histogram("first_token_seconds", delayBuckets).RecordDuration(d)
+}
+
+// Waited records how long a request waited for room on the node.
+func (m *Metrics) Waited(service string, d time.Duration) {
+	m.service(service).Histogram("queue_wait_seconds", delayBuckets).RecordDuration(d)
+}
+
+// Tokens counts tokens passed to callers.
+func (m *Metrics) Tokens(service string, n int) {
+	m.service(service).Counter("tokens_total").Inc(int64(n))
+}
+
+// Resumed counts streams that went on along another chain.
+func (m *Metrics) Resumed(service, reason string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  reason,
+	}).Counter("streams_resumed_total").Inc(1)
+}
+
+// Dropped counts tokens that the span check kept from a caller.
+func (m *Metrics) Dropped(service, reason string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  reason,
+	}).Counter("tokens_dropped_total").Inc(1)
+}
+
+// Order counts an order by the state of its claim.
+func (m *Metrics) Order(service, state string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  state,
+	}).Counter("orders_total").Inc(1)
+}
+
+// Revision sets the document revision in force.
+func (m *Metrics) Revision(revision int64) {
+	m.scope.Gauge("document_revision").Update(float64(revision))
+}
+
+// Underway sets how many requests the node is serving.
+func (m *Metrics) Underway(n int64) {
+	m.scope.Gauge("requests_underway").Update(float64(n))
+}
+
+// Members sets how many entry VMs the node knows in a state.
+func (m *Metrics) Members(state string, n int) {
+	m.scope.Tagged(map[string]string{"state": state}).Gauge("members").Update(float64(n))
+}
+
+// Slots sets the usable slots of a service on this node.
+func (m *Metrics) Slots(service string, n int) {
+	m.service(service).Gauge("usable_slots").Update(float64(n))
+}
+
+func (m *Metrics) service(name string) tally.Scope {
+	return m.scope.Tagged(map[string]string{labelService: name})
+}
--- /dev/null
+++ b/route/call/call.go
@@ -0,0 +1,124 @@
+// Package call turns an HTTP request into a checked Call: whose it is, which
+// service it names, how urgent it is and until when it is of use.
+package call
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/admission"
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/outcome"
+)
+
+// defaultQueueDeadline is how long a request without a deadline of its own may
+// wait when the document says nothing: a caller of an interactive assistant
+// has turned away by then.
+const defaultQueueDeadline = 10 * time.Second
+
+// maxTimeout bounds what a caller may ask for.
+const maxTimeout = time.Hour
+
+// Values of the class header.
+const (
+	classInteractive = "interactive"
+	classBatch       = "batch"
+)
+
+// Call is one authenticated request.
+type Call struct {
+	ID        string
+	Team      *document.Team
+	Service   *document.Service
+	Class     admission.Class
+	Arrived   time.Time
+	Directory *directory.Directory
+	// Start is the latest useful start.
+	Start time.Time
+	// Deadline is when the caller stops waiting; zero means no limit.
+	Deadline time.Time
+}
+
+// Authenticate returns the team that r's key belongs to.
+func Authenticate(d *directory.Directory, r *http.Request) (*document.Team, *outcome.Refusal) {
+	team, ok := d.Team(directory.BearerKey(r))
+	if !ok {
+		return nil, refuse(http.StatusUnauthorized, "unknown_key", "the key belongs to no team of this environment")
+	}
+	return team, nil
+}
+
+// New checks r against the document and returns it as a Call of a service.
+func New(d *directory.Directory, r *http.Request, service string, now time.Time) (*Call, *outcome.Refusal) {
+	team, refusal := Authenticate(d, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	s, ok := d.Service(service)
+	if !ok {
+		return nil, refuse(http.StatusNotFound, "unknown_service", fmt.Sprintf("no service is named %q", service))
+	}
+	if !directory.MayCall(team, service) {
+		return nil, refuse(http.StatusForbidden, "not_allowed", fmt.Sprintf("team %q may not call %q", team.Name, service))
+	}
+	c := &Call{ID: NewID(), Team: team, Service: s, Arrived: now, Directory: d}
+	if refusal := c.readHeaders(r); refusal != nil {
+		return nil, refusal
+	}
+	return c, nil
+}
+
+func (c *Call) readHeaders(r *http.Request) *outcome.Refusal {
+	switch class := r.Header.Get(outcome.HeaderClass); class {
+	case "", classInteractive:
+		c.Class = admission.Interactive
+	case classBatch:
+		c.Class = admission.Batch
+	default:
+		return refuse(http.StatusBadRequest, "bad_class", fmt.Sprintf("%s: %q is neither %q nor %q", outcome.HeaderClass, class, classInteractive, classBatch))
+	}
+	c.Start = c.Arrived.Add(c.queueDeadline())
+	return c.readTimeout(r.Header.Get(outcome.HeaderTimeout))
+}
+
+func (c *Call) queueDeadline() time.Duration {
+	if ms := c.Directory.Document.Policy.QueueDeadlineMillis; ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return defaultQueueDeadline
+}
+
+func (c *Call) readTimeout(text string) *outcome.Refusal {
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return refuse(http.StatusBadRequest, "bad_timeout", fmt.Sprintf("%s: %q is not between 1 and %d", outcome.HeaderTimeout, text, maxTimeout.Milliseconds()))
+	}
+	c.Deadline = c.Arrived.Add(time.Duration(ms) * time.Millisecond)
+	if c.Deadline.Before(c.Start) {
+		c.Start = c.Deadline
+	}
+	return nil
+}
+
+// idBytes makes collisions among the requests of a day improbable.
+const idBytes = 12
+
+// NewID returns a fresh request id.
+func NewID() string {
+	var raw [idBytes]byte
+	// crypto/rand.Read never fails on supported systems; it crashes instead.
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+func refuse(status int, code, message string) *outcome.Refusal {
+	return &outcome.Refusal{Status: status, Code: code, Message: message, Outcome: outcome.NotRun}
+}
