Queue side of decide: first public API of admission, fairness and limits

Cause: the lead needs the names and types to code against. Excluded: no test has run against it yet; the figures in the package docs are aims of the design, not measurements.

--- /dev/null
+++ b/decide/admission/dispatch.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/fairness"
+)
+
+const (
+	// creditJobs bounds, in long jobs, what a team may be owed.
+	creditJobs = 4
+	// orderLead is how far, in tokens at weight 1, a team may be ahead of
+	// another and still have its order placed before that one's batch job. An
+	// order is small; without the bound a team could send its work as orders
+	// and shut out the batch work of all others.
+	orderLead = 8192
+	// maxShortPart is the most of the slots that is kept free of long jobs.
+	maxShortPart = 0.5
+)
+
+// dispatch starts requests while slots are free.
+func (q *Queue) dispatch(now time.Time) {
+	for q.waiting > 0 && q.meter.running < q.slots {
+		it := q.next()
+		if it == nil {
+			return
+		}
+		q.dequeue(it)
+		if now.After(it.deadline) {
+			q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
+			continue
+		}
+		q.start(now, it)
+	}
+}
+
+// next picks the team by weighted share and then its first request.
+func (q *Queue) next() *item {
+	longMayRun := q.longRun < q.longRoom
+	orders := q.flows.Min(laneOrder)
+	flow := q.before(orders, q.flows.Min(laneShort))
+	if longMayRun {
+		flow = q.before(flow, q.flows.Min(laneLong))
+	}
+	if flow == nil {
+		return nil
+	}
+	it := flow.Value.first(longMayRun)
+	if it.Class == Batch && orders != nil && q.flows.Ahead(orders, flow) <= orderLead {
+		return orders.Value.first(longMayRun)
+	}
+	return it
+}
+
+// before returns the one that is to go first; either may be nil.
+func (q *Queue) before(a, b *fairness.Flow[*team]) *fairness.Flow[*team] {
+	if a == nil {
+		return b
+	}
+	if b == nil || q.flows.Ahead(a, b) < 0 {
+		return a
+	}
+	return b
+}
+
+func (q *Queue) start(now time.Time, it *item) {
+	it.running = true
+	it.started = now
+	it.team.running++
+	q.meter.start(now, it.Cost)
+	if it.length == long {
+		q.longRun++
+	}
+	q.flows.Charge(it.team.flow, it.Cost)
+	q.items[it.ID] = it
+	q.out = append(q.out, q.verdict(now, it, Run, SlotFree))
+}
+
+// release takes a running request out of its slot.
+func (q *Queue) release(it *item, cost float64) {
+	t := it.team
+	t.running--
+	q.meter.leave(it.started, it.Cost)
+	if it.length == long {
+		q.longRun--
+	}
+	q.flows.Correct(t.flow, cost-it.Cost)
+	q.drop(it)
+}
+
+func (q *Queue) enqueue(it *item) {
+	it.team.waiting[it.Class][it.length].push(it)
+	q.waiting++
+	q.waitingWork += it.Cost
+	q.items[it.ID] = it
+	q.flows.Wake(it.team.flow, it.lane())
+}
+
+func (q *Queue) dequeue(it *item) {
+	t := it.team
+	t.waiting[it.Class][it.length].remove(it)
+	q.waiting--
+	q.waitingWork -= it.Cost
+	if q.waiting == 0 {
+		q.waitingWork = 0 // no rounding error outlives the last request
+	}
+	if t.laneEmpty(it.lane()) {
+		q.flows.Sleep(t.flow, it.lane())
+	}
+}
+
+func (it *item) lane() int {
+	if it.Class == Order {
+		return laneOrder
+	}
+	if it.length == long {
+		return laneLong
+	}
+	return laneShort
+}
+
+func (t *team) laneEmpty(lane int) bool {
+	if lane == laneOrder {
+		return t.waiting[Order][short].head == nil
+	}
+	l := short
+	if lane == laneLong {
+		l = long
+	}
+	return t.waiting[Interactive][l].head == nil && t.waiting[Batch][l].head == nil
+}
+
+// setLongRoom keeps slots free of long jobs for the short ones that are to be
+// expected: as many as the offered short work fills, and its square root to
+// ride out chance (the square-root rule of staffing).
+//
+// Without room of its own a short job that comes when long ones hold all slots
+// waits for the first of them to end. Each team's short work counts up to its
+// share of the slots only, or a team could push the long jobs of others out by
+// flooding with short ones. Where nobody sends short jobs, nothing is kept.
+func (q *Queue) setLongRoom(now time.Time) {
+	rate := q.slotRate(now)
+	if rate <= 0 {
+		q.longRoom = q.slots
+		return
+	}
+	weight := 0.0
+	for _, t := range q.order {
+		if !t.idle() || t.shortWork.perSecond(now) > 0 {
+			weight += t.flow.Weight()
+		}
+	}
+	need := 0.0
+	for _, t := range q.order {
+		offered := t.shortWork.perSecond(now) / rate
+		fair := float64(q.slots) * t.flow.Weight() / max(weight, t.flow.Weight())
+		need += min(offered, fair)
+	}
+	keep := math.Ceil(need + math.Sqrt(need))
+	keep = min(keep, math.Floor(float64(q.slots)*maxShortPart))
+	q.longRoom = q.slots - int(keep)
+}
--- /dev/null
+++ b/decide/admission/list.go
@@ -0,0 +1,66 @@
+package admission
+
+import "time"
+
+// length separates long jobs from short ones.
+type length uint8
+
+const (
+	short length = iota
+	long
+	lengthCount = 2
+)
+
+// item is a request that waits or runs.
+type item struct {
+	Request
+	team     *team
+	length   length
+	seq      uint64 // order of arrival
+	offered  time.Time
+	started  time.Time
+	deadline time.Time
+	running  bool
+	prev     *item
+	next     *item
+}
+
+// list holds the waiting requests of one team, class and length in order of
+// arrival. It is linked so that a caller who leaves costs the same from any
+// place in the queue.
+type list struct {
+	head *item
+	tail *item
+	cost float64 // sum of the expected costs, tokens
+}
+
+func (l *list) push(it *item) {
+	it.prev = l.tail
+	it.next = nil
+	if l.tail == nil {
+		l.head = it
+	} else {
+		l.tail.next = it
+	}
+	l.tail = it
+	l.cost += it.Cost
+}
+
+func (l *list) remove(it *item) {
+	if it.prev == nil {
+		l.head = it.next
+	} else {
+		it.prev.next = it.next
+	}
+	if it.next == nil {
+		l.tail = it.prev
+	} else {
+		it.next.prev = it.prev
+	}
+	it.prev = nil
+	it.next = nil
+	l.cost -= it.Cost
+	if l.head == nil {
+		l.cost = 0 // no rounding error outlives the last request
+	}
+}
--- /dev/null
+++ b/decide/admission/queue.go
@@ -0,0 +1,236 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/fairness"
+)
+
+// The lanes of the schedule. A team waits in each lane for which it has work.
+const (
+	laneOrder = iota
+	laneShort
+	laneLong
+	laneCount
+)
+
+// defaultWeight is that of a team which SetTeam has not named.
+const defaultWeight = 1
+
+// Queue decides which requests of one service run, wait or are refused on one
+// node. It is not safe for concurrent use: the caller locks.
+type Queue struct {
+	cfg   Config
+	flows *fairness.Scheduler[*team]
+	teams map[string]*team
+	order []*team // the same teams, so that walks over them are deterministic
+	items map[uint64]*item
+	spare *item // finished items for reuse, linked by next
+	meter meter
+
+	slots       int
+	longRun     int
+	longRoom    int
+	waiting     int
+	waitingWork float64 // expected tokens
+	seq         uint64
+
+	out []Verdict
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue {
+	cfg = cfg.withDefaults()
+	q := &Queue{
+		cfg:   cfg,
+		flows: fairness.New[*team](laneCount, creditJobs*cfg.LongCost),
+		teams: make(map[string]*team),
+		items: make(map[uint64]*item),
+		meter: meter{prior: max(cfg.SlotRate, 0)},
+		slots: cfg.Slots,
+	}
+	q.longRoom = cfg.Slots
+	return q
+}
+
+// SetTeam sets a team's weight. A team that is not set has weight 1.
+func (q *Queue) SetTeam(name string, weight float64) {
+	t := q.team(name)
+	t.declared = true
+	q.flows.SetWeight(t.flow, weight)
+}
+
+// RemoveTeam refuses what waits of the team and forgets it. What runs goes on.
+func (q *Queue) RemoveTeam(now time.Time, name string) []Verdict {
+	t, ok := q.teams[name]
+	if !ok {
+		return nil
+	}
+	t.declared = false
+	t.walk(func(it *item) {
+		q.dequeue(it)
+		q.refuse(now, it, TeamRemoved, 0, 0)
+	})
+	q.forget(t)
+	q.dispatch(now)
+	return q.take()
+}
+
+// Offer puts a request into the queue. The verdicts may concern this request,
+// others, or none if it has to wait.
+func (q *Queue) Offer(now time.Time, r Request) []Verdict {
+	if _, known := q.items[r.ID]; known {
+		return []Verdict{{ID: r.ID, Team: r.Team, Class: r.Class, Kind: Refuse, Reason: DuplicateID, QueueLength: q.waiting}}
+	}
+	it := q.newItem(now, r)
+	if it.length == short {
+		it.team.shortWork.add(now, it.Cost)
+	}
+	if q.admit(now, it) {
+		q.enqueue(it)
+		q.dispatch(now)
+	}
+	return q.take()
+}
+
+// Finish frees the slot of a running request. Cost is the actual one in
+// tokens. An unknown ID is ignored.
+func (q *Queue) Finish(now time.Time, id uint64, cost float64) []Verdict {
+	it, ok := q.items[id]
+	if !ok || !it.running {
+		return nil
+	}
+	cost = max(cost, 0)
+	q.meter.learn(now, it.Cost, cost, now.Sub(it.started))
+	q.release(it, cost)
+	q.dispatch(now)
+	return q.take()
+}
+
+// Abandon notes that the caller has left. There is no verdict on the request
+// itself: nobody waits for one. A running request has cost its team what a slot
+// produces in the time it held one.
+func (q *Queue) Abandon(now time.Time, id uint64) []Verdict {
+	it, ok := q.items[id]
+	if !ok {
+		return nil
+	}
+	if it.running {
+		spent := q.meter.slotRate(now) * now.Sub(it.started).Seconds()
+		q.release(it, min(spent, it.Cost))
+	} else {
+		q.dequeue(it)
+		q.drop(it)
+	}
+	q.dispatch(now)
+	return q.take()
+}
+
+// SetCapacity sets the number of slots. Running requests are never stopped: if
+// more run than there are slots, no other starts until enough have finished.
+func (q *Queue) SetCapacity(now time.Time, slots int) []Verdict {
+	q.slots = max(slots, 0)
+	q.setLongRoom(now)
+	q.sweep(now)
+	q.dispatch(now)
+	return q.take()
+}
+
+// Tick refuses requests that will miss their deadline. It is to be called at
+// the time it returns; the zero time means not before the next Offer.
+func (q *Queue) Tick(now time.Time) (verdicts []Verdict, next time.Time) {
+	q.setLongRoom(now)
+	earliest := q.sweep(now)
+	q.dispatch(now)
+	if q.waiting == 0 {
+		return q.take(), time.Time{}
+	}
+	next = now.Add(sweepInterval)
+	if earliest.After(now) && earliest.Before(next) {
+		next = earliest
+	}
+	return q.take(), next
+}
+
+// Stats returns the present figures.
+func (q *Queue) Stats(now time.Time) Stats {
+	return Stats{
+		Slots:     q.slots,
+		Running:   q.meter.running,
+		Waiting:   q.waiting,
+		LongRun:   q.longRun,
+		LongRoom:  q.longRoom,
+		DrainRate: q.drainRate(now),
+	}
+}
+
+func (q *Queue) drainRate(now time.Time) float64 {
+	return q.meter.slotRate(now) * float64(q.slots)
+}
+
+func (q *Queue) team(name string) *team {
+	t, ok := q.teams[name]
+	if !ok {
+		t = &team{name: name}
+		t.flow = q.flows.Add(defaultWeight, t)
+		t.index = len(q.order)
+		q.order = append(q.order, t)
+		q.teams[name] = t
+	}
+	return t
+}
+
+// forget drops a team that nothing needs any more, so that names which come
+// and go do not add up.
+func (q *Queue) forget(t *team) {
+	if t.declared || !t.idle() || q.teams[t.name] != t {
+		return
+	}
+	delete(q.teams, t.name)
+	last := q.order[len(q.order)-1]
+	last.index = t.index
+	q.order[t.index] = last
+	q.order = q.order[:len(q.order)-1]
+}
+
+func (q *Queue) newItem(now time.Time, r Request) *item {
+	it := q.spare
+	if it == nil {
+		it = new(item)
+	} else {
+		q.spare = it.next
+	}
+	r.Class = min(r.Class, Batch)
+	if !(r.Cost >= 1) {
+		r.Cost = 1
+	}
+	q.seq++
+	*it = item{Request: r, team: q.team(r.Team), seq: q.seq, offered: now, deadline: r.Deadline}
+	if it.deadline.IsZero() {
+		it.deadline = now.Add(q.cfg.DefaultWait)
+	}
+	if r.Cost >= q.cfg.LongCost && r.Class != Order {
+		it.length = long
+	}
+	return it
+}
+
+// drop returns an item that neither waits nor runs.
+func (q *Queue) drop(it *item) {
+	delete(q.items, it.ID)
+	t := it.team
+	*it = item{next: q.spare}
+	q.spare = it
+	q.forget(t)
+}
+
+// take hands the verdicts over. They are the caller's own.
+func (q *Queue) take() []Verdict {
+	if len(q.out) == 0 {
+		return nil
+	}
+	out := make([]Verdict, len(q.out))
+	copy(out, q.out)
+	q.out = q.out[:0]
+	return out
+}
--- /dev/null
+++ b/decide/admission/refuse.go
@@ -0,0 +1,164 @@
+package admission
+
+import "time"
+
+const (
+	// admitPart is the part of the time left that a predicted wait may take.
+	// The rest absorbs the error of the prediction: who is admitted and then
+	// misses the deadline has waited for nothing.
+	admitPart = 0.9
+	// giveUpPart is the part of the time left beyond which a waiting request
+	// is given up. It is above admitPart so that chance alone does not turn
+	// an admission into a refusal.
+	giveUpPart = 1.1
+	// retrySpread spreads the returns of callers refused at the same moment.
+	retrySpread = 0.1
+)
+
+// admit decides whether a new request may wait; if not, it is refused.
+func (q *Queue) admit(now time.Time, it *item) bool {
+	if q.slots == 0 {
+		q.refuse(now, it, NoCapacity, forever, noCapacityRetry)
+		return false
+	}
+	if now.After(it.deadline) {
+		q.refuse(now, it, DeadlinePassed, 0, 0)
+		return false
+	}
+	if q.meter.running < q.slots && q.waiting == 0 {
+		return true
+	}
+	wait := q.predict(now, it.team, q.lastPlace(it))
+	late := wait - part(it.deadline.Sub(now), admitPart)
+	if late > 0 {
+		q.refuse(now, it, TooLate, wait, q.retryAfter(now, it, late))
+		return false
+	}
+	if q.waiting >= q.cfg.MaxWaiting {
+		q.refuse(now, it, QueueFull, wait, q.retryAfter(now, it, wait))
+		return false
+	}
+	return true
+}
+
+// lastPlace is that of a new request at the end of its class.
+func (q *Queue) lastPlace(it *item) place {
+	p := place{
+		ahead:  it.team.workBefore(it.Class),
+		total:  q.waitingWork,
+		length: it.length,
+	}
+	if it.length == long {
+		p.longAhead = it.team.longWork()
+	}
+	return p
+}
+
+// sweep gives up waiting requests that will miss their deadline, and returns
+// the earliest deadline left, or the zero time.
+//
+// When capacity is lost, a queue that was right to admit is too long. Those who
+// can't be served are told so now, while they can still go elsewhere; kept until
+// their deadlines they would also be counted as work ahead of newcomers.
+func (q *Queue) sweep(now time.Time) (earliest time.Time) {
+	// From the last, because giving up may take the team out of the order.
+	for i := len(q.order) - 1; i >= 0; i-- {
+		first := q.sweepTeam(now, q.order[i])
+		if earliest.IsZero() || (!first.IsZero() && first.Before(earliest)) {
+			earliest = first
+		}
+	}
+	return earliest
+}
+
+func (q *Queue) sweepTeam(now time.Time, t *team) (earliest time.Time) {
+	p := place{}
+	t.walk(func(it *item) {
+		p.length = it.length
+		p.total = q.waitingWork - it.Cost
+		if q.giveUp(now, it, p) {
+			return
+		}
+		p.ahead += it.Cost
+		if it.length == long {
+			p.longAhead += it.Cost
+		}
+		if earliest.IsZero() || it.deadline.Before(earliest) {
+			earliest = it.deadline
+		}
+	})
+	return earliest
+}
+
+// giveUp refuses a waiting request if it can't start in time.
+func (q *Queue) giveUp(now time.Time, it *item, p place) bool {
+	left := it.deadline.Sub(now)
+	if left < 0 {
+		q.dequeue(it)
+		q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
+		return true
+	}
+	wait := q.predict(now, it.team, p)
+	late := wait - part(left, giveUpPart)
+	if late <= 0 || q.slots == 0 {
+		return false
+	}
+	q.dequeue(it)
+	q.refuse(now, it, TooLate, wait, q.retryAfter(now, it, late))
+	return true
+}
+
+// retryAfter says when a caller who is late by the given time will find room:
+// when the queue has drained by that much and those told to come back before
+// it have been served at the team's share of the drain rate. If all were told
+// the same moment they would come back as one burst and be refused again.
+func (q *Queue) retryAfter(now time.Time, it *item, late time.Duration) time.Duration {
+	drain := q.slotRate(now) * float64(q.slots)
+	if drain <= 0 {
+		return noCapacityRetry
+	}
+	t := it.team
+	at := now.Add(min(late, q.cfg.MaxRetryAfter))
+	if t.returnsAt.After(at) {
+		at = t.returnsAt
+	}
+	at = at.Add(toDuration(it.Cost / (drain * q.share(t))))
+	if last := now.Add(q.cfg.MaxRetryAfter); at.After(last) {
+		at = last
+	}
+	t.returnsAt = at
+	return q.spread(it.ID, max(at.Sub(now), minRetryAfter))
+}
+
+// spread takes off up to retrySpread of the wait, by the request's ID.
+func (q *Queue) spread(id uint64, wait time.Duration) time.Duration {
+	const golden = 0x9e3779b97f4a7c15 // spreads neighbouring IDs (Fibonacci hashing)
+	fraction := float64((id*golden)>>11) / (1 << 53)
+	return max(wait-part(wait, retrySpread*fraction), minRetryAfter)
+}
+
+// refuse gives the final answer to a request that is in no list.
+func (q *Queue) refuse(now time.Time, it *item, reason Reason, wait, retryAfter time.Duration) {
+	v := q.verdict(now, it, Refuse, reason)
+	v.Predicted = wait
+	v.RetryAfter = retryAfter
+	q.out = append(q.out, v)
+	q.drop(it)
+}
+
+func (q *Queue) verdict(now time.Time, it *item, kind Kind, reason Reason) Verdict {
+	return Verdict{
+		ID:          it.ID,
+		Team:        it.Team,
+		Class:       it.Class,
+		Kind:        kind,
+		Reason:      reason,
+		Waited:      now.Sub(it.offered),
+		QueueLength: q.waiting,
+		DrainRate:   q.drainRate(now),
+	}
+}
+
+func part(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(d) * fraction)
+}
--- /dev/null
+++ b/decide/limits/loans.go
@@ -0,0 +1,171 @@
+package limits
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// team is one team's state on this node.
+type team struct {
+	limit   float64
+	homes   []string
+	even    float64
+	offered demand
+	bucket  bucket
+	peers   map[string]*peer
+}
+
+// peer is what this node knows of the team on another one.
+type peer struct {
+	demand float64
+	heard  time.Time
+	lent   []loan // newest last, rates falling
+	owed   loan   // borrowed from the peer
+}
+
+// loan is a rate in tokens per second until a time.
+type loan struct {
+	rate  float64
+	until time.Time
+}
+
+func (l loan) at(now time.Time) float64 {
+	if now.Before(l.until) {
+		return l.rate
+	}
+	return 0
+}
+
+func newTeam() *team { return &team{peers: make(map[string]*peer)} }
+
+func (t *team) peer(node string) *peer {
+	p, ok := t.peers[node]
+	if !ok {
+		p = new(peer)
+		t.peers[node] = p
+	}
+	return p
+}
+
+// lentAt returns the highest loan to the peer in force. A newer answer replaces
+// an older one for the borrower, but it may have been lost: until an older,
+// larger loan has run out, the lender has to reckon with it.
+func (p *peer) lentAt(now time.Time) float64 {
+	most := 0.0
+	for _, l := range p.lent {
+		most = max(most, l.at(now))
+	}
+	return most
+}
+
+// lend adds a loan and drops those that it outlasts and exceeds.
+func (p *peer) lend(now time.Time, l loan) {
+	p.lent = slices.DeleteFunc(p.lent, func(old loan) bool {
+		return old.at(now) <= l.rate
+	})
+	if l.rate > 0 {
+		p.lent = append(p.lent, l)
+	}
+}
+
+func (t *team) lent(now time.Time) float64 {
+	sum := 0.0
+	for _, p := range t.peers {
+		sum += p.lentAt(now)
+	}
+	return sum
+}
+
+func (t *team) borrowed(now time.Time) float64 {
+	sum := 0.0
+	for _, p := range t.peers {
+		sum += p.owed.at(now)
+	}
+	return sum
+}
+
+// need is what the peer lacks beyond its own even part, if it has been heard
+// of lately.
+func (t *team) need(now time.Time, node string, cfg Config) float64 {
+	p, ok := t.peers[node]
+	if !ok || now.Sub(p.heard) > cfg.Lease {
+		return 0
+	}
+	even := 0.0
+	if slices.Contains(t.homes, node) {
+		even = t.limit / float64(len(t.homes))
+	}
+	return max(cfg.Headroom*p.demand-even, 0)
+}
+
+// spare returns what may be lent to the asker: its part, by need, of what this
+// node has over its own demand, and no more than it has not lent already.
+func (t *team) spare(now time.Time, asker string, cfg Config) float64 {
+	need := t.need(now, asker, cfg)
+	if need == 0 {
+		return 0
+	}
+	needs := 0.0
+	lentToOthers := 0.0
+	for node, p := range t.peers {
+		needs += t.need(now, node, cfg)
+		if node != asker {
+			lentToOthers += p.lentAt(now)
+		}
+	}
+	over := t.even - cfg.Headroom*t.offered.perSecond(now, cfg.DemandWindow)
+	fair := over * need / needs
+	free := t.even - lentToOthers
+	return max(min(fair, free, need), 0)
+}
+
+// Ask returns what to put into a question to the peer: this node's demand of
+// each team that has a home there.
+func (s *Splitter) Ask(now time.Time, node string) []Ask {
+	var asks []Ask
+	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
+		t := s.teams[name]
+		if slices.Contains(t.homes, node) {
+			asks = append(asks, Ask{Team: name, Demand: t.offered.perSecond(now, s.cfg.DemandWindow)})
+		}
+	}
+	return asks
+}
+
+// Lend returns the answer to a peer's question. From now on the loans are off
+// this node's rate, whether or not the answer arrives.
+func (s *Splitter) Lend(now time.Time, asker string, asks []Ask) []Loan {
+	loans := make([]Loan, 0, len(asks))
+	for _, ask := range asks {
+		t, ok := s.teams[ask.Team]
+		if !ok {
+			continue
+		}
+		s.Demand(now, ask.Team, asker, ask.Demand)
+		rate := t.spare(now, asker, s.cfg)
+		t.peer(asker).lend(now, loan{rate: rate, until: now.Add(s.cfg.Lease)})
+		demand := t.offered.perSecond(now, s.cfg.DemandWindow)
+		loans = append(loans, Loan{Team: ask.Team, Demand: demand, Rate: rate})
+	}
+	return loans
+}
+
+// Borrow takes the answer to this node's question. Asked is the time at which
+// the question was sent, by this node's clock: the lease counts from there, so
+// that it ends here before it ends at the lender, however long the answer or
+// this process was held up.
+func (s *Splitter) Borrow(now, asked time.Time, node string, loans []Loan) {
+	until := asked.Add(s.cfg.Lease)
+	for _, l := range loans {
+		t, ok := s.teams[l.Team]
+		if !ok {
+			continue
+		}
+		s.Demand(now, l.Team, node, l.Demand)
+		p := t.peer(node)
+		if !until.Before(p.owed.until) {
+			p.owed = loan{rate: max(l.Rate, 0), until: until}
+		}
+	}
+}
--- /dev/null
+++ b/decide/limits/splitter.go
@@ -0,0 +1,167 @@
+package limits
+
+import (
+	"slices"
+	"time"
+)
+
+// Config sets up a Splitter. The zero value of each field but Self means its
+// default.
+type Config struct {
+	// Self is this node's name, as in the lists of homes.
+	Self string
+	// Lease is how long a loan between nodes lasts. Two homes have to
+	// exchange at least twice in it.
+	Lease time.Duration
+	// Burst is how much unused allowance a node keeps, as time at its rate.
+	Burst time.Duration
+	// DemandWindow is the time constant of the measured demand.
+	DemandWindow time.Duration
+	// Headroom is the factor on its own demand that a node keeps at home.
+	Headroom float64
+}
+
+const (
+	defaultLease        = 6 * time.Second
+	defaultBurst        = time.Second
+	defaultDemandWindow = 2 * time.Second
+	defaultHeadroom     = 1.25
+
+	// maxRetryAfter is told where the node's rate is zero.
+	maxRetryAfter = 30 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Lease <= 0 {
+		c.Lease = defaultLease
+	}
+	if c.Burst <= 0 {
+		c.Burst = defaultBurst
+	}
+	if c.DemandWindow <= 0 {
+		c.DemandWindow = defaultDemandWindow
+	}
+	if c.Headroom < 1 {
+		c.Headroom = defaultHeadroom
+	}
+	return c
+}
+
+// Share is this node's part of a team's limit. All rates are in tokens per
+// second.
+type Share struct {
+	Limit    float64 // of the whole environment; zero if the team has none
+	Rate     float64 // what this node allows now
+	Even     float64 // this node's own part
+	Lent     float64
+	Borrowed float64
+	Demand   float64 // measured on this node
+	Home     bool    // whether this node is one of the team's homes
+}
+
+// Ask is one team's entry in a question to a peer.
+type Ask struct {
+	Team   string
+	Demand float64 // of the asking node, tokens per second
+}
+
+// Loan is one team's entry in the answer.
+type Loan struct {
+	Team   string
+	Demand float64 // of the answering node, tokens per second
+	Rate   float64 // lent to the asking node, tokens per second
+}
+
+// Splitter counts the teams' work on one node. It is not safe for concurrent
+// use: the caller locks.
+type Splitter struct {
+	cfg   Config
+	teams map[string]*team
+}
+
+// New returns a Splitter that limits no team.
+func New(cfg Config) *Splitter {
+	return &Splitter{cfg: cfg.withDefaults(), teams: make(map[string]*team)}
+}
+
+// SetTeam sets a team's limit over the whole environment and the names of its
+// home nodes. A limit of zero or less means none. Loans in force stay.
+func (s *Splitter) SetTeam(name string, tokensPerSecond float64, homes []string) {
+	if tokensPerSecond <= 0 {
+		s.RemoveTeam(name)
+		return
+	}
+	t, ok := s.teams[name]
+	if !ok {
+		t = newTeam()
+		s.teams[name] = t
+	}
+	t.limit = tokensPerSecond
+	t.homes = slices.Clone(homes)
+	t.even = 0
+	if slices.Contains(homes, s.cfg.Self) {
+		t.even = tokensPerSecond / float64(len(homes))
+	}
+}
+
+// RemoveTeam ends a team's limit.
+func (s *Splitter) RemoveTeam(name string) { delete(s.teams, name) }
+
+// Demand notes what a peer needs, from an exchange. Lend and Borrow call it.
+func (s *Splitter) Demand(now time.Time, name, node string, tokensPerSecond float64) {
+	t, ok := s.teams[name]
+	if !ok || node == s.cfg.Self {
+		return
+	}
+	p := t.peer(node)
+	p.demand = max(tokensPerSecond, 0)
+	p.heard = now
+}
+
+// Allow tells whether a request of the given expected cost, in tokens, is
+// within the team's limit, and books it if so. Otherwise retryAfter says when
+// this node's allowance will have recovered.
+func (s *Splitter) Allow(now time.Time, name string, cost float64) (ok bool, retryAfter time.Duration, share Share) {
+	t, limited := s.teams[name]
+	if !limited {
+		return true, 0, Share{}
+	}
+	t.offered.add(now, cost, s.cfg.DemandWindow)
+	share = s.share(now, t)
+	t.bucket.refill(now, share.Rate, s.cfg.Burst)
+	ok, retryAfter = t.bucket.take(cost, share.Rate)
+	return ok, retryAfter, share
+}
+
+// Correct books the difference between actual and expected cost, in tokens.
+func (s *Splitter) Correct(now time.Time, name string, diff float64) {
+	t, ok := s.teams[name]
+	if !ok {
+		return
+	}
+	t.bucket.refill(now, s.share(now, t).Rate, s.cfg.Burst)
+	t.bucket.level -= diff
+}
+
+// Share returns the present figures; ok is false if the team has no limit.
+func (s *Splitter) Share(now time.Time, name string) (share Share, ok bool) {
+	t, ok := s.teams[name]
+	if !ok {
+		return Share{}, false
+	}
+	return s.share(now, t), true
+}
+
+func (s *Splitter) share(now time.Time, t *team) Share {
+	lent := t.lent(now)
+	borrowed := t.borrowed(now)
+	return Share{
+		Limit:    t.limit,
+		Rate:     max(t.even-lent, 0) + borrowed,
+		Even:     t.even,
+		Lent:     lent,
+		Borrowed: borrowed,
+		Demand:   t.offered.perSecond(now, s.cfg.DemandWindow),
+		Home:     slices.Contains(t.homes, s.cfg.Self),
+	}
+}
