--- /dev/null
+++ b/decide/retry/retry.go
@@ -0,0 +1,201 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+)
+
+// Defaults of Config; doc.go gives their grounds.
+const (
+	DefaultShare       = 0.1
+	DefaultBurst       = 100
+	DefaultFloor       = 0.2
+	DefaultMaxAttempts = 3
+	DefaultBaseDelay   = 25 * time.Millisecond
+	DefaultMaxDelay    = time.Second
+)
+
+// Config sets a Budget. Zero values take the defaults.
+type Config struct {
+	// Share is the retries earned per success.
+	Share float64
+	// Burst is the most retries that can be saved up; a new Budget holds them.
+	Burst float64
+	// Floor is the retries earned per second whatever succeeds.
+	Floor float64
+	// MaxAttempts bounds the attempts of one request, the first included.
+	MaxAttempts int
+	// BaseDelay is the longest wait before the second attempt; it doubles with
+	// each further one up to MaxDelay.
+	BaseDelay time.Duration
+	MaxDelay  time.Duration
+	// Seed of the jitter; nodes take different ones.
+	Seed uint64
+}
+
+// Attempt describes a failed attempt.
+type Attempt struct {
+	// Made is the number of attempts made so far, this one included.
+	Made    int
+	Failure health.Failure
+	// Repeatable is set if the request may run twice. Otherwise it is tried
+	// again only if NotRun is set or Failure proves that it did not run.
+	Repeatable bool
+	// NotRun is set if the caller of Allow knows that the request did not run.
+	NotRun bool
+	// Deadline of the request; zero for none.
+	Deadline time.Time
+	// Need is the shortest time in which an attempt can succeed.
+	Need time.Duration
+	// Alternatives is the number of other endpoints that could be tried.
+	Alternatives int
+}
+
+// Reason says why an attempt is or is not tried again.
+type Reason uint8
+
+const (
+	// Allowed is the only reason that comes with Retry set.
+	Allowed Reason = iota
+	// NotAFailure means that the attempt succeeded or its caller gave up.
+	NotAFailure
+	// Overload means that the endpoint refused for want of room.
+	Overload
+	// MayHaveRun means that the request may not repeat and perhaps ran.
+	MayHaveRun
+	// TooManyAttempts means that MaxAttempts is reached.
+	TooManyAttempts
+	// NoAlternative means that no other endpoint is left.
+	NoAlternative
+	// DeadlineTooNear means that a further attempt would end too late.
+	DeadlineTooNear
+	// BudgetSpent means that the service fails too often to retry.
+	BudgetSpent
+)
+
+var reasonNames = [...]string{
+	"allowed", "not a failure", "overload", "may have run", "too many attempts",
+	"no alternative", "deadline too near", "budget spent",
+}
+
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "invalid"
+}
+
+// Decision is the answer of Allow.
+type Decision struct {
+	Retry bool
+	// After is how long to wait before the retry.
+	After  time.Duration
+	Reason Reason
+	// Left is the budget after the decision, in retries, for the log line.
+	Left float64
+}
+
+// Budget holds the retries that a service has earned.
+type Budget struct {
+	cfg    Config
+	tokens float64
+	earned time.Time // up to when the floor has been credited
+	random *rand.Rand
+}
+
+// New returns a full Budget.
+func New(cfg Config) *Budget {
+	cfg = withDefaults(cfg)
+	return &Budget{
+		cfg:    cfg,
+		tokens: cfg.Burst,
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+}
+
+func withDefaults(cfg Config) Config {
+	setDefault(&cfg.Share, DefaultShare)
+	setDefault(&cfg.Burst, DefaultBurst)
+	setDefault(&cfg.Floor, DefaultFloor)
+	setDefault(&cfg.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&cfg.BaseDelay, DefaultBaseDelay)
+	setDefault(&cfg.MaxDelay, DefaultMaxDelay)
+	return cfg
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Success credits the budget for a complete answer.
+func (b *Budget) Success(now time.Time) {
+	b.earnFloor(now)
+	b.credit(b.cfg.Share)
+}
+
+// Allow decides on a failed attempt and, if it may be tried again, charges the
+// budget for the retry.
+func (b *Budget) Allow(now time.Time, a Attempt) Decision {
+	b.earnFloor(now)
+	after := b.delay(a.Made)
+	reason := b.refusal(now.Add(after), a)
+	if reason != Allowed {
+		return Decision{Reason: reason, Left: b.tokens}
+	}
+	b.tokens--
+	return Decision{Retry: true, After: after, Reason: Allowed, Left: b.tokens}
+}
+
+// refusal returns why an attempt that would start at the given time may not be
+// made, or Allowed. The budget comes last, so that it is charged only for
+// retries that are made.
+func (b *Budget) refusal(start time.Time, a Attempt) Reason {
+	switch {
+	case a.Failure == health.None || a.Failure == health.Canceled:
+		return NotAFailure
+	case a.Failure == health.Overloaded:
+		return Overload
+	case !a.Repeatable && !a.NotRun && !a.Failure.ProvesNotRun():
+		return MayHaveRun
+	case a.Made >= b.cfg.MaxAttempts:
+		return TooManyAttempts
+	case a.Alternatives <= 0:
+		return NoAlternative
+	case !a.Deadline.IsZero() && start.Add(a.Need).After(a.Deadline):
+		return DeadlineTooNear
+	case b.tokens < 1:
+		return BudgetSpent
+	}
+	return Allowed
+}
+
+// delay draws the wait before the next attempt: between half and the whole of
+// the doubled base delay.
+func (b *Budget) delay(made int) time.Duration {
+	d := b.cfg.BaseDelay
+	for i := 1; i < made && d < b.cfg.MaxDelay; i++ {
+		d *= 2
+	}
+	d = min(d, b.cfg.MaxDelay)
+	return d/2 + time.Duration(b.random.Float64()*float64(d/2))
+}
+
+func (b *Budget) earnFloor(now time.Time) {
+	if b.earned.IsZero() {
+		b.earned = now
+	}
+	passed := now.Sub(b.earned)
+	if passed <= 0 {
+		return
+	}
+	b.earned = now
+	b.credit(b.cfg.Floor * passed.Seconds())
+}
+
+func (b *Budget) credit(tokens float64) {
+	b.tokens = min(b.cfg.Burst, b.tokens+tokens)
+}
