--- a/route/picker/picker.go
+++ b/route/picker/picker.go
@@ -15,14 +15,16 @@
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
+	underway int
 	slots    int
-	// onSlots is told of each change of the usable slots, outside the lock.
-	onSlots func(int)
+	// onSlots is told that the usable slots changed, outside the lock. It reads
+	// them by Slots: two changes at once may be told in either order, and a
+	// number passed along could leave the older one in force.
+	onSlots func()
 }
 
-// New returns a picker; onSlots is called with the slots that the usable
-// replicas have, each time that this number changes.
-func New(b *balance.Balancer, now func() time.Time, onSlots func(int)) *Picker {
+// New returns a picker; onSlots is called each time that Slots changes.
+func New(b *balance.Balancer, now func() time.Time, onSlots func()) *Picker {
 	return &Picker{now: now, balancer: b, onSlots: onSlots}
 }
 
@@ -35,13 +37,22 @@
 	choice, ok := p.balancer.Pick(now, q)
 	if ok {
 		p.balancer.Sent(now, choice.Replica, q.Cost)
+		p.underway++
 	}
 	return choice, ok
 }
 
 // Finished tells how work sent by Pick ended.
 func (p *Picker) Finished(replica string, r balance.Result) {
-	p.change(func(now time.Time, b *balance.Balancer) { b.Finished(now, replica, r) })
+	p.change(func(now time.Time, b *balance.Balancer) {
+		p.underway--
+		b.Finished(now, replica, r)
+	})
+}
+
+// Started tells when the first part of an answer came.
+func (p *Picker) Started(replica string, firstToken time.Duration) {
+	p.change(func(now time.Time, b *balance.Balancer) { b.Started(now, replica, firstToken) })
 }
 
 // Report passes on the load that a replica told of itself.
@@ -49,9 +60,10 @@
 	p.change(func(now time.Time, b *balance.Balancer) { b.Report(now, replica, l) })
 }
 
-// SetLeaving marks a replica as leaving: it gets nothing new from now on.
-func (p *Picker) SetLeaving(replica string, leaving bool) {
-	p.change(func(now time.Time, b *balance.Balancer) { b.SetLeaving(now, replica, leaving) })
+// Leaving passes on what one source says of a replica: it gets nothing new
+// while any source says that it leaves.
+func (p *Picker) Leaving(replica string, source balance.Source, leaving bool) {
+	p.change(func(now time.Time, b *balance.Balancer) { b.Leaving(now, replica, source, leaving) })
 }
 
 // SetReplicas puts a new list of replicas in force.
@@ -66,19 +78,37 @@
 }
 
 func (p *Picker) change(f func(time.Time, *balance.Balancer)) {
-	slots, changed := p.locked(f)
-	if changed {
-		p.onSlots(slots)
+	if p.locked(f) {
+		p.onSlots()
 	}
 }
 
-func (p *Picker) locked(f func(time.Time, *balance.Balancer)) (int, bool) {
+// Slots is how many requests this node may have underway.
+func (p *Picker) Slots() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slots
+}
+
+func (p *Picker) locked(f func(time.Time, *balance.Balancer)) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	f(now, p.balancer)
-	slots := p.balancer.FreeSlots(now)
+	slots := p.usable(now)
 	changed := slots != p.slots
 	p.slots = slots
-	return slots, changed
+	return changed
+}
+
+// usable is the number of requests that this node may have underway: what it
+// has now and the room that is left. The other nodes' load on the same replicas
+// is in the room, so that nodes which share replicas do not each count them
+// whole. While any replica may be used one request may always run, or a node
+// whose peers fill the replicas would refuse rather than queue.
+func (p *Picker) usable(now time.Time) int {
+	if p.balancer.Capacity(now) == 0 {
+		return 0
+	}
+	return max(1, p.underway+p.balancer.FreeSlots(now))
 }
--- /dev/null
+++ b/route/service/service.go
@@ -0,0 +1,229 @@
+// Package service holds what a node keeps of each service in the document: the
+// gate that lets requests in, the picker that places them and the budget of
+// retries. All three live on over document changes, so that a new revision does
+// not forget who waits, what is underway or which endpoint was slow.
+package service
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/admission"
+	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/gate"
+	"github.com/cicadatack/cicadatack/route/picker"
+)
+
+// defaultSlots is how many requests a replica is given at once when the
+// document says nothing: a common batch size of engines.
+const defaultSlots = 16
+
+// Service is one service on this node. Safe for concurrent use.
+type Service struct {
+	Name   string
+	Gate   *gate.Gate
+	Picker *picker.Picker
+	Retry  *Retry
+
+	mu sync.Mutex
+	// replicasOf maps each endpoint to the replicas that need it.
+	replicasOf map[string][]string
+}
+
+// Retry is the service's retry budget behind a lock.
+type Retry struct {
+	now    func() time.Time
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// Success credits the budget for a complete answer.
+func (r *Retry) Success() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Success(r.now())
+}
+
+// Allow decides on a failed attempt.
+func (r *Retry) Allow(a retry.Attempt) retry.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Allow(r.now(), a)
+}
+
+// Config names the node that the services are on.
+type Config struct {
+	Node          string
+	FailureDomain string
+	Now           func() time.Time
+	// OnSlots is told of each change of a service's usable slots; may be nil.
+	OnSlots func(service string, slots int)
+}
+
+// Registry holds the services of the document in force. Safe for concurrent
+// use.
+type Registry struct {
+	cfg Config
+
+	mu       sync.RWMutex
+	services map[string]*Service
+	// teams are the weights last applied, to see which teams went.
+	teams map[string]float64
+}
+
+// NewRegistry returns a Registry without services.
+func NewRegistry(cfg Config) *Registry {
+	return &Registry{cfg: cfg, services: map[string]*Service{}, teams: map[string]float64{}}
+}
+
+// Get returns a service, or nil.
+func (r *Registry) Get(name string) *Service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.services[name]
+}
+
+// All returns the services.
+func (r *Registry) All() []*Service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := make([]*Service, 0, len(r.services))
+	for _, s := range r.services {
+		all = append(all, s)
+	}
+	return all
+}
+
+// Apply puts a document in force. Requests underway keep their tickets, also
+// when their service has gone.
+func (r *Registry) Apply(d *directory.Directory) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	teams := weights(d.Document)
+	kept := map[string]*Service{}
+	for i := range d.Document.Services {
+		spec := &d.Document.Services[i]
+		s := r.services[spec.Name]
+		if s == nil {
+			s = r.newService(spec.Name)
+		}
+		s.applyTeams(teams, r.teams)
+		s.applyReplicas(d, spec)
+		kept[spec.Name] = s
+	}
+	for name, s := range r.services {
+		if kept[name] == nil {
+			s.Gate.Close()
+		}
+	}
+	r.services = kept
+	r.teams = teams
+}
+
+func weights(doc *document.Document) map[string]float64 {
+	w := make(map[string]float64, len(doc.Teams))
+	for _, t := range doc.Teams {
+		w[t.Name] = t.Weight
+	}
+	return w
+}
+
+func (r *Registry) newService(name string) *Service {
+	seed := hash(r.cfg.Node + "/" + name)
+	s := &Service{
+		Name:  name,
+		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
+		Retry: &Retry{now: r.cfg.Now, budget: retry.New(retry.Config{Seed: seed})},
+	}
+	balancer := balance.New(balance.Config{Node: r.cfg.Node, FailureDomain: r.cfg.FailureDomain, Seed: seed})
+	s.Picker = picker.New(balancer, r.cfg.Now, func() {
+		s.followCapacity()
+		if r.cfg.OnSlots != nil {
+			r.cfg.OnSlots(name, s.Picker.Slots())
+		}
+	})
+	return s
+}
+
+func (s *Service) followCapacity() {
+	s.Gate.Configure(func(now time.Time, q *admission.Queue) []admission.Verdict {
+		return q.SetCapacity(now, s.Picker.Slots())
+	})
+}
+
+func (s *Service) applyTeams(teams, before map[string]float64) {
+	s.Gate.Configure(func(now time.Time, q *admission.Queue) []admission.Verdict {
+		var verdicts []admission.Verdict
+		for name := range before {
+			if _, stays := teams[name]; !stays {
+				verdicts = append(verdicts, q.RemoveTeam(now, name)...)
+			}
+		}
+		for name, weight := range teams {
+			q.SetTeam(name, weight)
+		}
+		return verdicts
+	})
+}
+
+func (s *Service) applyReplicas(d *directory.Directory, spec *document.Service) {
+	slots := d.Document.Policy.ConcurrentPerReplica
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	replicas, needs := replicasOf(d, spec, slots)
+	s.mu.Lock()
+	s.replicasOf = needs
+	s.mu.Unlock()
+	s.Picker.SetReplicas(replicas)
+}
+
+// replicasOf lists what the balancer chooses among: chains of a model, or
+// endpoints of a plain service.
+func replicasOf(d *directory.Directory, spec *document.Service, slots int) ([]balance.Replica, map[string][]string) {
+	needs := map[string][]string{}
+	var replicas []balance.Replica
+	if spec.Kind == document.KindModel {
+		for _, m := range spec.Model.Replicas {
+			first, _ := d.Endpoint(m.Stages[0].Endpoint)
+			replicas = append(replicas, balance.Replica{ID: m.Name, FailureDomain: first.FailureDomain, Slots: slots})
+			for _, stage := range m.Stages {
+				needs[stage.Endpoint] = append(needs[stage.Endpoint], m.Name)
+			}
+		}
+		return replicas, needs
+	}
+	for _, name := range spec.Plain.Endpoints {
+		e, _ := d.Endpoint(name)
+		replicas = append(replicas, balance.Replica{ID: name, FailureDomain: e.FailureDomain, Slots: slots})
+		needs[name] = []string{name}
+	}
+	return replicas, needs
+}
+
+// SetLeaving tells every service that an endpoint is leaving, or is not any
+// more, by what one source says. A chain leaves with any of its stages.
+func (r *Registry) SetLeaving(endpoint string, source balance.Source, leaving bool) {
+	for _, s := range r.All() {
+		for _, replica := range s.ReplicasOf(endpoint) {
+			s.Picker.Leaving(replica, source, leaving)
+		}
+	}
+}
+
+// ReplicasOf returns the replicas that need an endpoint.
+func (s *Service) ReplicasOf(endpoint string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replicasOf[endpoint]
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
