--- /dev/null
+++ b/route/model/chooser.go
@@ -0,0 +1,166 @@
+package model
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/stream"
+)
+
+var errNoReplica = errors.New("no replica may be used now")
+
+// chooser chooses the chain of each epoch of one answer. It is used by one
+// goroutine at a time.
+type chooser struct {
+	answer *answer
+	made   int
+	last   stream.AttemptResult
+}
+
+// Choose picks a replica that is none of exclude. From the second epoch on the
+// retry budget must allow it.
+func (c *chooser) Choose(ctx context.Context, exclude []string) (stream.Chain, error) {
+	if c.made > 0 {
+		if err := c.mayRetry(ctx); err != nil {
+			return stream.Chain{}, err
+		}
+	}
+	a := c.answer
+	choice, ok := a.service.Picker.Pick(balance.Query{
+		Prefix:  prefixHash(a.chat.Messages),
+		Cost:    a.cost,
+		Exclude: exclude,
+	})
+	if !ok {
+		return stream.Chain{}, errNoReplica
+	}
+	chain, err := a.server.Chains.Chain(a.call, choice.Replica)
+	if err != nil {
+		a.service.Picker.Finished(choice.Replica, balance.Result{Cost: a.cost, Failure: health.Unreachable})
+		return stream.Chain{}, err
+	}
+	c.made++
+	c.recordChoice(choice)
+	return chain, nil
+}
+
+// mayRetry asks the budget and waits out its back-off. A model call may always
+// run twice: the stream's positions keep its tokens from reaching the caller
+// twice.
+func (c *chooser) mayRetry(ctx context.Context) error {
+	d := c.answer.service.Retry.Allow(retry.Attempt{
+		Made:         c.made,
+		Failure:      failureOf(c.last),
+		Repeatable:   true,
+		NotRun:       c.last.NotRun,
+		Deadline:     c.answer.call.Deadline,
+		Alternatives: 1, // Choose finds out whether there is one
+	})
+	if !d.Retry {
+		return fmt.Errorf("not tried again: %s", d.Reason)
+	}
+	if c.last.Tokens > 0 {
+		return nil // the caller sees the gap: no back-off partway
+	}
+	return wait(ctx, d.After)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Ended tells the balancer how the epoch went.
+func (c *chooser) Ended(chain stream.Chain, r stream.AttemptResult) {
+	c.last = r
+	p := c.answer.service.Picker
+	p.Finished(chain.Replica, balance.Result{
+		Cost:       c.answer.cost,
+		FirstToken: r.FirstToken,
+		Failure:    failureOf(r),
+	})
+	if r.Load == nil {
+		return
+	}
+	p.Report(chain.Replica, balance.Load{
+		Running: r.Load.Running,
+		Waiting: r.Load.Waiting,
+		Age:     time.Duration(r.Load.AgeMillis) * time.Millisecond,
+		Leaving: r.Load.Draining,
+	})
+}
+
+func (c *chooser) recordChoice(choice balance.Choice) {
+	a := c.answer
+	kind := decision.Route
+	if c.made > 1 {
+		kind = decision.Resume
+	}
+	d := decision.Decision{
+		At:       a.server.Now(),
+		Request:  a.call.ID,
+		Kind:     kind,
+		Team:     a.call.Team.Name,
+		Service:  a.call.Service.Name,
+		Chosen:   choice.Replica,
+		Reason:   choice.Reason.String(),
+		Revision: a.call.Directory.Revision,
+		Figures:  map[string]float64{"score": choice.Score, "epoch": float64(c.made)},
+	}
+	for _, other := range choice.Alternatives {
+		if other.ID != "" {
+			d.Alternatives = append(d.Alternatives, decision.Alternative{Name: other.ID, Score: other.Score})
+		}
+	}
+	a.server.Record.Record(d)
+}
+
+// failureOf maps the end of an epoch to what it says of the replica's health.
+func failureOf(r stream.AttemptResult) health.Failure {
+	switch r.End {
+	case stream.EndDone:
+		return health.None
+	case stream.EndCallerGone, stream.EndDeadline:
+		return health.Canceled
+	case stream.EndRefused:
+		return health.Overloaded
+	case stream.EndUnreachable:
+		return health.Unreachable
+	case stream.EndNoFirstToken, stream.EndStalled:
+		return health.Timeout
+	case stream.EndMismatch:
+		return health.Internal
+	default:
+		return health.Broken
+	}
+}
+
+// prefixBytes is how much of the first message names a prompt's prefix: the
+// system prompts and templates that callers share are longer than this.
+const prefixBytes = 256
+
+// prefixHash names the part of a prompt that engines are likely to have cached;
+// zero means none.
+func prefixHash(messages []engineapi.Message) uint64 {
+	if len(messages) == 0 {
+		return 0
+	}
+	text := messages[0].Content
+	h := fnv.New64a()
+	h.Write([]byte(text[:min(len(text), prefixBytes)]))
+	return h.Sum64()
+}
