Stand-in engine, engine client and stream runner over a two-stage chain

Nothing could yet carry an answer from a chain of engines. The stand-in runs a toy model whose every layer and earlier token shows in the next token's bytes; the runner opens an epoch on a chain, checks each token's spans and moves to another chain when one fails. CancelRequest gains the epoch that it is meant for: without it a late cancel of epoch 1 ends epoch 2 on an engine that both chains share.

--- /dev/null
+++ b/route/engine/client.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+)
+
+const (
+	// MaxReplyBytes bounds the reply to a call other than a chat.
+	MaxReplyBytes = 1 << 20
+	// dialTimeout bounds a connect; a loopback or site link needs far less.
+	dialTimeout = 1 * time.Second
+	// idlePerEngine is how many idle connections are kept to one engine: its
+	// slots, so that a full engine's streams need no new connects.
+	idlePerEngine = 128
+	idleTimeout   = 30 * time.Second
+)
+
+// Client calls engines. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client; transport nil means one of its own.
+func New(transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerEngine,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// CloseIdle closes connections that no call uses.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Open sends a chat request to the first engine of its chain and returns the
+// stream of its answer once the engine has accepted. ctx ends the stream too.
+func (c *Client) Open(ctx context.Context, address string, chat engineapi.ChatRequest) (*Stream, error) {
+	chat.Stream = true
+	resp, err := c.send(ctx, http.MethodPost, address, engineapi.PathChat, chat)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(address, resp.Body), nil
+}
+
+// Load asks an engine for its load.
+func (c *Client) Load(ctx context.Context, address string) (engineapi.Load, error) {
+	var load engineapi.Load
+	return load, c.call(ctx, http.MethodGet, address, engineapi.PathLoad, nil, &load)
+}
+
+// Holding asks an engine what it holds.
+func (c *Client) Holding(ctx context.Context, address string) (engineapi.Holding, error) {
+	var holding engineapi.Holding
+	return holding, c.call(ctx, http.MethodGet, address, engineapi.PathHolding, nil, &holding)
+}
+
+// Order tells an engine what to hold. Status(err) is 409 if the engine has
+// taken a later placement version.
+func (c *Client) Order(ctx context.Context, address string, order engineapi.Order) error {
+	return c.call(ctx, http.MethodPost, address, engineapi.PathOrders, order, nil)
+}
+
+// Cancel ends a stream's epochs up to the given one; zero ends all.
+func (c *Client) Cancel(ctx context.Context, address, stream string, epoch uint32) error {
+	req := engineapi.CancelRequest{Stream: stream, Epoch: epoch}
+	return c.call(ctx, http.MethodPost, address, engineapi.PathCancel, req, nil)
+}
+
+// Export asks the first engine of a chain to export a stream's KV cache.
+func (c *Client) Export(ctx context.Context, address, stream string) (engineapi.KVReply, error) {
+	var reply engineapi.KVReply
+	req := engineapi.KVRequest{Stream: stream}
+	return reply, c.call(ctx, http.MethodPost, address, engineapi.PathExport, req, &reply)
+}
+
+// CacheEvents asks for the cache events after a sequence number. Gaps in the
+// sequence mean that events were lost.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]engineapi.CacheEvent, error) {
+	var events []engineapi.CacheEvent
+	path := engineapi.PathEvents + "?after=" + strconv.FormatUint(after, 10)
+	return events, c.call(ctx, http.MethodGet, address, path, nil, &events)
+}
+
+// call sends body, if any, and reads the reply into reply, if any.
+func (c *Client) call(ctx context.Context, method, address, path string, body, reply any) error {
+	resp, err := c.send(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer closeBody(resp.Body)
+	if reply == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, MaxReplyBytes)).Decode(reply); err != nil {
+		return wrap(address, Unknown, 0, err)
+	}
+	return nil
+}
+
+// send returns the response if its status says that the call was accepted.
+func (c *Client) send(ctx context.Context, method, address, path string, body any) (*http.Response, error) {
+	// A request that was never given a connection cannot have reached the
+	// engine, whatever the error reads like: that is the proof of "not run".
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, address, path, body)
+	if err != nil {
+		return nil, wrap(address, NotRunState, 0, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		state := NotRunState
+		if connected.Load() {
+			state = Unknown
+		}
+		return nil, wrap(address, state, 0, err)
+	}
+	if resp.StatusCode/100 == 2 {
+		return resp, nil
+	}
+	defer closeBody(resp.Body)
+	return nil, wrap(address, stateOf(resp), resp.StatusCode, nil)
+}
+
+// stateOf trusts the engine's own statement that it did nothing.
+func stateOf(resp *http.Response) State {
+	if resp.Header.Get(engineapi.HeaderNotRun) == "1" {
+		return NotRunState
+	}
+	return Unknown
+}
+
+func newRequest(ctx context.Context, method, address, path string, body any) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+func wrap(address string, state State, status int, cause error) error {
+	return Error.Wrap(&SendError{Endpoint: address, State: state, Status: status, Cause: cause})
+}
+
+// closeBody reads what little may be left, so that the connection is kept.
+func closeBody(body io.ReadCloser) {
+	io.CopyN(io.Discard, body, MaxReplyBytes)
+	body.Close()
+}
--- /dev/null
+++ b/route/stream/cancel.go
@@ -0,0 +1,108 @@
+package stream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/route/engine"
+)
+
+const (
+	// cancelWorkers bounds the cancels underway at once.
+	cancelWorkers = 32
+	// maxCancels bounds those that wait: one for each stage of the streams
+	// that a node can have open.
+	maxCancels    = 1 << 16
+	cancelTimeout = 1 * time.Second
+)
+
+// canceller tells every stage of a chain that an epoch is over. The closing
+// connection tells the first stage only, and a first stage that is frozen or
+// dead tells nobody: the later stages would hold their slots for a stream
+// without a caller. Workers live only while there is something to cancel.
+type canceller struct {
+	client *engine.Client
+
+	mu      sync.Mutex
+	idle    *sync.Cond
+	queue   []cancelTask
+	workers int
+	dropped int64
+}
+
+type cancelTask struct {
+	address, stream string
+	epoch           uint32
+}
+
+func newCanceller(client *engine.Client) *canceller {
+	c := &canceller{client: client}
+	c.idle = sync.NewCond(&c.mu)
+	return c
+}
+
+// cancel ends a stream's epochs up to the given one on every stage.
+func (c *canceller) cancel(chain Chain, stream string, epoch uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, stage := range chain.Stages {
+		if len(c.queue) >= maxCancels {
+			c.dropped++
+			continue
+		}
+		c.queue = append(c.queue, cancelTask{stage.Address, stream, epoch})
+		if c.workers < cancelWorkers {
+			c.workers++
+			go c.work()
+		}
+	}
+}
+
+func (c *canceller) work() {
+	for {
+		task, ok := c.take()
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		// An engine that cannot be told frees the slot itself in time.
+		c.client.Cancel(ctx, task.address, task.stream, task.epoch)
+		cancel()
+	}
+}
+
+func (c *canceller) take() (cancelTask, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 {
+		c.workers--
+		if c.workers == 0 {
+			c.queue = nil
+			c.idle.Broadcast()
+		}
+		return cancelTask{}, false
+	}
+	task := c.queue[0]
+	c.queue = c.queue[1:]
+	return task, true
+}
+
+// wait returns when nothing is left to cancel, or ctx ends.
+func (c *canceller) wait(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.idle.Broadcast()
+	})
+	defer stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.workers > 0 {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		c.idle.Wait()
+	}
+	return nil
+}
--- /dev/null
+++ b/route/stream/fleet_test.go
@@ -0,0 +1,136 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/engine"
+	standin "github.com/cicadatack/cicadatack/standin/engine"
+)
+
+const (
+	testLayers = 8
+	testModel  = "toy"
+	testTokens = 24
+)
+
+// fleet is some two-stage chains of stand-in engines and the chooser over them.
+type fleet struct {
+	t      testing.TB
+	client *engine.Client
+	runner *Runner
+
+	mu     sync.Mutex
+	chains [][2]*standin.Server
+	ended  []AttemptResult
+}
+
+// newFleet starts n chains, of which half the layers stand on each stage.
+func newFleet(t testing.TB, n int, cfg standin.Config, options Options) *fleet {
+	t.Helper()
+	f := &fleet{t: t, client: engine.New(nil)}
+	for range n {
+		f.chains = append(f.chains, [2]*standin.Server{
+			f.start(cfg, 0, testLayers/2-1),
+			f.start(cfg, testLayers/2, testLayers-1),
+		})
+	}
+	f.runner = New(f.client, f, options)
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) start(cfg standin.Config, first, last int) *standin.Server {
+	cfg.Model, cfg.First, cfg.Last, cfg.Version = testModel, first, last, 1
+	srv, err := standin.Start("127.0.0.1:0", cfg)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return srv
+}
+
+func (f *fleet) stop() {
+	for _, chain := range f.chains {
+		for _, srv := range chain {
+			srv.Engine.SetFaults(standin.Faults{})
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := f.runner.Close(ctx); err != nil {
+		f.t.Error("cancels left:", err)
+	}
+	for _, chain := range f.chains {
+		for _, srv := range chain {
+			srv.Close()
+		}
+	}
+	f.client.CloseIdle()
+}
+
+// Choose returns the first chain not excluded.
+func (f *fleet) Choose(_ context.Context, exclude []string) (Chain, error) {
+	for i := range f.chains {
+		if chain := f.chain(i); !slices.Contains(exclude, chain.Replica) {
+			return chain, nil
+		}
+	}
+	return Chain{}, errors.New("all chains are excluded")
+}
+
+func (f *fleet) chain(i int) Chain {
+	c := f.chains[i]
+	return Chain{
+		Replica: fmt.Sprint("replica-", i),
+		Stages: []engineapi.Stage{
+			{Endpoint: c[0].Address, Address: c[0].Address, First: 0, Last: testLayers/2 - 1},
+			{Endpoint: c[1].Address, Address: c[1].Address, First: testLayers / 2, Last: testLayers - 1},
+		},
+		PlacementVersion: 1,
+	}
+}
+
+// Ended keeps the result for the test.
+func (f *fleet) Ended(_ Chain, result AttemptResult) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, result)
+}
+
+func question(text string) []engineapi.Message {
+	return []engineapi.Message{{Role: "user", Content: text}}
+}
+
+func request(stream string) Request {
+	return Request{
+		Stream: stream,
+		Layers: testLayers,
+		Chat:   engineapi.ChatRequest{Model: testModel, Messages: question("butter for " + stream), MaxTokens: testTokens},
+	}
+}
+
+// undisturbed is what the caller of request(stream) must receive.
+func undisturbed(req Request) string {
+	return strings.Join(standin.Answer(req.Layers, req.Chat.Messages, req.Chat.MaxTokens), "")
+}
+
+// collect runs a request; before each token is taken, at is called with its
+// position.
+func (f *fleet) collect(ctx context.Context, req Request, at func(position int)) (string, Summary, error) {
+	var answer strings.Builder
+	summary, err := f.runner.Run(ctx, req, func(token string, trace engineapi.TokenTrace) error {
+		if at != nil {
+			at(trace.Position)
+		}
+		answer.WriteString(token)
+		return nil
+	})
+	return answer.String(), summary, err
+}
--- /dev/null
+++ b/route/stream/holding.go
@@ -0,0 +1,167 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/engine"
+)
+
+var (
+	errMismatch = errors.New("the engine holds something else than the plan says")
+	errBadChain = errors.New("the chain's stages do not cover the model's layers")
+)
+
+const (
+	// mismatchTTL is how long a report that does not match is trusted: short,
+	// because the engine may be loading what the plan has just given it, but
+	// long enough that a burst of streams asks once.
+	mismatchTTL = 100 * time.Millisecond
+	// maxHoldings bounds the reports kept.
+	maxHoldings = 4096
+)
+
+// holdingCheck is the check at use: before work is sent to a chain, what its
+// engines report to hold must be what the plan says. Orders carry a fencing
+// number, but some engines ignore it and some take orders from anyone, so the
+// plan alone does not tell what an engine runs. Without the check the work is
+// sent, and thrown away when its spans are found wrong.
+type holdingCheck struct {
+	client  *engine.Client
+	ttl     time.Duration
+	timeout time.Duration
+
+	mu      sync.Mutex
+	reports map[string]*holdingReport
+}
+
+// holdingReport is an engine's answer, or one that is being waited for.
+type holdingReport struct {
+	ready   chan struct{} // closed when the fields below are set
+	holding engineapi.Holding
+	err     error
+	at      time.Time
+}
+
+func newHoldingCheck(client *engine.Client, o Options) *holdingCheck {
+	return &holdingCheck{
+		client:  client,
+		ttl:     o.HoldingTTL,
+		timeout: o.HoldingTimeout,
+		reports: map[string]*holdingReport{},
+	}
+}
+
+// verify returns nil if every stage of chain holds what the plan says.
+func (h *holdingCheck) verify(ctx context.Context, model string, layers int, chain Chain) error {
+	if !covers(chain.Stages, layers) {
+		return errBadChain
+	}
+	reports := make([]*holdingReport, len(chain.Stages))
+	for i, stage := range chain.Stages {
+		reports[i] = h.report(stage.Address, wanted(model, stage, chain.PlacementVersion))
+	}
+	for i, report := range reports {
+		want := wanted(model, chain.Stages[i], chain.PlacementVersion)
+		if err := report.matches(ctx, want); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func wanted(model string, stage engineapi.Stage, version int64) engineapi.Holding {
+	return engineapi.Holding{Model: model, First: stage.First, Last: stage.Last, PlacementVersion: version}
+}
+
+// covers reports whether stages hold layers 0 to layers-1 once and in order.
+func covers(stages []engineapi.Stage, layers int) bool {
+	due := 0
+	for _, s := range stages {
+		if s.First != due || s.Last < s.First {
+			return false
+		}
+		due = s.Last + 1
+	}
+	return due == layers && layers > 0
+}
+
+// matches waits for the report and compares it.
+func (r *holdingReport) matches(ctx context.Context, want engineapi.Holding) error {
+	select {
+	case <-r.ready:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if r.err != nil {
+		return r.err
+	}
+	if r.holding != want {
+		return fmt.Errorf("%w: %+v, not %+v", errMismatch, r.holding, want)
+	}
+	return nil
+}
+
+// report returns the report to go by. All streams that need a new one share
+// the one call.
+func (h *holdingCheck) report(address string, want engineapi.Holding) *holdingReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r, ok := h.reports[address]; ok && r.usable(want, h.ttl) {
+		return r
+	}
+	if len(h.reports) >= maxHoldings {
+		clear(h.reports)
+	}
+	r := &holdingReport{ready: make(chan struct{})}
+	h.reports[address] = r
+	go h.ask(address, r)
+	return r
+}
+
+// usable reports whether a report is underway or still fresh.
+func (r *holdingReport) usable(want engineapi.Holding, ttl time.Duration) bool {
+	select {
+	case <-r.ready:
+	default:
+		return true
+	}
+	if r.err != nil || r.holding != want {
+		ttl = min(ttl, mismatchTTL)
+	}
+	return time.Since(r.at) < ttl
+}
+
+// ask fills a report. The call has a bound of its own, because the stream that
+// started it may end while others wait.
+func (h *holdingCheck) ask(address string, r *holdingReport) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.timeout)
+	defer cancel()
+	r.holding, r.err = h.client.Holding(ctx, address)
+	r.at = time.Now()
+	close(r.ready)
+}
+
+// forget drops what is known of a chain's engines, after it failed.
+func (h *holdingCheck) forget(chain Chain) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, stage := range chain.Stages {
+		if r, ok := h.reports[stage.Address]; ok && r.done() {
+			delete(h.reports, stage.Address)
+		}
+	}
+}
+
+func (r *holdingReport) done() bool {
+	select {
+	case <-r.ready:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/route/stream/types.go
@@ -0,0 +1,223 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error of this package.
+var Error = errs.Class("stream")
+
+var (
+	// ErrNoChain reports that no chain is left to try.
+	ErrNoChain = errors.New("no chain to run on")
+	// ErrAttempts reports that all the epochs allowed have failed.
+	ErrAttempts = errors.New("every epoch allowed has failed")
+	// ErrCallerGone reports that the caller has left.
+	ErrCallerGone = errors.New("the caller has left")
+	// ErrDeadline reports that the request's deadline has passed.
+	ErrDeadline = errors.New("the deadline has passed")
+)
+
+// Chain is a replica of a model: engines that together hold all its layers.
+type Chain struct {
+	// Replica names the chain towards the Chooser.
+	Replica string
+	// Stages are the engines in the order of their layers.
+	Stages []engineapi.Stage
+	// PlacementVersion is the plan's version, which engines must report too.
+	PlacementVersion int64
+}
+
+// Chooser picks the chain of each epoch and learns how it went. It is called
+// from many goroutines.
+type Chooser interface {
+	// Choose returns a chain that is none of exclude, or an error if no
+	// chain should be tried now; the stream then ends.
+	Choose(ctx context.Context, exclude []string) (Chain, error)
+	// Ended reports the end of an epoch, once for each chain chosen.
+	Ended(chain Chain, result AttemptResult)
+}
+
+// Request is one answer to be made.
+type Request struct {
+	// Stream is the stream's id, never used twice.
+	Stream string
+	// Layers is how many layers the model has.
+	Layers int
+	// Chat is the caller's request; Chat.Pipeline is set by the Runner.
+	Chat engineapi.ChatRequest
+	// FirstTokenTimeout bounds the time from sending to a chain until its
+	// first token, prefill included; zero means DefaultFirstTokenTimeout.
+	FirstTokenTimeout time.Duration
+	// TokenStall is the longest wait for a token that the adaptive bound may
+	// grow to; zero means DefaultTokenStall.
+	TokenStall time.Duration
+	// Deadline ends the answer; zero means none.
+	Deadline time.Time
+}
+
+// Outcome is what became of a request.
+type Outcome uint8
+
+const (
+	// OutcomeUnknown answers may have run in part.
+	OutcomeUnknown Outcome = iota
+	// OutcomeNotRun answers provably were not run by any engine.
+	OutcomeNotRun
+	// OutcomeDone answers were delivered whole.
+	OutcomeDone
+)
+
+var outcomeNames = [...]string{"unknown", "not-run", "done"}
+
+// String returns the outcome as it stands in Cicadatack-Outcome.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// End says how an epoch ended.
+type End uint8
+
+const (
+	// EndDone epochs brought the answer to its end.
+	EndDone End = iota
+	// EndCallerGone epochs were given up because the caller left.
+	EndCallerGone
+	// EndDeadline epochs ran into the request's deadline.
+	EndDeadline
+	// EndMismatch chains were not used: an engine does not hold what the
+	// plan says, or could not be asked.
+	EndMismatch
+	// EndRefused chains refused before any work.
+	EndRefused
+	// EndUnreachable chains could not be connected to.
+	EndUnreachable
+	// EndNoFirstToken epochs brought no token within FirstTokenTimeout.
+	EndNoFirstToken
+	// EndStalled epochs stopped bringing tokens.
+	EndStalled
+	// EndCut epochs lost their connection, or a stage behind it.
+	EndCut
+	// EndRejected epochs brought a token that Check refused.
+	EndRejected
+)
+
+var endNames = [...]string{
+	"done", "caller gone", "deadline", "holding mismatch", "refused",
+	"unreachable", "no first token", "stalled", "cut", "rejected",
+}
+
+// String returns the end in words.
+func (e End) String() string { return endNames[e] }
+
+// ranNothing reports whether the end proves that the chain did no work.
+func (e End) ranNothing() bool {
+	return e == EndMismatch || e == EndRefused || e == EndUnreachable
+}
+
+// AttemptResult is what an epoch tells of its chain.
+type AttemptResult struct {
+	Epoch uint32
+	End   End
+	// NotRun is set if the chain provably did nothing.
+	NotRun bool
+	// Reason is set if End is EndRejected.
+	Reason Reason
+	// Err is the error below, if there was one.
+	Err error
+	// Status is the HTTP status of a refusal, or zero.
+	Status int
+	// Tokens is how many tokens the epoch delivered.
+	Tokens int
+	// FirstToken is the time from sending to the first token, zero if none came.
+	FirstToken time.Duration
+	// MeanGap is the mean time between tokens, zero if fewer than two came.
+	MeanGap time.Duration
+	// Load is the engine's last report, or nil.
+	Load *engineapi.Load
+	// Hops are the mean times of the stages and their outgoing links.
+	Hops []Hop
+}
+
+// Hop is the mean time that a token spent on a stage and its outgoing link.
+type Hop struct {
+	Endpoint string
+	Micros   float64
+}
+
+// Recovery is one change of chain partway.
+type Recovery struct {
+	// From is how the epoch before ended, Reason why if it was rejected.
+	From   End
+	Reason Reason
+	// Detection is the time from the last token of the old chain, or its
+	// start, until it was given up.
+	Detection time.Duration
+	// Resume is the time from then to the next token; zero if none came.
+	Resume time.Duration
+	// Imported is set if the new chain was given exported KV cache.
+	Imported bool
+}
+
+// Summary is what became of a request.
+type Summary struct {
+	Outcome Outcome
+	// Finish is the engine's reason for the answer's end.
+	Finish string
+	// Tokens is how many tokens were delivered.
+	Tokens int
+	// Epochs is how many chains were tried.
+	Epochs int
+	// Stray is how many late or foreign tokens were dropped.
+	Stray int
+	// FirstToken is the time from Run to the first token.
+	FirstToken time.Duration
+	Recoveries []Recovery
+	// Last is the result of the last epoch.
+	Last AttemptResult
+}
+
+// Defaults of Request and Options.
+const (
+	DefaultFirstTokenTimeout = 10 * time.Second
+	DefaultTokenStall        = 10 * time.Second
+	// DefaultStallFloor is well above the pauses of a busy but healthy chain
+	// on a local network, and leaves room for the 300 ms aimed at.
+	DefaultStallFloor     = 250 * time.Millisecond
+	DefaultMaxEpochs      = 4
+	DefaultHoldingTTL     = 2 * time.Second
+	DefaultHoldingTimeout = 300 * time.Millisecond
+	DefaultMaxTokens      = 1 << 16
+)
+
+// Options are a Runner's settings; zero fields mean the defaults.
+type Options struct {
+	// StallFloor is the least wait for a token before a chain is given up.
+	StallFloor time.Duration
+	// MaxEpochs bounds the chains tried for one request.
+	MaxEpochs int
+	// HoldingTTL is how long an engine's matching report is trusted;
+	// HoldingTimeout bounds the wait for one.
+	HoldingTTL, HoldingTimeout time.Duration
+	// MaxTokens bounds an answer, and with it what is kept for a resumption.
+	MaxTokens int
+}
+
+func (o Options) withDefaults() Options {
+	o.StallFloor = orDefault(o.StallFloor, DefaultStallFloor)
+	o.MaxEpochs = orDefault(o.MaxEpochs, DefaultMaxEpochs)
+	o.HoldingTTL = orDefault(o.HoldingTTL, DefaultHoldingTTL)
+	o.HoldingTimeout = orDefault(o.HoldingTimeout, DefaultHoldingTimeout)
+	o.MaxTokens = orDefault(o.MaxTokens, DefaultMaxTokens)
+	return o
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/standin/engine/faults.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Faults is what is wrong with an engine. It is the body of POST /control,
+// which replaces the faults in force.
+type Faults struct {
+	// Freeze stops every answer, /control aside, until it is lifted.
+	Freeze bool `json:"freeze,omitempty"`
+	// Slow multiplies the time of each step; zero means one.
+	Slow float64 `json:"slow,omitempty"`
+	// SlowPerToken is added to each step.
+	SlowPerToken time.Duration `json:"slow_per_token_ns,omitempty"`
+	// SkipLayer and RepeatLayer name a layer that is left out or run twice.
+	SkipLayer   *int `json:"skip_layer,omitempty"`
+	RepeatLayer *int `json:"repeat_layer,omitempty"`
+	// WrongStream and WrongPosition mislabel each token sent.
+	WrongStream   bool `json:"wrong_stream,omitempty"`
+	WrongPosition bool `json:"wrong_position,omitempty"`
+	// LateTokens is how many tokens labelled with the epoch before precede
+	// each token of a stream's later epochs.
+	LateTokens int `json:"late_tokens,omitempty"`
+	// IgnoreCancel makes the engine work on after a cancel or a caller gone.
+	IgnoreCancel bool `json:"ignore_cancel,omitempty"`
+	// CutNext loses every call to the next stage: no answer, no error.
+	CutNext bool `json:"cut_next,omitempty"`
+	// EarlyDone ends an answer after this many tokens as if it were whole.
+	EarlyDone int `json:"early_done,omitempty"`
+	// Drain reports draining and refuses new streams; those underway finish.
+	Drain bool `json:"drain,omitempty"`
+}
+
+// SetFaults replaces the faults in force.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Freeze && e.thaw == nil {
+		e.thaw = make(chan struct{})
+	}
+	if !f.Freeze && e.thaw != nil {
+		close(e.thaw)
+		e.thaw = nil
+	}
+	e.faults = f
+}
+
+// Faults returns the faults in force.
+func (e *Engine) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// waitThawed blocks while the engine is frozen. Like a stopped process it
+// does not notice that a caller has gone.
+func (e *Engine) waitThawed() {
+	for {
+		e.mu.Lock()
+		thaw := e.thaw
+		e.mu.Unlock()
+		if thaw == nil {
+			return
+		}
+		select {
+		case <-thaw:
+		case <-e.closed:
+			return
+		}
+	}
+}
+
+// work passes the time of a step, or of what prefill is due before it.
+func (e *Engine) work(ctx context.Context, d time.Duration) error {
+	e.waitThawed()
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.closed:
+		return errClosed
+	}
+	e.waitThawed()
+	return ctx.Err()
+}
+
+func (e *Engine) handleControl(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
