--- /dev/null
+++ b/node/server/drain.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/entry"
+)
+
+const (
+	// spreadTime is how long the word of a drain takes to reach the fleet: a
+	// few exchanges of a second each.
+	spreadTime = 3 * time.Second
+	// streamsCloseTimeout bounds the wait for engines to hear of streams given
+	// up; those that don't answer notice the closed connection.
+	streamsCloseTimeout = 2 * time.Second
+)
+
+// Drain starts leaving; Run returns when it is done. Calling it again has no
+// effect.
+func (s *Server) Drain() {
+	s.drainOnce.Do(func() { close(s.drain) })
+}
+
+// leave takes the node out of service. Entry answers that name it may still be
+// in use, so it first tells the fleet and serves on until they have run out. A
+// node that closed its listener at once would refuse callers who hold a valid
+// answer. After that no new connection is taken, and what is underway finishes.
+func (s *Server) leave() {
+	s.draining.Store(true)
+	s.log.Info("draining", "underway", s.front.Underway())
+	ctx, cancel := s.drainContext()
+	defer cancel()
+	s.fleet.Drain(ctx)
+	s.serveOn(ctx)
+	if err := s.callers.Shutdown(ctx); err != nil {
+		s.log.Error("drain limit reached, requests cut off", "underway", s.front.Underway(), "error", err)
+		s.callers.Close()
+	}
+	streams, cancelStreams := context.WithTimeout(context.Background(), streamsCloseTimeout)
+	defer cancelStreams()
+	if err := s.streams.Close(streams); err != nil {
+		s.log.Warn("engines not told of all streams given up", "error", err)
+	}
+	s.log.Info("drained")
+}
+
+// drainContext has no end by default: a graceful shutdown interrupts nothing.
+func (s *Server) drainContext() (context.Context, context.CancelFunc) {
+	limit := s.settings.Drain.LimitSeconds
+	if limit == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), time.Duration(limit)*time.Second)
+}
+
+// serveOn waits until no valid entry answer names this node any more.
+func (s *Server) serveOn(ctx context.Context) {
+	timer := time.NewTimer(spreadTime + s.entryValidity())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) entryValidity() time.Duration {
+	d := s.directory.Load()
+	if d == nil || d.Document.Policy.EntryValidSeconds == 0 {
+		return entry.ValidFor
+	}
+	return time.Duration(d.Document.Policy.EntryValidSeconds) * time.Second
+}
+
+// closeWhenDraining asks callers to open their next connection elsewhere.
+func (s *Server) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/node/server/server.go
@@ -0,0 +1,257 @@
+// Package server wires one node together: the store's client, the fleet, the
+// services of the document in force and the three listeners for callers, peers
+// and operators.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/decide/limits"
+	"github.com/cicadatack/cicadatack/fleet"
+	"github.com/cicadatack/cicadatack/node/metrics"
+	"github.com/cicadatack/cicadatack/node/settings"
+	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/route/chains"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/engine"
+	"github.com/cicadatack/cicadatack/route/front"
+	"github.com/cicadatack/cicadatack/route/limiter"
+	"github.com/cicadatack/cicadatack/route/model"
+	"github.com/cicadatack/cicadatack/route/plain"
+	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/service"
+	"github.com/cicadatack/cicadatack/route/stream"
+)
+
+// Error is the class of this layer's errors.
+var Error = errs.Class("node")
+
+const (
+	// readHeaderTimeout bounds how long a caller may take over its headers, so
+	// that idle connections of strangers do not pile up.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout closes callers' connections that carry nothing.
+	idleTimeout = 2 * time.Minute
+	// refreshInterval is how often figures are set and usable slots looked at
+	// again; ejected replicas return by time alone.
+	refreshInterval = time.Second
+)
+
+// Server is one node. Create it with New, then call Run once.
+type Server struct {
+	settings  settings.Settings
+	log       hclog.Logger
+	store     *store.HTTP
+	fleet     *fleet.Fleet
+	registry  *service.Registry
+	limits    *limiter.Limiter
+	decisions *decision.Log
+	metrics   *metrics.Metrics
+	front     *front.Front
+	sender    *send.Sender
+	engines   *engine.Client
+	streams   *stream.Runner
+	leaving   *leavingList
+
+	directory atomic.Pointer[directory.Directory]
+	draining  atomic.Bool
+	drainOnce sync.Once
+	drain     chan struct{}
+
+	callers   *http.Server
+	peers     *http.Server
+	operators *http.Server
+}
+
+// New returns a node that does not listen yet.
+func New(cfg settings.Settings, log hclog.Logger) (*Server, error) {
+	s := &Server{settings: cfg, log: log, drain: make(chan struct{})}
+	if err := s.build(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return s, nil
+}
+
+func (s *Server) build() error {
+	var err error
+	s.store, err = store.New(storeConfig(s.settings.Store))
+	if err != nil {
+		return err
+	}
+	s.metrics = metrics.New(s.settings.Name)
+	s.decisions = decision.NewLog(s.log)
+	s.registry = service.NewRegistry(service.Config{
+		Node:          s.settings.Name,
+		FailureDomain: s.settings.FailureDomain,
+		Now:           time.Now,
+		OnSlots:       s.metrics.Slots,
+	})
+	s.limits = limiter.New(limits.New(limits.Config{Self: s.settings.Name}), time.Now)
+	s.leaving = newLeavingList(s.registry)
+	s.sender = send.New()
+	s.engines = engine.New(nil)
+	s.streams = stream.New(s.engines, nil, stream.Options{})
+	s.fleet, err = fleet.New(s.fleetConfig(), vmList{s.store, s.leaving}, s.documents(), s.log)
+	if err != nil {
+		return err
+	}
+	s.front = s.newFront()
+	s.buildListeners()
+	return nil
+}
+
+func (s *Server) fleetConfig() fleet.Config {
+	return fleet.Config{
+		Name:          s.settings.Name,
+		Address:       s.settings.Peers.Address(),
+		CallerAddress: s.settings.Callers.Address(),
+		FailureDomain: s.settings.FailureDomain,
+		Environment:   s.settings.Environment + "/" + s.settings.Slot,
+	}
+}
+
+func (s *Server) newFront() *front.Front {
+	return &front.Front{
+		Directory: s.directory.Load,
+		Now:       time.Now,
+		Entries:   &entries{server: s},
+		Models: &model.Server{
+			Services: s.registry,
+			Limits:   s.limits,
+			Streams:  s.streams,
+			Chains:   &chains.Resolver{},
+			Record:   s.decisions,
+			Figures:  s.metrics,
+			Now:      time.Now,
+		},
+		Plains: &plain.Server{
+			Services: s.registry,
+			Limits:   s.limits,
+			Sender:   s.sender,
+			Claims:   ledger.New(s.store, s.settings.Environment, ledger.Config{}),
+			Record:   s.decisions,
+			Figures:  s.metrics,
+			Now:      time.Now,
+		},
+	}
+}
+
+func (s *Server) buildListeners() {
+	s.callers = newHTTP(s.closeWhenDraining(s.front.Handler()))
+	s.peers = newHTTP(s.fleet.Handler())
+	s.operators = newHTTP(s.operatorRoutes())
+}
+
+func newHTTP(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// Run serves until ctx ends or an operator asks for a drain; it then leaves
+// without cutting off a request, and returns nil.
+func (s *Server) Run(ctx context.Context) error {
+	listeners, err := s.listen()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	background, stop := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	s.fleet.OnRecord(s.apply)
+	work.Go(func() { _ = s.fleet.Run(background) }) // ends with the context's error only
+	work.Go(func() { s.refreshLoop(background) })
+	work.Go(func() { s.pollLoop(background) })
+	failed := s.serve(listeners)
+	s.log.Info("serving", "callers", listeners[0].Addr(), "peers", listeners[1].Addr(), "operators", listeners[2].Addr())
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	case <-s.drain:
+	}
+	if err == nil {
+		s.leave()
+	}
+	stop()
+	work.Wait()
+	s.close()
+	return Error.Wrap(err)
+}
+
+func (s *Server) listen() ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range []string{s.settings.Callers.Listen, s.settings.Peers.Listen, s.settings.Operators.Listen} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			closeAll(listeners)
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		l.Close()
+	}
+}
+
+// serve starts the three servers; the channel tells of the first that fails.
+func (s *Server) serve(listeners []net.Listener) <-chan error {
+	failed := make(chan error, len(listeners))
+	for i, h := range []*http.Server{s.callers, s.peers, s.operators} {
+		go func() {
+			if err := h.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return failed
+}
+
+func (s *Server) refreshLoop(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.refresh()
+		}
+	}
+}
+
+func (s *Server) refresh() {
+	for _, each := range s.registry.All() {
+		each.Picker.Refresh()
+	}
+	s.metrics.Underway(s.front.Underway())
+	s.metrics.Revision(s.revision())
+	s.followMembers()
+}
+
+func (s *Server) revision() int64 {
+	d := s.directory.Load()
+	if d == nil {
+		return 0
+	}
+	return d.Revision
+}
+
+func (s *Server) close() {
+	s.peers.Close()
+	s.operators.Close()
+	s.sender.Close()
+	s.engines.CloseIdle()
+	_ = s.metrics.Close() // nothing is read any more
+}
--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,204 @@
+// Package settings reads a node's own settings: what it is called, where it
+// stands and where it listens. What the fleet serves is not here but in the
+// environment document.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/platform/document"
+)
+
+// Error is the class of this layer's errors.
+var Error = errs.Class("settings")
+
+// Slots of an environment that a node can serve.
+const (
+	SlotProduction = "production"
+	SlotTrial      = "trial"
+)
+
+// Settings are one node's.
+type Settings struct {
+	// Name is the VM's name, as in the platform's list.
+	Name          string `json:"name"`
+	Environment   string `json:"environment"`
+	FailureDomain string `json:"failure_domain"`
+	// Slot is SlotProduction, the default, or SlotTrial.
+	Slot string `json:"slot,omitempty"`
+
+	Callers   Listener `json:"callers"`
+	Peers     Listener `json:"peers"`
+	Operators Listener `json:"operators"`
+
+	Store Store `json:"store"`
+	Log   Log   `json:"log,omitempty"`
+	Drain Drain `json:"drain,omitempty"`
+	Load  Load  `json:"load,omitempty"`
+}
+
+// Listener is one of the node's addresses.
+type Listener struct {
+	// Listen is the IP number and port to listen on.
+	Listen string `json:"listen"`
+	// Advertise is the address that others are told; empty means Listen.
+	Advertise string `json:"advertise,omitempty"`
+}
+
+// Address is what others are told.
+func (l Listener) Address() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Listen
+}
+
+// Store says where the platform's key-value service is.
+type Store struct {
+	Address string `json:"address"`
+	// CallsPerSecond is this node's budget; zero means DefaultStoreCalls.
+	CallsPerSecond int `json:"calls_per_second,omitempty"`
+	// TimeoutMillis bounds one call; zero means the client's default.
+	TimeoutMillis int `json:"timeout_ms,omitempty"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is trace, debug, info, warn or error; empty means info.
+	Level string `json:"level,omitempty"`
+	// Format is json, the default, or text.
+	Format string `json:"format,omitempty"`
+}
+
+// Drain says how a node leaves.
+type Drain struct {
+	// LimitSeconds ends a drain even if requests are underway; zero, the
+	// default, waits for all of them.
+	LimitSeconds int `json:"limit_s,omitempty"`
+}
+
+// Load says how often endpoints are asked for their load.
+type Load struct {
+	// PollsPerSecond over all endpoints; zero means DefaultPolls.
+	PollsPerSecond int `json:"polls_per_second,omitempty"`
+}
+
+// Defaults of the settings.
+const (
+	// DefaultStoreCalls lets nine nodes use a third of a store's several
+	// hundred writes a second together.
+	DefaultStoreCalls = 20
+	// DefaultPolls asks each of a node's 40 endpoints at least every 3 s, in
+	// which time a leaving one must be noticed.
+	DefaultPolls = 16
+)
+
+// Read reads and checks the settings in a file. All that is wrong with them is
+// reported at once, each fault with its JSON path.
+func Read(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, Error.Wrap(err)
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return Settings{}, Error.Wrap(fmt.Errorf("%s:\n%w", path, err))
+	}
+	return s, nil
+}
+
+// Parse reads and checks a text.
+func Parse(text []byte) (Settings, error) {
+	var s Settings
+	faults := document.Strict(text, &s)
+	s.check(faults)
+	if err := faults.Err(); err != nil {
+		return Settings{}, err
+	}
+	s.fillDefaults()
+	return s, nil
+}
+
+func (s *Settings) check(f *document.Faults) {
+	required(f, "name", s.Name)
+	required(f, "environment", s.Environment)
+	required(f, "failure_domain", s.FailureDomain)
+	oneOf(f, "slot", s.Slot, "", SlotProduction, SlotTrial)
+	s.Callers.check(f, "callers")
+	s.Peers.check(f, "peers")
+	s.Operators.check(f, "operators")
+	address(f, "store.address", s.Store.Address, true)
+	notNegative(f, "store.calls_per_second", s.Store.CallsPerSecond)
+	notNegative(f, "store.timeout_ms", s.Store.TimeoutMillis)
+	oneOf(f, "log.level", s.Log.Level, "", "trace", "debug", "info", "warn", "error")
+	oneOf(f, "log.format", s.Log.Format, "", "json", "text")
+	notNegative(f, "drain.limit_s", s.Drain.LimitSeconds)
+	notNegative(f, "load.polls_per_second", s.Load.PollsPerSecond)
+}
+
+func (l Listener) check(f *document.Faults, path string) {
+	address(f, path+".listen", l.Listen, true)
+	address(f, path+".advertise", l.Advertise, false)
+}
+
+func (s *Settings) fillDefaults() {
+	if s.Slot == "" {
+		s.Slot = SlotProduction
+	}
+	if s.Store.CallsPerSecond == 0 {
+		s.Store.CallsPerSecond = DefaultStoreCalls
+	}
+	if s.Load.PollsPerSecond == 0 {
+		s.Load.PollsPerSecond = DefaultPolls
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+}
+
+func required(f *document.Faults, path, value string) {
+	if value == "" && !f.Covers(path) {
+		f.Add(path, "is missing")
+	}
+}
+
+func oneOf(f *document.Faults, path, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	f.Add(path, "%q is not one of %q", value, allowed[1:])
+}
+
+func notNegative(f *document.Faults, path string, value int) {
+	if value < 0 {
+		f.Add(path, "%d is negative", value)
+	}
+}
+
+// address wants an IP number: a name would have to be looked up, and the
+// platform gives none.
+func address(f *document.Faults, path, value string, needed bool) {
+	if value == "" {
+		if needed && !f.Covers(path) {
+			f.Add(path, "is missing")
+		}
+		return
+	}
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		f.Add(path, "%q is not an IP number and a port", value)
+		return
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > maxPort {
+		f.Add(path, "%q is not a port", port)
+	}
+}
+
+const maxPort = 65535
--- a/route/picker/picker.go
+++ b/route/picker/picker.go
@@ -112,3 +112,8 @@
 	}
 	return max(1, p.underway+p.balancer.FreeSlots(now))
 }
+
+// SetPeers tells which nodes of this failure domain share the replicas.
+func (p *Picker) SetPeers(nodes []string) {
+	p.change(func(now time.Time, b *balance.Balancer) { b.SetPeers(now, nodes) })
+}
--- /dev/null
+++ b/route/plain/order.go
@@ -0,0 +1,177 @@
+package plain
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/outcome"
+)
+
+const (
+	// recordTimeout bounds the write of a result. The order itself is placed;
+	// a result that can't be written leaves the claim in doubt, which is safe.
+	recordTimeout = 5 * time.Second
+	// retryStore is when a caller may try an order again that could not be
+	// claimed.
+	retryStore = 2 * time.Second
+)
+
+// order places a call that may run at most once.
+//
+// With a key, the claim is written before the order is sent, so that no node,
+// also one that was paused for long, sends an order that another has claimed:
+// compare-and-swap lets only one claim through. Without a key there is nothing
+// to claim by, and the order is sent once and never again.
+func (e *exchange) order(ctx context.Context, w http.ResponseWriter) {
+	if e.key == "" {
+		e.server.Figures.Order(e.call.Service.Name, "without key")
+		e.finish(w)(e.once(ctx))
+		return
+	}
+	key := ledger.Key{Team: e.call.Team.Name, Service: e.call.Service.Name, Key: e.key}
+	claim, err := e.server.Claims.Claim(ctx, key, e.fingerprint())
+	if err != nil {
+		e.unclaimed(ctx, w, err)
+		return
+	}
+	e.server.Figures.Order(e.call.Service.Name, claim.State.String())
+	e.record(decision.Place, "", "claim is "+claim.State.String(), nil)
+	switch claim.State {
+	case ledger.Fresh:
+		e.place(ctx, w, key, claim)
+	case ledger.Done:
+		e.replay(w, claim.Result)
+	case ledger.Mismatch:
+		e.finish(w)(nil, &outcome.Refusal{Status: http.StatusUnprocessableEntity, Code: "key_reused", Message: "the key was used for another order", Outcome: outcome.NotRun})
+	default:
+		e.finish(w)(nil, inDoubt("the order was sent before and its result is not known"))
+	}
+}
+
+// fingerprint tells an order from another under the same key.
+func (e *exchange) fingerprint() string {
+	sum := sha256.Sum256(e.request.Body)
+	return e.request.Method + " " + e.request.Path + " " + hex.EncodeToString(sum[:])
+}
+
+// unclaimed answers an order whose claim could not be written. If every
+// endpoint of the service checks keys itself, it may be sent all the same.
+func (e *exchange) unclaimed(ctx context.Context, w http.ResponseWriter, err error) {
+	if errors.Is(err, ledger.ErrBadKey) {
+		e.finish(w)(nil, &outcome.Refusal{Status: http.StatusBadRequest, Code: "bad_key", Message: err.Error(), Outcome: outcome.NotRun})
+		return
+	}
+	if e.endpointsCheckKeys() {
+		e.server.Figures.Order(e.call.Service.Name, "endpoint checks")
+		e.record(decision.Place, "", "no claim, endpoints check keys: "+err.Error(), nil)
+		e.finish(w)(e.once(ctx))
+		return
+	}
+	e.server.Figures.Order(e.call.Service.Name, "not claimed")
+	e.finish(w)(nil, &outcome.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Code:       "not_claimed",
+		Message:    "this request was not sent; try again with the same key: " + err.Error(),
+		Outcome:    outcome.NotRun,
+		RetryAfter: retryStore,
+	})
+}
+
+func (e *exchange) endpointsCheckKeys() bool {
+	for _, name := range e.call.Service.Plain.Endpoints {
+		endpoint, known := e.call.Directory.Endpoint(name)
+		if !known || !endpoint.ChecksKeys {
+			return false
+		}
+	}
+	return true
+}
+
+// place sends a claimed order and keeps its result.
+func (e *exchange) place(ctx context.Context, w http.ResponseWriter, key ledger.Key, claim ledger.Claim) {
+	a, refusal := e.once(ctx)
+	switch {
+	case a != nil:
+		e.keep(ctx, key, claim, a)
+	case refusal.Outcome == outcome.NotRun:
+		e.release(ctx, key, claim)
+	}
+	e.finish(w)(a, refusal)
+}
+
+// once sends an order, and sends it to another endpoint only while every one
+// tried so far provably did nothing.
+func (e *exchange) once(ctx context.Context) (*answer, *outcome.Refusal) {
+	var tried []string
+	for {
+		a := e.attempt(ctx, tried, true)
+		if a.answer != nil && !a.notRun {
+			if a.failure == health.None {
+				e.service.Retry.Success()
+			}
+			return a.answer, nil
+		}
+		if !a.notRun {
+			return nil, inDoubt("the order was sent and its result is not known: " + a.why())
+		}
+		d := e.service.Retry.Allow(e.attemptFor(len(tried)+1, a))
+		if !d.Retry || a.endpoint == "" {
+			return e.giveUp(a, false)
+		}
+		tried = append(tried, a.endpoint)
+		if wait(ctx, d.After) != nil {
+			return e.giveUp(a, false)
+		}
+	}
+}
+
+// inDoubt is the answer to an order that may have been placed. It carries no
+// Retry-After: asking again with this key does not send it again.
+func inDoubt(message string) *outcome.Refusal {
+	return &outcome.Refusal{
+		Status:  http.StatusConflict,
+		Code:    "in_doubt",
+		Message: message + "; it will not be sent again",
+		Outcome: outcome.Unknown,
+	}
+}
+
+// keep writes the result, so that a caller who asks again gets the same answer.
+func (e *exchange) keep(ctx context.Context, key ledger.Key, claim ledger.Claim, a *answer) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	err := e.server.Claims.Record(ctx, key, claim, ledger.Result{
+		Status:      a.status,
+		ContentType: a.header.Get("Content-Type"),
+		Body:        a.body,
+	})
+	if err != nil {
+		e.record(decision.Place, "", "result not kept yet: "+err.Error(), nil)
+	}
+}
+
+// release gives the key free after an order that provably was not run.
+func (e *exchange) release(ctx context.Context, key ledger.Key, claim ledger.Claim) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err := e.server.Claims.Release(ctx, key, claim); err != nil {
+		e.record(decision.Place, "", "claim not released yet: "+err.Error(), nil)
+	}
+}
+
+// replay answers a caller who asks again for an order that is placed.
+func (e *exchange) replay(w http.ResponseWriter, r *ledger.Result) {
+	header := http.Header{}
+	if r.ContentType != "" {
+		header.Set("Content-Type", r.ContentType)
+	}
+	header.Set(outcome.HeaderReplayed, "1")
+	e.pass(w, &answer{status: r.Status, header: header, body: r.Body})
+}
--- a/route/stream/runner.go
+++ b/route/stream/runner.go
@@ -95,12 +95,12 @@
 // run tries chains, one epoch each, until the answer is whole.
 func (a *answer) run(ctx context.Context) error {
 	for epoch := uint32(1); int(epoch) <= a.r.options.MaxEpochs; epoch++ {
-		chain, err := a.r.chooser.Choose(ctx, a.exclude)
+		chain, err := a.chooser().Choose(ctx, a.exclude)
 		if err != nil {
 			return a.whyNoChain(ctx, err)
 		}
 		result := a.epoch(ctx, epoch, chain)
-		a.r.chooser.Ended(chain, result)
+		a.chooser().Ended(chain, result)
 		switch result.End {
 		case EndDone:
 			return nil
@@ -114,6 +114,13 @@
 	return errors.Join(ErrAttempts, a.summary.Last.Err)
 }
 
+func (a *answer) chooser() Chooser {
+	if a.req.Chooser != nil {
+		return a.req.Chooser
+	}
+	return a.r.chooser
+}
+
 // whyNoChain names what kept the chooser from choosing.
 func (a *answer) whyNoChain(ctx context.Context, err error) error {
 	if a.caller.Err() != nil {
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -59,6 +59,9 @@
 	TokenStall time.Duration
 	// Deadline ends the answer; zero means none.
 	Deadline time.Time
+	// Chooser, if set, takes the place of the Runner's for this answer: it can
+	// know whose request it is and what its prompt begins with.
+	Chooser Chooser
 }
 
 // Outcome is what became of a request.
