Place requests by load, prefix, nearness and health

Round robin sends a slow, dead or full endpoint as much as any other. Balance now takes a subset, draws two by load, keeps prefixes at their replica within a bound, starts newcomers slowly and spills only from a full failure domain; health ejects outliers.

--- a/decide/balance/balancer.go
+++ b/decide/balance/balancer.go
@@ -1,69 +1,360 @@
-// Package balance decides which replica of a service serves a request.
 package balance
 
-import "time"
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
 
-// Config sets a Balancer. Zero values take the defaults.
-type Config struct {
-	// Node is the ID of the entry VM on which the Balancer runs.
-	Node string
-	// FailureDomain of the node.
-	FailureDomain string
-	// NearDomains are the other failure domains, nearest first. Without it the
-	// order is one of the node's own.
-	NearDomains []string
-	// Seed of the random choices; nodes take different ones.
-	Seed uint64
-	// SubsetSize is how many replicas the node uses.
-	SubsetSize int
-}
+	"github.com/cicadatack/cicadatack/decide/balance/rendezvous"
+	"github.com/cicadatack/cicadatack/decide/health"
+)
 
 // Balancer places the requests of one service on one node. It is not safe for
 // concurrent use; the caller locks.
 type Balancer struct {
-	cfg      Config
-	replicas []Replica
-	next     int
+	cfg    Config
+	subset subset
+	all    []known
+	marks  map[string]mark
+
+	members map[string]*member
+	near    tier
+	spill   tier
+	probing []*member
+
+	health   *health.Detector
+	version  uint64 // of health when the tiers were last refreshed
+	random   *rand.Rand
+	meanCost float64
+	topRamp  float64 // the highest ramp of the usable members
+}
+
+// mark holds who says that an endpoint is leaving.
+type mark struct {
+	sources uint8
+	refused time.Time // when the endpoint itself said so
+}
+
+func (m mark) has(s Source) bool { return m.sources&(1<<s) != 0 }
+
+// member is a replica of the subset.
+type member struct {
+	known
+	load
+	health   *health.Endpoint
+	tier     *tier
+	capacity float64 // slots times weight
+	usable   bool
+	leaving  bool
+	wasOut   bool      // was not healthy at the last refresh
+	joined   time.Time // begin of the slow start; zero for none
+	busy     time.Time // end of the backoff after a refusal
 }
 
 // New returns a Balancer without replicas.
-func New(cfg Config) *Balancer { return &Balancer{cfg: cfg} }
+func New(cfg Config) *Balancer {
+	cfg = withDefaults(cfg)
+	return &Balancer{
+		cfg:     cfg,
+		subset:  subset{cfg: cfg, self: rendezvous.Hash(cfg.Node)},
+		marks:   make(map[string]mark),
+		members: make(map[string]*member),
+		health:  health.New(cfg.Health),
+		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^coverSalt)),
+		topRamp: 1,
+	}
+}
 
-// SetReplicas replaces the list of the service's replicas.
-func (b *Balancer) SetReplicas(now time.Time, replicas []Replica) { b.replicas = replicas }
+// SetReplicas replaces the list of the service's replicas. Those in it before
+// keep their state; newcomers get a slow start, unless the list was empty. The
+// cost is that of a sort, and a rank for each near replica and peer.
+func (b *Balancer) SetReplicas(now time.Time, replicas []Replica) {
+	previous := b.all
+	b.all = knownFrom(replicas)
+	for id := range b.marks {
+		if !contains(b.all, rendezvous.Hash(id)) {
+			delete(b.marks, id)
+		}
+	}
+	b.apply(now, func(k known) bool {
+		return len(previous) > 0 && !contains(previous, k.key)
+	})
+}
+
+// SetPeers tells the live nodes of the node's own failure domain, itself
+// included or not. Until it is called the node chooses its subset without
+// regard to its peers, and the cover is uneven.
+func (b *Balancer) SetPeers(now time.Time, nodes []string) {
+	peers := make([]uint64, 0, len(nodes))
+	for _, n := range nodes {
+		if n != b.cfg.Node {
+			peers = append(peers, rendezvous.Hash(n))
+		}
+	}
+	slices.Sort(peers)
+	if b.subset.peers != nil && slices.Equal(peers, b.subset.peers) {
+		return
+	}
+	b.subset.peers = peers
+	b.apply(now, func(known) bool { return false })
+}
+
+// apply computes the subset anew.
+func (b *Balancer) apply(now time.Time, isNew func(known) bool) {
+	near, spill := b.subset.choose(b.all)
+	old := b.members
+	b.members = make(map[string]*member, len(near)+len(spill))
+	b.near = b.newTier(now, near, old, isNew)
+	b.spill = b.newTier(now, spill, old, isNew)
+	b.near.adopt()
+	b.spill.adopt()
+	for id, m := range old {
+		if b.members[id] == nil {
+			b.health.Forget(m.health)
+		}
+	}
+	b.refresh(now)
+}
 
-// SetPeers tells the live nodes of the node's own failure domain, itself included.
-func (b *Balancer) SetPeers(now time.Time, nodes []string) {}
+func (b *Balancer) newTier(now time.Time, replicas []known, old map[string]*member, isNew func(known) bool) tier {
+	t := tier{members: make([]*member, len(replicas))}
+	for i, k := range replicas {
+		m := old[k.ID]
+		if m == nil {
+			m = &member{health: b.health.Track(k.FailureDomain)}
+			if isNew(k) {
+				m.joined = now
+			}
+		}
+		m.known = k
+		m.capacity = float64(k.Slots) * k.Weight
+		m.leaving = b.marks[k.ID].sources != 0
+		t.members[i] = m
+		b.members[k.ID] = m
+	}
+	t.ring = newRing(t.members)
+	return t
+}
 
-// SetLeaving is Leaving by SourcePlatform.
-func (b *Balancer) SetLeaving(now time.Time, id string, leaving bool) {}
+// SetLeaving records what the platform's list says of an endpoint.
+func (b *Balancer) SetLeaving(now time.Time, id string, leaving bool) {
+	b.Leaving(now, id, SourcePlatform, leaving)
+}
 
-// Leaving records what one source says of an endpoint.
-func (b *Balancer) Leaving(now time.Time, id string, source Source, leaving bool) {}
+// Leaving records what one source says of an endpoint. An endpoint that any
+// source calls leaving gets nothing new. Each source can take back only its own
+// word: were the last to speak believed, a list that lags would send requests
+// back to an endpoint that has said itself that it shuts down.
+func (b *Balancer) Leaving(now time.Time, id string, source Source, leaving bool) {
+	k := b.marks[id]
+	k.sources &^= 1 << source
+	if leaving {
+		k.sources |= 1 << source
+	}
+	if source == SourceEndpoint {
+		k.refused = now
+	}
+	if k.sources == 0 {
+		delete(b.marks, id)
+	} else {
+		b.marks[id] = k
+	}
+	if m := b.members[id]; m != nil && m.leaving != (k.sources != 0) {
+		m.leaving = k.sources != 0
+		b.refresh(now)
+	}
+}
 
-// Pick chooses a replica; false means that none may be used.
-func (b *Balancer) Pick(now time.Time, q Query) (Choice, bool) {
-	if len(b.replicas) == 0 {
-		return Choice{}, false
+// Sent records a request sent to the replica, of the given cost in tokens, 0 if
+// unknown.
+func (b *Balancer) Sent(now time.Time, id string, cost float64) {
+	m := b.members[id]
+	if m == nil {
+		return
 	}
-	b.next = (b.next + 1) % len(b.replicas)
-	return Choice{Replica: b.replicas[b.next].ID}, true
+	if cost > 0 {
+		b.meanCost = average(b.meanCost, cost)
+	}
+	m.sent(now, cost)
+	m.tier.add(m, 1)
+	b.health.Sent(now, m.health)
 }
 
-// Sent records a request sent to the replica.
-func (b *Balancer) Sent(now time.Time, id string, cost float64) {}
+func average(old, v float64) float64 {
+	if old == 0 {
+		return v
+	}
+	return old + (v-old)*costGain
+}
 
-// Started records the first part of an answer.
-func (b *Balancer) Started(now time.Time, id string, firstToken time.Duration) {}
+// Started records the first part of an answer, which came after the given time.
+// It is optional: it tells of a slow replica sooner than Finished, when answers
+// are long.
+func (b *Balancer) Started(now time.Time, id string, firstToken time.Duration) {
+	m := b.members[id]
+	if m == nil {
+		return
+	}
+	b.health.Heard(now, m.health, firstToken)
+	b.health.ObserveDelay(now, m.health, m.comparable(firstToken))
+	b.refreshIfChanged(now)
+}
 
 // Finished records the end of an attempt that Sent recorded.
-func (b *Balancer) Finished(now time.Time, id string, r Result) {}
+func (b *Balancer) Finished(now time.Time, id string, r Result) {
+	m := b.members[id]
+	if m == nil || m.inflight == 0 {
+		return
+	}
+	m.finished(now, r.Cost)
+	m.tier.add(m, -1)
+	b.observe(now, m, r)
+	switch r.Failure {
+	case health.Overloaded:
+		m.busy = now.Add(b.cfg.Backoff)
+	case health.Leaving:
+		b.Leaving(now, id, SourceEndpoint, true)
+	}
+	b.refreshIfChanged(now)
+}
 
-// Report records a replica's load.
-func (b *Balancer) Report(now time.Time, id string, l Load) {}
+func (b *Balancer) observe(now time.Time, m *member, r Result) {
+	delay := r.FirstToken
+	if !r.Started {
+		b.health.Heard(now, m.health, r.Total)
+		if delay == 0 {
+			delay = r.Total
+		}
+	}
+	b.health.Observe(now, m.health, health.Outcome{
+		Delay: m.comparable(delay), Age: r.Total, Failure: r.Failure,
+	})
+}
+
+// comparable is the delay that a replica of weight 1 would have had, so that a
+// slower kind of accelerator is no outlier.
+func (m *member) comparable(delay time.Duration) time.Duration {
+	return time.Duration(float64(delay) * m.Weight)
+}
+
+// Report records a replica's load as it tells it itself.
+func (b *Balancer) Report(now time.Time, id string, l Load) {
+	b.reportLeaving(now, id, l)
+	m := b.members[id]
+	if m == nil {
+		return
+	}
+	before, first := m.others, m.measured.IsZero()
+	if m.report(now, l) {
+		m.tier.addOthers(m, m.others-before, first)
+	}
+}
+
+// reportLeaving takes a report's word that the endpoint stays only if it is
+// newer than its word that it leaves.
+func (b *Balancer) reportLeaving(now time.Time, id string, l Load) {
+	k := b.marks[id]
+	measured := now.Add(-l.Age)
+	if l.Leaving != k.has(SourceEndpoint) && (l.Leaving || measured.After(k.refused)) {
+		b.Leaving(now, id, SourceEndpoint, l.Leaving)
+	}
+}
 
-// FreeSlots returns the room left in the usable part of the subset.
-func (b *Balancer) FreeSlots(now time.Time) int { return len(b.replicas) }
+// FreeSlots returns the slots that are free in the usable part of the subset.
+// Other nodes may see and take the same ones: it is a hint.
+func (b *Balancer) FreeSlots(now time.Time) int {
+	free := 0.0
+	for _, t := range []*tier{&b.near, &b.spill} {
+		for _, m := range t.usable {
+			used := float64(m.inflight) + b.others(now, m)
+			free += max(0, float64(m.Slots)*b.ramp(now, m)-used)
+		}
+	}
+	return int(free)
+}
 
 // Capacity returns the slots of the usable part of the subset.
-func (b *Balancer) Capacity(now time.Time) int { return len(b.replicas) }
+func (b *Balancer) Capacity(now time.Time) int {
+	slots := 0.0
+	for _, t := range []*tier{&b.near, &b.spill} {
+		for _, m := range t.usable {
+			slots += float64(m.Slots) * b.ramp(now, m)
+		}
+	}
+	return int(slots)
+}
+
+// Known returns how many replicas the service has, and Subset how many of them
+// this node uses.
+func (b *Balancer) Known() int { return len(b.all) }
+
+// Subset returns the IDs of the replicas that this node uses, the near first.
+func (b *Balancer) Subset() []string {
+	var ids []string
+	for _, m := range slices.Concat(b.near.members, b.spill.members) {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// judge lets package health judge when it is time to.
+func (b *Balancer) judge(now time.Time) {
+	if b.health.Due(now) {
+		b.health.Judge(now)
+		b.refresh(now)
+	}
+}
+
+func (b *Balancer) refreshIfChanged(now time.Time) {
+	if b.health.Version() != b.version {
+		b.refresh(now)
+	}
+}
+
+// refresh sorts the members by what may be done with them. It costs a pass over
+// the subset and is called when a state changes and at each judgement, never
+// for each request.
+func (b *Balancer) refresh(now time.Time) {
+	b.version = b.health.Version()
+	b.probing = b.probing[:0]
+	b.topRamp = 0
+	b.refreshTier(now, &b.near)
+	b.refreshTier(now, &b.spill)
+}
+
+func (b *Balancer) refreshTier(now time.Time, t *tier) {
+	t.reset()
+	for _, m := range t.members {
+		state := m.health.State()
+		if m.wasOut && state == health.Healthy {
+			m.joined = now
+		}
+		m.wasOut = state != health.Healthy
+		m.usable = state == health.Healthy && !m.leaving
+		if m.usable {
+			t.include(m)
+			b.topRamp = max(b.topRamp, b.rawRamp(now, m))
+		}
+		if state == health.Probing && !m.leaving {
+			b.probing = append(b.probing, m)
+		}
+	}
+}
+
+// rawRamp is the part of its capacity that a newcomer may use so far.
+func (b *Balancer) rawRamp(now time.Time, m *member) float64 {
+	if m.joined.IsZero() {
+		return 1
+	}
+	age := float64(now.Sub(m.joined)) / float64(b.cfg.SlowStart)
+	return max(rampFloor, min(1, age))
+}
+
+// ramp is relative to the member furthest on: if all are new there is nobody
+// to spare them, and a ramp would only hide capacity.
+func (b *Balancer) ramp(now time.Time, m *member) float64 {
+	if b.topRamp == 0 {
+		return 1
+	}
+	return min(1, b.rawRamp(now, m)/b.topRamp)
+}
--- /dev/null
+++ b/decide/balance/config.go
@@ -0,0 +1,90 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+)
+
+// Defaults of Config; doc.go gives their grounds.
+const (
+	DefaultSubsetSize    = 32
+	DefaultSpillDomains  = 2
+	DefaultSpillAt       = 0.9
+	DefaultSpillMargin   = 0.1
+	DefaultAffinityBound = 1.25
+	DefaultAffinityFree  = 0.5
+	DefaultSlowStart     = 30 * time.Second
+	DefaultStaleAfter    = 5 * time.Second
+	DefaultBackoff       = 250 * time.Millisecond
+)
+
+const (
+	// nearShare is the part of the subset in the nearest failure domain.
+	nearShare = 0.75
+	// rampFloor is the part of its capacity with which a newcomer starts.
+	rampFloor = 0.1
+	// maxDraws bounds the draws for one candidate, so that Pick costs the same
+	// however many replicas are excluded or busy; then they are searched.
+	maxDraws = 4
+	// maxWalk bounds the replicas tried for a prefix.
+	maxWalk = 4
+	// ringPoints per replica make its arcs of the prefix ring about even.
+	ringPoints = 32
+	// costGain is that of the moving average of the costs.
+	costGain = 0.02
+)
+
+// Config sets a Balancer. Zero values take the defaults.
+type Config struct {
+	// Node is the ID of the entry VM on which the Balancer runs.
+	Node string
+	// FailureDomain of the node.
+	FailureDomain string
+	// NearDomains are the other failure domains, nearest first. Domains not
+	// named follow in an order of the node's domain.
+	NearDomains []string
+	// Seed of the random choices; nodes take different ones.
+	Seed uint64
+	// SubsetSize is about how many replicas the node uses. No replica is left
+	// without a node for the sake of it.
+	SubsetSize int
+	// SpillDomains is how many other failure domains the subset reaches.
+	SpillDomains int
+	// SpillAt is the load per slot from which a request may leave the nearest
+	// failure domain, and SpillMargin by how much the other must be emptier.
+	SpillAt     float64
+	SpillMargin float64
+	// AffinityBound over the mean load, or AffinityFree of its slots, is up to
+	// where a replica takes its own prefixes.
+	AffinityBound float64
+	AffinityFree  float64
+	// SlowStart is how long a newcomer takes to get its whole share.
+	SlowStart time.Duration
+	// StaleAfter is the age at which a load report counts for nothing.
+	StaleAfter time.Duration
+	// Backoff is how long a replica that refused for want of room is avoided.
+	Backoff time.Duration
+	// Health sets the ejection of outliers.
+	Health health.Config
+}
+
+func withDefaults(c Config) Config {
+	setDefault(&c.SubsetSize, DefaultSubsetSize)
+	setDefault(&c.SpillDomains, DefaultSpillDomains)
+	setDefault(&c.SpillAt, DefaultSpillAt)
+	setDefault(&c.SpillMargin, DefaultSpillMargin)
+	setDefault(&c.AffinityBound, DefaultAffinityBound)
+	setDefault(&c.AffinityFree, DefaultAffinityFree)
+	setDefault(&c.SlowStart, DefaultSlowStart)
+	setDefault(&c.StaleAfter, DefaultStaleAfter)
+	setDefault(&c.Backoff, DefaultBackoff)
+	setDefault(&c.Health.Seed, c.Seed)
+	return c
+}
+
+func setDefault[T int | uint64 | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/decide/balance/doc.go
@@ -0,0 +1,68 @@
+// Package balance decides which replica of a service serves a request.
+//
+// Use: keep one Balancer per service and node.
+//
+//	b := balance.New(balance.Config{Node: node, FailureDomain: domain, Seed: seed})
+//	b.SetPeers(now, nodesOfOwnDomain)
+//	b.SetReplicas(now, replicas)
+//
+//	choice, ok := b.Pick(now, balance.Query{Prefix: prefix, Cost: tokens})
+//	b.Sent(now, choice.Replica, tokens)
+//	... the request goes out, its first token comes back ...
+//	b.Started(now, choice.Replica, untilFirstToken)
+//	b.Finished(now, choice.Replica, balance.Result{Cost: tokens, Total: total})
+//
+// Every Sent needs one Finished with the same cost. Report takes the load that
+// travels on answers or is polled. A Balancer is not safe for concurrent use;
+// the caller locks. Time must not run backwards between calls.
+//
+// # The load patterns it answers, and what happens without it
+//
+//   - A slow endpoint: in turn, it gets as much as the others and its share of
+//     the callers wait. Two random choices by load send it what it can carry,
+//     and package health ejects it.
+//   - Stale load reports: when every node sends to the least loaded, that one
+//     is swamped before its report shows it (herding). Two random choices, own
+//     requests since the report added, and old reports fading to the mean.
+//   - A hot key: a prompt's prefix is cached by one replica, so affinity saves
+//     work until that replica is swamped. Bounded load moves on the surplus.
+//   - Endpoints joining in the rush: cold and idle, a newcomer would draw every
+//     choice. Slow start lets its share grow.
+//   - A third of the endpoints lost: those fail at once, look idle and draw
+//     requests. Package health ejects them.
+//   - Several failure domains: the nearest serves until it is full by measure,
+//     and only the surplus spills.
+//   - Many nodes and replicas: with all-to-all, 2,200 nodes hold 22 million
+//     connections and spread a replica's load reports 2,200 ways. Each node
+//     uses a subset.
+//
+// # The subset
+//
+// Every node computes it alone from the list of replicas and of its peers, the
+// nodes of its own failure domain. Each replica takes, by rendezvous hashing,
+// the same number of nodes of a domain; so every replica has the same number of
+// nodes (even cover), and a node or replica that comes or goes moves only its
+// own edges. Were the nodes to choose the replicas instead, a replica's nodes
+// would be Poisson spread, some having none. Lists that lag make the cover a
+// little uneven and nothing else. Near replicas make up three quarters of the
+// subset and the SpillDomains nearest other domains the rest.
+//
+// # Grounds for the figures
+//
+// docs/decisions/balance.md holds the measurements.
+//
+//   - DefaultSubsetSize 32: at 2,200 nodes before 10,000 replicas it gives each
+//     replica about 7 nodes, and leaves a node enough near replicas (24) that
+//     losing a third is a matter of load, not of service.
+//   - DefaultSpillAt 0.9 of the slots: below it a near request finds a free
+//     slot. DefaultSpillMargin 0.1 keeps two full domains from swapping load.
+//   - DefaultAffinityBound 1.25 over the mean: the usual bound, at which hardly
+//     any walk is longer than a few steps. A replica below AffinityFree, half
+//     of its slots, takes its own prefixes whatever the mean.
+//   - DefaultSlowStart 30 s from a tenth: a newcomer warms its cache on a tenth
+//     of a share before it gets a whole one.
+//   - DefaultStaleAfter 5 s: a report of 1 s polls is trusted in full when new;
+//     three lost in a row leave little of it.
+//   - DefaultBackoff 250 ms after a refusal for want of room: about the time in
+//     which a slot comes free at 50 requests of 7 s on each replica.
+package balance
--- /dev/null
+++ b/decide/balance/tier.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cicadatack/cicadatack/decide/balance/rendezvous"
+)
+
+// tier is a part of the subset: the near replicas, or those to spill to.
+type tier struct {
+	members []*member
+	ring    []point
+	usable  []*member
+	// cumulative sums of the capacities of the usable members, for draws in
+	// proportion to them.
+	cumulative []float64
+
+	inflight float64 // own requests at the usable members
+	others   float64 // requests of other nodes there, by report
+	reported float64 // capacity of the usable members that have reported
+}
+
+// point is a place on the prefix ring.
+type point struct {
+	hash   uint64
+	member *member
+}
+
+// newRing depends on the replicas' names alone, so that nodes with common
+// replicas send a prefix to the same one.
+func newRing(members []*member) []point {
+	ring := make([]point, 0, len(members)*ringPoints)
+	for _, m := range members {
+		for i := range uint64(ringPoints) {
+			ring = append(ring, point{rendezvous.Score(m.key, i<<1), m})
+		}
+	}
+	slices.SortFunc(ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
+}
+
+// adopt points the members to the tier once it has its place in memory.
+func (t *tier) adopt() {
+	for _, m := range t.members {
+		m.tier = t
+	}
+}
+
+func (t *tier) reset() {
+	t.usable = t.usable[:0]
+	t.cumulative = t.cumulative[:0]
+	t.inflight, t.others, t.reported = 0, 0, 0
+}
+
+func (t *tier) include(m *member) {
+	t.usable = append(t.usable, m)
+	t.cumulative = append(t.cumulative, t.capacity()+m.capacity)
+	t.inflight += float64(m.inflight)
+	if !m.measured.IsZero() {
+		t.others += m.others
+		t.reported += m.capacity
+	}
+}
+
+func (t *tier) capacity() float64 {
+	if len(t.cumulative) == 0 {
+		return 0
+	}
+	return t.cumulative[len(t.cumulative)-1]
+}
+
+func (t *tier) add(m *member, requests float64) {
+	if m.usable {
+		t.inflight += requests
+	}
+}
+
+func (t *tier) addOthers(m *member, requests float64, first bool) {
+	if !m.usable {
+		return
+	}
+	t.others += requests
+	if first {
+		t.reported += m.capacity
+	}
+}
+
+// meanOthers is the load by other nodes per unit of capacity.
+func (t *tier) meanOthers() float64 {
+	if t.reported == 0 {
+		return 0
+	}
+	return t.others / t.reported
+}
+
+// meanLoad is the whole load per unit of capacity.
+func (t *tier) meanLoad() float64 {
+	capacity := t.capacity()
+	if capacity == 0 {
+		return 0
+	}
+	return t.inflight/capacity + t.meanOthers()
+}
+
+// draw returns a usable member at random in proportion to its capacity. The
+// tier must have one.
+func (t *tier) draw(random *rand.Rand) *member {
+	at := random.Float64() * t.capacity()
+	i, _ := slices.BinarySearch(t.cumulative, at)
+	return t.usable[min(i, len(t.usable)-1)]
+}
--- a/decide/balance/types.go
+++ b/decide/balance/types.go
@@ -89,11 +89,13 @@
 	// Cost is what was given to Sent.
 	Cost float64
 	// FirstToken is the time from sending to the first part of the answer, and
-	// Total to its end. FirstToken is zero for plain services, for attempts
-	// that failed before it, and if Started has been called.
+	// Total to its end or to the failure. FirstToken is zero for plain services,
+	// for attempts that failed before it, and if Started is set.
 	FirstToken time.Duration
 	Total      time.Duration
-	Failure    Failure
+	// Started is set if Started has been called for the attempt.
+	Started bool
+	Failure Failure
 }
 
 // Load is an endpoint's own report.
