--- a/decide/balance/balancer.go
+++ b/decide/balance/balancer.go
@@ -25,7 +25,8 @@
 	health   *health.Detector
 	version  uint64 // of health when the tiers were last refreshed
 	random   *rand.Rand
-	meanCost float64
+	meanCost float64 // moving average, tokens
+	meanTime float64 // moving average of whole answers, seconds
 	topRamp  float64 // the highest ramp of the usable members
 }
 
@@ -188,15 +189,22 @@
 }
 
 // Started records the first part of an answer, which came after the given time.
-// It is optional: it tells of a slow replica sooner than Finished, when answers
-// are long.
+// It is optional: it tells sooner than Finished that a replica is not frozen.
 func (b *Balancer) Started(now time.Time, id string, firstToken time.Duration) {
+	if m := b.members[id]; m != nil {
+		b.health.Heard(now, m.health, firstToken)
+	}
+}
+
+// Progress records the mean time between tokens of an answer underway. It is
+// optional, and meant to be called about once a second for each long answer: it
+// tells sooner than Finished that a replica is slow.
+func (b *Balancer) Progress(now time.Time, id string, perToken time.Duration) {
 	m := b.members[id]
-	if m == nil {
+	if m == nil || b.meanCost == 0 {
 		return
 	}
-	b.health.Heard(now, m.health, firstToken)
-	b.health.ObserveDelay(now, m.health, m.comparable(firstToken))
+	b.health.ObserveDelay(now, m.health, m.comparable(perToken.Seconds()*b.meanCost))
 	b.refreshIfChanged(now)
 }
 
@@ -219,22 +227,33 @@
 }
 
 func (b *Balancer) observe(now time.Time, m *member, r Result) {
-	delay := r.FirstToken
 	if !r.Started {
 		b.health.Heard(now, m.health, r.Total)
-		if delay == 0 {
-			delay = r.Total
-		}
+	}
+	if r.Failure == health.None {
+		b.meanTime = average(b.meanTime, r.Total.Seconds())
 	}
 	b.health.Observe(now, m.health, health.Outcome{
-		Delay: m.comparable(delay), Age: r.Total, Failure: r.Failure,
+		Delay: m.comparable(b.pace(r)), Age: r.Total, Failure: r.Failure,
 	})
 }
 
+// pace is the time that the answer took from its first part on, in seconds for
+// an answer of mean cost. The first part itself is left out: it comes ten times
+// sooner where the prompt's prefix is cached, so that replicas with cold caches
+// would be ejected as slow, and their prefixes would make the next cache cold.
+func (b *Balancer) pace(r Result) float64 {
+	took := (r.Total - r.FirstToken).Seconds()
+	if r.FirstToken > 0 && r.Cost > 0 {
+		return took / r.Cost * b.meanCost
+	}
+	return took
+}
+
 // comparable is the delay that a replica of weight 1 would have had, so that a
 // slower kind of accelerator is no outlier.
-func (m *member) comparable(delay time.Duration) time.Duration {
-	return time.Duration(float64(delay) * m.Weight)
+func (m *member) comparable(seconds float64) time.Duration {
+	return time.Duration(seconds * m.Weight * float64(time.Second))
 }
 
 // Report records a replica's load as it tells it itself.
--- /dev/null
+++ b/decide/balance/balancer_test.go
@@ -0,0 +1,1 @@
+package balance
--- a/decide/balance/config.go
+++ b/decide/balance/config.go
@@ -15,7 +15,6 @@
 	DefaultAffinityBound = 1.25
 	DefaultAffinityFree  = 0.5
 	DefaultSlowStart     = 30 * time.Second
-	DefaultStaleAfter    = 5 * time.Second
 	DefaultBackoff       = 250 * time.Millisecond
 )
 
@@ -31,7 +30,10 @@
 	maxWalk = 4
 	// ringPoints per replica make its arcs of the prefix ring about even.
 	ringPoints = 32
-	// costGain is that of the moving average of the costs.
+	// switchMargin is by how many requests the second choice must be emptier.
+	// Counts that differ by less are noise, and turns spread evener than noise.
+	switchMargin = 1.0
+	// costGain is that of the moving averages of costs and times.
 	costGain = 0.02
 )
 
@@ -61,8 +63,6 @@
 	AffinityFree  float64
 	// SlowStart is how long a newcomer takes to get its whole share.
 	SlowStart time.Duration
-	// StaleAfter is the age at which a load report counts for nothing.
-	StaleAfter time.Duration
 	// Backoff is how long a replica that refused for want of room is avoided.
 	Backoff time.Duration
 	// Health sets the ejection of outliers.
@@ -77,7 +77,6 @@
 	setDefault(&c.AffinityBound, DefaultAffinityBound)
 	setDefault(&c.AffinityFree, DefaultAffinityFree)
 	setDefault(&c.SlowStart, DefaultSlowStart)
-	setDefault(&c.StaleAfter, DefaultStaleAfter)
 	setDefault(&c.Backoff, DefaultBackoff)
 	setDefault(&c.Health.Seed, c.Seed)
 	return c
--- a/decide/balance/load.go
+++ b/decide/balance/load.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// historyStep and historyLen say how far back the requests outstanding are
@@ -100,19 +103,23 @@
 	return true
 }
 
-// own returns the node's own load in requests of mean cost.
-func (l *load) own(meanCost float64) float64 {
+// priced returns the node's own load in requests of mean cost.
+func (l *load) priced(meanCost float64) float64 {
 	if meanCost <= 0 {
 		return float64(l.inflight)
 	}
 	return float64(l.unpriced) + l.cost/meanCost
 }
 
-// trust returns how far the report still counts, 1 for a new one to 0.
-func (l *load) trust(now time.Time, staleAfter time.Duration) float64 {
+// trust returns how far the report still counts, from 1 for a new one. The
+// requests that it counted end after meanTime seconds on average, so what it
+// says of a replica's difference to the others wears off at that rate.
+func (l *load) trust(now time.Time, meanTime float64) float64 {
 	if l.measured.IsZero() {
 		return 0
 	}
-	age := float64(now.Sub(l.measured)) / float64(staleAfter)
-	return max(0, min(1, 1-age))
+	if meanTime <= 0 {
+		return 1
+	}
+	return math.Exp(-now.Sub(l.measured).Seconds() / meanTime)
 }
--- a/decide/balance/pick.go
+++ b/decide/balance/pick.go
@@ -50,13 +50,20 @@
 // says of the difference between replicas no longer holds, and if all nodes
 // acted on it they would herd to the one that was emptiest.
 func (b *Balancer) others(now time.Time, m *member) float64 {
-	trust := m.trust(now, b.cfg.StaleAfter)
+	trust := m.trust(now, b.meanTime)
 	return trust*m.load.others + (1-trust)*m.tier.meanOthers()*m.capacity
 }
 
-// work is the replica's load in requests of mean cost.
+// work is the replica's load in requests. While it has free slots they are
+// counted, as a request that has a slot does not wait for another; once it is
+// full, what waits is counted by cost.
 func (b *Balancer) work(now time.Time, m *member) float64 {
-	return m.own(b.meanCost) + b.others(now, m)
+	others := b.others(now, m)
+	count := float64(m.inflight) + others
+	if count < float64(m.Slots) {
+		return count
+	}
+	return max(count, m.priced(b.meanCost)+others)
 }
 
 // room is the capacity that the replica may use now.
@@ -190,7 +197,8 @@
 }
 
 // twoChoices returns the better of two and the other, which is nil if there is
-// only one; both are nil if there is none.
+// only one; both are nil if there is none. The first comes in turn and the
+// second at random, and takes its place only if it is emptier by a request.
 func (b *Balancer) twoChoices(now time.Time, q Query, t *tier) (better, worse *member) {
 	first := b.drawOne(now, q, t, nil)
 	if first == nil {
@@ -200,20 +208,21 @@
 	if second == nil {
 		return first, nil
 	}
-	if b.score(now, second) < b.score(now, first) {
+	if b.score(now, second)+switchMargin/b.room(now, second) < b.score(now, first) {
 		return second, first
 	}
 	return first, second
 }
 
-// drawOne draws a replica other than the given one. Replicas that have just
-// refused for want of room are drawn only if there is no other.
+// drawOne draws a replica, in turn, or at random one other than the given.
+// Replicas that have just refused for want of room are drawn only if there is
+// no other.
 func (b *Balancer) drawOne(now time.Time, q Query, t *tier, not *member) *member {
 	if len(t.usable) == 0 || len(t.usable) == 1 && t.usable[0] == not {
 		return nil
 	}
 	for range maxDraws {
-		m := t.draw(b.random)
+		m := b.drawFrom(t, not == nil)
 		if m != not && !excluded(q, m) && !now.Before(m.busy) {
 			return m
 		}
@@ -221,6 +230,13 @@
 	return b.search(now, q, t, not)
 }
 
+func (b *Balancer) drawFrom(t *tier, inTurn bool) *member {
+	if inTurn {
+		return t.nextInTurn()
+	}
+	return t.at(b.random.Float64())
+}
+
 // search goes through the usable replicas from a random one on.
 func (b *Balancer) search(now time.Time, q Query, t *tier, not *member) *member {
 	var busy *member
--- a/decide/balance/tier.go
+++ b/decide/balance/tier.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
+	"math"
 	"slices"
 
 	"github.com/cicadatack/cicadatack/decide/balance/rendezvous"
@@ -17,6 +17,8 @@
 	// proportion to them.
 	cumulative []float64
 
+	turn float64
+
 	inflight float64 // own requests at the usable members
 	others   float64 // requests of other nodes there, by report
 	reported float64 // capacity of the usable members that have reported
@@ -104,10 +106,16 @@
 	return t.inflight/capacity + t.meanOthers()
 }
 
-// draw returns a usable member at random in proportion to its capacity. The
-// tier must have one.
-func (t *tier) draw(random *rand.Rand) *member {
-	at := random.Float64() * t.capacity()
-	i, _ := slices.BinarySearch(t.cumulative, at)
+// nextInTurn takes the usable members in turn, each as often as its capacity
+// says. Steps of the golden ratio visit parts of any size evenly.
+func (t *tier) nextInTurn() *member {
+	_, t.turn = math.Modf(t.turn + math.Phi - 1)
+	return t.at(t.turn)
+}
+
+// at returns the usable member at a place from 0 to 1, where each has room in
+// proportion to its capacity. The tier must have one.
+func (t *tier) at(place float64) *member {
+	i, _ := slices.BinarySearch(t.cumulative, place*t.capacity())
 	return t.usable[min(i, len(t.usable)-1)]
 }
--- a/decide/balance/types.go
+++ b/decide/balance/types.go
@@ -89,8 +89,8 @@
 	// Cost is what was given to Sent.
 	Cost float64
 	// FirstToken is the time from sending to the first part of the answer, and
-	// Total to its end or to the failure. FirstToken is zero for plain services,
-	// for attempts that failed before it, and if Started is set.
+	// Total to its end or to the failure. FirstToken is zero for plain services
+	// and for attempts that failed before it.
 	FirstToken time.Duration
 	Total      time.Duration
 	// Started is set if Started has been called for the attempt.
