fleet: members, exchange over twirp, spreading of the record

Excluded: a library's own clustering; agreement among nodes (views are hints, revisions come from the store's compare-and-swap). Change: fleet/exchange (one twirp call), fleet/member and fleet/spread (pure state machines), fleet (runtime), adapters for platform/store, scripts/generate.sh. Figures: none measured yet. go test -race -count=3 ./fleet passes: three nodes share members and record; a newcomer during a store outage takes the record from its peers. Conclusion: thin but whole path; tests of failures and measurements follow.

--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/fleet/exchange"
+	"github.com/cicadatack/cicadatack/fleet/member"
+	"github.com/cicadatack/cicadatack/fleet/spread"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Fleet is one node among the others. Its state is in shards, each under its
+// own lock: the view of the members, the record, the shares, the subscribers.
+type Fleet struct {
+	cfg       Config
+	vms       VMs
+	documents Documents
+	log       hclog.Logger
+	client    *http.Client
+
+	view    viewShard
+	records recordShard
+	shares  shareShard
+	subs    subscribers
+
+	// running ends when Run returns; work started by peers' calls ends with it.
+	running context.Context
+	stop    context.CancelFunc
+	work    workers
+}
+
+// workers counts the work that Run waits for.
+type workers struct {
+	sync.Mutex
+	group  sync.WaitGroup
+	closed bool
+}
+
+// wait lets no more work start and waits for what runs.
+func (w *workers) wait() {
+	w.Lock()
+	w.closed = true
+	w.Unlock()
+	w.group.Wait()
+}
+
+// viewShard holds the members; snapshot is read without copying.
+type viewShard struct {
+	sync.Mutex
+	machine  *member.Machine
+	snapshot []Member
+	stale    bool
+}
+
+// recordShard holds the record and what the store last said.
+type recordShard struct {
+	sync.Mutex
+	machine   *spread.Machine
+	lastStore time.Time
+	packed    packedCache
+	watching  bool
+}
+
+// New returns a node that has not started; Run starts it.
+func New(cfg Config, vms VMs, documents Documents, log hclog.Logger) (*Fleet, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		cfg:       cfg,
+		vms:       vms,
+		documents: documents,
+		log:       log.Named("fleet"),
+		client:    &http.Client{Transport: cfg.Transport},
+	}
+	f.running, f.stop = context.WithCancel(context.Background())
+	f.records.machine = spread.New(spread.Config{
+		Self: cfg.Name, FailureDomain: cfg.FailureDomain, Environment: cfg.Environment,
+	})
+	f.view.machine = member.New(f.memberConfig(), time.Now())
+	f.view.stale = true
+	return f, nil
+}
+
+func (f *Fleet) memberConfig() member.Config {
+	now := time.Now()
+	seed := fnv.New64a()
+	seed.Write([]byte(f.cfg.Name))
+	return member.Config{
+		Self: Member{
+			Name:          f.cfg.Name,
+			Address:       f.cfg.Address,
+			CallerAddress: f.cfg.CallerAddress,
+			FailureDomain: f.cfg.FailureDomain,
+			Incarnation:   now.UnixMilli(),
+			State:         member.Joining,
+		},
+		Interval:  f.cfg.Interval,
+		Seed:      seed.Sum64() ^ uint64(now.UnixNano()),
+		Concerned: f.shares.concerned,
+	}
+}
+
+// Handler serves the peers' calls. It belongs on the peers' listener.
+func (f *Fleet) Handler() http.Handler {
+	server := exchange.NewPeerServer(peerServer{f})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
+		server.ServeHTTP(w, r)
+	})
+}
+
+// Run takes part in the fleet until ctx ends, and returns its error.
+func (f *Fleet) Run(ctx context.Context) error {
+	defer f.work.wait()
+	defer f.stop()
+	stop := context.AfterFunc(ctx, f.stop)
+	defer stop()
+	f.start(f.listLoop)
+	f.start(f.startupLoop)
+	f.start(f.watchLoop)
+	f.tickLoop()
+	return ctx.Err()
+}
+
+// start runs work that ends with Run; after that it starts none.
+func (f *Fleet) start(work func()) {
+	f.work.Lock()
+	defer f.work.Unlock()
+	if !f.work.closed {
+		f.work.group.Go(work)
+	}
+}
+
+// tickLoop ticks with a jitter of a tenth, so that nodes started together do
+// not exchange in step.
+func (f *Fleet) tickLoop() {
+	for {
+		f.stepView(member.Tick{})
+		jitter := 0.9 + 0.2*rand.Float64()
+		if !sleep(f.running, time.Duration(float64(f.cfg.Interval)*jitter)) {
+			return
+		}
+	}
+}
+
+// sleep returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Members returns the view in name order, this node and members that are gone
+// included. The slice must not be changed.
+func (f *Fleet) Members() []Member {
+	f.view.Lock()
+	defer f.view.Unlock()
+	if f.view.stale {
+		f.view.snapshot = f.view.machine.Members()
+		f.view.stale = false
+	}
+	return f.view.snapshot
+}
+
+// Drain tells the fleet that this node takes no new work. It returns once the
+// first peers were told or ctx ended; the rest follows as a rumor.
+func (f *Fleet) Drain(ctx context.Context) {
+	batch := f.stepViewQuiet(member.Drain{})
+	var told sync.WaitGroup
+	for _, send := range batch.Sends {
+		told.Go(func() { f.exchangeWith(ctx, send) })
+	}
+	told.Wait()
+}
+
+// Latest returns the record in force, and false if the node is not ready.
+func (f *Fleet) Latest() (Record, bool) {
+	f.records.Lock()
+	defer f.records.Unlock()
+	return f.records.machine.Latest(), f.records.machine.Ready()
+}
+
+// Status returns the node's own state.
+func (f *Fleet) Status() Status {
+	f.view.Lock()
+	lastPeer := f.view.machine.LastContact()
+	f.view.Unlock()
+	f.records.Lock()
+	defer f.records.Unlock()
+	s := Status{
+		Ready:     f.records.machine.Ready(),
+		Revision:  f.records.machine.Latest().Revision,
+		Watching:  f.records.watching,
+		LastPeer:  lastPeer,
+		LastStore: f.records.lastStore,
+	}
+	switch {
+	case !s.Ready:
+		s.Reason = "no record from the store or enough peers yet"
+	case f.cutOff(s):
+		s.Ready = false
+		s.Reason = "cut off from store and peers for too long"
+	}
+	return s
+}
+
+// cutOff says that this node has heard nobody for MaxIsolation. Its record may
+// then be far behind, and callers who reach it can reach others as well.
+func (f *Fleet) cutOff(s Status) bool {
+	last := s.LastStore
+	if s.LastPeer.After(last) {
+		last = s.LastPeer
+	}
+	return time.Since(last) > f.cfg.MaxIsolation
+}
--- /dev/null
+++ b/fleet/member/merge.go
@@ -0,0 +1,248 @@
+package member
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+func (m *Machine) received(now time.Time, msg Message) {
+	m.absorb(now, msg)
+	reply := m.message(msg.Sender.Name)
+	if msg.WantTable {
+		reply.Table = m.table()
+	}
+	m.batch.Reply = &reply
+}
+
+func (m *Machine) answered(now time.Time, in Answered) {
+	joined := m.Joined()
+	if in.AskedTable {
+		m.repair.done(now)
+	}
+	m.absorb(now, in.Message)
+	if !joined && m.Joined() {
+		// A newcomer is known to one peer; a few more make the rumor catch on at
+		// once, and their records end a start without the store.
+		m.relay(now, joinFanout)
+	}
+}
+
+func (m *Machine) absorb(now time.Time, msg Message) {
+	m.lastContact = now
+	m.mergeSender(now, msg.Sender)
+	for _, u := range msg.Updates {
+		m.merge(now, u)
+	}
+	for _, u := range msg.Table {
+		m.merge(now, u)
+	}
+	m.repair.compare(msg.Digest == m.digest)
+}
+
+// mergeSender takes the sender's word about itself, which is first-hand.
+func (m *Machine) mergeSender(now time.Time, sender Member) {
+	m.merge(now, sender)
+	if e := m.entries[sender.Name]; e != nil {
+		e.failedOnce = false
+		e.retryAfter = time.Time{}
+	}
+}
+
+// merge takes one piece of news.
+func (m *Machine) merge(now time.Time, u Member) {
+	if u.Name == m.cfg.Self.Name {
+		m.mergeSelf(now, u)
+		return
+	}
+	e := m.entries[u.Name]
+	if e == nil {
+		if u.State != Gone {
+			m.put(now, u)
+		}
+		return
+	}
+	if !u.supersedes(e.Member) {
+		return
+	}
+	// Two halves of a healed partition each hold the other half for gone. Taken
+	// at its word, the first rumor across would make live members vanish from
+	// entry answers fleet-wide until each has refuted. Held as a suspicion, the
+	// member has the usual time to refute, and a dead one goes a little later.
+	if u.State == Gone && u.Incarnation == e.Incarnation && (e.State == Live || e.State == Joining) {
+		u.State = Suspect
+	}
+	m.put(now, u)
+	if u.State == Draining {
+		m.relay(now, relayFanout)
+	}
+}
+
+// mergeSelf refutes news about this node that is wrong: a suspicion, or a
+// record of an earlier life that looks newer because the clock went back.
+func (m *Machine) mergeSelf(now time.Time, u Member) {
+	self := m.Self()
+	if !u.supersedes(self) {
+		return
+	}
+	if u.Incarnation == self.Incarnation && u.State == Draining {
+		m.advanceSelf(now, Draining)
+		return
+	}
+	self.Incarnation = u.Incarnation + 1
+	m.put(now, self)
+}
+
+// put stores a member, keeps digest and deadlines in step and spreads the news.
+func (m *Machine) put(now time.Time, u Member) {
+	e := m.entries[u.Name]
+	if e == nil {
+		e = &entry{}
+		m.entries[u.Name] = e
+	} else {
+		m.digest ^= fingerprint(e.Member)
+	}
+	old := e.Member
+	e.Member = u
+	m.digest ^= fingerprint(u)
+	m.setDeadline(now, e)
+	if u.Incarnation > 0 {
+		m.rumors.add(u)
+	}
+	m.batch.Changes = append(m.batch.Changes, Change{Old: old, New: u})
+}
+
+func (m *Machine) setDeadline(now time.Time, e *entry) {
+	switch e.State {
+	case Suspect:
+		e.deadline = now.Add(m.suspicionTime())
+		m.suspects[e.Name] = true
+	case Gone:
+		e.goneAt = now
+		m.suspects[e.Name] = true
+	default:
+		e.deadline = time.Time{}
+		delete(m.suspects, e.Name)
+	}
+}
+
+func (m *Machine) remove(e *entry) {
+	m.digest ^= fingerprint(e.Member)
+	delete(m.entries, e.Name)
+	gone := e.Member
+	gone.State = Gone
+	m.batch.Changes = append(m.batch.Changes, Change{Old: e.Member, New: gone})
+}
+
+// failed notes that a peer did not answer. One failure is tried again at the
+// next tick, the second makes a suspicion, so that one lost packet makes none.
+func (m *Machine) failed(now time.Time, peer string) {
+	e := m.entries[peer]
+	if e == nil || e.State == Gone {
+		return
+	}
+	if e.Incarnation == 0 {
+		e.retryAfter = now.Add(unheardBackoff * m.cfg.Interval)
+		return
+	}
+	if !e.failedOnce {
+		e.failedOnce = true
+		m.peers.retry = append(m.peers.retry, peer)
+		return
+	}
+	e.failedOnce = false
+	if m.isolated(now) {
+		return
+	}
+	m.suspect(now, e)
+}
+
+// suspect starts a suspicion. A draining member keeps its state, so that it is
+// not mistaken for a live one once it refutes, but has the same deadline.
+func (m *Machine) suspect(now time.Time, e *entry) {
+	switch e.State {
+	case Joining, Live:
+		u := e.Member
+		u.State = Suspect
+		m.put(now, u)
+	case Draining:
+		if e.deadline.IsZero() {
+			e.deadline = now.Add(m.suspicionTime())
+			m.suspects[e.Name] = true
+		}
+	}
+}
+
+// list joins the platform's list, a hint, with what peers saw. A VM that only
+// the list knows is joining; a member that peers saw stays although the list
+// lost it.
+func (m *Machine) list(now time.Time, vms []VM) {
+	seen := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		seen[vm.Name] = true
+		if vm.Name != m.cfg.Self.Name {
+			m.listOne(now, vm)
+		}
+	}
+	for name, e := range m.entries {
+		if seen[name] || name == m.cfg.Self.Name {
+			continue
+		}
+		e.listed = false
+		if e.Incarnation == 0 {
+			m.remove(e)
+		}
+	}
+}
+
+func (m *Machine) listOne(now time.Time, vm VM) {
+	e := m.entries[vm.Name]
+	if e == nil && vm.Leaving {
+		return
+	}
+	if e == nil {
+		m.put(now, Member{Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain})
+		e = m.entries[vm.Name]
+	}
+	// The list lags: after a restart it may still say that the predecessor is
+	// leaving. Only a change to leaving within one incarnation counts; else
+	// the new one would be drained for good.
+	started := vm.Leaving && !e.leaving && e.listed && e.listedIncarnation == e.Incarnation
+	if started && e.Incarnation > 0 && e.State < Draining {
+		u := e.Member
+		u.State = Draining
+		m.put(now, u)
+		m.relay(now, relayFanout)
+	}
+	e.listed = true
+	e.leaving = vm.Leaving
+	e.listedIncarnation = e.Incarnation
+}
+
+// table is the view without what only the list knows and without tombstones.
+func (m *Machine) table() []Member {
+	all := m.Members()
+	kept := all[:0]
+	for _, u := range all {
+		if u.Incarnation > 0 && u.State != Gone {
+			kept = append(kept, u)
+		}
+	}
+	return kept
+}
+
+// fingerprint of a member in the digest of a view. Members that only the list
+// knows and tombstones count for nothing, as nodes drop them at their own time.
+func fingerprint(u Member) uint64 {
+	if u.Incarnation == 0 || u.State == Gone {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(u.Name))
+	var tail [9]byte
+	for i := range 8 {
+		tail[i] = byte(u.Incarnation >> (8 * i))
+	}
+	tail[8] = byte(u.State)
+	h.Write(tail[:])
+	return h.Sum64()
+}
--- /dev/null
+++ b/fleet/peer.go
@@ -0,0 +1,254 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cicadatack/cicadatack/fleet/exchange"
+	"github.com/cicadatack/cicadatack/fleet/member"
+	"github.com/cicadatack/cicadatack/fleet/spread"
+	"github.com/twitchtv/twirp"
+)
+
+// packedCache keeps the last payload, which is the same for most peers.
+type packedCache struct {
+	of, base spread.Holding
+	payload  spread.Payload
+}
+
+// pack returns the latest record as the difference to base.
+func (f *Fleet) pack(base Record) packedCache {
+	f.records.Lock()
+	record := f.records.machine.Latest()
+	cached := f.records.packed
+	f.records.Unlock()
+	of, from := record.Holding(), base.Holding()
+	if cached.of == of && cached.base == from {
+		return cached
+	}
+	packed := packedCache{of: of, base: from, payload: spread.Pack(record, base)}
+	f.records.Lock()
+	f.records.packed = packed
+	f.records.Unlock()
+	return packed
+}
+
+// document says what this node holds, for any message.
+func (f *Fleet) document() *exchange.Document {
+	return f.documentOf(f.latest().Holding())
+}
+
+func (f *Fleet) documentOf(held spread.Holding) *exchange.Document {
+	return &exchange.Document{Environment: f.cfg.Environment, Revision: held.Revision, Mark: held.Mark}
+}
+
+// base returns the record that a difference for a peer can start from.
+func (f *Fleet) base(held spread.Holding) Record {
+	f.records.Lock()
+	defer f.records.Unlock()
+	return f.records.machine.Base(held)
+}
+
+// call makes one exchange.
+func (f *Fleet) call(ctx context.Context, to Member, request *exchange.ExchangeRequest) (*exchange.ExchangeResponse, error) {
+	client := exchange.NewPeerProtobufClient("http://"+to.Address, f.client)
+	answer, err := client.Exchange(ctx, request)
+	return answer, Error.Wrap(err)
+}
+
+func (f *Fleet) request(to Member, msg member.Message) *exchange.ExchangeRequest {
+	return &exchange.ExchangeRequest{
+		Sender:        memberToWire(msg.Sender),
+		Updates:       membersToWire(msg.Updates),
+		MembersDigest: msg.Digest,
+		WantMembers:   msg.WantTable,
+		Document:      f.document(),
+		Shares:        sharesToWire(f.shares.forPeer(to.Name)),
+	}
+}
+
+// exchangeWith carries out one regular exchange. An answer later than an
+// interval counts as none: a peer that slow is no use to callers either.
+func (f *Fleet) exchangeWith(ctx context.Context, send member.Send) {
+	ctx, cancel := context.WithTimeout(ctx, max(f.cfg.Interval, retryFloor))
+	defer cancel()
+	answer, err := f.call(ctx, send.To, f.request(send.To, send.Message))
+	if err != nil {
+		if f.running.Err() == nil {
+			f.log.Debug("exchange failed", "peer", send.To.Name, "error", err)
+			f.stepView(member.Failed{Peer: send.To.Name})
+		}
+		return
+	}
+	f.absorbAnswer(answer, send.Message.WantTable)
+	f.settle(send.To, answer.GetDocument(), true)
+}
+
+func (f *Fleet) absorbAnswer(answer *exchange.ExchangeResponse, askedTable bool) {
+	sender := membersFromWire([]*exchange.Member{answer.GetSender()})
+	if len(sender) == 0 {
+		return
+	}
+	table, err := unpackTable(answer.GetTable())
+	if err != nil {
+		f.log.Warn("membership table refused", "peer", sender[0].Name, "error", err)
+	}
+	f.stepView(member.Answered{
+		AskedTable: askedTable,
+		Message: member.Message{
+			Sender:  sender[0],
+			Updates: membersFromWire(answer.GetUpdates()),
+			Digest:  answer.GetMembersDigest(),
+			Table:   table,
+		},
+	})
+	if askedTable {
+		f.tellMembers()
+	}
+	f.shares.heard(sender[0].Name, demandFromWire(answer.GetShares()))
+}
+
+// settle takes a peer's record or fetches it, or offers this node's own.
+func (f *Fleet) settle(peer Member, theirs *exchange.Document, asked bool) {
+	if theirs.GetEnvironment() != f.cfg.Environment {
+		return
+	}
+	f.take(peer, theirs)
+	batch := f.stepRecords(spread.Heard{Peer: peer.Name, Holding: holdingFromWire(theirs), Asked: asked})
+	if batch.Fetch != "" {
+		f.start(func() { f.fetch(peer) })
+	}
+}
+
+// take unpacks a payload if the document carries one.
+func (f *Fleet) take(peer Member, theirs *exchange.Document) {
+	if theirs.GetPayload() == nil || theirs.GetRevision() <= f.latest().Revision {
+		return
+	}
+	payload := payloadFromWire(theirs.GetPayload())
+	record, err := spread.Unpack(f.cfg.Environment, theirs.GetRevision(), payload, f.base(payload.Base))
+	if errors.Is(err, spread.ErrBase) {
+		return // the answer says what is held here; the peer packs anew
+	}
+	if err != nil {
+		f.log.Warn("record refused", "peer", peer.Name, "revision", theirs.GetRevision(), "error", err)
+		return
+	}
+	f.stepRecords(spread.Learned{Record: record, Source: spread.FromPeer})
+}
+
+// fetch asks a peer for its higher record.
+func (f *Fleet) fetch(peer Member) {
+	ctx, cancel := context.WithTimeout(f.running, pushTimeout)
+	defer cancel()
+	request := f.request(peer, f.quietMessage())
+	request.WantDocument = true
+	answer, err := f.call(ctx, peer, request)
+	if err != nil {
+		f.log.Debug("fetch failed", "peer", peer.Name, "error", err)
+		return
+	}
+	f.take(peer, answer.GetDocument())
+}
+
+// quietMessage names the sender and carries no news.
+func (f *Fleet) quietMessage() member.Message {
+	f.view.Lock()
+	defer f.view.Unlock()
+	return member.Message{Sender: f.view.machine.Self(), Digest: f.view.machine.Digest()}
+}
+
+// push offers the latest record to a peer: with a small difference at once,
+// else by digest first and the body once the answer shows that it is needed.
+func (f *Fleet) push(name string) {
+	peer, ok := f.lookup(name)
+	if !ok {
+		return
+	}
+	offered, answer, err := f.offer(peer, f.previous(), inlineBytes)
+	if err == nil && answer.GetDocument().GetRevision() < offered {
+		held := holdingFromWire(answer.GetDocument())
+		_, _, err = f.offer(peer, f.base(held), maxMessageBytes)
+	}
+	if err != nil && f.running.Err() == nil {
+		f.log.Debug("push failed", "peer", name, "revision", offered, "error", err)
+		f.stepRecords(spread.PushFailed{Peer: name, Revision: offered})
+	}
+}
+
+func (f *Fleet) previous() Record {
+	f.records.Lock()
+	defer f.records.Unlock()
+	return f.records.machine.Previous()
+}
+
+// offer sends the latest record, with a payload of at most limit bytes, and
+// returns the revision that was offered.
+func (f *Fleet) offer(peer Member, base Record, limit int) (int64, *exchange.ExchangeResponse, error) {
+	ctx, cancel := context.WithTimeout(f.running, pushTimeout)
+	defer cancel()
+	request := f.request(peer, f.quietMessage())
+	packed := f.pack(base)
+	request.Document = f.documentOf(packed.of)
+	if len(packed.payload.Data) <= limit {
+		request.Document.Payload = payloadToWire(packed.payload)
+	}
+	answer, err := f.call(ctx, peer, request)
+	return request.GetDocument().GetRevision(), answer, err
+}
+
+// peerServer answers the peers' calls.
+type peerServer struct{ f *Fleet }
+
+// Exchange implements exchange.Peer.
+func (s peerServer) Exchange(_ context.Context, request *exchange.ExchangeRequest) (*exchange.ExchangeResponse, error) {
+	f := s.f
+	if f.running.Err() != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "this node has stopped")
+	}
+	sender := membersFromWire([]*exchange.Member{request.GetSender()})
+	if len(sender) == 0 {
+		return nil, twirp.InvalidArgumentError("sender", "is incomplete")
+	}
+	batch := f.stepView(member.Received{Message: member.Message{
+		Sender:    sender[0],
+		Updates:   membersFromWire(request.GetUpdates()),
+		Digest:    request.GetMembersDigest(),
+		WantTable: request.GetWantMembers(),
+	}})
+	f.shares.heard(sender[0].Name, demandFromWire(request.GetShares()))
+	f.settle(sender[0], request.GetDocument(), false)
+	return f.answer(sender[0], request, *batch.Reply)
+}
+
+func (f *Fleet) answer(to Member, request *exchange.ExchangeRequest, reply member.Message) (*exchange.ExchangeResponse, error) {
+	table, err := packTable(reply.Table)
+	if err != nil {
+		f.log.Error("membership table not packed", "error", err)
+	}
+	answer := &exchange.ExchangeResponse{
+		Sender:        memberToWire(reply.Sender),
+		Updates:       membersToWire(reply.Updates),
+		MembersDigest: reply.Digest,
+		Table:         table,
+		Document:      f.documentFor(request),
+		Shares:        sharesToWire(f.shares.forPeer(to.Name)),
+	}
+	return answer, nil
+}
+
+// documentFor carries the payload too for a peer that holds an older record:
+// if it asked, or if the payload is small.
+func (f *Fleet) documentFor(request *exchange.ExchangeRequest) *exchange.Document {
+	theirs := request.GetDocument()
+	held := f.latest().Holding()
+	if theirs.GetEnvironment() != f.cfg.Environment || theirs.GetRevision() >= held.Revision {
+		return f.documentOf(held)
+	}
+	packed := f.pack(f.base(holdingFromWire(theirs)))
+	ours := f.documentOf(packed.of)
+	if request.GetWantDocument() || len(packed.payload.Data) <= inlineBytes {
+		ours.Payload = payloadToWire(packed.payload)
+	}
+	return ours
+}
--- /dev/null
+++ b/fleet/spread/record.go
@@ -0,0 +1,31 @@
+package spread
+
+import "hash/fnv"
+
+// Record is an environment's document as accepted at one revision.
+type Record struct {
+	// Environment is the slot, e.g. an environment or its trial.
+	Environment string
+	// Revision rises with each accepted document; zero: none.
+	Revision int64
+	// Digest of the body, in the form that the store's record uses.
+	Digest string
+	Body   []byte
+}
+
+// Holding says which record a node has, without its body.
+type Holding struct {
+	Revision int64
+	// Mark tells two records of one revision apart; it proves nothing.
+	Mark uint64
+}
+
+// Holding of the record; the zero Holding for no record.
+func (r Record) Holding() Holding {
+	if r.Revision == 0 {
+		return Holding{}
+	}
+	h := fnv.New64a()
+	h.Write([]byte(r.Digest))
+	return Holding{Revision: r.Revision, Mark: h.Sum64()}
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cicadatack/cicadatack/fleet/member"
+	"github.com/cicadatack/cicadatack/fleet/spread"
+)
+
+// stepView gives the view an input and carries out what it asks for.
+func (f *Fleet) stepView(in member.Input) member.Batch {
+	batch := f.stepViewQuiet(in)
+	for _, send := range batch.Sends {
+		f.start(func() { f.exchangeWith(f.running, send) })
+	}
+	return batch
+}
+
+// stepViewQuiet leaves the sends to the caller.
+func (f *Fleet) stepViewQuiet(in member.Input) member.Batch {
+	f.view.Lock()
+	batch := f.view.machine.Step(time.Now(), in)
+	if len(batch.Changes) > 0 {
+		f.view.stale = true
+	}
+	f.view.Unlock()
+	f.report(batch.Changes)
+	return batch
+}
+
+// report logs changes and tells the record shard who is there.
+func (f *Fleet) report(changes []member.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		if c.New.State != c.Old.State || c.Old.Name == "" {
+			f.log.Info("member", "name", c.New.Name, "state", c.New.State.String(),
+				"incarnation", c.New.Incarnation, "failure_domain", c.New.FailureDomain)
+		}
+	}
+	f.tellMembers()
+}
+
+func (f *Fleet) tellMembers() {
+	f.stepRecords(spread.Members{Nodes: f.nodes(), Whole: f.joined()})
+}
+
+func (f *Fleet) nodes() []spread.Node {
+	members := f.Members()
+	nodes := make([]spread.Node, 0, len(members))
+	for _, m := range members {
+		if m.Name == f.cfg.Name || m.State == member.Gone {
+			continue
+		}
+		nodes = append(nodes, spread.Node{
+			Name:          m.Name,
+			FailureDomain: m.FailureDomain,
+			Heard:         m.Incarnation > 0,
+			Steady:        m.State != member.Suspect,
+		})
+	}
+	return nodes
+}
+
+func (f *Fleet) joined() bool {
+	f.view.Lock()
+	defer f.view.Unlock()
+	return f.view.machine.Joined()
+}
+
+// lookup returns a member by name.
+func (f *Fleet) lookup(name string) (Member, bool) {
+	f.view.Lock()
+	defer f.view.Unlock()
+	return f.view.machine.Member(name)
+}
+
+// listLoop reads the platform's list at the pace that the fleet's size allows.
+func (f *Fleet) listLoop() {
+	pause := retryFloor
+	for {
+		size, err := f.readList()
+		if err != nil {
+			f.log.Warn("platform list not read", "error", err)
+			pause = min(2*pause, retryCeiling)
+		} else {
+			pause = max(listFloor*f.cfg.Interval, time.Duration(size)*listPerMember)
+		}
+		if !sleep(f.running, jittered(pause)) {
+			return
+		}
+	}
+}
+
+func (f *Fleet) readList() (int, error) {
+	ctx, cancel := context.WithTimeout(f.running, storeTimeout)
+	defer cancel()
+	vms, err := f.vms.VMs(ctx)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	f.storeAnswered()
+	f.stepView(member.Listed{VMs: vms})
+	return len(vms), nil
+}
+
+// jittered draws from half to one and a half of d.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + rand.Float64()))
+}
