--- a/node/server/documents.go
+++ b/node/server/documents.go
@@ -85,7 +85,6 @@
 	}
 	d := directory.Build(doc, r.Revision, r.Digest)
 	s.registry.Apply(d)
-	s.leaving.reapply()
 	s.directory.Store(d)
 	s.metrics.Revision(r.Revision)
 	s.followMembers()
@@ -156,77 +155,43 @@
 	return vms, nil
 }
 
-// leavingList remembers which endpoints leave by which source, so that a new
-// document, which sets the replicas anew, does not forget it.
+// leavingList turns the platform's list of leaving endpoint VMs, which comes
+// whole, into news for the services.
 type leavingList struct {
 	registry *service.Registry
 
-	mu    sync.Mutex
-	marks map[leavingMark]bool
-}
-
-type leavingMark struct {
-	endpoint string
-	source   balance.Source
+	mu      sync.Mutex
+	leaving map[string]bool
 }
 
 func newLeavingList(r *service.Registry) *leavingList {
-	return &leavingList{registry: r, marks: map[leavingMark]bool{}}
+	return &leavingList{registry: r, leaving: map[string]bool{}}
 }
 
-// platformSays takes the platform's list, whole.
+// platformSays takes the platform's list. What it says is passed on each time,
+// not only when it changed: a service that a new document brought has not heard.
 func (l *leavingList) platformSays(vms []platformVM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	listed := map[string]bool{}
 	for _, vm := range vms {
 		if vm.State == stateLeaving {
 			listed[vm.Name] = true
-			l.set(vm.Name, balance.SourcePlatform, true)
 		}
 	}
-	for _, name := range l.markedBy(balance.SourcePlatform) {
+	for name := range l.leaving {
 		if !listed[name] {
-			l.set(name, balance.SourcePlatform, false)
-		}
-	}
-}
-
-func (l *leavingList) markedBy(source balance.Source) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var names []string
-	for m := range l.marks {
-		if m.source == source {
-			names = append(names, m.endpoint)
+			l.tell(name, false)
 		}
 	}
-	return names
-}
-
-// set notes what a source says of an endpoint, and tells the services if that
-// is news.
-func (l *leavingList) set(endpoint string, source balance.Source, leaving bool) {
-	mark := leavingMark{endpoint, source}
-	l.mu.Lock()
-	known := l.marks[mark]
-	if leaving {
-		l.marks[mark] = true
-	} else {
-		delete(l.marks, mark)
-	}
-	l.mu.Unlock()
-	if known != leaving {
-		l.registry.SetLeaving(endpoint, source, leaving)
+	for name := range listed {
+		l.tell(name, true)
 	}
+	l.leaving = listed
 }
 
-func (l *leavingList) reapply() {
-	l.mu.Lock()
-	marks := make([]leavingMark, 0, len(l.marks))
-	for m := range l.marks {
-		marks = append(marks, m)
-	}
-	l.mu.Unlock()
-	for _, m := range marks {
-		l.registry.SetLeaving(m.endpoint, m.source, true)
+func (l *leavingList) tell(endpoint string, leaving bool) {
+	for _, each := range l.registry.All() {
+		each.EndpointLeaving(endpoint, balance.SourcePlatform, leaving)
 	}
 }
--- a/node/server/polls.go
+++ b/node/server/polls.go
@@ -7,7 +7,6 @@
 
 	"encoding/json"
 
-	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/route/send"
 )
@@ -46,17 +45,8 @@
 	if err != nil {
 		return // requests find out for themselves; silence is no proof
 	}
-	s.leaving.set(name, balance.SourceEndpoint, load.Draining)
-	report := balance.Load{
-		Running: load.Running,
-		Waiting: load.Waiting,
-		Age:     time.Duration(load.AgeMillis) * time.Millisecond,
-		Leaving: load.Draining,
-	}
 	for _, each := range s.registry.All() {
-		for _, replica := range each.ReplicasOf(name) {
-			each.Picker.Report(replica, report)
-		}
+		each.ReportLoad(name, load)
 	}
 }
 
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -85,7 +85,11 @@
 
 func (s *Server) build() error {
 	var err error
-	s.store, err = store.New(storeConfig(s.settings.Store))
+	s.store, err = store.New(store.Config{
+		Address:        s.settings.Store.Address,
+		CallTimeout:    time.Duration(s.settings.Store.TimeoutMillis) * time.Millisecond,
+		CallsPerSecond: float64(s.settings.Store.CallsPerSecond),
+	})
 	if err != nil {
 		return err
 	}
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -93,15 +93,9 @@
 		FirstToken: r.FirstToken,
 		Failure:    failureOf(r),
 	})
-	if r.Load == nil {
-		return
+	if r.Load != nil {
+		c.answer.service.ReportLoad(chain.Stages[0].Endpoint, *r.Load)
 	}
-	p.Report(chain.Replica, balance.Load{
-		Running: r.Load.Running,
-		Waiting: r.Load.Waiting,
-		Age:     time.Duration(r.Load.AgeMillis) * time.Millisecond,
-		Leaving: r.Load.Draining,
-	})
 }
 
 func (c *chooser) recordChoice(choice balance.Choice) {
--- /dev/null
+++ b/route/service/leaving.go
@@ -0,0 +1,68 @@
+package service
+
+import (
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+)
+
+// leavingMark is what one source says of one endpoint.
+type leavingMark struct {
+	endpoint string
+	source   balance.Source
+}
+
+// EndpointLeaving notes what a source says of an endpoint. A chain leaves with
+// any of its stages: one stage that stays must not call a chain back which
+// another is leaving, so the marks are kept by endpoint and not by replica.
+func (s *Service) EndpointLeaving(endpoint string, source balance.Source, leaving bool) {
+	s.mark(endpoint, source, leaving)
+	for _, replica := range s.ReplicasOf(endpoint) {
+		s.Picker.Leaving(replica, source, s.anyLeaving(replica, source))
+	}
+}
+
+// ReportLoad takes an endpoint's own report of its load.
+func (s *Service) ReportLoad(endpoint string, l engineapi.Load) {
+	s.mark(endpoint, balance.SourceEndpoint, l.Draining)
+	for _, replica := range s.ReplicasOf(endpoint) {
+		s.Picker.Report(replica, balance.Load{
+			Running: l.Running,
+			Waiting: l.Waiting,
+			Age:     time.Duration(l.AgeMillis) * time.Millisecond,
+			Leaving: s.anyLeaving(replica, balance.SourceEndpoint),
+		})
+	}
+}
+
+// ReplicasOf returns the replicas that need an endpoint.
+func (s *Service) ReplicasOf(endpoint string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replicasOf[endpoint]
+}
+
+func (s *Service) mark(endpoint string, source balance.Source, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.replicasOf[endpoint]) == 0 {
+		return
+	}
+	if leaving {
+		s.marks[leavingMark{endpoint, source}] = true
+		return
+	}
+	delete(s.marks, leavingMark{endpoint, source})
+}
+
+func (s *Service) anyLeaving(replica string, source balance.Source) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, endpoint := range s.stagesOf[replica] {
+		if s.marks[leavingMark{endpoint, source}] {
+			return true
+		}
+	}
+	return false
+}
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -30,8 +30,11 @@
 	Retry  *Retry
 
 	mu sync.Mutex
-	// replicasOf maps each endpoint to the replicas that need it.
+	// replicasOf maps each endpoint to the replicas that need it, stagesOf each
+	// replica to its endpoints.
 	replicasOf map[string][]string
+	stagesOf   map[string][]string
+	marks      map[leavingMark]bool
 }
 
 // Retry is the service's retry budget behind a lock.
@@ -138,6 +141,7 @@
 		Name:  name,
 		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
 		Retry: &Retry{now: r.cfg.Now, budget: retry.New(retry.Config{Seed: seed})},
+		marks: map[leavingMark]bool{},
 	}
 	balancer := balance.New(balance.Config{Node: r.cfg.Node, FailureDomain: r.cfg.FailureDomain, Seed: seed})
 	s.Picker = picker.New(balancer, r.cfg.Now, func() {
@@ -175,51 +179,45 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	replicas, needs := replicasOf(d, spec, slots)
+	replicas, stages := replicasOf(d, spec, slots)
 	s.mu.Lock()
-	s.replicasOf = needs
+	s.stagesOf = stages
+	s.replicasOf = inverted(stages)
 	s.mu.Unlock()
 	s.Picker.SetReplicas(replicas)
 }
 
-// replicasOf lists what the balancer chooses among: chains of a model, or
-// endpoints of a plain service.
+// replicasOf lists what the balancer chooses among, with the endpoints that
+// each needs: chains of a model, or single endpoints of a plain service.
 func replicasOf(d *directory.Directory, spec *document.Service, slots int) ([]balance.Replica, map[string][]string) {
-	needs := map[string][]string{}
-	var replicas []balance.Replica
+	stages := map[string][]string{}
 	if spec.Kind == document.KindModel {
 		for _, m := range spec.Model.Replicas {
-			first, _ := d.Endpoint(m.Stages[0].Endpoint)
-			replicas = append(replicas, balance.Replica{ID: m.Name, FailureDomain: first.FailureDomain, Slots: slots})
 			for _, stage := range m.Stages {
-				needs[stage.Endpoint] = append(needs[stage.Endpoint], m.Name)
+				stages[m.Name] = append(stages[m.Name], stage.Endpoint)
 			}
 		}
-		return replicas, needs
+	} else {
+		for _, name := range spec.Plain.Endpoints {
+			stages[name] = []string{name}
+		}
 	}
-	for _, name := range spec.Plain.Endpoints {
-		e, _ := d.Endpoint(name)
-		replicas = append(replicas, balance.Replica{ID: name, FailureDomain: e.FailureDomain, Slots: slots})
-		needs[name] = []string{name}
+	replicas := make([]balance.Replica, 0, len(stages))
+	for name, endpoints := range stages {
+		first, _ := d.Endpoint(endpoints[0])
+		replicas = append(replicas, balance.Replica{ID: name, FailureDomain: first.FailureDomain, Slots: slots})
 	}
-	return replicas, needs
+	return replicas, stages
 }
 
-// SetLeaving tells every service that an endpoint is leaving, or is not any
-// more, by what one source says. A chain leaves with any of its stages.
-func (r *Registry) SetLeaving(endpoint string, source balance.Source, leaving bool) {
-	for _, s := range r.All() {
-		for _, replica := range s.ReplicasOf(endpoint) {
-			s.Picker.Leaving(replica, source, leaving)
+func inverted(stages map[string][]string) map[string][]string {
+	replicas := map[string][]string{}
+	for name, endpoints := range stages {
+		for _, e := range endpoints {
+			replicas[e] = append(replicas[e], name)
 		}
 	}
-}
-
-// ReplicasOf returns the replicas that need an endpoint.
-func (s *Service) ReplicasOf(endpoint string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.replicasOf[endpoint]
+	return replicas
 }
 
 func hash(text string) uint64 {
