Demo: the whole path as separate processes

make demo starts a store, three nodes, two chains of two engines and two instances of a plain service, promotes a document, streams an answer, places an order once under a repeated key, kills a stage partway and drains a node under a stream.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 build:
 	@mkdir -p bin
-	go build -o bin/ ./node/cmd/... ./standin/cmd/...
+	go build -o bin/ ./node/cmd/... ./standin/cmd/... ./proof/cmd/demo
 
 demo: build
 	@scripts/demo.sh
--- /dev/null
+++ b/node/cmd/cicadactl/nodes.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+
+	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/front"
+)
+
+type statusCommand struct {
+	Node string `arg:"--node,required" help:"operators' address of the node"`
+}
+
+type explainCommand struct {
+	Node    string `arg:"--node,required" help:"operators' address of the node that served the request"`
+	Request string `arg:"positional,required" help:"request id, from the header Cicadatack-Request"`
+}
+
+type drainCommand struct {
+	Node string `arg:"--node,required" help:"operators' address of the node"`
+}
+
+type entryCommand struct {
+	Node          string `arg:"--node,required" help:"callers' address of any node"`
+	Key           string `arg:"--key,required,env:CICADATACK_KEY" help:"the team's key"`
+	FailureDomain string `arg:"--failure-domain" help:"the caller's failure domain"`
+}
+
+func (c *statusCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+	var s server.Status
+	if err := get(ctx, "http://"+c.Node+"/v1/status", "", &s); err != nil {
+		return err
+	}
+	state := "ready"
+	if !s.Ready {
+		state = "not ready: " + s.Reason
+	}
+	fmt.Fprintf(out, "%s  %s/%s  %s  %s\n", s.Name, s.Environment, s.Slot, s.FailureDomain, state)
+	fmt.Fprintf(out, "revision %d  digest %s  underway %d  watching the store: %t\n", s.Revision, s.Digest, s.Underway, s.Watching)
+	for _, m := range s.Members {
+		fmt.Fprintf(out, "member %-16s %-12s %-9s %s\n", m.Name, m.FailureDomain, m.State, m.Address)
+	}
+	for _, name := range sorted(s.Services) {
+		fmt.Fprintf(out, "service %-15s usable slots %d\n", name, s.Services[name])
+	}
+	return nil
+}
+
+func (c *explainCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+	var reply struct {
+		Decisions []decision.Decision `json:"decisions"`
+	}
+	if err := get(ctx, "http://"+c.Node+"/v1/explain/"+url.PathEscape(c.Request), "", &reply); err != nil {
+		return err
+	}
+	for _, d := range reply.Decisions {
+		printDecision(out, d)
+	}
+	return nil
+}
+
+func printDecision(out io.Writer, d decision.Decision) {
+	fmt.Fprintf(out, "%s  %-7s", d.At.UTC().Format("15:04:05.000"), d.Kind)
+	if d.Chosen != "" {
+		fmt.Fprintf(out, " %s", d.Chosen)
+	}
+	fmt.Fprintf(out, "  because: %s", d.Reason)
+	for _, a := range d.Alternatives {
+		fmt.Fprintf(out, "; instead of %s (score %.3f)", a.Name, a.Score)
+	}
+	for _, name := range sorted(d.Figures) {
+		fmt.Fprintf(out, "; %s %.4g", name, d.Figures[name])
+	}
+	fmt.Fprintln(out)
+}
+
+func (c *drainCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Node+"/v1/drain", nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusAccepted {
+		return Error.New("the node answered %s", response.Status)
+	}
+	fmt.Fprintln(out, "draining; the process ends when its last request has")
+	return nil
+}
+
+func (c *entryCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+	var answer front.EntryAnswer
+	address := "http://" + c.Node + "/v1/entry?failure_domain=" + url.QueryEscape(c.FailureDomain)
+	if err := get(ctx, address, c.Key, &answer); err != nil {
+		return err
+	}
+	for _, a := range answer.Addresses {
+		fmt.Fprintf(out, "%s  %s  weight %.2f\n", a.Address, a.FailureDomain, a.Weight)
+	}
+	fmt.Fprintf(out, "valid for %d ms\n", answer.ValidForMillis)
+	return nil
+}
+
+// maxReply bounds what a node may answer.
+const maxReply = 4 << 20
+
+func get(ctx context.Context, address, key string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Error.New("the node answered %s: %s", response.Status, body)
+	}
+	return Error.Wrap(json.Unmarshal(body, into))
+}
+
+func sorted[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -72,12 +72,24 @@
 	callers   *http.Server
 	peers     *http.Server
 	operators *http.Server
+	listeners listeners
 }
 
-// New returns a node that does not listen yet.
+// listeners are the node's open addresses.
+type listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+// New returns a node whose addresses are open; Run serves on them.
 func New(cfg settings.Settings, log hclog.Logger) (*Server, error) {
 	s := &Server{settings: cfg, log: log, drain: make(chan struct{})}
+	if err := s.listen(); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	if err := s.build(); err != nil {
+		s.listeners.close()
 		return nil, Error.Wrap(err)
 	}
 	return s, nil
@@ -118,8 +130,8 @@
 func (s *Server) fleetConfig() fleet.Config {
 	return fleet.Config{
 		Name:          s.settings.Name,
-		Address:       s.settings.Peers.Address(),
-		CallerAddress: s.settings.Callers.Address(),
+		Address:       advertised(s.settings.Peers, s.listeners.peers),
+		CallerAddress: advertised(s.settings.Callers, s.listeners.callers),
 		FailureDomain: s.settings.FailureDomain,
 		Environment:   s.settings.Environment + "/" + s.settings.Slot,
 	}
@@ -164,18 +176,18 @@
 // Run serves until ctx ends or an operator asks for a drain; it then leaves
 // without cutting off a request, and returns nil.
 func (s *Server) Run(ctx context.Context) error {
-	listeners, err := s.listen()
-	if err != nil {
-		return Error.Wrap(err)
-	}
+	var err error
 	background, stop := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	s.fleet.OnRecord(s.apply)
 	work.Go(func() { _ = s.fleet.Run(background) }) // ends with the context's error only
 	work.Go(func() { s.refreshLoop(background) })
 	work.Go(func() { s.pollLoop(background) })
-	failed := s.serve(listeners)
-	s.log.Info("serving", "callers", listeners[0].Addr(), "peers", listeners[1].Addr(), "operators", listeners[2].Addr())
+	failed := s.serve()
+	s.log.Info("serving",
+		"callers", s.listeners.callers.Addr().String(),
+		"peers", s.listeners.peers.Addr().String(),
+		"operators", s.listeners.operators.Addr().String())
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -190,31 +202,53 @@
 	return Error.Wrap(err)
 }
 
-func (s *Server) listen() ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, address := range []string{s.settings.Callers.Listen, s.settings.Peers.Listen, s.settings.Operators.Listen} {
-		l, err := net.Listen("tcp", address)
+func (s *Server) listen() error {
+	for _, each := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.settings.Callers.Listen, &s.listeners.callers},
+		{s.settings.Peers.Listen, &s.listeners.peers},
+		{s.settings.Operators.Listen, &s.listeners.operators},
+	} {
+		l, err := net.Listen("tcp", each.address)
 		if err != nil {
-			closeAll(listeners)
-			return nil, err
+			s.listeners.close()
+			return err
+		}
+		*each.into = l
+	}
+	return nil
+}
+
+func (l listeners) close() {
+	for _, each := range []net.Listener{l.callers, l.peers, l.operators} {
+		if each != nil {
+			each.Close()
 		}
-		listeners = append(listeners, l)
 	}
-	return listeners, nil
 }
 
-func closeAll(listeners []net.Listener) {
-	for _, l := range listeners {
-		l.Close()
+// advertised is the address that others are told. A port 0 in the settings is
+// known only once the listener is open.
+func advertised(cfg settings.Listener, l net.Listener) string {
+	if cfg.Advertise != "" {
+		return cfg.Advertise
 	}
+	return l.Addr().String()
 }
 
 // serve starts the three servers; the channel tells of the first that fails.
-func (s *Server) serve(listeners []net.Listener) <-chan error {
-	failed := make(chan error, len(listeners))
-	for i, h := range []*http.Server{s.callers, s.peers, s.operators} {
+func (s *Server) serve() <-chan error {
+	all := map[*http.Server]net.Listener{
+		s.callers:   s.listeners.callers,
+		s.peers:     s.listeners.peers,
+		s.operators: s.listeners.operators,
+	}
+	failed := make(chan error, len(all))
+	for h, l := range all {
 		go func() {
-			if err := h.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		}()
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -44,20 +44,13 @@
 
 // Listener is one of the node's addresses.
 type Listener struct {
-	// Listen is the IP number and port to listen on.
+	// Listen is the IP number and port to listen on; port 0 takes a free one.
 	Listen string `json:"listen"`
-	// Advertise is the address that others are told; empty means Listen.
+	// Advertise is the address that others are told; empty means
+	// the address listened on.
 	Advertise string `json:"advertise,omitempty"`
 }
 
-// Address is what others are told.
-func (l Listener) Address() string {
-	if l.Advertise != "" {
-		return l.Advertise
-	}
-	return l.Listen
-}
-
 // Store says where the platform's key-value service is.
 type Store struct {
 	Address string `json:"address"`
