--- a/decide/balance/balancer.go
+++ b/decide/balance/balancer.go
@@ -32,8 +32,9 @@
 
 // mark holds who says that an endpoint is leaving.
 type mark struct {
-	sources uint8
-	refused time.Time // when the endpoint itself said so
+	sources  uint8
+	refused  time.Time // when the endpoint refused a request as it leaves
+	reported time.Time // when the report was made that says so
 }
 
 func (m mark) has(s Source) bool { return m.sources&(1<<s) != 0 }
@@ -118,7 +119,7 @@
 }
 
 func (b *Balancer) newTier(now time.Time, replicas []known, old map[string]*member, isNew func(known) bool) tier {
-	t := tier{members: make([]*member, len(replicas))}
+	t := tier{members: make([]*member, len(replicas)), turn: b.random.Float64()}
 	for i, k := range replicas {
 		m := old[k.ID]
 		if m == nil {
@@ -152,20 +153,40 @@
 	if leaving {
 		k.sources |= 1 << source
 	}
-	if source == SourceEndpoint {
-		k.refused = now
-	}
-	if k.sources == 0 {
-		delete(b.marks, id)
-	} else {
+	b.setMark(now, id, k)
+}
+
+func (b *Balancer) setMark(now time.Time, id string, k mark) {
+	leaving := k.sources != 0
+	if leaving {
 		b.marks[id] = k
+	} else {
+		delete(b.marks, id)
 	}
-	if m := b.members[id]; m != nil && m.leaving != (k.sources != 0) {
-		m.leaving = k.sources != 0
+	if m := b.members[id]; m != nil && m.leaving != leaving {
+		m.leaving = leaving
 		b.refresh(now)
 	}
 }
 
+// refusedAsLeaving takes an endpoint's refusal as its word that it leaves. No
+// report takes it back, as not all engines put it into their reports; it ends
+// with the entry in the replica list, or is tried again after refusalHold.
+func (b *Balancer) refusedAsLeaving(now time.Time, id string) {
+	k := b.marks[id]
+	k.sources |= 1 << sourceRefusal
+	k.refused = now
+	b.setMark(now, id, k)
+}
+
+func (b *Balancer) endRefusals(now time.Time) {
+	for id, k := range b.marks {
+		if k.has(sourceRefusal) && now.Sub(k.refused) >= refusalHold {
+			b.Leaving(now, id, sourceRefusal, false)
+		}
+	}
+}
+
 // Sent records a request sent to the replica, of the given cost in tokens, 0 if
 // unknown.
 func (b *Balancer) Sent(now time.Time, id string, cost float64) {
@@ -221,7 +242,7 @@
 	case health.Overloaded:
 		m.busy = now.Add(b.cfg.Backoff)
 	case health.Leaving:
-		b.Leaving(now, id, SourceEndpoint, true)
+		b.refusedAsLeaving(now, id)
 	}
 	b.refreshIfChanged(now)
 }
@@ -269,14 +290,21 @@
 	}
 }
 
-// reportLeaving takes a report's word that the endpoint stays only if it is
-// newer than its word that it leaves.
+// reportLeaving takes back a report's word only by a newer report, as polls and
+// answers overtake each other.
 func (b *Balancer) reportLeaving(now time.Time, id string, l Load) {
 	k := b.marks[id]
 	measured := now.Add(-l.Age)
-	if l.Leaving != k.has(SourceEndpoint) && (l.Leaving || measured.After(k.refused)) {
-		b.Leaving(now, id, SourceEndpoint, l.Leaving)
+	switch {
+	case l.Leaving:
+		k.sources |= 1 << SourceEndpoint
+		k.reported = measured
+	case k.has(SourceEndpoint) && measured.After(k.reported):
+		k.sources &^= 1 << SourceEndpoint
+	default:
+		return
 	}
+	b.setMark(now, id, k)
 }
 
 // FreeSlots returns the slots that are free in the usable part of the subset.
@@ -319,6 +347,7 @@
 // judge lets package health judge when it is time to.
 func (b *Balancer) judge(now time.Time) {
 	if b.health.Due(now) {
+		b.endRefusals(now)
 		b.health.Judge(now)
 		b.refresh(now)
 	}
--- a/decide/balance/config.go
+++ b/decide/balance/config.go
@@ -14,7 +14,7 @@
 	DefaultSpillMargin   = 0.1
 	DefaultAffinityBound = 1.25
 	DefaultAffinityFree  = 0.5
-	DefaultSlowStart     = 30 * time.Second
+	DefaultSlowStart     = 15 * time.Second
 	DefaultBackoff       = 250 * time.Millisecond
 )
 
@@ -28,6 +28,9 @@
 	maxDraws = 4
 	// maxWalk bounds the replicas tried for a prefix.
 	maxWalk = 4
+	// refusalHold is how long an endpoint that refused a request as it leaves is
+	// left alone; a shutdown that takes longer costs a refused request a minute.
+	refusalHold = time.Minute
 	// ringPoints per replica make its arcs of the prefix ring about even.
 	ringPoints = 32
 	// switchMargin is by how many requests the second choice must be emptier.
--- a/decide/balance/pick.go
+++ b/decide/balance/pick.go
@@ -208,12 +208,21 @@
 	if second == nil {
 		return first, nil
 	}
-	if b.score(now, second)+switchMargin/b.room(now, second) < b.score(now, first) {
+	if b.score(now, second)+b.doubt(now, second)/b.room(now, second) < b.score(now, first) {
 		return second, first
 	}
 	return first, second
 }
 
+// doubt is by how many requests the second choice must be emptier: one, and the
+// standard deviation of what is not known of it. The requests of many nodes are
+// Poisson spread, and the part of that spread which a report has not caught
+// shows as differences that are not there.
+func (b *Balancer) doubt(now time.Time, m *member) float64 {
+	trust := m.trust(now, b.meanTime)
+	return switchMargin + math.Sqrt((1-trust*trust)*m.tier.meanOthers()*m.capacity)
+}
+
 // drawOne draws a replica, in turn, or at random one other than the given.
 // Replicas that have just refused for want of room are drawn only if there is
 // no other.
--- a/decide/balance/types.go
+++ b/decide/balance/types.go
@@ -115,10 +115,12 @@
 const (
 	// SourcePlatform is the platform's list of VMs, which lags.
 	SourcePlatform Source = iota
-	// SourceEndpoint is the endpoint itself.
+	// SourceEndpoint is the endpoint's own report.
 	SourceEndpoint
 	// SourcePeer is another node.
 	SourcePeer
 	// SourceOperator is the environment document or a drain command.
 	SourceOperator
+	// sourceRefusal is a request refused by the endpoint as it leaves.
+	sourceRefusal
 )
