admission: split service between short and long jobs of a team, predict from demand

A team's waiting long jobs, which may wait longer, stood ahead of its short ones in the prediction, so short ones were refused while the slots kept for them stood idle. Excluded: the prediction from the teams that wait at the moment (noisy), its bound by all waiting work (wrong while others keep sending). Change: short and long jobs of a class share its service evenly; rates come from a max-min split by measured demand; loans of limits are accrued piecewise.

--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/fairness"
@@ -72,6 +71,7 @@
 	if it.length == long {
 		q.longRun++
 	}
+	it.team.waiting[it.Class].charge(it, q.cfg.credit())
 	q.flows.Charge(it.team.flow, it.Cost)
 	q.items[it.ID] = it
 	q.out = append(q.out, q.verdict(now, it, Run, SlotFree))
@@ -90,7 +90,7 @@
 }
 
 func (q *Queue) enqueue(it *item) {
-	it.team.waiting[it.Class][it.length].push(it)
+	it.team.waiting[it.Class].push(it)
 	q.waiting++
 	q.waitingWork += it.Cost
 	q.items[it.ID] = it
@@ -99,7 +99,7 @@
 
 func (q *Queue) dequeue(it *item) {
 	t := it.team
-	t.waiting[it.Class][it.length].remove(it)
+	t.waiting[it.Class].lists[it.length].remove(it)
 	q.waiting--
 	q.waitingWork -= it.Cost
 	if q.waiting == 0 {
@@ -122,42 +122,11 @@
 
 func (t *team) laneEmpty(lane int) bool {
 	if lane == laneOrder {
-		return t.waiting[Order][short].head == nil
+		return t.waiting[Order].lists[short].head == nil
 	}
 	l := short
 	if lane == laneLong {
 		l = long
 	}
-	return t.waiting[Interactive][l].head == nil && t.waiting[Batch][l].head == nil
-}
-
-// setLongRoom keeps slots free of long jobs for the short ones that are to be
-// expected: as many as the offered short work fills, and its square root to
-// ride out chance (the square-root rule of staffing).
-//
-// Without room of its own a short job that comes when long ones hold all slots
-// waits for the first of them to end. Each team's short work counts up to its
-// share of the slots only, or a team could push the long jobs of others out by
-// flooding with short ones. Where nobody sends short jobs, nothing is kept.
-func (q *Queue) setLongRoom(now time.Time) {
-	rate := q.slotRate(now)
-	if rate <= 0 {
-		q.longRoom = q.slots
-		return
-	}
-	weight := 0.0
-	for _, t := range q.order {
-		if !t.idle() || t.shortWork.perSecond(now) > 0 {
-			weight += t.flow.Weight()
-		}
-	}
-	need := 0.0
-	for _, t := range q.order {
-		offered := t.shortWork.perSecond(now) / rate
-		fair := float64(q.slots) * t.flow.Weight() / max(weight, t.flow.Weight())
-		need += min(offered, fair)
-	}
-	keep := math.Ceil(need + math.Sqrt(need))
-	keep = min(keep, math.Floor(float64(q.slots)*maxShortPart))
-	q.longRoom = q.slots - int(keep)
+	return t.waiting[Interactive].lists[l].head == nil && t.waiting[Batch].lists[l].head == nil
 }
--- /dev/null
+++ b/decide/admission/forecast.go
@@ -0,0 +1,113 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// forecast holds the rates that the teams are expected to get, in expected
+// tokens per second. It is worked out anew each sweepInterval.
+type forecast struct {
+	at    time.Time
+	drain float64 // of the whole service
+	all   level
+	long  level // of long jobs, through their slots
+}
+
+// level is a weighted max-min split of a capacity by demand: each team gets
+// what it asks for, up to its weight times perWeight.
+//
+// The teams that wait at one moment are a poor guide: one whose queue is empty
+// now sends its next request within the wait that is to be predicted. Callers
+// were then admitted and given up seconds later.
+type level struct {
+	perWeight float64
+	spare     float64 // what nobody asks for
+	floor     float64 // per weight, if all teams ask for more than they get
+}
+
+// rate returns what a team gets that has work waiting all the time.
+func (l level) rate(demand, weight float64) float64 {
+	if l.spare > 0 {
+		return max(demand+l.spare, weight*l.floor)
+	}
+	return weight * l.perWeight
+}
+
+// split works the level out. Demand gives a team's demand.
+func split(capacity float64, teams []*team, demand func(*team) float64) level {
+	weight := 0.0
+	for _, t := range teams {
+		if demand(t) > 0 {
+			weight += t.flow.Weight()
+		}
+	}
+	if weight == 0 {
+		return level{spare: capacity, floor: capacity}
+	}
+	l := level{floor: capacity / weight, perWeight: capacity / weight}
+	for {
+		left, open := capacity, 0.0
+		for _, t := range teams {
+			d := demand(t)
+			if d > t.flow.Weight()*l.perWeight {
+				open += t.flow.Weight()
+			} else {
+				left -= d
+			}
+		}
+		if open == 0 {
+			l.spare = max(left, 0)
+			return l
+		}
+		higher := left / open
+		if higher <= l.perWeight*(1+1e-9) {
+			return l
+		}
+		l.perWeight = higher
+	}
+}
+
+// refresh works the forecast out if it is older than sweepInterval.
+func (q *Queue) refresh(now time.Time) {
+	if age := now.Sub(q.forecast.at); age < sweepInterval && !q.forecast.at.IsZero() {
+		return
+	}
+	q.renew(now)
+}
+
+func (q *Queue) renew(now time.Time) {
+	rate := q.slotRate(now)
+	f := &q.forecast
+	f.at = now
+	f.drain = rate * float64(q.slots)
+	q.longRoom = q.slots
+	if f.drain <= 0 {
+		return
+	}
+	for _, t := range q.order {
+		for l := range t.demand {
+			t.demand[l] = t.offered[l].perSecond(now)
+		}
+	}
+	f.all = split(f.drain, q.order, func(t *team) float64 { return t.demand[short] + t.demand[long] })
+	q.longRoom = q.slots - q.shortRoom(rate)
+	f.long = split(rate*float64(q.longRoom), q.order, func(t *team) float64 { return t.demand[long] })
+}
+
+// shortRoom returns how many slots to keep free of long jobs: as many as the
+// offered short work fills, and its square root to ride out chance (the
+// square-root rule of staffing).
+//
+// Without room of its own a short job that comes when long ones hold all slots
+// waits for the first of them to end. Each team's short work counts only up to
+// its part of the slots, or a team could push the long jobs of others out by
+// flooding with short ones. Where nobody sends short jobs, nothing is kept.
+func (q *Queue) shortRoom(rate float64) int {
+	need := 0.0
+	for _, t := range q.order {
+		need += min(t.demand[short], q.teamRate(t)) / rate
+	}
+	keep := math.Ceil(need + math.Sqrt(need))
+	return int(min(keep, math.Floor(float64(q.slots)*maxShortPart)))
+}
--- a/decide/admission/list.go
+++ b/decide/admission/list.go
@@ -11,12 +11,13 @@
 	lengthCount = 2
 )
 
+func (l length) other() length { return long - l }
+
 // item is a request that waits or runs.
 type item struct {
 	Request
 	team     *team
 	length   length
-	seq      uint64 // order of arrival
 	offered  time.Time
 	started  time.Time
 	deadline time.Time
--- a/decide/admission/predict.go
+++ b/decide/admission/predict.go
@@ -8,35 +8,39 @@
 // forever stands for a wait that has no end in sight.
 const forever = time.Duration(math.MaxInt64 / 4)
 
-// place is a position in a team's queue.
+// place is a position in a team's queue. All work is in expected tokens.
 type place struct {
-	ahead     float64 // expected tokens of the team that go first
-	longAhead float64 // of these, in long jobs
-	total     float64 // expected tokens of all teams that wait, without its own
+	higher    float64 // of the team, in higher classes
+	ahead     float64 // of the team, in the same class and length
+	other     float64 // of the team, in the same class and the other length
+	longAhead float64 // of the team, in long jobs of all classes
 	length    length
 }
 
-// predict returns how long a request at the place is expected to wait.
+// predict returns how long a request at the place is expected to wait: what
+// the team has had too much and what it has ahead, over the rate that the
+// forecast gives the team.
 //
-// While the team's share is what holds it back, the wait is what the team has
-// ahead, over its part of the drain rate. But once the other teams' requests
-// are done the whole rate is its own, so the wait is never more than all
-// waiting work over the whole rate. A long job also waits for the long jobs
+// Short jobs that come later may pass a long one, so its own work gets what
+// they leave of the rate, or half. A long job also waits for the long jobs
 // ahead, which pass through fewer slots.
-func (q *Queue) predict(now time.Time, t *team, p place) time.Duration {
-	rate := q.slotRate(now)
-	if rate <= 0 {
+func (q *Queue) predict(t *team, p place) time.Duration {
+	f := &q.forecast
+	if f.drain <= 0 {
 		return 0
 	}
-	drain := rate * float64(q.slots)
-	own := q.flows.Debt(t.flow) + p.ahead
-	fair := own / (drain * q.share(t))
-	wait := min(fair, p.total/drain)
+	rate := q.teamRate(t)
+	wait := (q.flows.Debt(t.flow) + p.higher + p.ahead + p.other) / rate
 	if p.length == long {
-		wait = max(wait, p.longAhead/(rate*float64(q.longRoom)*q.longShare(t)))
+		own := max(rate/2, rate-t.demand[short])
+		wait = max(wait, p.ahead/own, p.longAhead/f.long.rate(t.demand[long], t.flow.Weight()))
 	}
-	wait += q.turn() / drain
-	return toDuration(wait)
+	return toDuration(wait + q.turn()/f.drain)
+}
+
+// teamRate returns the expected tokens per second that the team gets.
+func (q *Queue) teamRate(t *team) float64 {
+	return q.forecast.all.rate(t.demand[short]+t.demand[long], t.flow.Weight())
 }
 
 // turn is the mean expected cost of what waits, or runs if nothing does: the
@@ -56,26 +60,6 @@
 	return q.meter.slotRate(now) / q.meter.bias()
 }
 
-// share returns the team's part of the drain rate among the teams that wait.
-func (q *Queue) share(t *team) float64 {
-	weight := t.flow.Weight()
-	all := q.flows.ActiveWeight()
-	if !t.flow.Waiting() {
-		all += weight
-	}
-	return weight / max(all, weight)
-}
-
-// longShare is share among the teams with long jobs waiting.
-func (q *Queue) longShare(t *team) float64 {
-	weight := t.flow.Weight()
-	all := q.flows.LaneWeight(laneLong)
-	if !t.flow.WaitsIn(laneLong) {
-		all += weight
-	}
-	return weight / max(all, weight)
-}
-
 func toDuration(seconds float64) time.Duration {
 	if !(seconds < forever.Seconds()) {
 		return forever
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -20,20 +20,20 @@
 // Queue decides which requests of one service run, wait or are refused on one
 // node. It is not safe for concurrent use: the caller locks.
 type Queue struct {
-	cfg   Config
-	flows *fairness.Scheduler[*team]
-	teams map[string]*team
-	order []*team // the same teams, so that walks over them are deterministic
-	items map[uint64]*item
-	spare *item // finished items for reuse, linked by next
-	meter meter
+	cfg      Config
+	flows    *fairness.Scheduler[*team]
+	teams    map[string]*team
+	order    []*team // the same teams, so that walks over them are deterministic
+	items    map[uint64]*item
+	spare    *item // finished items for reuse, linked by next
+	meter    meter
+	forecast forecast
 
 	slots       int
 	longRun     int
 	longRoom    int
 	waiting     int
 	waitingWork float64 // expected tokens
-	seq         uint64
 
 	out []Verdict
 }
@@ -43,7 +43,7 @@
 	cfg = cfg.withDefaults()
 	q := &Queue{
 		cfg:   cfg,
-		flows: fairness.New[*team](laneCount, creditJobs*cfg.LongCost),
+		flows: fairness.New[*team](laneCount, cfg.credit()),
 		teams: make(map[string]*team),
 		items: make(map[uint64]*item),
 		meter: meter{prior: max(cfg.SlotRate, 0)},
@@ -67,7 +67,7 @@
 		return nil
 	}
 	t.declared = false
-	t.walk(func(it *item) {
+	t.each(func(it *item) {
 		q.dequeue(it)
 		q.refuse(now, it, TeamRemoved, 0, 0)
 	})
@@ -83,9 +83,8 @@
 		return []Verdict{{ID: r.ID, Team: r.Team, Class: r.Class, Kind: Refuse, Reason: DuplicateID, QueueLength: q.waiting}}
 	}
 	it := q.newItem(now, r)
-	if it.length == short {
-		it.team.shortWork.add(now, it.Cost)
-	}
+	it.team.offered[it.length].add(now, it.Cost)
+	q.refresh(now)
 	if q.admit(now, it) {
 		q.enqueue(it)
 		q.dispatch(now)
@@ -130,7 +129,7 @@
 // more run than there are slots, no other starts until enough have finished.
 func (q *Queue) SetCapacity(now time.Time, slots int) []Verdict {
 	q.slots = max(slots, 0)
-	q.setLongRoom(now)
+	q.renew(now)
 	q.sweep(now)
 	q.dispatch(now)
 	return q.take()
@@ -139,7 +138,7 @@
 // Tick refuses requests that will miss their deadline. It is to be called at
 // the time it returns; the zero time means not before the next Offer.
 func (q *Queue) Tick(now time.Time) (verdicts []Verdict, next time.Time) {
-	q.setLongRoom(now)
+	q.renew(now)
 	earliest := q.sweep(now)
 	q.dispatch(now)
 	if q.waiting == 0 {
@@ -204,8 +203,7 @@
 	if !(r.Cost >= 1) {
 		r.Cost = 1
 	}
-	q.seq++
-	*it = item{Request: r, team: q.team(r.Team), seq: q.seq, offered: now, deadline: r.Deadline}
+	*it = item{Request: r, team: q.team(r.Team), offered: now, deadline: r.Deadline}
 	if it.deadline.IsZero() {
 		it.deadline = now.Add(q.cfg.DefaultWait)
 	}
--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -28,7 +28,7 @@
 	if q.meter.running < q.slots && q.waiting == 0 {
 		return true
 	}
-	wait := q.predict(now, it.team, q.lastPlace(it))
+	wait := q.predict(it.team, q.lastPlace(it))
 	late := wait - part(it.deadline.Sub(now), admitPart)
 	if late > 0 {
 		q.refuse(now, it, TooLate, wait, q.retryAfter(now, it, late))
@@ -43,15 +43,16 @@
 
 // lastPlace is that of a new request at the end of its class.
 func (q *Queue) lastPlace(it *item) place {
-	p := place{
-		ahead:  it.team.workBefore(it.Class),
-		total:  q.waitingWork,
-		length: it.length,
-	}
-	if it.length == long {
-		p.longAhead = it.team.longWork()
+	t := it.team
+	c := &t.waiting[it.Class]
+	ahead := c.lists[it.length].cost
+	return place{
+		higher:    t.workBefore(it.Class),
+		ahead:     ahead,
+		other:     c.otherFirst(it.length, ahead),
+		longAhead: t.longWork(),
+		length:    it.length,
 	}
-	return p
 }
 
 // sweep gives up waiting requests that will miss their deadline, and returns
@@ -72,21 +73,29 @@
 }
 
 func (q *Queue) sweepTeam(now time.Time, t *team) (earliest time.Time) {
-	p := place{}
-	t.walk(func(it *item) {
-		p.length = it.length
-		p.total = q.waitingWork - it.Cost
-		if q.giveUp(now, it, p) {
-			return
-		}
-		p.ahead += it.Cost
-		if it.length == long {
-			p.longAhead += it.Cost
+	longAhead := 0.0
+	for class := range t.waiting {
+		c := &t.waiting[class]
+		higher := t.workBefore(Class(class))
+		for l := range c.lists {
+			var next *item
+			ahead := 0.0
+			for it := c.lists[l].head; it != nil; it = next {
+				next = it.next
+				p := place{higher: higher, ahead: ahead, other: c.otherFirst(it.length, ahead), longAhead: longAhead, length: it.length}
+				if q.giveUp(now, it, p) {
+					continue
+				}
+				ahead += it.Cost
+				if it.length == long {
+					longAhead += it.Cost
+				}
+				if earliest.IsZero() || it.deadline.Before(earliest) {
+					earliest = it.deadline
+				}
+			}
 		}
-		if earliest.IsZero() || it.deadline.Before(earliest) {
-			earliest = it.deadline
-		}
-	})
+	}
 	return earliest
 }
 
@@ -98,7 +107,7 @@
 		q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
 		return true
 	}
-	wait := q.predict(now, it.team, p)
+	wait := q.predict(it.team, p)
 	late := wait - part(left, giveUpPart)
 	if late <= 0 || q.slots == 0 {
 		return false
@@ -113,8 +122,7 @@
 // it have been served at the team's share of the drain rate. If all were told
 // the same moment they would come back as one burst and be refused again.
 func (q *Queue) retryAfter(now time.Time, it *item, late time.Duration) time.Duration {
-	drain := q.slotRate(now) * float64(q.slots)
-	if drain <= 0 {
+	if q.forecast.drain <= 0 {
 		return noCapacityRetry
 	}
 	t := it.team
@@ -122,7 +130,7 @@
 	if t.returnsAt.After(at) {
 		at = t.returnsAt
 	}
-	at = at.Add(toDuration(it.Cost / (drain * q.share(t))))
+	at = at.Add(toDuration(it.Cost / q.teamRate(t)))
 	if last := now.Add(q.cfg.MaxRetryAfter); at.After(last) {
 		at = last
 	}
--- a/decide/admission/types.go
+++ b/decide/admission/types.go
@@ -172,6 +172,9 @@
 	sweepInterval = 100 * time.Millisecond
 )
 
+// credit is the most that a team or length may be owed, in tokens.
+func (c Config) credit() float64 { return creditJobs * c.LongCost }
+
 func (c Config) withDefaults() Config {
 	if c.MaxWaiting <= 0 {
 		c.MaxWaiting = defaultMaxWaiting
--- /dev/null
+++ b/decide/internal/sim/fifo.go
@@ -0,0 +1,63 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/admission"
+)
+
+// FIFO is the baseline: one queue in order of arrival, without shares, limits
+// or refusals.
+type FIFO struct {
+	Slots int
+	// DropLate refuses a request whose deadline has passed when its turn
+	// comes: a stronger baseline.
+	DropLate bool
+
+	running int
+	waiting []queued
+}
+
+type queued struct {
+	admission.Request
+	at time.Time
+}
+
+// Offer appends the request.
+func (f *FIFO) Offer(now time.Time, r admission.Request) []admission.Verdict {
+	f.waiting = append(f.waiting, queued{r, now})
+	return f.dispatch(now)
+}
+
+// Finish frees a slot.
+func (f *FIFO) Finish(now time.Time, _ uint64, _ float64) []admission.Verdict {
+	f.running--
+	return f.dispatch(now)
+}
+
+// Abandon frees a slot.
+func (f *FIFO) Abandon(now time.Time, id uint64) []admission.Verdict { return f.Finish(now, id, 0) }
+
+// SetCapacity changes the number of slots.
+func (f *FIFO) SetCapacity(now time.Time, slots int) []admission.Verdict {
+	f.Slots = slots
+	return f.dispatch(now)
+}
+
+// Tick does nothing.
+func (f *FIFO) Tick(time.Time) ([]admission.Verdict, time.Time) { return nil, time.Time{} }
+
+func (f *FIFO) dispatch(now time.Time) (out []admission.Verdict) {
+	for len(f.waiting) > 0 && f.running < f.Slots {
+		r := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		v := admission.Verdict{ID: r.ID, Kind: admission.Run, Waited: now.Sub(r.at)}
+		if f.DropLate && now.After(r.Deadline) {
+			v.Kind = admission.Refuse
+		} else {
+			f.running++
+		}
+		out = append(out, v)
+	}
+	return out
+}
--- /dev/null
+++ b/decide/internal/sim/service.go
@@ -0,0 +1,199 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/admission"
+)
+
+// Policy is what decides: the queue or a baseline.
+type Policy interface {
+	Offer(now time.Time, r admission.Request) []admission.Verdict
+	Finish(now time.Time, id uint64, cost float64) []admission.Verdict
+	Abandon(now time.Time, id uint64) []admission.Verdict
+	SetCapacity(now time.Time, slots int) []admission.Verdict
+	Tick(now time.Time) ([]admission.Verdict, time.Time)
+}
+
+// Load is one stream of calls with random (Poisson) arrivals.
+type Load struct {
+	Team     string
+	Class    admission.Class
+	Rate     float64       // calls per second
+	Cost     float64       // mean actual cost in tokens; each call 0.5 to 1.5 times that
+	Declared float64       // expected over actual cost; zero means 0.7 to 1.3 at random
+	Patience time.Duration // from a call to its latest useful start
+	From, To time.Duration // zero To means the whole run
+	Returns  bool          // a refused caller comes back once, when told to
+}
+
+// Scenario is a run against one service.
+type Scenario struct {
+	SlotRate float64 // tokens per second of a slot
+	Length   time.Duration
+	Loads    []Load
+	Capacity map[time.Duration]int // changes of the number of slots
+	Stalled  time.Duration         // from here on nothing finishes; zero means never
+}
+
+// Call is what one caller saw.
+type Call struct {
+	Load     int
+	Offered  time.Duration // since Start
+	Started  time.Duration // zero unless started
+	Finished time.Duration // zero unless finished
+	Answered time.Duration // refused at
+	Deadline time.Duration
+	Cost     float64 // actual
+	Verdict  admission.Verdict
+
+	returns bool
+}
+
+// InTime tells whether the call started while the caller still wanted it.
+func (c *Call) InTime() bool { return c.Verdict.Kind == admission.Run && c.Started <= c.Deadline }
+
+// Result holds the calls of a run.
+type Result struct{ Calls []*Call }
+
+type run struct {
+	Scenario
+	*Loop
+	policy   Policy
+	rng      *rand.Rand
+	calls    []*Call
+	nextTick time.Time
+}
+
+// Run plays the scenario with the policy.
+func Run(s Scenario, policy Policy) *Result {
+	r := &run{Scenario: s, Loop: NewLoop(), policy: policy, rng: rand.New(rand.NewPCG(1, 2))}
+	for i, l := range s.Loads {
+		r.plan(i, l)
+	}
+	for at, slots := range s.Capacity {
+		r.At(Start.Add(at), func() { r.act(policy.SetCapacity(r.Now, slots)) })
+	}
+	r.Loop.Run(Start.Add(s.Length))
+	return &Result{Calls: r.calls}
+}
+
+func (r *run) plan(index int, l Load) {
+	end := l.To
+	if end == 0 {
+		end = r.Length
+	}
+	gap := func() time.Duration { return time.Duration(r.rng.ExpFloat64() / l.Rate * float64(time.Second)) }
+	for at := l.From + gap(); at < end; at += gap() {
+		cost := l.Cost * (0.5 + r.rng.Float64())
+		declared := l.Declared
+		if declared == 0 {
+			declared = 0.7 + 0.6*r.rng.Float64()
+		}
+		r.At(Start.Add(at), func() { r.offer(index, l, cost, cost*declared, l.Returns) })
+	}
+}
+
+func (r *run) offer(index int, l Load, cost, expected float64, returns bool) {
+	id := uint64(len(r.calls))
+	deadline := r.Now.Add(l.Patience)
+	r.calls = append(r.calls, &Call{Load: index, Offered: r.Now.Sub(Start), Deadline: deadline.Sub(Start), Cost: cost, returns: returns})
+	r.act(r.policy.Offer(r.Now, admission.Request{ID: id, Team: l.Team, Class: l.Class, Cost: expected, Deadline: deadline}))
+	r.tick()
+}
+
+func (r *run) act(verdicts []admission.Verdict) {
+	for _, v := range verdicts {
+		c := r.calls[v.ID]
+		c.Verdict = v
+		if v.Kind == admission.Refuse {
+			c.Answered = r.Now.Sub(Start)
+			r.comeBack(c)
+			continue
+		}
+		c.Started = r.Now.Sub(Start)
+		end := r.Now.Add(time.Duration(c.Cost / r.SlotRate * float64(time.Second)))
+		if r.Stalled > 0 && end.Sub(Start) > r.Stalled {
+			continue
+		}
+		r.At(end, func() {
+			c.Finished = r.Now.Sub(Start)
+			r.act(r.policy.Finish(r.Now, v.ID, c.Cost))
+		})
+	}
+}
+
+func (r *run) comeBack(c *Call) {
+	l := r.Loads[c.Load]
+	if !c.returns || c.Verdict.RetryAfter == 0 {
+		return
+	}
+	r.At(r.Now.Add(c.Verdict.RetryAfter), func() { r.offer(c.Load, l, c.Cost, c.Cost, false) })
+}
+
+func (r *run) tick() {
+	if r.nextTick.After(r.Now) {
+		return
+	}
+	verdicts, next := r.policy.Tick(r.Now)
+	r.act(verdicts)
+	if next.After(r.Now) {
+		r.nextTick = next
+		r.At(next, r.tick)
+	}
+}
+
+// Goodput returns the tokens per second of calls that started in time, by the
+// slot time they used between the two times.
+func (r *Result) Goodput(slotRate float64, from, to time.Duration, loads ...int) float64 {
+	sum := 0.0
+	for _, c := range r.Calls {
+		if !c.InTime() || (len(loads) > 0 && !slices.Contains(loads, c.Load)) {
+			continue
+		}
+		end := c.Started + time.Duration(c.Cost/slotRate*float64(time.Second))
+		if used := min(end, to) - max(c.Started, from); used > 0 {
+			sum += used.Seconds() * slotRate
+		}
+	}
+	return sum / (to - from).Seconds()
+}
+
+// Waits returns the start delays of the load's calls offered between the two
+// times, in order; a call that never started in time counts as its patience.
+func (r *Result) Waits(load int, from, to time.Duration) []time.Duration {
+	var waits []time.Duration
+	for _, c := range r.Calls {
+		if c.Load != load || c.Offered < from || c.Offered >= to {
+			continue
+		}
+		wait := c.Deadline - c.Offered
+		if c.InTime() {
+			wait = c.Started - c.Offered
+		}
+		waits = append(waits, wait)
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+// P95 returns the 95th percentile of sorted waits.
+func P95(waits []time.Duration) time.Duration { return waits[len(waits)*95/100] }
+
+// Served returns the part of the load's calls offered between the two times
+// that started in time.
+func (r *Result) Served(load int, from, to time.Duration) float64 {
+	served, all := 0.0, 0.0
+	for _, c := range r.Calls {
+		if c.Load != load || c.Offered < from || c.Offered >= to {
+			continue
+		}
+		all++
+		if c.InTime() {
+			served++
+		}
+	}
+	return served / all
+}
--- a/decide/limits/bucket.go
+++ b/decide/limits/bucket.go
@@ -12,19 +12,34 @@
 	at    time.Time
 }
 
-// refill adds what has accrued. A bucket starts full.
-func (b *bucket) refill(now time.Time, rate float64, burst time.Duration) {
-	full := rate * burst.Seconds()
+// refill adds to the team's bucket what has accrued. It goes from one end of a
+// loan to the next: at one rate for the whole time, a loan that has just come in
+// or run out would count for time in which the rate was another node's.
+func (t *team) refill(now time.Time, burst time.Duration) {
+	b := &t.bucket
 	if b.at.IsZero() {
-		b.level = full
+		b.at = now
+		b.level = t.rate(now) * burst.Seconds()
 	}
-	if age := now.Sub(b.at); !b.at.IsZero() && age > 0 {
-		b.level += rate * age.Seconds()
+	for now.After(b.at) {
+		next := t.nextEnd(b.at, now)
+		b.level += t.rate(b.at) * next.Sub(b.at).Seconds()
+		b.level = min(b.level, t.rate(next)*burst.Seconds())
+		b.at = next
 	}
-	b.level = min(b.level, full)
-	if now.After(b.at) {
-		b.at = now
+}
+
+// nextEnd returns the first end of a loan after the given time, or now if
+// there is none before.
+func (t *team) nextEnd(after, now time.Time) time.Time {
+	next := now
+	for _, p := range t.peers {
+		next = p.owed.endIn(after, next)
+		for _, l := range p.lent {
+			next = l.endIn(after, next)
+		}
 	}
+	return next
 }
 
 // take books the cost if the bucket is not in debt.
--- a/decide/limits/doc.go
+++ b/decide/limits/doc.go
@@ -38,8 +38,9 @@
 //	limit * (T + Burst) + one request per home (+ what Correct adds)
 //
 // Beyond the bound: a home that restarts has forgotten what it lent, which adds
-// at most its even part for one Lease; while nodes disagree on the homes, a
-// node that only some take for a home adds its even part.
+// at most its even part for one Lease; while nodes disagree on the limit or the
+// homes, each allows what its own view gives, and a loan made under the old
+// view lasts its Lease.
 //
 // A silent peer's loans run out, and both sides are back at the even split
 // after Lease.
--- a/decide/limits/loans.go
+++ b/decide/limits/loans.go
@@ -13,11 +13,12 @@
 	even    float64
 	offered demand
 	bucket  bucket
-	peers   map[string]*peer
+	peers   []*peer // few, and in order of first contact: sums are deterministic
 }
 
 // peer is what this node knows of the team on another one.
 type peer struct {
+	node   string
 	demand float64
 	heard  time.Time
 	lent   []loan // newest last, rates falling
@@ -37,13 +38,28 @@
 	return 0
 }
 
-func newTeam() *team { return &team{peers: make(map[string]*peer)} }
+// endIn returns the loan's end if it lies between the two times, else to.
+func (l loan) endIn(from, to time.Time) time.Time {
+	if l.until.After(from) && l.until.Before(to) {
+		return l.until
+	}
+	return to
+}
+
+func (t *team) find(node string) *peer {
+	for _, p := range t.peers {
+		if p.node == node {
+			return p
+		}
+	}
+	return nil
+}
 
 func (t *team) peer(node string) *peer {
-	p, ok := t.peers[node]
-	if !ok {
-		p = new(peer)
-		t.peers[node] = p
+	p := t.find(node)
+	if p == nil {
+		p = &peer{node: node}
+		t.peers = append(t.peers, p)
 	}
 	return p
 }
@@ -85,15 +101,28 @@
 	return sum
 }
 
+// rate is what this node allows, in tokens per second.
+func (t *team) rate(now time.Time) float64 {
+	return max(t.even-t.lent(now), 0) + t.borrowed(now)
+}
+
+// forget drops peers that are silent and have no part in a loan, so that nodes
+// which come and go do not add up.
+func (t *team) forget(now time.Time, lease time.Duration) {
+	t.peers = slices.DeleteFunc(t.peers, func(p *peer) bool {
+		silent := now.Sub(p.heard) > lease
+		return silent && p.lentAt(now) == 0 && p.owed.at(now) == 0
+	})
+}
+
 // need is what the peer lacks beyond its own even part, if it has been heard
 // of lately.
-func (t *team) need(now time.Time, node string, cfg Config) float64 {
-	p, ok := t.peers[node]
-	if !ok || now.Sub(p.heard) > cfg.Lease {
+func (t *team) need(now time.Time, p *peer, cfg Config) float64 {
+	if now.Sub(p.heard) > cfg.Lease {
 		return 0
 	}
 	even := 0.0
-	if slices.Contains(t.homes, node) {
+	if slices.Contains(t.homes, p.node) {
 		even = t.limit / float64(len(t.homes))
 	}
 	return max(cfg.Headroom*p.demand-even, 0)
@@ -101,16 +130,16 @@
 
 // spare returns what may be lent to the asker: its part, by need, of what this
 // node has over its own demand, and no more than it has not lent already.
-func (t *team) spare(now time.Time, asker string, cfg Config) float64 {
+func (t *team) spare(now time.Time, asker *peer, cfg Config) float64 {
 	need := t.need(now, asker, cfg)
 	if need == 0 {
 		return 0
 	}
 	needs := 0.0
 	lentToOthers := 0.0
-	for node, p := range t.peers {
-		needs += t.need(now, node, cfg)
-		if node != asker {
+	for _, p := range t.peers {
+		needs += t.need(now, p, cfg)
+		if p != asker {
 			lentToOthers += p.lentAt(now)
 		}
 	}
@@ -126,6 +155,8 @@
 	var asks []Ask
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		t := s.teams[name]
+		t.refill(now, s.cfg.Burst)
+		t.forget(now, s.cfg.Lease)
 		if slices.Contains(t.homes, node) {
 			asks = append(asks, Ask{Team: name, Demand: t.offered.perSecond(now, s.cfg.DemandWindow)})
 		}
@@ -143,8 +174,10 @@
 			continue
 		}
 		s.Demand(now, ask.Team, asker, ask.Demand)
-		rate := t.spare(now, asker, s.cfg)
-		t.peer(asker).lend(now, loan{rate: rate, until: now.Add(s.cfg.Lease)})
+		t.refill(now, s.cfg.Burst)
+		p := t.peer(asker)
+		rate := t.spare(now, p, s.cfg)
+		p.lend(now, loan{rate: rate, until: now.Add(s.cfg.Lease)})
 		demand := t.offered.perSecond(now, s.cfg.DemandWindow)
 		loans = append(loans, Loan{Team: ask.Team, Demand: demand, Rate: rate})
 	}
@@ -163,9 +196,10 @@
 			continue
 		}
 		s.Demand(now, l.Team, node, l.Demand)
+		t.refill(now, s.cfg.Burst)
 		p := t.peer(node)
 		if !until.Before(p.owed.until) {
-			p.owed = loan{rate: max(l.Rate, 0), until: until}
+			p.owed = loan{rate: cleanRate(l.Rate, t.limit), until: until}
 		}
 	}
 }
--- a/decide/limits/splitter.go
+++ b/decide/limits/splitter.go
@@ -85,7 +85,8 @@
 }
 
 // SetTeam sets a team's limit over the whole environment and the names of its
-// home nodes. A limit of zero or less means none. Loans in force stay.
+// home nodes. A limit of zero or less means none. Loans in force stay, but for
+// those of a removed team.
 func (s *Splitter) SetTeam(name string, tokensPerSecond float64, homes []string) {
 	if tokensPerSecond <= 0 {
 		s.RemoveTeam(name)
@@ -93,7 +94,7 @@
 	}
 	t, ok := s.teams[name]
 	if !ok {
-		t = newTeam()
+		t = new(team)
 		s.teams[name] = t
 	}
 	t.limit = tokensPerSecond
@@ -114,10 +115,19 @@
 		return
 	}
 	p := t.peer(node)
-	p.demand = max(tokensPerSecond, 0)
+	p.demand = cleanRate(tokensPerSecond, t.limit)
 	p.heard = now
 }
 
+// cleanRate bounds a rate from a message: a demand above the limit asks for no
+// more than all of it, and what is not a number would spoil every sum.
+func cleanRate(rate, limit float64) float64 {
+	if !(rate > 0) {
+		return 0
+	}
+	return min(rate, limit)
+}
+
 // Allow tells whether a request of the given expected cost, in tokens, is
 // within the team's limit, and books it if so. Otherwise retryAfter says when
 // this node's allowance will have recovered.
@@ -128,7 +138,7 @@
 	}
 	t.offered.add(now, cost, s.cfg.DemandWindow)
 	share = s.share(now, t)
-	t.bucket.refill(now, share.Rate, s.cfg.Burst)
+	t.refill(now, s.cfg.Burst)
 	ok, retryAfter = t.bucket.take(cost, share.Rate)
 	return ok, retryAfter, share
 }
@@ -139,7 +149,7 @@
 	if !ok {
 		return
 	}
-	t.bucket.refill(now, s.share(now, t).Rate, s.cfg.Burst)
+	t.refill(now, s.cfg.Burst)
 	t.bucket.level -= diff
 }
 
@@ -153,14 +163,12 @@
 }
 
 func (s *Splitter) share(now time.Time, t *team) Share {
-	lent := t.lent(now)
-	borrowed := t.borrowed(now)
 	return Share{
 		Limit:    t.limit,
-		Rate:     max(t.even-lent, 0) + borrowed,
+		Rate:     t.rate(now),
 		Even:     t.even,
-		Lent:     lent,
-		Borrowed: borrowed,
+		Lent:     t.lent(now),
+		Borrowed: t.borrowed(now),
 		Demand:   t.offered.perSecond(now, s.cfg.DemandWindow),
 		Home:     slices.Contains(t.homes, s.cfg.Self),
 	}
