admission: load tests against FIFO, early notice of a stalled service

Change: load tests judged by what callers receive, each with FIFO in the same run; headroom for teams below their share; Stalled as a reason; refused callers are paced at half of the team's rate.

--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -16,6 +16,15 @@
 	orderLead = 8192
 	// maxShortPart is the most of the slots that is kept free of long jobs.
 	maxShortPart = 0.5
+	// headroomPart is the most of the slots that is kept for teams below
+	// their share. It bounds what this may cost in throughput.
+	headroomPart = 1.0 / 30
+	// hotFactor is how many times its rate a hot team asks for. Below it,
+	// chance makes a team look hot, and headroom would stand idle for nothing.
+	hotFactor = 1.5
+	// lightest is the demand, in tokens per second, below which a team counts
+	// as gone. A request of 300 tokens is remembered for half a minute.
+	lightest = 1
 )
 
 // dispatch starts requests while slots are free.
@@ -45,6 +54,9 @@
 	if flow == nil {
 		return nil
 	}
+	if !q.slotFor(flow.Value) {
+		return nil
+	}
 	it := flow.Value.first(longMayRun)
 	if it.Class == Batch && orders != nil && q.flows.Ahead(orders, flow) <= orderLead {
 		return orders.Value.first(longMayRun)
@@ -52,6 +64,18 @@
 	return it
 }
 
+// slotFor tells whether a slot is free that the team may use.
+func (q *Queue) slotFor(t *team) bool {
+	free := q.slots - q.meter.running
+	return free > q.forecast.headroom || (free > 0 && q.belowShare(t))
+}
+
+// startsNow tells whether a new request would be next. Slots are free only
+// while nothing that waits may use them.
+func (q *Queue) startsNow(it *item) bool {
+	return q.slotFor(it.team) && (it.length == short || q.longRun < q.longRoom)
+}
+
 // before returns the one that is to go first; either may be nil.
 func (q *Queue) before(a, b *fairness.Flow[*team]) *fairness.Flow[*team] {
 	if a == nil {
--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -10,8 +10,12 @@
 type forecast struct {
 	at    time.Time
 	drain float64 // of the whole service
-	all   level
-	long  level // of long jobs, through their slots
+	// weight is that of the teams that have asked for work lately.
+	weight float64
+	// headroom is the number of slots kept for teams below their share.
+	headroom int
+	all      level
+	long     level // of long jobs, through their slots
 }
 
 // level is a weighted max-min split of a capacity by demand: each team gets
@@ -81,6 +85,7 @@
 	f := &q.forecast
 	f.at = now
 	f.drain = rate * float64(q.slots)
+	f.headroom = 0
 	q.longRoom = q.slots
 	if f.drain <= 0 {
 		return
@@ -92,6 +97,7 @@
 	}
 	f.all = split(f.drain, q.order, func(t *team) float64 { return t.demand[short] + t.demand[long] })
 	q.longRoom = q.slots - q.shortRoom(rate)
+	f.weight, f.headroom = q.lightTeams(rate)
 	f.long = split(rate*float64(q.longRoom), q.order, func(t *team) float64 { return t.demand[long] })
 }
 
@@ -111,3 +117,38 @@
 	keep := math.Ceil(need + math.Sqrt(need))
 	return int(min(keep, math.Floor(float64(q.slots)*maxShortPart)))
 }
+
+// lightTeams returns the weight of the teams that ask for work, and how many
+// slots to keep for those of them that ask for less than their share: the square
+// root of what these fill, up to headroomPart. Unless a team is hot, none are
+// kept.
+//
+// Without headroom, a hot team holds every slot, and the first request of
+// another waits until one is done. With long answers and few slots that is a
+// good part of a second, which the hot team causes and the other one pays.
+func (q *Queue) lightTeams(rate float64) (weight float64, headroom int) {
+	need := 0.0
+	hot := false
+	for _, t := range q.order {
+		demand := t.demand[short] + t.demand[long]
+		if demand < lightest {
+			continue
+		}
+		weight += t.flow.Weight()
+		if demand <= q.teamRate(t) {
+			need += demand / rate
+		}
+		hot = hot || demand > hotFactor*q.teamRate(t)
+	}
+	if !hot {
+		return weight, 0
+	}
+	keep := math.Ceil(math.Sqrt(need))
+	return weight, int(min(keep, math.Floor(float64(q.slots)*headroomPart)))
+}
+
+// belowShare tells whether the team runs less than its part of the slots.
+func (q *Queue) belowShare(t *team) bool {
+	weight := t.flow.Weight()
+	return float64(t.running)*max(q.forecast.weight, weight) < float64(q.slots)*weight
+}
--- /dev/null
+++ b/decide/admission/load_test.go
@@ -0,0 +1,305 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cicadatack/cicadatack/decide/admission"
+	"github.com/cicadatack/cicadatack/decide/internal/sim"
+)
+
+// One node's part of 40 replicas with 32 requests each, over 8 nodes.
+const (
+	slots    = 160
+	slotRate = 100.0 // tokens per second
+	bound    = slots * slotRate
+	patience = 5 * time.Second
+	// prefill stands for the engine's own time to the first token.
+	prefill = 400 * time.Millisecond
+)
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// calls returns a load that asks for the given part of the bound.
+func calls(team string, part, cost float64) sim.Load {
+	return sim.Load{Team: team, Class: admission.Interactive, Rate: part * bound / cost, Cost: cost, Patience: patience}
+}
+
+func during(l sim.Load, from, to float64) sim.Load {
+	l.From, l.To = seconds(from), seconds(to)
+	return l
+}
+
+func patient(l sim.Load, p time.Duration) sim.Load {
+	l.Patience = p
+	return l
+}
+
+func queue() *admission.Queue { return admission.New(admission.Config{Slots: slots}) }
+func fifo() sim.Policy        { return &sim.FIFO{Slots: slots} }
+func scenario(l ...sim.Load) sim.Scenario {
+	return sim.Scenario{SlotRate: slotRate, Length: 120 * time.Second, Loads: l}
+}
+
+// rush is x times the bound from five teams, a fifth of it in long jobs.
+func rush(x float64) sim.Scenario {
+	var loads []sim.Load
+	for _, team := range []string{"a", "b", "c", "d", "e"} {
+		loads = append(loads, calls(team, x*0.16, 300), patient(calls(team, x*0.04, 3000), 4*patience))
+	}
+	return scenario(loads...)
+}
+
+// refusals returns how many calls were refused and their mean wait for it.
+func refusals(r *sim.Result) (n int, mean time.Duration) {
+	for _, c := range r.Calls {
+		if c.Verdict.Kind == admission.Refuse {
+			n++
+			mean += c.Answered - c.Offered
+		}
+	}
+	return n, mean / time.Duration(max(n, 1))
+}
+
+func count(r *sim.Result, is func(*sim.Call) bool) (n int) {
+	for _, c := range r.Calls {
+		if is(c) {
+			n++
+		}
+	}
+	return n
+}
+
+func atDeadline(c *sim.Call) bool { return c.Verdict.Reason == admission.DeadlinePassed }
+
+func TestOverload(t *testing.T) {
+	// Callers see: most are refused, but those who get through are answered.
+	// Twice or four times the bound comes in. In one FIFO the wait grows past
+	// the patience of all, every start is for someone who has gone, and nothing
+	// useful comes out although all slots are busy.
+	Convey("Goodput stays at the bound whatever is offered", t, func() {
+		from, to := seconds(30), seconds(110)
+		for _, x := range []float64{1, 2, 4} {
+			good := sim.Run(rush(x), queue())
+			base := sim.Run(rush(x), fifo())
+			drop := sim.Run(rush(x), &sim.FIFO{Slots: slots, DropLate: true})
+			n, wait := refusals(good)
+			_, dropWait := refusals(drop)
+			g, b := good.Goodput(slotRate, from, to)/bound, base.Goodput(slotRate, from, to)/bound
+			t.Logf("%gx: goodput/bound queue %.3f, FIFO %.3f, FIFO dropping late %.3f; refused %d of %d after %v (FIFO dropping late %v)",
+				x, g, b, drop.Goodput(slotRate, from, to)/bound, n, len(good.Calls), wait, dropWait)
+			So(g, ShouldBeGreaterThanOrEqualTo, 0.95)
+			if x > 1 {
+				So(b, ShouldBeLessThan, 0.2)
+				So(wait, ShouldBeLessThan, 200*time.Millisecond)
+				So(dropWait, ShouldBeGreaterThan, patience)
+			}
+			So(count(good, func(c *sim.Call) bool { return c.Started > c.Deadline }), ShouldEqual, 0)
+		}
+	})
+}
+
+func TestBurst(t *testing.T) {
+	// Callers see: some of the burst are refused; those who call after it are
+	// served as before. At half load, six times the bound comes in for ten
+	// seconds. A FIFO works the burst off for a minute, for callers who have
+	// gone, and all who call meanwhile wait behind it.
+	Convey("A burst is over when it is over", t, func() {
+		s := scenario(calls("a", 0.5, 300), during(calls("b", 6, 300), 30, 40))
+		good, base := sim.Run(s, queue()), sim.Run(s, fifo())
+		from, to := seconds(47), seconds(100)
+		g, b := good.Served(0, from, to), base.Served(0, from, to)
+		t.Logf("served after the burst: queue %.3f, FIFO %.3f; during it, of the other team: %.3f, %.3f",
+			g, b, good.Served(0, seconds(30), seconds(40)), base.Served(0, seconds(30), seconds(40)))
+		So(g, ShouldEqual, 1)
+		So(b, ShouldBeLessThan, 0.5)
+		So(good.Served(0, seconds(30), seconds(40)), ShouldEqual, 1)
+	})
+}
+
+func TestHotCaller(t *testing.T) {
+	// Callers of a team that asks for little see the same first token whether
+	// or not another team asks for three or ten times the bound. In a FIFO they
+	// wait behind the hot team's thousands and go away unserved.
+	Convey("A hot caller hurts itself", t, func() {
+		from, to := seconds(20), seconds(110)
+		for _, c := range []struct{ part, hot, cost, most float64 }{
+			{0.05, 3, 300, 1.2}, {0.05, 10, 300, 1.2}, {0.05, 3, 1500, 1.2}, {0.05, 10, 1500, 1.2}, {0.1, 3, 300, 1.2}, {0.1, 3, 1500, 1.2}, {0.2, 3, 300, 1.3}, {0.2, 3, 1500, 2},
+		} {
+			alone := sim.Run(scenario(calls("good", c.part, 300)), queue())
+			s := scenario(calls("good", c.part, 300), calls("hot", c.hot, c.cost))
+			beside, base := sim.Run(s, queue()), sim.Run(s, fifo())
+			first := func(r *sim.Result) float64 { return (prefill + sim.P95(r.Waits(0, from, to))).Seconds() }
+			ratio, baseRatio := first(beside)/first(alone), first(base)/first(alone)
+			t.Logf("team of %g beside one of %g (answers of %g): p95 wait %v alone, %v beside; first token %.2fx, FIFO %.1fx; goodput/bound %.3f",
+				c.part, c.hot, c.cost, sim.P95(alone.Waits(0, from, to)), sim.P95(beside.Waits(0, from, to)), ratio, baseRatio, beside.Goodput(slotRate, from, to)/bound)
+			So(ratio, ShouldBeLessThanOrEqualTo, c.most)
+			So(baseRatio, ShouldBeGreaterThan, 5)
+			So(beside.Served(0, from, to), ShouldEqual, 1)
+			So(beside.Goodput(slotRate, from, to)/bound, ShouldBeGreaterThanOrEqualTo, 0.95)
+		}
+	})
+}
+
+func TestShareByWeight(t *testing.T) {
+	// Three teams with weights 1, 2 and 4 ask for more than there is, the
+	// lightest for most; the second declares half of its cost. Without weights
+	// who asks most gets most.
+	Convey("Work served follows the weights", t, func() {
+		second := calls("b", 1, 600)
+		second.Declared = 0.5
+		s := scenario(calls("a", 2, 300), second, calls("c", 1, 1500))
+		s.Length = 300 * time.Second
+		q := queue()
+		for team, weight := range map[string]float64{"a": 1, "b": 2, "c": 4} {
+			q.SetTeam(team, weight)
+		}
+		good, base := sim.Run(s, q), sim.Run(s, &sim.FIFO{Slots: slots, DropLate: true})
+		for i, weight := range []float64{1, 2, 4} {
+			share := func(r *sim.Result) float64 {
+				return r.Goodput(slotRate, seconds(20), seconds(280), i) / bound * 7 / weight
+			}
+			t.Logf("weight %g: work served over share %.3f, FIFO dropping late %.2f", weight, share(good), share(base))
+			So(share(good), ShouldAlmostEqual, 1, 0.05)
+			So(share(base), ShouldNotAlmostEqual, 1, 0.05)
+		}
+	})
+}
+
+func TestLongAmongShort(t *testing.T) {
+	// Callers with short questions see them start at once although the same
+	// team has reports of 80 seconds under way. In a FIFO the reports fill all
+	// slots, and a short question waits until one of them is done.
+	Convey("Long jobs do not hold up short ones, nor starve", t, func() {
+		s := scenario(calls("a", 0.2, 300), patient(calls("a", 1.5, 8000), 60*time.Second))
+		s.Length = 300 * time.Second
+		good, base := sim.Run(s, queue()), sim.Run(s, fifo())
+		from, to := seconds(100), seconds(290)
+		g, b := sim.P95(good.Waits(0, from, to)), sim.P95(base.Waits(0, from, to))
+		long := good.Goodput(slotRate, from, to, 1) / bound
+		t.Logf("p95 wait of short ones: queue %v, FIFO %v; served %.3f, %.3f; long work/bound %.3f, all %.3f",
+			g, b, good.Served(0, from, to), base.Served(0, from, to), long, good.Goodput(slotRate, from, to)/bound)
+		So(g, ShouldBeLessThan, 500*time.Millisecond)
+		So(good.Served(0, from, to), ShouldBeGreaterThan, 0.99)
+		So(base.Served(0, from, to), ShouldBeLessThan, 0.5)
+		So(long, ShouldBeGreaterThan, 0.7)
+	})
+}
+
+func TestCapacityLost(t *testing.T) {
+	// Callers see: a few refusals at once, nobody waits for nothing. At nine
+	// tenths of the bound a third of the slots goes. The queue was right to
+	// admit those who wait, but is now too long; a FIFO keeps them, and from
+	// then on serves only callers who have gone.
+	Convey("A third of the capacity is lost", t, func() {
+		s := scenario(calls("a", 0.5, 300), calls("b", 0.4, 300))
+		s.Capacity = map[time.Duration]int{seconds(50): slots * 2 / 3}
+		good, base := sim.Run(s, queue()), sim.Run(s, fifo())
+		from, to := seconds(60), seconds(110)
+		g, b := good.Goodput(slotRate, from, to)/bound*1.5, base.Goodput(slotRate, from, to)/bound*1.5
+		n, wait := refusals(good)
+		t.Logf("goodput/bound that is left: queue %.3f, FIFO %.3f; refused %d after %v", g, b, n, wait)
+		So(g, ShouldBeGreaterThanOrEqualTo, 0.95)
+		So(b, ShouldBeLessThan, 0.5)
+		So(wait, ShouldBeLessThan, 500*time.Millisecond)
+		So(count(good, atDeadline), ShouldEqual, 0)
+	})
+}
+
+func TestStalledService(t *testing.T) {
+	// Callers see: refusals at once. The endpoints take requests but finish
+	// none any more. The last measured rate still promises everyone a start;
+	// admitted by it, callers would wait until their deadlines for a refusal.
+	Convey("A service that finishes nothing admits nobody", t, func() {
+		s := scenario(calls("a", 0.9, 300))
+		s.Stalled = seconds(40)
+		good, base := sim.Run(s, queue()), sim.Run(s, fifo())
+		n, wait := refusals(good)
+		m, _ := refusals(base)
+		late := count(good, func(c *sim.Call) bool { return c.Offered > seconds(50) && c.Answered > c.Offered })
+		t.Logf("refused %d after %v, FIFO %d; offered ten seconds later and kept waiting: %d", n, wait, m, late)
+		So(count(good, atDeadline), ShouldEqual, 0)
+		So(late, ShouldEqual, 0)
+		So(m, ShouldEqual, 0)
+	})
+}
+
+func TestRetryAfter(t *testing.T) {
+	// Callers who were refused in a rush and come back when told find room.
+	// The baseline tells all to come back in a second: they come back into the
+	// same rush and are refused again.
+	Convey("Those who come back when told are served", t, func() {
+		hot := during(calls("a", 3, 300), 20, 30)
+		hot.Returns = true
+		s := scenario(calls("a", 0.5, 300), hot)
+		again := func(p sim.Policy) float64 {
+			r := sim.Run(s, p)
+			all := count(r, func(c *sim.Call) bool { return c.Again })
+			served := count(r, func(c *sim.Call) bool { return c.Again && c.InTime() })
+			return float64(served) / float64(all)
+		}
+		told, second := again(queue()), again(inASecond{queue()})
+		t.Logf("served on coming back: told %.3f, a second %.3f", told, second)
+		So(told, ShouldBeGreaterThan, 0.8)
+		So(second, ShouldBeLessThan, told/2)
+	})
+}
+
+// inASecond tells all to come back in a second.
+type inASecond struct{ *admission.Queue }
+
+func (p inASecond) Offer(now time.Time, r admission.Request) []admission.Verdict {
+	out := p.Queue.Offer(now, r)
+	for i := range out {
+		out[i].RetryAfter = min(out[i].RetryAfter, time.Second)
+	}
+	return out
+}
+
+func BenchmarkOfferFinish(b *testing.B) {
+	for _, teams := range []int{10, 240} {
+		for _, waiting := range []int{10, 100, 1000, 10000} {
+			b.Run(fmt.Sprintf("teams=%d/waiting=%d", teams, waiting), func(b *testing.B) { benchmark(b, teams, waiting) })
+		}
+	}
+}
+
+func benchmark(b *testing.B, teams, waiting int) {
+	q := queue()
+	names := make([]string, teams)
+	for i := range names {
+		names[i] = fmt.Sprintf("team-%03d", i)
+		q.SetTeam(names[i], 1)
+	}
+	now := sim.Start
+	var running []uint64
+	offer := func(id uint64) {
+		r := admission.Request{ID: id, Team: names[id%uint64(teams)], Class: admission.Interactive, Cost: 300, Deadline: now.Add(time.Hour)}
+		for _, v := range q.Offer(now, r) {
+			running = append(running, v.ID)
+		}
+	}
+	id := uint64(0)
+	for range slots + waiting {
+		offer(id)
+		id++
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		now = now.Add(100 * time.Microsecond)
+		offer(id)
+		id++
+		done := running[0]
+		running = running[1:]
+		for _, v := range q.Finish(now, done, 300) {
+			running = append(running, v.ID)
+		}
+	}
+	if got := q.Stats(now).Waiting; got != waiting {
+		b.Fatalf("%d wait, want %d", got, waiting)
+	}
+}
--- a/decide/admission/rate.go
+++ b/decide/admission/rate.go
@@ -9,14 +9,26 @@
 // answers of a model service, yet forgets a slow spell within half a minute.
 const rateWindow = 10 * time.Second
 
+// firstWindow is the shortest time over which a rate is taken: one request of
+// a team that starts to send is not yet a flood.
+const firstWindow = 2 * time.Second
+
 // decayed is a sum whose parts fade with rateWindow.
 type decayed struct {
-	sum float64
-	at  time.Time
+	sum   float64
+	at    time.Time // of the last change
+	since time.Time // of the first, after all before has faded
 }
 
+// faded is what is left of a token after more than twenty windows.
+const faded = 1e-9
+
 func (d *decayed) add(now time.Time, x float64) {
-	d.sum = d.value(now) + x
+	d.sum = d.value(now)
+	if d.sum < faded {
+		d.since = now
+	}
+	d.sum += x
 	d.at = now
 }
 
@@ -25,12 +37,20 @@
 	if d.sum == 0 || age <= 0 {
 		return d.sum
 	}
-	return d.sum * math.Exp(-age.Seconds()/rateWindow.Seconds())
+	return d.sum * fade(age)
 }
 
-// perSecond returns the sum as a rate.
+// perSecond returns the sum as a rate. A sum that is younger than the window
+// holds less than the window's worth; taken as it is, the first ten seconds of
+// a rush would pass for a quiet time, and too many be admitted.
 func (d *decayed) perSecond(now time.Time) float64 {
-	return d.value(now) / rateWindow.Seconds()
+	age := max(now.Sub(d.since), firstWindow)
+	return d.value(now) / (rateWindow.Seconds() * (1 - fade(age)))
+}
+
+// fade returns what is left of a part after the given time.
+func fade(age time.Duration) float64 {
+	return math.Exp(-age.Seconds() / rateWindow.Seconds())
 }
 
 // meter measures how fast a slot works, as tokens per second of slot time.
@@ -53,10 +73,17 @@
 	base     time.Time
 }
 
-// stallSlack is how many times longer than foreseen the running requests may
-// have taken together before the service counts as stalled. Costs that vary as
-// much as an exponential distribution reach 1.
-const stallSlack = 3
+const (
+	// stallSlack is how many times longer than foreseen the running requests
+	// may have taken together before the service counts as slow. While all
+	// goes well they have on average taken half as long, or as long if their
+	// costs vary as much as an exponential distribution.
+	stallSlack = 1.5
+	// stallSpread over the square root of their number allows for chance.
+	stallSpread = 4
+	// stallFactor is how far beyond that the service counts as stalled.
+	stallFactor = 2
+)
 
 func (m *meter) start(now time.Time, cost float64) {
 	if m.base.IsZero() {
@@ -79,36 +106,45 @@
 
 // learn books a finished request.
 func (m *meter) learn(now time.Time, expected, actual float64, took time.Duration) {
-	fade := 1.0
-	if age := now.Sub(m.at); age > 0 {
-		fade = math.Exp(-age.Seconds() / rateWindow.Seconds())
-	}
+	left := fade(max(now.Sub(m.at), 0))
 	m.at = now
-	m.actual = m.actual*fade + actual
-	m.expected = m.expected*fade + expected
-	m.seconds = m.seconds*fade + took.Seconds()
+	m.actual = m.actual*left + actual
+	m.expected = m.expected*left + expected
+	m.seconds = m.seconds*left + took.Seconds()
 }
 
 // slotRate returns tokens per second of one slot, or zero if unknown.
 //
-// Finished requests say nothing about a service that has stopped finishing
-// them: its callers would be admitted at the old rate and wait until their
-// deadlines. So the time that running requests have already taken bounds the
-// rate; while requests take about as long as foreseen, the bound changes nothing.
+// Finished requests say nothing about a service that has slowed down since: its
+// callers would be admitted at the old rate. So the time that running requests
+// have already taken bounds the rate; while they take about as long as foreseen,
+// the bound changes nothing.
 func (m *meter) slotRate(now time.Time) float64 {
 	rate := m.prior
 	if m.seconds > 0 {
 		rate = m.actual / m.seconds
 	}
+	return rate / max(m.overrun(now, rate), 1)
+}
+
+// stalled tells whether the service has practically stopped finishing requests.
+func (m *meter) stalled(now time.Time) bool {
+	if m.seconds == 0 {
+		return false
+	}
+	return m.overrun(now, m.actual/m.seconds) > stallFactor
+}
+
+// overrun returns the time that the running requests have taken, over the most
+// that is to be expected at the rate.
+func (m *meter) overrun(now time.Time, rate float64) float64 {
 	if m.running == 0 || rate == 0 {
-		return rate
+		return 0
 	}
 	elapsed := int64(m.running)*now.Sub(m.base).Microseconds() - m.startSum
-	if elapsed <= 0 {
-		return rate
-	}
-	seconds := float64(elapsed) / 1e6
-	return min(rate, stallSlack*m.promised*m.bias()/seconds)
+	foreseen := m.promised * m.bias() / rate
+	slack := stallSlack + stallSpread/math.Sqrt(float64(m.running))
+	return float64(elapsed) / 1e6 / (slack * foreseen)
 }
 
 // bias is what a request costs per expected token.
--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -6,11 +6,14 @@
 	// admitPart is the part of the time left that a predicted wait may take.
 	// The rest absorbs the error of the prediction: who is admitted and then
 	// misses the deadline has waited for nothing.
-	admitPart = 0.9
+	admitPart = 0.8
 	// giveUpPart is the part of the time left beyond which a waiting request
 	// is given up. It is above admitPart so that chance alone does not turn
 	// an admission into a refusal.
-	giveUpPart = 1.1
+	giveUpPart = 1.25
+	// returnPart is the part of a team's rate at which those refused are told
+	// to come back. The rest is for those who call meanwhile.
+	returnPart = 0.5
 	// retrySpread spreads the returns of callers refused at the same moment.
 	retrySpread = 0.1
 )
@@ -25,9 +28,13 @@
 		q.refuse(now, it, DeadlinePassed, 0, 0)
 		return false
 	}
-	if q.meter.running < q.slots && q.waiting == 0 {
+	if q.startsNow(it) {
 		return true
 	}
+	if q.meter.stalled(now) {
+		q.refuse(now, it, Stalled, forever, stalledRetry)
+		return false
+	}
 	wait := q.predict(it.team, q.lastPlace(it))
 	late := wait - part(it.deadline.Sub(now), admitPart)
 	if late > 0 {
@@ -107,6 +114,11 @@
 		q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
 		return true
 	}
+	if q.meter.stalled(now) {
+		q.dequeue(it)
+		q.refuse(now, it, Stalled, forever, stalledRetry)
+		return true
+	}
 	wait := q.predict(it.team, p)
 	late := wait - part(left, giveUpPart)
 	if late <= 0 || q.slots == 0 {
@@ -119,7 +131,7 @@
 
 // retryAfter says when a caller who is late by the given time will find room:
 // when the queue has drained by that much and those told to come back before
-// it have been served at the team's share of the drain rate. If all were told
+// it have been served at their part of the team's rate. If all were told
 // the same moment they would come back as one burst and be refused again.
 func (q *Queue) retryAfter(now time.Time, it *item, late time.Duration) time.Duration {
 	if q.forecast.drain <= 0 {
@@ -130,7 +142,7 @@
 	if t.returnsAt.After(at) {
 		at = t.returnsAt
 	}
-	at = at.Add(toDuration(it.Cost / q.teamRate(t)))
+	at = at.Add(toDuration(it.Cost / (returnPart * q.teamRate(t))))
 	if last := now.Add(q.cfg.MaxRetryAfter); at.After(last) {
 		at = last
 	}
--- a/decide/admission/types.go
+++ b/decide/admission/types.go
@@ -78,6 +78,8 @@
 	QueueFull
 	// NoCapacity: the service has no slots.
 	NoCapacity
+	// Stalled: the requests that run take far longer than foreseen.
+	Stalled
 	// TeamRemoved: the team has been taken out of the environment.
 	TeamRemoved
 	// DuplicateID: a request with this ID waits or runs. The verdict concerns
@@ -98,6 +100,8 @@
 		return "queue-full"
 	case NoCapacity:
 		return "no-capacity"
+	case Stalled:
+		return "stalled"
 	case TeamRemoved:
 		return "team-removed"
 	case DuplicateID:
@@ -159,7 +163,7 @@
 	defaultMaxWaiting    = 20000
 	defaultWait          = 30 * time.Second
 	defaultLongCost      = 2048
-	defaultMaxRetryAfter = 30 * time.Second
+	defaultMaxRetryAfter = time.Minute
 
 	// minRetryAfter keeps a refused caller from coming back within the time
 	// that a refusal and a new call take together.
@@ -167,6 +171,9 @@
 	// noCapacityRetry is told while the service has no slots: no drain rate
 	// exists then, and newcomers are seen within about a second.
 	noCapacityRetry = time.Second
+	// stalledRetry is told while the service is stalled: no drain rate exists
+	// then either, and endpoints are replaced within seconds.
+	stalledRetry = 5 * time.Second
 	// sweepInterval is the longest time until a waiting request that will
 	// miss its deadline is noticed.
 	sweepInterval = 100 * time.Millisecond
--- a/decide/internal/sim/service.go
+++ b/decide/internal/sim/service.go
@@ -49,7 +49,7 @@
 	Cost     float64 // actual
 	Verdict  admission.Verdict
 
-	returns bool
+	Again bool // the caller has come back after a refusal
 }
 
 // InTime tells whether the call started while the caller still wanted it.
@@ -92,14 +92,14 @@
 		if declared == 0 {
 			declared = 0.7 + 0.6*r.rng.Float64()
 		}
-		r.At(Start.Add(at), func() { r.offer(index, l, cost, cost*declared, l.Returns) })
+		r.At(Start.Add(at), func() { r.offer(index, l, cost, cost*declared, false) })
 	}
 }
 
-func (r *run) offer(index int, l Load, cost, expected float64, returns bool) {
+func (r *run) offer(index int, l Load, cost, expected float64, again bool) {
 	id := uint64(len(r.calls))
 	deadline := r.Now.Add(l.Patience)
-	r.calls = append(r.calls, &Call{Load: index, Offered: r.Now.Sub(Start), Deadline: deadline.Sub(Start), Cost: cost, returns: returns})
+	r.calls = append(r.calls, &Call{Load: index, Offered: r.Now.Sub(Start), Deadline: deadline.Sub(Start), Cost: cost, Again: again})
 	r.act(r.policy.Offer(r.Now, admission.Request{ID: id, Team: l.Team, Class: l.Class, Cost: expected, Deadline: deadline}))
 	r.tick()
 }
@@ -127,10 +127,10 @@
 
 func (r *run) comeBack(c *Call) {
 	l := r.Loads[c.Load]
-	if !c.returns || c.Verdict.RetryAfter == 0 {
+	if !l.Returns || c.Again || c.Verdict.RetryAfter == 0 {
 		return
 	}
-	r.At(r.Now.Add(c.Verdict.RetryAfter), func() { r.offer(c.Load, l, c.Cost, c.Cost, false) })
+	r.At(r.Now.Add(c.Verdict.RetryAfter), func() { r.offer(c.Load, l, c.Cost, c.Cost, true) })
 }
 
 func (r *run) tick() {
