--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/fairness"
@@ -17,6 +16,15 @@
 	orderLead = 8192
 	// maxShortPart is the most of the slots that is kept free of long jobs.
 	maxShortPart = 0.5
+	// headroomPart is the most of the slots that is kept for teams below
+	// their share. It bounds what this may cost in throughput.
+	headroomPart = 1.0 / 30
+	// hotFactor is how many times its rate a hot team asks for. Below it,
+	// chance makes a team look hot, and headroom would stand idle for nothing.
+	hotFactor = 1.5
+	// lightest is the demand, in tokens per second, below which a team counts
+	// as gone. A request of 300 tokens is remembered for half a minute.
+	lightest = 1
 )
 
 // dispatch starts requests while slots are free.
@@ -46,6 +54,9 @@
 	if flow == nil {
 		return nil
 	}
+	if !q.slotFor(flow.Value) {
+		return nil
+	}
 	it := flow.Value.first(longMayRun)
 	if it.Class == Batch && orders != nil && q.flows.Ahead(orders, flow) <= orderLead {
 		return orders.Value.first(longMayRun)
@@ -53,6 +64,18 @@
 	return it
 }
 
+// slotFor tells whether a slot is free that the team may use.
+func (q *Queue) slotFor(t *team) bool {
+	free := q.slots - q.meter.running
+	return free > q.forecast.headroom || (free > 0 && q.belowShare(t))
+}
+
+// startsNow tells whether a new request would be next. Slots are free only
+// while nothing that waits may use them.
+func (q *Queue) startsNow(it *item) bool {
+	return q.slotFor(it.team) && (it.length == short || q.longRun < q.longRoom)
+}
+
 // before returns the one that is to go first; either may be nil.
 func (q *Queue) before(a, b *fairness.Flow[*team]) *fairness.Flow[*team] {
 	if a == nil {
@@ -72,6 +95,7 @@
 	if it.length == long {
 		q.longRun++
 	}
+	it.team.waiting[it.Class].charge(it, q.cfg.credit())
 	q.flows.Charge(it.team.flow, it.Cost)
 	q.items[it.ID] = it
 	q.out = append(q.out, q.verdict(now, it, Run, SlotFree))
@@ -90,7 +114,7 @@
 }
 
 func (q *Queue) enqueue(it *item) {
-	it.team.waiting[it.Class][it.length].push(it)
+	it.team.waiting[it.Class].push(it)
 	q.waiting++
 	q.waitingWork += it.Cost
 	q.items[it.ID] = it
@@ -99,7 +123,7 @@
 
 func (q *Queue) dequeue(it *item) {
 	t := it.team
-	t.waiting[it.Class][it.length].remove(it)
+	t.waiting[it.Class].lists[it.length].remove(it)
 	q.waiting--
 	q.waitingWork -= it.Cost
 	if q.waiting == 0 {
@@ -122,42 +146,11 @@
 
 func (t *team) laneEmpty(lane int) bool {
 	if lane == laneOrder {
-		return t.waiting[Order][short].head == nil
+		return t.waiting[Order].lists[short].head == nil
 	}
 	l := short
 	if lane == laneLong {
 		l = long
 	}
-	return t.waiting[Interactive][l].head == nil && t.waiting[Batch][l].head == nil
-}
-
-// setLongRoom keeps slots free of long jobs for the short ones that are to be
-// expected: as many as the offered short work fills, and its square root to
-// ride out chance (the square-root rule of staffing).
-//
-// Without room of its own a short job that comes when long ones hold all slots
-// waits for the first of them to end. Each team's short work counts up to its
-// share of the slots only, or a team could push the long jobs of others out by
-// flooding with short ones. Where nobody sends short jobs, nothing is kept.
-func (q *Queue) setLongRoom(now time.Time) {
-	rate := q.slotRate(now)
-	if rate <= 0 {
-		q.longRoom = q.slots
-		return
-	}
-	weight := 0.0
-	for _, t := range q.order {
-		if !t.idle() || t.shortWork.perSecond(now) > 0 {
-			weight += t.flow.Weight()
-		}
-	}
-	need := 0.0
-	for _, t := range q.order {
-		offered := t.shortWork.perSecond(now) / rate
-		fair := float64(q.slots) * t.flow.Weight() / max(weight, t.flow.Weight())
-		need += min(offered, fair)
-	}
-	keep := math.Ceil(need + math.Sqrt(need))
-	keep = min(keep, math.Floor(float64(q.slots)*maxShortPart))
-	q.longRoom = q.slots - int(keep)
+	return t.waiting[Interactive].lists[l].head == nil && t.waiting[Batch].lists[l].head == nil
 }
