Stream runner: failures of a chain partway, check at use, cancels, KV import

Each failure of a chain now has a test that judges the caller's bytes: killed, frozen, cut and slow stages, skipped and repeated layers, wrong stream and position, late tokens, engines that hold other layers or ignore a cancel, and 10,000 callers who leave. The wait for a token follows the measured gap; a frozen stage before the first token is found by asking it, because prefill and queueing take a time that nobody knows. A resumption imports KV cache when that was measured to be quicker.

--- a/route/stream/fleet_test.go
+++ b/route/stream/fleet_test.go
@@ -43,7 +43,6 @@
 		})
 	}
 	f.runner = New(f.client, f, options)
-	t.Cleanup(f.stop)
 	return f
 }
 
@@ -134,3 +133,22 @@
 	})
 	return answer.String(), summary, err
 }
+
+// waitIdle fails the test unless every stage's slots come free.
+func (f *fleet) waitIdle() {
+	for _, chain := range f.chains {
+		f.waitIdleStage(chain[0])
+		f.waitIdleStage(chain[1])
+	}
+}
+
+func (f *fleet) waitIdleStage(srv *standin.Server) {
+	deadline := time.Now().Add(5 * time.Second)
+	for srv.Engine.Running() > 0 {
+		if time.Now().After(deadline) {
+			f.t.Error(srv.Address, "still holds", srv.Engine.Running(), "slots")
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/route/stream/holding.go
+++ b/route/stream/holding.go
@@ -41,6 +41,7 @@
 
 // holdingReport is an engine's answer, or one that is being waited for.
 type holdingReport struct {
+	asked   time.Time
 	ready   chan struct{} // closed when the fields below are set
 	holding engineapi.Holding
 	err     error
@@ -56,14 +57,15 @@
 	}
 }
 
-// verify returns nil if every stage of chain holds what the plan says.
-func (h *holdingCheck) verify(ctx context.Context, model string, layers int, chain Chain) error {
+// verify returns nil if every stage of chain holds what the plan says, by
+// reports that were asked for after since.
+func (h *holdingCheck) verify(ctx context.Context, model string, layers int, chain Chain, since time.Time) error {
 	if !covers(chain.Stages, layers) {
 		return errBadChain
 	}
 	reports := make([]*holdingReport, len(chain.Stages))
 	for i, stage := range chain.Stages {
-		reports[i] = h.report(stage.Address, wanted(model, stage, chain.PlacementVersion))
+		reports[i] = h.report(stage.Address, wanted(model, stage, chain.PlacementVersion), since)
 	}
 	for i, report := range reports {
 		want := wanted(model, chain.Stages[i], chain.PlacementVersion)
@@ -108,23 +110,27 @@
 
 // report returns the report to go by. All streams that need a new one share
 // the one call.
-func (h *holdingCheck) report(address string, want engineapi.Holding) *holdingReport {
+func (h *holdingCheck) report(address string, want engineapi.Holding, since time.Time) *holdingReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r, ok := h.reports[address]; ok && r.usable(want, h.ttl) {
+	if r, ok := h.reports[address]; ok && r.usable(want, h.ttl, since) {
 		return r
 	}
 	if len(h.reports) >= maxHoldings {
 		clear(h.reports)
 	}
-	r := &holdingReport{ready: make(chan struct{})}
+	r := &holdingReport{ready: make(chan struct{}), asked: time.Now()}
 	h.reports[address] = r
 	go h.ask(address, r)
 	return r
 }
 
-// usable reports whether a report is underway or still fresh.
-func (r *holdingReport) usable(want engineapi.Holding, ttl time.Duration) bool {
+// usable reports whether a report is underway or still fresh, and was asked
+// for after since.
+func (r *holdingReport) usable(want engineapi.Holding, ttl time.Duration, since time.Time) bool {
+	if r.asked.Before(since) {
+		return false
+	}
 	select {
 	case <-r.ready:
 	default:
--- a/route/stream/runner.go
+++ b/route/stream/runner.go
@@ -89,6 +89,7 @@
 	lastToken time.Time // last token delivered, or start of the epoch
 	failedAt  time.Time // when the last epoch was given up, zero if none
 	handle    string    // exported KV cache for the next epoch
+	exporting time.Duration
 	summary   Summary
 }
 
@@ -110,6 +111,7 @@
 			return ErrDeadline
 		}
 		a.exclude = append(a.exclude, chain.Replica)
+		a.prepareResume(ctx, chain, result)
 	}
 	return errors.Join(ErrAttempts, a.summary.Last.Err)
 }
@@ -172,7 +174,7 @@
 const maxStray = 64
 
 func (e *epoch) run(ctx context.Context) {
-	if err := e.a.r.holdings.verify(ctx, e.a.req.Chat.Model, e.a.req.Layers, e.chain); err != nil {
+	if err := e.verify(ctx, time.Time{}); err != nil {
 		e.end(EndMismatch, err)
 		e.callerFirst(ctx)
 		return
@@ -183,7 +185,9 @@
 	e.dog = newWatchdog(cancel)
 	defer e.dog.disarm()
 	e.sent = time.Now()
-	e.dog.arm(e.a.req.FirstTokenTimeout)
+	e.dog.armFirst(e.a.r.options.StallFloor, e.a.req.FirstTokenTimeout, func(since time.Time) bool {
+		return e.verify(epochCtx, since) == nil
+	})
 	stream, err := e.a.r.client.Open(epochCtx, e.chain.Stages[0].Address, e.chat())
 	if err != nil {
 		e.openFailed(ctx, err)
@@ -194,6 +198,11 @@
 	}
 }
 
+// verify is the check at use, by reports no older than since.
+func (e *epoch) verify(ctx context.Context, since time.Time) error {
+	return e.a.r.holdings.verify(ctx, e.a.req.Chat.Model, e.a.req.Layers, e.chain, since)
+}
+
 // chat is the request for this epoch: it resumes after the last token delivered.
 func (e *epoch) chat() engineapi.ChatRequest {
 	chat := e.a.req.Chat
@@ -332,7 +341,7 @@
 		return
 	}
 	e.result.FirstToken = time.Since(e.sent)
-	e.a.r.resumes.learn(e.a.handle != "", e.a.contextTokens(), e.result.FirstToken)
+	e.a.r.resumes.learn(e.a.handle != "", e.a.contextTokens(), e.result.FirstToken+e.a.exporting)
 	if !e.gap.known {
 		// The first token's own time is all there is to go by; prefill makes
 		// it longer than those that follow, which errs to the safe side.
@@ -360,7 +369,9 @@
 	if a.failedAt.IsZero() {
 		return
 	}
-	a.summary.Recoveries[len(a.summary.Recoveries)-1].Resume = now.Sub(a.failedAt)
+	last := &a.summary.Recoveries[len(a.summary.Recoveries)-1]
+	last.Resume = now.Sub(a.failedAt)
+	last.Imported = a.handle != ""
 	a.failedAt = time.Time{}
 }
 
@@ -393,7 +404,9 @@
 	if e.result.End == EndDone {
 		return
 	}
-	e.a.noteFailure(e.result)
+	if e.result.End != EndCallerGone && e.result.End != EndDeadline {
+		e.a.noteFailure(e.result)
+	}
 	if e.result.NotRun {
 		return
 	}
--- a/route/stream/runner_test.go
+++ b/route/stream/runner_test.go
@@ -2,40 +2,350 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/platform/engineapi"
 	standin "github.com/cicadatack/cicadatack/standin/engine"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
 var quick = standin.Config{Step: time.Millisecond, Slots: 256}
 
-func TestUndisturbed(t *testing.T) {
-	f := newFleet(t, 1, quick, Options{})
-	Convey("A healthy chain gives the whole answer in one epoch", t, func() {
-		req := request("calm")
+// failAt is the position before which a chain is made to fail.
+const failAt = 5
+
+func faulty(stage int, faults standin.Faults) func(*fleet) {
+	return func(f *fleet) { f.chains[0][stage].Engine.SetFaults(faults) }
+}
+
+func layer(n int) *int { return &n }
+
+// The caller sees one whole answer, byte for byte the undisturbed one. The
+// first chain is made to fail when token 5 is delivered; the runner notices by
+// the connection, by the wait for a token or by the check, and resumes on the
+// second chain after the last token delivered. A token that was delivered
+// twice, left out or made by the wrong layers would change the bytes.
+func TestChainFailsPartway(t *testing.T) {
+	cases := []struct {
+		name   string
+		fail   func(*fleet)
+		end    End
+		reason Reason
+	}{
+		{"first stage killed", func(f *fleet) { f.chains[0][0].Kill() }, EndCut, Accepted},
+		{"second stage killed", func(f *fleet) { f.chains[0][1].Kill() }, EndCut, Accepted},
+		{"first stage frozen", faulty(0, standin.Faults{Freeze: true}), EndStalled, Accepted},
+		{"second stage frozen", faulty(1, standin.Faults{Freeze: true}), EndStalled, Accepted},
+		{"node cut off", func(f *fleet) { f.chains[0][0].CutConnections() }, EndCut, Accepted},
+		{"link between stages lost", faulty(0, standin.Faults{CutNext: true}), EndStalled, Accepted},
+		{"second stage slow", faulty(1, standin.Faults{Slow: 5000}), EndStalled, Accepted},
+		{"skipped layer", faulty(1, standin.Faults{SkipLayer: layer(6)}), EndRejected, SkippedLayer},
+		{"last layer skipped", faulty(1, standin.Faults{SkipLayer: layer(7)}), EndRejected, SkippedLayer},
+		{"repeated layer", faulty(0, standin.Faults{RepeatLayer: layer(2)}), EndRejected, RepeatedLayer},
+		{"wrong stream", faulty(0, standin.Faults{WrongStream: true}), EndRejected, WrongPosition},
+		{"wrong position", faulty(0, standin.Faults{WrongPosition: true}), EndRejected, WrongPosition},
+		{"marker before the end", faulty(0, standin.Faults{EarlyDone: failAt + 2}), EndCut, Accepted},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			f := newFleet(t, 2, quick, Options{})
+			defer f.stop()
+			req := request(c.name)
+			answer, summary, err := f.collect(context.Background(), req, func(position int) {
+				if position == failAt {
+					c.fail(f)
+				}
+			})
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, undisturbed(req))
+			So(summary.Outcome, ShouldEqual, OutcomeDone)
+			So(summary.Epochs, ShouldEqual, 2)
+			So(summary.Recoveries[0].From, ShouldEqual, c.end)
+			So(summary.Recoveries[0].Reason, ShouldEqual, c.reason)
+		})
+	}
+}
+
+// The caller sees the undisturbed answer. The first chain dies at token 5; the
+// engine of the second mixes tokens of the old epoch into the new one's, at
+// the position that is due. Only the epoch tells them from the true ones.
+func TestLateTokensOfAnOldEpoch(t *testing.T) {
+	Convey("Late tokens are dropped and counted", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		f.chains[1][0].Engine.SetFaults(standin.Faults{LateTokens: 2})
+		req := request("late")
+		answer, summary, err := f.collect(context.Background(), req, func(position int) {
+			if position == failAt {
+				f.chains[0][1].Kill()
+			}
+		})
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(summary.Stray, ShouldBeGreaterThanOrEqualTo, 2*(testTokens-failAt-1))
+		So(f.runner.Stray(), ShouldEqual, summary.Stray)
+	})
+}
+
+// The caller sees the undisturbed answer. An engine that ignores fencing
+// numbers has taken an old order and holds other layers than the plan says.
+// Asked before work is sent it says so, and its chain does no step.
+func TestEngineHoldsOtherLayers(t *testing.T) {
+	old := engineapi.Order{Model: testModel, First: 0, Last: testLayers/2 - 1, PlacementVersion: 0}
+	Convey("Before the first use the report is found not to match", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		So(f.chains[0][1].Engine.Order(old), ShouldBeNil)
+		req := request("holding")
+		answer, summary, err := f.collect(context.Background(), req, nil)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(f.ended[0].End, ShouldEqual, EndMismatch)
+		So(f.ended[0].NotRun, ShouldBeTrue)
+		So(f.chains[0][0].Engine.Stats().Steps, ShouldEqual, 0)
+		So(summary.Epochs, ShouldEqual, 2)
+	})
+	Convey("Within the time that a report is trusted the spans show it", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		_, _, err := f.collect(context.Background(), request("before"), nil)
+		So(err, ShouldBeNil)
+		So(f.chains[0][1].Engine.Order(old), ShouldBeNil)
+		req := request("after")
+		answer, summary, err := f.collect(context.Background(), req, nil)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(summary.Recoveries[0].Reason, ShouldEqual, RepeatedLayer)
+	})
+	Convey("A new placement version is checked at once", t, func() {
+		f := newFleet(t, 1, quick, Options{})
+		defer f.stop()
+		_, _, err := f.collect(context.Background(), request("before"), nil)
+		So(err, ShouldBeNil)
+		newer := f.chain(0)
+		newer.PlacementVersion = 2
+		err = f.runner.holdings.verify(context.Background(), testModel, testLayers, newer, time.Time{})
+		So(errors.Is(err, errMismatch), ShouldBeTrue)
+	})
+}
+
+// The caller sees an answer, late but whole: a stage that is frozen before the
+// first token is not told from a long prefill by waiting, so it is asked.
+func TestFrozenBeforeFirstToken(t *testing.T) {
+	Convey("A frozen stage is found long before the first token's time is up", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		_, _, err := f.collect(context.Background(), request("before"), nil)
+		So(err, ShouldBeNil)
+		f.chains[0][1].Engine.SetFaults(standin.Faults{Freeze: true})
+		req := request("frozen")
+		answer, summary, err := f.collect(context.Background(), req, nil)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(summary.Recoveries[0].From, ShouldEqual, EndNoFirstToken)
+		So(summary.Recoveries[0].Detection, ShouldBeLessThan, DefaultFirstTokenTimeout/2)
+	})
+	Convey("A long prefill is waited for", t, func() {
+		slow := quick
+		slow.PrefillToken = 400 * time.Millisecond
+		f := newFleet(t, 1, slow, Options{})
+		defer f.stop()
+		req := request("prefill")
+		answer, summary, err := f.collect(context.Background(), req, nil)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(summary.FirstToken, ShouldBeGreaterThan, 2*DefaultStallFloor)
+	})
+}
+
+// The caller is not cut off for using a slow accelerator: its steady gap is
+// longer than the floor, and the wait follows what is measured.
+func TestSlowAcceleratorIsNotCut(t *testing.T) {
+	Convey("A steady gap above the floor is no stall", t, func() {
+		f := newFleet(t, 1, standin.Config{Step: 30 * time.Millisecond}, Options{StallFloor: 20 * time.Millisecond})
+		defer f.stop()
+		req := request("slow")
 		answer, summary, err := f.collect(context.Background(), req, nil)
 		So(err, ShouldBeNil)
 		So(answer, ShouldEqual, undisturbed(req))
-		So(summary.Outcome, ShouldEqual, OutcomeDone)
 		So(summary.Epochs, ShouldEqual, 1)
-		So(f.ended[0].Hops, ShouldHaveLength, 2)
 	})
 }
 
-func TestKilledStage(t *testing.T) {
-	f := newFleet(t, 2, quick, Options{})
-	Convey("A killed second stage is survived", t, func() {
-		req := request("killed")
-		answer, summary, err := f.collect(context.Background(), req, func(p int) {
-			if p == 5 {
-				f.chains[0][1].Kill()
+// The caller is told what became of the request. All chains die: before the
+// send nothing can have run, partway some of it has.
+func TestAllChainsDead(t *testing.T) {
+	kill := func(f *fleet) {
+		for _, chain := range f.chains {
+			chain[0].Kill()
+			chain[1].Kill()
+		}
+	}
+	Convey("Dead before the send: not run", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		kill(f)
+		answer, summary, err := f.collect(context.Background(), request("dead"), nil)
+		So(errors.Is(err, ErrNoChain), ShouldBeTrue)
+		So(summary.Outcome, ShouldEqual, OutcomeNotRun)
+		So(answer, ShouldBeEmpty)
+	})
+	Convey("Dead after the check at use: refused connections prove not run", t, func() {
+		f := newFleet(t, 1, quick, Options{})
+		defer f.stop()
+		_, _, err := f.collect(context.Background(), request("before"), nil)
+		So(err, ShouldBeNil)
+		kill(f)
+		_, summary, err := f.collect(context.Background(), request("dead"), nil)
+		So(err, ShouldNotBeNil)
+		So(summary.Outcome, ShouldEqual, OutcomeNotRun)
+		So(summary.Last.End, ShouldEqual, EndUnreachable)
+	})
+	Convey("Dead partway: unknown, and what came is a prefix of the answer", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		req := request("partway")
+		answer, summary, err := f.collect(context.Background(), req, func(position int) {
+			if position == failAt {
+				kill(f)
+			}
+		})
+		So(err, ShouldNotBeNil)
+		So(summary.Outcome, ShouldEqual, OutcomeUnknown)
+		So(undisturbed(req), ShouldStartWith, answer)
+	})
+}
+
+// The caller of a full chain is served by another one. The full engine refuses
+// before any work, so its part is known not to have run.
+func TestRefusals(t *testing.T) {
+	Convey("Full and draining chains refuse; what is underway on them finishes", t, func() {
+		f := newFleet(t, 2, standin.Config{Step: time.Millisecond, Slots: 1}, Options{})
+		defer f.stop()
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		underway := request("underway")
+		underway.Chat.MaxTokens = 400 // more than the engine runs ahead of the caller
+		var answer string
+		var summary, other Summary
+		var err, otherErr error
+		wg.Go(func() {
+			answer, summary, err = f.collect(context.Background(), underway, func(position int) {
+				if position == failAt {
+					_, other, otherErr = f.collect(context.Background(), request("other"), nil)
+					f.chains[0][0].Engine.SetFaults(standin.Faults{Drain: true})
+				}
+			})
+		})
+		wg.Wait()
+		So(otherErr, ShouldBeNil)
+		So(other.Epochs, ShouldEqual, 2)
+		So(f.ended[0].Status, ShouldEqual, http.StatusTooManyRequests)
+		So(f.ended[0].NotRun, ShouldBeTrue)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(underway))
+		So(summary.Epochs, ShouldEqual, 1)
+		So(summary.Last.Load.Draining, ShouldBeTrue)
+		_, late, err := f.collect(context.Background(), request("late"), nil)
+		So(err, ShouldBeNil)
+		So(late.Recoveries[0].From, ShouldEqual, EndRefused)
+	})
+}
+
+// The caller has asked for an answer by a time; it passes while tokens come.
+func TestDeadline(t *testing.T) {
+	Convey("The deadline ends the answer and frees the chain", t, func() {
+		f := newFleet(t, 1, quick, Options{})
+		defer f.stop()
+		req := request("deadline")
+		req.Chat.MaxTokens = 100_000
+		req.Deadline = time.Now().Add(100 * time.Millisecond)
+		_, summary, err := f.collect(context.Background(), req, nil)
+		So(errors.Is(err, ErrDeadline), ShouldBeTrue)
+		So(summary.Outcome, ShouldEqual, OutcomeUnknown)
+		f.waitIdle()
+	})
+}
+
+// The caller leaves while tokens come. Every stage is told, and gives its slot
+// back; nothing of 10,000 such streams is left, neither slots nor goroutines.
+func TestCallersLeave(t *testing.T) {
+	const streams, atOnce = 10_000, 64
+	Convey("10,000 cancelled streams leave nothing behind", t, func() {
+		f := newFleet(t, 1, standin.Config{Slots: 2 * atOnce, Queue: streams}, Options{})
+		defer f.stop()
+		var wg sync.WaitGroup
+		places := make(chan struct{}, atOnce)
+		for i := range streams {
+			places <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-places }()
+				f.leave(fmt.Sprint("leaver-", i), i%3)
+			})
+		}
+		wg.Wait()
+		f.waitIdle()
+		for _, srv := range f.chains[0] {
+			stats := srv.Engine.Stats()
+			So(stats.Opened, ShouldEqual, stats.Ended)
+		}
+		So(f.runner.cancels.dropped, ShouldEqual, 0)
+	})
+}
+
+// The caller leaves while the first stage is frozen. That stage tells nobody,
+// and the connection that closes tells only that stage.
+func TestCallerLeavesFrozenStage(t *testing.T) {
+	Convey("The later stage is told by the node itself", t, func() {
+		f := newFleet(t, 1, quick, Options{})
+		defer f.stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		_, summary, err := f.collect(ctx, request("frozen"), func(position int) {
+			if position == failAt {
+				f.chains[0][0].Engine.SetFaults(standin.Faults{Freeze: true})
+				cancel()
+			}
+		})
+		So(errors.Is(err, ErrCallerGone), ShouldBeTrue)
+		So(summary.Outcome, ShouldEqual, OutcomeUnknown)
+		f.waitIdleStage(f.chains[0][1])
+	})
+}
+
+// The caller sees the undisturbed answer although the first chain works on
+// after its epoch was cancelled: its connection is closed, and its epoch old.
+func TestEngineIgnoresCancel(t *testing.T) {
+	Convey("A chain that ignores the cancel disturbs nothing", t, func() {
+		f := newFleet(t, 2, quick, Options{StallFloor: 30 * time.Millisecond})
+		defer f.stop()
+		req := request("ignores")
+		answer, summary, err := f.collect(context.Background(), req, func(position int) {
+			if position == failAt {
+				f.chains[0][0].Engine.SetFaults(standin.Faults{IgnoreCancel: true, SlowPerToken: 200 * time.Millisecond})
 			}
 		})
 		So(err, ShouldBeNil)
 		So(answer, ShouldEqual, undisturbed(req))
-		So(summary.Outcome, ShouldEqual, OutcomeDone)
-		t.Logf("%+v", summary)
+		So(summary.Epochs, ShouldEqual, 2)
+	})
+}
+
+// leave runs a stream whose caller leaves when it is given token at.
+func (f *fleet) leave(stream string, at int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, _, err := f.collect(ctx, request(stream), func(position int) {
+		if position == at {
+			cancel()
+		}
 	})
+	if !errors.Is(err, ErrCallerGone) {
+		f.t.Error(stream, "should have ended with its caller gone:", err)
+	}
 }
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -123,11 +123,14 @@
 	writeJSON(w, http.StatusOK, events)
 }
 
-// DropCache forgets every cached prefix, as an engine that restarts does. It
-// publishes no events: a router that trusts its view now trusts too much.
+// DropCache forgets every cached prefix and exported cache, as an engine that
+// restarts does. It publishes no events: a router that trusts its view now
+// trusts too much.
 func (e *Engine) DropCache() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cache.order.Init()
 	clear(e.cache.blocks)
+	clear(e.table.retained)
+	clear(e.exports)
 }
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -89,8 +89,7 @@
 			return err
 		}
 		if early := a.e.Faults().EarlyDone; early > 0 && position+1 >= early {
-			position++
-			break
+			return a.marker()
 		}
 	}
 	return a.end(position)
@@ -160,6 +159,10 @@
 	if err := a.send("", trace, &reason); err != nil {
 		return err
 	}
+	return a.marker()
+}
+
+func (a *answer) marker() error {
 	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", engineapi.DoneMarker); err != nil {
 		return err
 	}
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -29,7 +29,8 @@
 	IgnoreCancel bool `json:"ignore_cancel,omitempty"`
 	// CutNext loses every call to the next stage: no answer, no error.
 	CutNext bool `json:"cut_next,omitempty"`
-	// EarlyDone ends an answer after this many tokens as if it were whole.
+	// EarlyDone ends an answer after this many tokens with the marker that
+	// closes a stream, but without the event that closes the answer.
 	EarlyDone int `json:"early_done,omitempty"`
 	// Drain reports draining and refuses new streams; those underway finish.
 	Drain bool `json:"drain,omitempty"`
--- a/standin/engine/kv.go
+++ b/standin/engine/kv.go
@@ -58,11 +58,12 @@
 	}, nil
 }
 
-// newest returns the session of a stream's last epoch. The caller holds mu.
+// newest returns the session of a stream's last epoch, or the one that ended
+// last. The caller holds mu.
 func (e *Engine) newest(stream string) *session {
 	epoch, ok := e.table.newest[stream]
 	if !ok {
-		return nil
+		return e.table.retained[stream]
 	}
 	return e.table.sessions[sessionKey{stream, epoch}]
 }
--- a/standin/engine/session.go
+++ b/standin/engine/session.go
@@ -50,13 +50,19 @@
 	newest    map[string]uint32
 	cancelled map[string]uint32
 	oldest    []string // order in which streams were cancelled
+	// retained are ended sessions whose KV cache is still there.
+	retained map[string]*session
 }
 
+// maxRetained bounds the ended sessions whose KV cache an engine keeps.
+const maxRetained = 1024
+
 func newSessionTable() sessionTable {
 	return sessionTable{
 		sessions:  map[sessionKey]*session{},
 		newest:    map[string]uint32{},
 		cancelled: map[string]uint32{},
+		retained:  map[string]*session{},
 	}
 }
 
@@ -95,6 +101,10 @@
 	if t.newest[s.stream] == s.epoch {
 		delete(t.newest, s.stream)
 	}
+	if len(t.retained) >= maxRetained {
+		clear(t.retained)
+	}
+	t.retained[s.stream] = s
 	return true
 }
 
