--- /dev/null
+++ b/proof/harness/node.go
@@ -0,0 +1,108 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/settings"
+	"github.com/cicadatack/cicadatack/platform/store"
+)
+
+// StartListedNode starts node i against a store and puts it on the platform's
+// list of entry VMs.
+func StartListedNode(bin, dir, storeAddress string, i int) (*Process, error) {
+	name := fmt.Sprintf("entry-%d", i+1)
+	domain := domains[i%len(domains)]
+	path := filepath.Join(dir, name+".json")
+	text, err := json.MarshalIndent(settings.Settings{
+		Name:          name,
+		Environment:   Environment,
+		FailureDomain: domain,
+		Callers:       settings.Listener{Listen: "127.0.0.1:0"},
+		Peers:         settings.Listener{Listen: "127.0.0.1:0"},
+		Operators:     settings.Listener{Listen: "127.0.0.1:0"},
+		Store:         settings.Store{Address: storeAddress},
+	}, "", "  ")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p, err := StartNode(bin, name, path)
+	if err != nil {
+		return nil, err
+	}
+	return p, listVM(storeAddress, name, p.Addresses.Peers, domain)
+}
+
+// listVM puts an entry VM on the platform's list.
+func listVM(storeAddress, name, address, domain string) error {
+	value, err := json.Marshal(map[string]string{"name": name, "address": address, "failure_domain": domain, "state": "live"})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	client, err := store.New(store.Config{Address: storeAddress})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	key := "/platform/vms/entry/" + name
+	old, err := client.Get(ctx, key)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = client.CompareAndSwap(ctx, key, old.Revision, value)
+	return Error.Wrap(err)
+}
+
+// Ctl runs the operators' command and returns its output.
+func Ctl(bin, storeAddress string, args ...string) (string, error) {
+	all := append([]string{"--store", storeAddress, "--environment", Environment, "--operator", "siti"}, args...)
+	out, err := exec.Command(filepath.Join(bin, "cicadactl"), all...).CombinedOutput()
+	if err != nil {
+		return string(out), Error.New("cicadactl %v: %v: %s", args, err, out)
+	}
+	return string(out), nil
+}
+
+// statusPause is between two questions for a node's state. Nothing pushes that
+// state, so it has to be asked for; the wait ends with the state, not the time.
+const statusPause = 20 * time.Millisecond
+
+// WaitStatus waits until a node's state fits.
+func WaitStatus(ctx context.Context, node *Process, fits func(server.Status) bool) (server.Status, error) {
+	for {
+		status, err := nodeStatus(ctx, node)
+		if err == nil && fits(status) {
+			return status, nil
+		}
+		select {
+		case <-ctx.Done():
+			return status, Error.New("%s: the state did not come about: %+v", node.Name, status)
+		case <-time.After(statusPause):
+		}
+	}
+}
+
+func nodeStatus(ctx context.Context, node *Process) (server.Status, error) {
+	var status server.Status
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Addresses.Operators+"/v1/status", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
