--- a/proof/harness/process.go
+++ b/proof/harness/process.go
@@ -201,3 +201,13 @@
 		}
 	}
 }
+
+// Ended says whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/proof/matrix/order_test.go
@@ -0,0 +1,116 @@
+package matrix
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/proof/harness"
+	"github.com/cicadatack/cicadatack/proof/rig"
+	"github.com/cicadatack/cicadatack/route/outcome"
+)
+
+const (
+	orderKey  = "site-7-tuesday"
+	orderBody = `{"feed":"4mm","kg":800}`
+	txn       = "/v3/kv/txn"
+	// asksAfter bounds how often a caller comes back, and comeBack is the pause
+	// between: a caller that is told to come back does so.
+	asksAfter = 40
+	comeBack  = 250 * time.Millisecond
+)
+
+// onLedger arms a trap on the ledger's writes.
+func onLedger(trap rig.Trap) func(*cell, func()) {
+	return func(c *cell, spring func()) {
+		trap := trap
+		trap.Path = txn
+		trap.Body = rig.Key("/cicadatack/" + harness.Environment + "/ledger/")
+		trap.Spring = spring
+		c.Store.Set(&trap)
+	}
+}
+
+// onPlains arms a trap on every instance of the plain service.
+func onPlains(trap rig.Trap) func(*cell, func()) {
+	return func(c *cell, spring func()) {
+		for i := range c.Plains {
+			t := trap
+			t.Path = "/orders"
+			t.Spring = func() {
+				c.plain = i
+				spring()
+			}
+			c.Plains[i].Set(&t)
+		}
+	}
+}
+
+var orderSteps = []step{
+	{"claim asked", onLedger(rig.Trap{When: rig.Before})},
+	{"claim written", onLedger(rig.Trap{When: rig.After})},
+	{"order arrives", onPlains(rig.Trap{When: rig.Before})},
+	{"order placed", onPlains(rig.Trap{When: rig.After})},
+	{"result asked", onLedger(rig.Trap{When: rig.Before, Skip: 1})},
+	{"result written", onLedger(rig.Trap{When: rig.After, Skip: 1})},
+}
+
+// A caller places an order at the first node while a fault strikes at a step,
+// then asks again under the same key at the second node until told that the
+// order is done or that it is unknown and will not be sent again. However often
+// it asks, the order arrives at most once; once if any answer says done; not at
+// all while every answer says not run.
+func TestOrder(t *testing.T) {
+	faults := joined(nodeFaults, plainFaults, pairs, plainPairs)
+	eachCell(t, "order", orderSteps, faults, func(c *cell, f fault) {
+		said := []outcome.Outcome{c.ask(0)}
+		c.sprang()
+		c.Heal()
+		for range asksAfter {
+			said = append(said, c.ask(1))
+			if last := said[len(said)-1]; last == outcome.Done || last == outcome.Unknown {
+				break
+			}
+			time.Sleep(comeBack)
+		}
+		c.judgeOrder(said)
+		c.nodesSane(f)
+	})
+}
+
+// ask places the order at a node. A connection that breaks tells the caller
+// nothing.
+func (c *cell) ask(node int) outcome.Outcome {
+	reply, err := c.Caller.Order(c.ctx, c.node(node), orderKey, orderBody)
+	if err != nil {
+		return outcome.Unknown + " (connection broke)"
+	}
+	if reply.Outcome == outcome.Done && reply.Status != http.StatusCreated {
+		c.t.Errorf("done with status %d: %s", reply.Status, reply.Body)
+	}
+	return reply.Outcome
+}
+
+// askSecondNode asks the second node while the first one is at work.
+func (c *cell) askSecondNode() {
+	go func() { _, _ = c.Caller.Order(c.ctx, c.node(1), orderKey, orderBody) }()
+}
+
+func (c *cell) judgeOrder(said []outcome.Outcome) {
+	arrived := len(c.Orders())
+	done, onlyNotRun := false, true
+	for _, o := range said {
+		done = done || o == outcome.Done
+		onlyNotRun = onlyNotRun && o == outcome.NotRun
+	}
+	switch last := said[len(said)-1]; {
+	case arrived > 1:
+		c.t.Errorf("the order arrived %d times; the caller was told %q", arrived, said)
+	case done && arrived != 1:
+		c.t.Errorf("the caller was told %q, the order arrived %d times", said, arrived)
+	case onlyNotRun && arrived != 0:
+		c.t.Errorf("the caller was told only not-run, the order arrived %d times", arrived)
+	case last != outcome.Done && last != outcome.Unknown:
+		c.t.Errorf("the caller was never told what became of it: %q", said)
+	}
+}
--- /dev/null
+++ b/proof/matrix/promotion_test.go
@@ -0,0 +1,111 @@
+package matrix
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/proof/harness"
+	"github.com/cicadatack/cicadatack/proof/rig"
+	"github.com/cicadatack/cicadatack/standin/storefake"
+)
+
+// onKey arms a trap on the writes of one of the environment's keys.
+func onKey(name string, trap rig.Trap) func(*cell, func()) {
+	return func(c *cell, spring func()) {
+		trap := trap
+		trap.Path = txn
+		trap.Body = rig.Key("/cicadatack/" + harness.Environment + "/" + name)
+		trap.Spring = spring
+		c.Store.Set(&trap)
+	}
+}
+
+var promotionSteps = []step{
+	{"trial asked", onKey("trial", rig.Trap{When: rig.Before})},
+	{"trial written", onKey("trial", rig.Trap{When: rig.After})},
+	{"history asked", onKey("history/", rig.Trap{When: rig.Before})},
+	{"history written", onKey("history/", rig.Trap{When: rig.After})},
+	{"production asked", onKey("production", rig.Trap{When: rig.Before})},
+	{"production written", onKey("production", rig.Trap{When: rig.After})},
+}
+
+var promotionFaults = joined(nodeFaults, pairs, []fault{
+	{"another operator promotes", func(c *cell) { c.must(c.Promote(c.ctx, 9)) }},
+	both(
+		fault{"another operator promotes", func(c *cell) { c.must(c.Promote(c.ctx, 9)) }},
+		fault{"store reply lost", func(c *cell) { c.Store.SetFaults(storefake.Faults{LoseReplies: 1}) }},
+	),
+})
+
+// An operator tries and promotes a document while a fault strikes at a step.
+// Whatever the command reports is true: in force means that the record with its
+// digest was accepted once, an error means that it was not, and an unknown
+// outcome is settled by running the command again with the same promotion id.
+// Every node that runs comes to the highest revision and none goes back.
+func TestPromotion(t *testing.T) {
+	eachCell(t, "promotion", promotionSteps, promotionFaults, func(c *cell, f fault) {
+		path := filepath.Join(c.t.TempDir(), "java.json")
+		text, err := c.Document(3)
+		c.must(err)
+		c.must(os.WriteFile(path, text, 0o600))
+		c.operator(path, document.Digest(text))
+		c.sprang()
+		c.Heal()
+		final, err := c.Promoter.Current(c.ctx, harness.Environment)
+		c.must(err)
+		c.must(c.WaitAll(c.ctx, func(s server.Status) bool {
+			return s.Draining || (s.Revision == final.Revision && s.Digest == final.Digest)
+		}))
+		c.nodesSane(f)
+	})
+}
+
+// operator does what the operators' page says, until the outcome is known.
+func (c *cell) operator(path, digest string) {
+	for range asksAfter {
+		if _, err := c.ctl("trial", path); err == nil {
+			break
+		}
+		c.Heal()
+	}
+	out, err := c.ctl("promote", "--digest", digest, "--base", "1")
+	for range asksAfter {
+		id := regexp.MustCompile(`--id (\S+):`).FindStringSubmatch(out)
+		if err == nil || id == nil {
+			break
+		}
+		c.Heal()
+		out, err = c.ctl("promote", "--digest", digest, "--base", "1", "--id", id[1])
+	}
+	c.truthful(out, err, digest)
+}
+
+func (c *cell) ctl(args ...string) (string, error) {
+	return harness.Ctl(bin, c.Store.Address(), args...)
+}
+
+// truthful compares what the operator was told with the store's history.
+func (c *cell) truthful(out string, err error, digest string) {
+	c.Store.SetFaults(storefake.Faults{})
+	records, herr := c.Promoter.History(c.ctx, harness.Environment, asksAfter)
+	c.must(herr)
+	times := 0
+	for _, r := range records {
+		if r.Digest == digest {
+			times++
+		}
+	}
+	switch {
+	case err == nil && times != 1:
+		c.t.Errorf("told in force, but accepted %d times: %s", times, out)
+	case err != nil && times != 0:
+		c.t.Errorf("told that it failed, but accepted %d times: %s", times, out)
+	case strings.TrimSpace(out) == "":
+		c.t.Error("the command said nothing")
+	}
+}
--- /dev/null
+++ b/proof/rig/rig.go
@@ -0,0 +1,297 @@
+// Package rig runs real node processes against stand-ins inside the test, so
+// that a fault can be put at an exact step of a call: a trap springs when a
+// stand-in sees that step, and does what the test says. Nothing waits for time
+// to pass.
+package rig
+
+import (
+	"context"
+	"encoding/base64"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/platform/promotion"
+	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/proof/harness"
+	"github.com/cicadatack/cicadatack/standin/engine"
+	"github.com/cicadatack/cicadatack/standin/link"
+	"github.com/cicadatack/cicadatack/standin/plain"
+	"github.com/cicadatack/cicadatack/standin/storefake"
+)
+
+// Config sizes a rig.
+type Config struct {
+	Bin, Dir string
+	Nodes    int
+	Chains   int
+	Plains   int
+	// Step is the engines' time for a token.
+	Step   time.Duration
+	Layout harness.Layout
+}
+
+// Engine is a stand-in engine and the link that nodes and engines reach it by.
+type Engine struct {
+	*engine.Engine
+	Served
+}
+
+// PlainService is a stand-in plain service and its link.
+type PlainService struct {
+	*plain.Server
+	Served
+}
+
+// Store is the stand-in store and its link.
+type Store struct {
+	*storefake.Server
+	Served
+}
+
+// Served is a trapped stand-in behind a link.
+type Served struct {
+	Link *link.Link
+	trap *trapped
+	http *http.Server
+}
+
+// Set arms a trap.
+func (s *Served) Set(t *Trap) { s.trap.set(t) }
+
+// Address is the link's.
+func (s *Served) Address() string { return s.Link.Address() }
+
+// Kill ends the stand-in as a crash does.
+func (s *Served) Kill() {
+	s.Link.Cut()
+	s.http.Close()
+}
+
+// Rig is a running set of nodes and stand-ins.
+type Rig struct {
+	Config Config
+	Store  Store
+	Chains [][2]Engine
+	Plains []PlainService
+	Nodes  []*harness.Process
+	Caller *harness.Caller
+	// Client is the test's own way to the store, past the link.
+	Client   *store.HTTP
+	Promoter *promotion.Promoter
+
+	closers []func()
+}
+
+// Start starts a rig, promotes its document and waits until every node serves
+// it and sees the others.
+func Start(ctx context.Context, cfg Config) (*Rig, error) {
+	r := &Rig{Config: cfg, Caller: &harness.Caller{Key: harness.TeamKey, Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}}
+	if err := r.start(ctx); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Rig) start(ctx context.Context) error {
+	if err := r.startStandins(); err != nil {
+		return err
+	}
+	if err := r.Promote(ctx, 1); err != nil {
+		return err
+	}
+	for range r.Config.Nodes {
+		if err := r.AddNode(); err != nil {
+			return err
+		}
+	}
+	return r.WaitAll(ctx, func(s server.Status) bool {
+		return s.Ready && s.Revision >= 1 && liveMembers(s) == len(r.Nodes)
+	})
+}
+
+func (r *Rig) startStandins() error {
+	fake := storefake.New()
+	r.closers = append(r.closers, fake.Close)
+	served, err := r.serve(fake)
+	if err != nil {
+		return err
+	}
+	r.Store = Store{fake, served}
+	for i := range r.Config.Chains {
+		pair, err := r.startChain(i)
+		if err != nil {
+			return err
+		}
+		r.Chains = append(r.Chains, pair)
+	}
+	for i := range r.Config.Plains {
+		p := plain.New(harness.PlainName(i), 64)
+		served, err := r.serve(p)
+		if err != nil {
+			return err
+		}
+		r.Plains = append(r.Plains, PlainService{p, served})
+	}
+	r.Client, err = store.New(store.Config{Address: served0(r.Store)})
+	r.Promoter = promotion.New(r.Client)
+	return err
+}
+
+// served0 is the store's own address, past the link.
+func served0(s Store) string { return s.http.Addr }
+
+func (r *Rig) startChain(replica int) ([2]Engine, error) {
+	var pair [2]Engine
+	for stage := range pair {
+		first, last := harness.StageLayers(stage)
+		e := engine.New(engine.Config{
+			Name:  harness.EngineName(replica, stage),
+			Model: harness.Model,
+			First: first,
+			Last:  last,
+			Step:  r.Config.Step,
+		})
+		r.closers = append(r.closers, e.Close)
+		served, err := r.serve(e)
+		if err != nil {
+			return pair, err
+		}
+		pair[stage] = Engine{e, served}
+	}
+	return pair, nil
+}
+
+// serve puts a stand-in behind traps and a link.
+func (r *Rig) serve(h http.Handler) (Served, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Served{}, err
+	}
+	s := Served{trap: &trapped{next: h}}
+	s.http = &http.Server{Addr: listener.Addr().String(), Handler: s.trap}
+	go s.http.Serve(listener) //nolint:errcheck // ends with Close
+	r.closers = append(r.closers, func() { s.http.Close() })
+	s.Link, err = link.Listen(listener.Addr().String())
+	if err != nil {
+		return Served{}, err
+	}
+	r.closers = append(r.closers, func() { s.Link.Close() })
+	return s, nil
+}
+
+// Promote puts the rig's document in force with a team weight that tells its
+// versions apart.
+func (r *Rig) Promote(ctx context.Context, weight float64) error {
+	text, err := r.Document(weight)
+	if err != nil {
+		return err
+	}
+	tried, err := r.Promoter.Trial(ctx, harness.Environment, text, "rig")
+	if err != nil {
+		return err
+	}
+	base := int64(0)
+	if current, err := r.Promoter.Current(ctx, harness.Environment); err == nil {
+		base = current.Revision
+	}
+	_, err = r.Promoter.Promote(ctx, harness.Environment, tried.Digest, base, promotion.NewID(), "rig")
+	return err
+}
+
+// Document is the rig's environment document.
+func (r *Rig) Document(weight float64) ([]byte, error) {
+	l := r.Config.Layout
+	for i, pair := range r.Chains {
+		var chain [2]harness.Endpoint
+		for stage := range pair {
+			chain[stage] = harness.Endpoint{Name: harness.EngineName(i, stage), Address: pair[stage].Address()}
+		}
+		l.Chains = append(l.Chains, chain)
+	}
+	for i := range r.Plains {
+		l.Plains = append(l.Plains, harness.Endpoint{Name: harness.PlainName(i), Address: r.Plains[i].Address()})
+	}
+	return l.Document(weight)
+}
+
+// AddNode starts one more node and puts it on the platform's list.
+func (r *Rig) AddNode() error {
+	p, err := harness.StartListedNode(r.Config.Bin, r.Config.Dir, r.Store.Address(), len(r.Nodes))
+	if err != nil {
+		return err
+	}
+	r.Nodes = append(r.Nodes, p)
+	return nil
+}
+
+// WaitAll waits until the state of every node that has not ended fits.
+func (r *Rig) WaitAll(ctx context.Context, fits func(server.Status) bool) error {
+	for _, n := range r.Nodes {
+		if n.Ended() {
+			continue
+		}
+		if _, err := harness.WaitStatus(ctx, n, fits); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func liveMembers(s server.Status) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.State == "live" {
+			n++
+		}
+	}
+	return n
+}
+
+// Orders returns every order that reached any instance of the plain service.
+func (r *Rig) Orders() []plain.Order {
+	var all []plain.Order
+	for i := range r.Plains {
+		all = append(all, r.Plains[i].Orders()...)
+	}
+	return all
+}
+
+// Heal ends the faults of links and stand-ins, and lets frozen nodes go on.
+func (r *Rig) Heal() {
+	r.Store.Link.Heal()
+	r.Store.SetFaults(storefake.Faults{})
+	for _, pair := range r.Chains {
+		for stage := range pair {
+			pair[stage].Link.Heal()
+			pair[stage].SetFaults(engine.Faults{})
+		}
+	}
+	for i := range r.Plains {
+		r.Plains[i].Link.Heal()
+		r.Plains[i].SetFaults(plain.Faults{})
+	}
+	for _, n := range r.Nodes {
+		_ = n.Thaw() // it may have ended
+	}
+}
+
+// Close ends everything.
+func (r *Rig) Close() {
+	for _, n := range r.Nodes {
+		n.Kill()
+	}
+	for i := len(r.closers) - 1; i >= 0; i-- {
+		r.closers[i]()
+	}
+}
+
+// Key is a part of a store call's body that names a key with the given prefix,
+// as the wire has it. Base64 works in groups of three bytes, so only the whole
+// groups of the prefix are looked for.
+func Key(prefix string) string {
+	whole := len(prefix) - len(prefix)%3
+	return base64.StdEncoding.EncodeToString([]byte(prefix[:whole]))
+}
