--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -18,9 +18,10 @@
 	maxShortPart = 0.5
 	// headroomPart is the most of the slots that is kept for teams below
 	// their share. It bounds what this may cost in throughput.
-	headroomPart = 1.0 / 30
-	// hotFactor is how many times its rate a hot team asks for. Below it,
-	// chance makes a team look hot, and headroom would stand idle for nothing.
+	headroomPart = 1.0 / 24
+	// hotFactor is how many times its share by weight a hot team asks for.
+	// Below it, chance makes a team look hot, and headroom would stand idle
+	// for nothing.
 	hotFactor = 1.5
 	// lightest is the demand, in tokens per second, below which a team counts
 	// as gone. A request of 300 tokens is remembered for half a minute.
@@ -43,20 +44,18 @@
 	}
 }
 
-// next picks the team by weighted share and then its first request.
+// next picks the team by weighted share and then its first request. If only the
+// headroom is free, teams beyond their share are passed over.
 func (q *Queue) next() *item {
 	longMayRun := q.longRun < q.longRoom
-	orders := q.flows.Min(laneOrder)
-	flow := q.before(orders, q.flows.Min(laneShort))
+	orders := q.first(laneOrder)
+	flow := q.before(orders, q.first(laneShort))
 	if longMayRun {
-		flow = q.before(flow, q.flows.Min(laneLong))
+		flow = q.before(flow, q.first(laneLong))
 	}
 	if flow == nil {
 		return nil
 	}
-	if !q.slotFor(flow.Value) {
-		return nil
-	}
 	it := flow.Value.first(longMayRun)
 	if it.Class == Batch && orders != nil && q.flows.Ahead(orders, flow) <= orderLead {
 		return orders.Value.first(longMayRun)
@@ -64,16 +63,20 @@
 	return it
 }
 
-// slotFor tells whether a slot is free that the team may use.
-func (q *Queue) slotFor(t *team) bool {
-	free := q.slots - q.meter.running
-	return free > q.forecast.headroom || (free > 0 && q.belowShare(t))
+// first returns the flow of the lane that is to go next, or nil.
+func (q *Queue) first(lane int) *fairness.Flow[*team] {
+	if q.meter.running+q.forecast.headroom < q.slots {
+		return q.flows.Min(lane)
+	}
+	return q.flows.MinWhere(lane, q.belowShare)
 }
 
 // startsNow tells whether a new request would be next. Slots are free only
 // while nothing that waits may use them.
 func (q *Queue) startsNow(it *item) bool {
-	return q.slotFor(it.team) && (it.length == short || q.longRun < q.longRoom)
+	free := q.slots - q.meter.running
+	room := it.length == short || q.longRun < q.longRoom
+	return room && (free > q.forecast.headroom || (free > 0 && q.belowShare(it.team)))
 }
 
 // before returns the one that is to go first; either may be nil.
--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -93,6 +93,9 @@
 	for _, t := range q.order {
 		for l := range t.demand {
 			t.demand[l] = t.offered[l].perSecond(now)
+			if t.demand[l] < lightest {
+				t.demand[l] = 0
+			}
 		}
 	}
 	f.all = split(f.drain, q.order, func(t *team) float64 { return t.demand[short] + t.demand[long] })
@@ -131,14 +134,14 @@
 	hot := false
 	for _, t := range q.order {
 		demand := t.demand[short] + t.demand[long]
-		if demand < lightest {
+		if demand == 0 {
 			continue
 		}
 		weight += t.flow.Weight()
 		if demand <= q.teamRate(t) {
 			need += demand / rate
 		}
-		hot = hot || demand > hotFactor*q.teamRate(t)
+		hot = hot || demand > hotFactor*q.forecast.all.floor*t.flow.Weight()
 	}
 	if !hot {
 		return weight, 0
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -57,7 +57,7 @@
 func (q *Queue) SetTeam(name string, weight float64) {
 	t := q.team(name)
 	t.declared = true
-	q.flows.SetWeight(t.flow, weight)
+	t.flow.SetWeight(weight)
 }
 
 // RemoveTeam refuses what waits of the team and forgets it. What runs goes on.
--- a/decide/admission/team.go
+++ b/decide/admission/team.go
@@ -101,8 +101,8 @@
 	return min(lead+other.head.Cost, other.cost)
 }
 
-// first returns the oldest request of the length that has had less. A long job
-// without room is passed over, so that it does not hold up the short ones.
+// first returns the oldest request of the length that has had less, on a tie of
+// the short ones. A long job without room is passed over, so that it does not hold up the short ones.
 func (c *classQueue) first(longMayRun bool) *item {
 	s := c.lists[short].head
 	l := c.lists[long].head
--- a/decide/fairness/lane.go
+++ b/decide/fairness/lane.go
@@ -7,20 +7,17 @@
 // instead of using container/heap because the calls through that interface
 // cost more than the comparisons.
 type lane[T any] struct {
-	index  int
-	flows  []*Flow[T]
-	weight float64
+	index int
+	flows []*Flow[T]
 }
 
 func (l *lane[T]) push(f *Flow[T]) {
-	l.weight += f.weight
 	l.flows = append(l.flows, f)
 	f.places[l.index] = len(l.flows) - 1
 	l.up(len(l.flows) - 1)
 }
 
 func (l *lane[T]) remove(f *Flow[T]) {
-	l.weight = atLeastZero(l.weight - f.weight)
 	i := f.places[l.index]
 	last := len(l.flows) - 1
 	l.swap(i, last)
--- a/decide/fairness/scheduler.go
+++ b/decide/fairness/scheduler.go
@@ -28,7 +28,6 @@
 	lanes   []lane[T]
 	virtual float64
 	credit  float64
-	weight  float64 // of the flows that wait in any lane
 }
 
 // New returns a scheduler with the given number of lanes. Credit is in tokens
@@ -55,18 +54,8 @@
 }
 
 // SetWeight changes the weight from the next charge on.
-func (s *Scheduler[T]) SetWeight(f *Flow[T], weight float64) {
-	weight = cleanWeight(weight)
-	diff := weight - f.weight
-	f.weight = weight
-	if f.awake > 0 {
-		s.weight += diff
-	}
-	for i := range s.lanes {
-		if f.places[i] != absent {
-			s.lanes[i].weight += diff
-		}
-	}
+func (f *Flow[T]) SetWeight(weight float64) {
+	f.weight = cleanWeight(weight)
 }
 
 // Wake notes that the flow has a request waiting in the lane. A flow that comes
@@ -78,7 +67,6 @@
 	}
 	if f.awake == 0 {
 		f.virtual = max(f.virtual, s.virtual)
-		s.weight += f.weight
 	}
 	f.awake++
 	s.lanes[index].push(f)
@@ -91,9 +79,6 @@
 	}
 	s.lanes[index].remove(f)
 	f.awake--
-	if f.awake == 0 {
-		s.weight = atLeastZero(s.weight - f.weight)
-	}
 }
 
 // Min returns the waiting flow of the lane that is to go next, or nil.
@@ -105,6 +90,21 @@
 	return flows[0]
 }
 
+// MinWhere returns the waiting flow of the lane that is to go next among those
+// that may, or nil. It looks at every waiting flow if the first may not go.
+func (s *Scheduler[T]) MinWhere(index int, may func(T) bool) *Flow[T] {
+	var first *Flow[T]
+	for _, f := range s.lanes[index].flows {
+		if (first == nil || f.virtual < first.virtual) && may(f.Value) {
+			first = f
+			if f.places[index] == 0 {
+				break
+			}
+		}
+	}
+	return first
+}
+
 // Ahead returns by how much more a has had than b, in tokens at weight 1. The
 // one with less goes first.
 func (s *Scheduler[T]) Ahead(a, b *Flow[T]) float64 { return a.virtual - b.virtual }
@@ -127,15 +127,9 @@
 // Debt returns what the flow has had beyond the present virtual time, in
 // tokens; it has to wait for that much before its next request.
 func (s *Scheduler[T]) Debt(f *Flow[T]) float64 {
-	return atLeastZero(f.virtual-s.virtual) * f.weight
+	return max(f.virtual-s.virtual, 0) * f.weight
 }
 
-// ActiveWeight returns the weight of all flows that wait.
-func (s *Scheduler[T]) ActiveWeight() float64 { return s.weight }
-
-// LaneWeight returns the weight of the flows that wait in the lane.
-func (s *Scheduler[T]) LaneWeight(index int) float64 { return s.lanes[index].weight }
-
 // Waiting tells whether the flow waits in any lane.
 func (f *Flow[T]) Waiting() bool { return f.awake > 0 }
 
@@ -156,6 +150,3 @@
 	}
 	return w
 }
-
-// atLeastZero clips the rounding error of sums that end at zero.
-func atLeastZero(x float64) float64 { return max(x, 0) }
