admission: one rate in expected tokens, Tick's contract, prediction in every verdict

Cause: the drain rate was the actual rate over a bias; requests that failed at once with no tokens made it zero, which means unknown, and all were admitted. Excluded: leaving failed requests out (they do free slots).

--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -14,18 +14,6 @@
 	// order is small; without the bound a team could send its work as orders
 	// and shut out the batch work of all others.
 	orderLead = 8192
-	// maxShortPart is the most of the slots that is kept free of long jobs.
-	maxShortPart = 0.5
-	// headroomPart is the most of the slots that is kept for teams below
-	// their share. It bounds what this may cost in throughput.
-	headroomPart = 1.0 / 24
-	// hotFactor is how many times its share by weight a hot team asks for.
-	// Below it, chance makes a team look hot, and headroom would stand idle
-	// for nothing.
-	hotFactor = 1.5
-	// lightest is the demand, in tokens per second, below which a team counts
-	// as gone. A request of 300 tokens is remembered for half a minute.
-	lightest = 1
 )
 
 // dispatch starts requests while slots are free.
@@ -100,7 +88,6 @@
 	}
 	it.team.waiting[it.Class].charge(it, q.cfg.credit())
 	q.flows.Charge(it.team.flow, it.Cost)
-	q.items[it.ID] = it
 	q.out = append(q.out, q.verdict(now, it, Run, SlotFree))
 }
 
--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -5,8 +5,23 @@
 	"time"
 )
 
+const (
+	// maxShortPart is the most of the slots that is kept free of long jobs.
+	maxShortPart = 0.5
+	// headroomPart is the most of the slots that is kept for teams below
+	// their share. It bounds what this may cost in throughput.
+	headroomPart = 1.0 / 24
+	// hotFactor is how many times its share by weight a hot team asks for.
+	// Below it, chance makes a team look hot, and headroom would stand idle
+	// for nothing.
+	hotFactor = 1.5
+	// lightest is the demand, in tokens per second, below which a team counts
+	// as gone. A request of 300 tokens is remembered for half a minute.
+	lightest = 1
+)
+
 // forecast holds the rates that the teams are expected to get, in expected
-// tokens per second. It is worked out anew each sweepInterval.
+// tokens per second. It is worked out anew each TickInterval.
 type forecast struct {
 	at    time.Time
 	drain float64 // of the whole service
@@ -72,16 +87,16 @@
 	}
 }
 
-// refresh works the forecast out if it is older than sweepInterval.
+// refresh works the forecast out if it is older than TickInterval.
 func (q *Queue) refresh(now time.Time) {
-	if age := now.Sub(q.forecast.at); age < sweepInterval && !q.forecast.at.IsZero() {
+	if age := now.Sub(q.forecast.at); age < TickInterval && !q.forecast.at.IsZero() {
 		return
 	}
 	q.renew(now)
 }
 
 func (q *Queue) renew(now time.Time) {
-	rate := q.slotRate(now)
+	rate := q.meter.slotRate(now)
 	f := &q.forecast
 	f.at = now
 	f.drain = rate * float64(q.slots)
--- a/decide/admission/list.go
+++ b/decide/admission/list.go
@@ -21,6 +21,7 @@
 	offered  time.Time
 	started  time.Time
 	deadline time.Time
+	foreseen time.Duration // wait predicted at the offer
 	running  bool
 	prev     *item
 	next     *item
@@ -65,3 +66,12 @@
 		l.cost = 0 // no rounding error outlives the last request
 	}
 }
+
+// each calls visit for every request. Visit may remove the one it is given.
+func (l *list) each(visit func(*item)) {
+	var next *item
+	for it := l.head; it != nil; it = next {
+		next = it.next
+		visit(it)
+	}
+}
--- a/decide/admission/predict.go
+++ b/decide/admission/predict.go
@@ -55,11 +55,6 @@
 	return 0
 }
 
-// slotRate returns expected tokens per second of one slot.
-func (q *Queue) slotRate(now time.Time) float64 {
-	return q.meter.slotRate(now) / q.meter.bias()
-}
-
 func toDuration(seconds float64) time.Duration {
 	if !(seconds < forever.Seconds()) {
 		return forever
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -100,7 +100,7 @@
 		return nil
 	}
 	cost = max(cost, 0)
-	q.meter.learn(now, it.Cost, cost, now.Sub(it.started))
+	q.meter.learn(now, it.Cost, now.Sub(it.started))
 	q.release(it, cost)
 	q.dispatch(now)
 	return q.take()
@@ -135,8 +135,9 @@
 	return q.take()
 }
 
-// Tick refuses requests that will miss their deadline. It is to be called at
-// the time it returns; the zero time means not before the next Offer.
+// Tick refuses requests that will miss their deadline. While requests wait it
+// is to be called at the time it returns, and at the latest TickInterval after
+// an Offer that left the first one waiting. The zero time means that none waits.
 func (q *Queue) Tick(now time.Time) (verdicts []Verdict, next time.Time) {
 	q.renew(now)
 	earliest := q.sweep(now)
@@ -144,7 +145,7 @@
 	if q.waiting == 0 {
 		return q.take(), time.Time{}
 	}
-	next = now.Add(sweepInterval)
+	next = now.Add(TickInterval)
 	if earliest.After(now) && earliest.Before(next) {
 		next = earliest
 	}
--- a/decide/admission/rate.go
+++ b/decide/admission/rate.go
@@ -53,20 +53,20 @@
 	return math.Exp(-age.Seconds() / rateWindow.Seconds())
 }
 
-// meter measures how fast a slot works, as tokens per second of slot time.
+// meter measures how fast a slot works, as expected tokens per second of slot
+// time: what waits is known by its expected cost only.
 //
 // Tokens per second of the whole service would fall whenever callers send less,
 // and the queue would then refuse the first callers of a rush. A rate per slot
 // is the same at every load, and times the number of slots it follows a loss of
 // capacity at once.
 type meter struct {
-	actual   float64 // tokens of finished requests, faded
-	expected float64 // what was expected for them, faded
-	seconds  float64 // slot time of finished requests, faded
-	at       time.Time
-
 	prior float64 // tokens per second until measured
 
+	tokens  float64 // expected for finished requests, faded
+	seconds float64 // slot time of finished requests, faded
+	at      time.Time
+
 	running  int     // requests in slots
 	promised float64 // their expected tokens
 	startSum int64   // sum of their starts, microseconds after base
@@ -105,14 +105,21 @@
 }
 
 // learn books a finished request.
-func (m *meter) learn(now time.Time, expected, actual float64, took time.Duration) {
+func (m *meter) learn(now time.Time, cost float64, took time.Duration) {
 	left := fade(max(now.Sub(m.at), 0))
 	m.at = now
-	m.actual = m.actual*left + actual
-	m.expected = m.expected*left + expected
+	m.tokens = m.tokens*left + cost
 	m.seconds = m.seconds*left + took.Seconds()
 }
 
+// measured returns the rate of finished requests, or zero if there are none.
+func (m *meter) measured() float64 {
+	if m.seconds <= 0 {
+		return 0
+	}
+	return m.tokens / m.seconds
+}
+
 // slotRate returns tokens per second of one slot, or zero if unknown.
 //
 // Finished requests say nothing about a service that has slowed down since: its
@@ -120,19 +127,17 @@
 // have already taken bounds the rate; while they take about as long as foreseen,
 // the bound changes nothing.
 func (m *meter) slotRate(now time.Time) float64 {
-	rate := m.prior
-	if m.seconds > 0 {
-		rate = m.actual / m.seconds
+	rate := m.measured()
+	if rate == 0 {
+		rate = m.prior
 	}
 	return rate / max(m.overrun(now, rate), 1)
 }
 
 // stalled tells whether the service has practically stopped finishing requests.
+// An assumed rate is no ground for that.
 func (m *meter) stalled(now time.Time) bool {
-	if m.seconds == 0 {
-		return false
-	}
-	return m.overrun(now, m.actual/m.seconds) > stallFactor
+	return m.overrun(now, m.measured()) > stallFactor
 }
 
 // overrun returns the time that the running requests have taken, over the most
@@ -141,16 +146,7 @@
 	if m.running == 0 || rate == 0 {
 		return 0
 	}
-	elapsed := int64(m.running)*now.Sub(m.base).Microseconds() - m.startSum
-	foreseen := m.promised * m.bias() / rate
+	taken := int64(m.running)*now.Sub(m.base).Microseconds() - m.startSum
 	slack := stallSlack + stallSpread/math.Sqrt(float64(m.running))
-	return float64(elapsed) / 1e6 / (slack * foreseen)
-}
-
-// bias is what a request costs per expected token.
-func (m *meter) bias() float64 {
-	if m.expected <= 0 || m.actual <= 0 {
-		return 1
-	}
-	return m.actual / m.expected
+	return float64(taken) / 1e6 / (slack * m.promised / rate)
 }
--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -36,6 +36,7 @@
 		return false
 	}
 	wait := q.predict(it.team, q.lastPlace(it))
+	it.foreseen = wait
 	late := wait - part(it.deadline.Sub(now), admitPart)
 	if late > 0 {
 		q.refuse(now, it, TooLate, wait, q.retryAfter(now, it, late))
@@ -70,41 +71,50 @@
 // their deadlines they would also be counted as work ahead of newcomers.
 func (q *Queue) sweep(now time.Time) (earliest time.Time) {
 	for _, t := range q.order {
-		first := q.sweepTeam(now, t)
-		if earliest.IsZero() || (!first.IsZero() && first.Before(earliest)) {
-			earliest = first
+		if t.flow.Waiting() {
+			earliest = sooner(earliest, q.sweepTeam(now, t))
 		}
 	}
 	return earliest
 }
 
 func (q *Queue) sweepTeam(now time.Time, t *team) (earliest time.Time) {
-	longAhead := 0.0
+	var p place
 	for class := range t.waiting {
-		c := &t.waiting[class]
-		higher := t.workBefore(Class(class))
-		for l := range c.lists {
-			var next *item
-			ahead := 0.0
-			for it := c.lists[l].head; it != nil; it = next {
-				next = it.next
-				p := place{higher: higher, ahead: ahead, other: c.otherFirst(it.length, ahead), longAhead: longAhead, length: it.length}
-				if q.giveUp(now, it, p) {
-					continue
-				}
-				ahead += it.Cost
-				if it.length == long {
-					longAhead += it.Cost
-				}
-				if earliest.IsZero() || it.deadline.Before(earliest) {
-					earliest = it.deadline
-				}
-			}
+		p.higher = t.workBefore(Class(class))
+		for l := range t.waiting[class].lists {
+			p.length = length(l)
+			earliest = sooner(earliest, q.sweepList(now, &t.waiting[class], &p))
 		}
 	}
 	return earliest
 }
 
+// sweepList goes through one length of a class, with the place moving along.
+func (q *Queue) sweepList(now time.Time, c *classQueue, p *place) (earliest time.Time) {
+	p.ahead = 0
+	c.lists[p.length].each(func(it *item) {
+		p.other = c.otherFirst(p.length, p.ahead)
+		if q.giveUp(now, it, *p) {
+			return
+		}
+		p.ahead += it.Cost
+		if p.length == long {
+			p.longAhead += it.Cost
+		}
+		earliest = sooner(earliest, it.deadline)
+	})
+	return earliest
+}
+
+// sooner returns the earlier time; the zero time stands for none.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
 // giveUp refuses a waiting request if it can't start in time.
 func (q *Queue) giveUp(now time.Time, it *item, p place) bool {
 	left := it.deadline.Sub(now)
@@ -173,6 +183,7 @@
 		Kind:        kind,
 		Reason:      reason,
 		Waited:      now.Sub(it.offered),
+		Predicted:   it.foreseen,
 		QueueLength: q.waiting,
 		DrainRate:   q.drainRate(now),
 	}
--- a/decide/admission/team.go
+++ b/decide/admission/team.go
@@ -56,11 +56,7 @@
 func (t *team) each(visit func(*item)) {
 	for c := range t.waiting {
 		for l := range t.waiting[c].lists {
-			var next *item
-			for it := t.waiting[c].lists[l].head; it != nil; it = next {
-				next = it.next
-				visit(it)
-			}
+			t.waiting[c].lists[l].each(visit)
 		}
 	}
 }
@@ -102,7 +98,8 @@
 }
 
 // first returns the oldest request of the length that has had less, on a tie of
-// the short ones. A long job without room is passed over, so that it does not hold up the short ones.
+// the short ones. A long job without room is passed over, so that it does not
+// hold up the short ones.
 func (c *classQueue) first(longMayRun bool) *item {
 	s := c.lists[short].head
 	l := c.lists[long].head
--- a/decide/admission/types.go
+++ b/decide/admission/types.go
@@ -122,11 +122,12 @@
 	RetryAfter time.Duration
 	// Waited is the time from the offer to this verdict.
 	Waited time.Duration
-	// Predicted is the wait that was foreseen when the verdict was given.
+	// Predicted is the wait that was foreseen: for Run at the offer, for Refuse
+	// at the verdict.
 	Predicted time.Duration
 	// QueueLength is the number of requests waiting after the verdict.
 	QueueLength int
-	// DrainRate is in tokens per second; zero if not yet measured.
+	// DrainRate is in expected tokens per second; zero if not yet measured.
 	DrainRate float64
 }
 
@@ -135,9 +136,9 @@
 	Slots     int
 	Running   int
 	Waiting   int
-	LongRun   int // running long jobs
-	LongRoom  int // slots that long jobs may hold
-	DrainRate float64
+	LongRun   int     // running long jobs
+	LongRoom  int     // slots that long jobs may hold
+	DrainRate float64 // expected tokens per second
 }
 
 // Config sets up a Queue. The zero value of each field means its default.
@@ -151,7 +152,8 @@
 	DefaultWait time.Duration
 	// LongCost is the expected cost in tokens from which a job is long.
 	LongCost float64
-	// SlotRate is the assumed tokens per second of a slot until measured.
+	// SlotRate is the assumed expected tokens per second of a slot until
+	// measured.
 	// Zero means unknown: nothing is refused as too late before the first
 	// requests have finished.
 	SlotRate float64
@@ -174,11 +176,12 @@
 	// stalledRetry is told while the service is stalled: no drain rate exists
 	// then either, and endpoints are replaced within seconds.
 	stalledRetry = 5 * time.Second
-	// sweepInterval is the longest time until a waiting request that will
-	// miss its deadline is noticed.
-	sweepInterval = 100 * time.Millisecond
 )
 
+// TickInterval is the longest time until a waiting request that will miss its
+// deadline is noticed.
+const TickInterval = 100 * time.Millisecond
+
 // credit is the most that a team or length may be owed, in tokens.
 func (c Config) credit() float64 { return creditJobs * c.LongCost }
 
--- a/decide/limits/bucket.go
+++ b/decide/limits/bucket.go
@@ -43,16 +43,37 @@
 }
 
 // take books the cost if the bucket is not in debt.
-func (b *bucket) take(cost, rate float64) (ok bool, retryAfter time.Duration) {
-	if b.level > 0 {
-		b.level -= cost
-		return true, 0
+func (b *bucket) take(cost float64) bool {
+	if b.level <= 0 {
+		return false
 	}
+	b.level -= cost
+	return true
+}
+
+// comeBack says when a refused caller will find room: when the debt is paid off
+// and those told to come back before it have been let through, at their part of
+// the rate. The debt alone is paid in milliseconds; told only that, all who are
+// beyond the limit would come back at once, again and again.
+func (t *team) comeBack(now time.Time, cost float64) time.Duration {
+	rate := t.rate(now)
 	if rate <= 0 {
-		return false, maxRetryAfter
+		return maxRetryAfter
+	}
+	room := now.Add(toDuration(-t.bucket.level / rate))
+	if t.returnsAt.After(room) {
+		room = t.returnsAt
 	}
-	wait := time.Duration(math.Ceil(-b.level / rate * float64(time.Second)))
-	return false, min(max(wait, time.Millisecond), maxRetryAfter)
+	room = room.Add(toDuration(cost / (returnPart * rate)))
+	t.returnsAt = room
+	if last := now.Add(maxRetryAfter); room.After(last) {
+		t.returnsAt = last
+	}
+	return max(t.returnsAt.Sub(now), minRetryAfter)
+}
+
+func toDuration(seconds float64) time.Duration {
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // demand measures offered tokens per second.
--- a/decide/limits/loans.go
+++ b/decide/limits/loans.go
@@ -8,12 +8,13 @@
 
 // team is one team's state on this node.
 type team struct {
-	limit   float64
-	homes   []string
-	even    float64
-	offered demand
-	bucket  bucket
-	peers   []*peer // few, and in order of first contact: sums are deterministic
+	limit     float64
+	homes     []string
+	even      float64
+	offered   demand
+	bucket    bucket
+	returnsAt time.Time // when the last refused caller was told to come back
+	peers     []*peer   // few, and in order of first contact: sums are deterministic
 }
 
 // peer is what this node knows of the team on another one.
--- a/decide/limits/splitter.go
+++ b/decide/limits/splitter.go
@@ -27,8 +27,15 @@
 	defaultDemandWindow = 2 * time.Second
 	defaultHeadroom     = 1.25
 
-	// maxRetryAfter is told where the node's rate is zero.
-	maxRetryAfter = 30 * time.Second
+	// maxRetryAfter bounds what a refused caller is told; it is told where the
+	// node's rate is zero.
+	maxRetryAfter = time.Minute
+	// minRetryAfter keeps a refused caller from coming back within the time
+	// that a refusal and a new call take together.
+	minRetryAfter = 100 * time.Millisecond
+	// returnPart is the part of the rate at which refused callers are told to
+	// come back. The rest is for those who call meanwhile.
+	returnPart = 0.5
 )
 
 func (c Config) withDefaults() Config {
@@ -144,8 +151,10 @@
 	t.offered.add(now, cost, s.cfg.DemandWindow)
 	share = s.share(now, t)
 	t.refill(now, s.cfg.Burst)
-	ok, retryAfter = t.bucket.take(cost, share.Rate)
-	return ok, retryAfter, share
+	if t.bucket.take(cost) {
+		return true, 0, share
+	}
+	return false, t.comeBack(now, cost), share
 }
 
 // Correct books the difference between actual and expected cost, in tokens.
