--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -5,8 +5,23 @@
 	"time"
 )
 
+const (
+	// maxShortPart is the most of the slots that is kept free of long jobs.
+	maxShortPart = 0.5
+	// headroomPart is the most of the slots that is kept for teams below
+	// their share. It bounds what this may cost in throughput.
+	headroomPart = 1.0 / 24
+	// hotFactor is how many times its share by weight a hot team asks for.
+	// Below it, chance makes a team look hot, and headroom would stand idle
+	// for nothing.
+	hotFactor = 1.5
+	// lightest is the demand, in tokens per second, below which a team counts
+	// as gone. A request of 300 tokens is remembered for half a minute.
+	lightest = 1
+)
+
 // forecast holds the rates that the teams are expected to get, in expected
-// tokens per second. It is worked out anew each sweepInterval.
+// tokens per second. It is worked out anew each TickInterval.
 type forecast struct {
 	at    time.Time
 	drain float64 // of the whole service
@@ -72,35 +87,48 @@
 	}
 }
 
-// refresh works the forecast out if it is older than sweepInterval.
+// refresh works the forecast out if it is older than TickInterval.
 func (q *Queue) refresh(now time.Time) {
-	if age := now.Sub(q.forecast.at); age < sweepInterval && !q.forecast.at.IsZero() {
+	if age := now.Sub(q.forecast.at); age < TickInterval && !q.forecast.at.IsZero() {
 		return
 	}
 	q.renew(now)
 }
 
 func (q *Queue) renew(now time.Time) {
-	rate := q.slotRate(now)
+	rate := q.meter.slotRate(now)
 	f := &q.forecast
 	f.at = now
 	f.drain = rate * float64(q.slots)
 	f.headroom = 0
 	q.longRoom = q.slots
+	q.measureDemand(now)
 	if f.drain <= 0 {
 		return
 	}
-	for _, t := range q.order {
-		for l := range t.demand {
-			t.demand[l] = t.offered[l].perSecond(now)
-		}
-	}
 	f.all = split(f.drain, q.order, func(t *team) float64 { return t.demand[short] + t.demand[long] })
 	q.longRoom = q.slots - q.shortRoom(rate)
 	f.weight, f.headroom = q.lightTeams(rate)
 	f.long = split(rate*float64(q.longRoom), q.order, func(t *team) float64 { return t.demand[long] })
 }
 
+// measureDemand also forgets teams that SetTeam has not named and whose demand
+// has faded, so that names which come and go do not add up.
+func (q *Queue) measureDemand(now time.Time) {
+	for i := len(q.order) - 1; i >= 0; i-- {
+		t := q.order[i]
+		for l := range t.demand {
+			t.demand[l] = t.offered[l].perSecond(now)
+			if t.demand[l] < lightest {
+				t.demand[l] = 0
+			}
+		}
+		if !t.declared && t.demand == [lengthCount]float64{} {
+			q.forget(t)
+		}
+	}
+}
+
 // shortRoom returns how many slots to keep free of long jobs: as many as the
 // offered short work fills, and its square root to ride out chance (the
 // square-root rule of staffing).
@@ -131,14 +159,14 @@
 	hot := false
 	for _, t := range q.order {
 		demand := t.demand[short] + t.demand[long]
-		if demand < lightest {
+		if demand == 0 {
 			continue
 		}
 		weight += t.flow.Weight()
 		if demand <= q.teamRate(t) {
 			need += demand / rate
 		}
-		hot = hot || demand > hotFactor*q.teamRate(t)
+		hot = hot || demand > hotFactor*q.forecast.all.floor*t.flow.Weight()
 	}
 	if !hot {
 		return weight, 0
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -57,7 +57,7 @@
 func (q *Queue) SetTeam(name string, weight float64) {
 	t := q.team(name)
 	t.declared = true
-	q.flows.SetWeight(t.flow, weight)
+	t.flow.SetWeight(weight)
 }
 
 // RemoveTeam refuses what waits of the team and forgets it. What runs goes on.
@@ -82,9 +82,9 @@
 	if _, known := q.items[r.ID]; known {
 		return []Verdict{{ID: r.ID, Team: r.Team, Class: r.Class, Kind: Refuse, Reason: DuplicateID, QueueLength: q.waiting}}
 	}
+	q.refresh(now)
 	it := q.newItem(now, r)
 	it.team.offered[it.length].add(now, it.Cost)
-	q.refresh(now)
 	if q.admit(now, it) {
 		q.enqueue(it)
 		q.dispatch(now)
@@ -100,7 +100,7 @@
 		return nil
 	}
 	cost = max(cost, 0)
-	q.meter.learn(now, it.Cost, cost, now.Sub(it.started))
+	q.meter.learn(now, it.Cost, now.Sub(it.started))
 	q.release(it, cost)
 	q.dispatch(now)
 	return q.take()
@@ -135,8 +135,9 @@
 	return q.take()
 }
 
-// Tick refuses requests that will miss their deadline. It is to be called at
-// the time it returns; the zero time means not before the next Offer.
+// Tick refuses requests that will miss their deadline. While requests wait it
+// is to be called at the time it returns, and at the latest TickInterval after
+// an Offer that left the first one waiting. The zero time means that none waits.
 func (q *Queue) Tick(now time.Time) (verdicts []Verdict, next time.Time) {
 	q.renew(now)
 	earliest := q.sweep(now)
@@ -144,7 +145,7 @@
 	if q.waiting == 0 {
 		return q.take(), time.Time{}
 	}
-	next = now.Add(sweepInterval)
+	next = now.Add(TickInterval)
 	if earliest.After(now) && earliest.Before(next) {
 		next = earliest
 	}
@@ -179,10 +180,9 @@
 	return t
 }
 
-// forget drops a team that nothing needs any more, so that names which come
-// and go do not add up.
+// forget drops a team if it has no request in the queue.
 func (q *Queue) forget(t *team) {
-	if t.declared || !t.idle() || q.teams[t.name] != t {
+	if !t.idle() {
 		return
 	}
 	delete(q.teams, t.name)
@@ -216,10 +216,8 @@
 // drop returns an item that neither waits nor runs.
 func (q *Queue) drop(it *item) {
 	delete(q.items, it.ID)
-	t := it.team
 	*it = item{next: q.spare}
 	q.spare = it
-	q.forget(t)
 }
 
 // take hands the verdicts over. They are the caller's own.
