--- a/decide/health/health.go
+++ b/decide/health/detector.go
@@ -6,23 +6,6 @@
 	"time"
 )
 
-// Defaults of Config; doc.go gives their grounds.
-const (
-	DefaultInterval        = 500 * time.Millisecond
-	DefaultMinSamples      = 5
-	DefaultMaxConsecutive  = 3
-	DefaultErrorShare      = 0.5
-	DefaultLatencyFactor   = 3.0
-	DefaultLatencyFloor    = 50 * time.Millisecond
-	DefaultSilenceFactor   = 5.0
-	DefaultSilenceFloor    = time.Second
-	DefaultBaseEjection    = 5 * time.Second
-	DefaultMaxEjection     = time.Minute
-	DefaultMaxEjectedShare = 0.5
-	DefaultMaxLostShare    = 0.75
-	DefaultProbes          = 2
-)
-
 const (
 	delayGain   = 0.2 // of the moving average of delays
 	failureGain = 0.1 // of the moving average of failures
@@ -37,146 +20,6 @@
 	jitter = 0.2
 )
 
-// Config sets a Detector. Zero values take the defaults.
-type Config struct {
-	// Interval between judgements.
-	Interval time.Duration
-	// MinSamples is how many answers an endpoint needs to be judged by its
-	// averages.
-	MinSamples int
-	// MaxConsecutive failures eject at once.
-	MaxConsecutive int
-	// ErrorShare of failures ejects.
-	ErrorShare float64
-	// LatencyFactor times the median delay, and at least LatencyFloor above it,
-	// ejects.
-	LatencyFactor float64
-	LatencyFloor  time.Duration
-	// SilenceFactor times the median time to a first sign, and at least
-	// SilenceFloor above it, ejects if nothing is heard.
-	SilenceFactor float64
-	SilenceFloor  time.Duration
-	// BaseEjection is the time of a first ejection; it doubles with each
-	// further one up to MaxEjection.
-	BaseEjection time.Duration
-	MaxEjection  time.Duration
-	// MaxEjectedShare is the largest part of the endpoints up to which slow and
-	// erring ones are ejected, MaxLostShare up to which unanswering ones are.
-	MaxEjectedShare float64
-	MaxLostShare    float64
-	// Probes in a row must succeed before an endpoint returns.
-	Probes int
-	// Seed of the jitter; nodes take different ones.
-	Seed uint64
-}
-
-func withDefaults(c Config) Config {
-	setDefault(&c.Interval, DefaultInterval)
-	setDefault(&c.MinSamples, DefaultMinSamples)
-	setDefault(&c.MaxConsecutive, DefaultMaxConsecutive)
-	setDefault(&c.ErrorShare, DefaultErrorShare)
-	setDefault(&c.LatencyFactor, DefaultLatencyFactor)
-	setDefault(&c.LatencyFloor, DefaultLatencyFloor)
-	setDefault(&c.SilenceFactor, DefaultSilenceFactor)
-	setDefault(&c.SilenceFloor, DefaultSilenceFloor)
-	setDefault(&c.BaseEjection, DefaultBaseEjection)
-	setDefault(&c.MaxEjection, DefaultMaxEjection)
-	setDefault(&c.MaxEjectedShare, DefaultMaxEjectedShare)
-	setDefault(&c.MaxLostShare, DefaultMaxLostShare)
-	setDefault(&c.Probes, DefaultProbes)
-	return c
-}
-
-func setDefault[T int | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
-// State of an endpoint.
-type State uint8
-
-const (
-	// Healthy endpoints take requests.
-	Healthy State = iota
-	// Ejected endpoints take none.
-	Ejected
-	// Probing endpoints take one at a time.
-	Probing
-)
-
-// Cause says why an endpoint was ejected last.
-type Cause uint8
-
-const (
-	// NoCause is that of an endpoint never ejected.
-	NoCause Cause = iota
-	// Consecutive failures.
-	Consecutive
-	// ErrorShare of the answers failed.
-	ErrorShare
-	// Slow against the median.
-	Slow
-	// Silent with work outstanding.
-	Silent
-	// ProbeFailed after an earlier ejection.
-	ProbeFailed
-)
-
-var causeNames = [...]string{"none", "consecutive", "error share", "slow", "silent", "probe failed"}
-
-func (c Cause) String() string {
-	if int(c) < len(causeNames) {
-		return causeNames[c]
-	}
-	return "invalid"
-}
-
-// Endpoint is what a Detector knows of one endpoint.
-type Endpoint struct {
-	group    string
-	state    State
-	cause    Cause
-	until    time.Time // end of the ejection
-	ejected  time.Time
-	probing  time.Time // start of the probing
-	probed   bool      // a probe is out
-	probesOK int
-	times    int // ejections in a row
-
-	delay       float64 // moving average, seconds
-	failures    float64 // moving average, 0 to 1
-	sign        float64 // moving average of the time to a first sign, seconds
-	slowness    float64
-	samples     int
-	consecutive int
-
-	waiting int // requests without a first sign
-	heard   time.Time
-}
-
-// State returns the endpoint's state.
-func (e *Endpoint) State() State { return e.state }
-
-// Cause returns why the endpoint was ejected last.
-func (e *Endpoint) Cause() Cause { return e.cause }
-
-// Slowness returns the endpoint's delay over that of the median, 1 to 4.
-func (e *Endpoint) Slowness() float64 { return e.slowness }
-
-// WantsProbe reports whether the next request may go to the endpoint as a probe.
-func (e *Endpoint) WantsProbe() bool { return e.state == Probing && !e.probed }
-
-// Outcome is what became known of one request.
-type Outcome struct {
-	// Delay that is compared between endpoints, such as the time to the first
-	// token; zero if not known.
-	Delay time.Duration
-	// Age is the time since the request was sent.
-	Age     time.Duration
-	Failure Failure
-}
-
 // Detector finds outliers in a set of endpoints.
 type Detector struct {
 	cfg       Config
@@ -232,13 +75,11 @@
 
 // Sent records a request to the endpoint.
 func (d *Detector) Sent(now time.Time, e *Endpoint) {
-	if e.waiting == 0 {
+	if e.waiting == 0 || e.state == Probing {
 		e.heard = now
 	}
 	e.waiting++
-	if e.state == Probing {
-		e.probed = true
-	}
+	e.probed = e.state == Probing
 }
 
 // Heard records the first sign of an answer to a request, or its end if there
@@ -282,35 +123,6 @@
 	}
 }
 
-func (e *Endpoint) record(o Outcome) {
-	if o.Failure == None {
-		e.recordDelay(o.Delay)
-	}
-	if !o.Failure.Faulty() {
-		e.consecutive = 0
-		e.failures *= 1 - failureGain
-		return
-	}
-	e.samples++
-	e.consecutive++
-	e.failures += (1 - e.failures) * failureGain
-}
-
-func (e *Endpoint) recordDelay(delay time.Duration) {
-	if delay > 0 {
-		e.delay = average(e.delay, delay.Seconds(), delayGain)
-		e.samples++
-	}
-}
-
-// average moves old towards v; an old value of zero stands for none.
-func average(old, v, gain float64) float64 {
-	if old == 0 {
-		return v
-	}
-	return old + (v-old)*gain
-}
-
 func (d *Detector) judgeConsecutive(now time.Time, e *Endpoint) {
 	if e.consecutive >= d.cfg.MaxConsecutive && !d.common {
 		d.eject(now, e, Consecutive)
@@ -404,15 +216,13 @@
 		case Ejected:
 			d.endEjection(now, e)
 		case Probing:
-			d.judgeSilence(now, e, silence, ProbeFailed)
+			if e.probed { // else what is outstanding is from before the ejection
+				d.judgeSilence(now, e, silence, ProbeFailed)
+			}
 		}
 	}
 }
 
-func (e *Endpoint) failureShare() (float64, bool) { return e.failures, true }
-func (e *Endpoint) typicalDelay() (float64, bool) { return e.delay, e.delay > 0 }
-func (e *Endpoint) typicalSign() (float64, bool)  { return e.sign, e.sign > 0 }
-
 func (d *Detector) judgeHealthy(now time.Time, e *Endpoint, silence float64) {
 	if d.judgeSilence(now, e, silence, Silent) {
 		return
--- /dev/null
+++ b/decide/health/health_test.go
@@ -0,0 +1,187 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var epoch = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
+
+const step = 100 * time.Millisecond
+
+// rig answers for n endpoints. Each step every endpoint that takes requests
+// gets one, and answer says what becomes of it; nil is the good answer.
+type rig struct {
+	*Detector
+	now  time.Time
+	eps  []*Endpoint
+	sent []int
+}
+
+func newRig(n int, cfg Config) *rig {
+	r := &rig{Detector: New(cfg), now: epoch, sent: make([]int, n)}
+	for range n {
+		r.eps = append(r.eps, r.Track("bandung"))
+	}
+	return r
+}
+
+type answers map[int]Outcome
+
+var good = Outcome{Delay: step, Age: step}
+
+// run lets time pass. Endpoints in silent get requests and give no sign.
+func (r *rig) run(d time.Duration, bad answers, silent ...int) {
+	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(step) {
+		if r.Due(r.now) {
+			r.Judge(r.now)
+		}
+		for i, e := range r.eps {
+			if e.State() == Healthy || e.WantsProbe() {
+				r.request(i, e, bad, silent)
+			}
+		}
+	}
+}
+
+func (r *rig) request(i int, e *Endpoint, bad answers, silent []int) {
+	r.Sent(r.now, e)
+	r.sent[i]++
+	for _, s := range silent {
+		if s == i {
+			return
+		}
+	}
+	o, ok := bad[i]
+	if !ok {
+		o = good
+	}
+	r.Heard(r.now.Add(o.Age), e, o.Age)
+	r.Observe(r.now.Add(o.Age), e, o)
+}
+
+// Callers that meet a bad endpoint get an error or wait. Each fault must be out
+// within a bound, and a run without the Detector sends it ten a second for good.
+func TestEjection(t *testing.T) {
+	fails := func(f Failure) Outcome { return Outcome{Age: step, Failure: f} }
+	for _, c := range []struct {
+		name   string
+		bad    answers
+		silent []int
+		cause  Cause
+		most   int // requests that reach it in 4 s
+	}{
+		{"refuses connections", answers{0: fails(Unreachable)}, nil, Consecutive, 3},
+		{"breaks every stream", answers{0: fails(Broken)}, nil, Consecutive, 3},
+		{"is ten times slower", answers{0: {Delay: 10 * step, Age: 10 * step}}, nil, Slow, 12},
+		{"has frozen", nil, []int{0}, Silent, 22},
+		{"is full", answers{0: fails(Overloaded)}, nil, NoCause, 40},
+		{"is leaving", answers{0: fails(Leaving)}, nil, NoCause, 40},
+		{"has callers that give up", answers{0: fails(Canceled)}, nil, NoCause, 40},
+		{"is slower by less than the floor", answers{0: {Delay: step + 40*time.Millisecond}}, nil, NoCause, 40},
+	} {
+		Convey("Given an endpoint that "+c.name, t, func() {
+			r := newRig(6, Config{})
+			r.run(5*time.Second, nil)
+			before := r.sent[0]
+			r.run(4*time.Second, c.bad, c.silent...)
+			t.Log("requests that reached it:", r.sent[0]-before)
+			So(r.eps[0].Cause(), ShouldEqual, c.cause)
+			So(r.sent[0]-before, ShouldBeLessThanOrEqualTo, c.most)
+			So(r.eps[1].State(), ShouldEqual, Healthy)
+		})
+	}
+}
+
+// Callers would get nothing if a common fault left no endpoint, and the few left
+// would drown. Beyond the stated part endpoints stay in use.
+func TestMostEjected(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		endpoints int
+		bad       Outcome
+		out       int
+	}{
+		{"all refuse connections", 8, Outcome{Failure: Unreachable}, 6},
+		{"two of two do", 2, Outcome{Failure: Unreachable}, 1},
+		{"the only one does", 1, Outcome{Failure: Unreachable}, 0},
+	} {
+		Convey("Given that "+c.name, t, func() {
+			r := newRig(c.endpoints, Config{})
+			bad := answers{}
+			for i := range c.endpoints {
+				bad[i] = c.bad
+			}
+			r.run(4*time.Second, bad)
+			So(r.Out(), ShouldEqual, c.out)
+		})
+	}
+	Convey("Given a third of the requests bad at every endpoint, none is out", t, func() {
+		r := newRig(6, Config{})
+		for i := range 60 {
+			bad := answers{}
+			for e := range 6 {
+				if (i+e)%3 == 0 {
+					bad[e] = Outcome{Failure: Internal}
+				}
+			}
+			r.run(step, bad)
+		}
+		So(r.Out(), ShouldEqual, 0)
+	})
+	Convey("Given six of eight slower, the median is theirs and none is out", t, func() {
+		r := newRig(8, Config{})
+		bad := answers{}
+		for i := range 6 {
+			bad[i] = Outcome{Delay: 10 * step}
+		}
+		r.run(10*time.Second, bad)
+		So(r.Out(), ShouldEqual, 0)
+	})
+}
+
+// A caller's request is the probe, so few may be spent: one at a time after 5 s,
+// then after 10 s, 20 s and so on; a good endpoint must come back all the same.
+func TestReturn(t *testing.T) {
+	dead := answers{0: {Age: time.Millisecond, Failure: Unreachable}}
+	Convey("Given an endpoint dead for five minutes", t, func() {
+		r := newRig(4, Config{})
+		r.run(5*time.Minute, dead)
+		t.Log("requests in five minutes:", r.sent[0])
+		So(r.sent[0], ShouldBeLessThanOrEqualTo, 3+8)
+		So(r.eps[0].Cause(), ShouldEqual, ProbeFailed)
+		r.run(75*time.Second, nil)
+		So(r.eps[0].State(), ShouldEqual, Healthy)
+	})
+	Convey("Given a probe whose caller gave up, another goes out", t, func() {
+		r := newRig(4, Config{})
+		r.run(time.Second, dead)
+		r.run(10*time.Second, answers{0: {Failure: Canceled}})
+		So(r.eps[0].State(), ShouldEqual, Probing)
+		r.run(time.Second, nil)
+		So(r.eps[0].State(), ShouldEqual, Healthy)
+	})
+	Convey("Given a probe that freezes, the endpoint is out again", t, func() {
+		r := newRig(4, Config{})
+		r.run(time.Second, dead)
+		r.run(10*time.Second, nil, 0)
+		So(fmt.Sprint(r.eps[0].State() == Ejected, r.eps[0].Cause()), ShouldEqual, "true probe failed")
+	})
+	Convey("Given an endpoint that froze and is well again, what it held is no probe", t, func() {
+		r := newRig(4, Config{})
+		r.run(5*time.Second, nil)
+		r.run(3*time.Second, nil, 0)
+		r.run(6*time.Second, nil)
+		So(r.eps[0].State(), ShouldEqual, Healthy)
+	})
+	Convey("Given an old request that fails late, the probing does not count it", t, func() {
+		r := newRig(4, Config{})
+		r.run(time.Second, dead)
+		r.run(10*time.Second, answers{0: {Failure: Canceled}})
+		r.Observe(r.now, r.eps[0], Outcome{Age: time.Hour, Failure: Broken})
+		So(r.eps[0].State(), ShouldEqual, Probing)
+	})
+}
