--- a/decide/balance/balancer_test.go
+++ b/decide/balance/balancer_test.go
@@ -193,39 +193,38 @@
 	})
 }
 
-// covers returns how many of the nodes use each replica, and the sizes of the
-// nodes' subsets.
-func covers(nodes, domains int, all []known, tellPeers bool) (map[string]int, []int) {
-	peers := make([][]uint64, domains)
+// subsets returns the replicas that each node uses. Nodes are spread over the
+// failure domains in turn.
+func subsets(nodes, domains int, all []known, tellPeers bool) [][]known {
+	near, peers, chosen := make([][][]known, domains), make([][]uint64, domains), make([][]known, nodes)
 	for n := range nodes {
 		peers[n%domains] = append(peers[n%domains], rendezvous.Hash(fmt.Sprint("vm-", n)))
 	}
-	near := make([][][]known, domains)
-	cover, sizes := map[string]int{}, make([]int, nodes)
 	for n := range nodes {
-		cfg := withDefaults(Config{Node: fmt.Sprint("vm-", n), FailureDomain: fmt.Sprint("fd-", n%domains)})
-		s := subset{cfg: cfg, self: rendezvous.Hash(cfg.Node)}
+		d := n % domains
+		s := subset{cfg: withDefaults(Config{FailureDomain: fmt.Sprint("fd-", d)}), self: rendezvous.Hash(fmt.Sprint("vm-", n))}
 		if tellPeers {
-			s.peers = slices.DeleteFunc(slices.Clone(peers[n%domains]), func(p uint64) bool { return p == s.self })
+			s.peers = slices.DeleteFunc(slices.Clone(peers[d]), func(p uint64) bool { return p == s.self })
 		}
-		if near[n%domains] == nil { // the same for all nodes of a domain
-			near[n%domains] = s.byNearness(all)
-		}
-		chosen := slices.Concat(s.chooseFrom(near[n%domains]))
-		sizes[n] = len(chosen)
-		for _, k := range chosen {
-			cover[k.ID]++
+		if near[d] == nil { // the same for all nodes of a domain
+			near[d] = s.byNearness(all)
 		}
+		chosen[n] = slices.Concat(s.chooseFrom(near[d]))
 	}
-	return cover, sizes
+	return chosen
 }
 
-func spread(all []known, cover map[string]int) (least, most int, mean float64) {
-	least = math.MaxInt
-	sum := 0
+// spread returns how many nodes use the replica with the fewest, with the most
+// and on average.
+func spread(all []known, chosen [][]known) (least, most int, mean float64) {
+	nodes, sum := map[string]int{}, 0
+	for _, k := range slices.Concat(chosen...) {
+		nodes[k.ID]++
+		sum++
+	}
+	least = sum
 	for _, k := range all {
-		least, most = min(least, cover[k.ID]), max(most, cover[k.ID])
-		sum += cover[k.ID]
+		least, most = min(least, nodes[k.ID]), max(most, nodes[k.ID])
 	}
 	return least, most, float64(sum) / float64(len(all))
 }
@@ -239,15 +238,15 @@
 	}{{9, 40, 3, 1}, {275, 1250, 23, 1.15}, {2200, 10000, 23, 1.15}} {
 		Convey(fmt.Sprintf("Given %d nodes before %d replicas", c.nodes, c.replicas), t, func() {
 			all := knownFrom(fleet(c.replicas, c.domains))
-			alone, _ := covers(c.nodes, c.domains, all, false)
-			least0, most0, mean0 := spread(all, alone)
-			told, sizes := covers(c.nodes, c.domains, all, true)
+			least0, most0, mean0 := spread(all, subsets(c.nodes, c.domains, all, false))
+			told := subsets(c.nodes, c.domains, all, true)
 			least, most, mean := spread(all, told)
+			bySize := func(a, b []known) int { return len(a) - len(b) }
 			t.Logf("nodes per replica: alone %d to %d, mean %.1f, max/mean %.2f; with peers %d to %d, mean %.1f, max/mean %.2f; subsets %d to %d",
-				least0, most0, mean0, float64(most0)/mean0, least, most, mean, float64(most)/mean, slices.Min(sizes), slices.Max(sizes))
-			So(float64(most0)/mean0, ShouldBeGreaterThanOrEqualTo, float64(most)/mean)
+				least0, most0, mean0, float64(most0)/mean0, least, most, mean, float64(most)/mean,
+				len(slices.MinFunc(told, bySize)), len(slices.MaxFunc(told, bySize)))
 			So(least, ShouldBeGreaterThan, 0)
-			So(float64(most)/mean, ShouldBeLessThanOrEqualTo, c.uneven)
+			So(float64(most)/mean, ShouldBeLessThanOrEqualTo, min(c.uneven, float64(most0)/mean0))
 		})
 	}
 }
@@ -256,21 +255,15 @@
 // that goes may take its own edges with it and no others; those of a node go to
 // its peers.
 func TestChurn(t *testing.T) {
-	const nodes, quota = 96, 24.0
-	edges := func(nodes int, replicas []known) map[string]bool {
-		all := map[string]bool{}
-		for n := range nodes {
-			s := subset{self: rendezvous.Hash(fmt.Sprint("vm-", n))}
-			for p := range nodes {
-				if p != n {
-					s.peers = append(s.peers, rendezvous.Hash(fmt.Sprint("vm-", p)))
-				}
-			}
-			for _, k := range s.fromDomain(replicas, quota, true) {
-				all[fmt.Sprint(n, " ", k.ID)] = true
+	const nodes, replicas = 96, 435
+	edges := func(nodes int, all []known) map[string]bool {
+		found := map[string]bool{}
+		for n, chosen := range subsets(nodes, 1, all, true) {
+			for _, k := range chosen {
+				found[fmt.Sprint(n, " ", k.ID)] = true
 			}
 		}
-		return all
+		return found
 	}
 	missing := func(from, in map[string]bool) (n int) {
 		for e := range from {
@@ -281,12 +274,11 @@
 		return n
 	}
 	Convey("Given 96 nodes before 435 replicas of a domain", t, func() {
-		replicas := knownFrom(fleet(435, 1))
-		before := edges(nodes, replicas)
-		noReplica, noNode := edges(nodes, replicas[1:]), edges(nodes-1, replicas)
+		all := knownFrom(fleet(replicas, 1))
+		before, noReplica, noNode := edges(nodes, all), edges(nodes, all[1:]), edges(nodes-1, all)
 		t.Logf("%d edges; without a replica %d go and %d come; without a node %d go and %d come", len(before),
 			missing(before, noReplica), missing(noReplica, before), missing(before, noNode), missing(noNode, before))
-		So(missing(before, noReplica), ShouldEqual, len(before)/435)
+		So(missing(before, noReplica), ShouldEqual, len(before)/replicas)
 		So(missing(noReplica, before), ShouldEqual, 0)
 		So(missing(before, noNode), ShouldEqual, missing(noNode, before))
 		So(missing(before, noNode), ShouldBeLessThan, 2*len(before)/nodes)
--- a/decide/balance/sim_test.go
+++ b/decide/balance/sim_test.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -69,23 +69,9 @@
 )
 
 type event struct {
-	at  time.Time
-	seq int
-	do  func()
+	at time.Time
+	do func()
 }
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].before(e[j]) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-func (e event) before(f event) bool { return e.at.Before(f.at) || e.at.Equal(f.at) && e.seq < f.seq }
-
 type engine struct {
 	Replica
 	slow                  float64 // factor on all times
@@ -111,8 +97,7 @@
 type world struct {
 	now      time.Time
 	random   *rand.Rand
-	events   events
-	seq      int
+	events   []event // by time
 	engines  []*engine
 	policies []policy
 
@@ -160,8 +145,11 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{w.now.Add(d), w.seq, do})
+	at := w.now.Add(d)
+	i, _ := slices.BinarySearchFunc(w.events, at, func(e event, at time.Time) int {
+		return cmp.Or(e.at.Compare(at), -1) // after those of the same time
+	})
+	w.events = slices.Insert(w.events, i, event{at, do})
 }
 
 // run lets calls arrive at random for a minute, at a rate that may change, and
@@ -170,8 +158,8 @@
 	w.after(0, func() { w.arrive(rate, prefix) })
 	w.after(0, w.report)
 	for len(w.events) > 0 && w.now.Sub(epoch) < 3*time.Minute {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
+		e := w.events[0]
+		w.events, w.now = w.events[1:], e.at
 		e.do()
 	}
 	slices.Sort(w.delays)
--- a/decide/balance/tier.go
+++ b/decide/balance/tier.go
@@ -17,7 +17,8 @@
 	// proportion to them.
 	cumulative []float64
 
-	turn float64
+	turn  float64 // where the last in turn stood, 0 to 1
+	equal bool    // all usable members have the same capacity
 
 	inflight float64 // own requests at the usable members
 	others   float64 // requests of other nodes there, by report
@@ -54,9 +55,13 @@
 	t.usable = t.usable[:0]
 	t.cumulative = t.cumulative[:0]
 	t.inflight, t.others, t.reported = 0, 0, 0
+	t.equal = true
 }
 
 func (t *tier) include(m *member) {
+	if len(t.usable) > 0 && m.capacity != t.usable[0].capacity {
+		t.equal = false
+	}
 	t.usable = append(t.usable, m)
 	t.cumulative = append(t.cumulative, t.capacity()+m.capacity)
 	t.inflight += float64(m.inflight)
@@ -107,12 +112,22 @@
 }
 
 // nextInTurn takes the usable members in turn, each as often as its capacity
-// says. Steps of the golden ratio visit parts of any size evenly.
+// says.
 func (t *tier) nextInTurn() *member {
-	_, t.turn = math.Modf(t.turn + math.Phi - 1)
+	_, t.turn = math.Modf(t.turn + t.step())
 	return t.at(t.turn)
 }
 
+// step visits equal members one after the other. Among unequal ones it would
+// send a large one several requests in a row; steps of the golden ratio visit
+// parts of any size evenly.
+func (t *tier) step() float64 {
+	if t.equal {
+		return 1 / float64(len(t.usable))
+	}
+	return math.Phi - 1
+}
+
 // at returns the usable member at a place from 0 to 1, where each has room in
 // proportion to its capacity. The tier must have one.
 func (t *tier) at(place float64) *member {
--- a/decide/entry/entry.go
+++ b/decide/entry/entry.go
@@ -114,18 +114,13 @@
 	return n
 }
 
-type ranked struct {
-	member Member
-	rank   float64
-}
-
 func homesOf(team string, members []Member, k int) []Member {
 	key := rendezvous.Hash(team)
 	return top(members, k, func(m Member) float64 {
 		if !m.usable() {
 			return 0
 		}
-		return rendezvous.Weighted(key, rendezvous.Hash(m.ID), 1)
+		return rendezvous.Unit(rendezvous.Score(key, rendezvous.Hash(m.ID)))
 	})
 }
 
@@ -164,20 +159,29 @@
 	return room
 }
 
+// ranked is a member by its index and its rank.
+type ranked struct {
+	index int
+	rank  float64
+}
+
 // top returns the k members of the highest positive rank, best first.
 func top(members []Member, k int, rank func(Member) float64) []Member {
 	all := make([]ranked, 0, len(members))
-	for _, m := range members {
+	for i, m := range members {
 		if r := rank(m); r > 0 {
-			all = append(all, ranked{m, r})
+			all = append(all, ranked{i, r})
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.member.ID, b.member.ID))
+		if a.rank != b.rank {
+			return cmp.Compare(b.rank, a.rank)
+		}
+		return cmp.Compare(members[a.index].ID, members[b.index].ID)
 	})
 	best := make([]Member, 0, min(k, len(all)))
 	for _, r := range all[:min(k, len(all))] {
-		best = append(best, r.member)
+		best = append(best, members[r.index])
 	}
 	return best
 }
--- /dev/null
+++ b/decide/entry/entry_test.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func members(n, domains int) []Member {
+	all := make([]Member, n)
+	for i := range all {
+		id := fmt.Sprint("vm-", i)
+		all[i] = Member{ID: id, Address: "192.0.2.1", FailureDomain: fmt.Sprint("fd-", i%domains)}
+	}
+	return all
+}
+
+func changed(a, b []string) (n int) {
+	for _, x := range a {
+		if !slices.Contains(b, x) {
+			n++
+		}
+	}
+	return n
+}
+
+// A team's limit is split over its homes, so a change of the list must move few
+// of them, and a team must need few however many nodes there are.
+func TestHomes(t *testing.T) {
+	Convey("Given 2,200 nodes and a team of a two-hundredth of the load", t, func() {
+		all := members(2200, 23)
+		k := HomeCount(1.0/200, len(all))
+		homes := Homes("dispatch", all, k)
+		So(k, ShouldEqual, 44)
+		So(len(homes), ShouldEqual, k)
+		all[17].Load = 0.9
+		So(Homes("dispatch", all, k), ShouldResemble, homes)
+		gone := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.ID == homes[3] })
+		So(changed(homes, Homes("dispatch", gone, k)), ShouldEqual, 1)
+		So(changed(homes, Homes("dispatch", members(2300, 23), k)), ShouldBeLessThan, 8)
+		So(changed(homes, Homes("bakers", all, k)), ShouldBeGreaterThan, 35)
+	})
+	Convey("The number of homes grows with the share, from two to all", t, func() {
+		So(HomeCount(0, 9), ShouldEqual, 2)
+		So(HomeCount(0.1, 9), ShouldEqual, 4)
+		So(HomeCount(1, 9), ShouldEqual, 9)
+		So(HomeCount(1, 1), ShouldEqual, 1)
+		So(Homes("bakers", nil, 2), ShouldBeEmpty)
+	})
+}
+
+// A caller that is named a node which leaves or is dead loses its requests there
+// until its answer runs out. A full node is still better than no address.
+func TestAnswer(t *testing.T) {
+	Convey("Given nine nodes of which some are leaving or silent", t, func() {
+		all := members(9, 3)
+		all[0].Draining, all[1].Suspected, all[2].Suspected = true, true, true
+		named := map[string]bool{}
+		for caller := range 200 {
+			a := Answer(Query{Team: "bakers", Caller: fmt.Sprint(caller), Share: 1, FailureDomain: "fd-1"}, all)
+			sum := 0.0
+			for _, x := range a.Addresses {
+				named[x.ID] = true
+				sum += x.Weight
+			}
+			if len(a.Addresses) != MaxAddresses || a.ValidFor != ValidFor || math.Abs(sum-1) > 1e-9 {
+				t.Errorf("caller %d got %+v", caller, a)
+			}
+		}
+		So(len(named), ShouldEqual, 6)
+		for _, m := range all[:3] {
+			So(named[m.ID], ShouldBeFalse)
+		}
+	})
+	Convey("Given that all nodes are full, callers still get addresses", t, func() {
+		all := members(3, 1)
+		for i := range all {
+			all[i].Load = 1.5
+		}
+		So(len(Answer(Query{Team: "bakers"}, all).Addresses), ShouldEqual, 2)
+	})
+	Convey("Given no usable node, the caller asks again soon", t, func() {
+		a := Answer(Query{Team: "bakers"}, []Member{{ID: "vm-0", Draining: true}})
+		So(a.Addresses, ShouldBeEmpty)
+		So(a.ValidFor, ShouldEqual, RetryAfter)
+		So(ServeOn(3*time.Second), ShouldEqual, 23*time.Second)
+	})
+	Convey("Given homes in three domains, most requests stay in the caller's", t, func() {
+		near := 0.0
+		for caller := range 300 {
+			q := Query{Team: "bakers", Caller: fmt.Sprint(caller), Share: 1, FailureDomain: "fd-2"}
+			for _, a := range Answer(q, members(9, 3)).Addresses {
+				if a.FailureDomain == q.FailureDomain {
+					near += a.Weight / 300
+				}
+			}
+		}
+		t.Logf("share of requests in the caller's domain: %.2f", near)
+		So(near, ShouldBeGreaterThan, 0.8)
+	})
+}
+
+// spreadOf returns the load of the busiest node over the mean, and the share of
+// requests in their caller's failure domain. 240 teams, a few of them large,
+// have callers of whom a tenth ask again at each step. A blind answer knows no
+// loads.
+func spreadOf(nodes, callers int, headroom float64, blind bool) (busiest, near float64) {
+	const teams, domains, steps, meanLoad = 240, 23, 40, 0.5
+	random := rand.New(rand.NewPCG(1, 2))
+	all, at, sum := members(nodes, domains), map[string]int{}, 0.0
+	for i, m := range all {
+		at[m.ID] = i
+	}
+	for i := range teams {
+		sum += 1 / float64(i+5)
+	}
+	var homes [][]Member // by caller; those of a team share one
+	var queries []Query
+	for i := range teams {
+		share := 1 / float64(i+5) / sum
+		h := homesOf(fmt.Sprint(i), all, max(MinHomes, int(math.Ceil(headroom*share*float64(nodes)))))
+		for range int(share * float64(callers)) {
+			n := len(queries)
+			queries = append(queries, Query{Team: fmt.Sprint(i), Caller: fmt.Sprint(n), FailureDomain: fmt.Sprint("fd-", n%domains)})
+			homes = append(homes, h)
+		}
+	}
+	load, held := make([]float64, nodes), make([][]Address, len(queries))
+	for step := range steps {
+		known := slices.Clone(load)
+		for c, q := range queries {
+			if step > 0 && random.IntN(10) > 0 {
+				continue
+			}
+			for i := range homes[c] {
+				if m := &homes[c][i]; !blind {
+					m.Load = known[at[m.ID]] * meanLoad
+				}
+			}
+			for _, a := range held[c] {
+				load[at[a.ID]] -= a.Weight * float64(nodes) / float64(len(queries))
+			}
+			held[c] = withWeights(q, choose(q, homes[c]))
+			for _, a := range held[c] {
+				load[at[a.ID]] += a.Weight * float64(nodes) / float64(len(queries))
+			}
+		}
+	}
+	for c := range held {
+		for _, a := range held[c] {
+			if a.FailureDomain == queries[c].FailureDomain {
+				near += a.Weight / float64(len(held))
+			}
+		}
+	}
+	return slices.Max(load), near
+}
+
+// Callers of a team whose homes are full wait though other nodes are idle: the
+// hashes of teams collide. Answers that know the loads move callers on.
+func TestSpread(t *testing.T) {
+	Convey("Given 240 teams over 230 nodes", t, func() {
+		busiest, near := spreadOf(230, 2000, HomeHeadroom, false)
+		blind, _ := spreadOf(230, 2000, HomeHeadroom, true)
+		t.Logf("busiest node over the mean: %.2f, blind %.2f; share in the caller's domain %.2f", busiest, blind, near)
+		So(busiest, ShouldBeLessThan, 1.8)
+		So(busiest, ShouldBeLessThan, blind*2/3)
+	})
+}
+
+// BenchmarkSpread prints the spread at the target size.
+func BenchmarkSpread(b *testing.B) {
+	for _, headroom := range []float64{1, 2, HomeHeadroom, 8} {
+		b.Run(fmt.Sprint("headroom ", headroom), func(b *testing.B) {
+			for b.Loop() {
+				busiest, near := spreadOf(2200, 20000, headroom, false)
+				b.ReportMetric(busiest, "busiest/mean")
+				b.ReportMetric(near, "near")
+			}
+		})
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	all := members(2200, 23)
+	for b.Loop() {
+		Answer(Query{Team: "bakers", Caller: "192.0.2.7", Share: 0.005, FailureDomain: "fd-1"}, all)
+	}
+}
