--- a/decide/balance/balancer_test.go
+++ b/decide/balance/balancer_test.go
@@ -300,17 +300,40 @@
 	})
 }
 
+// busyBalancer has load of its own and of other nodes everywhere.
+func busyBalancer(replicas int) *Balancer {
+	b := newBalancer(replicas, 23)
+	b.SetPeers(epoch, []string{"vm-1", "vm-2", "vm-3"})
+	for i, id := range b.Subset() {
+		b.Report(epoch, id, Load{Running: i % 60})
+		for range i % 9 {
+			b.Sent(epoch, id, 200)
+		}
+	}
+	return b
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	Convey("Given 10,000 replicas known", t, func() {
+		b, i := busyBalancer(10000), 0
+		So(testing.AllocsPerRun(1000, func() {
+			i++
+			b.Pick(epoch.Add(time.Duration(i)*time.Millisecond), Query{Cost: 200, Prefix: uint64(i % 2 * i)})
+		}), ShouldEqual, 0)
+	})
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000} {
-		for name, q := range map[string]Query{"load": {Cost: 200}, "prefix": {Cost: 200, Prefix: 9}} {
-			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
-				bal := newBalancer(n, 23)
-				bal.SetPeers(epoch, []string{"vm-1", "vm-2", "vm-3"})
+		for _, prefixes := range []uint64{0, 1000} {
+			b.Run(fmt.Sprintf("%d replicas %d prefixes", n, prefixes), func(b *testing.B) {
+				bal, q, now := busyBalancer(n), Query{Cost: 200}, epoch
 				b.ReportAllocs()
-				now := epoch
-				for i := 0; b.Loop(); i++ {
+				for i := uint64(0); b.Loop(); i++ {
 					now = now.Add(time.Millisecond)
-					q.Prefix *= uint64(i%1000 + 1)
+					if prefixes > 0 {
+						q.Prefix = 1 + i%prefixes
+					}
 					bal.Pick(now, q)
 				}
 			})
@@ -327,6 +350,7 @@
 		peers[i] = fmt.Sprint("vm-", i)
 	}
 	var before, after runtime.MemStats
+	keep = nil
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	keep = New(Config{Node: "vm-1", FailureDomain: "fd-0"})
@@ -337,6 +361,6 @@
 	for b.Loop() {
 		keep.SetReplicas(epoch, replicas)
 	}
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/10000, "B/known")
+	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/10000, "B/known")
 	b.ReportMetric(float64(len(keep.members)), "members")
 }
--- a/decide/balance/doc.go
+++ b/decide/balance/doc.go
@@ -9,21 +9,25 @@
 //	choice, ok := b.Pick(now, balance.Query{Prefix: prefix, Cost: tokens})
 //	b.Sent(now, choice.Replica, tokens)
 //	... the request goes out, its first token comes back ...
-//	b.Started(now, choice.Replica, untilFirstToken)
-//	b.Finished(now, choice.Replica, balance.Result{Cost: tokens, Total: total})
+//	b.Started(now, choice.Replica, firstToken)
+//	b.Finished(now, choice.Replica, balance.Result{
+//		Cost: tokens, FirstToken: firstToken, Total: total, Started: true,
+//	})
 //
-// Every Sent needs one Finished with the same cost. Report takes the load that
-// travels on answers or is polled. A Balancer is not safe for concurrent use;
+// Every Sent needs one Finished with the same cost. Started and Progress are
+// optional. Report takes the load that travels on answers or is polled. Log what
+// Changes returns; Status shows the subset to operators. A Balancer is not safe for concurrent use;
 // the caller locks. Time must not run backwards between calls.
 //
 // # The load patterns it answers, and what happens without it
 //
-//   - A slow endpoint: in turn, it gets as much as the others and its share of
-//     the callers wait. Two random choices by load send it what it can carry,
-//     and package health ejects it.
+//   - A slow endpoint: in turn alone, it gets as much as the others and its
+//     share of the callers wait. A replica in turn is passed over for a random
+//     one with less load, and package health ejects the slow one.
 //   - Stale load reports: when every node sends to the least loaded, that one
-//     is swamped before its report shows it (herding). Two random choices, own
-//     requests since the report added, and old reports fading to the mean.
+//     is swamped before its report shows it (herding). A report is corrected by
+//     the node's own requests since, fades at the rate at which requests end,
+//     and differences that may be noise move nothing.
 //   - A hot key: a prompt's prefix is cached by one replica, so affinity saves
 //     work until that replica is swamped. Bounded load moves on the surplus.
 //   - Endpoints joining in the rush: cold and idle, a newcomer would draw every
@@ -43,9 +47,10 @@
 // the same number of nodes of a domain; so every replica has the same number of
 // nodes (even cover), and a node or replica that comes or goes moves only its
 // own edges. Were the nodes to choose the replicas instead, a replica's nodes
-// would be Poisson spread, some having none. Lists that lag make the cover a
-// little uneven and nothing else. Near replicas make up three quarters of the
-// subset and the SpillDomains nearest other domains the rest.
+// would be Poisson spread, some having none. A failure domain without nodes gets
+// only what others spill to it. Lists that lag make the cover a little uneven
+// and nothing else. Near replicas make up three quarters of the subset and the
+// SpillDomains nearest other domains the rest.
 //
 // # Grounds for the figures
 //
@@ -59,10 +64,8 @@
 //   - DefaultAffinityBound 1.25 over the mean: the usual bound, at which hardly
 //     any walk is longer than a few steps. A replica below AffinityFree, half
 //     of its slots, takes its own prefixes whatever the mean.
-//   - DefaultSlowStart 30 s from a tenth: a newcomer warms its cache on a tenth
-//     of a share before it gets a whole one.
-//   - DefaultStaleAfter 5 s: a report of 1 s polls is trusted in full when new;
-//     three lost in a row leave little of it.
-//   - DefaultBackoff 250 ms after a refusal for want of room: about the time in
-//     which a slot comes free at 50 requests of 7 s on each replica.
+//   - DefaultSlowStart 15 s from a tenth: measured with newcomers that are cold
+//     for 20 s; 5 s is too short, and longer withholds capacity in the rush.
+//   - DefaultBackoff 250 ms after a refusal for want of room: a replica
+//     with 50 requests of 7 s frees about two slots in that time.
 package balance
--- a/decide/balance/rendezvous/rendezvous.go
+++ b/decide/balance/rendezvous/rendezvous.go
@@ -3,7 +3,7 @@
 // wins. When a candidate comes or goes, only the keys that it wins or won move;
 // with `hash mod n` nearly all would.
 //
-// Hash once and keep the result; Score costs about a nanosecond.
+// Hash once and keep the result; Score is a few multiplications.
 package rendezvous
 
 import "math"
