--- a/decide/balance/sim_test.go
+++ b/decide/balance/sim_test.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -26,66 +26,46 @@
 	maxAttempts = 3
 )
 
-type policy interface {
-	Pick(now time.Time, q Query) (Choice, bool)
-	Sent(now time.Time, id string, cost float64)
-	Started(now time.Time, id string, firstToken time.Duration)
-	Progress(now time.Time, id string, perToken time.Duration)
-	Finished(now time.Time, id string, r Result)
-	Report(now time.Time, id string, l Load)
-	SetReplicas(now time.Time, replicas []Replica)
+// policy is a Balancer, or a baseline that chooses among all replicas by one
+// rule, whatever becomes of them.
+type policy struct {
+	*Balancer
+	rule     func(p *policy, q Query) Replica
+	replicas []Replica
+	turn     int
+	reported map[string]int
 }
 
-// baseline chooses among all replicas by one rule, whatever becomes of them.
-type baseline struct {
-	*Balancer // takes what the baseline does not need to know
-	replicas  []Replica
-	turn      int
-	reported  map[string]int
-	choose    func(b *baseline, q Query) Replica
+func baseline(rule func(p *policy, q Query) Replica) func(int) *policy {
+	return func(node int) *policy {
+		return &policy{New(Config{}), rule, nil, node * 5, map[string]int{}}
+	}
 }
 
-func (b *baseline) SetReplicas(_ time.Time, replicas []Replica) { b.replicas = replicas }
-func (b *baseline) Report(_ time.Time, id string, l Load)       { b.reported[id] = l.Running + l.Waiting }
-func (b *baseline) Pick(_ time.Time, q Query) (Choice, bool) {
-	return Choice{Replica: b.choose(b, q).ID}, true
+func (p *policy) pick(now time.Time, q Query) (Choice, bool) {
+	if p.rule == nil {
+		return p.Pick(now, q)
+	}
+	return Choice{Replica: p.rule(p, q).ID}, true
 }
 
-func rule(choose func(b *baseline, q Query) Replica) func(int) policy {
-	return func(node int) policy {
-		return &baseline{New(Config{}), nil, node * 5, map[string]int{}, choose}
-	}
+func (p *policy) inTurn(of int) Replica {
+	p.turn++
+	return p.replicas[p.turn%of]
 }
 
 var (
-	roundRobin = rule(func(b *baseline, _ Query) Replica {
-		b.turn++
-		return b.replicas[b.turn%len(b.replicas)]
-	})
-	leastReported = rule(func(b *baseline, _ Query) Replica {
-		return slices.MinFunc(b.replicas, func(x, y Replica) int { return b.reported[x.ID] - b.reported[y.ID] })
+	roundRobin    = baseline(func(p *policy, _ Query) Replica { return p.inTurn(len(p.replicas)) })
+	hashOnly      = baseline(func(p *policy, q Query) Replica { return p.replicas[q.Prefix%uint64(len(p.replicas))] })
+	leastReported = baseline(func(p *policy, _ Query) Replica {
+		return slices.MinFunc(p.replicas, func(x, y Replica) int { return p.reported[x.ID] - p.reported[y.ID] })
 	})
-	hashOnly = rule(func(b *baseline, q Query) Replica { return b.replicas[q.Prefix%uint64(len(b.replicas))] })
 )
 
 type event struct {
-	at  time.Time
-	seq int
-	do  func()
+	at time.Time
+	do func()
 }
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].before(e[j]) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-func (e event) before(f event) bool { return e.at.Before(f.at) || e.at.Equal(f.at) && e.seq < f.seq }
-
 type engine struct {
 	Replica
 	slow                  float64 // factor on all times
@@ -97,7 +77,7 @@
 }
 
 type call struct {
-	policy   policy
+	policy   *policy
 	arrived  time.Time
 	sent     time.Time // of the attempt underway, and its time to the first token
 	first    time.Duration
@@ -111,10 +91,9 @@
 type world struct {
 	now      time.Time
 	random   *rand.Rand
-	events   events
-	seq      int
+	events   []event // by time
 	engines  []*engine
-	policies []policy
+	policies []*policy
 
 	prefill, cachedPrefill time.Duration
 	reportLag, farLink     time.Duration
@@ -126,7 +105,7 @@
 
 // newWorld has endpoints that hold a mean request for 1 s: 8 requests a second
 // each.
-func newWorld(nodes int, make func(int) policy, perDomain int, domains ...string) *world {
+func newWorld(nodes int, make func(int) *policy, perDomain int, domains ...string) *world {
 	w := &world{
 		now: epoch, random: rand.New(rand.NewPCG(7, 11)), until: time.Hour,
 		prefill: 200 * time.Millisecond, cachedPrefill: 200 * time.Millisecond, reportLag: 200 * time.Millisecond,
@@ -155,13 +134,17 @@
 		all = append(all, e.Replica)
 	}
 	for _, p := range w.policies {
+		p.replicas = all
 		p.SetReplicas(w.now, all)
 	}
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{w.now.Add(d), w.seq, do})
+	at := w.now.Add(d)
+	i, _ := slices.BinarySearchFunc(w.events, at, func(e event, at time.Time) int {
+		return cmp.Or(e.at.Compare(at), -1) // after those of the same time
+	})
+	w.events = slices.Insert(w.events, i, event{at, do})
 }
 
 // run lets calls arrive at random for a minute, at a rate that may change, and
@@ -170,8 +153,8 @@
 	w.after(0, func() { w.arrive(rate, prefix) })
 	w.after(0, w.report)
 	for len(w.events) > 0 && w.now.Sub(epoch) < 3*time.Minute {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
+		e := w.events[0]
+		w.events, w.now = w.events[1:], e.at
 		e.do()
 	}
 	slices.Sort(w.delays)
@@ -182,18 +165,19 @@
 	if prefix != nil {
 		q.Prefix = prefix(w.random)
 	}
-	if w.judged(w.now) {
+	c := &call{policy: w.policies[w.random.IntN(len(w.policies))], arrived: w.now, query: q}
+	if w.judged(c) {
 		w.arrived++
 	}
-	w.attempt(&call{policy: w.policies[w.random.IntN(len(w.policies))], arrived: w.now, query: q})
+	w.attempt(c)
 	wait := time.Duration(w.random.ExpFloat64() / rate(w.now.Sub(epoch).Seconds()) * float64(time.Second))
 	if w.now.Add(wait).Sub(epoch) < time.Minute {
 		w.after(wait, func() { w.arrive(rate, prefix) })
 	}
 }
 
-func (w *world) judged(arrived time.Time) bool {
-	at := arrived.Sub(epoch)
+func (w *world) judged(c *call) bool {
+	at := c.arrived.Sub(epoch)
 	return at >= w.from && at < w.until
 }
 
@@ -205,6 +189,7 @@
 		l := Load{Running: len(e.serving), Waiting: len(e.queue), Age: w.reportLag}
 		w.after(w.reportLag, func() {
 			for _, p := range w.policies {
+				p.reported[e.ID] = l.Running + l.Waiting
 				p.Report(w.now, e.ID, l)
 			}
 		})
@@ -214,13 +199,13 @@
 
 func (w *world) attempt(c *call) {
 	c.attempts++
-	choice, ok := c.policy.Pick(w.now, c.query)
+	choice, ok := c.policy.pick(w.now, c.query)
 	if !ok || c.attempts > maxAttempts {
 		w.failed++
 		return
 	}
 	e := w.engines[slices.IndexFunc(w.engines, func(e *engine) bool { return e.ID == choice.Replica })]
-	c.sent, c.started = w.now, false
+	c.sent, c.started, c.first = w.now, false, 0
 	c.policy.Sent(w.now, e.ID, c.query.Cost)
 	e.received = append(e.received, w.now)
 	switch {
@@ -246,10 +231,7 @@
 }
 
 func (w *world) finished(c *call, e *engine, f health.Failure) {
-	r := Result{Cost: c.query.Cost, Total: w.now.Sub(c.sent), Failure: f, Started: c.started}
-	if c.started {
-		r.FirstToken = c.first
-	}
+	r := Result{Cost: c.query.Cost, Total: w.now.Sub(c.sent), Failure: f, Started: c.started, FirstToken: c.first}
 	c.policy.Finished(w.now, e.ID, r)
 }
 
@@ -290,7 +272,7 @@
 func (w *world) start(c *call, e *engine) {
 	c.started, c.first = true, w.now.Sub(c.sent)
 	c.policy.Started(w.now, e.ID, c.first)
-	if !c.answered && w.judged(c.arrived) {
+	if !c.answered && w.judged(c) {
 		w.delays = append(w.delays, w.now.Sub(c.arrived))
 	}
 	c.answered = true
