--- a/standin/storefake/server.go
+++ b/standin/storefake/server.go
@@ -35,7 +35,8 @@
 	Outage bool `json:"outage"`
 	// Refuse answers every call 429 without effect.
 	Refuse bool `json:"refuse"`
-	// Freeze holds every call without effect or answer until it is lifted.
+	// Freeze holds every call without effect or answer until it is lifted. The
+	// calls held then take effect, also those whose callers have given up.
 	Freeze bool `json:"freeze"`
 	// SlowMillis delays each call before it takes effect. A call whose caller
 	// gave up meanwhile still takes effect, late.
@@ -128,7 +129,7 @@
 		return
 	}
 	faults, lose := s.begin(r.URL.Path)
-	if faults.Freeze && !s.thaw(r) {
+	if faults.Freeze && !s.thaw() {
 		cut()
 	}
 	switch {
@@ -172,9 +173,9 @@
 	return s.faults, loseNothing
 }
 
-// thaw waits until the store is no longer frozen; false if the caller left or
-// an outage came first.
-func (s *Server) thaw(r *http.Request) bool {
+// thaw waits until the store is no longer frozen; false if an outage came
+// first.
+func (s *Server) thaw() bool {
 	for {
 		s.mu.Lock()
 		faults, lifted := s.faults, s.lifted
@@ -182,11 +183,7 @@
 		if !faults.Freeze {
 			return !faults.Outage
 		}
-		select {
-		case <-lifted:
-		case <-r.Context().Done():
-			return false
-		}
+		<-lifted
 	}
 }
 
