--- /dev/null
+++ b/route/engine/client_test.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	standin "github.com/cicadatack/cicadatack/standin/engine"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+)
+
+// TestMain fails the run if any test leaves a goroutine behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func startEngine(t *testing.T, cfg standin.Config) *standin.Server {
+	t.Helper()
+	cfg.Model, cfg.Last, cfg.Version = "toy", 3, 2
+	srv, err := standin.Start("127.0.0.1:0", cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return srv
+}
+
+func chatFor(srv *standin.Server, stream string) engineapi.ChatRequest {
+	return engineapi.ChatRequest{
+		Model:     "toy",
+		Messages:  []engineapi.Message{{Role: "user", Content: "tide"}},
+		MaxTokens: 3,
+		Pipeline:  &engineapi.Pipeline{Stream: stream, Epoch: 1, PlacementVersion: 2, Chain: []engineapi.Stage{srv.Stage()}},
+	}
+}
+
+func TestCalls(t *testing.T) {
+	Convey("A client talks to an engine", t, func() {
+		srv := startEngine(t, standin.Config{CheckFencing: true})
+		defer srv.Close()
+		client := New(nil)
+		defer client.CloseIdle()
+		ctx := context.Background()
+
+		stream, err := client.Open(ctx, srv.Address, chatFor(srv, "calls"))
+		So(err, ShouldBeNil)
+		defer stream.Close()
+		want := standin.Answer(4, chatFor(srv, "").Messages, 3)
+		for position, token := range want {
+			event, err := stream.Next()
+			So(err, ShouldBeNil)
+			So(event.Token, ShouldEqual, token)
+			So(event.Trace.Position, ShouldEqual, position)
+		}
+		event, err := stream.Next()
+		So(err, ShouldBeNil)
+		So(event.Finish, ShouldNotBeEmpty)
+		_, err = stream.Next()
+		So(errors.Is(err, io.EOF), ShouldBeTrue)
+
+		holding, err := client.Holding(ctx, srv.Address)
+		So(err, ShouldBeNil)
+		So(holding, ShouldResemble, engineapi.Holding{Model: "toy", Last: 3, PlacementVersion: 2})
+		err = client.Order(ctx, srv.Address, engineapi.Order{Model: "toy", Last: 1, PlacementVersion: 1})
+		So(Status(err), ShouldEqual, http.StatusConflict)
+		So(client.Order(ctx, srv.Address, engineapi.Order{Model: "toy", Last: 1, PlacementVersion: 3}), ShouldBeNil)
+		load, err := client.Load(ctx, srv.Address)
+		So(err, ShouldBeNil)
+		So(load.Slots, ShouldEqual, standin.DefaultSlots)
+		So(client.Cancel(ctx, srv.Address, "nobody's", 0), ShouldBeNil)
+		_, err = client.CacheEvents(ctx, srv.Address, 0)
+		So(err, ShouldBeNil)
+	})
+}
+
+// The caller is told "not run" only when that is proved: nothing listened, or
+// the engine says that it refused. A connection that took the request and then
+// broke proves nothing, and neither does an error status alone.
+func TestStateOfFailedSends(t *testing.T) {
+	refusing := startEngine(t, standin.Config{})
+	defer refusing.Close()
+	refusing.Engine.SetFaults(standin.Faults{Drain: true})
+	frozen := startEngine(t, standin.Config{})
+	defer frozen.Close()
+	frozen.Engine.SetFaults(standin.Faults{Freeze: true})
+	dead := startEngine(t, standin.Config{})
+	dead.Close()
+	hangsUp, stop := listenAndHangUp(t)
+	defer stop()
+	cases := []struct {
+		name    string
+		address string
+		notRun  bool
+	}{
+		{"nothing listens", dead.Address, true},
+		{"refused with the header", refusing.Address, true},
+		{"frozen", frozen.Address, false},
+		{"connection breaks after the request", hangsUp, false},
+	}
+	Convey("The state of a failed send is what is proved", t, func() {
+		client := New(nil)
+		defer client.CloseIdle()
+		for _, c := range cases {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_, err := client.Open(ctx, c.address, chatFor(refusing, c.name))
+			cancel()
+			So(err, ShouldNotBeNil)
+			So(fmt.Sprint(c.name, NotRun(err)), ShouldEqual, fmt.Sprint(c.name, c.notRun))
+		}
+	})
+}
+
+// listenAndHangUp accepts connections, reads a little of the request and
+// closes them without an answer.
+func listenAndHangUp(t *testing.T) (string, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn.Read(make([]byte, 1))
+			conn.Close()
+		}
+	}()
+	return listener.Addr().String(), func() { listener.Close(); <-done }
+}
--- /dev/null
+++ b/route/engine/decoder_test.go
@@ -0,0 +1,126 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const goodEvent = `data: {"choices":[{"delta":{"content":" tide"},"finish_reason":null}],"cicadatack":{"stream":"s","epoch":1,"position":0,"spans":[{"endpoint":"a","first":0,"last":7,"micros":9}]}}` + "\n\n"
+
+func decodeAll(text string) ([]Event, error) {
+	decoder := NewDecoder(strings.NewReader(text))
+	var events []Event
+	for {
+		event, err := decoder.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+func TestDecoder(t *testing.T) {
+	cases := []struct {
+		name   string
+		text   string
+		events int
+		err    error
+	}{
+		{"whole", goodEvent + "data: [DONE]\n\n", 1, io.EOF},
+		{"carriage returns and comments", ": hello\r\nevent: x\r\n" + strings.ReplaceAll(goodEvent, "\n", "\r\n") + "data:[DONE]\r\n", 1, io.EOF},
+		{"no marker", goodEvent, 1, ErrCutShort},
+		{"nothing", "", 0, ErrCutShort},
+		{"half an event", goodEvent[:60], 0, ErrMalformed},
+		{"no trace", `data: {"choices":[{"delta":{"content":"x"}}]}` + "\n\n", 1, ErrCutShort},
+		{"null trace", `data: {"choices":[{"delta":{"content":"x"}}],"cicadatack":null}` + "\n\n", 0, ErrMalformed},
+		{"no choice", `data: {"choices":[],"cicadatack":{"stream":"s"}}` + "\n\n", 0, ErrMalformed},
+		{"endless line", "data: " + strings.Repeat("x", 2*MaxEventBytes), 0, ErrEventTooLong},
+	}
+	Convey("Streams are read to their proper end, or the fault is named", t, func() {
+		for _, c := range cases {
+			events, err := decodeAll(c.text)
+			So(c.name+errorText(err, c.err), ShouldEqual, c.name)
+			So(len(events), ShouldEqual, c.events)
+		}
+	})
+	Convey("A token does not inherit the span of the one before", t, func() {
+		bare := strings.Replace(goodEvent, `"first":0,"last":7,"micros":9`, `"first":0`, 1)
+		decoder := NewDecoder(strings.NewReader(goodEvent + bare))
+		_, err := decoder.Next()
+		So(err, ShouldBeNil)
+		event, err := decoder.Next()
+		So(err, ShouldBeNil)
+		So(event.Trace.Spans, ShouldResemble, []engineapi.Span{{Endpoint: "a"}})
+	})
+}
+
+func errorText(err, want error) string {
+	if errors.Is(err, want) {
+		return ""
+	}
+	return " gave " + err.Error()
+}
+
+// FuzzDecoder feeds streams as a faulty engine may send them. The decoder must
+// end, with an error of its own, and hold no event that is not in the text.
+func FuzzDecoder(f *testing.F) {
+	f.Add(goodEvent + "data: [DONE]\n\n")
+	f.Add(strings.Replace(goodEvent, `"position":0`, `"position":-9223372036854775808`, 1))
+	f.Add("data: {\"choices\":[{}],\"cicadatack\":{\"spans\":[{},{}]}}\n\ndata: [DONE]")
+	f.Fuzz(func(t *testing.T, text string) {
+		events, err := decodeAll(text)
+		if !errors.Is(err, io.EOF) && !errors.Is(err, ErrCutShort) && !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrEventTooLong) {
+			t.Fatal("an error of no kind:", err)
+		}
+		if len(events) > strings.Count(text, "data:") {
+			t.Fatal("more events than the text has")
+		}
+	})
+}
+
+// TestSeedsAreCommitted keeps the fuzz target's seeds from being lost.
+func TestSeedsAreCommitted(t *testing.T) {
+	seeds, err := filepath.Glob(filepath.Join("testdata", "fuzz", "FuzzDecoder", "*"))
+	if err != nil || len(seeds) == 0 {
+		t.Fatal("no seeds", err)
+	}
+	for _, seed := range seeds {
+		if text, err := os.ReadFile(seed); err != nil || !strings.HasPrefix(string(text), "go test fuzz v1\n") {
+			t.Error(seed, "is no seed", err)
+		}
+	}
+}
+
+func BenchmarkDecoder(b *testing.B) {
+	var chunk engineapi.Chunk
+	if err := json.Unmarshal([]byte(strings.TrimPrefix(strings.TrimSpace(goodEvent), "data: ")), &chunk); err != nil {
+		b.Fatal(err)
+	}
+	decoder := NewDecoder(&repeater{text: goodEvent})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := decoder.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// repeater gives the same text for ever.
+type repeater struct {
+	text string
+	at   int
+}
+
+func (r *repeater) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
--- /dev/null
+++ b/route/stream/check_test.go
@@ -0,0 +1,119 @@
+package stream
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func spansOf(pairs ...int) []engineapi.Span {
+	var spans []engineapi.Span
+	for i := 0; i+1 < len(pairs); i += 2 {
+		spans = append(spans, engineapi.Span{First: pairs[i], Last: pairs[i+1]})
+	}
+	return spans
+}
+
+func TestCheckReasons(t *testing.T) {
+	const maxInt = int(^uint(0) >> 1)
+	good := engineapi.TokenTrace{Stream: "s", Epoch: 2, Position: 0, Spans: spansOf(0, 3, 4, 7)}
+	with := func(change func(*engineapi.TokenTrace)) engineapi.TokenTrace {
+		trace := good
+		change(&trace)
+		return trace
+	}
+	layers := func(pairs ...int) engineapi.TokenTrace {
+		return with(func(t *engineapi.TokenTrace) { t.Spans = spansOf(pairs...) })
+	}
+	cases := []struct {
+		name  string
+		trace engineapi.TokenTrace
+		want  Reason
+	}{
+		{"good", good, Accepted},
+		{"other stream", with(func(t *engineapi.TokenTrace) { t.Stream = "x" }), ForeignStream},
+		{"old epoch", with(func(t *engineapi.TokenTrace) { t.Epoch = 1 }), OldEpoch},
+		{"future epoch", with(func(t *engineapi.TokenTrace) { t.Epoch = 3 }), FutureEpoch},
+		{"position repeated", with(func(t *engineapi.TokenTrace) { t.Position = -1 }), WrongPosition},
+		{"position left out", with(func(t *engineapi.TokenTrace) { t.Position = 1 }), WrongPosition},
+		{"no spans", layers(), SkippedLayer},
+		{"first layer skipped", layers(1, 7), SkippedLayer},
+		{"last layer skipped", layers(0, 6), SkippedLayer},
+		{"gap", layers(0, 3, 5, 7), SkippedLayer},
+		{"layer twice", layers(0, 3, 3, 7), RepeatedLayer},
+		{"order", layers(4, 7, 0, 3), SkippedLayer},
+		{"all twice", layers(0, 7, 0, 7), RepeatedLayer},
+		{"beyond", layers(0, 8), BadSpan},
+		{"turned", layers(3, 0), BadSpan},
+		{"negative", layers(-1, 7), BadSpan},
+		{"overflow", layers(0, maxInt), BadSpan},
+	}
+	Convey("Each fault has its reason, and only a good token moves on", t, func() {
+		for _, c := range cases {
+			check := NewCheck("s", 8, 10)
+			check.Begin(2)
+			So(fmt.Sprint(c.name, ": ", check.Token(&c.trace)), ShouldEqual, fmt.Sprint(c.name, ": ", c.want))
+			So(check.Next() == 1, ShouldEqual, c.want == Accepted)
+		}
+	})
+	Convey("An answer is bounded", t, func() {
+		check := NewCheck("s", 8, 0)
+		check.Begin(2)
+		So(check.Token(&good), ShouldEqual, TooLong)
+	})
+}
+
+// TestCheckAgainstRunning draws spans at random and compares the verdict with
+// the plain meaning: written out, the layers run must be 0, 1, ..., n-1.
+func TestCheckAgainstRunning(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(1, 6).Draw(t, "layers")
+		pairs := rapid.SliceOfN(rapid.IntRange(-1, 7), 0, 8).Draw(t, "pairs")
+		trace := engineapi.TokenTrace{Stream: "s", Epoch: 1, Spans: spansOf(pairs...)}
+		check := NewCheck("s", layers, 10)
+		check.Begin(1)
+		accepted := check.Token(&trace) == Accepted
+		if accepted != runsAllInOrder(trace.Spans, layers) {
+			t.Fatalf("accepted=%v for %+v of %d layers", accepted, trace.Spans, layers)
+		}
+	})
+}
+
+func runsAllInOrder(spans []engineapi.Span, layers int) bool {
+	due := 0
+	for _, s := range spans {
+		if s.Last < s.First {
+			return false
+		}
+		for layer := s.First; layer <= s.Last; layer++ {
+			if layer != due {
+				return false
+			}
+			due++
+		}
+	}
+	return due == layers
+}
+
+func BenchmarkCheck(b *testing.B) {
+	for _, stages := range []int{2, 8, 32} {
+		b.Run(fmt.Sprint("stages=", stages), func(b *testing.B) {
+			trace := engineapi.TokenTrace{Stream: "stream-0123456789", Epoch: 1}
+			for i := range stages {
+				trace.Spans = append(trace.Spans, engineapi.Span{First: 2 * i, Last: 2*i + 1})
+			}
+			check := NewCheck(string([]byte("stream-0123456789")), 2*stages, b.N+1)
+			check.Begin(1)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				trace.Position = i
+				if check.limit = i + 1; check.Token(&trace) != Accepted {
+					b.Fatal("refused")
+				}
+			}
+		})
+	}
+}
