--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -16,8 +16,9 @@
 const (
 	chunkObject  = "chat.completion.chunk"
 	finishLength = "stop"
-	// foreignStream is the id that the fault WrongStream labels tokens with.
+	// foreignStream and foreignToken are what the fault WrongStream sends.
 	foreignStream = "another-callers-stream"
+	foreignToken  = " FOREIGN"
 )
 
 // ownStreams numbers the streams of requests that name none.
@@ -113,7 +114,14 @@
 	if err := a.sendLate(trace); err != nil {
 		return err
 	}
-	return a.send(text, a.mislabel(trace), nil)
+	if a.e.Faults().WrongStream {
+		trace.Stream = foreignStream
+		text = foreignToken
+	}
+	if a.e.Faults().WrongPosition {
+		trace.Position++
+	}
+	return a.send(text, trace, nil)
 }
 
 func (a *answer) loadNowAndThen(position int) *engineapi.Load {
@@ -140,17 +148,6 @@
 	return nil
 }
 
-func (a *answer) mislabel(trace engineapi.TokenTrace) engineapi.TokenTrace {
-	faults := a.e.Faults()
-	if faults.WrongStream {
-		trace.Stream = foreignStream
-	}
-	if faults.WrongPosition {
-		trace.Position++
-	}
-	return trace
-}
-
 // end sends the event that closes an answer, and the marker after it.
 func (a *answer) end(position int) error {
 	reason := finishLength
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -19,7 +19,8 @@
 	// SkipLayer and RepeatLayer name a layer that is left out or run twice.
 	SkipLayer   *int `json:"skip_layer,omitempty"`
 	RepeatLayer *int `json:"repeat_layer,omitempty"`
-	// WrongStream and WrongPosition mislabel each token sent.
+	// WrongStream sends another caller's token, labelled as such, in place of
+	// each token; WrongPosition mislabels each token.
 	WrongStream   bool `json:"wrong_stream,omitempty"`
 	WrongPosition bool `json:"wrong_position,omitempty"`
 	// LateTokens is how many tokens labelled with the epoch before precede
