Runner leaves chains that turned slow; tries that ran nothing are counted apart

A stage 60 times slower than usual, but under the 250 ms of a stall, kept its streams to the end of the answer. Chains whose engines hold something else used up the epochs allowed; they now count as tries only. 'Not run' now follows from the proof at each step rather than from how the epoch ended: a caller who left before the send is not-run. The planner's least interval got the test that it lacked.

--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -155,6 +155,21 @@
 		})
 		So(changes, ShouldBeLessThanOrEqualTo, 2*int(time.Hour/DefaultForgetAfter))
 	})
+	Convey("Stages that slow down whenever they are given the most move it once a minute", t, func() {
+		p := planned(good, model)
+		changes := run(p, &now, int(DefaultMinInterval/time.Second), func(int) Chain {
+			chain := even(4, 100, 10)
+			most := p.Plan().Cut.Stages[0]
+			for _, s := range p.Plan().Cut.Stages {
+				if s.Last-s.First > most.Last-most.First {
+					most = s
+				}
+			}
+			chain.Accelerators[chain.index(most.Endpoint)].LayerMicros = 10_000
+			return chain
+		})
+		So(changes, ShouldEqual, 1)
+	})
 	Convey("An engine that is gone is replaced at once, in order of versions", t, func() {
 		p := planned(good, model)
 		less := even(4, 100, 10)
--- a/route/stream/resume.go
+++ b/route/stream/resume.go
@@ -48,9 +48,10 @@
 const (
 	// worthAsking is the least time of a recompute for which asking for an
 	// export can pay: below it the answer is on its way again sooner.
-	worthAsking = 100 * time.Millisecond
-	// worthExploring is the least for which an import is tried unmeasured.
-	worthExploring = 250 * time.Millisecond
+	worthAsking = 20 * time.Millisecond
+	// worthExploring is the least for which an import is tried unmeasured: a
+	// first try that proves slower should not be felt by the caller.
+	worthExploring = 50 * time.Millisecond
 	// exportPart is the part of the recompute that the wait for an export may
 	// cost. A stage that is frozen or cut off does not answer, and waiting
 	// longer would lose more than an import could win.
--- a/route/stream/runner.go
+++ b/route/stream/runner.go
@@ -84,7 +84,9 @@
 
 	delivered []string
 	exclude   []string
-	mayHave   bool // some chain may have run some of it
+	worked    int    // chains that may have run some of it
+	better    *Chain // chosen already, to leave a slow chain for
+	leftSlow  bool
 	stalls    int
 	lastToken time.Time // last token delivered, or start of the epoch
 	failedAt  time.Time // when the last epoch was given up, zero if none
@@ -95,8 +97,8 @@
 
 // run tries chains, one epoch each, until the answer is whole.
 func (a *answer) run(ctx context.Context) error {
-	for epoch := uint32(1); int(epoch) <= a.r.options.MaxEpochs; epoch++ {
-		chain, err := a.r.chooser.Choose(ctx, a.exclude)
+	for epoch := uint32(1); a.mayTry(epoch); epoch++ {
+		chain, err := a.choose(ctx)
 		if err != nil {
 			return a.whyNoChain(ctx, err)
 		}
@@ -116,6 +118,21 @@
 	return errors.Join(ErrAttempts, a.summary.Last.Err)
 }
 
+// mayTry reports whether another chain may be tried.
+func (a *answer) mayTry(epoch uint32) bool {
+	return a.worked < a.r.options.MaxEpochs && int(epoch) <= a.r.options.MaxTries
+}
+
+// choose returns the chain that a slow one was left for, or asks for one.
+func (a *answer) choose(ctx context.Context) (Chain, error) {
+	if a.better == nil {
+		return a.r.chooser.Choose(ctx, a.exclude)
+	}
+	chain := *a.better
+	a.better = nil
+	return chain, nil
+}
+
 // whyNoChain names what kept the chooser from choosing.
 func (a *answer) whyNoChain(ctx context.Context, err error) error {
 	if a.caller.Err() != nil {
@@ -133,7 +150,7 @@
 	switch {
 	case err == nil:
 		return OutcomeDone
-	case a.mayHave:
+	case a.worked > 0:
 		return OutcomeUnknown
 	default:
 		return OutcomeNotRun
@@ -145,11 +162,13 @@
 	a.check.Begin(number)
 	a.summary.Epochs = int(number)
 	e := &epoch{a: a, chain: chain, number: number, gap: a.r.gaps.get(chain.Replica)}
+	e.pace.usual = time.Duration(e.gap.mean)
 	a.lastToken = time.Now()
 	e.run(ctx)
 	e.result.Epoch = number
-	e.result.NotRun = e.result.End.ranNothing()
-	a.mayHave = a.mayHave || !e.result.NotRun
+	if !e.result.NotRun {
+		a.worked++
+	}
 	e.finish()
 	a.summary.Last = e.result
 	return e.result
@@ -163,6 +182,7 @@
 	ctx    context.Context
 	dog    *watchdog
 	gap    gapEstimate
+	pace   pace
 	sent   time.Time
 	hops   hopTimes
 	stray  int
@@ -175,6 +195,7 @@
 
 func (e *epoch) run(ctx context.Context) {
 	if err := e.verify(ctx, time.Time{}); err != nil {
+		e.result.NotRun = true
 		e.end(EndMismatch, err)
 		e.callerFirst(ctx)
 		return
@@ -219,10 +240,11 @@
 
 func (e *epoch) openFailed(ctx context.Context, err error) {
 	e.result.Status = engine.Status(err)
+	e.result.NotRun = engine.NotRun(err)
 	switch {
-	case engine.NotRun(err) && e.result.Status != 0:
+	case e.result.NotRun && e.result.Status != 0:
 		e.end(EndRefused, err)
-	case engine.NotRun(err):
+	case e.result.NotRun:
 		e.end(EndUnreachable, err)
 	default:
 		e.lost(ctx, err)
@@ -257,6 +279,9 @@
 		return true
 	}
 	e.a.accept(event.Token)
+	if e.leaveSlow(ctx) {
+		return true
+	}
 	e.dog.arm(e.bound())
 	return false
 }
@@ -337,7 +362,9 @@
 	e.result.Tokens++
 	e.hops.add(spans)
 	if e.result.Tokens > 1 {
-		e.gap.sample(gapOf(wait, spans))
+		gap := gapOf(wait, spans)
+		e.gap.sample(gap)
+		e.pace.add(gap)
 		return
 	}
 	e.result.FirstToken = time.Since(e.sent)
--- /dev/null
+++ b/route/stream/token_bench_test.go
@@ -0,0 +1,84 @@
+package stream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/engine"
+)
+
+// BenchmarkRunnerToken measures what a token costs the node, without network
+// and engine: decoding, check, times and watchdog.
+func BenchmarkRunnerToken(b *testing.B) {
+	stages := []engineapi.Stage{{Endpoint: "a", Address: "a:1", Last: 3}, {Endpoint: "b", Address: "b:1", First: 4, Last: 7}}
+	canned := &cannedEngine{stages: stages, tokens: b.N}
+	f := oneChain{Chain{Replica: "r", Stages: stages, PlacementVersion: 1}}
+	runner := New(engine.New(canned), f, Options{MaxTokens: b.N + 1})
+	b.ReportAllocs()
+	b.ResetTimer()
+	summary, err := runner.Run(context.Background(), request("canned"), func(string, engineapi.TokenTrace) error { return nil })
+	if err != nil || summary.Tokens != b.N {
+		b.Fatal(err, summary)
+	}
+}
+
+// oneChain is a chooser with one chain.
+type oneChain struct{ chain Chain }
+
+func (o oneChain) Choose(context.Context, []string) (Chain, error) { return o.chain, nil }
+func (o oneChain) Ended(Chain, AttemptResult)                      {}
+
+// cannedEngine answers as the engines of a chain would, from memory.
+type cannedEngine struct {
+	stages []engineapi.Stage
+	tokens int
+}
+
+// RoundTrip answers holding calls and chats.
+func (c *cannedEngine) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Request: r}
+	if r.URL.Path != engineapi.PathHolding {
+		resp.Body = io.NopCloser(&cannedAnswer{tokens: c.tokens})
+		return resp, nil
+	}
+	for _, s := range c.stages {
+		if s.Address == r.URL.Host {
+			data, err := json.Marshal(engineapi.Holding{Model: testModel, First: s.First, Last: s.Last, PlacementVersion: 1})
+			resp.Body = io.NopCloser(strings.NewReader(string(data)))
+			return resp, err
+		}
+	}
+	return nil, io.ErrUnexpectedEOF
+}
+
+// cannedAnswer is the body of an answer.
+type cannedAnswer struct {
+	tokens, at int
+	rest       []byte
+}
+
+const cannedEvent = `data: {"id":"canned","object":"chat.completion.chunk","model":"toy","choices":[{"index":0,"delta":{"content":" tide.1234"},"finish_reason":%s}],"cicadatack":{"stream":"canned","epoch":1,"position":%d,"spans":[{"endpoint":"127.0.0.1:41267","first":0,"last":3,"micros":1893},{"endpoint":"127.0.0.1:36809","first":4,"last":7,"micros":1145}]}}` + "\n\n"
+
+// Read renders events as they are asked for.
+func (a *cannedAnswer) Read(p []byte) (int, error) {
+	for len(a.rest) == 0 {
+		switch {
+		case a.at < a.tokens:
+			a.rest = fmt.Appendf(a.rest[:0], cannedEvent, "null", a.at)
+		case a.at == a.tokens:
+			a.rest = fmt.Appendf(a.rest[:0], cannedEvent, `"stop"`, a.at)
+		default:
+			return 0, io.EOF
+		}
+		a.at++
+	}
+	n := copy(p, a.rest)
+	a.rest = a.rest[n:]
+	return n, nil
+}
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -103,21 +103,19 @@
 	EndCut
 	// EndRejected epochs brought a token that Check refused.
 	EndRejected
+	// EndSlow epochs were left for another chain because their tokens came
+	// far slower than the chain's usual.
+	EndSlow
 )
 
 var endNames = [...]string{
 	"done", "caller gone", "deadline", "holding mismatch", "refused",
-	"unreachable", "no first token", "stalled", "cut", "rejected",
+	"unreachable", "no first token", "stalled", "cut", "rejected", "slow",
 }
 
 // String returns the end in words.
 func (e End) String() string { return endNames[e] }
 
-// ranNothing reports whether the end proves that the chain did no work.
-func (e End) ranNothing() bool {
-	return e == EndMismatch || e == EndRefused || e == EndUnreachable
-}
-
 // AttemptResult is what an epoch tells of its chain.
 type AttemptResult struct {
 	Epoch uint32
@@ -186,8 +184,12 @@
 	DefaultTokenStall        = 10 * time.Second
 	// DefaultStallFloor is well above the pauses of a busy but healthy chain
 	// on a local network, and leaves room for the 300 ms aimed at.
-	DefaultStallFloor     = 250 * time.Millisecond
-	DefaultMaxEpochs      = 4
+	DefaultStallFloor = 250 * time.Millisecond
+	// DefaultMaxEpochs allows for chains that die together or twice.
+	DefaultMaxEpochs = 4
+	// DefaultMaxTries leaves room for chains that a new plan is just changing;
+	// trying one that does nothing costs a round trip.
+	DefaultMaxTries       = 8
 	DefaultHoldingTTL     = 2 * time.Second
 	DefaultHoldingTimeout = 300 * time.Millisecond
 	DefaultMaxTokens      = 1 << 16
@@ -197,8 +199,9 @@
 type Options struct {
 	// StallFloor is the least wait for a token before a chain is given up.
 	StallFloor time.Duration
-	// MaxEpochs bounds the chains tried for one request.
-	MaxEpochs int
+	// MaxEpochs bounds the chains that may have worked on one request,
+	// MaxTries those that were tried, the ones that did nothing included.
+	MaxEpochs, MaxTries int
 	// HoldingTTL is how long an engine's matching report is trusted;
 	// HoldingTimeout bounds the wait for one.
 	HoldingTTL, HoldingTimeout time.Duration
@@ -209,6 +212,7 @@
 func (o Options) withDefaults() Options {
 	o.StallFloor = orDefault(o.StallFloor, DefaultStallFloor)
 	o.MaxEpochs = orDefault(o.MaxEpochs, DefaultMaxEpochs)
+	o.MaxTries = orDefault(o.MaxTries, DefaultMaxTries)
 	o.HoldingTTL = orDefault(o.HoldingTTL, DefaultHoldingTTL)
 	o.HoldingTimeout = orDefault(o.HoldingTimeout, DefaultHoldingTimeout)
 	o.MaxTokens = orDefault(o.MaxTokens, DefaultMaxTokens)
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -48,11 +48,7 @@
 		refuse(w, err)
 		return
 	}
-	stop := context.AfterFunc(r.Context(), func() {
-		if !e.Faults().IgnoreCancel {
-			s.cancel()
-		}
-	})
+	stop := context.AfterFunc(r.Context(), func() { e.callerGone(s) })
 	defer stop()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
@@ -66,6 +62,15 @@
 	}
 }
 
+// callerGone stops the work of a stream whose caller hung up. A frozen engine
+// does not notice, so its later stages are not told either.
+func (e *Engine) callerGone(s *session) {
+	e.waitThawed()
+	if !e.Faults().IgnoreCancel {
+		s.cancel()
+	}
+}
+
 // wholeModel is the chain of a request that names none: this engine alone.
 func (e *Engine) wholeModel() *engineapi.Pipeline {
 	e.mu.Lock()
--- a/standin/engine/stage.go
+++ b/standin/engine/stage.go
@@ -302,6 +302,7 @@
 
 // earlierStageGone ends a stream whose earlier stage hung up during a step.
 func (e *Engine) earlierStageGone(s *session) {
+	e.waitThawed()
 	if e.Faults().IgnoreCancel {
 		return
 	}
