--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -16,8 +16,9 @@
 const (
 	chunkObject  = "chat.completion.chunk"
 	finishLength = "stop"
-	// foreignStream is the id that the fault WrongStream labels tokens with.
+	// foreignStream and foreignToken are what the fault WrongStream sends.
 	foreignStream = "another-callers-stream"
+	foreignToken  = " FOREIGN"
 )
 
 // ownStreams numbers the streams of requests that name none.
@@ -47,11 +48,7 @@
 		refuse(w, err)
 		return
 	}
-	stop := context.AfterFunc(r.Context(), func() {
-		if !e.Faults().IgnoreCancel {
-			s.cancel()
-		}
-	})
+	stop := context.AfterFunc(r.Context(), func() { e.callerGone(s) })
 	defer stop()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
@@ -65,6 +62,15 @@
 	}
 }
 
+// callerGone stops the work of a stream whose caller hung up. A frozen engine
+// does not notice, so its later stages are not told either.
+func (e *Engine) callerGone(s *session) {
+	e.waitThawed()
+	if !e.Faults().IgnoreCancel {
+		s.cancel()
+	}
+}
+
 // wholeModel is the chain of a request that names none: this engine alone.
 func (e *Engine) wholeModel() *engineapi.Pipeline {
 	e.mu.Lock()
@@ -113,7 +119,14 @@
 	if err := a.sendLate(trace); err != nil {
 		return err
 	}
-	return a.send(text, a.mislabel(trace), nil)
+	if a.e.Faults().WrongStream {
+		trace.Stream = foreignStream
+		text = foreignToken
+	}
+	if a.e.Faults().WrongPosition {
+		trace.Position++
+	}
+	return a.send(text, trace, nil)
 }
 
 func (a *answer) loadNowAndThen(position int) *engineapi.Load {
@@ -140,17 +153,6 @@
 	return nil
 }
 
-func (a *answer) mislabel(trace engineapi.TokenTrace) engineapi.TokenTrace {
-	faults := a.e.Faults()
-	if faults.WrongStream {
-		trace.Stream = foreignStream
-	}
-	if faults.WrongPosition {
-		trace.Position++
-	}
-	return trace
-}
-
 // end sends the event that closes an answer, and the marker after it.
 func (a *answer) end(position int) error {
 	reason := finishLength
