--- a/fleet/member/machine.go
+++ b/fleet/member/machine.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// suspicionFactor intervals times log2 of the fleet's size is the time that
-	// a suspect has to refute: a rumor needs about log2(n) intervals to reach
-	// it and as many to come back.
+	// suspicionFloor intervals, and suspicionFactor times log2 of the fleet's
+	// size more, is the time that a suspect has to refute: a rumor needs about
+	// log2(n) intervals to reach it and as many to come back.
+	suspicionFloor  = 4
 	suspicionFactor = 2
 	// isolationIntervals without any contact mean that this node, not its
 	// peers, is cut off.
@@ -29,6 +30,8 @@
 	drainFanout = 8
 	joinFanout  = 4
 	relayFanout = 2
+	// refuteFanout peers hear a refutation at once: a suspect gets no work.
+	refuteFanout = 4
 )
 
 // entry is a member with what only this node knows of it.
@@ -44,8 +47,10 @@
 	failedOnce bool
 	listed     bool
 	leaving    bool
-	// listedIncarnation is the incarnation held when the list was last read.
+	// listedIncarnation is the incarnation held when the list was last read,
+	// at listedAt.
 	listedIncarnation int64
+	listedAt          time.Time
 }
 
 // Machine is one node's view. It is not safe for concurrent use.
@@ -197,7 +202,7 @@
 
 // suspicionTime is how long a suspect has to refute.
 func (m *Machine) suspicionTime() time.Duration {
-	rounds := suspicionFactor * math.Log2(float64(len(m.entries)+1))
+	rounds := suspicionFloor + suspicionFactor*math.Log2(float64(len(m.entries)+1))
 	return time.Duration(rounds * float64(m.cfg.Interval))
 }
 
--- /dev/null
+++ b/fleet/member/member_test.go
@@ -0,0 +1,255 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A VM is replaced and comes back under its name. The others hold the first
+// one's record; the newcomer's is newer, since its incarnation is its start.
+// Where the clock went back it hears of its own earlier life and goes above.
+func TestRestartSupersedesItsPredecessor(t *testing.T) {
+	for name, shift := range map[string]time.Duration{"clock goes on": time.Minute, "clock went back": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 5, 2).settled()
+			before := s.machines["vm-0001"].Self().Incarnation
+			s.start("vm-0001", "fd-1", s.now.Add(shift).UnixMilli())
+			s.until("the new incarnation everywhere", 40, func() bool {
+				for _, n := range s.names {
+					if u, _ := s.machines[n].Member("vm-0001"); u.Incarnation <= before || u.State != Live {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+}
+
+// The link between two nodes breaks both ways while all others work. One
+// suspects the other; the suspect hears of it from a third node and refutes.
+// Nobody may hold it for gone, or callers lose a node that serves.
+func TestSuspicionIsRefuted(t *testing.T) {
+	s := newSim(t, 6, 2).settled()
+	s.lost = func(from, to string) bool { return from+to == "vm-0000vm-0001" || from+to == "vm-0001vm-0000" }
+	suspected, gone := false, false
+	s.watch = func(_ string, c Change) {
+		suspected = suspected || c.New.State == Suspect
+		gone = gone || c.New.State == Gone
+	}
+	s.until("a suspicion", 60, func() bool { return suspected })
+	for range 120 {
+		s.tick()
+	}
+	s.lost = func(string, string) bool { return false }
+	s.settled()
+	if gone {
+		t.Fatal("a node that answers others was declared gone")
+	}
+}
+
+// A node dies without a word. A near peer fails to reach it twice, suspects
+// it, and after the time to refute it is gone on every node.
+func TestDeadNodeIsGoneEverywhere(t *testing.T) {
+	for _, n := range []int{3, 9, 60} {
+		s := newSim(t, n, 3).settled()
+		s.down["vm-0001"] = true
+		suspect := s.until("suspected on some node", 60, func() bool {
+			u, _ := s.machines["vm-0000"].Member("vm-0001")
+			return u.State != Live
+		})
+		took := suspect + s.until("gone everywhere", 120, func() bool { return s.all("vm-0001", Gone) })
+		t.Logf("%d nodes: suspect after %d intervals, gone everywhere after %d", n, suspect, took)
+	}
+}
+
+// Sixty VMs join within one interval in the dawn rush. Every node must know
+// every other soon, while each message keeps to its budget of news.
+func TestRushOfJoinsKeepsToTheBudget(t *testing.T) {
+	s := newSim(t, 3, 3).settled()
+	for i := 3; i < 63; i++ {
+		s.add(nodeName(i), fmt.Sprintf("fd-%d", i%3))
+	}
+	s.biggest = 0
+	took := s.until("all live on all", 60, s.allLive)
+	slack := 2 * encodedSize(s.machines["vm-0010"].Self())
+	if s.biggest > updateBudget+slack {
+		t.Fatalf("a message carried %d bytes of news, want at most %d", s.biggest, updateBudget+slack)
+	}
+	t.Logf("60 joins known to all after %d intervals, largest news %d bytes", took, s.biggest)
+}
+
+// A node drains. Every other must stop naming it in entry answers within
+// seconds, so the news is relayed at once and does not wait for the interval.
+func TestDrainIsSeenByAll(t *testing.T) {
+	s := newSim(t, 60, 3).settled()
+	s.step("vm-0007", Drain{})
+	took := s.until("draining everywhere", 3, func() bool { return s.all("vm-0007", Draining) })
+	t.Logf("drain seen by 60 nodes after %d intervals", took)
+}
+
+// Two regions lose each other for two minutes. Each side goes on and drops the
+// other. When the link is back the halves find each other through the list,
+// and on the way no node vanishes from its own side's view.
+func TestPartitionHeals(t *testing.T) {
+	s := newSim(t, 20, 2).settled()
+	side := func(name string) string { u, _ := s.machines[name].Member(name); return u.FailureDomain }
+	s.lost = func(from, to string) bool { return side(from) != side(to) }
+	s.until("the halves dropped each other", 120, func() bool {
+		return countState(s.machines["vm-0000"], Gone) == 10 && countState(s.machines["vm-0001"], Gone) == 10
+	})
+	for range 60 {
+		s.tick()
+	}
+	s.lost = func(string, string) bool { return false }
+	s.watch = func(node string, c Change) {
+		if c.New.State == Gone && side(node) == c.New.FailureDomain {
+			t.Fatalf("%s dropped %s of its own side", node, c.New.Name)
+		}
+	}
+	took := s.until("all live again", 120, s.allLive)
+	t.Logf("healed after %d intervals", took)
+}
+
+func countState(m *Machine, state State) int {
+	n := 0
+	for _, u := range m.Members() {
+		if u.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// A node is frozen, or hears nobody, for minutes while it holds a suspicion.
+// It is the one that was away: it must not declare the others gone.
+func TestNodeThatWasAwayDeclaresNobodyGone(t *testing.T) {
+	for _, away := range []string{"frozen", "cut off"} {
+		t.Run(away, func(t *testing.T) {
+			s := newSim(t, 5, 1).settled()
+			m := s.machines["vm-0000"]
+			m.Step(s.now, Failed{Peer: "vm-0001"})
+			m.Step(s.now, Failed{Peer: "vm-0001"})
+			if countState(m, Suspect) != 1 {
+				t.Fatal("two failures in a row make no suspicion")
+			}
+			for i := range 100 {
+				now := s.now.Add(time.Duration(i+1) * interval)
+				if away == "frozen" {
+					now = s.now.Add(100 * interval)
+				}
+				batch := m.Step(now, Tick{})
+				if away == "frozen" {
+					break
+				}
+				for _, send := range batch.Sends {
+					m.Step(now, Failed{Peer: send.To.Name})
+				}
+			}
+			if gone := countState(m, Gone); gone != 0 {
+				t.Fatalf("%d members declared gone", gone)
+			}
+		})
+	}
+}
+
+// The platform says that a VM leaves; it is drained. The VM is replaced under
+// its name while the list still shows the old state. The new node must not be
+// drained by a list that lags.
+func TestListThatLagsDoesNotDrainTheSuccessor(t *testing.T) {
+	s := newSim(t, 4, 2).settled()
+	leaving := append([]VM(nil), s.vms...)
+	leaving[2].Leaving = true
+	s.step("vm-0000", Listed{VMs: leaving})
+	s.until("draining everywhere", 5, func() bool { return s.all("vm-0002", Draining) })
+	s.start("vm-0002", "fd-0", s.now.Add(time.Minute).UnixMilli())
+	s.until("the successor live", 30, func() bool { return s.all("vm-0002", Live) })
+	for _, n := range s.names {
+		s.step(n, Listed{VMs: leaving})
+	}
+	for range 20 {
+		s.tick()
+	}
+	if !s.all("vm-0002", Live) {
+		t.Fatal("the successor was drained by the old list")
+	}
+}
+
+// Over a while a node exchanges with every other, and more often with those
+// of its own failure domain.
+func TestNearPeersMoreOftenAllReached(t *testing.T) {
+	s := newSim(t, 12, 3).settled()
+	s.contacts = map[string]int{}
+	for range 120 {
+		s.tick()
+	}
+	near, far := 0, 0
+	for i := 1; i < 12; i++ {
+		n := s.contacts["vm-0000>"+nodeName(i)]
+		if n == 0 {
+			t.Errorf("%s was never reached", nodeName(i))
+		}
+		if i%3 == 0 {
+			near += n
+		} else {
+			far += n
+		}
+	}
+	if near/3 <= far/8 {
+		t.Fatalf("a near peer was reached %d times, a far one %d", near/3, far/8)
+	}
+}
+
+// Whatever is lost, cut, killed and restarted for a while, once the network
+// works again all views agree and hold exactly the nodes that run as live.
+func TestViewsAgreeAfterAnyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(rt, "nodes")
+		seed := rapid.Uint64().Draw(rt, "seed")
+		loss := rapid.Float64Range(0, 0.6).Draw(rt, "loss")
+		s := newSim(t, n, rapid.IntRange(1, 3).Draw(rt, "domains"))
+		random := rand.New(rand.NewPCG(seed, 1))
+		s.lost = func(string, string) bool { return random.Float64() < loss }
+		for range rapid.IntRange(1, 40).Draw(rt, "intervals") {
+			victim := s.names[random.IntN(n)]
+			switch random.IntN(8) {
+			case 0:
+				s.down[victim] = true
+			case 1:
+				s.start(victim, s.vms[random.IntN(n)].FailureDomain, s.now.UnixMilli())
+			}
+			s.tick()
+		}
+		s.lost = func(string, string) bool { return false }
+		for i, name := range s.names {
+			if s.down[name] {
+				s.start(name, s.vms[i].FailureDomain, s.now.UnixMilli())
+			}
+		}
+		s.until("all live", 300, s.allLive)
+		s.until("equal digests", 100, s.equalDigests)
+	})
+}
+
+func (s *sim) equalDigests() bool {
+	for _, name := range s.names {
+		if s.machines[name].Digest() != s.machines[s.names[0]].Digest() {
+			return false
+		}
+	}
+	return true
+}
+
+// State names appear in logs; each state has one.
+func TestStateNames(t *testing.T) {
+	for s := Joining; s <= Gone; s++ {
+		if s.String() == "unknown" || strings.TrimSpace(s.String()) == "" {
+			t.Errorf("state %d has no name", s)
+		}
+	}
+}
--- a/fleet/member/merge.go
+++ b/fleet/member/merge.go
@@ -90,6 +90,7 @@
 	}
 	self.Incarnation = u.Incarnation + 1
 	m.put(now, self)
+	m.relay(now, refuteFanout)
 }
 
 // put stores a member, keeps digest and deadlines in step and spreads the news.
@@ -164,6 +165,7 @@
 		u := e.Member
 		u.State = Suspect
 		m.put(now, u)
+		m.relay(now, relayFanout)
 	case Draining:
 		if e.deadline.IsZero() {
 			e.deadline = now.Add(m.suspicionTime())
@@ -206,7 +208,7 @@
 	// The list lags: after a restart it may still say that the predecessor is
 	// leaving. Only a change to leaving within one incarnation counts; else
 	// the new one would be drained for good.
-	started := vm.Leaving && !e.leaving && e.listed && e.listedIncarnation == e.Incarnation
+	started := vm.Leaving && !e.leaving && e.listed && e.sameLife()
 	if started && e.Incarnation > 0 && e.State < Draining {
 		u := e.Member
 		u.State = Draining
@@ -216,6 +218,15 @@
 	e.listed = true
 	e.leaving = vm.Leaving
 	e.listedIncarnation = e.Incarnation
+	e.listedAt = now
+}
+
+// sameLife says that the member already ran when the list was last read.
+func (e *entry) sameLife() bool {
+	if e.listedIncarnation == 0 {
+		return e.Incarnation <= e.listedAt.UnixMilli()
+	}
+	return e.listedIncarnation == e.Incarnation
 }
 
 // table is the view without what only the list knows and without tombstones.
