fleet: tests over loopback, record digests checked, bound of isolation

Cause: the runtime had two tests; a peer's record was taken on its word; a node alone during a long store outage would have stopped serving. Excluded: the unused adapters for the store (the node has its own). Change: tests for dying watch holders, a slow peer, drain, shares, bad input and isolation; a body must have the record's digest; isolation counts only where at least two others can serve; BenchmarkControl.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -36,6 +36,9 @@
 	retryCeiling = 10 * time.Second
 	// storeTimeout of one read of the store.
 	storeTimeout = 5 * time.Second
+	// isolationOthers members besides this node, not gone, are what it takes
+	// for a silent node to hold itself for the one cut off.
+	isolationOthers = 2
 	// pushTimeout of one push. A peer slower than this is repaired by digest.
 	pushTimeout = 3 * time.Second
 )
@@ -61,8 +64,8 @@
 	Environment string
 	// Interval between two exchanges; zero: DefaultInterval.
 	Interval time.Duration
-	// MaxIsolation is how long a node without store and peers stays ready;
-	// zero: DefaultMaxIsolation.
+	// MaxIsolation is how long a node without store and peers stays ready, if
+	// there are others to serve in its place; zero: DefaultMaxIsolation.
 	MaxIsolation time.Duration
 	// Transport for exchanges; nil: one with connections kept for a while.
 	Transport http.RoundTripper
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -19,5 +19,6 @@
 //
 // A node that is cut off from store and peers keeps serving the record that it
 // has, for Config.MaxIsolation; from then on Status says that it is not ready,
-// until it hears the store or a peer again.
+// until it hears the store or a peer again. In a fleet of one or two it serves
+// on without a limit.
 package fleet
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -197,6 +197,7 @@
 	f.view.Lock()
 	lastPeer := f.view.machine.LastContact()
 	f.view.Unlock()
+	others := len(f.nodes())
 	f.records.Lock()
 	defer f.records.Unlock()
 	s := Status{
@@ -209,7 +210,7 @@
 	switch {
 	case !s.Ready:
 		s.Reason = "no record from the store or enough peers yet"
-	case f.cutOff(s):
+	case f.cutOff(s, others):
 		s.Ready = false
 		s.Reason = "cut off from store and peers for too long"
 	}
@@ -217,8 +218,13 @@
 }
 
 // cutOff says that this node has heard nobody for MaxIsolation. Its record may
-// then be far behind, and callers who reach it can reach others as well.
-func (f *Fleet) cutOff(s Status) bool {
+// then be far behind, and callers who reach it can reach the others. With few
+// others it is as likely that these died while the store is down: the node
+// then serves on, as it may be the only one that can.
+func (f *Fleet) cutOff(s Status, others int) bool {
+	if others < isolationOthers {
+		return false
+	}
 	last := s.LastStore
 	if s.LastPeer.After(last) {
 		last = s.LastPeer
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,8 +1,13 @@
 package fleet
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
+
+	"github.com/cicadatack/cicadatack/fleet/exchange"
+	"google.golang.org/protobuf/proto"
 )
 
 // Three nodes start with a store that holds revision 7. Each serves it, sees
@@ -44,3 +49,170 @@
 		t.Fatal("a node with neither store nor peers is ready")
 	}
 }
+
+// Both watch holders of a failure domain die. The others notice, two of them
+// take the watch over, and the next change still reaches every node.
+func TestWatchMovesOnWhenItsHoldersDie(t *testing.T) {
+	store := newFakeStore(record(7, "first"))
+	nodes := startNodes(t, store, 5, 1, 50*time.Millisecond)
+	for _, n := range nodes {
+		n.awaitRevision(t, 7, 5*time.Second)
+	}
+	await(t, "two watches", 5*time.Second, func() bool { return store.watches.Load() == 2 })
+	var left []*node
+	for _, n := range nodes {
+		if n.Status().Watching {
+			n.kill()
+		} else {
+			left = append(left, n)
+		}
+	}
+	await(t, "two new watches", 10*time.Second, func() bool { return store.watches.Load() == 2 })
+	store.set(record(8, "second"))
+	for _, n := range left {
+		n.awaitRevision(t, 8, 5*time.Second)
+	}
+}
+
+// One node answers its peers only after several intervals. It may be suspected
+// for that; the others must neither wait for it nor miss the change, and it
+// gets the change itself once it is asked or asks.
+func TestSlowPeerHoldsNobodyUp(t *testing.T) {
+	store := newFakeStore(record(7, "first"))
+	nodes := startNodes(t, store, 5, 1, 50*time.Millisecond)
+	for _, n := range nodes {
+		n.awaitRevision(t, 7, 5*time.Second)
+		await(t, "five live members", 5*time.Second, func() bool { return n.count("live") == 5 })
+	}
+	nodes[2].delay.Store(int64(400 * time.Millisecond))
+	store.set(record(8, "second"))
+	start := time.Now()
+	for i, n := range nodes {
+		if i != 2 {
+			n.awaitRevision(t, 8, 300*time.Millisecond)
+		}
+	}
+	nodes[2].awaitRevision(t, 8, 5*time.Second)
+	t.Logf("all nodes after %v", time.Since(start).Round(time.Millisecond))
+}
+
+// A node drains. Its peers know within an interval or two.
+func TestDrainReachesThePeers(t *testing.T) {
+	store := newFakeStore(record(7, "first"))
+	nodes := startNodes(t, store, 4, 2, 50*time.Millisecond)
+	for _, n := range nodes {
+		await(t, "four live members", 5*time.Second, func() bool { return n.count("live") == 4 })
+	}
+	nodes[1].Drain(t.Context())
+	for _, n := range nodes {
+		await(t, "one draining member", time.Second, func() bool { return n.count("draining") == 1 })
+	}
+}
+
+// A team's limit is split by two home nodes. Each hears the other's demand; a
+// node that is no home of the team hears nothing.
+func TestSharesReachHomeNodesOnly(t *testing.T) {
+	store := newFakeStore(record(7, "first"))
+	nodes := startNodes(t, store, 3, 1, 50*time.Millisecond)
+	heard := make([]chan map[string]float64, 3)
+	for i, n := range nodes {
+		heard[i] = make(chan map[string]float64, 1024)
+		n.OnShares(func(_ string, demand map[string]float64) { heard[i] <- demand })
+	}
+	homes := []string{name(0), name(1)}
+	for i := range 2 {
+		nodes[i].SetShares([]Share{{Team: "bakers", TokensPerSecond: 100 * float64(i+1), Homes: homes}})
+	}
+	for i, want := range []float64{200, 100} {
+		select {
+		case demand := <-heard[i]:
+			if demand["bakers"] != want {
+				t.Errorf("%s heard %v, want %v", name(i), demand, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s heard nothing", name(i))
+		}
+	}
+	await(t, "the third node exchanged with both", 5*time.Second, func() bool { return nodes[2].count("live") == 3 })
+	if len(heard[2]) > 0 {
+		t.Errorf("a node that is no home heard %v", <-heard[2])
+	}
+}
+
+// Many teams share one home node. A message carries them in turns and stays
+// within its budget, and every team gets its turn.
+func TestSharesTakeTurnsWithinTheBudget(t *testing.T) {
+	var shard shareShard
+	var shares []Share
+	for i := range 100 {
+		shares = append(shares, Share{Team: fmt.Sprintf("team-%03d", i), TokensPerSecond: 1, Homes: []string{"a", "b"}})
+	}
+	shard.set("a", shares)
+	seen := map[string]bool{}
+	for range 10 {
+		size := 0
+		for _, s := range shard.forPeer("b") {
+			seen[s.Team] = true
+			size += proto.Size(&exchange.Share{Team: s.Team, TokensPerSecond: float32(s.TokensPerSecond)}) + 2
+		}
+		if size > shareBudget {
+			t.Fatalf("%d bytes in one message, budget %d", size, shareBudget)
+		}
+	}
+	if len(seen) != 100 {
+		t.Fatalf("%d of 100 teams had a turn", len(seen))
+	}
+}
+
+// A stranger or a faulty node sends what no node would. It gets an error, and
+// the view and the record stay as they are.
+func TestBadExchangeChangesNothing(t *testing.T) {
+	store := newFakeStore(record(7, "first"))
+	n := startNodes(t, store, 1, 1, 50*time.Millisecond)[0]
+	n.awaitRevision(t, 7, 5*time.Second)
+	stranger := &exchange.Member{Name: "x", Address: "127.0.0.1:1", Incarnation: 1}
+	forged := &exchange.Document{Environment: testEnvironment, Revision: 9,
+		Payload: &exchange.Payload{Digest: "no such", Length: 3, Data: []byte("{}")}}
+	huge := &exchange.Document{Payload: &exchange.Payload{Data: make([]byte, maxMessageBytes+1)}}
+	client := exchange.NewPeerProtobufClient("http://"+n.cfg.Address, http.DefaultClient)
+	for name, c := range map[string]struct {
+		request *exchange.ExchangeRequest
+		refused bool
+	}{
+		"no sender":     {&exchange.ExchangeRequest{}, true},
+		"too large":     {&exchange.ExchangeRequest{Sender: stranger, Document: huge}, true},
+		"forged record": {&exchange.ExchangeRequest{Sender: stranger, Document: forged}, false},
+		"bad member":    {&exchange.ExchangeRequest{Sender: stranger, Updates: []*exchange.Member{{Name: "y", State: 99}}}, false},
+	} {
+		_, err := client.Exchange(t.Context(), c.request)
+		if (err != nil) != c.refused {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	if r, ready := n.Latest(); !ready || r.Revision != 7 {
+		t.Errorf("revision %d, ready %v", r.Revision, ready)
+	}
+	if members := n.Members(); len(members) > 2 {
+		t.Errorf("members %v", members)
+	}
+}
+
+// A node loses store and peers. It keeps serving the record that it has, for
+// as long as the settings say, and is not ready from then on; it is ready
+// again once it hears anybody.
+func TestCutOffNodeServesForABoundedTime(t *testing.T) {
+	store := newFakeStore(record(7, "first"))
+	n := startNodes(t, store, 1, 1, 50*time.Millisecond)[0]
+	n.awaitRevision(t, 7, 5*time.Second)
+	limit := n.cfg.MaxIsolation
+	for _, c := range []struct {
+		silent time.Duration
+		others int
+		ready  bool
+	}{{0, 5, true}, {limit / 2, 5, true}, {limit + time.Second, 5, false}, {limit + time.Second, 1, true}} {
+		s := Status{LastPeer: time.Now().Add(-c.silent), LastStore: time.Now().Add(-2 * limit)}
+		if n.cutOff(s, c.others) == c.ready {
+			t.Errorf("silent for %v of %d: ready %v, want %v", c.silent, c.others, !c.ready, c.ready)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/measure_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// measureTime is how long a fleet is measured once it has settled.
+const measureTime = 20 * time.Second
+
+// changeEvery is the pace of 15,000 changes of configuration a day.
+const changeEvery = 24 * time.Hour / 15000
+
+// BenchmarkControl measures what control costs a node at the real interval of
+// a second, in fleets of 3 to 100 nodes over loopback:
+//
+//	go test -run '^$' -bench Control -benchtime 1x ./fleet
+//
+// B/s/node counts what a node sends and receives, in both roles, with HTTP
+// headers and without TCP and IP. The process holds all nodes and the store;
+// its processor time and memory are divided by the nodes.
+func BenchmarkControl(b *testing.B) {
+	for _, changes := range []bool{false, true} {
+		for _, n := range []int{3, 10, 30, 100} {
+			b.Run(fmt.Sprintf("nodes=%d/changes=%v", n, changes), func(b *testing.B) {
+				for range b.N {
+					measureControl(b, n, changes)
+				}
+			})
+		}
+	}
+}
+
+func measureControl(b *testing.B, n int, changes bool) {
+	text := documentText(50_000)
+	store := newFakeStore(record(1, text))
+	empty := memory()
+	nodes := startNodes(b, store, n, min(n, 23), time.Second)
+	for _, each := range nodes {
+		each.awaitRevision(b, 1, 30*time.Second)
+		await(b, "all live", 2*time.Minute, func() bool { return each.count("live") == n })
+	}
+	awaitQuiet(b, nodes)
+	bytes, cpu, start := traffic(nodes), processorTime(), time.Now()
+	var spread []time.Duration
+	for revision := int64(2); time.Since(start) < measureTime; revision++ {
+		next := time.Now().Add(changeEvery)
+		if changes {
+			spread = append(spread, changeOnce(b, store, nodes, revision, text)...)
+		}
+		time.Sleep(time.Until(next))
+	}
+	seconds := time.Since(start).Seconds()
+	perNode := seconds * float64(n)
+	b.ReportMetric(2*float64(traffic(nodes)-bytes)/perNode, "B/s/node")
+	b.ReportMetric(100*(processorTime()-cpu).Seconds()/perNode, "%core/node")
+	b.ReportMetric((memory()-empty)/float64(n)/(1<<20), "MB/node")
+	if changes {
+		slices.Sort(spread)
+		b.ReportMetric(float64(spread[len(spread)/2].Milliseconds()), "ms-to-median-node")
+		b.ReportMetric(float64(spread[len(spread)-1].Milliseconds()), "ms-to-last-node")
+	}
+	b.ReportMetric(0, "ns/op")
+	for _, each := range nodes {
+		each.kill()
+	}
+}
+
+// changeOnce puts a small change in force and returns when each node had it.
+func changeOnce(b *testing.B, store *fakeStore, nodes []*node, revision int64, text string) []time.Duration {
+	start := time.Now()
+	store.set(record(revision, fmt.Sprintf("{\"revision\":%d}%s", revision, text)))
+	var took []time.Duration
+	for _, each := range nodes {
+		each.awaitRevision(b, revision, 10*time.Second)
+		took = append(took, time.Since(start))
+	}
+	return took
+}
+
+// awaitQuiet waits until all nodes have the same view and its news has been
+// passed on.
+func awaitQuiet(b *testing.B, nodes []*node) {
+	await(b, "equal views", 2*time.Minute, func() bool {
+		first := nodes[0].digest()
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return n.digest() != first })
+	})
+	time.Sleep(15 * time.Second)
+}
+
+func (n *node) digest() uint64 {
+	n.view.Lock()
+	defer n.view.Unlock()
+	return n.view.machine.Digest()
+}
+
+func traffic(nodes []*node) int64 {
+	total := int64(0)
+	for _, n := range nodes {
+		total += n.counters.in.Load() + n.counters.out.Load()
+	}
+	return total
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// memory is what heap and stacks hold after a collection, in bytes.
+func memory() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+func documentText(size int) string {
+	text := make([]byte, 0, size+200)
+	for i := 0; len(text) < size; i++ {
+		text = fmt.Appendf(text, `{"name":"gpu-%05d","address":"10.%d.%d.%d:9000","failure_domain":"fd-%02d"},`,
+			i, i%7, i*31%256, i*17%256, i%23)
+	}
+	return string(text)
+}
--- a/fleet/spread/machine_test.go
+++ b/fleet/spread/machine_test.go
@@ -194,7 +194,7 @@
 // A push got lost. The next exchange shows by digest that one side lags, and
 // whichever side started it, the lagging one gets the record.
 func TestDigestRepairsAMissedPush(t *testing.T) {
-	old, young := testRecord(1, nil).Holding(), testRecord(2, nil).Holding()
+	old, young := testRecord(1, []byte("{}")).Holding(), testRecord(2, nil).Holding()
 	other := Holding{Revision: 1, Mark: 42}
 	for _, c := range []struct {
 		name     string
--- a/fleet/spread/payload.go
+++ b/fleet/spread/payload.go
@@ -39,8 +39,8 @@
 }
 
 // Unpack returns the record that p carries. It fails with ErrBase if base is
-// not what the difference applies to, and with ErrTooLarge or ErrMalformed for
-// bad input.
+// not what the difference applies to, with ErrTooLarge or ErrMalformed for bad
+// input, and with ErrDigest if the body is not the one that was accepted.
 func Unpack(environment string, revision int64, p Payload, base Record) (Record, error) {
 	if p.Length < 0 || p.Length > MaxBodyBytes {
 		return Record{}, Error.Wrap(ErrTooLarge)
@@ -63,6 +63,9 @@
 	if len(body) != p.Length {
 		return Record{}, Error.Wrap(ErrMalformed)
 	}
+	if DigestOf(body) != p.Digest {
+		return Record{}, Error.Wrap(ErrDigest)
+	}
 	return Record{Environment: environment, Revision: revision, Digest: p.Digest, Body: body}, nil
 }
 
--- a/fleet/spread/payload_test.go
+++ b/fleet/spread/payload_test.go
@@ -11,7 +11,7 @@
 )
 
 func testRecord(revision int64, body []byte) Record {
-	return Record{Environment: "stock", Revision: revision, Digest: fmt.Sprintf("sha256:%d", revision), Body: body}
+	return Record{Environment: "stock", Revision: revision, Digest: DigestOf(body), Body: body}
 }
 
 // document returns text like an environment document of about size bytes.
@@ -88,6 +88,7 @@
 		{"base of another revision", good, testRecord(3, base.Body), ErrBase},
 		{"no base held", good, Record{}, ErrBase},
 		{"wrong length", change(func(p *Payload) { p.Length++ }), base, ErrMalformed},
+		{"another body", change(func(p *Payload) { p.Digest = DigestOf(base.Body) }), base, ErrDigest},
 		{"not packed", change(func(p *Payload) { p.Data = []byte("hello") }), base, ErrMalformed},
 		{"cut short", change(func(p *Payload) { p.Data = p.Data[:len(p.Data)/2] }), base, ErrMalformed},
 		{"copies beyond the base", change(func(p *Payload) { p.Data = deflate([]byte{200, 1, 255, 255, 3}) }), base, ErrMalformed},
--- a/fleet/spread/record.go
+++ b/fleet/spread/record.go
@@ -1,6 +1,10 @@
 package spread
 
-import "hash/fnv"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash/fnv"
+)
 
 // Record is an environment's document as accepted at one revision.
 type Record struct {
@@ -8,11 +12,17 @@
 	Environment string
 	// Revision rises with each accepted document; zero: none.
 	Revision int64
-	// Digest of the body, in the form that the store's record uses.
+	// Digest is the hex SHA-256 of Body.
 	Digest string
 	Body   []byte
 }
 
+// DigestOf returns the hex SHA-256 of a body.
+func DigestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
 // Holding says which record a node has, without its body.
 type Holding struct {
 	Revision int64
