Refusals other than 429 are tried elsewhere; slow chains can be left

Cause: an engine whose next stage is dead refuses with 503 as not run. The node mapped every refusal to overload, which the retry budget never repeats, so the caller was told not-run although two healthy chains stood idle. Six cells of the fault matrix show it. Excluded: the balancer (it offers the other chains) and the budget (full). Change: only 429 counts as overload; one function serves models and plain services. Also, a stream that asks for a better chain while its slow one still runs was taken for a success and refused.

--- a/node/server/drain.go
+++ b/node/server/drain.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/entry"
+	"github.com/cicadatack/cicadatack/fleet"
 )
 
 const (
-	// spreadTime is how long the word of a drain takes to reach the fleet: a
-	// few exchanges of a second each.
-	spreadTime = 3 * time.Second
+	// spreadExchanges is how many intervals the word of a drain takes to reach
+	// the fleet as a rumor, with one to spare at today's sizes.
+	spreadExchanges = 3
 	// streamsCloseTimeout bounds the wait for engines to hear of streams given
 	// up; those that don't answer notice the closed connection.
 	streamsCloseTimeout = 2 * time.Second
@@ -57,7 +58,7 @@
 
 // serveOn waits until no valid entry answer names this node any more.
 func (s *Server) serveOn(ctx context.Context) {
-	timer := time.NewTimer(spreadTime + s.entryValidity())
+	timer := time.NewTimer(s.spreadTime() + s.entryValidity())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -65,6 +66,14 @@
 	}
 }
 
+func (s *Server) spreadTime() time.Duration {
+	interval := s.fleetConfig().Interval
+	if interval == 0 {
+		interval = fleet.DefaultInterval
+	}
+	return spreadExchanges * interval
+}
+
 func (s *Server) entryValidity() time.Duration {
 	d := s.directory.Load()
 	if d == nil || d.Document.Policy.EntryValidSeconds == 0 {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -134,6 +134,7 @@
 		CallerAddress: advertised(s.settings.Callers, s.listeners.callers),
 		FailureDomain: s.settings.FailureDomain,
 		Environment:   s.settings.Environment + "/" + s.settings.Slot,
+		Interval:      time.Duration(s.settings.Fleet.IntervalMillis) * time.Millisecond,
 	}
 }
 
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -40,6 +40,7 @@
 	Log   Log   `json:"log,omitempty"`
 	Drain Drain `json:"drain,omitempty"`
 	Load  Load  `json:"load,omitempty"`
+	Fleet Fleet `json:"fleet,omitempty"`
 }
 
 // Listener is one of the node's addresses.
@@ -81,6 +82,13 @@
 	PollsPerSecond int `json:"polls_per_second,omitempty"`
 }
 
+// Fleet says how this node deals with the other entry VMs.
+type Fleet struct {
+	// IntervalMillis is between two exchanges with peers; zero means the
+	// fleet's default of a second, on which the budget of bytes rests.
+	IntervalMillis int `json:"interval_ms,omitempty"`
+}
+
 // Defaults of the settings.
 const (
 	// DefaultStoreCalls lets nine nodes use a third of a store's several
@@ -131,6 +139,7 @@
 	oneOf(f, "log.level", s.Log.Level, "", "trace", "debug", "info", "warn", "error")
 	oneOf(f, "log.format", s.Log.Format, "", "json", "text")
 	notNegative(f, "drain.limit_s", s.Drain.LimitSeconds)
+	notNegative(f, "fleet.interval_ms", s.Fleet.IntervalMillis)
 	notNegative(f, "load.polls_per_second", s.Load.PollsPerSecond)
 }
 
--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -15,6 +15,10 @@
 	"github.com/cicadatack/cicadatack/platform/store"
 )
 
+// intervalMillis lets a site of a few nodes come together in well under a
+// second; only the time differs from the default.
+const intervalMillis = 100
+
 // StartListedNode starts node i against a store and puts it on the platform's
 // list of entry VMs.
 func StartListedNode(bin, dir, storeAddress string, i int) (*Process, error) {
@@ -29,6 +33,7 @@
 		Peers:         settings.Listener{Listen: "127.0.0.1:0"},
 		Operators:     settings.Listener{Listen: "127.0.0.1:0"},
 		Store:         settings.Store{Address: storeAddress},
+		Fleet:         settings.Fleet{IntervalMillis: intervalMillis},
 	}, "", "  ")
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/proof/matrix/cell_test.go
+++ b/proof/matrix/cell_test.go
@@ -30,7 +30,7 @@
 	// springTimeout bounds the wait for a fault that has begun.
 	springTimeout = 10 * time.Second
 	// atOnce bounds the cells that run at a time, each with three nodes.
-	atOnce    = 4
+	atOnce    = 6
 	nodeCount = 3
 	tokens    = 24
 	prompt    = "Feeding plan for the north pens, please"
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -12,6 +12,7 @@
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/send"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
 
@@ -21,8 +22,10 @@
 // goroutine at a time.
 type chooser struct {
 	answer *answer
-	made   int
-	last   stream.AttemptResult
+	// made and ended count the chains chosen and given up.
+	made  int
+	ended int
+	last  stream.AttemptResult
 }
 
 // Choose picks a replica that is none of exclude. From the second epoch on the
@@ -58,7 +61,7 @@
 func (c *chooser) mayRetry(ctx context.Context) error {
 	d := c.answer.service.Retry.Allow(retry.Attempt{
 		Made:         c.made,
-		Failure:      failureOf(c.last),
+		Failure:      c.whyNext(),
 		Repeatable:   true,
 		NotRun:       c.last.NotRun,
 		Deadline:     c.answer.call.Deadline,
@@ -67,12 +70,22 @@
 	if !d.Retry {
 		return fmt.Errorf("not tried again: %s", d.Reason)
 	}
-	if c.last.Tokens > 0 {
+	if c.last.Tokens > 0 || c.ended < c.made {
 		return nil // the caller sees the gap: no back-off partway
 	}
 	return wait(ctx, d.After)
 }
 
+// whyNext is the failure that calls for another chain. While one is still
+// underway the stream asks for a chain to leave it for, because it has turned
+// slow.
+func (c *chooser) whyNext() health.Failure {
+	if c.ended < c.made {
+		return health.Timeout
+	}
+	return failureOf(c.last)
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -87,6 +100,7 @@
 // Ended tells the balancer how the epoch went.
 func (c *chooser) Ended(chain stream.Chain, r stream.AttemptResult) {
 	c.last = r
+	c.ended++
 	p := c.answer.service.Picker
 	p.Finished(chain.Replica, balance.Result{
 		Cost:       c.answer.cost,
@@ -131,10 +145,10 @@
 	case stream.EndCallerGone, stream.EndDeadline:
 		return health.Canceled
 	case stream.EndRefused:
-		return health.Overloaded
+		return send.RefusalFailure(r.Status)
 	case stream.EndUnreachable:
 		return health.Unreachable
-	case stream.EndNoFirstToken, stream.EndStalled:
+	case stream.EndNoFirstToken, stream.EndStalled, stream.EndSlow:
 		return health.Timeout
 	case stream.EndMismatch:
 		return health.Internal
--- a/route/plain/plain.go
+++ b/route/plain/plain.go
@@ -275,7 +275,7 @@
 	a := attempt{answer: &answer{status: response.StatusCode, header: response.Header, body: body}}
 	switch {
 	case send.Refused(response):
-		a.failure = health.Overloaded
+		a.failure = send.RefusalFailure(response.StatusCode)
 		a.notRun = true
 	case response.StatusCode >= http.StatusInternalServerError:
 		a.failure = health.Internal
--- a/route/send/send.go
+++ b/route/send/send.go
@@ -24,6 +24,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 )
 
@@ -85,6 +86,18 @@
 	return r.Header.Get(engineapi.HeaderNotRun) != ""
 }
 
+// RefusalFailure says what an endpoint's own refusal before work means. Only
+// 429 is a plea for less load, which must not be answered by sending the call
+// elsewhere at once. Any other refusal says that this endpoint can't serve, such
+// as an engine whose next stage is gone; others can, and a caller who were told
+// to come back later would wait for nothing.
+func RefusalFailure(status int) health.Failure {
+	if status == http.StatusTooManyRequests {
+		return health.Overloaded
+	}
+	return health.Unreachable
+}
+
 // Sender holds the connections. Safe for concurrent use.
 type Sender struct {
 	kept *http.Transport
