admission: Tick costs nothing before it is due; requests without work teach no rate

Cause: a caller that ticks after every event swept the whole queue each time (0.6 ms with 10,000 waiting). Endpoints that refuse connections at once looked like very fast ones. Change: the queue keeps the time of its next review; forecasts are kept by team; Finish with zero cost leaves the drain rate alone. Offer, Finish and Tick together 0.8 to 1.9 microseconds on a busy machine. Conclusion: a caller may tick as often as it likes.

--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -103,7 +103,11 @@
 	q.drop(it)
 }
 
-func (q *Queue) enqueue(it *item) {
+func (q *Queue) enqueue(now time.Time, it *item) {
+	if q.waiting == 0 {
+		q.due = now.Add(TickInterval)
+	}
+	q.due = sooner(q.due, it.deadline)
 	it.team.waiting[it.Class].push(it)
 	q.waiting++
 	q.waitingWork += it.Cost
--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -29,6 +29,7 @@
 	weight float64
 	// headroom is the number of slots kept for teams below their share.
 	headroom int
+	stalled  bool
 	all      level
 	long     level // of long jobs, through their slots
 }
@@ -101,15 +102,22 @@
 	f.at = now
 	f.drain = rate * float64(q.slots)
 	f.headroom = 0
+	f.stalled = q.meter.stalled(now)
 	q.longRoom = q.slots
 	q.measureDemand(now)
 	if f.drain <= 0 {
 		return
 	}
 	f.all = split(f.drain, q.order, func(t *team) float64 { return t.demand[short] + t.demand[long] })
+	for _, t := range q.order {
+		t.rate = f.all.rate(t.demand[short]+t.demand[long], t.flow.Weight())
+	}
 	q.longRoom = q.slots - q.shortRoom(rate)
 	f.weight, f.headroom = q.lightTeams(rate)
 	f.long = split(rate*float64(q.longRoom), q.order, func(t *team) float64 { return t.demand[long] })
+	for _, t := range q.order {
+		t.longRate = f.long.rate(t.demand[long], t.flow.Weight())
+	}
 }
 
 // measureDemand also forgets teams that SetTeam has not named and whose demand
@@ -140,7 +148,7 @@
 func (q *Queue) shortRoom(rate float64) int {
 	need := 0.0
 	for _, t := range q.order {
-		need += min(t.demand[short], q.teamRate(t)) / rate
+		need += min(t.demand[short], t.rate) / rate
 	}
 	keep := math.Ceil(need + math.Sqrt(need))
 	return int(min(keep, math.Floor(float64(q.slots)*maxShortPart)))
@@ -163,7 +171,7 @@
 			continue
 		}
 		weight += t.flow.Weight()
-		if demand <= q.teamRate(t) {
+		if demand <= t.rate {
 			need += demand / rate
 		}
 		hot = hot || demand > hotFactor*q.forecast.all.floor*t.flow.Weight()
--- a/decide/admission/load_test.go
+++ b/decide/admission/load_test.go
@@ -319,14 +319,10 @@
 		offer(id)
 		id++
 	}
-	next := now
 	b.ReportAllocs()
 	b.ResetTimer()
 	for b.Loop() {
 		now = now.Add(100 * time.Microsecond)
-		if !now.Before(next) {
-			_, next = q.Tick(now)
-		}
 		offer(id)
 		id++
 		done := running[0]
@@ -334,6 +330,7 @@
 		for _, v := range q.Finish(now, done, 300) {
 			running = append(running, v.ID)
 		}
+		q.Tick(now) // the caller need not know when it is due
 	}
 	// Slots kept for teams below their share may stand idle.
 	if got := q.Stats(now).Waiting; got < waiting || got > waiting+slots/24 {
--- a/decide/admission/predict.go
+++ b/decide/admission/predict.go
@@ -29,20 +29,14 @@
 	if f.drain <= 0 {
 		return 0
 	}
-	rate := q.teamRate(t)
-	wait := (q.flows.Debt(t.flow) + p.higher + p.ahead + p.other) / rate
+	wait := (q.flows.Debt(t.flow) + p.higher + p.ahead + p.other) / t.rate
 	if p.length == long {
-		own := max(rate/2, rate-t.demand[short])
-		wait = max(wait, p.ahead/own, p.longAhead/f.long.rate(t.demand[long], t.flow.Weight()))
+		own := max(t.rate/2, t.rate-t.demand[short])
+		wait = max(wait, p.ahead/own, p.longAhead/t.longRate)
 	}
 	return toDuration(wait + q.turn()/f.drain)
 }
 
-// teamRate returns the expected tokens per second that the team gets.
-func (q *Queue) teamRate(t *team) float64 {
-	return q.forecast.all.rate(t.demand[short]+t.demand[long], t.flow.Weight())
-}
-
 // turn is the mean expected cost of what waits, or runs if nothing does: the
 // time until a slot is free is about this over the drain rate.
 func (q *Queue) turn() float64 {
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -33,7 +33,8 @@
 	longRun     int
 	longRoom    int
 	waiting     int
-	waitingWork float64 // expected tokens
+	waitingWork float64   // expected tokens
+	due         time.Time // of the next review, while requests wait
 
 	out []Verdict
 }
@@ -86,21 +87,28 @@
 	it := q.newItem(now, r)
 	it.team.offered[it.length].add(now, it.Cost)
 	if q.admit(now, it) {
-		q.enqueue(it)
+		q.enqueue(now, it)
 		q.dispatch(now)
 	}
 	return q.take()
 }
 
 // Finish frees the slot of a running request. Cost is the actual one in
-// tokens. An unknown ID is ignored.
+// tokens; zero means that no work was done, as when a connection was refused.
+// An unknown ID is ignored.
+//
+// The drain rate takes no account of requests without work: endpoints that
+// refuse at once would look like very fast ones, and when they are back, callers
+// would be admitted by that rate and wait for nothing.
 func (q *Queue) Finish(now time.Time, id uint64, cost float64) []Verdict {
 	it, ok := q.items[id]
 	if !ok || !it.running {
 		return nil
 	}
 	cost = max(cost, 0)
-	q.meter.learn(now, it.Cost, now.Sub(it.started))
+	if cost > 0 {
+		q.meter.learn(now, it.Cost, now.Sub(it.started))
+	}
 	q.release(it, cost)
 	q.dispatch(now)
 	return q.take()
@@ -129,27 +137,33 @@
 // more run than there are slots, no other starts until enough have finished.
 func (q *Queue) SetCapacity(now time.Time, slots int) []Verdict {
 	q.slots = max(slots, 0)
-	q.renew(now)
-	q.sweep(now)
-	q.dispatch(now)
+	q.review(now)
 	return q.take()
 }
 
 // Tick refuses requests that will miss their deadline. While requests wait it
-// is to be called at the time it returns, and at the latest TickInterval after
-// an Offer that left the first one waiting. The zero time means that none waits.
+// is to be called at the time it returns, or as often as is convenient: before
+// that time it does nothing. The zero time means that none waits; it may have
+// changed after Offer.
 func (q *Queue) Tick(now time.Time) (verdicts []Verdict, next time.Time) {
-	q.renew(now)
-	earliest := q.sweep(now)
-	q.dispatch(now)
+	if q.waiting > 0 && !now.Before(q.due) {
+		q.review(now)
+	}
 	if q.waiting == 0 {
 		return q.take(), time.Time{}
 	}
-	next = now.Add(TickInterval)
-	if earliest.After(now) && earliest.Before(next) {
-		next = earliest
+	return q.take(), q.due
+}
+
+// review works out what there is to come and acts on it.
+func (q *Queue) review(now time.Time) {
+	q.renew(now)
+	earliest := q.sweep(now)
+	q.dispatch(now)
+	q.due = now.Add(TickInterval)
+	if earliest.After(now) {
+		q.due = sooner(q.due, earliest)
 	}
-	return q.take(), next
 }
 
 // Stats returns the present figures.
@@ -173,6 +187,8 @@
 	if !ok {
 		t = &team{name: name}
 		t.flow = q.flows.Add(defaultWeight, t)
+		t.rate = q.forecast.all.rate(0, defaultWeight)
+		t.longRate = q.forecast.long.rate(0, defaultWeight)
 		t.index = len(q.order)
 		q.order = append(q.order, t)
 		q.teams[name] = t
--- a/decide/admission/queue_test.go
+++ b/decide/admission/queue_test.go
@@ -113,6 +113,14 @@
 		r := offer(2, "a", admission.Interactive, 10)
 		r.Deadline = at(34)
 		So(q.Offer(at(30), r)[0].Reason, ShouldEqual, admission.TooLate)
+
+		q.Finish(at(30), 1, 10)
+		for id := range uint64(50) { // refused connections make no fast service
+			q.Offer(at(31), offer(10+id, "a", admission.Interactive, 10))
+			q.Finish(at(31.001), 10+id, 0)
+		}
+		q.Offer(at(31.1), offer(3, "a", admission.Interactive, 10))
+		So(q.Offer(at(31.1), r)[0].Reason, ShouldEqual, admission.TooLate)
 	})
 	Convey("A short job takes a slot that is kept from the long ones, however much its team has had", t, func() {
 		q := admission.New(admission.Config{Slots: 10, SlotRate: 100, LongCost: 1000})
--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -31,7 +31,7 @@
 	if q.startsNow(it) {
 		return true
 	}
-	if q.meter.stalled(now) {
+	if q.forecast.stalled {
 		q.refuse(now, it, Stalled, forever, stalledRetry)
 		return false
 	}
@@ -123,7 +123,7 @@
 		q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
 		return true
 	}
-	if q.meter.stalled(now) {
+	if q.forecast.stalled {
 		q.dequeue(it)
 		q.refuse(now, it, Stalled, forever, stalledRetry)
 		return true
@@ -151,7 +151,7 @@
 	if t.returnsAt.After(at) {
 		at = t.returnsAt
 	}
-	at = at.Add(toDuration(it.Cost / (returnPart * q.teamRate(t))))
+	at = at.Add(toDuration(it.Cost / (returnPart * t.rate)))
 	if last := now.Add(q.cfg.MaxRetryAfter); at.After(last) {
 		at = last
 	}
--- a/decide/admission/team.go
+++ b/decide/admission/team.go
@@ -16,6 +16,8 @@
 	declared  bool                 // by SetTeam
 	offered   [lengthCount]decayed // expected tokens
 	demand    [lengthCount]float64 // the same per second, at the last forecast
+	rate      float64              // forecast, expected tokens per second
+	longRate  float64              // the same of long jobs
 	returnsAt time.Time            // when the last refused caller was told to come back
 }
 
