--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -24,7 +24,7 @@
 			return
 		}
 		q.dequeue(it)
-		if now.After(it.deadline) {
+		if now.After(it.Deadline) {
 			q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
 			continue
 		}
@@ -107,7 +107,7 @@
 	if q.waiting == 0 {
 		q.due = now.Add(TickInterval)
 	}
-	q.due = sooner(q.due, it.deadline)
+	q.due = sooner(q.due, it.Deadline)
 	it.team.waiting[it.Class].push(it)
 	q.waiting++
 	q.waitingWork += it.Cost
--- a/decide/admission/list.go
+++ b/decide/admission/list.go
@@ -13,18 +13,18 @@
 
 func (l length) other() length { return long - l }
 
-// item is a request that waits or runs.
+// item is a request that waits or runs. What a sweep reads stands first: with
+// thousands waiting its time goes into loading them.
 type item struct {
+	next    *item
+	prev    *item
+	team    *team
+	length  length
+	running bool
 	Request
-	team     *team
-	length   length
 	offered  time.Time
 	started  time.Time
-	deadline time.Time
 	foreseen time.Duration // wait predicted at the offer
-	running  bool
-	prev     *item
-	next     *item
 }
 
 // list holds the waiting requests of one team, class and length in order of
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -219,10 +219,10 @@
 	if !(r.Cost >= 1) {
 		r.Cost = 1
 	}
-	*it = item{Request: r, team: q.team(r.Team), offered: now, deadline: r.Deadline}
-	if it.deadline.IsZero() {
-		it.deadline = now.Add(q.cfg.DefaultWait)
+	if r.Deadline.IsZero() {
+		r.Deadline = now.Add(q.cfg.DefaultWait)
 	}
+	*it = item{Request: r, team: q.team(r.Team), offered: now}
 	if r.Cost >= q.cfg.LongCost && r.Class != Order {
 		it.length = long
 	}
--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -24,7 +24,7 @@
 		q.refuse(now, it, NoCapacity, forever, noCapacityRetry)
 		return false
 	}
-	if now.After(it.deadline) {
+	if now.After(it.Deadline) {
 		q.refuse(now, it, DeadlinePassed, 0, 0)
 		return false
 	}
@@ -37,7 +37,7 @@
 	}
 	wait := q.predict(it.team, q.lastPlace(it))
 	it.foreseen = wait
-	late := wait - part(it.deadline.Sub(now), admitPart)
+	late := wait - part(it.Deadline.Sub(now), admitPart)
 	if late > 0 {
 		q.refuse(now, it, TooLate, wait, q.retryAfter(now, it, late))
 		return false
@@ -102,7 +102,7 @@
 		if p.length == long {
 			p.longAhead += it.Cost
 		}
-		earliest = sooner(earliest, it.deadline)
+		earliest = sooner(earliest, it.Deadline)
 	})
 	return earliest
 }
@@ -117,7 +117,7 @@
 
 // giveUp refuses a waiting request if it can't start in time.
 func (q *Queue) giveUp(now time.Time, it *item, p place) bool {
-	left := it.deadline.Sub(now)
+	left := it.Deadline.Sub(now)
 	if left < 0 {
 		q.dequeue(it)
 		q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
