--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -24,20 +24,20 @@
 		q.refuse(now, it, NoCapacity, forever, noCapacityRetry)
 		return false
 	}
-	if now.After(it.deadline) {
+	if now.After(it.Deadline) {
 		q.refuse(now, it, DeadlinePassed, 0, 0)
 		return false
 	}
 	if q.startsNow(it) {
 		return true
 	}
-	if q.meter.stalled(now) {
+	if q.forecast.stalled {
 		q.refuse(now, it, Stalled, forever, stalledRetry)
 		return false
 	}
 	wait := q.predict(it.team, q.lastPlace(it))
 	it.foreseen = wait
-	late := wait - part(it.deadline.Sub(now), admitPart)
+	late := wait - part(it.Deadline.Sub(now), admitPart)
 	if late > 0 {
 		q.refuse(now, it, TooLate, wait, q.retryAfter(now, it, late))
 		return false
@@ -102,7 +102,7 @@
 		if p.length == long {
 			p.longAhead += it.Cost
 		}
-		earliest = sooner(earliest, it.deadline)
+		earliest = sooner(earliest, it.Deadline)
 	})
 	return earliest
 }
@@ -117,13 +117,13 @@
 
 // giveUp refuses a waiting request if it can't start in time.
 func (q *Queue) giveUp(now time.Time, it *item, p place) bool {
-	left := it.deadline.Sub(now)
+	left := it.Deadline.Sub(now)
 	if left < 0 {
 		q.dequeue(it)
 		q.refuse(now, it, DeadlinePassed, 0, q.retryAfter(now, it, 0))
 		return true
 	}
-	if q.meter.stalled(now) {
+	if q.forecast.stalled {
 		q.dequeue(it)
 		q.refuse(now, it, Stalled, forever, stalledRetry)
 		return true
@@ -151,7 +151,7 @@
 	if t.returnsAt.After(at) {
 		at = t.returnsAt
 	}
-	at = at.Add(toDuration(it.Cost / (returnPart * q.teamRate(t))))
+	at = at.Add(toDuration(it.Cost / (returnPart * t.rate)))
 	if last := now.Add(q.cfg.MaxRetryAfter); at.After(last) {
 		at = last
 	}
