Give each node an order of its own and test subsets by what callers get

Nodes that take replicas in turn in one common order go round together and hit each replica in a burst: with 24 nodes p95 was 12% above round robin.

--- a/decide/balance/balancer.go
+++ b/decide/balance/balancer.go
@@ -23,12 +23,12 @@
 	probing []*member
 	changes []Change
 
-	health   *health.Detector
-	version  uint64 // of health when the tiers were last refreshed
-	random   *rand.Rand
-	meanCost float64 // moving average, tokens
-	meanTime float64 // moving average of whole answers, seconds
-	topRamp  float64 // the highest ramp of the usable members
+	health    *health.Detector
+	version   uint64 // of health when the tiers were last refreshed
+	random    *rand.Rand
+	meanCost  float64 // moving average, tokens
+	meanTime  float64 // moving average of whole answers, seconds
+	rampFloor float64 // the part of its capacity with which a newcomer starts
 }
 
 // mark holds who says that an endpoint is leaving.
@@ -64,7 +64,6 @@
 		members: make(map[string]*member),
 		health:  health.New(cfg.Health),
 		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^coverSalt)),
-		topRamp: 1,
 	}
 }
 
@@ -121,7 +120,7 @@
 
 func (b *Balancer) newTier(now time.Time, replicas []known, old map[string]*member, isNew func(known) bool) tier {
 	t := tier{members: make([]*member, len(replicas)), turn: b.random.Float64()}
-	for i, k := range replicas {
+	for i, k := range b.subset.shuffled(replicas) {
 		m := old[k.ID]
 		if m == nil {
 			m = &member{health: b.health.Track(k.FailureDomain)}
@@ -366,9 +365,9 @@
 func (b *Balancer) refresh(now time.Time) {
 	b.version = b.health.Version()
 	b.probing = b.probing[:0]
-	b.topRamp = 0
 	b.refreshTier(now, &b.near)
 	b.refreshTier(now, &b.spill)
+	b.setRampFloor(now)
 }
 
 func (b *Balancer) refreshTier(now time.Time, t *tier) {
@@ -385,7 +384,6 @@
 		m.usable = state == health.Healthy && !m.leaving
 		if m.usable {
 			t.include(m)
-			b.topRamp = max(b.topRamp, b.rawRamp(now, m))
 		}
 		if state == health.Probing && !m.leaving {
 			b.probing = append(b.probing, m)
@@ -393,20 +391,30 @@
 	}
 }
 
-// rawRamp is the part of its capacity that a newcomer may use so far.
-func (b *Balancer) rawRamp(now time.Time, m *member) float64 {
-	if m.joined.IsZero() {
-		return 1
+// setRampFloor lets newcomers start with more the more of them there are. Half
+// and more of the capacity cannot be spared: were it held back when a service
+// grows tenfold, the few old replicas would drown in the load of all.
+func (b *Balancer) setRampFloor(now time.Time) {
+	ramping := 0.0
+	for _, t := range []*tier{&b.near, &b.spill} {
+		for _, m := range t.usable {
+			if now.Sub(m.joined) < b.cfg.SlowStart {
+				ramping += m.capacity
+			}
+		}
 	}
-	age := float64(now.Sub(m.joined)) / float64(b.cfg.SlowStart)
-	return max(rampFloor, min(1, age))
+	share := 0.0
+	if whole := b.near.capacity() + b.spill.capacity(); whole > 0 {
+		share = ramping / whole
+	}
+	b.rampFloor = max(minRamp, 2*share-1)
 }
 
-// ramp is relative to the member furthest on: if all are new there is nobody
-// to spare them, and a ramp would only hide capacity.
+// ramp is the part of its capacity that a newcomer may use so far.
 func (b *Balancer) ramp(now time.Time, m *member) float64 {
-	if b.topRamp == 0 {
+	if m.joined.IsZero() {
 		return 1
 	}
-	return min(1, b.rawRamp(now, m)/b.topRamp)
+	age := float64(now.Sub(m.joined)) / float64(b.cfg.SlowStart)
+	return max(b.rampFloor, min(1, age))
 }
--- a/decide/balance/balancer_test.go
+++ b/decide/balance/balancer_test.go
@@ -122,6 +122,15 @@
 		So(b.members["replica-5"].joined, ShouldEqual, seconds(1))
 		So(b.members["replica-0"], ShouldBeNil)
 	})
+	Convey("Given a service that grows tenfold, its newcomers are not held back", t, func() {
+		b := newBalancer(2, 1)
+		b.SetReplicas(epoch, fleet(20, 1))
+		So(b.Capacity(epoch), ShouldBeBetween, 16*64, 20*64)
+		few := newBalancer(18, 1)
+		few.SetReplicas(epoch, fleet(20, 1))
+		So(few.Capacity(epoch), ShouldBeBetween, 18*64, 18.5*64)
+		So(few.Capacity(seconds(15)), ShouldEqual, 20*64)
+	})
 	Convey("Given a replica that gets long answers only, it is not taken for slow", t, func() {
 		b := newBalancer(4, 1)
 		for i := range 100 {
--- a/decide/balance/config.go
+++ b/decide/balance/config.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
@@ -24,8 +25,9 @@
 	// wholeFactor times the subset size is up to where a node uses all replicas:
 	// to leave out a few of them saves little and makes the cover uneven.
 	wholeFactor = 2
-	// rampFloor is the part of its capacity with which a newcomer starts.
-	rampFloor = 0.1
+	// minRamp is the part of its capacity with which a newcomer among many old
+	// replicas starts.
+	minRamp = 0.1
 	// maxDraws bounds the draws for one candidate, so that Pick costs the same
 	// however many replicas are excluded or busy; then they are searched.
 	maxDraws = 4
@@ -76,20 +78,14 @@
 }
 
 func withDefaults(c Config) Config {
-	setDefault(&c.SubsetSize, DefaultSubsetSize)
-	setDefault(&c.SpillDomains, DefaultSpillDomains)
-	setDefault(&c.SpillAt, DefaultSpillAt)
-	setDefault(&c.SpillMargin, DefaultSpillMargin)
-	setDefault(&c.AffinityBound, DefaultAffinityBound)
-	setDefault(&c.AffinityFree, DefaultAffinityFree)
-	setDefault(&c.SlowStart, DefaultSlowStart)
-	setDefault(&c.Backoff, DefaultBackoff)
-	setDefault(&c.Health.Seed, c.Seed)
+	c.SubsetSize = cmp.Or(c.SubsetSize, DefaultSubsetSize)
+	c.SpillDomains = cmp.Or(c.SpillDomains, DefaultSpillDomains)
+	c.SpillAt = cmp.Or(c.SpillAt, DefaultSpillAt)
+	c.SpillMargin = cmp.Or(c.SpillMargin, DefaultSpillMargin)
+	c.AffinityBound = cmp.Or(c.AffinityBound, DefaultAffinityBound)
+	c.AffinityFree = cmp.Or(c.AffinityFree, DefaultAffinityFree)
+	c.SlowStart = cmp.Or(c.SlowStart, DefaultSlowStart)
+	c.Backoff = cmp.Or(c.Backoff, DefaultBackoff)
+	c.Health.Seed = cmp.Or(c.Health.Seed, c.Seed)
 	return c
 }
-
-func setDefault[T int | uint64 | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/decide/balance/pattern_test.go
+++ b/decide/balance/pattern_test.go
@@ -35,7 +35,10 @@
 	if len(domains) == 0 {
 		domains = []string{"bandung"}
 	}
-	w := newWorld(nodes, make, 12/len(domains), domains...)
+	return playOn(t, name, newWorld(nodes, make, 12/len(domains), domains...), pattern)
+}
+
+func playOn(t *testing.T, name string, w *world, pattern func(*world)) *world {
 	pattern(w)
 	t.Logf("%-22s p50 %-6v p95 %-7v p99 %-7v failed %d", name, w.percentile(.5).Round(time.Millisecond),
 		w.percentile(.95).Round(time.Millisecond), w.percentile(.99).Round(time.Millisecond), w.failed)
@@ -43,8 +46,7 @@
 }
 
 // With nothing wrong, turns spread evenly and a balancer can only lose by
-// acting on noise. At 24 nodes, each with a request at every second endpoint,
-// it does: that row is printed and not asserted.
+// acting on noise, most of all where many nodes have few requests each.
 func TestNothingWrong(t *testing.T) {
 	Convey("Given equal endpoints and nothing wrong", t, func() {
 		for _, c := range []struct {
@@ -55,9 +57,7 @@
 			name := fmt.Sprintf(" %d nodes %.0f/s", c.nodes, c.rate)
 			base := play(t, "round robin"+name, roundRobin, c.nodes, pattern)
 			w := play(t, "balance"+name, balanced(Config{}), c.nodes, pattern)
-			if c.nodes <= 8 {
-				So(w.percentile(.95), ShouldBeLessThan, base.percentile(.95)*11/10)
-			}
+			So(w.percentile(.95), ShouldBeLessThan, base.percentile(.95)*11/10)
 		}
 	})
 }
@@ -236,3 +236,29 @@
 		So(receivedBetween(fault, runTime, w.engines[:6]...), ShouldBeLessThan, receivedBetween(fault, runTime, base.engines[:6]...)/8)
 	})
 }
+
+// Callers wait if subsets leave some replicas with more nodes than others: 12
+// nodes before 52 replicas, each node with its own 13 or so. Told of its peers
+// a node loses little against one that uses all; alone it overloads some.
+func TestSubsetServes(t *testing.T) {
+	Convey("Given subsets of a quarter of the replicas", t, func() {
+		var peers []string
+		for i := range 12 {
+			peers = append(peers, fmt.Sprint("vm-", i))
+		}
+		told := func(node int) *policy {
+			p := balanced(Config{SubsetSize: 16})(node)
+			p.SetPeers(epoch, peers)
+			return p
+		}
+		p95 := func(name string, make func(int) *policy) time.Duration {
+			w := newWorld(12, make, 52, "bandung")
+			return playOn(t, name, w, func(w *world) { w.run(steady(312), nil) }).percentile(.95)
+		}
+		base, all := p95("round robin", roundRobin), p95("balance, all", balanced(Config{}))
+		alone, withPeers := p95("balance, alone", balanced(Config{SubsetSize: 16})), p95("balance, with peers", told)
+		So(withPeers, ShouldBeLessThan, base)
+		So(withPeers, ShouldBeLessThan, all)
+		So(withPeers, ShouldBeLessThan, alone*2/3)
+	})
+}
--- a/decide/balance/subset.go
+++ b/decide/balance/subset.go
@@ -156,9 +156,17 @@
 
 // highest is the choice of a node that does not know its peers.
 func (s *subset) highest(replicas []known, n int) []known {
+	sorted := s.shuffled(replicas)
+	return sorted[:min(n, len(sorted))]
+}
+
+// shuffled returns the replicas in an order of the node's own, highest rank
+// first. Were the order common, nodes that take them in turn at the same pace
+// would go round together and hit each replica in a burst.
+func (s *subset) shuffled(replicas []known) []known {
 	sorted := slices.Clone(replicas)
 	slices.SortFunc(sorted, func(a, b known) int {
 		return cmp.Compare(rendezvous.Score(s.self, b.key), rendezvous.Score(s.self, a.key))
 	})
-	return sorted[:min(n, len(sorted))]
+	return sorted
 }
--- a/decide/health/config.go
+++ b/decide/health/config.go
@@ -1,6 +1,9 @@
 package health
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Config; doc.go gives their grounds.
 const (
@@ -53,24 +56,18 @@
 }
 
 func withDefaults(c Config) Config {
-	setDefault(&c.Interval, DefaultInterval)
-	setDefault(&c.MinSamples, DefaultMinSamples)
-	setDefault(&c.MaxConsecutive, DefaultMaxConsecutive)
-	setDefault(&c.ErrorShare, DefaultErrorShare)
-	setDefault(&c.LatencyFactor, DefaultLatencyFactor)
-	setDefault(&c.LatencyFloor, DefaultLatencyFloor)
-	setDefault(&c.SilenceFactor, DefaultSilenceFactor)
-	setDefault(&c.SilenceFloor, DefaultSilenceFloor)
-	setDefault(&c.BaseEjection, DefaultBaseEjection)
-	setDefault(&c.MaxEjection, DefaultMaxEjection)
-	setDefault(&c.MaxEjectedShare, DefaultMaxEjectedShare)
-	setDefault(&c.MaxLostShare, DefaultMaxLostShare)
-	setDefault(&c.Probes, DefaultProbes)
+	c.Interval = cmp.Or(c.Interval, DefaultInterval)
+	c.MinSamples = cmp.Or(c.MinSamples, DefaultMinSamples)
+	c.MaxConsecutive = cmp.Or(c.MaxConsecutive, DefaultMaxConsecutive)
+	c.ErrorShare = cmp.Or(c.ErrorShare, DefaultErrorShare)
+	c.LatencyFactor = cmp.Or(c.LatencyFactor, DefaultLatencyFactor)
+	c.LatencyFloor = cmp.Or(c.LatencyFloor, DefaultLatencyFloor)
+	c.SilenceFactor = cmp.Or(c.SilenceFactor, DefaultSilenceFactor)
+	c.SilenceFloor = cmp.Or(c.SilenceFloor, DefaultSilenceFloor)
+	c.BaseEjection = cmp.Or(c.BaseEjection, DefaultBaseEjection)
+	c.MaxEjection = cmp.Or(c.MaxEjection, DefaultMaxEjection)
+	c.MaxEjectedShare = cmp.Or(c.MaxEjectedShare, DefaultMaxEjectedShare)
+	c.MaxLostShare = cmp.Or(c.MaxLostShare, DefaultMaxLostShare)
+	c.Probes = cmp.Or(c.Probes, DefaultProbes)
 	return c
 }
-
-func setDefault[T int | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -116,21 +117,15 @@
 }
 
 func withDefaults(cfg Config) Config {
-	setDefault(&cfg.Share, DefaultShare)
-	setDefault(&cfg.Burst, DefaultBurst)
-	setDefault(&cfg.Floor, DefaultFloor)
-	setDefault(&cfg.MaxAttempts, DefaultMaxAttempts)
-	setDefault(&cfg.BaseDelay, DefaultBaseDelay)
-	setDefault(&cfg.MaxDelay, DefaultMaxDelay)
+	cfg.Share = cmp.Or(cfg.Share, DefaultShare)
+	cfg.Burst = cmp.Or(cfg.Burst, DefaultBurst)
+	cfg.Floor = cmp.Or(cfg.Floor, DefaultFloor)
+	cfg.MaxAttempts = cmp.Or(cfg.MaxAttempts, DefaultMaxAttempts)
+	cfg.BaseDelay = cmp.Or(cfg.BaseDelay, DefaultBaseDelay)
+	cfg.MaxDelay = cmp.Or(cfg.MaxDelay, DefaultMaxDelay)
 	return cfg
 }
 
-func setDefault[T int | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // Success credits the budget for a complete answer.
 func (b *Budget) Success(now time.Time) {
 	b.earnFloor(now)
