Homes lend each other their parts of a team's limit on the regular exchange

Change: asks ride on the request, loans on the answer; the time of the question goes to both Ask and Borrow. Excluded while testing: passing a time of its own to Ask; the splitter then takes every answer for one to an earlier question (TestHomesLendTheirLimit, failing so at first).

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -67,6 +67,8 @@
 	// MaxIsolation is how long a node without store and peers stays ready, if
 	// there are others to serve in its place; zero: DefaultMaxIsolation.
 	MaxIsolation time.Duration
+	// Limits splits the teams' limits between their homes; nil: none is split.
+	Limits Limits
 	// Transport for exchanges; nil: one with connections kept for a while.
 	Transport http.RoundTripper
 }
@@ -86,6 +88,9 @@
 	if c.MaxIsolation <= 0 {
 		c.MaxIsolation = DefaultMaxIsolation
 	}
+	if c.Limits == nil {
+		c.Limits = noLimits{}
+	}
 	if c.Transport == nil {
 		c.Transport = newTransport()
 	}
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -116,22 +116,3 @@
 		Data:   p.GetData(),
 	}
 }
-
-func sharesToWire(list []Share) []*exchange.Share {
-	out := make([]*exchange.Share, 0, len(list))
-	for _, s := range list {
-		out = append(out, &exchange.Share{Team: s.Team, TokensPerSecond: float32(s.TokensPerSecond)})
-	}
-	return out
-}
-
-func demandFromWire(list []*exchange.Share) map[string]float64 {
-	if len(list) == 0 {
-		return nil
-	}
-	demand := make(map[string]float64, len(list))
-	for _, s := range list {
-		demand[s.GetTeam()] = float64(s.GetTokensPerSecond())
-	}
-	return demand
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,7 +15,7 @@
 )
 
 // Fleet is one node among the others. Its state is in shards, each under its
-// own lock: the view of the members, the record, the shares, the subscribers.
+// own lock: the view of the members, the record, the subscribers.
 type Fleet struct {
 	cfg       Config
 	vms       VMs
@@ -25,7 +25,6 @@
 
 	view    viewShard
 	records recordShard
-	shares  shareShard
 	subs    subscribers
 
 	// running ends when Run returns; work started by peers' calls ends with it.
@@ -103,7 +102,7 @@
 		},
 		Interval:  f.cfg.Interval,
 		Seed:      seed.Sum64() ^ uint64(now.UnixNano()),
-		Concerned: f.shares.concerned,
+		Concerned: f.cfg.Limits.Homes,
 	}
 }
 
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cicadatack/cicadatack/fleet/exchange"
 	"github.com/cicadatack/cicadatack/fleet/member"
@@ -56,14 +57,13 @@
 	return answer, Error.Wrap(err)
 }
 
-func (f *Fleet) request(to Member, msg member.Message) *exchange.ExchangeRequest {
+func (f *Fleet) request(msg member.Message) *exchange.ExchangeRequest {
 	return &exchange.ExchangeRequest{
 		Sender:        memberToWire(msg.Sender),
 		Updates:       membersToWire(msg.Updates),
 		MembersDigest: msg.Digest,
 		WantMembers:   msg.WantTable,
 		Document:      f.document(),
-		Shares:        sharesToWire(f.shares.forPeer(to.Name)),
 	}
 }
 
@@ -72,7 +72,12 @@
 func (f *Fleet) exchangeWith(ctx context.Context, send member.Send) {
 	ctx, cancel := context.WithTimeout(ctx, max(f.cfg.Interval, retryFloor))
 	defer cancel()
-	answer, err := f.call(ctx, send.To, f.request(send.To, send.Message))
+	asked := time.Now()
+	request := f.request(send.Message)
+	// Only here are limits asked for: a question whose answer is not taken
+	// would make the node do without what it was lent.
+	request.Asks = asksToWire(f.cfg.Limits.Ask(asked, send.To.Name))
+	answer, err := f.call(ctx, send.To, request)
 	if err != nil {
 		if f.running.Err() == nil {
 			f.log.Debug("exchange failed", "peer", send.To.Name, "error", err)
@@ -81,6 +86,7 @@
 		return
 	}
 	f.absorbAnswer(answer, send.Message.WantTable)
+	f.cfg.Limits.Borrow(asked, send.To.Name, loansFromWire(answer.GetLoans()))
 	f.settle(send.To, answer.GetDocument(), true)
 }
 
@@ -105,7 +111,6 @@
 	if askedTable {
 		f.tellMembers()
 	}
-	f.shares.heard(sender[0].Name, demandFromWire(answer.GetShares()))
 }
 
 // settle takes a peer's record or fetches it, or offers this node's own.
@@ -141,7 +146,7 @@
 func (f *Fleet) fetch(peer Member) {
 	ctx, cancel := context.WithTimeout(f.running, pushTimeout)
 	defer cancel()
-	request := f.request(peer, f.quietMessage())
+	request := f.request(f.quietMessage())
 	request.WantDocument = true
 	answer, err := f.call(ctx, peer, request)
 	if err != nil {
@@ -187,7 +192,7 @@
 func (f *Fleet) offer(peer Member, base Record, limit int) (int64, *exchange.ExchangeResponse, error) {
 	ctx, cancel := context.WithTimeout(f.running, pushTimeout)
 	defer cancel()
-	request := f.request(peer, f.quietMessage())
+	request := f.request(f.quietMessage())
 	packed := f.pack(base)
 	request.Document = f.documentOf(packed.of)
 	if len(packed.payload.Data) <= limit {
@@ -216,7 +221,6 @@
 		Digest:    request.GetMembersDigest(),
 		WantTable: request.GetWantMembers(),
 	}})
-	f.shares.heard(sender[0].Name, demandFromWire(request.GetShares()))
 	f.settle(sender[0], request.GetDocument(), false)
 	return f.answer(sender[0], request, *batch.Reply)
 }
@@ -232,7 +236,7 @@
 		MembersDigest: reply.Digest,
 		Table:         table,
 		Document:      f.documentFor(request),
-		Shares:        sharesToWire(f.shares.forPeer(to.Name)),
+		Loans:         loansToWire(f.cfg.Limits.Lend(to.Name, asksFromWire(request.GetAsks()))),
 	}
 	return answer, nil
 }
--- a/node/server/entries.go
+++ b/node/server/entries.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/entry"
-	"github.com/cicadatack/cicadatack/decide/limits"
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/member"
 	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/route/front"
+	"github.com/cicadatack/cicadatack/route/limiter"
 )
 
 // entries answers which entry VMs a team should use.
@@ -100,17 +100,17 @@
 }
 
 func (s *Server) setLimits(doc *document.Document, members []entry.Member) {
-	homes := make(map[string][]string, len(doc.Teams))
+	teams := make([]limiter.Team, 0, len(doc.Teams))
 	for i := range doc.Teams {
 		t := &doc.Teams[i]
 		count := entry.HomeCount(s.teamShare(t), len(members))
-		homes[t.Name] = entry.Homes(t.Name, members, count)
+		teams = append(teams, limiter.Team{
+			Name:  t.Name,
+			Limit: t.TokensPerSecond,
+			Homes: entry.Homes(t.Name, members, count),
+		})
 	}
-	s.limits.Do(func(_ time.Time, splitter *limits.Splitter) {
-		for _, t := range doc.Teams {
-			splitter.SetTeam(t.Name, t.TokensPerSecond, homes[t.Name])
-		}
-	})
+	s.limits.SetTeams(s.settings.Name, teams)
 }
 
 func (s *Server) countMembers(members []fleet.Member) {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -43,6 +43,11 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout closes callers' connections that carry nothing.
 	idleTimeout = 2 * time.Minute
+	// limitLease is how long a loan between two homes of a team's limit lasts.
+	// They exchange every fourth second with one home each, so that three homes
+	// meet twice in it; with more homes, some loans run out and the even split
+	// holds there.
+	limitLease = 20 * time.Second
 	// refreshInterval is how often figures are set and usable slots looked at
 	// again; ejected replicas return by time alone.
 	refreshInterval = time.Second
@@ -113,7 +118,7 @@
 		Now:           time.Now,
 		OnSlots:       s.metrics.Slots,
 	})
-	s.limits = limiter.New(limits.New(limits.Config{Self: s.settings.Name}), time.Now)
+	s.limits = limiter.New(limits.New(limits.Config{Self: s.settings.Name, Lease: limitLease}), time.Now)
 	s.leaving = newLeavingList(s.registry)
 	s.sender = send.New()
 	s.engines = engine.New(nil)
@@ -134,6 +139,7 @@
 		CallerAddress: advertised(s.settings.Callers, s.listeners.callers),
 		FailureDomain: s.settings.FailureDomain,
 		Environment:   s.settings.Environment + "/" + s.settings.Slot,
+		Limits:        s.limits,
 		Interval:      time.Duration(s.settings.Fleet.IntervalMillis) * time.Millisecond,
 	}
 }
--- a/route/limiter/limiter.go
+++ b/route/limiter/limiter.go
@@ -3,7 +3,9 @@
 package limiter
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,8 @@
 
 	mu       sync.Mutex
 	splitter *limits.Splitter
+	teams    map[string]bool
+	peers    []string
 }
 
 // New returns a Limiter around a splitter.
@@ -24,11 +28,65 @@
 	return &Limiter{now: now, splitter: s}
 }
 
-// Do runs f on the splitter under the lock.
-func (l *Limiter) Do(f func(now time.Time, s *limits.Splitter)) {
+// Team is a team's limit over the whole environment, in tokens a second with
+// zero for none, and the nodes that split it.
+type Team struct {
+	Name  string
+	Limit float64
+	Homes []string
+}
+
+// SetTeams puts the limits of a document in force; self is this node's name.
+func (l *Limiter) SetTeams(self string, teams []Team) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := l.teams
+	l.teams = make(map[string]bool, len(teams))
+	peers := map[string]bool{}
+	for _, t := range teams {
+		l.splitter.SetTeam(t.Name, t.Limit, t.Homes)
+		l.teams[t.Name] = true
+		delete(gone, t.Name)
+		if t.Limit > 0 && slices.Contains(t.Homes, self) {
+			for _, home := range t.Homes {
+				peers[home] = true
+			}
+		}
+	}
+	for name := range gone {
+		l.splitter.RemoveTeam(name)
+	}
+	delete(peers, self)
+	l.peers = slices.Sorted(maps.Keys(peers))
+}
+
+// Homes names the peers that split a limit with this node. The slice is
+// replaced, never changed.
+func (l *Limiter) Homes() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers
+}
+
+// Ask returns what to ask a peer for.
+func (l *Limiter) Ask(now time.Time, peer string) []limits.Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.splitter.Ask(now, peer)
+}
+
+// Lend answers a peer's questions.
+func (l *Limiter) Lend(peer string, asks []limits.Ask) []limits.Loan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.splitter.Lend(l.now(), peer, asks)
+}
+
+// Borrow takes a peer's answer to what was asked at a time.
+func (l *Limiter) Borrow(asked time.Time, peer string, loans []limits.Loan) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f(l.now(), l.splitter)
+	l.splitter.Borrow(l.now(), asked, peer, loans)
 }
 
 // Allow books work of the expected cost in tokens, or refuses at once.
