--- a/route/stream/runner_test.go
+++ b/route/stream/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -71,6 +72,65 @@
 	}
 }
 
+// The caller sees the undisturbed answer. Two of three chains fail, each with
+// a fault, on a stage and at a position drawn at random, so that faults come
+// together, one after the other, before the first token and at the last one.
+func TestTwoChainsFailAtRandom(t *testing.T) {
+	faults := []func(*standin.Server){
+		func(srv *standin.Server) { srv.Kill() },
+		func(srv *standin.Server) { srv.CutConnections() },
+		with(standin.Faults{Freeze: true}),
+		with(standin.Faults{CutNext: true}),
+		with(standin.Faults{Slow: 5000}),
+		with(standin.Faults{SkipLayer: layer(1), RepeatLayer: layer(5)}),
+		with(standin.Faults{WrongStream: true}),
+		with(standin.Faults{WrongPosition: true}),
+		with(standin.Faults{LateTokens: 3, IgnoreCancel: true}),
+		with(standin.Faults{Drain: true}),
+	}
+	const trials, atOnce = 60, 6
+	Convey("Whatever fails, the answer is whole", t, func() {
+		var wg sync.WaitGroup
+		places := make(chan struct{}, atOnce)
+		for trial := range trials {
+			places <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-places }()
+				failAtRandom(t, rand.New(rand.NewPCG(uint64(trial), 0)), faults)
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func with(faults standin.Faults) func(*standin.Server) {
+	return func(srv *standin.Server) { srv.Engine.SetFaults(faults) }
+}
+
+func failAtRandom(t *testing.T, draw *rand.Rand, faults []func(*standin.Server)) {
+	f := newFleet(t, 3, quick, Options{})
+	defer f.stop()
+	type event struct{ position, chain, stage, fault int }
+	var events []event
+	for chain := range 2 {
+		events = append(events, event{draw.IntN(testTokens+1) - 1, chain, draw.IntN(2), draw.IntN(len(faults))})
+	}
+	inject := func(position int) {
+		for _, e := range events {
+			if e.position == position {
+				faults[e.fault](f.chains[e.chain][e.stage])
+			}
+		}
+	}
+	req := request("random")
+	req.FirstTokenTimeout = time.Second
+	inject(-1) // before the request
+	answer, summary, err := f.collect(context.Background(), req, inject)
+	if err != nil || answer != undisturbed(req) || summary.Outcome != OutcomeDone {
+		t.Errorf("%v: %v, %q, %+v", events, err, answer, summary)
+	}
+}
+
 // The caller sees the undisturbed answer. The first chain dies at token 5; the
 // engine of the second mixes tokens of the old epoch into the new one's, at
 // the position that is due. Only the epoch tells them from the true ones.
