Layers that a document leaves open are planned, agreed and ordered

A replica without layers is cut by decide/placement; the node whose turn it is (first by rendezvous hash) writes the plan by compare-and-swap, one record for a model in a failure domain, and orders the engines with the plan's version as fencing number. Other nodes read a plan when they need it, and again when an engine holds something else: nothing watches and nothing is pushed. Also: the document's retry_budget is now in force, and entry VMs on trial are kept out of production's entry answers.

--- a/node/server/documents.go
+++ b/node/server/documents.go
@@ -85,6 +85,8 @@
 	}
 	d := directory.Build(doc, r.Revision, r.Digest)
 	s.registry.Apply(d)
+	s.book.Apply(d)
+	s.keeper.Apply(d)
 	s.directory.Store(d)
 	s.metrics.Revision(r.Revision)
 	s.followMembers()
@@ -106,12 +108,15 @@
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
 	State         string `json:"state"`
+	// Slot is the slot that an entry VM serves; empty means production.
+	Slot string `json:"slot,omitempty"`
 }
 
 // vmList reads the platform's lists: the entry VMs for the fleet, and of the
 // endpoint VMs those that leave.
 type vmList struct {
 	store   store.Reader
+	slot    string
 	leaving *leavingList
 }
 
@@ -128,6 +133,9 @@
 	l.leaving.platformSays(endpoints)
 	vms := make([]fleet.VM, 0, len(entries))
 	for _, e := range entries {
+		if e.slot() != l.slot {
+			continue // callers of one slot must not be sent to the other
+		}
 		vms = append(vms, fleet.VM{
 			Name:          e.Name,
 			Address:       e.Address,
@@ -138,6 +146,13 @@
 	return vms, nil
 }
 
+func (vm platformVM) slot() string {
+	if vm.Slot == "" {
+		return settings.SlotProduction
+	}
+	return vm.Slot
+}
+
 func (l vmList) read(ctx context.Context, prefix string) ([]platformVM, error) {
 	stored, err := l.store.List(ctx, prefix)
 	if err != nil {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
+	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/decide/limits"
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/node/metrics"
@@ -29,6 +30,7 @@
 	"github.com/cicadatack/cicadatack/route/limiter"
 	"github.com/cicadatack/cicadatack/route/model"
 	"github.com/cicadatack/cicadatack/route/plain"
+	"github.com/cicadatack/cicadatack/route/plans"
 	"github.com/cicadatack/cicadatack/route/send"
 	"github.com/cicadatack/cicadatack/route/service"
 	"github.com/cicadatack/cicadatack/route/stream"
@@ -68,6 +70,8 @@
 	engines   *engine.Client
 	streams   *stream.Runner
 	leaving   *leavingList
+	book      *plans.Book
+	keeper    *plans.Keeper
 
 	directory atomic.Pointer[directory.Directory]
 	draining  atomic.Bool
@@ -123,7 +127,8 @@
 	s.sender = send.New()
 	s.engines = engine.New(nil)
 	s.streams = stream.New(s.engines, nil, stream.Options{})
-	s.fleet, err = fleet.New(s.fleetConfig(), vmList{s.store, s.leaving}, s.documents(), s.log)
+	s.buildPlans()
+	s.fleet, err = fleet.New(s.fleetConfig(), vmList{s.store, s.settings.Slot, s.leaving}, s.documents(), s.log)
 	if err != nil {
 		return err
 	}
@@ -132,6 +137,37 @@
 	return nil
 }
 
+func (s *Server) buildPlans() {
+	s.book = plans.NewBook(s.store, s.settings.Environment, s.log)
+	s.keeper = plans.NewKeeper(plans.KeeperConfig{
+		Node:        s.settings.Name,
+		Environment: s.settings.Environment,
+		Store:       s.store,
+		Engines:     s.engines,
+		Book:        s.book,
+		Record:      s.decisions,
+		Log:         s.log,
+		Turn:        s.plansFor,
+	})
+}
+
+// planWatcher passes on what streams tell of replicas.
+type planWatcher struct {
+	*plans.Book
+	*plans.Keeper
+}
+
+// plansFor says whether it is this node's turn to keep a model's plans in a
+// failure domain: the node that ranks first for it. Trial nodes keep none; the
+// engines follow production.
+func (s *Server) plansFor(model, domain string) bool {
+	if s.settings.Slot != settings.SlotProduction || s.draining.Load() {
+		return false
+	}
+	first := entry.Homes("plans/"+model+"/"+domain, s.entryMembers(), 1)
+	return len(first) == 1 && first[0] == s.settings.Name
+}
+
 func (s *Server) fleetConfig() fleet.Config {
 	return fleet.Config{
 		Name:          s.settings.Name,
@@ -153,7 +189,8 @@
 			Services: s.registry,
 			Limits:   s.limits,
 			Streams:  s.streams,
-			Chains:   &chains.Resolver{},
+			Chains:   &chains.Resolver{Plans: s.book},
+			Plans:    planWatcher{s.book, s.keeper},
 			Record:   s.decisions,
 			Figures:  s.metrics,
 			Now:      time.Now,
@@ -190,6 +227,8 @@
 	work.Go(func() { _ = s.fleet.Run(background) }) // ends with the context's error only
 	work.Go(func() { s.refreshLoop(background) })
 	work.Go(func() { s.pollLoop(background) })
+	work.Go(func() { s.book.Run(background) })
+	work.Go(func() { s.keeper.Run(background) })
 	failed := s.serve()
 	s.log.Info("serving",
 		"callers", s.listeners.callers.Addr().String(),
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -15,6 +15,7 @@
 	"github.com/cicadatack/cicadatack/platform/promotion"
 	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/proof/harness"
+	engineclient "github.com/cicadatack/cicadatack/route/engine"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/link"
 	"github.com/cicadatack/cicadatack/standin/plain"
@@ -28,8 +29,10 @@
 	Chains   int
 	Plains   int
 	// Step is the engines' time for a token.
-	Step   time.Duration
-	Layout harness.Layout
+	Step time.Duration
+	// CheckFencing makes the engines refuse old placement versions.
+	CheckFencing bool
+	Layout       harness.Layout
 }
 
 // Engine is a stand-in engine and the link that nodes and engines reach it by.
@@ -153,6 +156,8 @@
 			First: first,
 			Last:  last,
 			Step:  r.Config.Step,
+
+			CheckFencing: r.Config.CheckFencing,
 		})
 		r.closers = append(r.closers, e.Close)
 		served, err := r.serve(e)
@@ -295,3 +300,6 @@
 	whole := len(prefix) - len(prefix)%3
 	return base64.StdEncoding.EncodeToString([]byte(prefix[:whole]))
 }
+
+// Engines asks stand-in engines as a node does.
+var Engines = engineclient.New(nil)
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -107,6 +107,12 @@
 		FirstToken: r.FirstToken,
 		Failure:    failureOf(r),
 	})
+	if r.End == stream.EndMismatch {
+		c.answer.server.Plans.Suspect(c.answer.call.Service.Name, chain.Replica)
+	}
+	if len(r.Hops) > 0 {
+		c.answer.server.Plans.Observe(c.answer.call.Service.Name, chain.Replica, r.Hops)
+	}
 	if r.Load != nil {
 		c.answer.service.ReportLoad(chain.Stages[0].Endpoint, *r.Load)
 	}
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -36,12 +36,21 @@
 	Chain(c *call.Call, replica string) (stream.Chain, error)
 }
 
+// Plans is told how replicas do, for the planner.
+type Plans interface {
+	// Suspect says that an engine holds something else than the plan.
+	Suspect(model, replica string)
+	// Observe takes the mean times of a stream's hops.
+	Observe(model, replica string, hops []stream.Hop)
+}
+
 // Server answers model calls. Safe for concurrent use.
 type Server struct {
 	Services *service.Registry
 	Limits   *limiter.Limiter
 	Streams  *stream.Runner
 	Chains   Chains
+	Plans    Plans
 	Record   decision.Recorder
 	Figures  Figures
 	Now      func() time.Time
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -40,10 +40,24 @@
 // Retry is the service's retry budget behind a lock.
 type Retry struct {
 	now    func() time.Time
+	seed   uint64
 	mu     sync.Mutex
+	share  float64
 	budget *retry.Budget
 }
 
+// follow takes the document's share of successes that retries may cost; zero
+// means the default. A new share starts with a full budget.
+func (r *Retry) follow(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.budget != nil && share == r.share {
+		return
+	}
+	r.share = share
+	r.budget = retry.New(retry.Config{Share: share, Seed: r.seed})
+}
+
 // Success credits the budget for a complete answer.
 func (r *Retry) Success() {
 	r.mu.Lock()
@@ -114,6 +128,7 @@
 		if s == nil {
 			s = r.newService(spec.Name)
 		}
+		s.Retry.follow(d.Document.Policy.RetryBudget)
 		s.applyTeams(teams, r.teams)
 		s.applyReplicas(d, spec)
 		kept[spec.Name] = s
@@ -140,7 +155,7 @@
 	s := &Service{
 		Name:  name,
 		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
-		Retry: &Retry{now: r.cfg.Now, budget: retry.New(retry.Config{Seed: seed})},
+		Retry: &Retry{now: r.cfg.Now, seed: seed},
 		marks: map[leavingMark]bool{},
 	}
 	balancer := balance.New(balance.Config{Node: r.cfg.Node, FailureDomain: r.cfg.FailureDomain, Seed: seed})
