--- a/fleet/member/machine.go
+++ b/fleet/member/machine.go
@@ -77,7 +77,7 @@
 		rand:        rand.New(rand.NewPCG(cfg.Seed, uint64(len(cfg.Self.Name)))),
 		entries:     map[string]*entry{},
 		suspects:    map[string]bool{},
-		rumors:      rumors{},
+		rumors:      rumors{news: map[string]*rumor{}},
 		lastTick:    now,
 		lastContact: now,
 	}
@@ -242,11 +242,15 @@
 	if e := m.entries[peer]; e != nil && e.Incarnation > 0 && e.State != Live && e.State != Joining {
 		msg.Updates = append(msg.Updates, e.Member)
 	}
-	limit := transmitFactor * int(math.Ceil(math.Log2(float64(len(m.entries)+1))))
-	msg.Updates = m.rumors.take(msg.Updates, peer, limit)
+	msg.Updates = m.rumors.take(msg.Updates, peer, m.transmitLimit())
 	return msg
 }
 
+// transmitLimit is how often one node passes on a piece of news.
+func (m *Machine) transmitLimit() int {
+	return transmitFactor * int(math.Ceil(math.Log2(float64(len(m.entries)+1))))
+}
+
 // Member returns what is known of one node.
 func (m *Machine) Member(name string) (Member, bool) {
 	e, ok := m.entries[name]
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -253,3 +253,39 @@
 		}
 	}
 }
+
+// The bytes of news must stay flat as the fleet grows. One node of 30 and of
+// 100 dies and is replaced; what each node sends about it in all, and the
+// longest wait for the news, are printed.
+func TestNewsOfOneReplacementStaysSmall(t *testing.T) {
+	for _, n := range []int{30, 100} {
+		s := newSim(t, n, 3).settled()
+		for range 60 {
+			s.tick()
+		}
+		s.sent, s.tables = 0, 0
+		for range 60 {
+			s.tick()
+		}
+		quiet := s.sent
+		s.down["vm-0001"] = true
+		gone := s.until("gone everywhere", 120, func() bool { return s.all("vm-0001", Gone) })
+		s.start("vm-0001", "fd-1", s.now.UnixMilli())
+		live := s.until("live everywhere", 60, func() bool { return s.all("vm-0001", Live) })
+		for range 60 {
+			s.tick()
+		}
+		perNode := s.sent / n
+		if quiet != 0 {
+			t.Errorf("%d nodes send %d bytes of news when there is none", n, quiet)
+		}
+		// The newcomer asks until it is answered.
+		if s.tables > 2 {
+			t.Errorf("%d nodes: one replacement made %d whole views travel", n, s.tables)
+		}
+		if perNode > 6000 {
+			t.Errorf("%d nodes send %d bytes each about one replacement", n, perNode)
+		}
+		t.Logf("%d nodes: %d bytes of news sent by each; gone after %d intervals, back after %d", n, perNode, gone, live)
+	}
+}
--- a/fleet/member/merge.go
+++ b/fleet/member/merge.go
@@ -7,7 +7,10 @@
 
 func (m *Machine) received(now time.Time, msg Message) {
 	m.absorb(now, msg)
-	reply := m.message(msg.Sender.Name)
+	reply := Message{Sender: m.Self(), Digest: m.digest}
+	if msg.Digest != m.digest {
+		reply = m.message(msg.Sender.Name)
+	}
 	if msg.WantTable {
 		reply.Table = m.table()
 	}
@@ -36,7 +39,11 @@
 	for _, u := range msg.Table {
 		m.merge(now, u)
 	}
-	m.repair.compare(msg.Digest == m.digest)
+	equal := msg.Digest == m.digest
+	m.repair.compare(equal)
+	if equal {
+		m.rumors.age(m.transmitLimit())
+	}
 }
 
 // mergeSender takes the sender's word about itself, which is first-hand.
