Not run is no longer claimed when the second try of a repeatable call is refused

Cause: the transport sends a repeatable call (GET, or any method with an Idempotency-Key) again by itself if a kept connection breaks. If the endpoint read the first try, did its work and died, the second ends in a refused dial, and the sender took that as proof that nothing ran. The caller was told not-run of a call that was run.

Excluded: orders. They go over a connection of their own that is never retried (TestOrderOnABrokenConnectionArrivesOnce). The engine client, which already asks whether the request was ever given a connection.

Change: not run needs both a failed dial and no connection given before.

--- a/route/send/send.go
+++ b/route/send/send.go
@@ -20,6 +20,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -130,7 +132,9 @@
 // Do sends r and returns the answer, whose body the caller closes. Any error is
 // a *Failure in the class Error.
 func (s *Sender) Do(ctx context.Context, r Request) (*http.Response, error) {
-	request, err := build(ctx, r)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := build(httptrace.WithClientTrace(ctx, trace), r)
 	if err != nil {
 		return nil, Error.Wrap(&Failure{Address: r.Address, ProvedNotRun: true, Cause: err})
 	}
@@ -140,7 +144,7 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return nil, Error.Wrap(&Failure{Address: r.Address, ProvedNotRun: neverConnected(err), Cause: err})
+		return nil, Error.Wrap(&Failure{Address: r.Address, ProvedNotRun: !connected.Load() && dialFailed(err), Cause: err})
 	}
 	return response, nil
 }
@@ -161,9 +165,12 @@
 	return request, nil
 }
 
-// neverConnected says whether the connection itself did not come about. Any
-// later error leaves open what the endpoint has read.
-func neverConnected(err error) bool {
+// dialFailed says whether the last connection did not come about. That alone
+// proves nothing: the transport sends a repeatable request again by itself if a
+// kept connection breaks, and then this is only how its second try ended, while
+// the first may have been read and run. So Do also asks that the request was
+// never given a connection.
+func dialFailed(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
