Balancer hears of first tokens and pace; replicas without a plan are passed over

A model answer told the balancer of its replica only at its end, seconds after a replica had turned slow. Ejections and returns are logged and counted.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -146,6 +146,14 @@
 	m.scope.Tagged(map[string]string{"state": state}).Gauge("members").Update(float64(n))
 }
 
+// Health counts replicas that were ejected, probed or have returned.
+func (m *Metrics) Health(service, state string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		"state":      state,
+	}).Counter("replica_health_changes_total").Inc(1)
+}
+
 // Slots sets the usable slots of a service on this node.
 func (m *Metrics) Slots(service string, n int) {
 	m.service(service).Gauge("usable_slots").Update(float64(n))
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -318,12 +318,22 @@
 func (s *Server) refresh() {
 	for _, each := range s.registry.All() {
 		each.Picker.Refresh()
+		s.logHealth(each)
 	}
 	s.metrics.Underway(s.front.Underway())
 	s.metrics.Revision(s.revision())
 	s.followMembers()
 }
 
+// logHealth writes a line for each replica that was ejected or has returned.
+func (s *Server) logHealth(each *service.Service) {
+	for _, c := range each.Picker.Changes() {
+		s.log.Info("health", "service", each.Name, "replica", c.Replica,
+			"from", c.From.String(), "to", c.To.String(), "cause", c.Cause.String())
+		s.metrics.Health(each.Name, c.To.String())
+	}
+}
+
 func (s *Server) revision() int64 {
 	d := s.directory.Load()
 	if d == nil {
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
@@ -22,20 +23,75 @@
 // goroutine at a time.
 type chooser struct {
 	answer *answer
-	// made and ended count the chains chosen and given up.
-	made  int
+	// runs are the chains chosen, one for each epoch in order; ended counts
+	// those given up.
+	runs  []run
 	ended int
 	last  stream.AttemptResult
 }
 
+// run is one chain's part of the answer.
+type run struct {
+	replica string
+	since   time.Time
+	// started is set with the first token; reported and tokens are the time and
+	// the number of tokens since the balancer was last told of the pace.
+	started  bool
+	reported time.Time
+	tokens   int
+}
+
+// progressInterval is how often the balancer hears of a long answer's pace. An
+// answer of seconds on a replica that turned slow would otherwise tell of it
+// only at its end.
+const progressInterval = time.Second
+
+// token tells the balancer how a chain gets on.
+func (c *chooser) token(epoch uint32) {
+	if int(epoch) > len(c.runs) || epoch == 0 {
+		return
+	}
+	r := &c.runs[epoch-1]
+	now := c.answer.server.Now()
+	if !r.started {
+		r.started = true
+		r.reported = now
+		c.answer.service.Picker.Started(r.replica, now.Sub(r.since))
+		return
+	}
+	r.tokens++
+	if elapsed := now.Sub(r.reported); elapsed >= progressInterval {
+		c.answer.service.Picker.Progress(r.replica, elapsed/time.Duration(r.tokens))
+		r.reported = now
+		r.tokens = 0
+	}
+}
+
 // Choose picks a replica that is none of exclude. From the second epoch on the
 // retry budget must allow it.
 func (c *chooser) Choose(ctx context.Context, exclude []string) (stream.Chain, error) {
-	if c.made > 0 {
+	if len(c.runs) > 0 {
 		if err := c.mayRetry(ctx); err != nil {
 			return stream.Chain{}, err
 		}
 	}
+	for {
+		choice, chain, err := c.pick(exclude)
+		if err == nil {
+			c.runs = append(c.runs, run{replica: choice.Replica, since: c.answer.server.Now()})
+			c.recordChoice(choice)
+			return chain, nil
+		}
+		if choice.Replica == "" {
+			return stream.Chain{}, err
+		}
+		exclude = append(slices.Clone(exclude), choice.Replica)
+	}
+}
+
+// pick asks the balancer for a replica and resolves its chain. A replica whose
+// layers have no plan yet is passed over: that says nothing of its health.
+func (c *chooser) pick(exclude []string) (balance.Choice, stream.Chain, error) {
 	a := c.answer
 	choice, ok := a.service.Picker.Pick(balance.Query{
 		Prefix:  prefixHash(a.chat.Messages),
@@ -43,16 +99,13 @@
 		Exclude: exclude,
 	})
 	if !ok {
-		return stream.Chain{}, errNoReplica
+		return balance.Choice{}, stream.Chain{}, errNoReplica
 	}
 	chain, err := a.server.Chains.Chain(a.call, choice.Replica)
 	if err != nil {
-		a.service.Picker.Finished(choice.Replica, balance.Result{Cost: a.cost, Failure: health.Unreachable})
-		return stream.Chain{}, err
+		a.service.Picker.Finished(choice.Replica, balance.Result{Cost: a.cost, Failure: health.Canceled})
 	}
-	c.made++
-	c.recordChoice(choice)
-	return chain, nil
+	return choice, chain, err
 }
 
 // mayRetry asks the budget and waits out its back-off. A model call may always
@@ -60,7 +113,7 @@
 // twice.
 func (c *chooser) mayRetry(ctx context.Context) error {
 	d := c.answer.service.Retry.Allow(retry.Attempt{
-		Made:         c.made,
+		Made:         len(c.runs),
 		Failure:      c.whyNext(),
 		Repeatable:   true,
 		NotRun:       c.last.NotRun,
@@ -70,7 +123,7 @@
 	if !d.Retry {
 		return fmt.Errorf("not tried again: %s", d.Reason)
 	}
-	if c.last.Tokens > 0 || c.ended < c.made {
+	if c.last.Tokens > 0 || c.ended < len(c.runs) {
 		return nil // the caller sees the gap: no back-off partway
 	}
 	return wait(ctx, d.After)
@@ -80,7 +133,7 @@
 // underway the stream asks for a chain to leave it for, because it has turned
 // slow.
 func (c *chooser) whyNext() health.Failure {
-	if c.ended < c.made {
+	if c.ended < len(c.runs) {
 		return health.Timeout
 	}
 	return failureOf(c.last)
@@ -101,10 +154,12 @@
 func (c *chooser) Ended(chain stream.Chain, r stream.AttemptResult) {
 	c.last = r
 	c.ended++
-	p := c.answer.service.Picker
-	p.Finished(chain.Replica, balance.Result{
+	mine := c.runs[r.Epoch-1]
+	c.answer.service.Picker.Finished(chain.Replica, balance.Result{
 		Cost:       c.answer.cost,
 		FirstToken: r.FirstToken,
+		Total:      c.answer.server.Now().Sub(mine.since),
+		Started:    mine.started,
 		Failure:    failureOf(r),
 	})
 	if r.End == stream.EndMismatch {
@@ -121,7 +176,7 @@
 func (c *chooser) recordChoice(choice balance.Choice) {
 	a := c.answer
 	kind := decision.Route
-	if c.made > 1 {
+	if len(c.runs) > 1 {
 		kind = decision.Resume
 	}
 	d := decision.Decision{
@@ -133,7 +188,7 @@
 		Chosen:   choice.Replica,
 		Reason:   choice.Reason.String(),
 		Revision: a.call.Directory.Revision,
-		Figures:  map[string]float64{"score": choice.Score, "epoch": float64(c.made)},
+		Figures:  map[string]float64{"score": choice.Score, "epoch": float64(len(c.runs))},
 	}
 	for _, other := range choice.Alternatives {
 		if other.ID != "" {
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -169,7 +169,10 @@
 		TokenStall:        millis(a.policy().TokenStallMillis),
 		Deadline:          a.call.Deadline,
 		Chooser:           chooser,
-	}, sink.deliver)
+	}, func(token string, trace engineapi.TokenTrace) error {
+		chooser.token(trace.Epoch)
+		return sink.deliver(token)
+	})
 	a.count(summary)
 	what := fromStream(summary.Outcome)
 	if err == nil {
--- a/route/model/sink.go
+++ b/route/model/sink.go
@@ -67,7 +67,7 @@
 }
 
 // deliver passes one checked token on.
-func (s *sink) deliver(token string, _ engineapi.TokenTrace) error {
+func (s *sink) deliver(token string) error {
 	s.tokens++
 	if !s.stream {
 		s.text.WriteString(token)
--- a/route/picker/picker.go
+++ b/route/picker/picker.go
@@ -55,6 +55,19 @@
 	p.change(func(now time.Time, b *balance.Balancer) { b.Started(now, replica, firstToken) })
 }
 
+// Progress tells the mean time between tokens of an answer underway.
+func (p *Picker) Progress(replica string, perToken time.Duration) {
+	p.change(func(now time.Time, b *balance.Balancer) { b.Progress(now, replica, perToken) })
+}
+
+// Changes returns the replicas that were ejected, probed or have returned since
+// the last call, for the log.
+func (p *Picker) Changes() []balance.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Changes()
+}
+
 // Report passes on the load that a replica told of itself.
 func (p *Picker) Report(replica string, l balance.Load) {
 	p.change(func(now time.Time, b *balance.Balancer) { b.Report(now, replica, l) })
