Engine client: a refused second try of a repeatable call is not 'not run'

The transport may repeat a marked call after a kept connection broke. If the engine read the first try and refuses the second, its refusal says nothing of the first. The header counts only if one connection was used. Seen failing with that condition taken out: NotRun was true after an order read twice.

--- a/route/engine/client.go
+++ b/route/engine/client.go
@@ -130,8 +130,8 @@
 func (c *Client) send(ctx context.Context, method, address, path string, body any, repeat repetition) (*http.Response, error) {
 	// A request that was never given a connection cannot have reached the
 	// engine, whatever the error reads like: that is the proof of "not run".
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connections atomic.Int32
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections.Add(1) }}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, address, path, body)
 	if err != nil {
 		return nil, wrap(address, NotRunState, 0, err)
@@ -146,7 +146,7 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		state := NotRunState
-		if connected.Load() {
+		if connections.Load() > 0 {
 			state = Unknown
 		}
 		return nil, wrap(address, state, 0, err)
@@ -155,12 +155,14 @@
 		return resp, nil
 	}
 	defer closeBody(resp.Body)
-	return nil, wrap(address, stateOf(resp), resp.StatusCode, nil)
+	return nil, wrap(address, stateOf(resp, connections.Load()), resp.StatusCode, nil)
 }
 
-// stateOf trusts the engine's own statement that it did nothing.
-func stateOf(resp *http.Response) State {
-	if resp.Header.Get(engineapi.HeaderNotRun) == "1" {
+// stateOf trusts the engine's own statement that it did nothing, unless the
+// transport has sent the call before on a connection that broke: a refusal of
+// the second try says nothing of the first.
+func stateOf(resp *http.Response, connections int32) State {
+	if resp.Header.Get(engineapi.HeaderNotRun) == "1" && connections == 1 {
 		return NotRunState
 	}
 	return Unknown
--- a/route/engine/client_test.go
+++ b/route/engine/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -129,6 +130,36 @@
 	})
 }
 
+// The operator is told that an order may have been taken. The engine reads the
+// order on a kept connection and dies before it answers; the transport sends it
+// again, and the engine, just restarted, refuses. That refusal proves nothing.
+func TestRefusedSecondTry(t *testing.T) {
+	calls := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		switch calls++; calls {
+		case 1:
+			w.WriteHeader(http.StatusNoContent)
+		case 2:
+			panic(http.ErrAbortHandler)
+		default:
+			w.Header().Set(engineapi.HeaderNotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer srv.Close()
+	Convey("A refusal after a broken first try does not mean not run", t, func() {
+		client := New(nil)
+		defer client.CloseIdle()
+		address := srv.Listener.Addr().String()
+		So(client.Order(context.Background(), address, engineapi.Order{}), ShouldBeNil)
+		err := client.Order(context.Background(), address, engineapi.Order{})
+		So(calls, ShouldEqual, 3)
+		So(Status(err), ShouldEqual, http.StatusServiceUnavailable)
+		So(NotRun(err), ShouldBeFalse)
+	})
+}
+
 // listenAndHangUp accepts connections, reads a little of the request and
 // closes them without an answer.
 func listenAndHangUp(t *testing.T) (string, func()) {
