TLS on every listener, certificates of both sides between peers, operators' keys

Cause: whoever reached the peers' listener could bring a document with a higher revision and put it in force on the fleet. Change: node/tlsfiles reads certificate files and follows their replacement; peers check each other by the fleet's authority; operators' calls can ask for a key. Seen failing without the check of the client's certificate: 'a stranger calls' and the caller without a certificate are served.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net/http"
 	"time"
@@ -67,6 +68,8 @@
 	// MaxIsolation is how long a node without store and peers stays ready, if
 	// there are others to serve in its place; zero: DefaultMaxIsolation.
 	MaxIsolation time.Duration
+	// Scheme of the peers' listeners, http or https; empty: http.
+	Scheme string
 	// Limits splits the teams' limits between their homes; nil: none is split.
 	Limits Limits
 	// Transport for exchanges; nil: one with connections kept for a while.
@@ -88,20 +91,24 @@
 	if c.MaxIsolation <= 0 {
 		c.MaxIsolation = DefaultMaxIsolation
 	}
+	if c.Scheme == "" {
+		c.Scheme = "http"
+	}
 	if c.Limits == nil {
 		c.Limits = noLimits{}
 	}
 	if c.Transport == nil {
-		c.Transport = newTransport()
+		c.Transport = NewTransport(nil)
 	}
 	return c, nil
 }
 
-// newTransport keeps one connection to each recent peer. At 2,200 nodes a
+// NewTransport keeps one connection to each recent peer. At 2,200 nodes a
 // connection to everyone would cost more memory than the control budget has,
-// so idle ones are closed.
-func newTransport() http.RoundTripper {
+// so idle ones are closed. peers says how to meet them over TLS; it may be nil.
+func NewTransport(peers *tls.Config) http.RoundTripper {
 	return &http.Transport{
+		TLSClientConfig:     peers,
 		MaxIdleConns:        64,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     90 * time.Second,
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -121,7 +121,7 @@
 }
 
 func countingTransport(c *counters) http.RoundTripper {
-	t := newTransport().(*http.Transport)
+	t := NewTransport(nil).(*http.Transport)
 	dialer := net.Dialer{}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
--- a/node/cmd/cicadactl/main.go
+++ b/node/cmd/cicadactl/main.go
@@ -31,6 +31,8 @@
 	Store       string        `arg:"--store,env:CICADATACK_STORE" help:"IP number and port of the platform's store"`
 	Environment string        `arg:"--environment,env:CICADATACK_ENVIRONMENT" help:"name of the environment"`
 	Operator    string        `arg:"--operator,env:USER" help:"who puts a document in force" default:"operator"`
+	OperatorKey string        `arg:"--operator-key,env:CICADATACK_OPERATOR_KEY" help:"key of the nodes' operators' calls"`
+	Authorities string        `arg:"--authorities" help:"PEM file of the authorities of the nodes' certificates; nodes are then called over TLS"`
 	Timeout     time.Duration `arg:"--timeout" help:"longest time for the whole command" default:"30s"`
 }
 
--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 
 	"github.com/cicadatack/cicadatack/node/server"
@@ -33,9 +36,9 @@
 	FailureDomain string `arg:"--failure-domain" help:"the caller's failure domain"`
 }
 
-func (c *statusCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+func (c *statusCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
 	var s server.Status
-	if err := get(ctx, "http://"+c.Node+"/v1/status", "", &s); err != nil {
+	if err := args.get(ctx, c.Node+"/v1/status", args.OperatorKey, &s); err != nil {
 		return err
 	}
 	state := "ready"
@@ -53,11 +56,11 @@
 	return nil
 }
 
-func (c *explainCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+func (c *explainCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
 	var reply struct {
 		Decisions []decision.Decision `json:"decisions"`
 	}
-	if err := get(ctx, "http://"+c.Node+"/v1/explain/"+url.PathEscape(c.Request), "", &reply); err != nil {
+	if err := args.get(ctx, c.Node+"/v1/explain/"+url.PathEscape(c.Request), args.OperatorKey, &reply); err != nil {
 		return err
 	}
 	for _, d := range reply.Decisions {
@@ -81,14 +84,10 @@
 	fmt.Fprintln(out)
 }
 
-func (c *drainCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Node+"/v1/drain", nil)
+func (c *drainCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
+	response, err := args.call(ctx, http.MethodPost, c.Node+"/v1/drain", args.OperatorKey)
 	if err != nil {
-		return Error.Wrap(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusAccepted {
@@ -98,10 +97,10 @@
 	return nil
 }
 
-func (c *entryCommand) run(ctx context.Context, _ *arguments, out io.Writer) error {
+func (c *entryCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
 	var answer front.EntryAnswer
-	address := "http://" + c.Node + "/v1/entry?failure_domain=" + url.QueryEscape(c.FailureDomain)
-	if err := get(ctx, address, c.Key, &answer); err != nil {
+	address := c.Node + "/v1/entry?failure_domain=" + url.QueryEscape(c.FailureDomain)
+	if err := args.get(ctx, address, c.Key, &answer); err != nil {
 		return err
 	}
 	for _, a := range answer.Addresses {
@@ -114,17 +113,43 @@
 // maxReply bounds what a node may answer.
 const maxReply = 4 << 20
 
-func get(ctx context.Context, address, key string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+// call makes one call of a node, with a key if there is one.
+func (args *arguments) call(ctx context.Context, method, address, key string) (*http.Response, error) {
+	client, scheme, err := args.client()
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+address, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
 	}
 	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
+	return response, Error.Wrap(err)
+}
+
+// client reaches nodes in the clear, or over TLS if authorities are named.
+func (args *arguments) client() (*http.Client, string, error) {
+	if args.Authorities == "" {
+		return http.DefaultClient, "http://", nil
+	}
+	pem, err := os.ReadFile(args.Authorities)
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, "", Error.Wrap(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, "", Error.New("%s holds no certificate in PEM form", args.Authorities)
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}, "https://", nil
+}
+
+func (args *arguments) get(ctx context.Context, address, key string, into any) error {
+	response, err := args.call(ctx, http.MethodGet, address, key)
+	if err != nil {
+		return err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -40,11 +40,14 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", s.readyz)
 	r.Handle("/metrics", s.metrics.Handler())
-	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) })
-	r.Get("/v1/explain/{request}", s.explain)
-	r.Post("/v1/drain", func(w http.ResponseWriter, _ *http.Request) {
-		s.Drain()
-		w.WriteHeader(http.StatusAccepted)
+	r.Group(func(r chi.Router) {
+		r.Use(s.operatorsOnly)
+		r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) })
+		r.Get("/v1/explain/{request}", s.explain)
+		r.Post("/v1/drain", func(w http.ResponseWriter, _ *http.Request) {
+			s.Drain()
+			w.WriteHeader(http.StatusAccepted)
+		})
 	})
 	return r
 }
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/node/metrics"
 	"github.com/cicadatack/cicadatack/node/settings"
+	"github.com/cicadatack/cicadatack/node/tlsfiles"
 	"github.com/cicadatack/cicadatack/platform/ledger"
 	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/route/chains"
@@ -70,6 +71,7 @@
 	engines   *engine.Client
 	streams   *stream.Runner
 	leaving   *leavingList
+	peerFiles *tlsfiles.Files
 	book      *plans.Book
 	keeper    *plans.Keeper
 
@@ -128,13 +130,16 @@
 	s.engines = engine.New(nil)
 	s.streams = stream.New(s.engines, nil, stream.Options{})
 	s.buildPlans()
-	s.fleet, err = fleet.New(s.fleetConfig(), vmList{s.store, s.settings.Slot, s.leaving}, s.documents(), s.log)
+	peers, err := s.peerConfig()
+	if err != nil {
+		return err
+	}
+	s.fleet, err = fleet.New(peers, vmList{s.store, s.settings.Slot, s.leaving}, s.documents(), s.log)
 	if err != nil {
 		return err
 	}
 	s.front = s.newFront()
-	s.buildListeners()
-	return nil
+	return s.buildListeners()
 }
 
 func (s *Server) buildPlans() {
@@ -207,10 +212,11 @@
 	}
 }
 
-func (s *Server) buildListeners() {
+func (s *Server) buildListeners() error {
 	s.callers = newHTTP(s.closeWhenDraining(s.front.Handler()))
 	s.peers = newHTTP(s.fleet.Handler())
 	s.operators = newHTTP(s.operatorRoutes())
+	return s.secureListeners()
 }
 
 func newHTTP(h http.Handler) *http.Server {
@@ -294,7 +300,7 @@
 	failed := make(chan error, len(all))
 	for h, l := range all {
 		go func() {
-			if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := serveOn(h, l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		}()
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -4,6 +4,8 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"os"
@@ -50,6 +52,19 @@
 	// Advertise is the address that others are told; empty means
 	// the address listened on.
 	Advertise string `json:"advertise,omitempty"`
+	// TLS holds certificate files; without it the listener is in the clear.
+	TLS *TLS `json:"tls,omitempty"`
+	// KeySHA256 holds the hex SHA-256 of each key that opens the operators'
+	// calls; empty leaves them open. It counts for operators only.
+	KeySHA256 []string `json:"key_sha256,omitempty"`
+}
+
+// TLS names PEM files, which are read again when they are replaced.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	// Authorities sign the peers' certificates; for peers only, and needed there.
+	Authorities string `json:"authorities,omitempty"`
 }
 
 // Store says where the platform's key-value service is.
@@ -133,6 +148,9 @@
 	s.Callers.check(f, "callers")
 	s.Peers.check(f, "peers")
 	s.Operators.check(f, "operators")
+	if s.Peers.TLS != nil {
+		required(f, "peers.tls.authorities", s.Peers.TLS.Authorities)
+	}
 	address(f, "store.address", s.Store.Address, true)
 	notNegative(f, "store.calls_per_second", s.Store.CallsPerSecond)
 	notNegative(f, "store.timeout_ms", s.Store.TimeoutMillis)
@@ -146,6 +164,20 @@
 func (l Listener) check(f *document.Faults, path string) {
 	address(f, path+".listen", l.Listen, true)
 	address(f, path+".advertise", l.Advertise, false)
+	if l.TLS != nil {
+		required(f, path+".tls.certificate", l.TLS.Certificate)
+		required(f, path+".tls.key", l.TLS.Key)
+	}
+	for i, key := range l.KeySHA256 {
+		digest(f, fmt.Sprintf("%s.key_sha256[%d]", path, i), key)
+	}
+}
+
+func digest(f *document.Faults, path, value string) {
+	raw, err := hex.DecodeString(value)
+	if err != nil || len(raw) != sha256.Size {
+		f.Add(path, "%q is not a SHA-256 in hex", value)
+	}
 }
 
 func (s *Settings) fillDefaults() {
