Calls of plain services keep their path as written; orders are told in any spelling

Cause: the path below a service was taken from the router's parameter, which is decoded where the standard library keeps no raw form. An escaped # or ? then ended the path towards the endpoint (/sites/a%23b arrived as /sites/a), so a caller read or ordered for another site, and a %25 could not be sent at all. And which calls may not be repeated was decided on that one spelling: an order to //orders, /%6Frders, /x/../orders or /./orders was taken for a repeatable call and sent again after a lost reply.

Excluded: the transport (route/send repeats no order by itself, tested there) and the retry budget (it repeats only what it is told is repeatable).

Change: the path is passed on escaped, as the caller wrote it; a call is non-idempotent if its path fits as written, decoded or cleaned.

Tests of refusals and orders as callers see them come with it.

--- a/route/directory/directory.go
+++ b/route/directory/directory.go
@@ -7,6 +7,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/cicadatack/cicadatack/platform/document"
@@ -91,15 +93,40 @@
 // NonIdempotent says whether a call of a plain service may be placed at most
 // once. A method that the document does not list but that HTTP itself does not
 // call idempotent is still repeatable: the document decides.
+//
+// path is escaped as the caller wrote it. An endpoint may read //orders,
+// /%6Frders or /x/../orders as /orders, and a call taken for a repeatable one
+// would be sent again after a lost reply. So a call is non-idempotent if its
+// path fits in any of these readings.
 func NonIdempotent(p *document.Plain, method, path string) bool {
 	for _, c := range p.NonIdempotent {
-		if strings.EqualFold(c.Method, method) && strings.HasPrefix(path, c.Path) {
+		if strings.EqualFold(c.Method, method) && fits(path, c.Path) {
 			return true
 		}
 	}
 	return false
 }
 
+func fits(escaped, prefix string) bool {
+	for _, reading := range readings(escaped) {
+		if strings.HasPrefix(reading, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// readings are what a server may take a path for: as it stands, decoded, and
+// cleaned of what means nothing, with or without a slash at the end.
+func readings(escaped string) []string {
+	decoded, err := url.PathUnescape(escaped)
+	if err != nil {
+		decoded = escaped
+	}
+	clean := path.Clean("/" + decoded)
+	return []string{escaped, decoded, clean, clean + "/"}
+}
+
 // BearerKey returns the key in the Authorization header, or "".
 func BearerKey(r *http.Request) string {
 	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/route/front/front.go
+++ b/route/front/front.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +26,9 @@
 // maxBody bounds a caller's request body in bytes.
 const maxBody = 4 << 20
 
+// servicesPrefix precedes a plain service's name in paths.
+const servicesPrefix = "/services/"
+
 // notReadyRetry is when a caller may ask again while the node has no document.
 const notReadyRetry = time.Second
 
@@ -33,7 +38,7 @@
 }
 
 // PlainServer answers calls of plain services. path is the part below the
-// service's name.
+// service's name, escaped as the caller wrote it.
 type PlainServer interface {
 	ServePlain(w http.ResponseWriter, r *http.Request, c *call.Call, path string, body []byte)
 }
@@ -73,8 +78,8 @@
 	r.Use(f.count)
 	r.Get("/v1/entry", f.entry)
 	r.Post(engineapi.PathChat, f.chat)
-	r.HandleFunc("/services/{service}", f.plain)
-	r.HandleFunc("/services/{service}/*", f.plain)
+	r.HandleFunc(servicesPrefix+"{service}", f.plain)
+	r.HandleFunc(servicesPrefix+"{service}/*", f.plain)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		refusal(http.StatusNotFound, "unknown_path", "no such call: "+r.URL.Path).Write(w)
 	})
@@ -190,7 +195,7 @@
 		refused.Write(w)
 		return
 	}
-	path := "/" + chi.URLParam(r, "*")
+	path := belowService(r.URL)
 	if directory.NonIdempotent(c.Service.Plain, r.Method, path) {
 		c.Class = admission.Order
 	}
@@ -198,6 +203,14 @@
 	f.Plains.ServePlain(w, r, c, path, body)
 }
 
+// belowService is the path below /services/{service}, escaped as the caller
+// wrote it: an escaped # or ? that was decoded here would end the path towards
+// the endpoint and make it another call.
+func belowService(u *url.URL) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(u.EscapedPath(), servicesPrefix), "/")
+	return "/" + rest
+}
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Refusal) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
--- /dev/null
+++ b/route/front/order_test.go
@@ -0,0 +1,184 @@
+package front_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/route/outcome"
+	standinplain "github.com/cicadatack/cicadatack/standin/plain"
+)
+
+const orders = "/services/stock-ledger/orders"
+
+func order(key, body string) asked {
+	a := asked{method: http.MethodPost, path: orders, key: teamKey, body: body}
+	if key != "" {
+		a.header = map[string]string{outcome.HeaderOrderKey: key}
+	}
+	return a
+}
+
+// What a caller is told of orders, one after the other, and how many arrived at
+// any endpoint. However the endpoint fails, none arrives twice, and asking
+// again under the same key gives the same answer or says that it is unknown.
+func TestOrders(t *testing.T) {
+	type told struct {
+		ask     asked
+		status  int
+		outcome outcome.Outcome
+	}
+	cases := []struct {
+		name       string
+		checksKeys bool
+		storeDown  bool
+		faults     standinplain.Faults
+		told       []told
+		arrived    int
+	}{
+		{"asked again", false, false, standinplain.Faults{}, []told{
+			{order("k", "flour"), 201, outcome.Done},
+			{order("k", "flour"), 201, outcome.Done},
+		}, 1},
+		{"the key is used for another order", false, false, standinplain.Faults{}, []told{
+			{order("k", "flour"), 201, outcome.Done},
+			{order("k", "butter"), 422, outcome.NotRun},
+		}, 1},
+		{"two keys are two orders", false, false, standinplain.Faults{}, []told{
+			{order("k", "flour"), 201, outcome.Done},
+			{order("l", "flour"), 201, outcome.Done},
+		}, 2},
+		{"the reply is lost", false, false, standinplain.Faults{DropReply: 1}, []told{
+			{order("k", "flour"), 409, outcome.Unknown},
+			{order("k", "flour"), 409, outcome.Unknown},
+		}, 1},
+		{"the reply is lost, no key", false, false, standinplain.Faults{DropReply: 1}, []told{
+			{order("", "flour"), 409, outcome.Unknown},
+		}, 1},
+		{"the endpoint fails after its work", false, false, standinplain.Faults{FailAfterWork: true}, []told{
+			{order("k", "flour"), 500, outcome.Done},
+			{order("k", "flour"), 500, outcome.Done},
+		}, 1},
+		{"every endpoint refuses", false, false, standinplain.Faults{Refuse: true}, []told{
+			{order("k", "flour"), 503, outcome.NotRun},
+			{order("k", "flour"), 503, outcome.NotRun},
+		}, 0},
+		{"the store is down", false, true, standinplain.Faults{}, []told{
+			{order("k", "flour"), 503, outcome.NotRun},
+		}, 0},
+		{"the store is down, endpoints check keys", true, true, standinplain.Faults{}, []told{
+			{order("k", "flour"), 201, outcome.Done},
+		}, 1},
+		{"the store is down, no key", false, true, standinplain.Faults{}, []told{
+			{order("", "flour"), 201, outcome.Done},
+		}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, siteConfig{checksKeys: c.checksKeys})
+			s.storeDown(c.storeDown)
+			s.misbehave(c.faults)
+			for i, want := range c.told {
+				got := s.ask(want.ask)
+				if got.status != want.status || got.outcome() != want.outcome {
+					t.Errorf("answer %d: %d %s: %s; want %d %s", i, got.status, got.outcome(), got.body, want.status, want.outcome)
+				}
+			}
+			if n := s.arrived(); n != c.arrived {
+				t.Errorf("%d orders arrived, want %d", n, c.arrived)
+			}
+		})
+	}
+}
+
+// The caller asks again and reads the first answer, marked as a replay.
+func TestReplayIsTheFirstAnswer(t *testing.T) {
+	s := newSite(t, siteConfig{})
+	first := s.ask(order("k", "flour"))
+	again := s.ask(order("k", "flour"))
+	if again.body != first.body || again.header.Get("Content-Type") != first.header.Get("Content-Type") {
+		t.Errorf("replayed %q, want %q", again.body, first.body)
+	}
+	if first.header.Get(outcome.HeaderReplayed) != "" || again.header.Get(outcome.HeaderReplayed) != "1" {
+		t.Errorf("replay marks: %q, then %q", first.header.Get(outcome.HeaderReplayed), again.header.Get(outcome.HeaderReplayed))
+	}
+}
+
+// The caller leaves while the endpoint works on the order. The order can't be
+// taken back, so the node sees it through and keeps its result: asking again
+// gives the answer, and the endpoint has the order once.
+func TestCallerLeavesDuringAnOrder(t *testing.T) {
+	s := newSite(t, siteConfig{})
+	s.misbehave(standinplain.Faults{DelayMillis: 300})
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	go func() {
+		select {
+		case <-s.plains[0].Arrived():
+		case <-s.plains[1].Arrived():
+		}
+		leave()
+	}()
+	if got, err := s.askWith(ctx, order("k", "flour")); err == nil {
+		t.Fatalf("the caller left and got %+v", got)
+	}
+	<-s.ended
+	again := s.ask(order("k", "flour"))
+	if again.status != http.StatusCreated || again.header.Get(outcome.HeaderReplayed) != "1" || s.arrived() != 1 {
+		t.Errorf("asked again: %d %s %s; %d arrived", again.status, again.outcome(), again.body, s.arrived())
+	}
+}
+
+// A team's key opens every service that the team may call. An endpoint that
+// logged it would give it away, so no call carries it on; what the caller's
+// other headers say does go on.
+func TestEndpointsNeverSeeTheTeamsKey(t *testing.T) {
+	s := newSite(t, siteConfig{})
+	a := order("k", "flour")
+	a.header["Site"] = "anacortes"
+	s.ask(a)
+	s.ask(asked{method: http.MethodGet, path: "/services/stock-ledger/manifests?barge=7", key: teamKey, header: map[string]string{"Site": "anacortes"}})
+	if len(s.seen) != 2 {
+		t.Fatalf("%d calls arrived", len(s.seen))
+	}
+	for _, r := range s.seen {
+		if r.Header.Get("Authorization") != "" || r.Header.Get("Site") != "anacortes" {
+			t.Errorf("%s %s arrived with %v", r.Method, r.URL, r.Header)
+		}
+	}
+}
+
+// The endpoint gets the path that the caller wrote, byte for byte. A node that
+// decoded it on the way would turn an escaped # or ? into the end of the path
+// and place an order at another site.
+func TestPathsArriveAsWritten(t *testing.T) {
+	for _, path := range []string{"/", "/sites/a%23b", "/sites/a%3Fb", "/sites/100%25", "/sites/a%20b", "/sites/a%2Fb", "/sites//b", "/sites/b/?c=%23&d=1"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t, siteConfig{})
+			got := s.ask(asked{method: http.MethodGet, path: "/services/stock-ledger" + path, key: teamKey})
+			if len(s.seen) != 1 || s.seen[0].RequestURI != path {
+				t.Errorf("answered %d; arrived %d calls, want one of %s", got.status, len(s.seen), path)
+				for _, r := range s.seen {
+					t.Logf("arrived: %s", r.RequestURI)
+				}
+			}
+		})
+	}
+}
+
+// The caller writes the path of an order in another way that the endpoint
+// understands all the same. The reply is lost. The order is still one: a node
+// that took it for a repeatable call would send it again.
+func TestOrdersInOtherSpellings(t *testing.T) {
+	for _, path := range []string{"/orders", "/orders/", "//orders", "/%6Frders", "/x/../orders", "/./orders"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t, siteConfig{})
+			s.misbehave(standinplain.Faults{DropReply: 1})
+			a := order("", "flour")
+			a.path = "/services/stock-ledger" + path
+			if got := s.ask(a); got.outcome() != outcome.Unknown || s.arrived() != 1 {
+				t.Errorf("told %d %s; %d arrived", got.status, got.outcome(), s.arrived())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/route/front/site_test.go
@@ -0,0 +1,268 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/decide/limits"
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/route/chains"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/engine"
+	"github.com/cicadatack/cicadatack/route/front"
+	"github.com/cicadatack/cicadatack/route/limiter"
+	"github.com/cicadatack/cicadatack/route/model"
+	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/route/plain"
+	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/service"
+	"github.com/cicadatack/cicadatack/route/stream"
+	standinengine "github.com/cicadatack/cicadatack/standin/engine"
+	standinplain "github.com/cicadatack/cicadatack/standin/plain"
+)
+
+const (
+	teamKey   = "menteng-key"
+	notesKey  = "senen-key" // its team may call the assistant only
+	assistant = "pastry-llm"
+	stock     = "stock-ledger"
+	layers    = 8
+)
+
+// site is the callers' side of a node before stand-ins. Everything but the
+// fleet is the shipped code.
+type site struct {
+	t         *testing.T
+	front     *front.Front
+	url       string
+	document  *document.Document
+	directory atomic.Pointer[directory.Directory]
+	store     *storetest.Client
+	plains    []*standinplain.Server
+	engines   [][2]*standinengine.Server
+	// ended gets a value each time that the node is through with a call.
+	ended chan struct{}
+
+	mu sync.Mutex
+	// seen are the calls that reached any instance of the plain service.
+	seen []*http.Request
+}
+
+// siteConfig sizes a site. checksKeys says that the plain endpoints do.
+type siteConfig struct {
+	chains     int
+	checksKeys bool
+	step       time.Duration
+}
+
+func newSite(t *testing.T, cfg siteConfig) *site {
+	s := &site{t: t, ended: make(chan struct{}, 1000)}
+	s.document = &document.Document{
+		Format:      document.Format,
+		Environment: "java",
+		Teams: []document.Team{
+			{Name: "menteng", Weight: 1, KeySHA256: []string{digest(teamKey)}},
+			{Name: "senen", Weight: 1, KeySHA256: []string{digest(notesKey)}, Services: []string{assistant}},
+		},
+	}
+	s.document.Services = []document.Service{s.startModel(cfg), s.startPlain(cfg)}
+	s.directory.Store(directory.Build(s.document, 1, "digest"))
+	s.wire()
+	return s
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func (s *site) startModel(cfg siteConfig) document.Service {
+	m := &document.Model{Layers: layers}
+	for i := range cfg.chains {
+		replica := document.Replica{Name: fmt.Sprintf("replica-%d", i)}
+		var pair [2]*standinengine.Server
+		for stage := range pair {
+			name := fmt.Sprintf("engine-%d-%d", i, stage)
+			first := stage * layers / 2
+			last := first + layers/2 - 1
+			pair[stage] = s.startEngine(standinengine.Config{Name: name, Model: assistant, First: first, Last: last, Step: cfg.step})
+			s.document.Endpoints = append(s.document.Endpoints, document.Endpoint{Name: name, Address: pair[stage].Address})
+			replica.Stages = append(replica.Stages, document.Stage{Endpoint: name, Layers: []int{first, last}})
+		}
+		s.engines = append(s.engines, pair)
+		m.Replicas = append(m.Replicas, replica)
+	}
+	return document.Service{Name: assistant, Kind: document.KindModel, Model: m}
+}
+
+func (s *site) startEngine(cfg standinengine.Config) *standinengine.Server {
+	server, err := standinengine.Start("127.0.0.1:0", cfg)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(server.Close)
+	return server
+}
+
+func (s *site) startPlain(cfg siteConfig) document.Service {
+	p := &document.Plain{NonIdempotent: []document.Call{{Method: http.MethodPost, Path: "/orders"}}}
+	for i := range 2 {
+		name := fmt.Sprintf("ledger-%d", i)
+		standin := standinplain.New(name, 64)
+		server := httptest.NewServer(s.noting(standin))
+		s.t.Cleanup(server.Close)
+		s.plains = append(s.plains, standin)
+		s.document.Endpoints = append(s.document.Endpoints, document.Endpoint{
+			Name: name, Address: server.Listener.Addr().String(), ChecksKeys: cfg.checksKeys,
+		})
+		p.Endpoints = append(p.Endpoints, name)
+	}
+	return document.Service{Name: stock, Kind: document.KindPlain, Plain: p}
+}
+
+// noting notes each call that reaches an endpoint.
+func (s *site) noting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.seen = append(s.seen, r.Clone(context.Background()))
+		s.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// wire puts the node's parts together as node/server does.
+func (s *site) wire() {
+	memory := storetest.NewMemory()
+	s.t.Cleanup(memory.Close)
+	s.store = storetest.NewClient(memory)
+	claims := ledger.New(s.store, "java", ledger.Config{CallTimeout: 100 * time.Millisecond})
+	s.t.Cleanup(claims.Close)
+	registry := service.NewRegistry(service.Config{Node: "entry-1", FailureDomain: "bandung", Now: time.Now})
+	registry.Apply(s.directory.Load())
+	limit := limiter.New(limits.New(limits.Config{Self: "entry-1"}), time.Now)
+	record := decision.NewLog(hclog.NewNullLogger())
+	sender := send.New()
+	s.t.Cleanup(sender.Close)
+	client := engine.New(nil)
+	s.t.Cleanup(client.CloseIdle)
+	s.front = &front.Front{
+		Directory: s.directory.Load,
+		Now:       time.Now,
+		Models: &model.Server{
+			Services: registry, Limits: limit, Streams: stream.New(client, nil, stream.Options{}),
+			Chains: &chains.Resolver{}, Record: record, Figures: noFigures{}, Now: time.Now,
+		},
+		Plains: &plain.Server{
+			Services: registry, Limits: limit, Sender: sender, Claims: claims,
+			Record: record, Figures: noFigures{}, Now: time.Now,
+		},
+	}
+	handler := s.front.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() { s.ended <- struct{}{} }()
+		handler.ServeHTTP(w, r)
+	}))
+	s.t.Cleanup(server.Close)
+	s.url = server.URL
+}
+
+type noFigures struct{}
+
+func (noFigures) Request(string, string, string)   {}
+func (noFigures) Refused(string, string)           {}
+func (noFigures) FirstToken(string, time.Duration) {}
+func (noFigures) Waited(string, time.Duration)     {}
+func (noFigures) Tokens(string, int)               {}
+func (noFigures) Resumed(string, string)           {}
+func (noFigures) Dropped(string, string)           {}
+func (noFigures) Order(string, string)             {}
+
+// asked is one call of a caller.
+type asked struct {
+	method, path, key, body string
+	header                  map[string]string
+}
+
+// received is the answer as the caller has it.
+type received struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+}
+
+func (r received) outcome() outcome.Outcome {
+	return outcome.Outcome(r.header.Get(outcome.Header) + r.trailer.Get(outcome.Header))
+}
+
+func (s *site) ask(a asked) received {
+	got, err := s.askWith(context.Background(), a)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return got
+}
+
+func (s *site) askWith(ctx context.Context, a asked) (received, error) {
+	request, err := http.NewRequestWithContext(ctx, a.method, s.url+a.path, bytes.NewReader([]byte(a.body)))
+	if err != nil {
+		return received{}, err
+	}
+	if a.key != "" {
+		request.Header.Set("Authorization", "Bearer "+a.key)
+	}
+	for name, value := range a.header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return received{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return received{response.StatusCode, response.Header, response.Trailer, string(body)}, err
+}
+
+// arrived returns the orders that reached any instance of the plain service.
+func (s *site) arrived() int {
+	n := 0
+	for _, p := range s.plains {
+		n += len(p.Orders())
+	}
+	return n
+}
+
+// opened is how many streams took a slot of any engine.
+func (s *site) opened() int {
+	n := 0
+	for _, pair := range s.engines {
+		n += pair[0].Engine.Stats().Opened
+	}
+	return n
+}
+
+// misbehave puts faults in force on every instance of the plain service.
+func (s *site) misbehave(f standinplain.Faults) {
+	for _, p := range s.plains {
+		p.SetFaults(f)
+	}
+}
+
+func (s *site) storeDown(down bool) {
+	s.store.SetFault(func(storetest.Call) storetest.Fault { return storetest.Fault{Unavailable: down} })
+}
