Token events towards callers: encode once what does not change

Cause: each token's event was encoded whole by encoding/json. Change: the event is encoded once an answer and split where the token goes.

--- a/route/model/sink.go
+++ b/route/model/sink.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -14,6 +15,8 @@
 	objectChunk      = "chat.completion.chunk"
 	objectCompletion = "chat.completion"
 	typeEventStream  = "text/event-stream"
+	eventStart       = "data: "
+	eventEnd         = "\n\n"
 )
 
 // sink writes an answer to the caller: as events when the caller asked for a
@@ -26,6 +29,11 @@
 	begun   bool
 	text    strings.Builder
 	tokens  int
+	// before and after are what each token's event has around the token; event
+	// is the space in which the next one is put together.
+	before []byte
+	after  []byte
+	line   []byte
 }
 
 // result is what the last event of a stream says.
@@ -63,7 +71,19 @@
 
 func newSink(w http.ResponseWriter, c *call.Call, chat engineapi.ChatRequest) *sink {
 	flusher, _ := w.(http.Flusher)
-	return &sink{w: w, flusher: flusher, call: c, stream: chat.Stream}
+	s := &sink{w: w, flusher: flusher, call: c, stream: chat.Stream}
+	s.before, s.after = s.frame()
+	return s
+}
+
+// frame splits the event of a token where the token goes. All but the token is
+// the same in every event of an answer, so it is encoded once.
+func (s *sink) frame() (before, after []byte) {
+	const mark = "\x00"
+	quoted, _ := json.Marshal(mark)                                        // a string always encodes
+	whole, _ := json.Marshal(s.chunk(engineapi.Delta{Content: mark}, nil)) // so do these fields
+	before, after, _ = bytes.Cut(whole, quoted)
+	return append([]byte(eventStart), before...), append(after, eventEnd...)
 }
 
 // deliver passes one checked token on.
@@ -74,7 +94,19 @@
 		return nil
 	}
 	s.begin()
-	return s.event(s.chunk(engineapi.Delta{Content: token}, nil))
+	return s.token(token)
+}
+
+// token writes the event of one token.
+func (s *sink) token(token string) error {
+	quoted, err := json.Marshal(token)
+	if err != nil {
+		return err
+	}
+	s.line = append(s.line[:0], s.before...)
+	s.line = append(s.line, quoted...)
+	s.line = append(s.line, s.after...)
+	return s.write(s.line)
 }
 
 func (s *sink) begin() {
@@ -107,10 +139,15 @@
 }
 
 func (s *sink) raw(data []byte) error {
-	line := make([]byte, 0, len(data)+len("data: \n\n"))
-	line = append(line, "data: "...)
+	line := make([]byte, 0, len(eventStart)+len(data)+len(eventEnd))
+	line = append(line, eventStart...)
 	line = append(line, data...)
-	line = append(line, "\n\n"...)
+	line = append(line, eventEnd...)
+	return s.write(line)
+}
+
+// write sends one event at once: the caller wants the first part early.
+func (s *sink) write(line []byte) error {
 	if _, err := s.w.Write(line); err != nil {
 		return err
 	}
