--- a/standin/storefake/client_test.go
+++ b/standin/storefake/client_test.go
@@ -16,12 +16,12 @@
 
 // served is a stand-in store behind a real listener.
 type served struct {
-	t       *testing.T
+	t       testing.TB
 	fake    *Server
 	address string
 }
 
-func serve(t *testing.T) served {
+func serve(t testing.TB) served {
 	fake := New()
 	server := httptest.NewServer(fake)
 	t.Cleanup(func() {
--- /dev/null
+++ b/standin/storefake/ledger_bench_test.go
@@ -0,0 +1,117 @@
+package storefake
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/platform/store"
+)
+
+// storeMillis is how long the stand-in takes for a call; the platform's
+// service answers in milliseconds.
+const storeMillis = 5
+
+// idle is a load of one order at a time with a pause in between.
+const (
+	idle      = 1
+	idlePause = 60 * time.Millisecond
+)
+
+// BenchmarkOrders claims and records orders through the store's protocol. It
+// reports orders a second, store writes a second, orders a write and the delay
+// that the claim adds to an order.
+func BenchmarkOrders(b *testing.B) {
+	for _, c := range []struct{ nodes, callers int }{{1, idle}, {1, 100}, {1, 1000}, {1, 4000}, {3, 1000}, {8, 1000}} {
+		b.Run(fmt.Sprintf("nodes=%d/callers=%d", c.nodes, c.callers), func(b *testing.B) {
+			benchOrders(b, c.nodes, c.callers)
+		})
+	}
+}
+
+func benchOrders(b *testing.B, nodes, callers int) {
+	fake, address := benchStore(b)
+	var ledgers []*ledger.Ledger
+	for range nodes {
+		client, err := store.New(store.Config{Address: address, CallsPerSecond: 1e6, Burst: 1e6})
+		if err != nil {
+			b.Fatal(err)
+		}
+		orders := ledger.New(client, "dawn", ledger.Config{})
+		b.Cleanup(func() { orders.Close(); client.Close() })
+		ledgers = append(ledgers, orders)
+	}
+	var next, refused atomic.Int64
+	delays := make([][]time.Duration, callers)
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	began := time.Now()
+	for i := range callers {
+		wg.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				delays[i] = append(delays[i], placeOrder(b, ledgers[n%int64(nodes)], n, &refused))
+				if callers == idle {
+					time.Sleep(idlePause)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(began).Seconds()
+	b.StopTimer()
+	writes := float64(fake.Status().ByPath[store.PathTxn])
+	all := slices.Concat(delays...)
+	slices.Sort(all)
+	b.ReportMetric(float64(b.N)/took, "orders/s")
+	b.ReportMetric(writes/took, "writes/s")
+	b.ReportMetric(float64(b.N)/writes, "orders/write")
+	b.ReportMetric(float64(fake.Status().ByPath[store.PathRange])/writes, "reads/write")
+	b.ReportMetric(float64(refused.Load()), "refused")
+	b.ReportMetric(all[len(all)/2].Seconds()*1e3, "p50-claim-ms")
+	b.ReportMetric(all[len(all)*99/100].Seconds()*1e3, "p99-claim-ms")
+}
+
+// placeOrder claims and records one order and returns the claim's delay.
+func placeOrder(b *testing.B, orders *ledger.Ledger, n int64, refused *atomic.Int64) time.Duration {
+	key := ledger.Key{Team: "bogor", Service: "stock-ledger", Key: fmt.Sprint("reorder-", n)}
+	began := time.Now()
+	claim, err := orders.Claim(context.Background(), key, "20 kg")
+	delay := time.Since(began)
+	if err != nil {
+		refused.Add(1)
+		return delay
+	}
+	if claim.State != ledger.Fresh {
+		b.Errorf("claim %d: %v", n, claim.State)
+	}
+	if err := orders.Record(context.Background(), key, claim, ledger.Result{Status: 201, Body: []byte(`{"order":17}`)}); err != nil {
+		refused.Add(1)
+	}
+	return delay
+}
+
+// BenchmarkOneWrite is the bare write that the claim's delay is held against.
+func BenchmarkOneWrite(b *testing.B) {
+	_, address := benchStore(b)
+	client, err := store.New(store.Config{Address: address, CallsPerSecond: 1e6, Burst: 1e6})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	for n := range b.N {
+		if _, err := client.CompareAndSwap(context.Background(), fmt.Sprint("/", n), 0, []byte("v")); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func benchStore(b *testing.B) (*Server, string) {
+	s := serve(b)
+	s.fake.SetFaults(Faults{SlowMillis: storeMillis})
+	return s.fake, s.address
+}
