--- a/route/outcome/outcome.go
+++ b/route/outcome/outcome.go
@@ -92,12 +92,3 @@
 func wholeSeconds(d time.Duration) int64 {
 	return int64((d + time.Second - 1) / time.Second)
 }
-
-// AsRefusal returns err as a refusal; any other error becomes an internal
-// refusal with the given outcome.
-func AsRefusal(err error, otherwise Outcome) *Refusal {
-	if r, ok := err.(*Refusal); ok {
-		return r
-	}
-	return &Refusal{Status: http.StatusBadGateway, Code: "attempt_failed", Message: err.Error(), Outcome: otherwise}
-}
