Nodes over TLS as a whole; metrics in a registry of their own

TestNodesOverTLS found that two nodes in one process panic at the first figure, as the reporter registers globally and panics on errors by default. A wrong figure no longer ends a node. It also found that a node which never had a document waited out entry answers that nobody was given.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -52,9 +54,20 @@
 	http   http.Handler
 }
 
-// New returns the figures of a node named node.
-func New(node string) *Metrics {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+// New returns the figures of a node named node, in a registry of their own.
+// onError is told of a figure that can't be registered, such as one name with
+// two sets of labels: the reporter's default is to panic, and a wrong figure
+// must not end a node.
+func New(node string, onError func(error)) *Metrics {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer:      registry,
+		OnRegisterError: onError,
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		Tags:                   map[string]string{"node": node},
--- a/node/server/drain.go
+++ b/node/server/drain.go
@@ -58,6 +58,9 @@
 
 // serveOn waits until no valid entry answer names this node any more.
 func (s *Server) serveOn(ctx context.Context) {
+	if s.directory.Load() == nil {
+		return // without a document nobody was ever sent here
+	}
 	timer := time.NewTimer(s.spreadTime() + s.entryValidity())
 	defer timer.Stop()
 	select {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	s.metrics = metrics.New(s.settings.Name)
+	s.metrics = metrics.New(s.settings.Name, func(err error) { s.log.Error("metric not registered", "error", err) })
 	s.decisions = decision.NewLog(s.log)
 	s.registry = service.NewRegistry(service.Config{
 		Node:          s.settings.Name,
@@ -213,14 +213,19 @@
 }
 
 func (s *Server) buildListeners() error {
-	s.callers = newHTTP(s.closeWhenDraining(s.front.Handler()))
-	s.peers = newHTTP(s.fleet.Handler())
-	s.operators = newHTTP(s.operatorRoutes())
+	s.callers = s.newHTTP(s.closeWhenDraining(s.front.Handler()))
+	s.peers = s.newHTTP(s.fleet.Handler())
+	s.operators = s.newHTTP(s.operatorRoutes())
 	return s.secureListeners()
 }
 
-func newHTTP(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+func (s *Server) newHTTP(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          s.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
+	}
 }
 
 // Run serves until ctx ends or an operator asks for a drain; it then leaves
