Load: from streams as they run, polls only for endpoints that are quiet

Cause: each node polled every endpoint of the document in turn. At 80,000 endpoints a poll would come round after 83 minutes at 16 a second and cost more than the whole budget of bytes. Change: load that travels on tokens is used when it comes, not at the end of the answer; polls go to the quietest endpoint of the replicas that the node uses, and their pace falls with the fleet's size, down to one a second.

--- a/node/server/polls.go
+++ b/node/server/polls.go
@@ -9,32 +9,63 @@
 
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/service"
 )
 
 // pollTimeout bounds one question for load; an endpoint that takes longer says
 // enough by that.
 const pollTimeout = time.Second
 
-// pollLoop asks endpoints for their load in turn, at the pace of the settings.
-// Answers to requests carry load too; the polls reach endpoints that get no
-// requests, and tell of one that is leaving before a request meets it.
+// smallFleet is the number of nodes up to which each polls at the pace of the
+// settings. In a larger fleet a node polls less, down to once a second: it uses
+// a part of the replicas, whose load its streams bring, and the polls of all
+// nodes together must not grow with the fleet.
+const smallFleet = 9
+
+// pollLoop asks endpoints for their load. Answers to requests carry load too;
+// the polls reach endpoints that get no requests, and tell of one that is
+// leaving before a request meets it.
 func (s *Server) pollLoop(ctx context.Context) {
-	ticker := time.NewTicker(time.Second / time.Duration(s.settings.Load.PollsPerSecond))
-	defer ticker.Stop()
-	next := 0
+	timer := time.NewTimer(s.pollPause())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		d := s.directory.Load()
-		if d == nil || len(d.Document.Endpoints) == 0 {
-			continue
+		s.pollQuietest(ctx)
+		timer.Reset(s.pollPause())
+	}
+}
+
+func (s *Server) pollPause() time.Duration {
+	nodes := max(len(s.fleet.Members()), 1)
+	polls := float64(s.settings.Load.PollsPerSecond) * min(1, smallFleet/float64(nodes))
+	return time.Duration(float64(time.Second) / max(1, polls))
+}
+
+// pollQuietest asks the endpoint that was heard of longest ago.
+func (s *Server) pollQuietest(ctx context.Context) {
+	d := s.directory.Load()
+	if d == nil {
+		return
+	}
+	var quietest *service.Service
+	var name string
+	var heard time.Time
+	for _, each := range s.registry.All() {
+		e, at, ok := each.Quiet()
+		if ok && (quietest == nil || at.Before(heard)) {
+			quietest, name, heard = each, e, at
 		}
-		endpoint := d.Document.Endpoints[next%len(d.Document.Endpoints)]
-		next++
-		go s.poll(ctx, endpoint.Name, endpoint.Address)
+	}
+	if quietest == nil {
+		return
+	}
+	quietest.Asked(name, time.Now())
+	if e, known := d.Endpoint(name); known {
+		go s.poll(ctx, e.Name, e.Address)
 	}
 }
 
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -33,6 +33,7 @@
 // run is one chain's part of the answer.
 type run struct {
 	replica string
+	first   string // the chain's first endpoint, which tells the load
 	since   time.Time
 	// started is set with the first token; reported and tokens are the time and
 	// the number of tokens since the balancer was last told of the pace.
@@ -47,11 +48,14 @@
 const progressInterval = time.Second
 
 // token tells the balancer how a chain gets on.
-func (c *chooser) token(epoch uint32) {
-	if int(epoch) > len(c.runs) || epoch == 0 {
+func (c *chooser) token(trace engineapi.TokenTrace) {
+	if int(trace.Epoch) > len(c.runs) || trace.Epoch == 0 {
 		return
 	}
-	r := &c.runs[epoch-1]
+	r := &c.runs[trace.Epoch-1]
+	if trace.Load != nil {
+		c.answer.service.ReportLoad(r.first, *trace.Load)
+	}
 	now := c.answer.server.Now()
 	if !r.started {
 		r.started = true
@@ -78,7 +82,7 @@
 	for {
 		choice, chain, err := c.pick(exclude)
 		if err == nil {
-			c.runs = append(c.runs, run{replica: choice.Replica, since: c.answer.server.Now()})
+			c.runs = append(c.runs, run{replica: choice.Replica, first: chain.Stages[0].Endpoint, since: c.answer.server.Now()})
 			c.recordChoice(choice)
 			return chain, nil
 		}
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -170,7 +170,7 @@
 		Deadline:          a.call.Deadline,
 		Chooser:           chooser,
 	}, func(token string, trace engineapi.TokenTrace) error {
-		chooser.token(trace.Epoch)
+		chooser.token(trace)
 		return sink.deliver(token)
 	})
 	a.count(summary)
--- a/route/picker/picker.go
+++ b/route/picker/picker.go
@@ -126,6 +126,13 @@
 	return max(1, p.underway+p.balancer.FreeSlots(now))
 }
 
+// Subset returns the replicas that this node uses.
+func (p *Picker) Subset() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Subset()
+}
+
 // SetPeers tells which nodes of this failure domain share the replicas.
 func (p *Picker) SetPeers(nodes []string) {
 	p.change(func(now time.Time, b *balance.Balancer) { b.SetPeers(now, nodes) })
--- a/route/service/leaving.go
+++ b/route/service/leaving.go
@@ -26,6 +26,7 @@
 // ReportLoad takes an endpoint's own report of its load.
 func (s *Service) ReportLoad(endpoint string, l engineapi.Load) {
 	s.mark(endpoint, balance.SourceEndpoint, l.Draining)
+	s.Asked(endpoint, s.now())
 	for _, replica := range s.ReplicasOf(endpoint) {
 		s.Picker.Report(replica, balance.Load{
 			Running: l.Running,
@@ -43,6 +44,30 @@
 	return s.replicasOf[endpoint]
 }
 
+// Quiet returns the endpoint, among those of the replicas that this node uses,
+// that was heard of longest ago, and when; never is the zero time.
+func (s *Service) Quiet() (endpoint string, heard time.Time, ok bool) {
+	used := s.Picker.Subset()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, replica := range used {
+		for _, e := range s.stagesOf[replica] {
+			if at := s.heard[e]; !ok || at.Before(heard) {
+				endpoint, heard, ok = e, at, true
+			}
+		}
+	}
+	return endpoint, heard, ok
+}
+
+// Asked notes that an endpoint is being asked for its load, so that one that
+// does not answer is not asked over and over before the others.
+func (s *Service) Asked(endpoint string, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[endpoint] = at
+}
+
 func (s *Service) mark(endpoint string, source balance.Source, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -6,6 +6,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	replicasOf map[string][]string
 	stagesOf   map[string][]string
 	marks      map[leavingMark]bool
+	// heard is when each endpoint last told its load, or was last asked.
+	heard map[string]time.Time
+	now   func() time.Time
 }
 
 // Retry is the service's retry budget behind a lock.
@@ -157,6 +161,8 @@
 		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
 		Retry: &Retry{now: r.cfg.Now, seed: seed},
 		marks: map[leavingMark]bool{},
+		heard: map[string]time.Time{},
+		now:   r.cfg.Now,
 	}
 	balancer := balance.New(balance.Config{Node: r.cfg.Node, FailureDomain: r.cfg.FailureDomain, Seed: seed})
 	s.Picker = picker.New(balancer, r.cfg.Now, func() {
@@ -198,6 +204,7 @@
 	s.mu.Lock()
 	s.stagesOf = stages
 	s.replicasOf = inverted(stages)
+	maps.DeleteFunc(s.heard, func(e string, _ time.Time) bool { return len(s.replicasOf[e]) == 0 })
 	s.mu.Unlock()
 	s.Picker.SetReplicas(replicas)
 }
