--- /dev/null
+++ b/route/engine/stream.go
@@ -0,0 +1,128 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+)
+
+// MaxEventBytes bounds one event. A token with the spans of a few dozen
+// stages takes a few kilobytes.
+const MaxEventBytes = 64 << 10
+
+const firstBufferBytes = 4 << 10
+
+var dataField = []byte("data:")
+
+// Event is one event of an answer.
+type Event struct {
+	// Token is the text that the event carries.
+	Token string
+	// Trace says where the token comes from. Its Spans are good until the
+	// next call of Next.
+	Trace engineapi.TokenTrace
+	// Finish is the reason that the answer ended, empty before its last event.
+	Finish string
+}
+
+// Stream is the answer to a chat request. It is for one goroutine.
+type Stream struct {
+	address string
+	body    io.ReadCloser
+	decoder Decoder
+}
+
+func newStream(address string, body io.ReadCloser) *Stream {
+	return &Stream{address: address, body: body, decoder: NewDecoder(body)}
+}
+
+// Next returns the next event. It returns io.EOF after the marker that closes
+// a whole answer, and an error that wraps ErrCutShort if the stream ended
+// without it.
+func (s *Stream) Next() (Event, error) {
+	event, err := s.decoder.Next()
+	if err == nil || errors.Is(err, io.EOF) {
+		return event, err
+	}
+	return Event{}, wrap(s.address, Unknown, 0, err)
+}
+
+// Close ends the stream; the engine sees its caller gone unless the whole
+// answer has been read.
+func (s *Stream) Close() { s.body.Close() }
+
+// Decoder reads the server-sent events of an answer.
+type Decoder struct {
+	lines   *bufio.Scanner
+	trace   engineapi.TokenTrace
+	choices []choice
+}
+
+// chunk is the part of engineapi.Chunk that the router needs. The rest is the
+// same in each event, and decoding it would cost each token three strings.
+type chunk struct {
+	Choices []choice              `json:"choices"`
+	Trace   *engineapi.TokenTrace `json:"cicadatack"`
+}
+
+type choice struct {
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason string `json:"finish_reason"`
+}
+
+// NewDecoder returns a decoder of r.
+func NewDecoder(r io.Reader) Decoder {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, firstBufferBytes), MaxEventBytes)
+	return Decoder{lines: lines}
+}
+
+// Next returns the next event, io.EOF after the closing marker, or an error
+// that wraps ErrCutShort, ErrEventTooLong or ErrMalformed.
+func (d *Decoder) Next() (Event, error) {
+	for d.lines.Scan() {
+		data, ok := bytes.CutPrefix(d.lines.Bytes(), dataField)
+		if !ok {
+			continue // a comment, another field, or the line between events
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == engineapi.DoneMarker {
+			return Event{}, io.EOF
+		}
+		return d.event(data)
+	}
+	return Event{}, d.endOfLines()
+}
+
+func (d *Decoder) endOfLines() error {
+	err := d.lines.Err()
+	if errors.Is(err, bufio.ErrTooLong) {
+		return ErrEventTooLong
+	}
+	return errors.Join(ErrCutShort, err)
+}
+
+func (d *Decoder) event(data []byte) (Event, error) {
+	// Spans and choices are decoded into the same memory for each token. All of
+	// it is cleared first, because json leaves fields that an event omits as
+	// they were: a token would inherit a span or the text of an earlier one.
+	clear(d.trace.Spans[:cap(d.trace.Spans)])
+	clear(d.choices[:cap(d.choices)])
+	d.trace = engineapi.TokenTrace{Spans: d.trace.Spans[:0]}
+	decoded := chunk{Trace: &d.trace, Choices: d.choices[:0]}
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return Event{}, errors.Join(ErrMalformed, err)
+	}
+	d.choices = decoded.Choices
+	if decoded.Trace == nil || len(decoded.Choices) != 1 {
+		return Event{}, ErrMalformed
+	}
+	first := &decoded.Choices[0]
+	return Event{Token: first.Delta.Content, Trace: *decoded.Trace, Finish: first.FinishReason}, nil
+}
