fleet: exchanges and pushes find their connections open

Excluded: keeping a connection to everyone (memory); a tree per revision (other children for each change). Change: a node keeps 24 near and 16 far peers and replaces a quarter each round; the push tree stays for 64 revisions and has a fanout of 4; TLS sessions are resumed. The harness and BenchmarkControl can secure exchanges. Conclusion: to be measured over TLS next.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -31,6 +31,8 @@
 	// inlineBytes is the largest payload sent without being asked for: about
 	// what asking costs in headers.
 	inlineBytes = 2048
+	// sessionsKept bounds the TLS sessions kept for peers met before.
+	sessionsKept = 256
 	// retryFloor and retryCeiling bound the jittered pause between two tries
 	// to reach the store.
 	retryFloor   = 200 * time.Millisecond
@@ -107,6 +109,12 @@
 // connection to everyone would cost more memory than the control budget has,
 // so idle ones are closed. peers says how to meet them over TLS; it may be nil.
 func NewTransport(peers *tls.Config) http.RoundTripper {
+	if peers != nil && peers.ClientSessionCache == nil {
+		// A resumed session leaves out the certificates, most of a handshake's
+		// bytes and time.
+		peers = peers.Clone()
+		peers.ClientSessionCache = tls.NewLRUClientSessionCache(sessionsKept)
+	}
 	return &http.Transport{
 		TLSClientConfig:     peers,
 		MaxIdleConns:        64,
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,12 +23,14 @@
 
 // fakeStore serves the list and the record, counts watches, and can be down.
 type fakeStore struct {
-	mu       sync.Mutex
-	vms      []VM
-	record   Record
-	down     bool
-	changed  chan struct{}
-	watches  atomic.Int64
+	mu      sync.Mutex
+	vms     []VM
+	record  Record
+	down    bool
+	changed chan struct{}
+	watches atomic.Int64
+	// peers secures the exchanges between nodes; nil: plain.
+	peers    *peerTLS
 	requests atomic.Int64
 }
 
@@ -120,8 +124,38 @@
 	return n, err
 }
 
-func countingTransport(c *counters) http.RoundTripper {
-	t := NewTransport(nil).(*http.Transport)
+// peerTLS is the settings of both sides.
+type peerTLS struct{ server, client *tls.Config }
+
+// newPeerTLS uses the test server's certificate, RSA of 2,048 bits, for all.
+func newPeerTLS(t testing.TB) *peerTLS {
+	s := httptest.NewTLSServer(http.NotFoundHandler())
+	t.Cleanup(s.Close)
+	certificates := s.TLS.Certificates
+	return &peerTLS{
+		server: &tls.Config{MinVersion: tls.VersionTLS13, Certificates: certificates, ClientAuth: tls.RequireAnyClientCert},
+		client: &tls.Config{MinVersion: tls.VersionTLS13, Certificates: certificates, InsecureSkipVerify: true},
+	}
+}
+
+func (p *peerTLS) settings() (scheme string, client *tls.Config) {
+	if p == nil {
+		return "http", nil
+	}
+	return "https", p.client
+}
+
+func (p *peerTLS) serve(s *http.Server, l net.Listener) {
+	if p == nil {
+		s.Serve(l)
+		return
+	}
+	s.TLSConfig = p.server.Clone()
+	s.ServeTLS(l, "", "")
+}
+
+func countingTransport(c *counters, client *tls.Config) http.RoundTripper {
+	t := NewTransport(client).(*http.Transport)
 	dialer := net.Dialer{}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -160,9 +194,10 @@
 
 func startNode(t testing.TB, store *fakeStore, l net.Listener, name, domain string, interval time.Duration) *node {
 	n := &node{store: store, done: make(chan struct{}), records: make(chan Record, 1024), counters: &counters{}, testLimits: newTestLimits(name)}
+	scheme, client := store.peers.settings()
 	f, err := New(Config{
 		Name: name, Address: l.Addr().String(), CallerAddress: "10.0.0.1:8080", FailureDomain: domain,
-		Environment: testEnvironment, Interval: interval, Transport: countingTransport(n.counters), Limits: n.testLimits,
+		Environment: testEnvironment, Interval: interval, Scheme: scheme, Transport: countingTransport(n.counters, client), Limits: n.testLimits,
 	}, store, store, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
@@ -178,7 +213,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	})}
-	go n.server.Serve(l)
+	go store.peers.serve(n.server, l)
 	go func() { defer close(n.done); f.Run(ctx) }()
 	t.Cleanup(n.kill)
 	return n
--- a/fleet/measure_test.go
+++ b/fleet/measure_test.go
@@ -10,7 +10,7 @@
 )
 
 // measureTime is how long a fleet is measured once it has settled.
-const measureTime = 20 * time.Second
+const measureTime = 30 * time.Second
 
 // changeEvery is the pace of 15,000 changes of configuration a day.
 const changeEvery = 24 * time.Hour / 15000
@@ -24,20 +24,25 @@
 // headers and without TCP and IP. The process holds all nodes and the store;
 // its processor time and memory are divided by the nodes.
 func BenchmarkControl(b *testing.B) {
-	for _, changes := range []bool{false, true} {
-		for _, n := range []int{3, 10, 30, 100} {
-			b.Run(fmt.Sprintf("nodes=%d/changes=%v", n, changes), func(b *testing.B) {
-				for range b.N {
-					measureControl(b, n, changes)
-				}
-			})
+	for _, secure := range []bool{false, true} {
+		for _, changes := range []bool{false, true} {
+			for _, n := range []int{3, 10, 30, 100} {
+				b.Run(fmt.Sprintf("tls=%v/changes=%v/nodes=%d", secure, changes, n), func(b *testing.B) {
+					for range b.N {
+						measureControl(b, n, changes, secure)
+					}
+				})
+			}
 		}
 	}
 }
 
-func measureControl(b *testing.B, n int, changes bool) {
+func measureControl(b *testing.B, n int, changes, secure bool) {
 	text := documentText(50_000)
 	store := newFakeStore(record(1, text))
+	if secure {
+		store.peers = newPeerTLS(b)
+	}
 	empty := memory()
 	nodes := startNodes(b, store, n, 3, time.Second)
 	for _, each := range nodes {
--- a/fleet/member/machine.go
+++ b/fleet/member/machine.go
@@ -78,6 +78,7 @@
 		entries:     map[string]*entry{},
 		suspects:    map[string]bool{},
 		rumors:      rumors{news: map[string]*rumor{}},
+		peers:       peers{near: ring{size: nearKept}, far: ring{size: farKept}},
 		lastTick:    now,
 		lastContact: now,
 	}
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -224,6 +224,34 @@
 	}
 }
 
+// In a large failure domain most exchanges go to peers met a short time ago,
+// whose connections are still open; else each would open one. Over time all
+// peers have their turn, or a dead one could go unnoticed.
+func TestMostExchangesFindAnOpenConnection(t *testing.T) {
+	s := newSim(t, 60, 1).settled()
+	last, fresh, total, tick := map[string]int{}, 0, 0, 0
+	s.contact = func(from, to string) {
+		if from != "vm-0000" {
+			return
+		}
+		total++
+		if at, met := last[to]; !met || tick-at > 40 {
+			fresh++
+		}
+		last[to] = tick
+	}
+	for tick = range 700 {
+		s.tick()
+	}
+	if len(last) != 59 {
+		t.Errorf("%d of 59 peers had a turn", len(last))
+	}
+	if fresh*3 > total {
+		t.Errorf("%d of %d exchanges opened a connection", fresh, total)
+	}
+	t.Logf("%d of %d exchanges opened a connection", fresh, total)
+}
+
 // Whatever is lost, cut, killed and restarted for a while, once the network
 // works again all views agree and hold exactly the nodes that run as live.
 func TestViewsAgreeAfterAnyFaults(t *testing.T) {
--- a/fleet/member/peers.go
+++ b/fleet/member/peers.go
@@ -15,15 +15,35 @@
 	// lostEvery ticks, a member that is gone but still listed is tried in
 	// addition: this is how the halves of a partition find each other again.
 	lostEvery = 10
+	// nearKept and farKept peers are exchanged with round by round before a
+	// quarter of them changes. Connections to them stay open from one round to
+	// the next; with a new peer each time, a large fleet would spend more bytes
+	// on opening connections, TLS above all, than on what they carry.
+	nearKept = 24
+	farKept  = 16
+	// renewed is the part of the kept peers that each round replaces.
+	renewed = 4
 )
 
-// peers chooses whom to exchange with. Rings are walked to their end before
-// they are built anew, so every peer is reached within one round.
+// ring walks through the peers of one kind. Every peer is kept at some time,
+// so all are reached.
+type ring struct {
+	// size is how many peers are kept; zero: all.
+	size int
+	// round holds those of the kept peers that are still to come.
+	round []string
+	kept  []string
+	// waiting holds the peers that have not been kept yet, in the order in
+	// which they will be.
+	waiting []string
+}
+
+// peers chooses whom to exchange with.
 type peers struct {
 	tick      int
-	near      []string
-	far       []string
-	lost      []string
+	near      ring
+	far       ring
+	lost      ring
 	concerned int
 	// retry holds peers whose last exchange failed once.
 	retry []string
@@ -89,22 +109,56 @@
 	return e.Name != m.cfg.Self.Name && e.State != Gone && !now.Before(e.retryAfter)
 }
 
-// pop takes the next name of a ring that is still of its kind, and builds the
-// ring anew, once, when it has run out.
-func (p *peers) pop(ring *[]string, m *Machine, now time.Time, fits kind) string {
+// pop takes the next name of a ring that is still of its kind, and begins a
+// new round, once, when the last one has run out.
+func (p *peers) pop(r *ring, m *Machine, now time.Time, fits kind) string {
 	for range 2 {
-		for len(*ring) > 0 {
-			name := (*ring)[0]
-			*ring = (*ring)[1:]
+		for len(r.round) > 0 {
+			name := r.round[0]
+			r.round = r.round[1:]
 			if e := m.entries[name]; e != nil && fits(e) {
 				return name
 			}
 		}
-		*ring = m.shuffled(fits)
+		r.begin(m, fits)
 	}
 	return ""
 }
 
+// begin starts a round: peers that no longer fit and a part of the others make
+// room for those that wait.
+func (r *ring) begin(m *Machine, fits kind) {
+	if r.size == 0 {
+		r.round = m.shuffled(fits)
+		return
+	}
+	r.kept = slices.DeleteFunc(r.kept, func(name string) bool {
+		e := m.entries[name]
+		return e == nil || !fits(e)
+	})
+	leave := max(0, len(r.kept)-r.size+r.size/renewed)
+	r.kept = r.kept[leave:]
+	r.fill(m, fits)
+	r.round = slices.Clone(r.kept)
+}
+
+// fill takes waiting peers in, and calls up all peers once none waits.
+func (r *ring) fill(m *Machine, fits kind) {
+	for range 2 {
+		for len(r.kept) < r.size && len(r.waiting) > 0 {
+			name := r.waiting[0]
+			r.waiting = r.waiting[1:]
+			if e := m.entries[name]; e != nil && fits(e) && !slices.Contains(r.kept, name) {
+				r.kept = append(r.kept, name)
+			}
+		}
+		if len(r.kept) == r.size {
+			return
+		}
+		r.waiting = m.shuffled(fits)
+	}
+}
+
 func (m *Machine) shuffled(fits kind) []string {
 	var names []string
 	for name, e := range m.entries {
--- a/fleet/member/sim_test.go
+++ b/fleet/member/sim_test.go
@@ -25,13 +25,15 @@
 	// tables counts whole views asked for.
 	tables   int
 	contacts map[string]int
+	// contact is called with every exchange.
+	contact func(from, to string)
 }
 
 func newSim(t testing.TB, n, domains int) *sim {
 	s := &sim{
 		t: t, now: time.Unix(1_800_000_000, 0), machines: map[string]*Machine{}, down: map[string]bool{},
 		lost:  func(string, string) bool { return false },
-		watch: func(string, Change) {}, contacts: map[string]int{},
+		watch: func(string, Change) {}, contacts: map[string]int{}, contact: func(string, string) {},
 	}
 	for i := range n {
 		s.add(nodeName(i), fmt.Sprintf("fd-%d", i%domains))
@@ -77,6 +79,7 @@
 func (s *sim) deliver(from string, send Send) {
 	to := send.To.Name
 	s.contacts[from+">"+to]++
+	s.contact(from, to)
 	s.count(send.Message)
 	if send.Message.WantTable {
 		s.tables++
--- a/fleet/spread/tree.go
+++ b/fleet/spread/tree.go
@@ -12,8 +12,13 @@
 	// until the first's death is noticed.
 	holders = 2
 	// fanout of the push tree: 96 nodes, the mean of 2,200 over 23 failure
-	// domains, are reached in three steps.
-	fanout = 8
+	// domains, are reached in four steps, and a node with children sends a
+	// change four times.
+	fanout = 4
+	// treeRevisions is how many revisions share one tree. Within them a change
+	// finds the connections of the last one open; after them the work of
+	// pushing falls on other nodes.
+	treeRevisions = 64
 )
 
 // score is the rendezvous weight of a name under a key.
@@ -52,10 +57,12 @@
 	return ranked
 }
 
-// children of a name in the tree of a revision. The order changes with the
-// revision, so that the work of pushing falls on all nodes alike.
+// treeKey is the same for all revisions of one tree.
+func treeKey(revision int64) uint64 { return uint64(revision / treeRevisions) }
+
+// children of a name in the tree of a revision.
 func children(names []string, revision int64, of string) []string {
-	order := rank(names, uint64(revision))
+	order := rank(names, treeKey(revision))
 	at := slices.Index(order, of)
 	if at < 0 {
 		return nil
@@ -70,7 +77,7 @@
 
 // root of the tree of a revision.
 func root(names []string, revision int64) string {
-	order := rank(names, uint64(revision))
+	order := rank(names, treeKey(revision))
 	if len(order) == 0 {
 		return ""
 	}
