fleet: nodes of the trial take no part in spreading production's record

Cause: trial and production nodes stand on one platform list. Rendezvous chose watch holders and inner nodes of the tree among all of them, so a failure domain of production could be left without a watch, and a production node that started during an outage waited for answers that trial nodes never give. Excluded: fleets of their own (the list does not tell the slots apart). Change: a member carries a hash of its slot (6 bytes a record); spreading counts the own slot only; Fleet.SameSlot for those who choose nodes for callers. Conclusion: spreading is per slot. Entry answers have to use SameSlot too.

--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -22,6 +22,7 @@
 		FailureDomain: m.FailureDomain,
 		Incarnation:   m.Incarnation,
 		State:         exchange.State(m.State),
+		Slot:          m.Slot,
 	}
 }
 
@@ -33,6 +34,7 @@
 		FailureDomain: m.GetFailureDomain(),
 		Incarnation:   m.GetIncarnation(),
 		State:         member.State(m.GetState()),
+		Slot:          m.GetSlot(),
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -101,6 +101,7 @@
 			FailureDomain: f.cfg.FailureDomain,
 			Incarnation:   now.UnixMilli(),
 			State:         member.Joining,
+			Slot:          slotOf(f.cfg.Environment),
 		},
 		Interval:  f.cfg.Interval,
 		Seed:      seed.Sum64() ^ uint64(now.UnixNano()),
@@ -108,6 +109,17 @@
 	}
 }
 
+// slotOf is the hash by which members tell their environment slots apart.
+func slotOf(environment string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(environment))
+	return h.Sum32()
+}
+
+// SameSlot says whether a member serves the same environment slot as this
+// node. Callers of production must not be sent to a node of the trial.
+func (f *Fleet) SameSlot(m Member) bool { return m.Slot == slotOf(f.cfg.Environment) }
+
 // Handler serves the peers' calls. It belongs on the peers' listener.
 func (f *Fleet) Handler() http.Handler {
 	server := exchange.NewPeerServer(peerServer{f})
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -45,7 +45,7 @@
 
 	store.setDown(true)
 	listener := nodes[3].replace(t)
-	newcomer := startNode(t, &fakeStore{down: true, vms: store.vms}, listener, name(3), domain(3, 2), 50*time.Millisecond)
+	newcomer := startNode(t, &fakeStore{down: true, slot: testEnvironment}, listener, name(3), domain(3, 2), 50*time.Millisecond)
 	// The list is out of reach too: the newcomer learns of its peers because
 	// they keep trying the address that they knew.
 	newcomer.awaitRevision(t, 7, 10*time.Second)
@@ -100,6 +100,45 @@
 	t.Logf("all nodes after %v", time.Since(start).Round(time.Millisecond))
 }
 
+// Nodes of the trial and of production are on one list. Each slot must have
+// watch holders of its own, a change must stay in its slot, and a production
+// node that starts while the store is down must not wait for the trial's.
+func TestSlotsShareTheFleetAndNotTheRecord(t *testing.T) {
+	production, trial := newFakeStore(record(7, "first")), newFakeStore(record(3, "tried"))
+	trial.slot = "stock/trial"
+	trial.record.Environment = trial.slot
+	var all []*node
+	var vms []VM
+	for i := range 7 {
+		store := production
+		if i >= 2 {
+			store = trial
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		vms = append(vms, VM{Name: name(i), Address: l.Addr().String(), FailureDomain: "fd-00"})
+		production.update(func() { production.vms = vms })
+		trial.update(func() { trial.vms = vms })
+		all = append(all, startNode(t, store, l, name(i), "fd-00", 50*time.Millisecond))
+	}
+	for i, n := range all {
+		want := int64(7)
+		if i >= 2 {
+			want = 3
+		}
+		n.awaitRevision(t, want, 5*time.Second)
+		await(t, "seven live members", 10*time.Second, func() bool { return n.count("live") == 7 })
+	}
+	await(t, "two watches in each slot", 10*time.Second, func() bool {
+		return production.watches.Load() == 2 && trial.watches.Load() == 2
+	})
+	listener := all[1].replace(t)
+	down := &fakeStore{down: true, slot: testEnvironment}
+	startNode(t, down, listener, name(1), "fd-00", 50*time.Millisecond).awaitRevision(t, 7, 10*time.Second)
+}
+
 // A change is pushed and does not wait for the exchanges: of several changes
 // at least one reaches all nodes in a quarter of an interval, which exchanges
 // alone cannot do.
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -30,12 +30,14 @@
 	changed chan struct{}
 	watches atomic.Int64
 	// peers secures the exchanges between nodes; nil: plain.
-	peers    *peerTLS
+	peers *peerTLS
+	// slot is the environment slot of its nodes.
+	slot     string
 	requests atomic.Int64
 }
 
 func newFakeStore(r Record) *fakeStore {
-	return &fakeStore{record: r, changed: make(chan struct{})}
+	return &fakeStore{record: r, changed: make(chan struct{}), slot: testEnvironment}
 }
 
 // update changes the store and wakes the watches.
@@ -197,7 +199,7 @@
 	scheme, client := store.peers.settings()
 	f, err := New(Config{
 		Name: name, Address: l.Addr().String(), CallerAddress: "10.0.0.1:8080", FailureDomain: domain,
-		Environment: testEnvironment, Interval: interval, Scheme: scheme, Transport: countingTransport(n.counters, client), Limits: n.testLimits,
+		Environment: store.slot, Interval: interval, Scheme: scheme, Transport: countingTransport(n.counters, client), Limits: n.testLimits,
 	}, store, store, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -41,6 +41,9 @@
 	// each refutation; zero: only the platform's list names it.
 	Incarnation int64
 	State       State
+	// Slot is the hash of the environment slot that the node serves; zero
+	// until heard.
+	Slot uint32
 }
 
 // supersedes says whether m is later news than old about the same node.
--- a/fleet/member/rumors.go
+++ b/fleet/member/rumors.go
@@ -15,7 +15,7 @@
 	// joins takes longer to spread and costs no more a second.
 	updateBudget = 320
 	// recordOverhead is the encoded size of a Member without its strings.
-	recordOverhead = 24
+	recordOverhead = 30
 	// repairAfter exchanges in a row with differing digests, and repairPerRound
 	// for each doubling of the fleet, a node asks for a whole view: a rumor
 	// would have settled by then. With fewer, each replaced VM would make every
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -48,11 +48,14 @@
 	f.stepRecords(spread.Members{Nodes: f.nodes(), Whole: f.joined()})
 }
 
+// nodes are the others that serve the same slot. One of another slot takes no
+// part in spreading this one's record: as a watch holder it would watch its
+// own, as an inner node of the tree it would pass nothing on.
 func (f *Fleet) nodes() []spread.Node {
 	members := f.Members()
 	nodes := make([]spread.Node, 0, len(members))
 	for _, m := range members {
-		if m.Name == f.cfg.Name || m.State == member.Gone {
+		if m.Name == f.cfg.Name || m.State == member.Gone || !f.SameSlot(m) {
 			continue
 		}
 		nodes = append(nodes, spread.Node{
