--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -90,6 +90,9 @@
 		if err == nil && fits(status) {
 			return status, nil
 		}
+		if node.Ended() {
+			return status, Error.Wrap(fmt.Errorf("%s: %w", node.Name, ErrEnded))
+		}
 		select {
 		case <-ctx.Done():
 			return status, Error.New("%s: the state did not come about: %+v", node.Name, status)
--- a/proof/matrix/doc.go
+++ b/proof/matrix/doc.go
@@ -1,10 +1,10 @@
 // Package matrix holds the fault matrix: every fault at every step of a model
-// call, an order and a promotion, and pairs of faults, with real node processes
-// and signals. It is a test only:
+// call, an order, a promotion, a drain and an endpoint that leaves, and pairs
+// of faults, with real node processes and signals. It is a test only:
 //
 //	go test ./proof/matrix -v
 //
 // Each cell is judged by what the caller received and what endpoints and store
-// saw. The table at the end says which cells ran, passed, failed or did not
-// run.
+// saw. The table at the end says which cells passed, failed or did not run, and
+// which faults a path has no cells of and why; a run that left out a cell fails.
 package matrix
--- /dev/null
+++ b/proof/matrix/faults_test.go
@@ -0,0 +1,124 @@
+package matrix
+
+import (
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cicadatack/cicadatack/standin/engine"
+	"github.com/cicadatack/cicadatack/standin/plain"
+	"github.com/cicadatack/cicadatack/standin/storefake"
+)
+
+// fault is something that goes wrong at a step.
+type fault struct {
+	name string
+	do   func(c *cell)
+}
+
+var nodeFaults = []fault{
+	{"node killed", func(c *cell) { c.Nodes[0].Kill() }},
+	{"node frozen for a while", func(c *cell) { c.freezeNode() }},
+	{"node drained", func(c *cell) { c.must(c.Nodes[0].Signal(syscall.SIGTERM)) }},
+	{"document promoted", func(c *cell) { c.must(c.Promote(c.ctx, 7)) }},
+	{"store down", func(c *cell) { c.Store.SetFaults(storefake.Faults{Outage: true}) }},
+	{"store slow", func(c *cell) { c.Store.SetFaults(storefake.Faults{SlowMillis: 300}) }},
+	{"store reply lost", func(c *cell) { c.Store.SetFaults(storefake.Faults{LoseReplies: 1}) }},
+	{"store request lost", func(c *cell) { c.Store.SetFaults(storefake.Faults{LoseRequests: 1}) }},
+}
+
+var engineFaults = []fault{
+	{"first stage killed", func(c *cell) { c.Chains[c.chain][0].Kill() }},
+	{"second stage killed", func(c *cell) { c.Chains[c.chain][1].Kill() }},
+	{"first stage frozen", func(c *cell) { c.Chains[c.chain][0].SetFaults(engine.Faults{Freeze: true}) }},
+	{"second stage frozen", func(c *cell) { c.Chains[c.chain][1].SetFaults(engine.Faults{Freeze: true}) }},
+	{"first stage cut off", func(c *cell) { c.Chains[c.chain][0].Link.Cut() }},
+	{"second stage cut off", func(c *cell) { c.Chains[c.chain][1].Link.Cut() }},
+	{"second stage very slow", func(c *cell) { c.Chains[c.chain][1].SetFaults(engine.Faults{SlowPerToken: 2 * time.Second}) }},
+}
+
+// slowEngine is too slow to be quick and too steady to be left.
+var slowEngine = []fault{
+	{"second stage slow", func(c *cell) { c.Chains[c.chain][1].SetFaults(engine.Faults{SlowPerToken: 100 * time.Millisecond}) }},
+}
+
+// peerFaults concern a drain: the first node is the one that leaves.
+var peerFaults = []fault{
+	{"peer killed", func(c *cell) { c.Nodes[1].Kill() }},
+	{"peer drained", func(c *cell) { c.must(c.Nodes[1].Signal(syscall.SIGTERM)) }},
+	{"second SIGTERM", func(c *cell) { c.must(c.Nodes[0].Signal(syscall.SIGTERM)) }},
+}
+
+var plainFaults = []fault{
+	{"endpoint killed", func(c *cell) { c.Plains[c.plain].Kill() }},
+	{"endpoint cut off", func(c *cell) { c.Plains[c.plain].Link.Cut() }},
+	{"endpoint refuses", func(c *cell) { c.eachPlain(plain.Faults{Refuse: true}) }},
+	{"endpoint drops the reply", func(c *cell) { c.eachPlain(plain.Faults{DropReply: 1}) }},
+	{"caller asks a second node", func(c *cell) { c.askSecondNode() }},
+}
+
+// pairs are two faults at one step.
+var pairs = []fault{
+	both(one(nodeFaults, "store down"), one(nodeFaults, "node killed")),
+	both(one(nodeFaults, "store reply lost"), one(nodeFaults, "node frozen for a while")),
+	both(one(nodeFaults, "node drained"), one(nodeFaults, "store down")),
+	both(one(nodeFaults, "document promoted"), one(nodeFaults, "node drained")),
+}
+
+var enginePairs = []fault{
+	both(one(engineFaults, "second stage killed"), one(nodeFaults, "node drained")),
+	both(one(engineFaults, "second stage frozen"), one(nodeFaults, "store down")),
+	both(one(engineFaults, "first stage cut off"), one(nodeFaults, "document promoted")),
+}
+
+var plainPairs = []fault{
+	both(one(plainFaults, "endpoint drops the reply"), one(nodeFaults, "store reply lost")),
+	both(one(plainFaults, "endpoint cut off"), one(nodeFaults, "node drained")),
+	both(one(plainFaults, "caller asks a second node"), one(nodeFaults, "node killed")),
+}
+
+func both(a, b fault) fault {
+	return fault{a.name + " + " + b.name, func(c *cell) { a.do(c); b.do(c) }}
+}
+
+// one returns the fault of a name.
+func one(list []fault, name string) fault {
+	for _, f := range list {
+		if f.name == name {
+			return f
+		}
+	}
+	panic("no fault is named " + name)
+}
+
+// named returns the faults of some names.
+func named(list []fault, names ...string) []fault {
+	var some []fault
+	for _, name := range names {
+		some = append(some, one(list, name))
+	}
+	return some
+}
+
+func without(list []fault, name string) []fault {
+	return slices.DeleteFunc(slices.Clone(list), func(f fault) bool { return f.name == name })
+}
+
+func joined(lists ...[]fault) []fault {
+	var all []fault
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	return all
+}
+
+func (c *cell) freezeNode() {
+	c.must(c.Nodes[0].Freeze())
+	time.AfterFunc(pause, func() { _ = c.Nodes[0].Thaw() }) // it may have been killed
+}
+
+func (c *cell) eachPlain(f plain.Faults) {
+	for i := range c.Plains {
+		c.Plains[i].SetFaults(f)
+	}
+}
--- a/proof/rig/trap.go
+++ b/proof/rig/trap.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"time"
 )
 
 // When says at which moment of a call a trap springs.
@@ -41,6 +42,30 @@
 
 	mu    sync.Mutex
 	traps []*Trap
+	// last is when each path was last called.
+	last map[string]time.Time
+}
+
+func newTrapped(next http.Handler) *trapped {
+	return &trapped{next: next, last: map[string]time.Time{}}
+}
+
+func (t *trapped) note(path string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last[path] = time.Now()
+}
+
+func (t *trapped) lastCall(suffix string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var latest time.Time
+	for path, at := range t.last {
+		if strings.HasSuffix(path, suffix) && at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
 }
 
 func (t *trapped) set(trap *Trap) {
@@ -51,6 +76,7 @@
 
 // ServeHTTP serves a call, springing the trap that fits it.
 func (t *trapped) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.note(r.URL.Path)
 	trap := t.match(r)
 	if trap == nil {
 		t.next.ServeHTTP(w, r)
