A chain that comes back in a later document is used again

Cause: what a source says of an endpoint was ignored while no replica needed the endpoint, also when it took a word back. Listed as leaving, taken out of the document, listed no more, back in a later document: the old mark stayed, and the next word about any stage of the chain made it leave for good.

Excluded: the picker and the balancer, which forget a replica with the document. A first form of the test failed with and without the change: a chain that comes back is in its slow start and was not drawn in 200 draws; the test's clock now moves past it.

Change: a word that is taken back is dropped whether or not the endpoint is in use.

Without the change TestWordsOfAChainThatWentAreForgotten fails 3 of 3 runs ('the chain is never used again'), with it it passes 3 of 3 under the race detector. The table of sources and stages (TestChainLeavesWithAnyStage) passed before and after.

--- a/route/service/leaving.go
+++ b/route/service/leaving.go
@@ -43,17 +43,20 @@
 	return s.replicasOf[endpoint]
 }
 
+// mark keeps what a source says of an endpoint that a replica needs. A word that
+// is taken back is dropped even if no replica needs the endpoint any more: the
+// source says it once, and a mark left behind would keep a chain that comes back
+// in a later document from ever being used.
 func (s *Service) mark(endpoint string, source balance.Source, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.replicasOf[endpoint]) == 0 {
-		return
+	m := leavingMark{endpoint, source}
+	switch {
+	case !leaving:
+		delete(s.marks, m)
+	case len(s.replicasOf[endpoint]) > 0:
+		s.marks[m] = true
 	}
-	if leaving {
-		s.marks[leavingMark{endpoint, source}] = true
-		return
-	}
-	delete(s.marks, leavingMark{endpoint, source})
 }
 
 func (s *Service) anyLeaving(replica string, source balance.Source) bool {
--- /dev/null
+++ b/route/service/leaving_test.go
@@ -0,0 +1,120 @@
+package service
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/directory"
+)
+
+// word is what one source says of one engine.
+type word struct {
+	endpoint string
+	source   balance.Source
+	leaving  bool
+}
+
+func twoChains(replicas ...string) *directory.Directory {
+	doc := &document.Document{Teams: []document.Team{{Name: "menteng", Weight: 1}}}
+	m := &document.Model{Layers: 8}
+	for _, name := range replicas {
+		r := document.Replica{Name: name}
+		for _, stage := range []string{"a", "b"} {
+			doc.Endpoints = append(doc.Endpoints, document.Endpoint{Name: name + stage, FailureDomain: "bandung"})
+			r.Stages = append(r.Stages, document.Stage{Endpoint: name + stage})
+		}
+		m.Replicas = append(m.Replicas, r)
+	}
+	doc.Services = []document.Service{{Name: "pastry-llm", Kind: document.KindModel, Model: m}}
+	return directory.Build(doc, 1, "digest")
+}
+
+func (s *Service) say(w word) {
+	if w.source == balance.SourceEndpoint {
+		s.ReportLoad(w.endpoint, engineapi.Load{Draining: w.leaving})
+		return
+	}
+	s.EndpointLeaving(w.endpoint, w.source, w.leaving)
+}
+
+// chosen says whether a replica gets any of many requests.
+func (s *Service) chosen(replica string) bool {
+	const draws = 200
+	found := false
+	for range draws {
+		choice, ok := s.Picker.Pick(balance.Query{Cost: 1})
+		if !ok {
+			continue
+		}
+		s.Picker.Finished(choice.Replica, balance.Result{Cost: 1, FirstToken: time.Millisecond})
+		found = found || choice.Replica == replica
+	}
+	return found
+}
+
+// Callers are sent along a chain of which a stage is leaving, and their answers
+// break when it goes: a chain leaves with any of its stages, whichever source
+// says so, and comes back when every source has taken back every stage.
+func TestChainLeavesWithAnyStage(t *testing.T) {
+	const platform, operator, endpoint = balance.SourcePlatform, balance.SourceOperator, balance.SourceEndpoint
+	cases := []struct {
+		name  string
+		words []word
+		used  bool
+	}{
+		{"nobody leaves", nil, true},
+		{"the first stage leaves", []word{{"xa", platform, true}}, false},
+		{"the second stage leaves", []word{{"xb", platform, true}}, false},
+		{"a stage says so itself", []word{{"xb", endpoint, true}}, false},
+		{"the other stage stays", []word{{"xa", platform, true}, {"xb", platform, false}}, false},
+		{"the other stage reports that it stays", []word{{"xa", endpoint, true}, {"xb", endpoint, false}}, false},
+		{"another source says that it stays", []word{{"xa", platform, true}, {"xa", endpoint, false}}, false},
+		{"one of two takes it back", []word{{"xa", platform, true}, {"xb", platform, true}, {"xa", platform, false}}, false},
+		{"both take it back", []word{{"xa", platform, true}, {"xb", platform, true}, {"xa", platform, false}, {"xb", platform, false}}, true},
+		{"all sources take it back", []word{{"xa", platform, true}, {"xa", endpoint, true}, {"xa", platform, false}, {"xa", endpoint, false}}, true},
+		{"a stage of another chain leaves", []word{{"ya", operator, true}}, true},
+		{"an engine that nobody knows leaves", []word{{"za", platform, true}}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestService(twoChains("x", "y"))
+			for _, w := range c.words {
+				s.say(w)
+			}
+			if got := s.chosen("x"); got != c.used {
+				t.Errorf("the chain is used: %t, want %t", got, c.used)
+			}
+		})
+	}
+}
+
+func newTestService(d *directory.Directory) *Service {
+	r := NewRegistry(Config{Node: "entry-1", FailureDomain: "bandung", Now: time.Now})
+	r.Apply(d)
+	return r.Get("pastry-llm")
+}
+
+// A chain is taken out of the document while the platform lists a stage of it as
+// leaving, and comes back in a later document, when the VM has been replaced and
+// is listed no more. A word that was kept from before would keep the chain from
+// callers for good: the platform takes back only what it said.
+func TestWordsOfAChainThatWentAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry(Config{Node: "entry-1", FailureDomain: "bandung", Now: func() time.Time { return now }})
+	r.Apply(twoChains("x", "y"))
+	s := r.Get("pastry-llm")
+	s.say(word{"xa", balance.SourcePlatform, true})
+	r.Apply(twoChains("y"))
+	s.say(word{"xa", balance.SourcePlatform, false})
+	r.Apply(twoChains("x", "y"))
+	s.say(word{"xb", balance.SourcePlatform, true})
+	s.say(word{"xb", balance.SourcePlatform, false})
+	now = now.Add(2 * balance.DefaultSlowStart) // a newcomer gets little at first
+	s.Picker.Refresh()
+	if !s.chosen("x") {
+		t.Error("the chain is never used again")
+	}
+}
