--- /dev/null
+++ b/proof/bench/caller.go
@@ -0,0 +1,193 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/front"
+	"github.com/cicadatack/cicadatack/route/outcome"
+)
+
+// keptConnections per address cover the most callers that are open at once.
+const keptConnections = 4096
+
+var client = &http.Client{Transport: &http.Transport{
+	MaxIdleConnsPerHost: keptConnections,
+	DisableCompression:  true,
+}}
+
+// question is one call of a model.
+type question struct {
+	address, key, model string
+	tokens              int
+	// timeout is the caller's own; zero: none.
+	timeout time.Duration
+	// onToken, if set, is told of each token's number as it comes.
+	onToken func(n int)
+}
+
+// answer is what the caller received.
+type answer struct {
+	status int
+	tokens int
+	// whole is set if the closing marker came.
+	whole bool
+	// firstToken, refused and total are since the call.
+	firstToken, total time.Duration
+	// gap is the longest between two tokens.
+	gap time.Duration
+	err error
+}
+
+// ask streams one answer.
+func ask(ctx context.Context, q question) answer {
+	began := time.Now()
+	if q.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, q.timeout)
+		defer cancel()
+	}
+	var a answer
+	response, err := q.send(ctx)
+	if err != nil {
+		a.err = err
+		a.total = time.Since(began)
+		return a
+	}
+	defer response.Body.Close()
+	a.status = response.StatusCode
+	a.read(response.Body, began, q.onToken)
+	a.total = time.Since(began)
+	return a
+}
+
+func (q question) send(ctx context.Context) (*http.Response, error) {
+	body, err := json.Marshal(engineapi.ChatRequest{
+		Model:     q.model,
+		Messages:  []engineapi.Message{{Role: "user", Content: "How much butter does Braga need tomorrow?"}},
+		MaxTokens: q.tokens,
+		Stream:    true,
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.address+engineapi.PathChat, bytes.NewReader(body))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+q.key)
+	if q.timeout > 0 {
+		request.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(q.timeout.Milliseconds(), 10))
+	}
+	response, err := client.Do(request)
+	return response, Error.Wrap(err)
+}
+
+var (
+	// tokenMark is in each event with a token and in no other.
+	tokenMark = []byte(`"content":"`)
+	doneMark  = []byte("data: " + engineapi.DoneMarker)
+)
+
+// read counts tokens without decoding them: this process also runs the engines.
+func (a *answer) read(body io.Reader, began time.Time, onToken func(int)) {
+	last := began
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			if err != io.EOF {
+				a.err = Error.Wrap(err)
+			}
+			return
+		}
+		if bytes.HasPrefix(line, doneMark) {
+			a.whole = true
+		}
+		if !bytes.Contains(line, tokenMark) {
+			continue
+		}
+		now := time.Now()
+		if a.tokens == 0 {
+			a.firstToken = now.Sub(began)
+		} else {
+			a.gap = max(a.gap, now.Sub(last))
+		}
+		last = now
+		a.tokens++
+		if onToken != nil {
+			onToken(a.tokens)
+		}
+	}
+}
+
+// askEntry asks a node which addresses a team is to use.
+func askEntry(ctx context.Context, address, key string) (front.EntryAnswer, error) {
+	var a front.EntryAnswer
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/entry", nil)
+	if err != nil {
+		return a, Error.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := client.Do(request)
+	if err != nil {
+		return a, Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return a, Error.New("entry: %s", response.Status)
+	}
+	return a, Error.Wrap(json.NewDecoder(response.Body).Decode(&a))
+}
+
+// entries holds the teams' entry answers, as their callers keep them.
+type entries struct {
+	mu      sync.Mutex
+	answers []front.EntryAnswer
+}
+
+// ask gets all teams' answers from a node.
+func (e *entries) ask(ctx context.Context, address string) error {
+	var all []front.EntryAnswer
+	for i := range teamCount {
+		a, err := askEntry(ctx, address, teamKey(i))
+		if err != nil {
+			return err
+		}
+		if len(a.Addresses) == 0 {
+			return Error.New("the entry answer names no address")
+		}
+		all = append(all, a)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answers = all
+	return nil
+}
+
+// pick draws one of a team's addresses by weight.
+func (e *entries) pick(team int) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	addresses := e.answers[team].Addresses
+	total := 0.0
+	for _, a := range addresses {
+		total += a.Weight
+	}
+	draw := rand.Float64() * total
+	for _, a := range addresses {
+		if draw -= a.Weight; draw <= 0 {
+			return a.Address
+		}
+	}
+	return addresses[len(addresses)-1].Address
+}
--- /dev/null
+++ b/proof/cmd/bench/main.go
@@ -0,0 +1,39 @@
+// Command bench runs the measures of package bench and writes their tables.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/cicadatack/cicadatack/proof/bench"
+)
+
+// wholeTimeout ends a run that hangs.
+const wholeTimeout = 10 * time.Minute
+
+type arguments struct {
+	Bin  string   `arg:"--bin" default:"bin" help:"folder with the binaries"`
+	Out  string   `arg:"--out" default:"bench-out" help:"folder for the tables"`
+	Only []string `arg:"positional" help:"sections to run; all if none is named"`
+}
+
+func (arguments) Description() string {
+	return "Measures nodes on loopback. Sections: " + strings.Join(bench.Names(), ", ")
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	ctx, cancel := context.WithTimeout(context.Background(), wholeTimeout)
+	defer cancel()
+	err := bench.Run(ctx, bench.Config{Bin: args.Bin, Out: args.Out, Only: args.Only, Print: os.Stdout})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
