--- a/standin/storefake/watch_test.go
+++ b/standin/storefake/watch_test.go
@@ -75,6 +75,18 @@
 	return revision
 }
 
+// nextCall waits until the store is called again.
+func (s served) nextCall() bool {
+	before := s.fake.Status().Calls
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if s.fake.Status().Calls > before {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
 func TestWatch(t *testing.T) {
 	Convey("Given a watch from a revision on", t, func() {
 		s := serve(t)
@@ -114,10 +126,7 @@
 		s.put("/d/a", "0")
 		So(watch.next(), ShouldEqual, "/d/a=0")
 		for i := range 5 {
-			renewals := s.fake.Status().Calls
-			for s.fake.Status().Calls == renewals {
-				time.Sleep(time.Millisecond)
-			}
+			So(s.nextCall(), ShouldBeTrue)
 			s.put("/d/a", fmt.Sprint(i+1))
 			So(watch.next(), ShouldEqual, fmt.Sprint("/d/a=", i+1))
 		}
