Replayed answers of orders can be read, or say that they are not kept

A caller who allows gzip got the endpoint's compressed answer, and, asking again under the same key, its bytes without the header that says how to read them. Of an answer too long to keep it got the status and an empty body, which looks like the whole answer.

Excluded: the first answers, which were right in both cases; the count of orders (one each).

Change: an order that is claimed asks its endpoint for an uncompressed answer; a replay without a body says so (code answer_not_kept, outcome done, the first answer's status).

Seen failing first: TestReplayOfACompressedAnswer 3 of 3 ('the caller read "order 7 is placed", then "\x1f\x8b...'), TestReplayOfAnAnswerTooLongToKeep ('unexpected end of JSON input: the caller read 201 ""'). With the change both pass 3 of 3 runs under the race detector.

--- a/route/front/order_test.go
+++ b/route/front/order_test.go
@@ -1,10 +1,15 @@
 package front_test
 
 import (
+	"compress/gzip"
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
+	"github.com/cicadatack/cicadatack/platform/ledger"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	standinplain "github.com/cicadatack/cicadatack/standin/plain"
 )
@@ -182,3 +187,71 @@
 		})
 	}
 }
+
+// The endpoint compresses its answer for callers who allow it. Asked again under
+// the same key, the caller reads the same answer: only the body and its type are
+// kept, so a compressed one would come back as bytes that nobody can read.
+func TestReplayOfACompressedAnswer(t *testing.T) {
+	s := newSite(t, siteConfig{})
+	s.respond = compressing
+	a := order("k", "flour")
+	a.header["Accept-Encoding"] = "gzip"
+	first := readable(t, s.ask(a))
+	again := readable(t, s.ask(a))
+	if first != confirmation || again != confirmation {
+		t.Errorf("the caller read %q, then %q", first, again)
+	}
+}
+
+// The endpoint's answer is longer than the ledger keeps. Asked again, the caller
+// is told that the order is placed and that the answer is not there any more. An
+// empty body under the first answer's status would look like the whole answer.
+func TestReplayOfAnAnswerTooLongToKeep(t *testing.T) {
+	s := newSite(t, siteConfig{})
+	s.respond = func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, strings.Repeat("x", ledger.DefaultMaxResultBytes+1))
+	}
+	s.ask(order("k", "flour"))
+	again := s.ask(order("k", "flour"))
+	var body outcome.Body
+	if err := json.Unmarshal([]byte(again.body), &body); err != nil {
+		t.Fatalf("%v: the caller read %d %q", err, again.status, again.body)
+	}
+	if again.status != http.StatusCreated || again.outcome() != outcome.Done || again.header.Get(outcome.HeaderReplayed) != "1" {
+		t.Errorf("%d %s %v", again.status, again.outcome(), again.header)
+	}
+	if body.Error.Code != "answer_not_kept" || body.Error.Outcome != outcome.Done {
+		t.Errorf("body %+v", body)
+	}
+}
+
+const confirmation = "order 7 is placed"
+
+func compressing(w http.ResponseWriter, r *http.Request) {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = io.WriteString(w, confirmation)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = io.WriteString(z, confirmation)
+	_ = z.Close()
+}
+
+// readable is the body as a caller's library hands it on.
+func readable(t *testing.T, got received) string {
+	t.Helper()
+	if got.header.Get("Content-Encoding") != "gzip" {
+		return got.body
+	}
+	z, err := gzip.NewReader(strings.NewReader(got.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(z)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- a/route/front/site_test.go
+++ b/route/front/site_test.go
@@ -55,6 +55,8 @@
 	store     *storetest.Client
 	plains    []*standinplain.Server
 	engines   [][2]*standinengine.Server
+	// respond, if set, answers the plain service's calls in place of the stand-in.
+	respond http.HandlerFunc
 	// ended gets a value each time that the node is through with a call.
 	ended chan struct{}
 
@@ -141,6 +143,10 @@
 		s.mu.Lock()
 		s.seen = append(s.seen, r.Clone(context.Background()))
 		s.mu.Unlock()
+		if s.respond != nil {
+			s.respond(w, r)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/route/plain/order.go
+++ b/route/plain/order.go
@@ -35,6 +35,9 @@
 		e.finish(w)(e.once(ctx))
 		return
 	}
+	// The ledger keeps of an answer its status, type and body. A compressed body
+	// would be replayed without the header that says how to read it.
+	e.request.Header.Set("Accept-Encoding", "identity")
 	key := ledger.Key{Team: e.call.Team.Name, Service: e.call.Service.Name, Key: e.key}
 	claim, err := e.server.Claims.Claim(ctx, key, e.fingerprint())
 	if err != nil {
@@ -166,8 +169,19 @@
 	}
 }
 
-// replay answers a caller who asks again for an order that is placed.
+// replay answers a caller who asks again for an order that is placed. Where the
+// answer's body was not kept it says so: an empty one would look like the whole.
 func (e *exchange) replay(w http.ResponseWriter, r *ledger.Result) {
+	if r.Truncated {
+		w.Header().Set(outcome.HeaderReplayed, "1")
+		e.finish(w)(nil, &outcome.Refusal{
+			Status:  r.Status,
+			Code:    "answer_not_kept",
+			Message: "the order was placed; its answer was too long to keep",
+			Outcome: outcome.Done,
+		})
+		return
+	}
 	header := http.Header{}
 	if r.ContentType != "" {
 		header.Set("Content-Type", r.ContentType)
