--- a/node/server/server.go
+++ b/node/server/server.go
@@ -52,6 +52,9 @@
 	// meet twice in it; with more homes, some loans run out and the even split
 	// holds there.
 	limitLease = 20 * time.Second
+	// flushInterval is between two tries to write results of orders that the
+	// store did not take.
+	flushInterval = 2 * time.Second
 	// refreshInterval is how often figures are set and usable slots looked at
 	// again; ejected replicas return by time alone.
 	refreshInterval = time.Second
@@ -73,6 +76,7 @@
 	streams   *stream.Runner
 	leaving   *leavingList
 	peerFiles *tlsfiles.Files
+	orders    *ledger.Ledger
 	book      *plans.Book
 	keeper    *plans.Keeper
 
@@ -130,6 +134,7 @@
 	s.sender = send.New()
 	s.engines = engine.New(nil)
 	s.streams = stream.New(s.engines, nil, stream.Options{})
+	s.orders = ledger.New(s.store, s.settings.Environment, ledger.Config{})
 	s.buildPlans()
 	peers, err := s.peerConfig()
 	if err != nil {
@@ -209,7 +214,7 @@
 		Plains: &plain.Server{
 			Desk:    desk,
 			Sender:  s.sender,
-			Claims:  ledger.New(s.store, s.settings.Environment, ledger.Config{}),
+			Claims:  s.orders,
 			Figures: s.metrics,
 			Now:     time.Now,
 		},
@@ -242,6 +247,7 @@
 	work.Go(func() { _ = s.fleet.Run(background) }) // ends with the context's error only
 	work.Go(func() { s.refreshLoop(background) })
 	work.Go(func() { s.pollLoop(background) })
+	work.Go(func() { s.flushLoop(background) })
 	work.Go(func() { s.book.Run(background) })
 	work.Go(func() { s.keeper.Run(background) })
 	failed := s.serve()
@@ -330,6 +336,30 @@
 	}
 }
 
+// flushLoop writes results and releases of orders that the store did not take
+// the first time. Without it they would wait for the next order of their shard,
+// and a caller who asks again be told that its order is in doubt.
+func (s *Server) flushLoop(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.flush(ctx)
+		}
+	}
+}
+
+func (s *Server) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushInterval)
+	defer cancel()
+	if owed := s.orders.Flush(ctx); owed > 0 {
+		s.log.Warn("results of orders not written yet", "owed", owed)
+	}
+}
+
 func (s *Server) refresh() {
 	for _, each := range s.registry.All() {
 		each.Picker.Refresh()
@@ -358,6 +388,8 @@
 }
 
 func (s *Server) close() {
+	s.flush(context.Background())
+	s.orders.Close()
 	s.peers.Close()
 	s.operators.Close()
 	s.sender.Close()
