--- a/node/server/server.go
+++ b/node/server/server.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,7 +13,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
-	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/decide/limits"
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/node/metrics"
@@ -41,24 +38,11 @@
 // Error is the class of this layer's errors.
 var Error = errs.Class("node")
 
-const (
-	// readHeaderTimeout bounds how long a caller may take over its headers, so
-	// that idle connections of strangers do not pile up.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes callers' connections that carry nothing.
-	idleTimeout = 2 * time.Minute
-	// limitLease is how long a loan between two homes of a team's limit lasts.
-	// They exchange every fourth second with one home each, so that three homes
-	// meet twice in it; with more homes, some loans run out and the even split
-	// holds there.
-	limitLease = 20 * time.Second
-	// flushInterval is between two tries to write results of orders that the
-	// store did not take.
-	flushInterval = 2 * time.Second
-	// refreshInterval is how often figures are set and usable slots looked at
-	// again; ejected replicas return by time alone.
-	refreshInterval = time.Second
-)
+// limitLease is how long a loan between two homes of a team's limit lasts. They
+// exchange every fourth second with one home each, so that three homes meet
+// twice in it; with more homes, some loans run out and the even split holds
+// there.
+const limitLease = 20 * time.Second
 
 // Server is one node. Create it with New, then call Run once.
 type Server struct {
@@ -91,13 +75,6 @@
 	listeners listeners
 }
 
-// listeners are the node's open addresses.
-type listeners struct {
-	callers   net.Listener
-	peers     net.Listener
-	operators net.Listener
-}
-
 // New returns a node whose addresses are open; Run serves on them.
 func New(cfg settings.Settings, log hclog.Logger) (*Server, error) {
 	s := &Server{settings: cfg, log: log, drain: make(chan struct{})}
@@ -148,37 +125,6 @@
 	return s.buildListeners()
 }
 
-func (s *Server) buildPlans() {
-	s.book = plans.NewBook(s.store, s.settings.Environment, s.log)
-	s.keeper = plans.NewKeeper(plans.KeeperConfig{
-		Node:        s.settings.Name,
-		Environment: s.settings.Environment,
-		Store:       s.store,
-		Engines:     s.engines,
-		Book:        s.book,
-		Record:      s.decisions,
-		Log:         s.log,
-		Turn:        s.plansFor,
-	})
-}
-
-// planWatcher passes on what streams tell of replicas.
-type planWatcher struct {
-	*plans.Book
-	*plans.Keeper
-}
-
-// plansFor says whether it is this node's turn to keep a model's plans in a
-// failure domain: the node that ranks first for it. Trial nodes keep none; the
-// engines follow production.
-func (s *Server) plansFor(model, domain string) bool {
-	if s.settings.Slot != settings.SlotProduction || s.draining.Load() {
-		return false
-	}
-	first := entry.Homes("plans/"+model+"/"+domain, s.entryMembers(), 1)
-	return len(first) == 1 && first[0] == s.settings.Name
-}
-
 func (s *Server) fleetConfig() fleet.Config {
 	return fleet.Config{
 		Name:          s.settings.Name,
@@ -221,22 +167,6 @@
 	}
 }
 
-func (s *Server) buildListeners() error {
-	s.callers = s.newHTTP(s.closeWhenDraining(s.front.Handler()))
-	s.peers = s.newHTTP(s.fleet.Handler())
-	s.operators = s.newHTTP(s.operatorRoutes())
-	return s.secureListeners()
-}
-
-func (s *Server) newHTTP(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          s.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
-	}
-}
-
 // Run serves until ctx ends or an operator asks for a drain; it then leaves
 // without cutting off a request, and returns nil.
 func (s *Server) Run(ctx context.Context) error {
@@ -269,116 +199,6 @@
 	return Error.Wrap(err)
 }
 
-func (s *Server) listen() error {
-	for _, each := range []struct {
-		address string
-		into    *net.Listener
-	}{
-		{s.settings.Callers.Listen, &s.listeners.callers},
-		{s.settings.Peers.Listen, &s.listeners.peers},
-		{s.settings.Operators.Listen, &s.listeners.operators},
-	} {
-		l, err := net.Listen("tcp", each.address)
-		if err != nil {
-			s.listeners.close()
-			return err
-		}
-		*each.into = l
-	}
-	return nil
-}
-
-func (l listeners) close() {
-	for _, each := range []net.Listener{l.callers, l.peers, l.operators} {
-		if each != nil {
-			each.Close()
-		}
-	}
-}
-
-// advertised is the address that others are told. A port 0 in the settings is
-// known only once the listener is open.
-func advertised(cfg settings.Listener, l net.Listener) string {
-	if cfg.Advertise != "" {
-		return cfg.Advertise
-	}
-	return l.Addr().String()
-}
-
-// serve starts the three servers; the channel tells of the first that fails.
-func (s *Server) serve() <-chan error {
-	all := map[*http.Server]net.Listener{
-		s.callers:   s.listeners.callers,
-		s.peers:     s.listeners.peers,
-		s.operators: s.listeners.operators,
-	}
-	failed := make(chan error, len(all))
-	for h, l := range all {
-		go func() {
-			if err := serveOn(h, l); !errors.Is(err, http.ErrServerClosed) {
-				failed <- err
-			}
-		}()
-	}
-	return failed
-}
-
-func (s *Server) refreshLoop(ctx context.Context) {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.refresh()
-		}
-	}
-}
-
-// flushLoop writes results and releases of orders that the store did not take
-// the first time. Without it they would wait for the next order of their shard,
-// and a caller who asks again be told that its order is in doubt.
-func (s *Server) flushLoop(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.flush(ctx)
-		}
-	}
-}
-
-func (s *Server) flush(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, flushInterval)
-	defer cancel()
-	if owed := s.orders.Flush(ctx); owed > 0 {
-		s.log.Warn("results of orders not written yet", "owed", owed)
-	}
-}
-
-func (s *Server) refresh() {
-	for _, each := range s.registry.All() {
-		each.Picker.Refresh()
-		s.logHealth(each)
-	}
-	s.metrics.Underway(s.front.Underway())
-	s.metrics.Revision(s.revision())
-	s.followMembers()
-}
-
-// logHealth writes a line for each replica that was ejected or has returned.
-func (s *Server) logHealth(each *service.Service) {
-	for _, c := range each.Picker.Changes() {
-		s.log.Info("health", "service", each.Name, "replica", c.Replica,
-			"from", c.From.String(), "to", c.To.String(), "cause", c.Cause.String())
-		s.metrics.Health(each.Name, c.To.String())
-	}
-}
-
 func (s *Server) revision() int64 {
 	d := s.directory.Load()
 	if d == nil {
