Work that looks at every member or replica is done only when they change

Cause (read, not measured): each second a node ranked all members for every team, and the keeper of plans for every replica; at 2,200 nodes, 240 teams and 10,000 replicas that is half a million and 22 million hashes a second. Change: both act when document or members have changed. The keeper asks at most eight engines a round what they hold, suspects first.

--- a/node/server/entries.go
+++ b/node/server/entries.go
@@ -7,6 +7,7 @@
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/member"
 	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/front"
 	"github.com/cicadatack/cicadatack/route/limiter"
 )
@@ -76,17 +77,43 @@
 
 // followMembers sets what depends on who is there: the teams' home nodes, the
 // balancers' cover of the replicas and the figures.
+//
+// It ranks every member for every team, half a million hashes at 2,200 nodes
+// and 240 teams, so it is done only when members or document have changed.
 func (s *Server) followMembers() {
 	d := s.directory.Load()
 	if d == nil {
 		return
 	}
+	now := followed{d, s.memberStamp()}
+	s.followMu.Lock()
+	defer s.followMu.Unlock()
+	if now == s.followed {
+		return
+	}
+	s.followed = now
 	members := s.entryMembers()
 	s.followPeers(members)
 	s.setLimits(d.Document, members)
 	s.countMembers(s.fleet.Members())
 }
 
+// followed is what followMembers last acted on.
+type followed struct {
+	directory *directory.Directory
+	members   *fleet.Member
+}
+
+// memberStamp differs once the members have changed: the fleet replaces its list
+// and never changes one that it has handed out.
+func (s *Server) memberStamp() *fleet.Member {
+	members := s.fleet.Members()
+	if len(members) == 0 {
+		return nil
+	}
+	return &members[0]
+}
+
 func (s *Server) followPeers(members []entry.Member) {
 	var near []string
 	for _, m := range members {
--- a/node/server/plans.go
+++ b/node/server/plans.go
@@ -17,6 +17,7 @@
 		Record:      s.decisions,
 		Log:         s.log,
 		Turn:        s.plansFor,
+		Members:     func() any { return s.memberStamp() },
 	})
 }
 
@@ -26,6 +27,13 @@
 	*plans.Keeper
 }
 
+// Suspect tells both the book, which reads the plan again, and the keeper, which
+// looks at the engines if it is this node's turn.
+func (w planWatcher) Suspect(model, replica string) {
+	w.Book.Suspect(model, replica)
+	w.Keeper.Suspect(model, replica)
+}
+
 // plansFor says whether it is this node's turn to keep a model's plans in a
 // failure domain: the node that ranks first for it. Trial nodes keep none; the
 // engines follow production.
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -66,6 +66,8 @@
 
 	directory atomic.Pointer[directory.Directory]
 	draining  atomic.Bool
+	followMu  sync.Mutex
+	followed  followed
 	drainOnce sync.Once
 	drain     chan struct{}
 
--- a/route/plans/book.go
+++ b/route/plans/book.go
@@ -75,7 +75,7 @@
 func (b *Book) Apply(d *directory.Directory) {
 	places := map[replicaName]place{}
 	for _, r := range openReplicas(d) {
-		places[replicaName{r.place.model, r.name}] = r.place
+		places[r.full()] = r.place
 	}
 	b.mu.Lock()
 	b.placeOf = places
@@ -186,6 +186,10 @@
 	stages []document.Stage
 }
 
+func (r openReplica) full() replicaName {
+	return replicaName{r.place.model, r.name}
+}
+
 func openReplicas(d *directory.Directory) []openReplica {
 	var open []openReplica
 	for i := range d.Document.Services {
--- a/route/plans/keeper.go
+++ b/route/plans/keeper.go
@@ -1,8 +1,11 @@
 package plans
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +25,10 @@
 const (
 	// keepInterval is between two rounds over the replicas of this node's turn.
 	keepInterval = time.Second
+	// holdingsPerRound bounds the engines asked in a round: about 2 KB/s. With
+	// more replicas to keep, each is asked less often; what streams find wrong
+	// is looked at first.
+	holdingsPerRound = 8
 	// agreeTimeout bounds one agreement, orderTimeout one order to an engine.
 	agreeTimeout = 5 * time.Second
 	orderTimeout = 2 * time.Second
@@ -46,6 +53,9 @@
 	// failure domain. It is a hint: two nodes that both think so are kept apart
 	// by compare-and-swap and by the fencing numbers of their orders.
 	Turn func(model, domain string) bool
+	// Members returns a value that differs once the members have changed, and
+	// with them perhaps whose turn it is.
+	Members func() any
 }
 
 // Keeper makes plans and carries them out. Run and Observe may be called at
@@ -55,16 +65,24 @@
 
 	mu        sync.Mutex
 	directory *directory.Directory
-	kept      map[replicaName]*keptReplica
 	measures  []measured
+	suspects  map[replicaName]bool
+
+	// The rest belongs to Run alone.
+	kept     map[replicaName]*keptReplica
+	followed *directory.Directory
+	stamp    any
 }
 
 // keptReplica is one replica that this node plans for.
 type keptReplica struct {
 	open    openReplica
 	planner *placement.Planner
-	// loads are the orders that wait for the weight store's rate.
+	// notBefore is when each engine may begin to load, by the weight store's
+	// rate.
 	notBefore map[string]time.Time
+	// checked is when the engines were last asked what they hold.
+	checked time.Time
 }
 
 // measured is what a stream told of a hop.
@@ -78,7 +96,7 @@
 
 // NewKeeper returns a keeper without plans.
 func NewKeeper(cfg KeeperConfig) *Keeper {
-	return &Keeper{cfg: cfg, kept: map[replicaName]*keptReplica{}}
+	return &Keeper{cfg: cfg, suspects: map[replicaName]bool{}, kept: map[replicaName]*keptReplica{}}
 }
 
 // Apply takes a new document.
@@ -104,6 +122,13 @@
 	}
 }
 
+// Suspect says that an engine of a replica holds something else than the plan.
+func (k *Keeper) Suspect(model, replica string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.suspects[replicaName{model, replica}] = true
+}
+
 // Run keeps the plans of this node's turn until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(keepInterval)
@@ -119,61 +144,91 @@
 }
 
 func (k *Keeper) round(ctx context.Context, now time.Time) {
-	d, measures := k.taken()
+	d, measures, suspects := k.taken()
 	if d == nil {
 		return
 	}
-	mine := k.mine(d)
+	k.follow(d)
 	for _, m := range measures {
 		if kept := k.kept[m.name]; kept != nil && kept.planner != nil {
 			kept.planner.Observe(now, m.measure)
 		}
 	}
-	for _, open := range mine {
-		k.keep(ctx, now, d, open)
+	for name := range suspects {
+		if kept := k.kept[name]; kept != nil {
+			kept.checked = time.Time{}
+		}
+	}
+	budget := holdingsPerRound
+	for _, kept := range k.longestUnchecked() {
+		if k.keep(ctx, now, d, kept) && budget > 0 {
+			budget -= len(kept.open.stages)
+			kept.checked = now
+			k.order(ctx, now, d, kept)
+		}
 	}
 }
 
-func (k *Keeper) taken() (*directory.Directory, []measured) {
+func (k *Keeper) taken() (*directory.Directory, []measured, map[replicaName]bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	measures := k.measures
+	measures, suspects := k.measures, k.suspects
 	k.measures = nil
-	return k.directory, measures
+	k.suspects = map[replicaName]bool{}
+	return k.directory, measures, suspects
 }
 
-// mine lists the replicas of this node's turn and forgets the others.
-func (k *Keeper) mine(d *directory.Directory) []openReplica {
-	var mine []openReplica
-	names := map[replicaName]bool{}
+// follow takes up the replicas of this node's turn and forgets the others. That
+// looks at every replica of the document, so it is done only when the document
+// or the members have changed.
+func (k *Keeper) follow(d *directory.Directory) {
+	stamp := k.cfg.Members()
+	if d == k.followed && stamp == k.stamp {
+		return
+	}
+	k.followed, k.stamp = d, stamp
+	turns := map[place]bool{}
+	kept := map[replicaName]*keptReplica{}
 	for _, open := range openReplicas(d) {
-		if k.cfg.Turn(open.place.model, open.place.domain) {
-			mine = append(mine, open)
-			names[replicaName{open.place.model, open.name}] = true
+		turn, known := turns[open.place]
+		if !known {
+			turn = k.cfg.Turn(open.place.model, open.place.domain)
+			turns[open.place] = turn
 		}
-	}
-	for name := range k.kept {
-		if !names[name] {
-			delete(k.kept, name)
+		if turn {
+			kept[open.full()] = k.takeUp(open)
 		}
 	}
-	return mine
+	k.kept = kept
 }
 
-// keep brings one replica towards its best plan: agree first, then order.
-func (k *Keeper) keep(ctx context.Context, now time.Time, d *directory.Directory, open openReplica) {
-	name := replicaName{open.place.model, open.name}
-	kept := k.kept[name]
+func (k *Keeper) takeUp(open openReplica) *keptReplica {
+	kept := k.kept[open.full()]
 	if kept == nil {
 		kept = &keptReplica{notBefore: map[string]time.Time{}}
-		k.kept[name] = kept
 	}
 	kept.open = open
+	return kept
+}
+
+// longestUnchecked lists what this node keeps, with those first whose engines it
+// has not asked for longest.
+func (k *Keeper) longestUnchecked() []*keptReplica {
+	return slices.SortedFunc(maps.Values(k.kept), func(a, b *keptReplica) int {
+		if c := a.checked.Compare(b.checked); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.open.name, b.open.name)
+	})
+}
+
+// keep brings one replica towards its best plan and says whether it has one.
+func (k *Keeper) keep(ctx context.Context, now time.Time, d *directory.Directory, kept *keptReplica) bool {
 	if err := k.agree(ctx, now, d, kept); err != nil {
-		k.cfg.Log.Warn("plan not agreed", "model", name.model, "replica", name.replica, "error", err)
-		return
+		k.cfg.Log.Warn("plan not agreed", "model", kept.open.place.model, "replica", kept.open.name, "error", err)
+		return false
 	}
-	k.order(ctx, now, d, kept)
+	return true
 }
 
 // agree makes sure that the store holds a plan for the replica, a better one if
