bench: a dash where nothing was recorded

Cause: a percentile of no answers was printed as 0 µs, and the heap's first row could be negative, as the second collection frees what earlier sections pooled.

Change: a dash; two collections before the heap is read.

--- a/proof/bench/decisions.go
+++ b/proof/bench/decisions.go
@@ -50,6 +50,8 @@
 
 // heap is what is in use after a collection, in bytes.
 func heap() float64 {
+	// What earlier sections pooled goes with the second collection only.
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/proof/bench/overload.go
+++ b/proof/bench/overload.go
@@ -171,13 +171,9 @@
 
 func (o *offered) row(t *table, factor float64, way string) {
 	rate := float64(o.whole) / overloadTime.Seconds()
-	after, worst := "-", "-"
-	if o.refused.count() > 0 {
-		after, worst = duration(o.refused.at(50)), duration(o.refused.at(99))
-	}
 	vain := fmt.Sprint(o.vain)
 	if o.unsent > 0 {
 		vain += fmt.Sprintf(" (+%d not sent)", o.unsent)
 	}
-	t.row(fmt.Sprintf("%gx", factor), way, rate/overloadBound, rate, o.first.at(50), o.first.at(95), o.refused.count(), after, worst, vain, o.nodes, o.bench)
+	t.row(fmt.Sprintf("%gx", factor), way, rate/overloadBound, rate, o.first.at(50), o.first.at(95), o.refused.count(), o.refused.at(50), o.refused.at(99), vain, o.nodes, o.bench)
 }
--- a/proof/bench/suite.go
+++ b/proof/bench/suite.go
@@ -150,6 +150,10 @@
 
 func duration(d time.Duration) string {
 	switch {
+	case d == none:
+		return "-"
+	case d == 0:
+		return "0"
 	case d < time.Millisecond:
 		return fmt.Sprintf("%.0f µs", float64(d)/float64(time.Microsecond))
 	case d < time.Second:
--- a/proof/bench/usage.go
+++ b/proof/bench/usage.go
@@ -107,6 +107,8 @@
 	// longestTime is the highest that histograms record, in microseconds.
 	longestTime = int64(time.Minute / time.Microsecond)
 	digits      = 3
+	// none stands for a time that there is not.
+	none = time.Duration(-1)
 )
 
 // times is a histogram of durations; not safe for concurrent use.
@@ -123,7 +125,11 @@
 	_ = t.h.RecordValue(min(max(d.Microseconds(), 1), longestTime))
 }
 
+// at is a percentile, or none if nothing was recorded.
 func (t *times) at(percentile float64) time.Duration {
+	if t.count() == 0 {
+		return none
+	}
 	return time.Duration(t.h.ValueAtQuantile(percentile)) * time.Microsecond
 }
 
