--- a/proof/matrix/drain_test.go
+++ b/proof/matrix/drain_test.go
@@ -100,6 +100,7 @@
 	without(nodeFaults, "node drained"),
 	peerFaults,
 	engineFaults,
+	wrongEngine,
 	[]fault{
 		both(one(nodeFaults, "store down"), one(nodeFaults, "node killed")),
 		both(one(nodeFaults, "store reply lost"), one(nodeFaults, "node frozen for a while")),
--- a/proof/matrix/faults_test.go
+++ b/proof/matrix/faults_test.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/plain"
 	"github.com/cicadatack/cicadatack/standin/storefake"
@@ -49,6 +50,15 @@
 	{"second SIGTERM", func(c *cell) { c.must(c.Nodes[0].Signal(syscall.SIGTERM)) }},
 }
 
+// wrongEngine makes tokens that must not reach the caller.
+var wrongEngine = []fault{
+	{"second stage skips a layer", func(c *cell) { c.Chains[c.chain][1].SetFaults(engine.Faults{SkipLayer: layer(harness.Layers - 1)}) }},
+	{"first stage runs a layer twice", func(c *cell) { c.Chains[c.chain][0].SetFaults(engine.Faults{RepeatLayer: layer(1)}) }},
+	{"first stage sends another's tokens", func(c *cell) { c.Chains[c.chain][0].SetFaults(engine.Faults{WrongStream: true}) }},
+}
+
+func layer(n int) *int { return &n }
+
 var plainFaults = []fault{
 	{"endpoint killed", func(c *cell) { c.Plains[c.plain].Kill() }},
 	{"endpoint cut off", func(c *cell) { c.Plains[c.plain].Link.Cut() }},
--- a/proof/matrix/model_test.go
+++ b/proof/matrix/model_test.go
@@ -37,7 +37,7 @@
 var modelPath = path{
 	name:   "model call",
 	steps:  modelSteps,
-	faults: joined(nodeFaults, engineFaults, slowEngine, pairs, enginePairs),
+	faults: joined(nodeFaults, engineFaults, slowEngine, wrongEngine, pairs, enginePairs),
 	omitted: []omission{
 		{plainFaults, "a model call touches no plain endpoint"},
 		{peerFaults, "no other node takes part in a call"},
