Fault matrix: a second node serves the order first; the other operator is judged too

'Caller asks a second node' ran beside the trapped node, which went on before the second had claimed, and of two operators only the first was judged, not the one whose document was written over.

Change: a fault in which the second node answers the caller while the first one stands at the step, judged with what it said; and every operator who was told that a document is in force must find it in the history once.

--- a/proof/matrix/cell_test.go
+++ b/proof/matrix/cell_test.go
@@ -14,6 +14,7 @@
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
+	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
@@ -76,6 +77,10 @@
 	sprung chan struct{}
 	// draining is closed once the first node has said that it drains.
 	draining chan struct{}
+	// told is what callers were told by other nodes, inForce the digests that
+	// other operators were told to be in force.
+	told    []outcome.Outcome
+	inForce []string
 	// leftAt is when an endpoint began to leave.
 	leftAt time.Time
 }
--- a/proof/matrix/faults_test.go
+++ b/proof/matrix/faults_test.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/plain"
@@ -21,7 +22,7 @@
 	{"node killed", func(c *cell) { c.Nodes[0].Kill() }},
 	{"node frozen for a while", func(c *cell) { c.freezeNode() }},
 	{"node drained", func(c *cell) { c.must(c.Nodes[0].Signal(syscall.SIGTERM)) }},
-	{"document promoted", func(c *cell) { c.must(c.Promote(c.ctx, 7)) }},
+	{"document promoted", func(c *cell) { c.promoteOther(7) }},
 	{"store down", func(c *cell) { c.Store.SetFaults(storefake.Faults{Outage: true}) }},
 	{"store slow", func(c *cell) { c.Store.SetFaults(storefake.Faults{SlowMillis: 300}) }},
 	{"store reply lost", func(c *cell) { c.Store.SetFaults(storefake.Faults{LoseReplies: 1}) }},
@@ -65,6 +66,7 @@
 	{"endpoint refuses", func(c *cell) { c.eachPlain(plain.Faults{Refuse: true}) }},
 	{"endpoint drops the reply", func(c *cell) { c.eachPlain(plain.Faults{DropReply: 1}) }},
 	{"caller asks a second node", func(c *cell) { c.askSecondNode() }},
+	{"a second node serves the caller first", func(c *cell) { c.told = append(c.told, c.ask(1)) }},
 }
 
 // pairs are two faults at one step.
@@ -85,6 +87,7 @@
 	both(one(plainFaults, "endpoint drops the reply"), one(nodeFaults, "store reply lost")),
 	both(one(plainFaults, "endpoint cut off"), one(nodeFaults, "node drained")),
 	both(one(plainFaults, "caller asks a second node"), one(nodeFaults, "node killed")),
+	both(one(plainFaults, "a second node serves the caller first"), one(nodeFaults, "node frozen for a while")),
 }
 
 func both(a, b fault) fault {
@@ -127,6 +130,18 @@
 	time.AfterFunc(pause, func() { _ = c.Nodes[0].Thaw() }) // it may have been killed
 }
 
+// promoteOther promotes another document than the one that the path is about,
+// and notes that its operator was told that it is in force.
+func (c *cell) promoteOther(weight float64) {
+	text, err := c.Document(weight)
+	c.must(err)
+	if err := c.Promote(c.ctx, weight); err != nil {
+		c.t.Error(err)
+		return
+	}
+	c.inForce = append(c.inForce, document.Digest(text))
+}
+
 func (c *cell) eachPlain(f plain.Faults) {
 	for i := range c.Plains {
 		c.Plains[i].SetFaults(f)
--- a/proof/matrix/leaving_test.go
+++ b/proof/matrix/leaving_test.go
@@ -78,7 +78,7 @@
 
 var (
 	brokenEngine = named(engineFaults, "first stage killed", "second stage killed", "first stage cut off", "second stage cut off")
-	brokenPlain  = named(plainFaults, "endpoint killed", "endpoint cut off", "caller asks a second node")
+	brokenPlain  = named(plainFaults, "endpoint killed", "endpoint cut off", "caller asks a second node", "a second node serves the caller first")
 )
 
 const replaced = "a stand-in has one set of faults, and this one would lift its leaving"
--- a/proof/matrix/order_test.go
+++ b/proof/matrix/order_test.go
@@ -87,7 +87,7 @@
 			}
 			time.Sleep(comeBack)
 		}
-		c.judgeOrder(said)
+		c.judgeOrder(append(c.told, said...))
 		c.nodesSane(f)
 	})
 }
--- a/proof/matrix/promotion_test.go
+++ b/proof/matrix/promotion_test.go
@@ -39,7 +39,7 @@
 const patience = "3s"
 
 var operatorFaults = []fault{
-	{"another operator promotes", func(c *cell) { c.must(c.Promote(c.ctx, 9)) }},
+	{"another operator promotes", func(c *cell) { c.promoteOther(9) }},
 }
 
 var promotionPath = path{
@@ -106,12 +106,16 @@
 	c.healStore()
 	records, herr := c.Promoter.History(c.ctx, harness.Environment, asksAfter)
 	c.must(herr)
-	times := 0
+	accepted := map[string]int{}
 	for _, r := range records {
-		if r.Digest == digest {
-			times++
+		accepted[r.Digest]++
+	}
+	for _, other := range c.inForce {
+		if accepted[other] != 1 {
+			c.t.Errorf("another operator was told in force, but its document was accepted %d times", accepted[other])
 		}
 	}
+	times := accepted[digest]
 	switch {
 	case err == nil && times != 1:
 		c.t.Errorf("told in force, but accepted %d times: %s", times, out)
