--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -54,6 +54,13 @@
 	return q
 }
 
+// AssumeRate sets the tokens per second of a slot that are assumed until they
+// are measured, as Config.SlotRate does; zero means unknown. A node that joins in
+// a rush learns it from the endpoints' reports before its first request is done.
+func (q *Queue) AssumeRate(tokensPerSecond float64) {
+	q.meter.prior = max(tokensPerSecond, 0)
+}
+
 // SetTeam sets a team's weight. A team that is not set has weight 1.
 func (q *Queue) SetTeam(name string, weight float64) {
 	t := q.team(name)
--- a/route/service/leaving.go
+++ b/route/service/leaving.go
@@ -27,6 +27,7 @@
 func (s *Service) ReportLoad(endpoint string, l engineapi.Load) {
 	s.mark(endpoint, balance.SourceEndpoint, l.Draining)
 	s.Asked(endpoint, s.now())
+	s.learnPace(endpoint, time.Duration(l.StepMicros)*time.Microsecond)
 	for _, replica := range s.ReplicasOf(endpoint) {
 		s.Picker.Report(replica, balance.Load{
 			Running: l.Running,
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -38,7 +38,10 @@
 	marks      map[leavingMark]bool
 	// heard is when each endpoint last told its load, or was last asked.
 	heard map[string]time.Time
-	now   func() time.Time
+	// steps is each endpoint's own report of its time for a token.
+	steps   map[string]time.Duration
+	assumed float64
+	now     func() time.Time
 }
 
 // Retry is the service's retry budget behind a lock.
@@ -162,6 +165,7 @@
 		Retry: &Retry{now: r.cfg.Now, seed: seed},
 		marks: map[leavingMark]bool{},
 		heard: map[string]time.Time{},
+		steps: map[string]time.Duration{},
 		now:   r.cfg.Now,
 	}
 	balancer := balance.New(balance.Config{Node: r.cfg.Node, FailureDomain: r.cfg.FailureDomain, Seed: seed})
@@ -205,6 +209,7 @@
 	s.stagesOf = stages
 	s.replicasOf = inverted(stages)
 	maps.DeleteFunc(s.heard, func(e string, _ time.Time) bool { return len(s.replicasOf[e]) == 0 })
+	maps.DeleteFunc(s.steps, func(e string, _ time.Duration) bool { return len(s.replicasOf[e]) == 0 })
 	s.mu.Unlock()
 	s.Picker.SetReplicas(replicas)
 }
