--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/go-chi/chi/v5"
 
@@ -44,6 +45,9 @@
 		r.Use(s.operatorsOnly)
 		r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) })
 		r.Get("/v1/explain/{request}", s.explain)
+		r.HandleFunc("/debug/pprof/*", pprof.Index)
+		r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		r.HandleFunc("/debug/pprof/trace", pprof.Trace)
 		r.Post("/v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 			s.Drain()
 			w.WriteHeader(http.StatusAccepted)
--- /dev/null
+++ b/route/engine/standard_test.go
@@ -0,0 +1,57 @@
+package engine
+
+import (
+	stdjson "encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+)
+
+// The decoder's JSON library was chosen for its speed. An engine's event that
+// both it and the standard library accept must mean the same to both, or a
+// token's spans would be checked against something that the engine did not say.
+func FuzzAgainstStandard(f *testing.F) {
+	for _, seed := range []string{
+		`{"choices":[{"delta":{"content":" flour"},"finish_reason":null}],"cicadatack":{"stream":"s","epoch":1,"position":3,"spans":[{"endpoint":"e","first":0,"last":3,"micros":9}]}}`,
+		`{"choices":[{"delta":{"content":"\ud83c\udf70\u0000\"\\"}}],"cicadatack":{"spans":[]}}`,
+		`{"CHOICES":[{"Delta":{"Content":"x"}}],"cicadatack":{"epoch":4294967295,"position":-1}}`,
+		`{"choices":[{"delta":{"content":"a","content":"b"}}],"cicadatack":{"stream":"s"},"cicadatack":{"epoch":2}}`,
+		`{"choices":[{}],"cicadatack":null}`,
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data string) {
+		if strings.ContainsAny(data, "\r\n") {
+			t.Skip("an event is one line")
+		}
+		d := NewDecoder(strings.NewReader("data: " + data + "\n"))
+		got, err := d.Next()
+		if err != nil {
+			return
+		}
+		want, ok := standardEvent(data)
+		if ok && !reflect.DeepEqual(plainEvent(got), plainEvent(want)) {
+			t.Errorf("%s\ngot  %+v\nwant %+v", data, got, want)
+		}
+	})
+}
+
+func standardEvent(data string) (Event, bool) {
+	var c chunk
+	trace := engineapi.TokenTrace{}
+	c.Trace = &trace
+	if stdjson.Unmarshal([]byte(data), &c) != nil || c.Trace == nil || len(c.Choices) != 1 {
+		return Event{}, false
+	}
+	return Event{Token: c.Choices[0].Delta.Content, Trace: *c.Trace, Finish: c.Choices[0].FinishReason}, true
+}
+
+// plainEvent makes events comparable: no spans and an empty list are the same.
+func plainEvent(e Event) Event {
+	if len(e.Trace.Spans) == 0 {
+		e.Trace.Spans = nil
+	}
+	return e
+}
--- a/route/engine/stream.go
+++ b/route/engine/stream.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"errors"
 	"io"
 
+	"github.com/goccy/go-json"
+
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 )
 
@@ -16,6 +17,9 @@
 
 const firstBufferBytes = 4 << 10
 
+// maxTailLines is far more than the marker and the lines around it.
+const maxTailLines = 16
+
 var dataField = []byte("data:")
 
 // Event is one event of an answer.
@@ -51,6 +55,19 @@
 	return Event{}, wrap(s.address, Unknown, 0, err)
 }
 
+// Drain reads what follows the event that closes an answer: the marker and the
+// end of the body. Only a body read to its end leaves its connection to the next
+// stream; without it each stream costs a connection, and a node that serves some
+// hundred a second of one engine runs out of local ports. The caller bounds the
+// time by the stream's context, and the length is bounded here.
+func (s *Stream) Drain() {
+	for range maxTailLines {
+		if !s.decoder.lines.Scan() {
+			return
+		}
+	}
+}
+
 // Close ends the stream; the engine sees its caller gone unless the whole
 // answer has been read.
 func (s *Stream) Close() { s.body.Close() }
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -99,7 +99,7 @@
 	}
 	e.noteLoad(event.Trace.Load)
 	if event.Finish != "" {
-		return e.closing(event)
+		return e.closing(event, stream)
 	}
 	reason := e.a.check.Token(&event.Trace)
 	if reason.Stray() {
@@ -123,7 +123,7 @@
 }
 
 // closing handles the event that says that the answer is whole.
-func (e *epoch) closing(event engine.Event) bool {
+func (e *epoch) closing(event engine.Event, stream *engine.Stream) bool {
 	reason := e.a.check.End(&event.Trace)
 	if reason.Stray() {
 		return e.drop(reason)
@@ -133,9 +133,15 @@
 	}
 	e.a.summary.Finish = event.Finish
 	e.end(EndDone, nil)
+	e.dog.arm(tailWait)
+	stream.Drain()
 	return true
 }
 
+// tailWait bounds the wait for the end of a body whose answer is whole. Engines
+// send it along with the last event; one that does not costs its connection.
+const tailWait = 20 * time.Millisecond
+
 // drop counts a token that belongs elsewhere. The watchdog runs on: such a
 // token is no sign that the chain works for this stream.
 func (e *epoch) drop(reason Reason) bool {
