--- a/fleet/measure_test.go
+++ b/fleet/measure_test.go
@@ -12,6 +12,13 @@
 // measureTime is how long a fleet is measured once it has settled.
 const measureTime = 30 * time.Second
 
+// quietTime lets the last rumors and the first round of exchanges pass. With
+// TLS the latter costs handshakes, which is the start's cost and not a rate.
+const (
+	quietTime       = 15 * time.Second
+	quietTimeSecure = 130 * time.Second
+)
+
 // changeEvery is the pace of 15,000 changes of configuration a day.
 const changeEvery = 24 * time.Hour / 15000
 
@@ -49,7 +56,7 @@
 		each.awaitRevision(b, 1, 30*time.Second)
 		await(b, "all live", 2*time.Minute, func() bool { return each.count("live") == n })
 	}
-	awaitQuiet(b, nodes)
+	awaitQuiet(b, nodes, secure)
 	bytes, cpu, start := traffic(nodes), processorTime(), time.Now()
 	slowest := time.Duration(0)
 	for revision := int64(2); time.Since(start) < measureTime; revision++ {
@@ -85,12 +92,16 @@
 
 // awaitQuiet waits until all nodes have the same view and its news has been
 // passed on.
-func awaitQuiet(b *testing.B, nodes []*node) {
+func awaitQuiet(b *testing.B, nodes []*node, secure bool) {
 	await(b, "equal views", 2*time.Minute, func() bool {
 		first := nodes[0].digest()
 		return !slices.ContainsFunc(nodes, func(n *node) bool { return n.digest() != first })
 	})
-	time.Sleep(15 * time.Second)
+	if secure {
+		time.Sleep(quietTimeSecure)
+	} else {
+		time.Sleep(quietTime)
+	}
 }
 
 func (n *node) digest() uint64 {
--- a/fleet/member/machine.go
+++ b/fleet/member/machine.go
@@ -32,6 +32,8 @@
 	relayFanout = 2
 	// refuteFanout peers hear a refutation at once: a suspect gets no work.
 	refuteFanout = 4
+	// suspectsSent is how many suspects a message names beside its rumors.
+	suspectsSent = 2
 )
 
 // entry is a member with what only this node knows of it.
@@ -243,10 +245,26 @@
 	if e := m.entries[peer]; e != nil && e.Incarnation > 0 && e.State != Live && e.State != Joining {
 		msg.Updates = append(msg.Updates, e.Member)
 	}
+	msg.Updates = m.addSuspects(msg.Updates, peer)
 	msg.Updates = m.rumors.take(msg.Updates, peer, m.transmitLimit())
 	return msg
 }
 
+// addSuspects names a few suspects with every message, taking turns. A peer
+// that has heard the refutation answers with it. Left to the rumors alone, a
+// refutation can die out before it reached a node with a bad link, which would
+// declare a member gone that serves.
+func (m *Machine) addSuspects(updates []Member, peer string) []Member {
+	names := m.sortedSuspects()
+	for i := range min(len(names), suspectsSent) {
+		name := names[(m.peers.tick+i)%len(names)]
+		if e := m.entries[name]; e.State == Suspect && name != peer {
+			updates = append(updates, e.Member)
+		}
+	}
+	return updates
+}
+
 // transmitLimit is how often one node passes on a piece of news.
 func (m *Machine) transmitLimit() int {
 	return transmitFactor * int(math.Ceil(math.Log2(float64(len(m.entries)+1))))
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -35,7 +36,13 @@
 // suspects the other; the suspect hears of it from a third node and refutes.
 // Nobody may hold it for gone, or callers lose a node that serves.
 func TestSuspicionIsRefuted(t *testing.T) {
-	s := newSim(t, 6, 2).settled()
+	for seed := range uint64(30) {
+		cutOneLink(t, seed)
+	}
+}
+
+func cutOneLink(t *testing.T, seed uint64) {
+	s := newSeededSim(t, 6, 2, seed).settled()
 	s.lost = func(from, to string) bool { return from+to == "vm-0000vm-0001" || from+to == "vm-0001vm-0000" }
 	suspected, gone := false, false
 	s.watch = func(_ string, c Change) {
@@ -49,7 +56,7 @@
 	s.lost = func(string, string) bool { return false }
 	s.settled()
 	if gone {
-		t.Fatal("a node that answers others was declared gone")
+		t.Errorf("seed %d: a node that answers others was declared gone", seed)
 	}
 }
 
@@ -105,13 +112,19 @@
 // other. When the link is back the halves find each other through the list,
 // and on the way no node vanishes from its own side's view.
 func TestPartitionHeals(t *testing.T) {
-	for _, wait := range []int{0, 60} {
-		t.Run(fmt.Sprintf("%d intervals after both halves settled", wait), func(t *testing.T) { partition(t, wait) })
+	longest := 0
+	for seed := range uint64(15) {
+		for _, wait := range []int{0, 60} {
+			longest = max(longest, partition(t, seed, wait))
+		}
 	}
+	t.Logf("healed after at most %d intervals", longest)
 }
 
-func partition(t *testing.T, wait int) {
-	s := newSim(t, 20, 2).settled()
+// partition heals some intervals after both halves settled, and returns how
+// long it took until all were live on all.
+func partition(t *testing.T, seed uint64, wait int) int {
+	s := newSeededSim(t, 20, 2, seed).settled()
 	side := func(name string) string { u, _ := s.machines[name].Member(name); return u.FailureDomain }
 	s.lost = func(from, to string) bool { return side(from) != side(to) }
 	s.until("the halves dropped each other", 120, func() bool {
@@ -123,11 +136,10 @@
 	s.lost = func(string, string) bool { return false }
 	s.watch = func(node string, c Change) {
 		if c.New.State == Gone && side(node) == c.New.FailureDomain {
-			t.Fatalf("%s dropped %s of its own side", node, c.New.Name)
+			t.Errorf("seed %d, %d intervals: %s dropped %s of its own side", seed, wait, node, c.New.Name)
 		}
 	}
-	took := s.until("all live again", 120, s.allLive)
-	t.Logf("healed after %d intervals", took)
+	return s.until("all live again", 120, s.allLive)
 }
 
 func countState(m *Machine, state State) int {
@@ -240,13 +252,13 @@
 		}
 		last[to] = tick
 	}
-	for tick = range 700 {
+	for tick = range 1400 {
 		s.tick()
 	}
 	if len(last) != 59 {
 		t.Errorf("%d of 59 peers had a turn", len(last))
 	}
-	if fresh*3 > total {
+	if fresh*5 > total {
 		t.Errorf("%d of %d exchanges opened a connection", fresh, total)
 	}
 	t.Logf("%d of %d exchanges opened a connection", fresh, total)
@@ -353,3 +365,62 @@
 	s.down["vm-0001"] = true
 	s.until("gone everywhere", 30, func() bool { return s.all("vm-0001", Gone) })
 }
+
+// The network loses everything. Failed exchanges make suspicions, and these
+// are relayed; that must not make more exchanges without end.
+func TestFailuresMakeNoStorm(t *testing.T) {
+	s := newSim(t, 12, 2).settled()
+	s.lost = func(string, string) bool { return true }
+	total := 0
+	s.contact = func(string, string) { total++ }
+	for range 30 {
+		s.tick()
+	}
+	if perInterval := float64(total) / (30 * 12); perInterval > 3 {
+		t.Errorf("%.1f exchanges an interval by each node, want about one", perInterval)
+	} else {
+		t.Logf("%.1f exchanges an interval by each node", perInterval)
+	}
+}
+
+// A node has a bad link: rumors that everyone else has heard and dropped did
+// not reach it. What it holds wrongly must be put right by the next exchange,
+// whatever became of the rumors.
+func TestOldNewsIsPutRightWithoutRumors(t *testing.T) {
+	s := newSim(t, 5, 1).settled()
+	m := s.machines["vm-0000"]
+	peer, other := s.machines["vm-0002"].Self(), s.machines["vm-0001"].Self()
+	ask := func(updates ...Member) []Member {
+		return m.Step(s.now, Received{Message: Message{Sender: peer, Updates: updates}}).Reply.Updates
+	}
+	wornOut := func() {
+		for range 40 {
+			ask()
+		}
+	}
+
+	refuted := other
+	refuted.Incarnation++
+	ask(refuted)
+	wornOut()
+	suspected := other
+	suspected.State = Suspect
+	if got := ask(suspected); !slices.Contains(got, refuted) {
+		t.Errorf("an old suspicion is answered with %v, want the refutation", got)
+	}
+
+	m.Step(s.now, Failed{Peer: "vm-0001"})
+	m.Step(s.now, Failed{Peer: "vm-0001"})
+	wornOut()
+	refuted.State = Suspect
+	if got := ask(); !slices.Contains(got, refuted) {
+		t.Errorf("a running suspicion is not named any more: %v", got)
+	}
+
+	s.down["vm-0001"] = true
+	s.until("gone everywhere", 60, func() bool { return s.all("vm-0001", Gone) })
+	table := m.Step(s.now, Received{Message: Message{Sender: peer, WantTable: true}}).Reply.Table
+	if !slices.ContainsFunc(table, func(u Member) bool { return u.Name == "vm-0001" && u.State == Gone }) {
+		t.Error("a whole view says nothing of a member that is gone")
+	}
+}
--- a/fleet/member/merge.go
+++ b/fleet/member/merge.go
@@ -10,6 +10,7 @@
 	reply := Message{Sender: m.Self(), Digest: m.digest}
 	if msg.Digest != m.digest {
 		reply = m.message(msg.Sender.Name)
+		reply.Updates = append(m.corrections(msg), reply.Updates...)
 	}
 	if msg.WantTable {
 		reply.Table = m.table()
@@ -23,6 +24,9 @@
 		m.repair.done(now)
 	}
 	m.absorb(now, in.Message)
+	for _, u := range m.corrections(in.Message) {
+		m.rumors.add(u)
+	}
 	if !joined && m.Joined() {
 		// A newcomer is known to one peer; a few more make the rumor catch on at
 		// once, and their records end a start without the store.
@@ -30,6 +34,18 @@
 	}
 }
 
+// corrections are what is held here of members of whom a peer told old news.
+func (m *Machine) corrections(msg Message) []Member {
+	var newer []Member
+	for _, u := range msg.Updates {
+		e := m.entries[u.Name]
+		if e != nil && e.State != Gone && e.supersedes(u) {
+			newer = append(newer, e.Member)
+		}
+	}
+	return newer
+}
+
 func (m *Machine) absorb(now time.Time, msg Message) {
 	m.lastContact = now
 	m.mergeSender(now, msg.Sender)
@@ -71,12 +87,9 @@
 	if !u.supersedes(e.Member) {
 		return
 	}
-	// Two halves of a healed partition each hold the other half for gone. Taken
-	// at its word, the first rumor across would make live members vanish from
-	// entry answers fleet-wide until each has refuted. Held as a suspicion, the
-	// member has the usual time to refute, and a dead one goes a little later.
-	if u.State == Gone && u.Incarnation == e.Incarnation && (e.State == Live || e.State == Joining) {
-		u.State = Suspect
+	if u.State == Gone {
+		m.secondHandDeath(now, e, u)
+		return
 	}
 	m.put(now, u)
 	if u.State == Draining {
@@ -84,6 +97,20 @@
 	}
 }
 
+// secondHandDeath starts a suspicion, if none runs, and lets this node's own
+// deadline decide. Two halves of a healed partition each hold the other half
+// for gone; taken at its word, the first rumor across would make live members
+// vanish from entry answers fleet-wide until each has refuted. This way they
+// have the usual time for it, and a dead one goes a little later.
+func (m *Machine) secondHandDeath(now time.Time, e *entry, u Member) {
+	if u.Incarnation > e.Incarnation {
+		u.State = Suspect
+		m.put(now, u)
+		return
+	}
+	m.suspect(now, e)
+}
+
 // mergeSelf refutes news about this node that is wrong: a suspicion, or a
 // record of an earlier life that looks newer because the clock went back.
 func (m *Machine) mergeSelf(now time.Time, u Member) {
@@ -161,24 +188,32 @@
 	if m.isolated(now) {
 		return
 	}
-	m.suspect(now, e)
+	// Only the start of a suspicion is relayed: a relayed exchange that fails
+	// would else start the next, without end.
+	if m.suspect(now, e) {
+		m.relay(now, relayFanout)
+	}
 }
 
 // suspect starts a suspicion. A draining member keeps its state, so that it is
-// not mistaken for a live one once it refutes, but has the same deadline.
-func (m *Machine) suspect(now time.Time, e *entry) {
+// not mistaken for a live one once it refutes, but has the same deadline. It
+// returns false if a suspicion was running.
+func (m *Machine) suspect(now time.Time, e *entry) bool {
+	if !e.deadline.IsZero() {
+		return false
+	}
 	switch e.State {
 	case Joining, Live:
 		u := e.Member
 		u.State = Suspect
 		m.put(now, u)
-		m.relay(now, relayFanout)
+		return true
 	case Draining:
-		if e.deadline.IsZero() {
-			e.deadline = now.Add(m.suspicionTime())
-			m.suspects[e.Name] = true
-		}
+		e.deadline = now.Add(m.suspicionTime())
+		m.suspects[e.Name] = true
+		return true
 	}
+	return false
 }
 
 // list joins the platform's list, a hint, with what peers saw. A VM that only
@@ -236,12 +271,13 @@
 	return e.listedIncarnation == e.Incarnation
 }
 
-// table is the view without what only the list knows and without tombstones.
+// table is the view without what only the list knows. Tombstones are in it: a
+// node that missed both suspicion and death would hold the member for live.
 func (m *Machine) table() []Member {
 	all := m.Members()
 	kept := all[:0]
 	for _, u := range all {
-		if u.Incarnation > 0 && u.State != Gone {
+		if u.Incarnation > 0 {
 			kept = append(kept, u)
 		}
 	}
--- a/fleet/member/peers.go
+++ b/fleet/member/peers.go
@@ -15,14 +15,15 @@
 	// lostEvery ticks, a member that is gone but still listed is tried in
 	// addition: this is how the halves of a partition find each other again.
 	lostEvery = 10
-	// nearKept and farKept peers are exchanged with round by round before a
-	// quarter of them changes. Connections to them stay open from one round to
+	// nearKept and farKept peers are exchanged with round by round, and a few of
+	// them change with each. Connections to them stay open from one round to
 	// the next; with a new peer each time, a large fleet would spend more bytes
 	// on opening connections, TLS above all, than on what they carry.
 	nearKept = 24
 	farKept  = 16
-	// renewed is the part of the kept peers that each round replaces.
-	renewed = 4
+	// renewed is the part of the kept peers that a round replaces: one in so
+	// many. At 2,200 nodes this is a new connection in 16 s.
+	renewed = 12
 )
 
 // ring walks through the peers of one kind. Every peer is kept at some time,
--- a/fleet/member/rumors.go
+++ b/fleet/member/rumors.go
@@ -64,12 +64,15 @@
 	}
 	slices.SortFunc(order, compareRumors)
 	room := updateBudget
+	for _, u := range updates {
+		room -= encodedSize(u)
+	}
 	for _, item := range order {
 		size := encodedSize(item.member)
 		if room < size {
 			break
 		}
-		if item.member.Name == peer {
+		if item.member.Name == peer || slices.Contains(updates, item.member) {
 			continue
 		}
 		room -= size
--- a/fleet/member/sim_test.go
+++ b/fleet/member/sim_test.go
@@ -10,6 +10,7 @@
 
 // sim runs machines on one clock over a network that can lose and cut.
 type sim struct {
+	seed     uint64
 	t        testing.TB
 	now      time.Time
 	names    []string
@@ -29,9 +30,13 @@
 	contact func(from, to string)
 }
 
-func newSim(t testing.TB, n, domains int) *sim {
+func newSim(t testing.TB, n, domains int) *sim { return newSeededSim(t, n, domains, 0) }
+
+// newSeededSim has the nodes try their peers in another order for each seed.
+func newSeededSim(t testing.TB, n, domains int, seed uint64) *sim {
 	s := &sim{
-		t: t, now: time.Unix(1_800_000_000, 0), machines: map[string]*Machine{}, down: map[string]bool{},
+		seed: seed,
+		t:    t, now: time.Unix(1_800_000_000, 0), machines: map[string]*Machine{}, down: map[string]bool{},
 		lost:  func(string, string) bool { return false },
 		watch: func(string, Change) {}, contacts: map[string]int{}, contact: func(string, string) {},
 	}
@@ -55,7 +60,7 @@
 
 func (s *sim) start(name, domain string, incarnation int64) {
 	self := Member{Name: name, Address: name + ":7401", CallerAddress: name + ":8080", FailureDomain: domain, Incarnation: incarnation}
-	s.machines[name] = New(Config{Self: self, Interval: interval, Seed: uint64(len(s.names)) + uint64(incarnation)}, s.now)
+	s.machines[name] = New(Config{Self: self, Interval: interval, Seed: uint64(len(s.names)) + uint64(incarnation) + s.seed*7919}, s.now)
 	s.down[name] = false
 	s.step(name, Listed{VMs: s.vms})
 	s.step(name, Serve{})
