cicadactl: a second run never applies twice; errors name the next step

Cause: walking through OPERATIONS.md by hand. If another operator had promoted in between, it would have replaced that text unseen.

Excluded: looking through the history for the id (the promoter's contract is base and id together; the model checks rest on it).

The base of a promotion defaults to the production revision that its trial saw, and trial prints the promotion that follows. Messages for a missing trial, an empty history, a revision that was never there, a digest that is not on trial, a store that is down, a missing operators' key and a listener with TLS say what to do.

--- a/node/cmd/cicadactl/documents.go
+++ b/node/cmd/cicadactl/documents.go
@@ -23,14 +23,14 @@
 
 type promoteCommand struct {
 	Digest string `arg:"--digest,required" help:"digest of the tried document, as trial printed it"`
-	Base   int64  `arg:"--base" default:"-1" help:"production revision that this replaces; default: the one in force now"`
-	ID     string `arg:"--id" help:"promotion id, to go on with a promotion whose outcome is not known"`
+	Base   int64  `arg:"--base" default:"-1" help:"production revision that this replaces; default: the one in force when the document was put on trial"`
+	ID     string `arg:"--id" help:"promotion id, to go on with a promotion whose outcome is not known; with its --base"`
 }
 
 type rollbackCommand struct {
 	Revision int64  `arg:"positional,required" help:"the earlier revision"`
 	Base     int64  `arg:"--base" default:"-1" help:"production revision that this replaces; default: the one in force now"`
-	ID       string `arg:"--id" help:"promotion id, to go on with one whose outcome is not known"`
+	ID       string `arg:"--id" help:"promotion id, to go on with one whose outcome is not known; with its --base"`
 }
 
 type diffCommand struct {
@@ -66,64 +66,91 @@
 	}
 	record, err := p.Trial(ctx, args.Environment, text, args.Operator)
 	if err != nil {
-		return Error.Wrap(err)
+		return explainTrial(err)
 	}
 	fmt.Fprintf(out, "on trial: revision %d, digest %s\n", record.Revision, record.Digest)
+	fmt.Fprintf(out, "next: look at it on a trial node, then promote --digest %s --base %d\n", record.Digest, record.Base)
 	return nil
 }
 
 func (c *promoteCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
-	return args.promote(ctx, out, c.Base, c.ID, func(p *promotion.Promoter, base int64, id string) (document.Record, error) {
-		return p.Promote(ctx, args.Environment, c.Digest, base, id, args.Operator)
-	})
+	p, err := args.promoter()
+	if err != nil {
+		return err
+	}
+	a, err := newAttempt(c.Base, c.ID, func() (int64, error) { return triedBase(ctx, p, args.Environment) })
+	if err != nil {
+		return err
+	}
+	record, err := p.Promote(ctx, args.Environment, c.Digest, a.base, a.id, args.Operator)
+	return a.report(out, record, notYet(err, nothingTried, args.Environment))
 }
 
 func (c *rollbackCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
-	return args.promote(ctx, out, c.Base, c.ID, func(p *promotion.Promoter, base int64, id string) (document.Record, error) {
-		return p.Rollforward(ctx, args.Environment, c.Revision, base, id, args.Operator)
-	})
-}
-
-// promote does what promotions and rollbacks have in common.
-func (args *arguments) promote(ctx context.Context, out io.Writer, base int64, id string, put func(*promotion.Promoter, int64, string) (document.Record, error)) error {
 	p, err := args.promoter()
 	if err != nil {
 		return err
 	}
+	a, err := newAttempt(c.Base, c.ID, func() (int64, error) { return currentRevision(ctx, p, args.Environment) })
+	if err != nil {
+		return err
+	}
+	record, err := p.Rollforward(ctx, args.Environment, c.Revision, a.base, a.id, args.Operator)
+	return a.report(out, record, notYet(err, "environment %q had no revision %d: cicadactl history lists those that it had", args.Environment, c.Revision))
+}
+
+// attempt is one promotion or rollback: the revision that it replaces and the
+// id by which a second run finds out what became of the first.
+type attempt struct {
+	base int64
+	id   string
+}
+
+// newAttempt takes the base and the id of the command line; find looks for a
+// base if none was given.
+//
+// An id without a base is refused. The base of a second run must be that of the
+// first: a run that looked for one anew would find the revision that the first
+// run wrote, or one that somebody promoted on top of it, and replace that.
+func newAttempt(base int64, id string, find func() (int64, error)) (attempt, error) {
+	if base >= 0 && id != "" {
+		return attempt{base, id}, nil
+	}
+	if id != "" {
+		return attempt{}, Error.New("--id goes on with an earlier run and needs its --base too; that run printed both")
+	}
 	if base < 0 {
-		if base, err = currentRevision(ctx, p, args.Environment); err != nil {
-			return err
+		var err error
+		if base, err = find(); err != nil {
+			return attempt{}, explainStore(err)
 		}
 	}
-	if id == "" {
-		id = promotion.NewID()
-	}
-	record, err := put(p, base, id)
+	return attempt{base, promotion.NewID()}, nil
+}
+
+// report tells the operator how the attempt ended.
+func (a attempt) report(out io.Writer, record document.Record, err error) error {
 	if err != nil {
-		return explainPromotion(err, id)
+		return a.explain(err)
 	}
 	fmt.Fprintf(out, "in force: revision %d, digest %s, promotion %s\n", record.Revision, record.Digest, record.PromotionID)
 	return nil
 }
 
+// triedBase is the production revision at the time of the trial. A promotion
+// that took the revision in force now would replace, without a word, what
+// somebody else promoted since.
+func triedBase(ctx context.Context, p *promotion.Promoter, environment string) (int64, error) {
+	record, err := p.Tried(ctx, environment)
+	return record.Base, notYet(err, nothingTried, environment)
+}
+
 func currentRevision(ctx context.Context, p *promotion.Promoter, environment string) (int64, error) {
 	record, err := p.Current(ctx, environment)
 	if errors.Is(err, promotion.ErrNoRecord) {
 		return 0, nil
 	}
-	return record.Revision, Error.Wrap(err)
-}
-
-// explainPromotion tells the operator what to do next.
-func explainPromotion(err error, id string) error {
-	var conflict *promotion.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		return fmt.Errorf("%w\nnothing was changed; look at the difference, then promote with --base %d", err, conflict.Winner.Revision)
-	case errors.Is(err, promotion.ErrUnknown):
-		return fmt.Errorf("%w\nrun the same command again with --id %s: it finds out, and does not apply twice", err, id)
-	}
-	return Error.Wrap(err)
+	return record.Revision, err
 }
 
 func (c *diffCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
@@ -137,7 +164,7 @@
 	}
 	record, err := p.Current(ctx, args.Environment)
 	if err != nil {
-		return Error.Wrap(err)
+		return explainStore(notYet(err, nothingPromoted, args.Environment))
 	}
 	changes := document.Diff(record.Text, text)
 	for _, change := range changes {
@@ -154,7 +181,10 @@
 	}
 	records, err := p.History(ctx, args.Environment, c.Limit)
 	if err != nil {
-		return Error.Wrap(err)
+		return explainStore(err)
+	}
+	if len(records) == 0 {
+		fmt.Fprintf(out, nothingPromoted+"\n", args.Environment)
 	}
 	for _, r := range records {
 		fmt.Fprintf(out, "revision %d  %s  %s  base %d  digest %s  promotion %s\n",
@@ -163,10 +193,17 @@
 	return nil
 }
 
+// nothingTried is for a promotion without a trial before it.
+const nothingTried = "nothing is on trial in environment %q: run cicadactl trial FILE first"
+
+// nothingPromoted is for an environment without a document in production, which
+// is also what a misspelt name looks like.
+const nothingPromoted = "nothing has been promoted in environment %q yet: trial and promote come first"
+
 // promoter reaches the store.
 func (args *arguments) promoter() (*promotion.Promoter, error) {
 	if args.Store == "" || args.Environment == "" {
-		return nil, Error.New("--store and --environment are needed")
+		return nil, Error.New("--store and --environment are needed, or CICADATACK_STORE and CICADATACK_ENVIRONMENT")
 	}
 	s, err := store.New(store.Config{Address: args.Store})
 	if err != nil {
--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -38,7 +38,7 @@
 
 func (c *statusCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
 	var s server.Status
-	if err := args.get(ctx, c.Node+"/v1/status", args.OperatorKey, &s); err != nil {
+	if err := args.get(ctx, c.Node+"/v1/status", operators(args), &s); err != nil {
 		return err
 	}
 	state := "ready"
@@ -60,7 +60,7 @@
 	var reply struct {
 		Decisions []decision.Decision `json:"decisions"`
 	}
-	if err := args.get(ctx, c.Node+"/v1/explain/"+url.PathEscape(c.Request), args.OperatorKey, &reply); err != nil {
+	if err := args.get(ctx, c.Node+"/v1/explain/"+url.PathEscape(c.Request), operators(args), &reply); err != nil {
 		return err
 	}
 	for _, d := range reply.Decisions {
@@ -85,14 +85,9 @@
 }
 
 func (c *drainCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
-	response, err := args.call(ctx, http.MethodPost, c.Node+"/v1/drain", args.OperatorKey)
-	if err != nil {
+	if _, err := args.call(ctx, http.MethodPost, c.Node+"/v1/drain", operators(args), http.StatusAccepted); err != nil {
 		return err
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusAccepted {
-		return Error.New("the node answered %s", response.Status)
-	}
 	fmt.Fprintln(out, "draining; the process ends when its last request has")
 	return nil
 }
@@ -100,7 +95,8 @@
 func (c *entryCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
 	var answer front.EntryAnswer
 	address := c.Node + "/v1/entry?failure_domain=" + url.QueryEscape(c.FailureDomain)
-	if err := args.get(ctx, address, c.Key, &answer); err != nil {
+	as := caller{key: c.Key, hint: "--key is a key of one of the teams in the document, --node the callers' address of a node"}
+	if err := args.get(ctx, address, as, &answer); err != nil {
 		return err
 	}
 	for _, a := range answer.Addresses {
@@ -113,8 +109,19 @@
 // maxReply bounds what a node may answer.
 const maxReply = 4 << 20
 
-// call makes one call of a node, with a key if there is one.
-func (args *arguments) call(ctx context.Context, method, address, key string) (*http.Response, error) {
+// caller is who calls a node: the key to show, empty for none, and what to do
+// if it is refused.
+type caller struct {
+	key, hint string
+}
+
+func operators(args *arguments) caller {
+	return caller{key: args.OperatorKey, hint: "give the key with --operator-key or CICADATACK_OPERATOR_KEY"}
+}
+
+// call makes one call of a node and returns the body of the answer, which must
+// have the status wanted.
+func (args *arguments) call(ctx context.Context, method, address string, as caller, wanted int) ([]byte, error) {
 	client, scheme, err := args.client()
 	if err != nil {
 		return nil, err
@@ -123,11 +130,22 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if key != "" {
-		request.Header.Set("Authorization", "Bearer "+key)
+	if as.key != "" {
+		request.Header.Set("Authorization", "Bearer "+as.key)
 	}
 	response, err := client.Do(request)
-	return response, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if response.StatusCode != wanted {
+		return nil, explainNode(response, body, as.hint)
+	}
+	return body, nil
 }
 
 // client reaches nodes in the clear, or over TLS if authorities are named.
@@ -146,19 +164,11 @@
 	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}, "https://", nil
 }
 
-func (args *arguments) get(ctx context.Context, address, key string, into any) error {
-	response, err := args.call(ctx, http.MethodGet, address, key)
+func (args *arguments) get(ctx context.Context, address string, as caller, into any) error {
+	body, err := args.call(ctx, http.MethodGet, address, as, http.StatusOK)
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return Error.New("the node answered %s: %s", response.Status, body)
-	}
 	return Error.Wrap(json.Unmarshal(body, into))
 }
 
--- /dev/null
+++ b/node/cmd/cicadactl/nodes_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// A key that is missing or wrong, and a listener that speaks TLS to a command
+// that does not: each message names the option that is left out.
+func TestNodeRefusals(t *testing.T) {
+	locked := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "an operator's key is needed", http.StatusUnauthorized)
+	}))
+	defer locked.Close()
+	secure := httptest.NewTLSServer(http.NotFoundHandler())
+	defer secure.Close()
+
+	d := &desk{t: t}
+	at := strings.TrimPrefix(locked.URL, "http://")
+	d.fails(&statusCommand{Node: at}, "401", "--operator-key")
+	d.fails(&drainCommand{Node: at}, "401", "--operator-key")
+	d.fails(&explainCommand{Node: at, Request: "r"}, "401", "--operator-key")
+	d.fails(&entryCommand{Node: at, Key: "k"}, "401", "--key")
+	d.fails(&statusCommand{Node: strings.TrimPrefix(secure.URL, "https://")}, "--authorities FILE")
+}
