--- a/node/cmd/cicadactl/hints.go
+++ b/node/cmd/cicadactl/hints.go
@@ -59,6 +59,14 @@
 		return fmt.Errorf("%w\n%s", err, hint)
 	case response.StatusCode == http.StatusBadRequest && strings.Contains(text, "HTTPS"):
 		return fmt.Errorf("%w\nthis listener speaks TLS: name its authorities with --authorities FILE", err)
+	case response.StatusCode == http.StatusNotFound && otherListener(text):
+		return fmt.Errorf("%w\n--node is another listener of the node: entry wants the callers' address, the other commands the operators'", err)
 	}
 	return err
 }
+
+// otherListener says whether a text is what a node's listener answers to a call
+// that only another of its listeners has.
+func otherListener(text string) bool {
+	return strings.Contains(text, "unknown_path") || strings.Contains(text, "page not found")
+}
--- a/node/cmd/cicadactl/nodes_test.go
+++ b/node/cmd/cicadactl/nodes_test.go
@@ -25,3 +25,17 @@
 	d.fails(&entryCommand{Node: at, Key: "k"}, "401", "--key")
 	d.fails(&statusCommand{Node: strings.TrimPrefix(secure.URL, "https://")}, "--authorities FILE")
 }
+
+// The address of the wrong listener: callers' for status, operators' for entry.
+func TestWrongListener(t *testing.T) {
+	operators := httptest.NewServer(http.NotFoundHandler())
+	defer operators.Close()
+	callers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, `{"error":{"code":"unknown_path"}}`, http.StatusNotFound)
+	}))
+	defer callers.Close()
+
+	d := &desk{t: t}
+	d.fails(&entryCommand{Node: strings.TrimPrefix(operators.URL, "http://"), Key: "k"}, "callers' address")
+	d.fails(&statusCommand{Node: strings.TrimPrefix(callers.URL, "http://")}, "operators'")
+}
