--- a/examples/site.sh
+++ b/examples/site.sh
@@ -67,6 +67,11 @@
   wait_for "127.0.0.1:$port" /healthz
 done
 
+# Somebody else may hold one of the ports: then our process has ended.
+for pid in "${started[@]}"; do
+  kill -0 "$pid" 2>/dev/null || { echo "a process has ended; see the logs in $logs" >&2; exit 1; }
+done
+
 echo "the site runs; Ctrl-C ends it; logs are in $logs"
 echo "store      127.0.0.1:18000"
 echo "callers    127.0.0.1:18101 18102 18103, trial 18109"
