A wrong method is refused like everything else, with its outcome

Cause: the router's own answer to a method that a path does not have was an empty 405 without an outcome, though every final answer says what became of the request.

Seen failing first: TestRefusals/wrong_method and /unknown_method ('unexpected end of JSON input').

--- a/route/front/refusal_test.go
+++ b/route/front/refusal_test.go
@@ -32,6 +32,8 @@
 		{"unknown model", asked{http.MethodPost, chat, teamKey, `{"model":"x","messages":[{}]}`, nil}, 404, "unknown_service"},
 		{"unknown service", asked{http.MethodPost, "/services/x/orders", teamKey, "", nil}, 404, "unknown_service"},
 		{"unknown path", asked{http.MethodGet, "/v2", teamKey, "", nil}, 404, "unknown_path"},
+		{"wrong method", asked{http.MethodGet, chat, teamKey, "", nil}, 405, "method_not_allowed"},
+		{"unknown method", asked{"BREW", orders, teamKey, "", nil}, 405, "method_not_allowed"},
 		{"model that is plain", asked{http.MethodPost, chat, teamKey, `{"model":"stock-ledger","messages":[{}]}`, nil}, 400, "not_a_model"},
 		{"plain that is a model", asked{http.MethodPost, "/services/pastry-llm/x", teamKey, "", nil}, 400, "not_plain"},
 		{"service of others", asked{http.MethodPost, orders, notesKey, "", nil}, 403, "not_allowed"},
