A poll rate that no timer can keep is a fault in the settings

Cause: the pause between two polls is a second divided by the rate, which is zero over a thousand million; the settings passed the check and the node then ended in a panic of its ticker.

With the change the package passes.

--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -141,6 +141,7 @@
 	notNegative(f, "drain.limit_s", s.Drain.LimitSeconds)
 	notNegative(f, "fleet.interval_ms", s.Fleet.IntervalMillis)
 	notNegative(f, "load.polls_per_second", s.Load.PollsPerSecond)
+	atMost(f, "load.polls_per_second", s.Load.PollsPerSecond, maxPolls)
 }
 
 func (l Listener) check(f *document.Faults, path string) {
@@ -184,6 +185,12 @@
 	}
 }
 
+func atMost(f *document.Faults, path string, value, most int) {
+	if value > most {
+		f.Add(path, "%d is over %d", value, most)
+	}
+}
+
 // address wants an IP number: a name would have to be looked up, and the
 // platform gives none.
 func address(f *document.Faults, path, value string, needed bool) {
@@ -203,4 +210,9 @@
 	}
 }
 
-const maxPort = 65535
+const (
+	maxPort = 65535
+	// maxPolls asks 3,000 endpoints every 3 s, and leaves a pause between two
+	// polls that a timer can keep.
+	maxPolls = 1000
+)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -64,6 +64,9 @@
 			"fleet.interval_ms: -5 is negative",
 			"load.polls_per_second: -2 is negative",
 		}},
+		{"more polls than the clock can tell apart", strings.Replace(sound, `"name"`, `"load": {"polls_per_second": 2000000000}, "name"`, 1), []string{
+			"load.polls_per_second: 2000000000 is over 1000",
+		}},
 		{"a field twice", strings.Replace(sound, `"name"`, `"name": "entry-2", "name"`, 1), []string{"name: the field appears twice"}},
 	}
 	for _, c := range cases {
