--- a/node/server/entries.go
+++ b/node/server/entries.go
@@ -57,11 +57,14 @@
 	return team.Weight / total
 }
 
+// entryMembers lists the nodes that callers may be sent to. The platform's list
+// does not tell environments apart, so the members may serve another one, or its
+// trial: callers sent there would find their keys unknown.
 func (s *Server) entryMembers() []entry.Member {
 	members := s.fleet.Members()
 	known := make([]entry.Member, 0, len(members))
 	for _, m := range members {
-		if m.CallerAddress == "" || m.State == member.Gone || m.State == member.Joining {
+		if !s.fleet.SameSlot(m) || m.CallerAddress == "" || m.State == member.Gone || m.State == member.Joining {
 			continue
 		}
 		known = append(known, entry.Member{
--- a/node/server/secure_test.go
+++ b/node/server/secure_test.go
@@ -25,7 +25,7 @@
 )
 
 // secureNode runs a node with certificates on all its listeners.
-func secureNode(t *testing.T, name, storeAddress string, fleet tlstest.Authority) *Server {
+func secureNode(t *testing.T, name, environment, storeAddress string, fleet tlstest.Authority) *Server {
 	p := tlstest.Write(t, t.TempDir(), 2, fleet, fleet)
 	files := &settings.TLS{Certificate: p.Certificate, Key: p.Key, Authorities: p.Authorities}
 	digest := sha256.Sum256([]byte(operatorKey))
@@ -33,7 +33,7 @@
 	operators := listener
 	operators.KeySHA256 = []string{hex.EncodeToString(digest[:])}
 	s, err := New(settings.Settings{
-		Name: name, Environment: "java", FailureDomain: "bandung", Slot: settings.SlotProduction,
+		Name: name, Environment: environment, FailureDomain: "bandung", Slot: settings.SlotProduction,
 		Callers: listener, Peers: listener, Operators: operators,
 		Store: settings.Store{Address: storeAddress, CallsPerSecond: settings.DefaultStoreCalls},
 		Load:  settings.Load{PollsPerSecond: settings.DefaultPolls},
@@ -80,8 +80,8 @@
 	t.Cleanup(fake.Close)
 	address := served.Listener.Addr().String()
 	fleet := tlstest.NewAuthority(t)
-	a, b := secureNode(t, "entry-1", address, fleet), secureNode(t, "entry-2", address, fleet)
-	stranger := secureNode(t, "entry-3", address, tlstest.NewAuthority(t))
+	a, b := secureNode(t, "entry-1", "java", address, fleet), secureNode(t, "entry-2", "java", address, fleet)
+	stranger := secureNode(t, "entry-3", "java", address, tlstest.NewAuthority(t))
 	list(t, address, a, b, stranger)
 	ctx, cancel := context.WithTimeout(context.Background(), secureTimeout)
 	defer cancel()
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -179,7 +179,7 @@
 	work.Go(func() { _ = s.fleet.Run(background) }) // ends with the context's error only
 	work.Go(func() { s.refreshLoop(background) })
 	work.Go(func() { s.pollLoop(background) })
-	work.Go(func() { s.flushLoop(background) })
+	work.Go(func() { s.settleLoop(background) })
 	work.Go(func() { s.book.Run(background) })
 	work.Go(func() { s.keeper.Run(background) })
 	failed := s.serve()
@@ -210,7 +210,6 @@
 }
 
 func (s *Server) close() {
-	s.flush(context.Background())
 	s.orders.Close()
 	s.peers.Close()
 	s.operators.Close()
