bench: an interrupted run ends its nodes

Cause: a run that was ended by SIGTERM had nobody to end its node processes.

Change: a signal ends the context; loops look at it, and sections close their sites. Checked by ending a run in its first section: no node is left.

--- a/proof/bench/core.go
+++ b/proof/bench/core.go
@@ -81,7 +81,7 @@
 	end := time.Now().Add(coreTime)
 	for i := range callers {
 		open.Go(func() {
-			for time.Now().Before(end) {
+			for time.Now().Before(end) && ctx.Err() == nil {
 				a := ask(ctx, question{address: t.nodes[0].addresses.Callers, key: teamKey(i), model: "quick", tokens: tokens})
 				mu.Lock()
 				got += a.tokens
--- a/proof/bench/orders.go
+++ b/proof/bench/orders.go
@@ -166,7 +166,7 @@
 	for i := range load.callers {
 		node := t.nodes[i%load.nodes].addresses.Callers
 		open.Go(func() {
-			for n := 0; time.Now().Before(end); n++ {
+			for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
 				status, d := order(ctx, node, fmt.Sprintf("order-%d-%d-%d-%d", load.nodes, load.callers, i, n))
 				mu.Lock()
 				if status == http.StatusCreated {
--- a/proof/bench/overload.go
+++ b/proof/bench/overload.go
@@ -127,7 +127,7 @@
 	next := o.began
 	for {
 		next = next.Add(time.Duration(rand.ExpFloat64() / (factor * overloadBound) * float64(time.Second)))
-		if next.After(o.stopped) {
+		if next.After(o.stopped) || ctx.Err() != nil {
 			break
 		}
 		time.Sleep(time.Until(next))
--- a/proof/bench/recovery.go
+++ b/proof/bench/recovery.go
@@ -315,7 +315,7 @@
 func ordersDuring(ctx context.Context, node string) (refused *times, placed int) {
 	refused = newTimes()
 	end := time.Now().Add(outage)
-	for i := 0; time.Now().Before(end); i++ {
+	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
 		status, took := order(ctx, node, fmt.Sprint("during-", i))
 		if status == http.StatusCreated {
 			placed++
--- a/proof/bench/suite.go
+++ b/proof/bench/suite.go
@@ -80,6 +80,10 @@
 	var group errs.Group
 	begun := time.Now()
 	for _, each := range sections {
+		if ctx.Err() != nil {
+			group.Add(Error.Wrap(ctx.Err()))
+			break
+		}
 		if len(cfg.Only) > 0 && !slices.Contains(cfg.Only, each.name) {
 			continue
 		}
--- a/proof/cmd/bench/main.go
+++ b/proof/cmd/bench/main.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -29,11 +31,17 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	ctx, cancel := context.WithTimeout(context.Background(), wholeTimeout)
-	defer cancel()
-	err := bench.Run(ctx, bench.Config{Bin: args.Bin, Out: args.Out, Only: args.Only, Print: os.Stdout})
-	if err != nil {
+	if err := run(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
+
+// run ends the nodes also when it is interrupted: they would run on without it.
+func run(args arguments) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	defer cancel()
+	return bench.Run(ctx, bench.Config{Bin: args.Bin, Out: args.Out, Only: args.Only, Print: os.Stdout})
+}
