--- a/proof/matrix/cell_test.go
+++ b/proof/matrix/cell_test.go
@@ -140,8 +140,22 @@
 		})
 	})
 	body(c, f)
-	if !t.Failed() {
-		result.verdict = passed
+	if t.Failed() {
+		c.explain()
+		return
+	}
+	result.verdict = passed
+}
+
+// explain logs why the nodes left chains and how requests ended: a failure that
+// comes once in many runs is not to be had again for the asking.
+func (c *cell) explain() {
+	for _, n := range c.Nodes {
+		for _, line := range n.Lines() {
+			if strings.Contains(line, `"kind":"resume"`) || strings.Contains(line, `"kind":"finish"`) {
+				c.t.Log(line)
+			}
+		}
 	}
 }
 
