--- a/route/plain/order.go
+++ b/route/plain/order.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -23,6 +24,8 @@
 	retryStore = 2 * time.Second
 )
 
+var badKeyMessage = fmt.Sprintf("%s: longer than %d bytes", outcome.HeaderOrderKey, ledger.MaxKeyBytes)
+
 // order places a call that may run at most once.
 //
 // With a key, the claim is written before the order is sent, so that no node,
@@ -68,7 +71,7 @@
 // endpoint of the service checks keys itself, it may be sent all the same.
 func (e *exchange) unclaimed(ctx context.Context, w http.ResponseWriter, err error) {
 	if errors.Is(err, ledger.ErrBadKey) {
-		e.finish(w)(nil, &outcome.Refusal{Status: http.StatusBadRequest, Code: "bad_key", Message: err.Error(), Outcome: outcome.NotRun})
+		e.finish(w)(nil, &outcome.Refusal{Status: http.StatusBadRequest, Code: "bad_key", Message: badKeyMessage, Outcome: outcome.NotRun})
 		return
 	}
 	if e.endpointsCheckKeys() {
