--- a/route/front/front.go
+++ b/route/front/front.go
@@ -83,6 +83,9 @@
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		refusal(http.StatusNotFound, "unknown_path", "no such call: "+r.URL.Path).Write(w)
 	})
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		refusal(http.StatusNotFound, "unknown_path", "no such call: "+r.URL.Path).Write(w)
+	})
 	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
 		refusal(http.StatusMethodNotAllowed, "method_not_allowed", r.Method+" is not a method of "+r.URL.Path).Write(w)
 	})
