A caller's deadline is for the end of its answer, not its start

Change: the expected time of the answer, from engines' pace and the part of declared costs that answers really take, is taken off the deadline.

--- a/route/entrance/entrance.go
+++ b/route/entrance/entrance.go
@@ -89,7 +89,7 @@
 		return nil, refusal
 	}
 	ticket, err := v.At.Gate.Enter(ctx, gate.Request{
-		Team: v.Team.Name, Class: v.Class, Cost: cost, Deadline: v.Start,
+		Team: v.Team.Name, Class: v.Class, Cost: cost, Deadline: v.latestStart(cost),
 	})
 	if err != nil {
 		v.desk.Limits.Correct(v.Team.Name, -cost)
@@ -99,6 +99,21 @@
 	return &Pass{visit: v, ticket: ticket, cost: cost}, nil
 }
 
+// latestStart is when the call must start to be of use. A caller that stops
+// waiting at its deadline has no use of an answer that starts just before it: in
+// overload nearly all starts are late ones, so that without the time that the
+// answer itself takes a part of the work done is for callers who have gone.
+func (v *Visit) latestStart(cost float64) time.Time {
+	if v.Deadline.IsZero() {
+		return v.Start
+	}
+	latest := v.Deadline.Add(-v.At.Expected(cost))
+	if latest.Before(v.Start) {
+		return latest
+	}
+	return v.Start
+}
+
 func (v *Visit) entered(t *gate.Ticket, cost float64) {
 	v.desk.Figures.Waited(v.Service.Name, t.Verdict.Waited)
 	v.Decide(decision.Admit, "", t.Verdict.Reason.String(), map[string]float64{
@@ -127,6 +142,7 @@
 // Leave gives the room back. used is the work that was really done, in tokens.
 func (p *Pass) Leave(used float64) {
 	p.ticket.Leave(used)
+	p.visit.At.Served(p.cost, used)
 	p.visit.desk.Limits.Correct(p.visit.Team.Name, used-p.cost)
 }
 
--- a/route/service/rate.go
+++ b/route/service/rate.go
@@ -10,6 +10,31 @@
 // is told: it takes the gate's lock, and an assumption needs no more digits.
 const rateChange = 0.2
 
+// usedWeight is the weight of one answer in the mean part of its expected cost
+// that an answer really takes: a few dozen answers set it.
+const usedWeight = 0.05
+
+// Served notes what a request really took of its expected cost, both in tokens.
+func (s *Service) Served(cost, used float64) {
+	if cost <= 0 || used <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usedPart += usedWeight * (used/cost - s.usedPart)
+}
+
+// Expected is how long a request of an expected cost, in tokens, will run once it
+// has room; zero if the endpoints' pace is not known.
+func (s *Service) Expected(cost float64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assumed == 0 {
+		return 0
+	}
+	return time.Duration(cost * s.usedPart / s.assumed * float64(time.Second))
+}
+
 // learnPace takes an endpoint's own time for a token and tells the queue what a
 // slot will yield. The queue goes by it only until it has measured the rate
 // itself: a node that starts in the middle of a rush would otherwise let callers
--- a/route/service/rate_test.go
+++ b/route/service/rate_test.go
@@ -34,3 +34,24 @@
 		}
 	}
 }
+
+// A team declares twice what its answers take, and engines give 40 tokens a
+// second. After some answers a declared 80 tokens are foreseen to run a second,
+// not two; before any pace is known nothing is foreseen.
+func TestExpectedTime(t *testing.T) {
+	s := &Service{usedPart: 1}
+	if got := s.Expected(80); got != 0 {
+		t.Errorf("%v foreseen without a pace", got)
+	}
+	s.assumed = 40
+	if got := s.Expected(80); got != 2*time.Second {
+		t.Errorf("%v foreseen before any answer, want 2s", got)
+	}
+	for range 200 {
+		s.Served(80, 40)
+		s.Served(80, 0) // not run: tells nothing
+	}
+	if got := s.Expected(80); got < 990*time.Millisecond || got > 1010*time.Millisecond {
+		t.Errorf("%v foreseen after 200 answers, want about 1s", got)
+	}
+}
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -41,7 +41,9 @@
 	// steps is each endpoint's own report of its time for a token.
 	steps   map[string]time.Duration
 	assumed float64
-	now     func() time.Time
+	// usedPart is the mean part of the expected cost that answers really take.
+	usedPart float64
+	now      func() time.Time
 }
 
 // Retry is the service's retry budget behind a lock.
@@ -166,7 +168,9 @@
 		marks: map[leavingMark]bool{},
 		heard: map[string]time.Time{},
 		steps: map[string]time.Duration{},
-		now:   r.cfg.Now,
+
+		usedPart: 1,
+		now:      r.cfg.Now,
 	}
 	balancer := balance.New(balance.Config{Node: r.cfg.Node, FailureDomain: r.cfg.FailureDomain, Seed: seed})
 	s.Picker = picker.New(balancer, r.cfg.Now, func() {
