--- a/node/server/vms.go
+++ b/node/server/vms.go
@@ -50,15 +50,26 @@
 	wholeAt  time.Time
 }
 
-// wholeInterval is how often a list is read whole, as removed VMs are not among
-// what has changed.
-const wholeInterval = 5 * time.Minute
+const (
+	// wholeInterval is how often a short list is read whole, as removed VMs are
+	// not among what has changed.
+	wholeInterval = 5 * time.Minute
+	// wholePerVM spaces the whole reads of a long list: at about 200 bytes a VM
+	// they take 100 bytes a second at any length.
+	wholePerVM = 2 * time.Second
+)
+
+// wholeDue says whether the list has to be read whole again.
+func (c *vmCache) wholeDue() bool {
+	pause := max(wholeInterval, time.Duration(len(c.vms))*wholePerVM)
+	return time.Since(c.wholeAt) > pause
+}
 
 // read brings the list up to date and returns it.
 func (c *vmCache) read(ctx context.Context) (map[string]platformVM, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	whole := time.Since(c.wholeAt) > wholeInterval
+	whole := c.wholeDue()
 	since := c.revision
 	if whole {
 		since = 0
