--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -15,6 +15,7 @@
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/service"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
 
@@ -135,9 +136,9 @@
 		return fmt.Errorf("not tried again: %s", d.Reason)
 	}
 	if !c.partway() {
-		return wait(ctx, d.After)
+		return service.Pause(ctx, d.After)
 	}
-	return wait(ctx, c.partwayPause())
+	return service.Pause(ctx, c.partwayPause())
 }
 
 const (
@@ -202,17 +203,6 @@
 	return failureOf(c.last)
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Ended tells the balancer how the epoch went.
 func (c *chooser) Ended(chain stream.Chain, r stream.AttemptResult) {
 	c.last = r
--- a/route/plain/order.go
+++ b/route/plain/order.go
@@ -13,6 +13,7 @@
 	"github.com/cicadatack/cicadatack/platform/ledger"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/route/service"
 )
 
 const (
@@ -132,7 +133,7 @@
 			return e.giveUp(a, false)
 		}
 		tried = append(tried, a.endpoint)
-		if wait(ctx, d.After) != nil {
+		if service.Pause(ctx, d.After) != nil {
 			return e.giveUp(a, false)
 		}
 	}
--- a/route/plain/plain.go
+++ b/route/plain/plain.go
@@ -20,6 +20,7 @@
 	"github.com/cicadatack/cicadatack/route/entrance"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/service"
 )
 
 // Claims is the part of the ledger that orders need.
@@ -139,7 +140,7 @@
 			return e.giveUp(a, ran)
 		}
 		tried = append(tried, a.endpoint)
-		if wait(ctx, d.After) != nil {
+		if service.Pause(ctx, d.After) != nil {
 			return e.giveUp(a, ran)
 		}
 	}
@@ -265,17 +266,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // finish returns a function that writes either an answer or a refusal.
 func (e *exchange) finish(w http.ResponseWriter) func(*answer, *outcome.Refusal) {
 	return func(a *answer, refusal *outcome.Refusal) {
