--- a/node/server/server.go
+++ b/node/server/server.go
@@ -162,14 +162,12 @@
 			Chains:  &chains.Resolver{Plans: s.book},
 			Plans:   planWatcher{s.book, s.keeper},
 			Figures: s.metrics,
-			Now:     time.Now,
 		},
 		Plains: &plain.Server{
 			Desk:    desk,
 			Sender:  s.sender,
 			Claims:  s.orders,
 			Figures: s.metrics,
-			Now:     time.Now,
 		},
 	}
 }
--- a/route/entrance/entrance.go
+++ b/route/entrance/entrance.go
@@ -139,6 +139,11 @@
 	return refused.Refusal()
 }
 
+// Now reads the desk's clock.
+func (v *Visit) Now() time.Time {
+	return v.desk.Now()
+}
+
 // Leave gives the room back. used is the work that was really done, in tokens.
 func (p *Pass) Leave(used float64) {
 	p.ticket.Leave(used)
--- a/route/front/site_test.go
+++ b/route/front/site_test.go
@@ -173,9 +173,9 @@
 		Now:       time.Now,
 		Models: &model.Server{
 			Desk: desk, Streams: stream.New(client, nil, stream.Options{}),
-			Chains: &chains.Resolver{}, Plans: noPlans{}, Figures: noFigures{}, Now: time.Now,
+			Chains: &chains.Resolver{}, Plans: noPlans{}, Figures: noFigures{},
 		},
-		Plains: &plain.Server{Desk: desk, Sender: sender, Claims: claims, Figures: noFigures{}, Now: time.Now},
+		Plains: &plain.Server{Desk: desk, Sender: sender, Claims: claims, Figures: noFigures{}},
 	}
 	handler := s.front.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -47,7 +47,7 @@
 	for {
 		choice, chain, err := c.pick(exclude)
 		if err == nil {
-			c.runs = append(c.runs, run{replica: choice.Replica, first: chain.Stages[0].Endpoint, since: c.answer.server.Now()})
+			c.runs = append(c.runs, run{replica: choice.Replica, first: chain.Stages[0].Endpoint, since: c.answer.Now()})
 			c.recordChoice(choice)
 			return chain, nil
 		}
@@ -85,7 +85,7 @@
 	c.answer.At.Picker.Finished(chain.Replica, balance.Result{
 		Cost:       c.answer.cost,
 		FirstToken: r.FirstToken,
-		Total:      c.answer.server.Now().Sub(mine.since),
+		Total:      c.answer.Now().Sub(mine.since),
 		Started:    mine.started,
 		Failure:    failureOf(r),
 	})
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -46,7 +46,6 @@
 	Chains  Chains
 	Plans   Plans
 	Figures Figures
-	Now     func() time.Time
 }
 
 const (
--- a/route/model/progress.go
+++ b/route/model/progress.go
@@ -32,7 +32,7 @@
 	if trace.Load != nil {
 		c.answer.At.ReportLoad(r.first, *trace.Load)
 	}
-	now := c.answer.server.Now()
+	now := c.answer.Now()
 	if !r.started {
 		r.started = true
 		r.reported = now
--- a/route/plain/plain.go
+++ b/route/plain/plain.go
@@ -41,7 +41,6 @@
 	Sender  *send.Sender
 	Claims  Claims
 	Figures Figures
-	Now     func() time.Time
 }
 
 const (
@@ -213,7 +212,7 @@
 		e.At.Picker.Finished(choice.Replica, balance.Result{Cost: callCost, Failure: health.Unreachable})
 		return attempt{endpoint: choice.Replica, failure: health.Unreachable, notRun: true}
 	}
-	started := e.server.Now()
+	started := e.Now()
 	request := e.request
 	request.Address = endpoint.Address
 	request.Once = once
@@ -221,7 +220,7 @@
 	a.endpoint = choice.Replica
 	e.At.Picker.Finished(choice.Replica, balance.Result{
 		Cost:    callCost,
-		Total:   e.server.Now().Sub(started),
+		Total:   e.Now().Sub(started),
 		Failure: a.failure,
 	})
 	return a
