A leaving node's standstill is not time in which it served

A node that drains serves on until entry answers that name it have run out. It waited for that with one timer, which also ran while the process was frozen: as the node woke, its time was over and it closed its listener with connections that the kernel had taken and the node had not.

Excluded: a longer time for everyone, which only moves the moment; waiting for the listener's queue to be empty, which Go does not show.

The time is now counted in ticks of 100 ms; a tick that comes 500 ms late or more counts nothing, and leaves at least a second to take the callers that wait.

--- a/node/server/drain.go
+++ b/node/server/drain.go
@@ -13,6 +13,13 @@
 	// spreadExchanges is how many intervals the word of a drain takes to reach
 	// the fleet as a rumor, with one to spare at today's sizes.
 	spreadExchanges = 3
+	// servingTick is between two looks at the clock while a leaving node serves
+	// on. A look that comes after standstill or more shows that the process
+	// stood still; on a busy machine looks come tens of milliseconds late.
+	servingTick = 100 * time.Millisecond
+	standstill  = 500 * time.Millisecond
+	// afterStandstill is enough to accept what waits in the listener's queue.
+	afterStandstill = time.Second
 	// streamsCloseTimeout bounds the wait for engines to hear of streams given
 	// up; those that don't answer notice the closed connection.
 	streamsCloseTimeout = 2 * time.Second
@@ -62,12 +69,38 @@
 	if s.directory.Load() == nil {
 		return // without a document nobody was ever sent here
 	}
-	timer := time.NewTimer(s.spreadTime() + s.entryValidity())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	left := servingTime(s.spreadTime() + s.entryValidity())
+	tick := time.NewTicker(servingTick)
+	defer tick.Stop()
+	for last := time.Now(); left > 0; {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		left.passed(now.Sub(last))
+		last = now
+	}
+}
+
+// servingTime is how long a leaving node still has to serve callers.
+type servingTime time.Duration
+
+// passed takes off the time since the last look, but not time in which the
+// process stood still.
+//
+// A node that is frozen while it serves on gets callers all the same: the
+// kernel takes their connections. If the freeze counted, the node would close
+// its listener as it wakes, and those callers would be reset although their
+// entry answer names the node. So after a standstill it serves on long enough
+// to take them.
+func (t *servingTime) passed(since time.Duration) {
+	if since < standstill {
+		*t -= servingTime(since)
+		return
 	}
+	*t = max(*t, servingTime(afterStandstill))
 }
 
 func (s *Server) spreadTime() time.Duration {
