Balance: ejected replicas are room if there is no other

Excluded: the store and the claims (orders before were placed, no claim was asked); the endpoint (it got no call). Cause, from the code: one of two endpoints leaves and the other one is ejected for slowness. Pick would take the ejected one as a last resort, but Capacity counts usable replicas only, so the gate had no slots and refused at the door. Judgements, which end ejections, come with Pick; without a request none came, and the service was refused at this node until the document changed.

Ejected replicas that do not leave are now counted as room while there is no usable one. TestLastReplicaIsEjected has 0 slots without this and 64 with it; the rapid test of invariants also checks that what may be picked has room.

--- a/decide/balance/balancer.go
+++ b/decide/balance/balancer.go
@@ -21,6 +21,7 @@
 	near    tier
 	spill   tier
 	probing []*member
+	open    []*member // that requests may go to
 	changes []Change
 
 	health    *health.Detector
@@ -307,26 +308,22 @@
 	b.setMark(now, id, k)
 }
 
-// FreeSlots returns the slots that are free in the usable part of the subset.
+// FreeSlots returns the slots that are free in the open part of the subset.
 // Other nodes may see and take the same ones: it is a hint.
 func (b *Balancer) FreeSlots(now time.Time) int {
 	free := 0.0
-	for _, t := range []*tier{&b.near, &b.spill} {
-		for _, m := range t.usable {
-			used := float64(m.inflight) + b.others(now, m)
-			free += max(0, float64(m.Slots)*b.ramp(now, m)-used)
-		}
+	for _, m := range b.open {
+		used := float64(m.inflight) + b.others(now, m)
+		free += max(0, float64(m.Slots)*b.ramp(now, m)-used)
 	}
 	return int(free)
 }
 
-// Capacity returns the slots of the usable part of the subset.
+// Capacity returns the slots of the open part of the subset.
 func (b *Balancer) Capacity(now time.Time) int {
 	slots := 0.0
-	for _, t := range []*tier{&b.near, &b.spill} {
-		for _, m := range t.usable {
-			slots += float64(m.Slots) * b.ramp(now, m)
-		}
+	for _, m := range b.open {
+		slots += float64(m.Slots) * b.ramp(now, m)
 	}
 	return int(slots)
 }
@@ -367,9 +364,30 @@
 	b.probing = b.probing[:0]
 	b.refreshTier(now, &b.near)
 	b.refreshTier(now, &b.spill)
+	b.refreshOpen()
 	b.setRampFloor(now)
 }
 
+// refreshOpen finds the replicas that requests may go to: the usable ones, or if
+// there is none the ejected ones, which Pick takes as a last resort.
+//
+// If these had no slots, a service whose other replicas leave would be refused
+// at the door for good: an ejection ends with a judgement, judgements come with
+// requests, and no request would come.
+func (b *Balancer) refreshOpen() {
+	b.open = append(append(b.open[:0], b.near.usable...), b.spill.usable...)
+	if len(b.open) > 0 {
+		return
+	}
+	for _, t := range [...]*tier{&b.near, &b.spill} {
+		for _, m := range t.members {
+			if !m.leaving {
+				b.open = append(b.open, m)
+			}
+		}
+	}
+}
+
 func (b *Balancer) refreshTier(now time.Time, t *tier) {
 	t.reset()
 	for _, m := range t.members {
--- a/decide/balance/balancer_test.go
+++ b/decide/balance/balancer_test.go
@@ -151,6 +151,28 @@
 	})
 }
 
+// Callers are refused at the door by a node without slots. One of two replicas is
+// ejected, then the other one leaves. The node must keep room for the ejected
+// one: judgements come with requests, so without a request its ejection would
+// never end, and every caller would be refused until the document changes.
+func TestLastReplicaIsEjected(t *testing.T) {
+	Convey("Given two replicas, one ejected and one that leaves", t, func() {
+		b := newBalancer(2, 1)
+		for range 3 {
+			b.Sent(epoch, "replica-0", 1)
+			b.Finished(epoch, "replica-0", Result{Cost: 1, Failure: health.Broken})
+		}
+		So(b.health.Out(), ShouldEqual, 1)
+		So(b.Capacity(epoch), ShouldEqual, 64)
+		b.SetLeaving(epoch, "replica-1", true)
+		So(b.Capacity(epoch), ShouldEqual, 64)
+		So(b.FreeSlots(epoch), ShouldEqual, 64)
+		So(picked(b, epoch, 10, Query{NoProbe: true}), ShouldResemble, map[string]int{"replica-0": 10})
+		b.SetLeaving(epoch, "replica-0", true)
+		So(b.Capacity(epoch), ShouldEqual, 0)
+	})
+}
+
 // A report of 10 running that was made when 4 of this node's were there tells
 // of 6 from other nodes, whatever this node has sent or ended since.
 func TestReportLag(t *testing.T) {
@@ -193,6 +215,9 @@
 				if !ok {
 					return
 				}
+				if b.Capacity(now) == 0 {
+					t.Fatalf("picked %+v of a service without slots", c)
+				}
 				if leaving[c.Replica] || slices.Contains(q.Exclude, c.Replica) || !(c.Score > 0) {
 					t.Fatalf("picked %+v", c)
 				}
