Rigs have IP numbers of their own; a killed stand-in stays dead

Under a load of 24 busy goroutines TestOrder/result_asked/node_drained failed in one of three runs of the matrix: "the order arrived 5 times; the caller was told done, done".

Excluded: a second send by the node under test: the ledger gave done twice and nothing was in doubt. Cause, from the code of the rig: all cells of the test process listened on 127.0.0.1. A killed stand-in frees its port, another cell's stand-in gets it, and as the first cell heals its links, the killed one's link leads to the other cell's endpoint, where all cells' orders bear like keys.

Each rig has a loopback address of its own, a kill closes the link as well, as a crash does, and the test's own way to the store goes past the traps.

--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -19,19 +19,23 @@
 // second; only the time differs from the default.
 const intervalMillis = 100
 
-// StartListedNode starts node i against a store and puts it on the platform's
-// list of entry VMs.
-func StartListedNode(bin, dir, storeAddress string, i int) (*Process, error) {
+// Loopback is the IP number that a site's processes listen on.
+const Loopback = "127.0.0.1"
+
+// StartListedNode starts node i on free ports of an IP number against a store and
+// puts it on the platform's list of entry VMs.
+func StartListedNode(bin, dir, ip, storeAddress string, i int) (*Process, error) {
 	name := fmt.Sprintf("entry-%d", i+1)
 	domain := domains[i%len(domains)]
 	path := filepath.Join(dir, name+".json")
+	listener := settings.Listener{Listen: net.JoinHostPort(ip, "0")}
 	text, err := json.MarshalIndent(settings.Settings{
 		Name:          name,
 		Environment:   Environment,
 		FailureDomain: domain,
-		Callers:       settings.Listener{Listen: "127.0.0.1:0"},
-		Peers:         settings.Listener{Listen: "127.0.0.1:0"},
-		Operators:     settings.Listener{Listen: "127.0.0.1:0"},
+		Callers:       listener,
+		Peers:         listener,
+		Operators:     listener,
 		Store:         settings.Store{Address: storeAddress},
 		Fleet:         settings.Fleet{IntervalMillis: intervalMillis},
 	}, "", "  ")
@@ -69,16 +73,6 @@
 	return Error.Wrap(err)
 }
 
-// Ctl runs the operators' command and returns its output.
-func Ctl(bin, storeAddress string, args ...string) (string, error) {
-	all := append([]string{"--store", storeAddress, "--environment", Environment, "--operator", "siti"}, args...)
-	out, err := exec.Command(filepath.Join(bin, "cicadactl"), all...).CombinedOutput()
-	if err != nil {
-		return string(out), Error.New("cicadactl %v: %v: %s", args, err, out)
-	}
-	return string(out), nil
-}
-
 // statusPause is between two questions for a node's state. Nothing pushes that
 // state, so it has to be asked for; the wait ends with the state, not the time.
 const statusPause = 20 * time.Millisecond
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -8,8 +8,11 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/node/server"
@@ -71,9 +74,10 @@
 // Address is the link's.
 func (s *Served) Address() string { return s.Link.Address() }
 
-// Kill ends the stand-in as a crash does.
+// Kill ends the stand-in as a crash does. Nothing heals that: a link that went on
+// would lead to the stand-in's port, which may be another's by then.
 func (s *Served) Kill() {
-	s.Link.Cut()
+	s.Link.Close()
 	s.http.Close()
 }
 
@@ -85,17 +89,19 @@
 	Plains []PlainService
 	Nodes  []*harness.Process
 	Caller *harness.Caller
-	// Client is the test's own way to the store, past the link.
+	// Client is the test's own way to the store, past the link and the traps:
+	// what the test does itself must not spring what waits for the nodes.
 	Client   *store.HTTP
 	Promoter *promotion.Promoter
 
+	ip      string
 	closers []func()
 }
 
 // Start starts a rig, promotes its document and waits until every node serves
 // it and sees the others.
 func Start(ctx context.Context, cfg Config) (*Rig, error) {
-	r := &Rig{Config: cfg, Caller: &harness.Caller{Key: harness.TeamKey, Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}}
+	r := &Rig{Config: cfg, ip: ownIP(), Caller: &harness.Caller{Key: harness.TeamKey, Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}}
 	if err := r.start(ctx); err != nil {
 		r.Close()
 		return nil, err
@@ -103,6 +109,20 @@
 	return r, nil
 }
 
+// rigs counts the rigs of this process.
+var rigs atomic.Uint32
+
+// ownIP is a loopback address for one rig, which other rigs and other test
+// processes do not listen on.
+//
+// With one address for all, the port of a stand-in or node that was killed could
+// go to another rig while nodes of the first one still sent there: the symptom
+// was an order that arrived five times, as four of them were other cells'.
+func ownIP() string {
+	n := rigs.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, n/250%250, 1+n%250)
+}
+
 func (r *Rig) start(ctx context.Context) error {
 	if err := r.startStandins(); err != nil {
 		return err
@@ -143,14 +163,15 @@
 		}
 		r.Plains = append(r.Plains, PlainService{p, served})
 	}
-	r.Client, err = store.New(store.Config{Address: served0(r.Store)})
+	direct, err := r.listen(fake)
+	if err != nil {
+		return err
+	}
+	r.Client, err = store.New(store.Config{Address: direct.Addr})
 	r.Promoter = promotion.New(r.Client)
 	return err
 }
 
-// served0 is the store's own address, past the link.
-func served0(s Store) string { return s.http.Addr }
-
 func (r *Rig) startChain(replica int) ([2]Engine, error) {
 	var pair [2]Engine
 	for stage := range pair {
@@ -176,22 +197,30 @@
 
 // serve puts a stand-in behind traps and a link.
 func (r *Rig) serve(h http.Handler) (Served, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	s := Served{trap: newTrapped(h)}
+	if s.http, err = r.listen(s.trap); err != nil {
 		return Served{}, err
 	}
-	s := Served{trap: newTrapped(h)}
-	s.http = &http.Server{Addr: listener.Addr().String(), Handler: s.trap}
-	go s.http.Serve(listener) //nolint:errcheck // ends with Close
-	r.closers = append(r.closers, func() { s.http.Close() })
-	s.Link, err = link.Listen(listener.Addr().String())
-	if err != nil {
+	if s.Link, err = link.Listen(s.http.Addr); err != nil {
 		return Served{}, err
 	}
 	r.closers = append(r.closers, func() { s.Link.Close() })
 	return s, nil
 }
 
+// listen serves a handler on a free port.
+func (r *Rig) listen(h http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(r.ip, "0"))
+	if err != nil {
+		return nil, err
+	}
+	s := &http.Server{Addr: listener.Addr().String(), Handler: h}
+	go s.Serve(listener) //nolint:errcheck // ends with Close
+	r.closers = append(r.closers, func() { s.Close() })
+	return s, nil
+}
+
 // Promote puts the rig's document in force with a team weight that tells its
 // versions apart.
 func (r *Rig) Promote(ctx context.Context, weight float64) error {
@@ -229,7 +258,7 @@
 
 // AddNode starts one more node and puts it on the platform's list.
 func (r *Rig) AddNode() error {
-	p, err := harness.StartListedNode(r.Config.Bin, r.Config.Dir, r.Store.Address(), len(r.Nodes))
+	p, err := harness.StartListedNode(r.Config.Bin, r.Config.Dir, r.ip, r.Store.Address(), len(r.Nodes))
 	if err != nil {
 		return err
 	}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -25,9 +25,13 @@
 	passed int64
 }
 
-// Listen opens a link on a free loopback port.
+// Listen opens a link on a free port of the target's IP number.
 func Listen(target string) (*Link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	host, _, err := net.SplitHostPort(target)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
