fleet: the slow peer's test holds calls instead of sleeping

TestSlowPeerHoldsNobodyUp let one node answer after 400 ms and gave the others 300 ms of clock for a change, which a busy machine can take by itself.

The peer's calls are now held until the others have the change, and they must have it before a push to it would be given up (three quarters of pushTimeout). As strict: a node that waits for the peer's answer waits for all of pushTimeout.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -78,9 +78,10 @@
 	}
 }
 
-// One node answers its peers only after several intervals. It may be suspected
-// for that; the others must neither wait for it nor miss the change, and it
-// gets the change itself once it is asked or asks.
+// One node does not answer its peers. It may be suspected for that; the others
+// must neither wait for it nor miss the change: they have it while it still holds
+// their calls, sooner than one that waits would give its push up. The node gets
+// the change itself once it answers again.
 func TestSlowPeerHoldsNobodyUp(t *testing.T) {
 	store := newFakeStore(record(7, "first"))
 	nodes := startNodes(t, store, 5, 1, 50*time.Millisecond)
@@ -88,14 +89,15 @@
 		n.awaitRevision(t, 7, 5*time.Second)
 		await(t, "five live members", 5*time.Second, func() bool { return n.count("live") == 5 })
 	}
-	nodes[2].delay.Store(int64(400 * time.Millisecond))
+	answers := nodes[2].hold()
 	store.set(record(8, "second"))
 	start := time.Now()
 	for i, n := range nodes {
 		if i != 2 {
-			n.awaitRevision(t, 8, 300*time.Millisecond)
+			n.awaitRevision(t, 8, time.Until(start.Add(pushTimeout*3/4)))
 		}
 	}
+	answers()
 	nodes[2].awaitRevision(t, 8, 5*time.Second)
 	t.Logf("all nodes after %v", time.Since(start).Round(time.Millisecond))
 }
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -102,7 +102,7 @@
 	cancel   context.CancelFunc
 	done     chan struct{}
 	records  chan Record
-	delay    atomic.Int64 // nanoseconds before each answer
+	held     atomic.Pointer[chan struct{}] // answers wait for it, if set
 	counters *counters
 }
 
@@ -210,8 +210,11 @@
 	n.cancel = cancel
 	handler := f.Handler()
 	n.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d := n.delay.Load(); d > 0 {
-			time.Sleep(time.Duration(d))
+		if held := n.held.Load(); held != nil {
+			select {
+			case <-*held:
+			case <-r.Context().Done():
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})}
@@ -221,6 +224,17 @@
 	return n
 }
 
+// hold keeps the node from answering its peers until the returned function is
+// called.
+func (n *node) hold() (release func()) {
+	held := make(chan struct{})
+	n.held.Store(&held)
+	return func() {
+		n.held.Store(nil)
+		close(held)
+	}
+}
+
 // kill ends a node without a word to anyone.
 func (n *node) kill() {
 	n.cancel()
