Commands say what to run next, and what to look at when no node answers

Walked through README and OPERATIONS on a running examples/site.sh.

Seen and left, as the code is in route/* and platform/*: a call without a key is told that "the key belongs to no team"; history during an outage says "this call put nothing in force".

--- a/node/cmd/cicadactl/documents.go
+++ b/node/cmd/cicadactl/documents.go
@@ -69,7 +69,7 @@
 		return explainTrial(err)
 	}
 	fmt.Fprintf(out, "on trial: revision %d, digest %s\n", record.Revision, record.Digest)
-	fmt.Fprintf(out, "next: look at it on a trial node, then promote --digest %s --base %d\n", record.Digest, record.Base)
+	fmt.Fprintf(out, "next: look at it on a trial node, then run\n  cicadactl promote --digest %s --base %d\n", record.Digest, record.Base)
 	return nil
 }
 
--- a/node/cmd/cicadactl/documents_test.go
+++ b/node/cmd/cicadactl/documents_test.go
@@ -83,8 +83,11 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	d.must(&trialCommand{File: path})
-	return document.Digest([]byte(text))
+	digest := document.Digest([]byte(text))
+	if out := d.must(&trialCommand{File: path}); !strings.Contains(out, "cicadactl promote --digest "+digest+" --base ") {
+		d.t.Errorf("trial does not say what to run next: %s", out)
+	}
+	return digest
 }
 
 // The first thing that a new operator does wrong is to leave out a step. Each
--- a/node/cmd/cicadactl/hints.go
+++ b/node/cmd/cicadactl/hints.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 
 	"github.com/cicadatack/cicadatack/platform/promotion"
+	"github.com/cicadatack/cicadatack/route/outcome"
 )
 
 // explain tells the operator of a promotion or rollback what to do next.
@@ -53,8 +56,10 @@
 // call it instead.
 func explainNode(response *http.Response, body []byte, hint string) error {
 	text := strings.TrimSpace(string(body))
-	err := Error.New("the node answered %s: %s", response.Status, text)
+	err := Error.New("the node answered %s: %s", response.Status, reason(body))
 	switch {
+	case strings.Contains(text, "not_ready"):
+		return fmt.Errorf("%w\ncicadactl status at its operators' address tells more; a new environment needs trial and promote first", err)
 	case response.StatusCode == http.StatusUnauthorized:
 		return fmt.Errorf("%w\n%s", err, hint)
 	case response.StatusCode == http.StatusBadRequest && strings.Contains(text, "HTTPS"):
@@ -65,6 +70,24 @@
 	return err
 }
 
+// reason is the message of a refusal, or the whole text of an answer that has
+// none.
+func reason(body []byte) string {
+	var refusal outcome.Body
+	if json.Unmarshal(body, &refusal) != nil || refusal.Error.Message == "" {
+		return strings.TrimSpace(string(body))
+	}
+	return refusal.Error.Message
+}
+
+// explainDial adds what to look at to a call that reached no node.
+func explainDial(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w\nno process listens there: is the node up, and is --node its operators' address (for entry: its callers')?", Error.Wrap(err))
+	}
+	return Error.Wrap(err)
+}
+
 // otherListener says whether a text is what a node's listener answers to a call
 // that only another of its listeners has.
 func otherListener(text string) bool {
--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -135,7 +135,7 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, explainDial(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
--- a/node/cmd/cicadactl/nodes_test.go
+++ b/node/cmd/cicadactl/nodes_test.go
@@ -39,3 +39,19 @@
 	d.fails(&entryCommand{Node: strings.TrimPrefix(operators.URL, "http://"), Key: "k"}, "callers' address")
 	d.fails(&statusCommand{Node: strings.TrimPrefix(callers.URL, "http://")}, "operators'")
 }
+
+// A node that is up and has no document, and an address where nobody listens: the
+// message says what to do, and shows no JSON.
+func TestNodeNotThereYet(t *testing.T) {
+	waiting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, `{"error":{"code":"not_ready","message":"no document yet"}}`, http.StatusServiceUnavailable)
+	}))
+	at := strings.TrimPrefix(waiting.URL, "http://")
+	d := &desk{t: t}
+	err := d.fails(&entryCommand{Node: at, Key: "k"}, "503 Service Unavailable: no document yet", "trial and promote")
+	if strings.Contains(err.Error(), "{") {
+		t.Errorf("the message shows JSON: %v", err)
+	}
+	waiting.Close()
+	d.fails(&statusCommand{Node: at}, "connection refused", "is the node up")
+}
--- a/node/cmd/cicadatack/main.go
+++ b/node/cmd/cicadatack/main.go
@@ -35,9 +35,13 @@
 
 func run(args arguments) error {
 	cfg, err := settings.Read(args.Settings)
-	if err != nil || args.Check {
+	if err != nil {
 		return err
 	}
+	if args.Check {
+		fmt.Printf("%s: valid; node %s of environment %s, slot %s\n", args.Settings, cfg.Name, cfg.Environment, cfg.Slot)
+		return nil
+	}
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "cicadatack",
 		Level:      hclog.LevelFromString(cfg.Log.Level),
