--- a/proof/matrix/doc.go
+++ b/proof/matrix/doc.go
@@ -1,6 +1,7 @@
 // Package matrix holds the fault matrix: every fault at every step of a model
-// call, an order, a promotion, a drain and an endpoint that leaves, and pairs
-// of faults at one step and at two, with real node processes and signals. It is a test only:
+// call, an order, a promotion, a drain and an endpoint that leaves, and pairs of
+// faults at one step and at two, with real node processes and signals. It is a
+// test only:
 //
 //	go test ./proof/matrix -v
 //
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
-# Searches with each fuzz target for FUZZ_RUNS inputs (default 200000). What it
-# finds is kept as a seed under testdata/fuzz, which `make test` runs from then
-# on. The bound is a count and not a time: at the end of a time the go command
-# now and then reports its own deadline as a failure of the target.
+# Searches with each fuzz target for FUZZ_RUNS inputs (default 200000), with
+# FUZZ_WORKERS processes (default 4). What it finds is kept as a seed under
+# testdata/fuzz, which `make test` runs from then on. The bound is a count and not
+# a time: at the end of a time the go command now and then reports its own deadline
+# as a failure of the target.
 set -eu
 cd "$(dirname "$0")/.."
 runs=${FUZZ_RUNS:-200000}
+workers=${FUZZ_WORKERS:-4}
 git grep -hlE '^func Fuzz' -- '*_test.go' | while read -r file; do
   for target in $(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' "$file"); do
     echo "== $target in $(dirname "$file"), $runs inputs"
-    go test "./$(dirname "$file")" -run '^$' -fuzz "^$target\$" -fuzztime "${runs}x"
+    go test "./$(dirname "$file")" -run '^$' -fuzz "^$target\$" -fuzztime "${runs}x" -parallel "$workers"
   done
 done
