Fault matrix: an order whose shard another node writes

The order path's first node owns the order's shard, so its cells say nothing of claims that go to another node. A new path asks the second node while the first one writes: owner killed, frozen, drained, cut off from its peers while it still reaches the store, its link frozen and given out late, asked node killed or frozen, a third node asked, and pairs. A test checks who the owner is. Test changed: the loop of TestOrder that asks again is a function of its own, as strict as before.

--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -20,8 +20,9 @@
 const intervalMillis = 100
 
 // StartListedNode starts node i against a store and puts it on the platform's
-// list of entry VMs.
-func StartListedNode(bin, dir, storeAddress string, i int) (*Process, error) {
+// list of entry VMs. Peers are told to reach it at the address peers; empty
+// means its own.
+func StartListedNode(bin, dir, storeAddress string, i int, peers string) (*Process, error) {
 	name := fmt.Sprintf("entry-%d", i+1)
 	domain := domains[i%len(domains)]
 	path := filepath.Join(dir, name+".json")
@@ -30,7 +31,7 @@
 		Environment:   Environment,
 		FailureDomain: domain,
 		Callers:       settings.Listener{Listen: "127.0.0.1:0"},
-		Peers:         settings.Listener{Listen: "127.0.0.1:0"},
+		Peers:         settings.Listener{Listen: "127.0.0.1:0", Advertise: peers},
 		Operators:     settings.Listener{Listen: "127.0.0.1:0"},
 		Store:         settings.Store{Address: storeAddress},
 		Fleet:         settings.Fleet{IntervalMillis: intervalMillis},
@@ -45,7 +46,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return p, listVM(storeAddress, name, p.Addresses.Peers, domain)
+	if peers == "" {
+		peers = p.Addresses.Peers
+	}
+	return p, listVM(storeAddress, name, peers, domain)
 }
 
 // listVM puts an entry VM on the platform's list.
--- a/proof/harness/site.go
+++ b/proof/harness/site.go
@@ -83,7 +83,7 @@
 
 // StartNode starts node i, and lists it with the platform.
 func (s *Site) StartNode(i int) error {
-	p, err := StartListedNode(s.Config.Bin, s.Config.Dir, s.Store.Address, i)
+	p, err := StartListedNode(s.Config.Bin, s.Config.Dir, s.Store.Address, i, "")
 	if err != nil {
 		return err
 	}
--- a/proof/matrix/cell_test.go
+++ b/proof/matrix/cell_test.go
@@ -129,7 +129,7 @@
 		result.whole = time.Since(begun)
 		results.put(cellKey{p.name, s.name, f.name}, result)
 	}()
-	c := start(t)
+	c := startWith(t, p.adjust)
 	result.startUp = time.Since(begun)
 	c.step = s.name
 	var once sync.Once
@@ -163,13 +163,19 @@
 // second instead of ten.
 func quickFirstToken(d *document.Document) { d.Policy.FirstTokenMillis = 1000 }
 
-func start(t *testing.T) *cell {
+func start(t *testing.T) *cell { return startWith(t, nil) }
+
+func startWith(t *testing.T, adjust func(*rig.Config)) *cell {
 	ctx, cancel := context.WithTimeout(context.Background(), cellTimeout)
 	t.Cleanup(cancel)
-	r, err := rig.Start(ctx, rig.Config{
+	config := rig.Config{
 		Bin: bin, Dir: t.TempDir(), Nodes: nodeCount, Chains: 3, Plains: 2,
 		Step: 10 * time.Millisecond, Layout: harness.Layout{EntryValidSeconds: 1, Adjust: quickFirstToken},
-	})
+	}
+	if adjust != nil {
+		adjust(&config)
+	}
+	r, err := rig.Start(ctx, config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proof/matrix/drain_test.go
+++ b/proof/matrix/drain_test.go
@@ -115,6 +115,7 @@
 	steps:  drainSteps,
 	faults: drainFaults,
 	omitted: []omission{
+		{ownerFaults, "of the path of an order by its owner"},
 		{named(nodeFaults, "node drained"), "the path itself"},
 		{joined(allPaused, slowEngine), "the model call has it; a long stream would only take longer"},
 		{plainFaults, "the stream underway touches no plain endpoint"},
--- a/proof/matrix/faults_test.go
+++ b/proof/matrix/faults_test.go
@@ -57,6 +57,23 @@
 	{"second SIGTERM", func(c *cell) { c.must(c.Nodes[0].Signal(syscall.SIGTERM)) }},
 }
 
+// ownerFaults concern an order that comes to the second node while the first
+// one writes its shard of the ledger.
+var ownerFaults = []fault{
+	{"owner cut off from its peers", func(c *cell) { c.cutOwner() }},
+	{"owner's link frozen", func(c *cell) { c.freezeOwnerLink() }},
+	{"asked node killed", func(c *cell) { c.Nodes[1].Kill() }},
+	{"asked node frozen for a while", func(c *cell) { c.freeze(1) }},
+	{"caller asks a third node", func(c *cell) { c.askNode(2) }},
+}
+
+var ownerPairs = []fault{
+	both(one(ownerFaults, "owner cut off from its peers"), one(nodeFaults, "store reply lost")),
+	both(one(ownerFaults, "owner's link frozen"), one(ownerFaults, "asked node frozen for a while")),
+	both(one(ownerFaults, "caller asks a third node"), one(nodeFaults, "node frozen for a while")),
+	both(one(nodeFaults, "store reply lost"), one(nodeFaults, "node killed")),
+}
+
 // wrongEngine makes tokens that must not reach the caller.
 var wrongEngine = []fault{
 	{"second stage skips a layer", func(c *cell) { c.Chains[c.chain][1].SetFaults(engine.Faults{SkipLayer: layer(harness.Layers - 1)}) }},
@@ -131,11 +148,21 @@
 	return all
 }
 
-func (c *cell) freezeNode() {
-	c.must(c.Nodes[0].Freeze())
-	time.AfterFunc(pause, func() { _ = c.Nodes[0].Thaw() }) // it may have been killed
+func (c *cell) freezeNode() { c.freeze(0) }
+
+func (c *cell) freeze(node int) {
+	c.must(c.Nodes[node].Freeze())
+	time.AfterFunc(pause, func() { _ = c.Nodes[node].Thaw() }) // it may have been killed
 }
 
+// cutOwner lets no other node reach the first one, which reaches all others and
+// the store.
+func (c *cell) cutOwner() { c.PeerLinks[0].Cut() }
+
+// freezeOwnerLink holds back what goes to the first node and comes from it over
+// the peers' connections, and gives it out late, once the cell heals.
+func (c *cell) freezeOwnerLink() { c.PeerLinks[0].Freeze() }
+
 // pauseChains freezes the first engine of every chain for the pause.
 func (c *cell) pauseChains() {
 	for i := range c.Chains {
--- a/proof/matrix/leaving_test.go
+++ b/proof/matrix/leaving_test.go
@@ -90,6 +90,7 @@
 		both(one(nodeFaults, "document promoted"), one(peerFaults, "peer killed")),
 	}),
 	omitted: []omission{
+		{ownerFaults, "of the path of an order by its owner"},
 		{named(engineFaults, "first stage frozen", "second stage frozen", "second stage very slow"), replaced},
 		{joined(allPaused, slowEngine, wrongEngine), replaced},
 		{plainFaults, "a model call touches no plain endpoint"},
@@ -103,6 +104,7 @@
 	steps:  plainLeavingSteps,
 	faults: joined(nodeFaults, named(peerFaults, "peer killed"), brokenPlain),
 	omitted: []omission{
+		{ownerFaults, "of the path of an order by its owner"},
 		{named(plainFaults, "endpoint refuses", "endpoint drops the reply"), replaced},
 		{joined(engineFaults, allPaused, slowEngine, wrongEngine), "an order touches no engine"},
 		{named(peerFaults, "peer drained", "second SIGTERM"), "of the drain path"},
--- a/proof/matrix/model_test.go
+++ b/proof/matrix/model_test.go
@@ -41,6 +41,7 @@
 	steps:  modelSteps,
 	faults: joined(nodeFaults, engineFaults, allPaused, slowEngine, wrongEngine, pairs, enginePairs),
 	omitted: []omission{
+		{ownerFaults, "a call of a model claims nothing"},
 		{plainFaults, "a model call touches no plain endpoint"},
 		{peerFaults, "no other node takes part in a call"},
 		{operatorFaults, "to a node it is a document promoted"},
--- a/proof/matrix/order_test.go
+++ b/proof/matrix/order_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/owner"
+	"github.com/cicadatack/cicadatack/platform/ledger"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -66,7 +68,7 @@
 	faults: joined(nodeFaults, plainFaults, pairs, plainPairs),
 	omitted: []omission{
 		{joined(engineFaults, allPaused, slowEngine, wrongEngine), "an order touches no engine"},
-		{peerFaults, "no other node takes part in an order"},
+		{joined(peerFaults, ownerFaults), "the first node writes the order's shard itself; the next path has another node write it"},
 		{operatorFaults, "to a node it is a document promoted"},
 	},
 }
@@ -84,21 +86,74 @@
 		c.sprang()
 		c.Heal()
 		kept := said[0] == outcome.Done && !strings.Contains(f.name, "node killed")
-		for range asksAfter {
-			said = append(said, c.ask(1))
-			if last := said[len(said)-1]; last == outcome.Done || (last == outcome.Unknown && !kept) {
-				break
-			}
-			time.Sleep(comeBack)
-		}
-		if kept && said[len(said)-1] != outcome.Done {
-			c.t.Errorf("the first node said done, the second one never did: %q", said)
-		}
+		said = append(said, c.askUntilKnown(1, kept)...)
 		c.judgeOrder(append(c.told, said...))
 		c.nodesSane(f)
 	})
 }
 
+// ownedPath is an order that comes to the second node, while the first one is
+// the owner of its shard: of the three names it ranks first for it. The faults
+// of "node" strike the owner.
+var ownedPath = path{
+	name:   "order by its owner",
+	steps:  orderSteps,
+	faults: joined(nodeFaults, ownerFaults, ownerPairs),
+	omitted: []omission{
+		{joined(engineFaults, allPaused, slowEngine, wrongEngine), "an order touches no engine"},
+		{peerFaults, "faults of the owner and of the asked node stand for them"},
+		{plainFaults, "who writes the claim is nothing to the endpoint; the path before has them"},
+		{operatorFaults, "to a node it is a document promoted"},
+	},
+	adjust: func(config *rig.Config) { config.PeerLinks = true },
+}
+
+// A caller places an order at the second node, which has the first one write
+// its claim and result, while a fault strikes at a step: the owner dies,
+// freezes, drains or is cut off from its peers, or the store fails. The second
+// node claims by itself then, under the same attempt id. The caller asks again
+// at the third node. However often it asks, the order arrives at most once, and
+// what it was told is true, as in TestOrder.
+func TestOrderByItsOwner(t *testing.T) {
+	ownedPath.each(t, func(c *cell, f fault) {
+		said := []outcome.Outcome{c.ask(1)}
+		c.sprang()
+		c.Heal()
+		kept := said[0] == outcome.Done && !strings.Contains(f.name, "asked node killed")
+		c.judgeOrder(append(said, c.askUntilKnown(2, kept)...))
+		c.nodesSane(f)
+	})
+}
+
+// The order's shard must be another node's in the path that says so, or its
+// cells prove nothing.
+func TestFirstNodeOwnsTheOrder(t *testing.T) {
+	nodes := owner.New()
+	nodes.SetLive([]string{"entry-1", "entry-2", "entry-3"})
+	key := ledger.Key{Team: harness.Team, Service: harness.Plain, Key: orderKey}
+	if got := nodes.Pick(time.Now(), owner.Group(key.Shard())); got != "entry-1" {
+		t.Errorf("the order's shard is owned by %s", got)
+	}
+}
+
+// askUntilKnown asks a node again until told that the order is done, or that it
+// is unknown and will not be sent again. kept says that it must be done.
+func (c *cell) askUntilKnown(node int, kept bool) []outcome.Outcome {
+	var said []outcome.Outcome
+	for range asksAfter {
+		last := c.ask(node)
+		said = append(said, last)
+		if last == outcome.Done || (last == outcome.Unknown && !kept) {
+			return said
+		}
+		time.Sleep(comeBack)
+	}
+	if kept {
+		c.t.Errorf("the first node said done, the next one never did: %q", said)
+	}
+	return said
+}
+
 // ask places the order at a node. A connection that breaks tells the caller
 // nothing.
 func (c *cell) ask(node int) outcome.Outcome {
@@ -113,8 +168,10 @@
 }
 
 // askSecondNode asks the second node while the first one is at work.
-func (c *cell) askSecondNode() {
-	go func() { _, _ = c.Caller.Order(c.ctx, c.node(1), orderKey, orderBody) }()
+func (c *cell) askSecondNode() { c.askNode(1) }
+
+func (c *cell) askNode(i int) {
+	go func() { _, _ = c.Caller.Order(c.ctx, c.node(i), orderKey, orderBody) }()
 }
 
 func (c *cell) judgeOrder(said []outcome.Outcome) {
--- a/proof/matrix/promotion_test.go
+++ b/proof/matrix/promotion_test.go
@@ -49,6 +49,7 @@
 		both(one(operatorFaults, "another operator promotes"), one(nodeFaults, "store reply lost")),
 	}),
 	omitted: []omission{
+		{ownerFaults, "a promotion claims no order"},
 		{joined(engineFaults, allPaused, slowEngine, wrongEngine, plainFaults), "a promotion touches no endpoint"},
 		{named(peerFaults, "second SIGTERM"), "of the drain path only"},
 	},
--- a/proof/matrix/table_test.go
+++ b/proof/matrix/table_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cicadatack/cicadatack/proof/rig"
 )
 
 // Verdicts of a cell. A cell is planned before its path's test runs, so that
@@ -25,6 +27,8 @@
 	steps   []step
 	faults  []fault
 	omitted []omission
+	// adjust, if set, changes the site of the path's cells.
+	adjust func(*rig.Config)
 }
 
 // omission is faults that a path has no cells of, and why.
@@ -34,10 +38,10 @@
 }
 
 // everyFault is each single fault that the matrix knows.
-var everyFault = joined(nodeFaults, peerFaults, engineFaults, allPaused, slowEngine, wrongEngine, plainFaults, operatorFaults)
+var everyFault = joined(nodeFaults, peerFaults, engineFaults, allPaused, slowEngine, wrongEngine, plainFaults, operatorFaults, ownerFaults)
 
 // paths are all that the matrix covers.
-var paths = []path{modelPath, orderPath, promotionPath, drainPath, leavingPath, plainLeavingPath}
+var paths = []path{modelPath, orderPath, ownedPath, promotionPath, drainPath, leavingPath, plainLeavingPath}
 
 // cellKey names a cell.
 type cellKey struct{ path, step, fault string }
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -33,7 +33,9 @@
 	Step time.Duration
 	// CheckFencing makes the engines refuse old placement versions.
 	CheckFencing bool
-	Layout       harness.Layout
+	// PeerLinks puts a link before each node's peers' listener.
+	PeerLinks bool
+	Layout    harness.Layout
 }
 
 // Engine is a stand-in engine and the link that nodes and engines reach it by.
@@ -84,7 +86,9 @@
 	Chains [][2]Engine
 	Plains []PlainService
 	Nodes  []*harness.Process
-	Caller *harness.Caller
+	// PeerLinks are what the other nodes reach each node by, if asked for.
+	PeerLinks []*link.Link
+	Caller    *harness.Caller
 	// Client is the test's own way to the store, past the link.
 	Client   *store.HTTP
 	Promoter *promotion.Promoter
@@ -229,7 +233,14 @@
 
 // AddNode starts one more node and puts it on the platform's list.
 func (r *Rig) AddNode() error {
-	p, err := harness.StartListedNode(r.Config.Bin, r.Config.Dir, r.Store.Address(), len(r.Nodes))
+	if r.Config.PeerLinks {
+		return r.addLinkedNode()
+	}
+	return r.addNode("")
+}
+
+func (r *Rig) addNode(peers string) error {
+	p, err := harness.StartListedNode(r.Config.Bin, r.Config.Dir, r.Store.Address(), len(r.Nodes), peers)
 	if err != nil {
 		return err
 	}
@@ -237,6 +248,20 @@
 	return nil
 }
 
+func (r *Rig) addLinkedNode() error {
+	l, err := link.Listen("")
+	if err != nil {
+		return err
+	}
+	r.closers = append(r.closers, func() { l.Close() })
+	r.PeerLinks = append(r.PeerLinks, l)
+	if err := r.addNode(l.Address()); err != nil {
+		return err
+	}
+	l.SetTarget(r.Nodes[len(r.Nodes)-1].Addresses.Peers)
+	return nil
+}
+
 // WaitAll waits until the state of every node fits; one that ends is left out.
 func (r *Rig) WaitAll(ctx context.Context, fits func(server.Status) bool) error {
 	for _, n := range r.Nodes {
@@ -280,6 +305,9 @@
 		r.Plains[i].Link.Heal()
 		r.Plains[i].SetFaults(plain.Faults{})
 	}
+	for _, l := range r.PeerLinks {
+		l.Heal()
+	}
 	for _, n := range r.Nodes {
 		_ = n.Thaw() // it may have ended
 	}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -37,6 +37,14 @@
 	return l, nil
 }
 
+// SetTarget changes where new connections are passed on to, for a target whose
+// address is known only once it runs.
+func (l *Link) SetTarget(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
 // Address is where to connect in place of the target.
 func (l *Link) Address() string {
 	return l.listener.Addr().String()
@@ -113,7 +121,10 @@
 	if !l.add(near) {
 		return
 	}
-	far, err := net.Dial("tcp", l.target)
+	l.mu.Lock()
+	target := l.target
+	l.mu.Unlock()
+	far, err := net.Dial("tcp", target)
 	if err != nil || !l.add(far) {
 		l.drop(near)
 		return
