--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -14,6 +14,14 @@
  * "Not run" speaks of the request, not of the key: an earlier request with the
  * same key may have run. A caller therefore retries with the same key only.
  *
+ * The first two requests' nodes may first ask another node, the owner, to claim
+ * for them under the request's own id, and then, hearing nothing, claim by
+ * themselves: one claim made twice through two nodes. The owner acts on it at
+ * any later time, also after the request has ended, and its answer may be lost.
+ * That nodes differ over the owner is the same: each claim is a compare-and-swap.
+ * That a claim of a request that has ended is not written any more, or is voided
+ * (until, astray), is for availability and not modelled.
+ *
  * Safeguards, and where the code has them (platform/ledger, route):
  *   NO_CAS         the claim is a compare-and-swap on the shard's version;
  *                  without it an owner that paused claims a second time.
@@ -24,11 +32,18 @@
  *                  crash after the send sends again.
  *   TIMEOUT_NOT_RUN  silence from the endpoint is "unknown"; without it "not
  *                  run" is said of an order that runs.
+ *   OWNER_RELEASES  the owner never gives back a claim that it made for
+ *                  another node; without it a request sends on a claim that the
+ *                  owner then frees for a second one.
+ *   SILENCE_FRESH  silence from the owner is no claim; without it a request
+ *                  sends while another has the claim.
  *   EARLY_RELEASE  a claim is released only after the endpoint's own refusal;
  *                  without it a silent order is placed again.
- * Reachable, or the model would prove nothing: REACH_DONE, REACH_RELEASED.
+ * Reachable, or the model would prove nothing: REACH_DONE, REACH_RELEASED,
+ * REACH_BY_OWNER (a request sends on the owner's answer), REACH_TWICE (a request
+ * finds the claim that the owner made without its answer being heard).
  *
- * variants: NO_CAS NO_READBACK SEND_FIRST TAKE_OVER TIMEOUT_NOT_RUN EARLY_RELEASE REACH_DONE REACH_RELEASED
+ * variants: NO_CAS NO_READBACK SEND_FIRST TAKE_OVER TIMEOUT_NOT_RUN EARLY_RELEASE OWNER_RELEASES SILENCE_FRESH REACH_DONE REACH_RELEASED REACH_BY_OWNER REACH_TWICE
  */
 #define REQUESTS 3
 #define WRITES   2	/* tries of one request's claim */
@@ -44,6 +59,14 @@
 bool flying[REQUESTS + 1];
 byte flyingVersion[REQUESTS + 1];
 
+/* Claims that the owner was asked for, and those that it told of. */
+#define ASKING 2	/* requests whose nodes may ask */
+bool asked[ASKING + 1];
+bool told[ASKING + 1];
+#if defined(OWNER_RELEASES) || defined(REACH_TWICE)
+bool madeByOwner[ASKING + 1];
+#endif
+
 /* The endpoint. */
 bool sent[REQUESTS + 1];
 bool refused[REQUESTS + 1];
@@ -74,13 +97,35 @@
 #ifdef SEND_FIRST
 	goto send;
 #endif
+	if
+	:: goto read		/* this node claims by itself */
+	:: id <= ASKING -> asked[id] = true
+	fi;
+	if
+	:: told[id] ->
+#ifdef REACH_BY_OWNER
+		assert(false);
+#endif
+		goto send
+	:: true ->		/* the owner is silent, or says no */
+#ifdef SILENCE_FRESH
+		goto send
+#else
+		goto read
+#endif
+	LEAVE
+	fi;
 read:
 	if
 	:: atomic {
 		seen = version;
 		if
 		:: result -> goto done
-		:: !result && claim == id -> goto send
+		:: !result && claim == id ->
+#ifdef REACH_TWICE
+			assert(id > ASKING || !madeByOwner[id]);
+#endif
+			goto send
 		:: !result && claim != 0 && claim != id ->
 #ifdef TAKE_OVER
 			goto write
@@ -197,6 +242,41 @@
 	od
 }
 
+#if defined(OWNER_RELEASES) || defined(REACH_TWICE)
+#define NOTE(i) madeByOwner[i] = true;
+#else
+#define NOTE(i)
+#endif
+
+/* The owner's read and write are one step: its write compares the version. */
+#define CLAIM(i) \
+	:: atomic { asked[i] && claim == 0 && !result -> \
+		version++; claim = i; asked[i] = false; NOTE(i) \
+		if \
+		:: told[i] = true \
+		:: skip \
+		fi \
+	   } \
+	:: atomic { asked[i] && (claim != 0 || result) -> asked[i] = false }
+
+#ifdef OWNER_RELEASES
+#define GIVE_BACK(i) \
+	:: atomic { madeByOwner[i] && claim == i && !result -> claim = 0; version++ }
+#else
+#define GIVE_BACK(i)
+#endif
+
+/* The node that writes for others. */
+proctype Owner() {
+endOwner:
+	do
+	CLAIM(1)
+	CLAIM(2)
+	GIVE_BACK(1)
+	GIVE_BACK(2)
+	od
+}
+
 inline place(i) {
 	placed++;
 	placedFor[i] = true;
@@ -229,6 +309,7 @@
 		i = 0;
 		run Network();
 		run Endpoint();
+		run Owner();
 		run Request(1);
 		run Request(2);
 		run Request(3)
--- a/standin/storefake/ledger_bench_test.go
+++ b/standin/storefake/ledger_bench_test.go
@@ -23,7 +23,8 @@
 	idlePause = 60 * time.Millisecond
 )
 
-// BenchmarkOrders claims and records orders through the store's protocol. It
+// BenchmarkOrders claims and records orders through the store's protocol; the
+// first node writes for the others. It
 // reports orders a second, store writes a second, orders a write and the delay
 // that the claim adds to an order.
 func BenchmarkOrders(b *testing.B) {
@@ -37,12 +38,12 @@
 func benchOrders(b *testing.B, nodes, callers int) {
 	fake, address := benchStore(b)
 	var ledgers []*ledger.Ledger
-	for range nodes {
+	for i := range nodes {
 		client, err := store.New(store.Config{Address: address, CallsPerSecond: 1e6, Burst: 1e6})
 		if err != nil {
 			b.Fatal(err)
 		}
-		orders := ledger.New(client, "dawn", ledger.Config{})
+		orders := ledger.New(client, "dawn", ledger.Config{Peers: &toFirst{nodes: &ledgers, first: i == 0}})
 		b.Cleanup(func() { orders.Close(); client.Close() })
 		ledgers = append(ledgers, orders)
 	}
@@ -76,6 +77,25 @@
 	b.ReportMetric(all[len(all)*99/100].Seconds()*1e3, "p99-claim-ms")
 }
 
+// toFirst sends all operations to the first node, in process: no hop is counted.
+type toFirst struct {
+	nodes *[]*ledger.Ledger
+	first bool
+}
+
+func (p *toFirst) Owner(int) string {
+	if p.first {
+		return ""
+	}
+	return "first"
+}
+
+func (p *toFirst) Routed(ledger.Way) {}
+
+func (p *toFirst) Forward(ctx context.Context, _ string, shard int, operations []ledger.Operation) ([]ledger.Reply, error) {
+	return (*p.nodes)[0].Serve(ctx, shard, operations)
+}
+
 // placeOrder claims and records one order and returns the claim's delay.
 func placeOrder(b *testing.B, orders *ledger.Ledger, n int64, refused *atomic.Int64) time.Duration {
 	key := ledger.Key{Team: "bogor", Service: "stock-ledger", Key: fmt.Sprint("reorder-", n)}
