--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -4,15 +4,20 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"github.com/cicadatack/cicadatack/fleet/exchange"
 )
 
-// orderConnections to one peer are kept: as many batches as a node has underway
-// for a few shards. Further ones are opened and closed again.
-const orderConnections = 8
+const (
+	// orderConnections to one peer are kept: as many batches as a node has
+	// underway for a team's four shards.
+	orderConnections = 32
+	// orderIdle closes those that were for a burst.
+	orderIdle = 10 * time.Second
+)
 
 // OrderServer does operations of the order ledger for a peer. It is called by
 // several goroutines.
@@ -35,6 +40,7 @@
 	}
 	t = t.Clone()
 	t.MaxIdleConnsPerHost = orderConnections
+	t.IdleConnTimeout = orderIdle
 	return t
 }
 
