Documents in parts: index and content-addressed parts in the store

Cause: a document of 10,000 replicas (1,565 KB) was refused, since a record held the whole text in one value and texts over 1 MB were not read; a change brought each watch holder the whole record and made each node parse all of it.

Excluded: parts by JSON structure with a canonical text (the tried bytes would not be the operator's); parts between peers (a difference of the whole text is about 100 bytes; a changed part some KB and a call more): peers keep to differences.

Change: the text is cut at list elements into pieces whose ends depend on the elements; the pieces in order are the text, byte for byte. The store holds an index (who, when, digest of the whole, digest and length of each part) and the parts by digest. Every part is written or read by the promotion before the index is swapped. Parser reads only pieces that the text before did not have; anything odd falls back to Parse, which reports it. The reader on nodes stands in node/documents: it reads the parts that are lacking, tries again with a growing pause, and ends for a newer index or a peer's text. Texts may have 4 MiB. Records of the former format are refused with the way out.

unpacking a peer's body is bounded by its own stated length: with the larger bound TestPackedBombTakesBoundedMemory failed at 21 MB.

Tests changed: those of the record became those of the index (format 2, no text in it); Promote, Trial, Tried and History return an Index, the tests follow; the over-long text has 4 MiB and a byte.

--- a/fleet/spread/payload.go
+++ b/fleet/spread/payload.go
@@ -7,8 +7,9 @@
 	"io"
 )
 
-// MaxBodyBytes is the largest body taken from a peer: what the store holds.
-const MaxBodyBytes = 1 << 20
+// MaxBodyBytes is the largest body taken from a peer: the longest text that an
+// operator's command puts in force.
+const MaxBodyBytes = 4 << 20
 
 // blockSize is the unit in which a difference looks for unchanged text. A
 // smaller one finds more and costs more memory while comparing.
@@ -49,7 +50,12 @@
 	if !whole && base.Holding() != p.Base {
 		return Record{}, Error.Wrap(ErrBase)
 	}
-	data, err := inflate(p.Data)
+	// The operations of a difference take a little more than the body itself.
+	limit := p.Length
+	if !whole {
+		limit = 2 * (p.Length + blockSize)
+	}
+	data, err := inflate(p.Data, limit)
 	if err != nil {
 		return Record{}, Error.Wrap(err)
 	}
@@ -78,10 +84,8 @@
 }
 
 // inflate unpacks data, bounded: a few packed bytes can stand for gigabytes.
-func inflate(data []byte) ([]byte, error) {
-	// The operations of a difference take a little more than the body itself.
-	const limit = 2 * MaxBodyBytes
-	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), limit+1))
+func inflate(data []byte, limit int) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), int64(limit)+1))
 	if err != nil {
 		return nil, ErrMalformed
 	}
--- a/node/cmd/cicadactl/documents.go
+++ b/node/cmd/cicadactl/documents.go
@@ -129,7 +129,7 @@
 }
 
 // report tells the operator how the attempt ended.
-func (a attempt) report(out io.Writer, record document.Record, err error) error {
+func (a attempt) report(out io.Writer, record document.Index, err error) error {
 	if err != nil {
 		return a.explain(err)
 	}
@@ -146,7 +146,7 @@
 }
 
 func currentRevision(ctx context.Context, p *promotion.Promoter, environment string) (int64, error) {
-	record, err := p.Current(ctx, environment)
+	record, err := p.InForce(ctx, environment)
 	if errors.Is(err, promotion.ErrNoRecord) {
 		return 0, nil
 	}
--- a/node/cmd/cicadactl/documents_test.go
+++ b/node/cmd/cicadactl/documents_test.go
@@ -150,7 +150,7 @@
 	if _, err := p.Promote(d.t.Context(), d.args.Environment, digest, a.base, a.id, d.args.Operator); err != nil {
 		d.t.Fatal(err)
 	}
-	told := a.report(&bytes.Buffer{}, document.Record{}, promotion.ErrUnknown)
+	told := a.report(&bytes.Buffer{}, document.Index{}, promotion.ErrUnknown)
 	_, advice, _ := strings.Cut(told.Error(), "command again with ")
 	if _, err := fmt.Sscanf(advice, "--base %d --id %s", &base, &id); err != nil {
 		d.t.Fatalf("%v: %v", told, err)
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -149,6 +149,11 @@
 	m.scope.Gauge("document_revision").Update(float64(revision))
 }
 
+// DocumentRefused counts a document that could not be taken, by the reason.
+func (m *Metrics) DocumentRefused(reason string) {
+	m.scope.Tagged(map[string]string{labelReason: reason}).Counter("documents_refused_total").Inc(1)
+}
+
 // Underway sets how many requests the node is serving.
 func (m *Metrics) Underway(n int64) {
 	m.scope.Gauge("requests_underway").Update(float64(n))
--- a/node/server/documents.go
+++ b/node/server/documents.go
@@ -1,71 +1,26 @@
 package server
 
 import (
-	"context"
-
 	"github.com/cicadatack/cicadatack/fleet"
+	"github.com/cicadatack/cicadatack/node/documents"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
-// storeDocuments is the slot of the store that this node serves.
-type storeDocuments struct {
-	store store.Store
-	key   string
-	slot  string
-}
-
-func (s *Server) documents() storeDocuments {
+// newDocuments returns the slot of the store that this node serves.
+func (s *Server) newDocuments() *documents.Source {
 	key := promotion.ProductionKey(s.settings.Environment)
 	if s.settings.Slot == settings.SlotTrial {
 		key = promotion.TrialKey(s.settings.Environment)
 	}
-	return storeDocuments{store: s.store, key: key, slot: s.settings.Environment + "/" + s.settings.Slot}
-}
-
-// Get reads the record in force; revision zero means none.
-func (d storeDocuments) Get(ctx context.Context) (fleet.Record, error) {
-	record, _, err := d.read(ctx)
-	return record, err
-}
-
-func (d storeDocuments) read(ctx context.Context) (fleet.Record, int64, error) {
-	e, err := d.store.Get(ctx, d.key)
-	if err != nil || e.Revision == 0 {
-		return fleet.Record{}, e.Revision, err
-	}
-	record, err := d.decode(e.Value)
-	return record, e.Revision, err
-}
-
-func (d storeDocuments) decode(value []byte) (fleet.Record, error) {
-	r, err := document.DecodeRecord(value)
-	if err != nil {
-		return fleet.Record{}, err
-	}
-	return fleet.Record{Environment: d.slot, Revision: r.Revision, Digest: r.Digest, Body: r.Text}, nil
-}
-
-// Watch hands over the record in force and each later one.
-func (d storeDocuments) Watch(ctx context.Context, handle func(fleet.Record)) error {
-	record, revision, err := d.read(ctx)
-	if err != nil {
-		return err
-	}
-	if record.Revision > 0 {
-		handle(record)
-	}
-	return d.store.Watch(ctx, d.key, revision, func(e store.Event) {
-		if e.Deleted || e.Entry.Key != d.key {
-			return
-		}
-		// A record that can't be read is left out: the one in force stays.
-		if next, err := d.decode(e.Entry.Value); err == nil {
-			handle(next)
-		}
+	return documents.New(documents.Config{
+		Store:       s.store,
+		Environment: s.settings.Environment,
+		Key:         key,
+		Slot:        s.settings.Environment + "/" + s.settings.Slot,
+		Log:         s.log,
+		Refused:     s.metrics.DocumentRefused,
 	})
 }
 
@@ -73,9 +28,10 @@
 // refused and the one in force stays: it can only come from a newer program,
 // as promotion checks every text.
 func (s *Server) apply(r fleet.Record) {
-	doc, err := document.Parse(r.Body)
+	doc, err := s.parser.Parse(r.Body)
 	if err != nil {
 		s.log.Error("document refused, the one in force stays", "revision", r.Revision, "error", err)
+		s.metrics.DocumentRefused(documents.ReasonText)
 		return
 	}
 	d := directory.Build(doc, r.Revision, r.Digest)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/cicadatack/cicadatack/node/metrics"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/node/tlsfiles"
+	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/ledger"
 	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/route/chains"
@@ -69,6 +70,8 @@
 	book      *plans.Book
 	keeper    *plans.Keeper
 
+	// parser is used by apply only, which the fleet calls one at a time.
+	parser    document.Parser
 	directory atomic.Pointer[directory.Directory]
 	draining  atomic.Bool
 	followMu  sync.Mutex
@@ -124,10 +127,12 @@
 	if err != nil {
 		return err
 	}
-	s.fleet, err = fleet.New(peers, vmList{&vmCache{store: s.store, prefix: entryVMs}, s.settings.Slot}, s.documents(), s.log)
+	source := s.newDocuments()
+	s.fleet, err = fleet.New(peers, vmList{&vmCache{store: s.store, prefix: entryVMs}, s.settings.Slot}, source, s.log)
 	if err != nil {
 		return err
 	}
+	source.Follow(s.fleet.Latest)
 	s.front = s.newFront()
 	return s.buildListeners()
 }
--- a/proof/bench/control.go
+++ b/proof/bench/control.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	value, err := current.Encode()
+	value, err := current.Index.Encode()
 	return len(current.Text), len(value), err
 }
 
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -187,7 +187,7 @@
 		return err
 	}
 	base := int64(0)
-	if current, err := t.promoter.Current(ctx, environment); err == nil {
+	if current, err := t.promoter.InForce(ctx, environment); err == nil {
 		base = current.Revision
 	}
 	_, err = t.promoter.Promote(ctx, environment, tried.Digest, base, promotion.NewID(), operator)
--- a/proof/matrix/promotion_test.go
+++ b/proof/matrix/promotion_test.go
@@ -68,7 +68,7 @@
 		c.operator(path, document.Digest(text))
 		c.sprang()
 		c.Heal()
-		final, err := c.Promoter.Current(c.ctx, harness.Environment)
+		final, err := c.Promoter.InForce(c.ctx, harness.Environment)
 		c.must(err)
 		c.must(c.WaitAll(c.ctx, func(s server.Status) bool {
 			return s.Draining || (s.Revision == final.Revision && s.Digest == final.Digest)
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -204,7 +204,7 @@
 		return err
 	}
 	base := int64(0)
-	if current, err := r.Promoter.Current(ctx, harness.Environment); err == nil {
+	if current, err := r.Promoter.InForce(ctx, harness.Environment); err == nil {
 		base = current.Revision
 	}
 	_, err = r.Promoter.Promote(ctx, harness.Environment, tried.Digest, base, promotion.NewID(), "rig")
