Bench: control at 10,000 replicas; a change alters one endpoint

Sizes up to the target, with the index's length, the parts and the bytes that a change brings a watch holder. The change used to be a team's weight.

--- a/proof/bench/control.go
+++ b/proof/bench/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -57,11 +58,11 @@
 // siteSize is what control is measured by.
 type siteSize struct{ nodes, replicas, teams int }
 
-// largestDocument is about how many replicas of one engine fit a document.
-const largestDocument = 5000
+// targetReplicas is the size that the design is meant for.
+const targetReplicas = 10_000
 
 var siteSizes = []siteSize{
-	{3, 10, 10}, {3, 100, 10}, {3, 1000, 10}, {3, largestDocument, 10},
+	{3, 10, 10}, {3, 100, 10}, {3, 1000, 10}, {3, 5000, 10}, {3, targetReplicas, 10},
 	{6, 100, 10}, {9, 100, 10}, {3, 100, 240},
 }
 
@@ -73,16 +74,16 @@
 func control(ctx context.Context, s *suite) error {
 	idle := table{
 		title: "What control costs a node that serves nobody",
-		columns: []string{"nodes", "replicas", "teams", "document KB", "record KB", "CPU, % of a core", "resident MB", "exchange B/s", "store B/s", "load polls B/s", "sum B/s",
+		columns: []string{"nodes", "replicas", "teams", "document KB", "index KB", "parts", "CPU, % of a core", "resident MB", "exchange B/s", "store B/s", "load polls B/s", "sum B/s",
 			"store calls/s, all nodes", "watches"},
 		note: fmt.Sprintf("Each figure is a node's mean over %v at the default settings; bytes sent and received, with HTTP headers and without TCP/IP. The endpoint VMs are on the platform's list; each team has a limit. Processor time to one tick of 10 ms: %.2f%% of a core for three nodes. From %d replicas on, the further addresses refuse polls.",
 			idleTime, 100*tick.Seconds()/idleTime.Seconds()/3, idleListeners),
 	}
 	changes := table{
 		title:   "Promotion to in force everywhere, and a node's start",
-		columns: []string{"nodes", "replicas", "teams", "document KB", "in force p50", "max", "nodes' CPU a change, each", "resident MB after", "process start to serving", "to ready"},
-		note: fmt.Sprintf("%d promotions of a small change each; from the promotion's answer until every node says so, asked each %v. The starts are of one further node. Texts up to %d KB are read; 10,000 replicas of one engine with these names have %d KB.",
-			promotionRuns, statusPause, document.MaxTextBytes/1000, tenThousand()/1000),
+		columns: []string{"nodes", "replicas", "teams", "document KB", "change KB", "in force p50", "max", "nodes' CPU a change, each", "resident MB after", "process start to serving", "to ready"},
+		note: fmt.Sprintf("%d promotions of a change of one endpoint each; from the promotion's answer until every node says so, asked each %v. Change KB is what it brings a watch holder: the index and the parts that changed, in base64. The starts are of one further node. Texts up to %d KB are read.",
+			promotionRuns, statusPause, document.MaxTextBytes/1000),
 	}
 	for _, size := range siteSizes {
 		if err := s.controlOf(ctx, size, &idle, &changes); err != nil {
@@ -114,10 +115,14 @@
 }
 
 func (t *site) idleRow(ctx context.Context, size siteSize, result *table) error {
-	text, record, err := t.documentBytes(ctx)
+	current, err := t.promoter.Current(ctx, environment)
 	if err != nil {
 		return err
 	}
+	index, err := current.Index.Encode()
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	time.Sleep(idleSettle)
 	use, err := beginUsage(t.pids()...)
 	if err != nil {
@@ -142,7 +147,7 @@
 	stored := float64(now.store-before.store) / perNode
 	polls := float64(now.endpoints-before.endpoints) / perNode
 	status := t.store.Status()
-	result.row(size.nodes, size.replicas, size.teams, float64(text)/1e3, float64(record)/1e3, 100*cores/float64(size.nodes), resident/1e6,
+	result.row(size.nodes, size.replicas, size.teams, float64(len(current.Text))/1e3, float64(len(index))/1e3, len(current.Parts), 100*cores/float64(size.nodes), resident/1e6,
 		peers, stored, polls, peers+stored+polls, float64(status.Calls-calls)/seconds, status.Watches)
 	return nil
 }
@@ -165,28 +170,33 @@
 	return sum / float64(len(t.nodes)), nil
 }
 
-// documentBytes returns the lengths of the text and of its record in the store.
-func (t *site) documentBytes(ctx context.Context) (text, record int, err error) {
-	current, err := t.promoter.Current(ctx, environment)
-	if err != nil {
-		return 0, 0, err
+// changeBytes returns what a change from one text to the next brings a watch
+// holder, in base64 as the store sends it.
+func changeBytes(before, after document.Record) (int, error) {
+	known := map[document.PartDigest]bool{}
+	for _, ref := range before.Parts {
+		known[ref.Digest] = true
 	}
-	value, err := current.Index.Encode()
-	return len(current.Text), len(value), err
-}
-
-// tenThousand is the length of a document with as many replicas as the target
-// size has.
-func tenThousand() int {
-	text, err := documentOf(10_000)
+	value, err := after.Index.Encode()
 	if err != nil {
-		return 0
+		return 0, Error.Wrap(err)
+	}
+	total := len(value)
+	for _, part := range document.Parts(after.Text) {
+		if known[part.Ref.Digest] {
+			continue
+		}
+		value, err := part.Encode()
+		if err != nil {
+			return 0, Error.Wrap(err)
+		}
+		total += len(value)
 	}
-	return len(text)
+	return base64.StdEncoding.EncodedLen(total), nil
 }
 
 func (t *site) promotionRow(ctx context.Context, size siteSize, result *table) error {
-	text, _, err := t.documentBytes(ctx)
+	before, err := t.promoter.Current(ctx, environment)
 	if err != nil {
 		return err
 	}
@@ -213,11 +223,19 @@
 	if err != nil {
 		return err
 	}
+	after, err := t.promoter.Current(ctx, environment)
+	if err != nil {
+		return err
+	}
+	change, err := changeBytes(before, after)
+	if err != nil {
+		return err
+	}
 	serving, ready, err := t.startOne(ctx)
 	if err != nil {
 		return err
 	}
-	result.row(size.nodes, size.replicas, size.teams, float64(text)/1e3, took.at(50), took.max(), used/time.Duration(promotionRuns*size.nodes), resident/1e6, serving, ready)
+	result.row(size.nodes, size.replicas, size.teams, float64(len(before.Text))/1e3, float64(change)/1e3, took.at(50), took.max(), used/time.Duration(promotionRuns*size.nodes), resident/1e6, serving, ready)
 	return nil
 }
 
@@ -239,7 +257,9 @@
 func (t *site) promoteOnce(ctx context.Context, revision int64) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := t.promote(ctx, float64(revision)); err != nil {
+	changed := &t.doc.Endpoints[len(t.doc.Endpoints)/2]
+	changed.ChecksFencing = !changed.ChecksFencing
+	if err := t.promoteDocument(ctx); err != nil {
 		return 0, err
 	}
 	began := time.Now()
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -178,6 +178,10 @@
 // apart.
 func (t *site) promote(ctx context.Context, weight float64) error {
 	t.doc.Teams[0].Weight = weight
+	return t.promoteDocument(ctx)
+}
+
+func (t *site) promoteDocument(ctx context.Context) error {
 	text, err := json.Marshal(t.doc)
 	if err != nil {
 		return Error.Wrap(err)
