documents.pml: a text's parts are in the store before its index

INDEX_FIRST (index swapped before the parts are written) is rejected: a node that reads the index finds no text.

--- a/spec/documents.pml
+++ b/spec/documents.pml
@@ -7,9 +7,10 @@
  * lose their reply and take effect later or never, and which has outages; two
  * operators who promote at the same moment; three nodes, two of which may
  * watch the store; pushes that arrive late, often or never; a node that
- * restarts with empty memory and asks the store, else its peers.
+ * restarts with empty memory and asks the store, else its peers. A text's parts
+ * are one bit: all in the store, or not.
  *
- * Not modelled: bodies and digests; who holds the watch; the time that
+ * Not modelled: bodies and digests, parts lost or damaged in the store; who holds the watch; the time that
  * spreading takes. Two restarts at once while the store is down are left out:
  * see the limit in docs/decisions/fleet.md.
  *
@@ -22,6 +23,10 @@
  *                 applied twice.
  *   NEW_BASE      a promotion is tried again on its own base only; without it
  *                 it goes over a document that its operator never saw.
+ *   INDEX_FIRST   a text's parts are in the store before the index that names
+ *                 them is swapped (platform/promotion promote, platform/parts);
+ *                 without it a node that reads the index finds no text, and a
+ *                 starting one has nothing to serve.
  *   TAKE_LOWER    a node takes higher revisions only (fleet/spread learned);
  *                 without it a late push reverts it.
  *   FIRST_ANSWER  a starting node without the store takes the highest of
@@ -31,7 +36,7 @@
  * Reachable, or the model would prove nothing: REACH_BOTH (one accepted, one
  * conflict), REACH_PEERS (a restart ended by peers).
  *
- * variants: NO_CAS NO_READBACK NEW_BASE TAKE_LOWER FIRST_ANSWER REACH_BOTH REACH_PEERS
+ * variants: NO_CAS NO_READBACK NEW_BASE INDEX_FIRST TAKE_LOWER FIRST_ANSWER REACH_BOTH REACH_PEERS
  */
 #define NODES     3
 #define OPERATORS 2
@@ -44,6 +49,7 @@
 byte revision = 1;
 byte writer[REVISIONS + 1];
 bool storeUp = true;
+bool partsIn[OPERATORS + 1];	/* the parts of each one's text; 0: the first text */
 
 /* A write without a reply, by operator. */
 bool flying[OPERATORS + 1];
@@ -77,6 +83,10 @@
 	bool found;
 	byte i;
 	atomic { storeUp -> base = revision; saw[id] = base };
+#ifndef INDEX_FIRST
+	/* Written, or read as they are; a lost reply is read back. */
+	atomic { storeUp -> partsIn[id] = true };
+#endif
 swap:
 	if
 	:: tries == TRIES -> report[id] = LOST; goto end
@@ -123,6 +133,9 @@
 		fi
 	};
 end:
+#ifdef INDEX_FIRST
+	atomic { storeUp -> partsIn[id] = true };
+#endif
 	atomic {
 		assert(report[id] != APPLIED || applied[id] == 1);
 		assert(report[id] != CONFLICT || applied[id] == 0);
@@ -189,6 +202,12 @@
 	fi
 }
 
+/* The index in force and the parts that it names. */
+inline readStore() {
+	assert(partsIn[writer[revision]]);
+	take(revision)
+}
+
 inline highestPeer(m) {
 	m = 0;
 	for (j : 0 .. NODES - 1) {
@@ -208,7 +227,7 @@
 	byte r;
 endNode:
 	do
-	:: atomic { storeUp && n < 2 && ready[n] && held[n] != revision -> take(revision) }	/* the watch */
+	:: atomic { storeUp && n < 2 && ready[n] && held[n] != revision -> readStore() }	/* the watch */
 	PUSH(1)
 	PUSH(2)
 	PUSH(3)
@@ -216,7 +235,7 @@
 	:: atomic {		/* the store answers a starting node */
 		!ready[n] && storeUp ->
 		ready[n] = true;
-		take(revision);
+		readStore();
 		serve();
 		assert(held[n] >= before[n])
 	   }
@@ -256,6 +275,7 @@
 		for (i : 0 .. NODES - 1) { held[i] = 1; served[i] = 1; ready[i] = true }
 		for (i : 0 .. OPERATORS) { report[i] = OPEN }
 		i = 0;
+		partsIn[0] = true;
 		pushed[1] = true;
 		run Store();
 		run Operator(1);
