Before the first token a chain is asked along the way its activations take

Cause: until the first token the node asked each stage for /v1/holding over connections of its own. The link between two stages is in the way of neither question, so a stream behind a lost one waited for first_token_ms; and two answers of 300 ms had to be missed one after the other, so that even a frozen stage took 1.1 s (only a stall partway took 250 ms). Excluded: the connection pool (a frozen link to the node is found, as the question crosses it too); shorter limits for /v1/holding (do not find the hop); a heartbeat on the stream (begins only with the headers, after the queue). Change: POST /v1/path goes from stage to stage; all streams of a chain share the questions, ten a second; 250 ms without an answer gives the chain up, adaptive, doubled by each silence before, excused when this node's own timers run late. Engines that don't know the call are asked directly, as before.

--- a/route/engine/client.go
+++ b/route/engine/client.go
@@ -83,6 +83,16 @@
 	return holding, c.call(ctx, http.MethodGet, address, engineapi.PathHolding, nil, &holding)
 }
 
+// Way asks the first engine of a chain whether the stages behind it answer over
+// the links that activations take, and returns what each of them holds.
+// Status(err) is 404 or 405 from engines that don't know the call.
+func (c *Client) Way(ctx context.Context, chain []engineapi.Stage) ([]engineapi.Holding, error) {
+	var reply engineapi.WayReply
+	req := engineapi.WayRequest{Chain: chain}
+	err := c.call(ctx, http.MethodPost, chain[0].Address, engineapi.PathWay, req, &reply)
+	return reply.Holdings, err
+}
+
 // Order tells an engine what to hold. Status(err) is 409 if the engine has
 // taken a later placement version.
 func (c *Client) Order(ctx context.Context, address string, order engineapi.Order) error {
--- a/route/stream/answer.go
+++ b/route/stream/answer.go
@@ -21,6 +21,7 @@
 	better    *Chain // chosen already, to leave a slow chain for
 	leftSlow  bool
 	stalls    int
+	silences  int       // chains given up before their first token
 	lastToken time.Time // last token delivered, or start of the epoch
 	failedAt  time.Time // when the last epoch was given up, zero if none
 	handle    string    // exported KV cache for the next epoch
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -30,7 +30,7 @@
 const maxStray = 64
 
 func (e *epoch) run(ctx context.Context) {
-	if err := e.verify(ctx, time.Time{}); err != nil {
+	if err := e.verify(ctx); err != nil {
 		e.result.NotRun = true
 		e.end(EndMismatch, err)
 		e.callerFirst(ctx)
@@ -42,8 +42,8 @@
 	e.dog = newWatchdog(cancel)
 	defer e.dog.disarm()
 	e.sent = time.Now()
-	e.dog.armFirst(e.a.r.options.StallFloor, e.a.req.FirstTokenTimeout, func(since time.Time) bool {
-		return e.verify(epochCtx, since) == nil
+	e.dog.armFirst(e.a.r.ways.tick(), e.a.req.FirstTokenTimeout, func(since time.Time) bool {
+		return e.a.r.ways.silent(e.a.req.Chat.Model, e.chain, since, e.a.silences)
 	})
 	stream, err := e.a.r.client.Open(epochCtx, e.chain.Stages[0].Address, e.chat())
 	if err != nil {
@@ -55,9 +55,9 @@
 	}
 }
 
-// verify is the check at use, by reports no older than since.
-func (e *epoch) verify(ctx context.Context, since time.Time) error {
-	return e.a.r.holdings.verify(ctx, e.a.req.Chat.Model, e.a.req.Layers, e.chain, since)
+// verify is the check at use.
+func (e *epoch) verify(ctx context.Context) error {
+	return e.a.r.holdings.verify(ctx, e.a.req.Chat.Model, e.a.req.Layers, e.chain, time.Time{})
 }
 
 // chat is the request for this epoch: it resumes after the last token delivered.
@@ -239,6 +239,9 @@
 		// given longer next time.
 		e.gap.sample(time.Since(e.a.lastToken))
 	}
+	if e.result.End == EndNoFirstToken {
+		e.a.silences++
+	}
 	if e.gap.known {
 		e.a.r.gaps.put(e.chain.Replica, e.gap)
 	}
--- a/route/stream/recovery_bench_test.go
+++ b/route/stream/recovery_bench_test.go
@@ -141,3 +141,52 @@
 	}
 	return summary.Recoveries[0]
 }
+
+// BenchmarkFirstTokenLost opens some streams at once along a chain that will
+// bring no token, with a whole one beside it, and reports how long it takes until
+// each is given up, in milliseconds over all runs.
+func BenchmarkFirstTokenLost(b *testing.B) {
+	faults := map[string]func(f *fleet){
+		"link":   func(f *fleet) { f.chains[0][0].Engine.SetFaults(standin.Faults{CutNext: true}) },
+		"frozen": func(f *fleet) { f.chains[0][1].Engine.SetFaults(standin.Faults{Freeze: true}) },
+	}
+	for _, name := range []string{"link", "frozen"} {
+		for _, streams := range []int{1, 10, 100} {
+			b.Run(fmt.Sprintf("%s/streams=%d", name, streams), func(b *testing.B) {
+				var all []Recovery
+				for b.Loop() {
+					all = append(all, openOnLost(b, streams, faults[name])...)
+				}
+				report(b, "detect", all, func(r Recovery) time.Duration { return r.Detection })
+			})
+		}
+	}
+}
+
+// openOnLost opens streams along a chain that the fault has just hit, and
+// returns the recoveries.
+func openOnLost(b *testing.B, streams int, fail func(*fleet)) []Recovery {
+	f := newFleet(b, 2, steady, Options{})
+	defer f.stop()
+	if _, _, err := f.collect(context.Background(), request("before"), nil); err != nil {
+		b.Fatal(err)
+	}
+	fail(f)
+	var finished sync.WaitGroup
+	var mu sync.Mutex
+	var all []Recovery
+	for i := range streams {
+		finished.Go(func() {
+			req := request(fmt.Sprint("stream-", i))
+			answer, summary, err := f.collect(context.Background(), req, nil)
+			if err != nil || answer != undisturbed(req) {
+				b.Errorf("not a whole answer: %v %+v", err, summary)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, summary.Recoveries...)
+		})
+	}
+	finished.Wait()
+	return all
+}
--- a/route/stream/runner.go
+++ b/route/stream/runner.go
@@ -20,6 +20,7 @@
 	chooser  Chooser
 	options  Options
 	holdings *holdingCheck
+	ways     *wayCheck
 	cancels  *canceller
 	gaps     *gapTable
 	resumes  *resumeCosts
@@ -29,11 +30,13 @@
 // New returns a runner.
 func New(client *engine.Client, chooser Chooser, options Options) *Runner {
 	options = options.withDefaults()
+	holdings := newHoldingCheck(client, options)
 	return &Runner{
 		client:   client,
 		chooser:  chooser,
 		options:  options,
-		holdings: newHoldingCheck(client, options),
+		holdings: holdings,
+		ways:     newWayCheck(client, holdings, options.StallFloor),
 		cancels:  newCanceller(client),
 		gaps:     newGapTable(),
 		resumes:  &resumeCosts{},
--- a/route/stream/watchdog.go
+++ b/route/stream/watchdog.go
@@ -30,20 +30,14 @@
 }
 
 // firstWait is the wait for a first token. How long prefill and the engine's
-// queue take is not known, so the bound is long; a stage that is frozen is
-// found sooner by asking whether it still answers.
+// queue take is not known, so the bound is long; a stage that is frozen, or a
+// link that is lost, is found sooner by asking along the way, see wayCheck.
 type firstWait struct {
 	since  time.Time
 	until  time.Time
-	alive  func(since time.Time) bool
-	misses int // answers missed one after the other
+	silent func(since time.Time) bool
 }
 
-// maxMisses is how many answers in a row a stage may miss. An engine short of
-// processor time can miss one; given up for that, its streams would be sent to
-// the other engines just when all are short.
-const maxMisses = 2
-
 func newWatchdog(cancel context.CancelCauseFunc) *watchdog {
 	return &watchdog{cancel: cancel}
 }
@@ -58,18 +52,22 @@
 }
 
 // armFirst starts the wait for the first token, which ends after limit, or
-// once alive, asked each interval, has said maxMisses times that the chain
-// does not answer.
-func (w *watchdog) armFirst(interval, limit time.Duration, alive func(since time.Time) bool) {
+// once silent, called each interval, says that the chain has not been heard of
+// for too long. silent must not block.
+func (w *watchdog) armFirst(interval, limit time.Duration, silent func(since time.Time) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	w.first = &firstWait{since: now, until: now.Add(limit), alive: alive}
+	w.first = &firstWait{since: now, until: now.Add(limit), silent: silent}
 	w.set(min(interval, limit))
 }
 
 func (w *watchdog) set(wait time.Duration) {
 	w.wait = wait
+	w.schedule(wait)
+}
+
+func (w *watchdog) schedule(wait time.Duration) {
 	w.due = time.Now().Add(wait)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(wait, w.fire)
@@ -98,22 +96,20 @@
 	if first == nil {
 		return
 	}
-	alive := first.alive(first.since)
+	silent := first.silent(first.since)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.first != first {
 		return // the token came meanwhile
 	}
-	first.misses++
-	if alive {
-		first.misses = 0
-	}
-	if first.misses >= maxMisses {
+	if silent {
 		w.cancel(errStalled)
 		return
 	}
-	first.since = time.Now()
-	w.set(min(w.wait, max(time.Until(first.until), 0)))
+	// From when this look was due: late by a little each time, ten of them would
+	// add up to a tenth of the wait.
+	next := min(time.Until(w.due)+w.wait, time.Until(first.until))
+	w.schedule(max(next, 0))
 }
 
 // expired reports whether the wait is over, or returns the first wait that
@@ -124,12 +120,22 @@
 	if w.due.IsZero() || now.Before(w.due) {
 		return nil, false // disarmed or armed anew while this call was on its way
 	}
-	if now.Sub(w.due) > pauseGrace && !w.late {
+	late := now.Sub(w.due) > pauseGrace
+	waiting := w.first != nil && now.Before(w.first.until)
+	if late && waiting {
+		// The answers that this node did not read count for nothing against the
+		// chain: the silence is counted anew. It may happen again and again,
+		// because until ends the wait all the same.
+		w.first.since = now
+		w.set(w.wait)
+		return nil, false
+	}
+	if late && !w.late {
 		w.late = true
 		w.set(w.wait)
 		return nil, false
 	}
-	if w.first != nil && now.Before(w.first.until) {
+	if waiting {
 		return w.first, false
 	}
 	return nil, true
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -46,6 +46,9 @@
 	// EventLag delays cache events; each EventLoss-th is lost (0: none).
 	EventLag  time.Duration
 	EventLoss int
+	// NoWay leaves out the call that asks along a chain, as engines do that do
+	// not know it.
+	NoWay bool
 	// SessionIdle frees the slot of a stream that a stage has not heard of
 	// for this long, when the slot is needed.
 	SessionIdle time.Duration
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -56,6 +56,7 @@
 	holding engineapi.Holding
 	faults  Faults
 	thaw    chan struct{} // not nil while frozen
+	idle    chan struct{} // not nil while busy
 	slots   slots
 	table   sessionTable
 	cache   prefixCache
@@ -70,6 +71,8 @@
 	Opened, Ended int
 	// Steps counts tokens for which layers ran.
 	Steps int
+	// Ways counts the questions along the chain that were answered.
+	Ways int
 	// Refused counts streams refused before any work.
 	Refused int
 	// Cancelled counts streams ended by a cancel or a caller gone.
@@ -105,6 +108,9 @@
 		r.Get(engineapi.PathLoad, e.handleLoad)
 		r.Get(engineapi.PathHolding, e.handleHolding)
 		r.Post(engineapi.PathOrders, e.handleOrder)
+		if !e.cfg.NoWay {
+			r.Post(engineapi.PathWay, e.handleWay)
+		}
 		r.Post(engineapi.PathCancel, e.handleCancel)
 		r.Post(engineapi.PathExport, e.handleExport)
 		r.Post(engineapi.PathImport, e.handleImport)
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -12,6 +12,9 @@
 type Faults struct {
 	// Freeze stops every answer, /control aside, until it is lifted.
 	Freeze bool `json:"freeze,omitempty"`
+	// Busy holds every step, as work on a long prompt does, until it is lifted;
+	// all other calls are answered.
+	Busy bool `json:"busy,omitempty"`
 	// Slow multiplies the time of each step; zero means one.
 	Slow float64 `json:"slow,omitempty"`
 	// SlowPerToken is added to each step.
@@ -48,6 +51,13 @@
 		close(e.thaw)
 		e.thaw = nil
 	}
+	if f.Busy && e.idle == nil {
+		e.idle = make(chan struct{})
+	}
+	if !f.Busy && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
 	e.faults = f
 }
 
@@ -76,9 +86,25 @@
 	}
 }
 
+// waitIdle blocks while the engine is busy with something else.
+func (e *Engine) waitIdle(ctx context.Context) {
+	e.mu.Lock()
+	idle := e.idle
+	e.mu.Unlock()
+	if idle == nil {
+		return
+	}
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	case <-e.closed:
+	}
+}
+
 // work passes the time of a step, or of what prefill is due before it.
 func (e *Engine) work(ctx context.Context, d time.Duration) error {
 	e.waitThawed()
+	e.waitIdle(ctx)
 	if d <= 0 {
 		return ctx.Err()
 	}
--- a/standin/engine/link.go
+++ b/standin/engine/link.go
@@ -54,6 +54,30 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+// handleWay answers for this stage and, over the link that activations take,
+// for those behind it.
+func (e *Engine) handleWay(w http.ResponseWriter, r *http.Request) {
+	var req engineapi.WayRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	e.mu.Lock()
+	reply := engineapi.WayReply{Holdings: []engineapi.Holding{e.holding}}
+	e.mu.Unlock()
+	if req.Index++; req.Index > 0 && req.Index < len(req.Chain) {
+		var rest engineapi.WayReply
+		if err := e.post(r.Context(), req.Chain[req.Index], engineapi.PathWay, req, &rest); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		reply.Holdings = append(reply.Holdings, rest.Holdings...)
+	}
+	e.mu.Lock()
+	e.stats.Ways++
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, reply)
+}
+
 func (e *Engine) handleStep(w http.ResponseWriter, r *http.Request) {
 	var req stepRequest
 	if !readJSON(w, r, &req) {
