Engines' prefix cache events as hints for the balancer

Cause: a hot prefix outgrows the replica that its hash names; the surplus goes by load to replicas that compute the prompt anew, though others have it cached. The client could read the engines' events and nothing used them. Change: decide/cacheindex, a bounded index per replica that empties on another instance, forgets the oldest for each event lost and mistrusts silence; the balancer takes the holder of the longest prefix (its home first, else the least loaded) within the bound on load, and the hash serves the rest. A page of events names the engine's instance; one definition of prefix hashes for engines and nodes. Polls at a budget, only replicas of the subset.

--- a/decide/balance/pick.go
+++ b/decide/balance/pick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -15,6 +16,9 @@
 	if m := b.toProbe(q); m != nil {
 		return b.choice(now, m, ReasonProbe), true
 	}
+	if c, ok := b.pickByHeld(now, q); ok {
+		return c, true
+	}
 	if q.Prefix != 0 {
 		if c, ok := b.pickByPrefix(now, q); ok {
 			return c, true
@@ -81,13 +85,73 @@
 	return b.work(now, m) / b.room(now, m)
 }
 
+// pickByHeld takes, of the replicas that are thought to hold the most of the
+// prompt, its home or else the least loaded one, if they may take it for its
+// prefix. If all of them are beyond that bound, those that hold less are looked at.
+func (b *Balancer) pickByHeld(now time.Time, q Query) (Choice, bool) {
+	t := b.prefixTier()
+	var best, passed held
+	for _, h := range q.Holders {
+		if best.member != nil && h.Blocks < best.blocks {
+			break
+		}
+		m := b.members[h.Replica]
+		if m == nil || m.tier != t {
+			continue
+		}
+		next := held{m, h.Blocks, b.order(now, t, m, q.Prefix)}
+		switch {
+		case !b.takesPrefix(now, q, t, m) || best.member != nil && next.order < best.order:
+			passed = next
+		default:
+			passed, best = cmp.Or(best, passed), next
+		}
+	}
+	if best.member == nil {
+		return Choice{}, false
+	}
+	c := b.choice(now, best.member, ReasonHeld)
+	c.Held = best.blocks
+	c.Alternatives[0] = b.candidate(now, passed.member)
+	c.Alternatives[0].Held = passed.blocks
+	return c, true
+}
+
+// held is a replica that is thought to hold blocks of a prompt, and its rank: the
+// highest comes first.
+type held struct {
+	member *member
+	blocks int
+	order  float64
+}
+
+// order ranks a member that holds a prefix: its home comes first, so that the
+// copies elsewhere fall out of use, and then the least loaded one.
+func (b *Balancer) order(now time.Time, t *tier, m *member, prefix uint64) float64 {
+	if t.home(prefix) == m {
+		return math.Inf(1)
+	}
+	return -b.score(now, m)
+}
+
+// home is where the walk for a prefix begins.
+func (t *tier) home(prefix uint64) *member {
+	return t.ring[t.find(rendezvous.Score(prefix, 0))%len(t.ring)].member
+}
+
+// prefixTier is where prefixes have their homes: the nearest replicas, unless
+// none of them may be used.
+func (b *Balancer) prefixTier() *tier {
+	if len(b.near.usable) == 0 {
+		return &b.spill
+	}
+	return &b.near
+}
+
 // pickByPrefix walks the ring from the prefix to the first replica that may
 // take it (consistent hashing with bounded loads).
 func (b *Balancer) pickByPrefix(now time.Time, q Query) (Choice, bool) {
-	t := &b.near
-	if len(t.usable) == 0 {
-		t = &b.spill
-	}
+	t := b.prefixTier()
 	if len(t.usable) == 0 {
 		return Choice{}, false
 	}
@@ -115,7 +179,7 @@
 	c := b.choice(now, m, ReasonPrefix)
 	for i, p := range passed {
 		c.Reason = ReasonPrefixMoved
-		c.Alternatives[i] = Candidate{p.ID, b.score(now, p)}
+		c.Alternatives[i] = b.candidate(now, p)
 	}
 	return c
 }
@@ -193,7 +257,7 @@
 	if m == nil {
 		return Candidate{}
 	}
-	return Candidate{m.ID, b.score(now, m)}
+	return Candidate{ID: m.ID, Score: b.score(now, m)}
 }
 
 // twoChoices returns the better of two and the other, which is nil if there is
--- a/decide/balance/sim_test.go
+++ b/decide/balance/sim_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/cacheindex"
 	"github.com/cicadatack/cicadatack/decide/health"
 )
 
@@ -34,11 +35,12 @@
 	replicas []Replica
 	turn     int
 	reported map[string]int
+	hints    *cacheindex.Index // nil: by hash alone
 }
 
 func baseline(rule func(p *policy, q Query) Replica) func(int) *policy {
 	return func(node int) *policy {
-		return &policy{New(Config{}), rule, nil, node * 5, map[string]int{}}
+		return &policy{Balancer: New(Config{}), rule: rule, turn: node * 5, reported: map[string]int{}}
 	}
 }
 
@@ -73,6 +75,7 @@
 	dead, frozen, leaving bool
 	queue, serving        []*call
 	cache                 []uint64
+	events                cacheEvents
 	received              []time.Time
 }
 
@@ -101,6 +104,7 @@
 	from, until            time.Duration // calls judged, by arrival
 	delays                 []time.Duration
 	arrived, failed        int
+	asked, hits            int // prompts with a prefix, and those found cached
 }
 
 // newWorld has endpoints that hold a mean request for 1 s: 8 requests a second
@@ -199,6 +203,9 @@
 
 func (w *world) attempt(c *call) {
 	c.attempts++
+	if c.policy.hints != nil {
+		c.query.Holders = c.policy.hints.Holders(w.now, []uint64{c.query.Prefix})
+	}
 	choice, ok := c.policy.pick(w.now, c.query)
 	if !ok || c.attempts > maxAttempts {
 		w.failed++
@@ -298,10 +305,16 @@
 		e.cache = slices.Delete(e.cache, i, i+1)
 	}
 	e.cache = append(e.cache, c.query.Prefix)
-	e.cache = e.cache[max(0, len(e.cache)-cacheSize):]
+	w.asked++
 	if i >= 0 {
+		w.hits++
 		return w.cachedPrefill
 	}
+	e.events.publish(w.now, c.query.Prefix, true)
+	for len(e.cache) > cacheSize {
+		e.events.publish(w.now, e.cache[0], false)
+		e.cache = e.cache[1:]
+	}
 	return w.prefill
 }
 
--- a/decide/balance/types.go
+++ b/decide/balance/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/cacheindex"
 	"github.com/cicadatack/cicadatack/decide/health"
 )
 
@@ -23,6 +24,9 @@
 type Query struct {
 	// Prefix is a hash of the prompt's prefix, 0 for none.
 	Prefix uint64
+	// Holders are replicas that are thought to have the prompt's beginning cached,
+	// those with the most of it first. They are hints.
+	Holders []cacheindex.Holder
 	// Cost is the expected work in tokens, 0 if unknown.
 	Cost float64
 	// Exclude holds endpoints already tried for the request.
@@ -36,6 +40,8 @@
 type Candidate struct {
 	ID    string
 	Score float64
+	// Held is how many blocks of the prompt it is thought to have cached.
+	Held int
 }
 
 // Choice is the endpoint picked and why.
@@ -44,6 +50,8 @@
 	Reason  Reason
 	// Score is that of the chosen: the expected load per unit of capacity.
 	Score float64
+	// Held is how many blocks of the prompt the chosen one is thought to have.
+	Held int
 	// Alternatives are the endpoints that lost, with their scores; empty IDs
 	// stand for none.
 	Alternatives [maxAlternatives]Candidate
@@ -71,10 +79,12 @@
 	ReasonProbe
 	// ReasonLastResort means that only ejected endpoints were left.
 	ReasonLastResort
+	// ReasonHeld means that it is thought to have the most of the prompt cached.
+	ReasonHeld
 )
 
 var reasonNames = [...]string{
-	"two choices", "only", "prefix", "prefix moved", "spill", "probe", "last resort",
+	"two choices", "only", "prefix", "prefix moved", "spill", "probe", "last resort", "prefix held",
 }
 
 func (r Reason) String() string {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -167,6 +167,15 @@
 	}).Counter("replica_health_changes_total").Inc(1)
 }
 
+// CacheEvents counts answers of engines to questions for their cache events, by
+// what they meant for the trust in the replica.
+func (m *Metrics) CacheEvents(service, change string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  change,
+	}).Counter("cache_event_polls_total").Inc(1)
+}
+
 // Slots sets the usable slots of a service on this node.
 func (m *Metrics) Slots(service string, n int) {
 	m.service(service).Gauge("usable_slots").Update(float64(n))
--- a/node/server/polls.go
+++ b/node/server/polls.go
@@ -40,8 +40,14 @@
 }
 
 func (s *Server) pollPause() time.Duration {
+	return s.pause(s.settings.Load.PollsPerSecond)
+}
+
+// pause is the time between two polls at the pace of the settings, less in a large
+// fleet.
+func (s *Server) pause(perSecond int) time.Duration {
 	nodes := max(len(s.fleet.Members()), 1)
-	polls := float64(s.settings.Load.PollsPerSecond) * min(1, smallFleet/float64(nodes))
+	polls := float64(perSecond) * min(1, smallFleet/float64(nodes))
 	return time.Duration(float64(time.Second) / max(1, polls))
 }
 
--- a/node/server/secure_test.go
+++ b/node/server/secure_test.go
@@ -36,7 +36,7 @@
 		Name: name, Environment: environment, FailureDomain: "bandung", Slot: settings.SlotProduction,
 		Callers: listener, Peers: listener, Operators: operators,
 		Store: settings.Store{Address: storeAddress, CallsPerSecond: settings.DefaultStoreCalls},
-		Load:  settings.Load{PollsPerSecond: settings.DefaultPolls},
+		Load:  settings.Load{PollsPerSecond: settings.DefaultPolls, CacheEventPollsPerSecond: settings.DefaultEventPolls},
 		Fleet: settings.Fleet{IntervalMillis: 50},
 	}, hclog.NewNullLogger())
 	if err != nil {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -182,6 +182,7 @@
 	work.Go(func() { _ = s.fleet.Run(background) }) // ends with the context's error only
 	work.Go(func() { s.refreshLoop(background) })
 	work.Go(func() { s.pollLoop(background) })
+	work.Go(func() { s.eventsLoop(background) })
 	work.Go(func() { s.leavingLoop(background) })
 	work.Go(func() { s.settleLoop(background) })
 	work.Go(func() { s.book.Run(background) })
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -95,6 +95,9 @@
 type Load struct {
 	// PollsPerSecond over all endpoints; zero means DefaultPolls.
 	PollsPerSecond int `json:"polls_per_second,omitempty"`
+	// CacheEventPollsPerSecond over all model replicas that the node uses; zero
+	// means DefaultEventPolls.
+	CacheEventPollsPerSecond int `json:"cache_event_polls_per_second,omitempty"`
 }
 
 // Fleet says how this node deals with the other entry VMs.
@@ -113,6 +116,9 @@
 	// DefaultPolls asks each of a node's 40 endpoints at least every 3 s, in
 	// which time a leaving one must be noticed.
 	DefaultPolls = 16
+	// DefaultEventPolls asks each of 12 replicas every 1.5 s, as in the run of
+	// docs/decisions/balance.md, and each of a subset of 32 every 4 s.
+	DefaultEventPolls = 8
 )
 
 // Read reads and checks the settings in a file. All that is wrong with them is
@@ -161,6 +167,8 @@
 	notNegative(f, "fleet.interval_ms", s.Fleet.IntervalMillis)
 	notNegative(f, "load.polls_per_second", s.Load.PollsPerSecond)
 	atMost(f, "load.polls_per_second", s.Load.PollsPerSecond, maxPolls)
+	notNegative(f, "load.cache_event_polls_per_second", s.Load.CacheEventPollsPerSecond)
+	atMost(f, "load.cache_event_polls_per_second", s.Load.CacheEventPollsPerSecond, maxPolls)
 }
 
 func (l Listener) check(f *document.Faults, path string) {
@@ -192,6 +200,9 @@
 	if s.Load.PollsPerSecond == 0 {
 		s.Load.PollsPerSecond = DefaultPolls
 	}
+	if s.Load.CacheEventPollsPerSecond == 0 {
+		s.Load.CacheEventPollsPerSecond = DefaultEventPolls
+	}
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
--- a/route/decision/decision.go
+++ b/route/decision/decision.go
@@ -29,6 +29,8 @@
 type Alternative struct {
 	Name  string  `json:"name"`
 	Score float64 `json:"score"`
+	// HeldBlocks is how many blocks of the prompt it is thought to have cached.
+	HeldBlocks int `json:"held_blocks,omitempty"`
 }
 
 // Decision is one routing or placement decision.
@@ -117,6 +119,9 @@
 	f = appendNamed(f, "chosen", d.Chosen)
 	for _, a := range d.Alternatives {
 		f = append(f, "alternative."+a.Name, a.Score)
+		if a.HeldBlocks > 0 {
+			f = append(f, "alternative_held_blocks."+a.Name, a.HeldBlocks)
+		}
 	}
 	for name, value := range d.Figures {
 		f = append(f, name, value)
--- a/route/engine/client.go
+++ b/route/engine/client.go
@@ -114,10 +114,10 @@
 
 // CacheEvents asks for the cache events after a sequence number. Gaps in the
 // sequence mean that events were lost.
-func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]engineapi.CacheEvent, error) {
-	var events []engineapi.CacheEvent
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) (engineapi.CachePage, error) {
+	var page engineapi.CachePage
 	path := engineapi.PathEvents + "?after=" + strconv.FormatUint(after, 10)
-	return events, c.call(ctx, http.MethodGet, address, path, nil, &events)
+	return page, c.call(ctx, http.MethodGet, address, path, nil, &page)
 }
 
 // call sends body, if any, and reads the reply into reply, if any.
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
@@ -22,6 +23,19 @@
 	runs  []run
 	ended int
 	last  stream.AttemptResult
+	// prefixes are the names of the prompt's prefixes; nil until they are needed.
+	prefixes []uint64
+}
+
+// maxPrefixes bounds the prefixes of a prompt that are looked for: 512 words tell
+// system prompts and templates apart.
+const maxPrefixes = 32
+
+func (c *chooser) hashes() []uint64 {
+	if c.prefixes == nil {
+		c.prefixes = engineapi.PrefixHashes(c.answer.chat.Messages, maxPrefixes)
+	}
+	return c.prefixes
 }
 
 // Choose picks a replica that is none of exclude. From the second epoch on the
@@ -64,6 +78,7 @@
 	a := c.answer
 	choice, ok := a.At.Picker.Pick(balance.Query{
 		Prefix:  prefixHash(a.chat.Messages),
+		Holders: a.At.Prefixes.Holders(c.hashes()),
 		Cost:    a.cost,
 		Exclude: exclude,
 	})
--- /dev/null
+++ b/route/service/prefixes.go
@@ -0,0 +1,97 @@
+package service
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/cacheindex"
+)
+
+// Prefixes is what this node thinks that the engines of a service have cached. It
+// is a hint for the picker. Safe for concurrent use.
+type Prefixes struct {
+	now func() time.Time
+
+	mu    sync.Mutex
+	index *cacheindex.Index
+	// asked is when each replica was last asked for its events.
+	asked map[string]time.Time
+}
+
+func newPrefixes(now func() time.Time) *Prefixes {
+	return &Prefixes{now: now, index: cacheindex.New(cacheindex.Config{}), asked: map[string]time.Time{}}
+}
+
+// Holders returns the replicas that are thought to hold the most of a prompt's
+// prefixes.
+func (p *Prefixes) Holders(prefixes []uint64) []cacheindex.Holder {
+	if len(prefixes) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.index.Holders(p.now(), prefixes)
+}
+
+// Take enters a replica's answer.
+func (p *Prefixes) Take(replica string, page cacheindex.Page) cacheindex.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.index.Apply(p.now(), replica, page)
+}
+
+// EventsDue is a replica whose cache events are to be asked for.
+type EventsDue struct {
+	Replica string
+	// Endpoint is the replica's first stage. Its cache stands for the chain's: all
+	// stages see the same prompts.
+	Endpoint string
+	// After is the sequence number to ask after, Asked when this was last done.
+	After uint64
+	Asked time.Time
+}
+
+// EventsDue returns, among the replicas that this node uses, the one that was asked
+// for its events longest ago. The others are forgotten: a node that kept all of a
+// large fleet's would outgrow its memory.
+func (s *Service) EventsDue() (EventsDue, bool) {
+	used := s.Picker.Subset()
+	p := s.Prefixes
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index.Retain(used)
+	asked := make(map[string]time.Time, len(used))
+	due, found := EventsDue{}, false
+	for _, replica := range used {
+		at := p.asked[replica]
+		asked[replica] = at
+		if !found || at.Before(due.Asked) {
+			due, found = EventsDue{Replica: replica, Asked: at}, true
+		}
+	}
+	p.asked = asked
+	if !found {
+		return due, false
+	}
+	due.After = p.index.After(due.Replica)
+	due.Endpoint = s.firstStage(due.Replica)
+	return due, due.Endpoint != ""
+}
+
+// EventsAsked notes that a replica is being asked, so that one which does not
+// answer is not asked over and over before the others.
+func (s *Service) EventsAsked(replica string) {
+	s.Prefixes.mu.Lock()
+	defer s.Prefixes.mu.Unlock()
+	s.Prefixes.asked[replica] = s.now()
+}
+
+func (s *Service) firstStage(replica string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stages := s.stagesOf[replica]
+	if len(stages) == 0 {
+		return ""
+	}
+	return stages[0]
+}
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -29,6 +29,9 @@
 	Gate   *gate.Gate
 	Picker *picker.Picker
 	Retry  *Retry
+	// Prefixes are hints at what the engines have cached; empty for a plain
+	// service.
+	Prefixes *Prefixes
 
 	mu sync.Mutex
 	// replicasOf maps each endpoint to the replicas that need it, stagesOf each
@@ -36,6 +39,7 @@
 	replicasOf map[string][]string
 	stagesOf   map[string][]string
 	marks      map[leavingMark]bool
+	model      bool
 	// heard is when each endpoint last told its load, or was last asked.
 	heard map[string]time.Time
 	// steps is each endpoint's own report of its time for a token.
@@ -166,6 +170,9 @@
 		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
 		Retry: &Retry{now: r.cfg.Now, seed: seed},
 		marks: map[leavingMark]bool{},
+
+		Prefixes: newPrefixes(r.cfg.Now),
+
 		heard: map[string]time.Time{},
 		steps: map[string]time.Duration{},
 
@@ -211,6 +218,7 @@
 	replicas, stages := replicasOf(d, spec, slots)
 	s.mu.Lock()
 	s.stagesOf = stages
+	s.model = spec.Kind == document.KindModel
 	s.replicasOf = inverted(stages)
 	maps.DeleteFunc(s.heard, func(e string, _ time.Time) bool { return len(s.replicasOf[e]) == 0 })
 	maps.DeleteFunc(s.steps, func(e string, _ time.Duration) bool { return len(s.replicasOf[e]) == 0 })
@@ -241,6 +249,13 @@
 	return replicas, stages
 }
 
+// IsModel says whether the service's replicas are chains of engines.
+func (s *Service) IsModel() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.model
+}
+
 func inverted(stages map[string][]string) map[string][]string {
 	replicas := map[string][]string{}
 	for name, endpoints := range stages {
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -2,8 +2,7 @@
 
 import (
 	"container/list"
-	"fmt"
-	"hash/fnv"
+	"crypto/rand"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,8 +11,6 @@
 )
 
 const (
-	// prefixBlock is how many words of prompt one cache block holds.
-	prefixBlock = 16
 	// maxEvents bounds the events kept for readers.
 	maxEvents = 4096
 )
@@ -21,6 +18,7 @@
 // prefixCache is an LRU of prompt prefixes, in whole blocks, and the events
 // that it publishes late and with gaps. Engine.mu guards it.
 type prefixCache struct {
+	instance string
 	capacity int
 	order    *list.List // of uint64, most recent first
 	blocks   map[uint64]*list.Element
@@ -37,6 +35,7 @@
 
 func newPrefixCache(capacity int, lag time.Duration, loss int) prefixCache {
 	return prefixCache{
+		instance: rand.Text(),
 		capacity: capacity,
 		order:    list.New(),
 		blocks:   map[uint64]*list.Element{},
@@ -49,19 +48,15 @@
 	return float64(c.order.Len()) / float64(c.capacity)
 }
 
-// store caches the prefixes of words and returns how many of the words were
+// store caches the prefixes of a prompt and returns how many of its words were
 // there already.
-func (c *prefixCache) store(words []string) int {
+func (c *prefixCache) store(messages []engineapi.Message) int {
 	cached := 0
 	hit := true
-	h := fnv.New64a()
-	for end := prefixBlock; end <= len(words); end += prefixBlock {
-		for _, word := range words[end-prefixBlock : end] {
-			fmt.Fprintf(h, "%s ", word)
-		}
-		hit = c.touch(h.Sum64()) && hit
+	for _, prefix := range engineapi.PrefixHashes(messages, c.capacity) {
+		hit = c.touch(prefix) && hit
 		if hit {
-			cached = end
+			cached += engineapi.PrefixBlock
 		}
 	}
 	return cached
@@ -111,6 +106,14 @@
 	return shown
 }
 
+func (c *prefixCache) page(after uint64, now time.Time) engineapi.CachePage {
+	page := engineapi.CachePage{Instance: c.instance, Last: min(after, c.sequence), Events: c.eventsAfter(after, now)}
+	if n := len(page.Events); n > 0 {
+		page.Last = page.Events[n-1].Sequence
+	}
+	return page
+}
+
 func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil && r.URL.Query().Has("after") {
@@ -118,19 +121,20 @@
 		return
 	}
 	e.mu.Lock()
-	events := e.cache.eventsAfter(after, time.Now())
+	page := e.cache.page(after, time.Now())
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, events)
+	writeJSON(w, http.StatusOK, page)
 }
 
 // DropCache forgets every cached prefix and exported cache, as an engine that
-// restarts does. It publishes no events: a router that trusts its view now
-// trusts too much.
+// restarts does. It publishes no events but is another instance from now on: a
+// router that does not look at that trusts its view too much.
 func (e *Engine) DropCache() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cache.order.Init()
 	clear(e.cache.blocks)
+	e.cache.instance = rand.Text()
 	clear(e.table.retained)
 	clear(e.exports)
 }
--- a/standin/engine/stage.go
+++ b/standin/engine/stage.go
@@ -84,7 +84,7 @@
 func (e *Engine) prefill(req openRequest) (time.Duration, int) {
 	words := promptWords(req.Chat.Messages)
 	total := len(words) + len(req.Chat.Pipeline.ResumeTokens)
-	cached := e.cache.store(words)
+	cached := e.cache.store(req.Chat.Messages)
 	if req.Covered > 0 {
 		e.stats.Imported++
 		covered := min(req.Covered, total)
