Loads of all plans paced together; replicas move one at a time

Cause: each plan spaced its own loads from its own agreement. Plans of two failure domains, kept by two nodes, began at once; engines that came back empty under the plan in force were ordered all in one round, with no pace at all. And a switch that made every replica's times worse stopped them all for their loads together. Excluded: a share of the rate for each node (unused shares are lost); one node for all loads (every plan waits for its turn). Change: an order that must fetch layers is given its time at the weight store by compare-and-swap on one record for the environment, by what the engine reports to hold. A better plan is agreed only if no other replica of the model and failure domain is moving, half of them are whole and the weight store is free. decide/placement Loads became FetchBytes, FetchTime, Pace and MayMove; its test went with it, as strict, in TestLoads. Left: adapters, model versions and roles are not ordered: a version change needs streams that resume to stay with their version.

--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -192,13 +192,36 @@
 }
 
 func TestLoads(t *testing.T) {
+	model := Model{LayerBytes: 50}
 	Convey("Only layers not held are fetched, at the store's rate", t, func() {
-		old := Cut{Stages: []Stage{{"a", 0, 3}, {"b", 4, 7}}}
-		next := Cut{Stages: []Stage{{"a", 0, 1}, {"c", 2, 3}, {"b", 4, 7}}}
-		So(Loads(Model{LayerBytes: 50}, old, next, 100), ShouldResemble, []Load{{"c", 2, 3, 100, 0}})
-		wider := Cut{Stages: []Stage{{"b", 2, 9}}}
-		So(Loads(Model{LayerBytes: 50}, old, wider, 100), ShouldResemble,
-			[]Load{{"b", 2, 3, 100, 0}, {"b", 8, 9, 100, time.Second}})
+		So(FetchBytes(model, Stage{"a", 0, 3}, Stage{"a", 0, 1}), ShouldEqual, 0)
+		So(FetchBytes(model, Stage{"b", 4, 7}, Stage{"b", 4, 7}), ShouldEqual, 0)
+		So(FetchBytes(model, Stage{"c", 0, -1}, Stage{"c", 2, 3}), ShouldEqual, 100)
+		So(FetchBytes(model, Stage{"c", 6, 7}, Stage{"c", 2, 3}), ShouldEqual, 100)
+		So(FetchBytes(model, Stage{"b", 4, 7}, Stage{"b", 2, 9}), ShouldEqual, 200)
+		So(FetchTime(200, 100), ShouldEqual, 2*time.Second)
+		So(FetchTime(200, 0), ShouldEqual, 0)
+	})
+	now := time.Unix(1000, 0)
+	Convey("Loads of all plans stand one behind the other", t, func() {
+		first, pace := Pace{}.Book(now, []time.Duration{2 * time.Second, 0, time.Second})
+		So(first, ShouldResemble, []time.Time{now, now, now.Add(2 * time.Second)})
+		second, pace := pace.Book(now.Add(time.Second), []time.Duration{time.Second})
+		So(second, ShouldResemble, []time.Time{now.Add(3 * time.Second)})
+		So(pace.Free(now.Add(3*time.Second)), ShouldBeFalse)
+		So(pace.Free(now.Add(4*time.Second)), ShouldBeTrue)
+	})
+	Convey("What a clock hours ahead has booked holds nobody up", t, func() {
+		starts, pace := Pace{BusyUntil: now.Add(2 * maxAhead)}.Book(now, []time.Duration{time.Second})
+		So(starts, ShouldResemble, []time.Time{now})
+		So(pace.BusyUntil, ShouldEqual, now.Add(time.Second))
+	})
+	Convey("One replica moves at a time, and only while enough of the others serve", t, func() {
+		So(MayMove(nil), ShouldBeTrue)
+		So(MayMove([]State{Whole, Whole}), ShouldBeTrue)
+		So(MayMove([]State{Whole, Moving, Whole}), ShouldBeFalse)
+		So(MayMove([]State{Whole, Unknown}), ShouldBeTrue)
+		So(MayMove([]State{Unknown}), ShouldBeFalse)
 	})
 }
 
--- a/route/plans/keeper.go
+++ b/route/plans/keeper.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/directory"
-	"github.com/cicadatack/cicadatack/route/engine"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
 
@@ -78,9 +76,11 @@
 type keptReplica struct {
 	open    openReplica
 	planner *placement.Planner
-	// notBefore is when each engine may begin to load, by the weight store's
-	// rate.
-	notBefore map[string]time.Time
+	// booked are the orders that were given a time at the weight store, by
+	// endpoint, until the engine holds what it was told to.
+	booked map[string]booking
+	// state is how the engines stood to the plan when they were last asked.
+	state placement.State
 	// checked is when the engines were last asked what they hold.
 	checked time.Time
 }
@@ -205,7 +205,7 @@
 func (k *Keeper) takeUp(open openReplica) *keptReplica {
 	kept := k.kept[open.full()]
 	if kept == nil {
-		kept = &keptReplica{notBefore: map[string]time.Time{}}
+		kept = &keptReplica{booked: map[string]booking{}}
 	}
 	kept.open = open
 	return kept
@@ -241,6 +241,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, agreeTimeout)
 	defer cancel()
+	if reason == reasonMeasured {
+		if may, err := k.mayMove(ctx, now, kept); !may {
+			return err
+		}
+	}
 	key := plan.Key(k.cfg.Environment, kept.open.place.model, kept.open.place.domain)
 	record, err := plan.Agree(ctx, k.cfg.Store, key, k.cfg.Node, func(r *plan.Record) bool {
 		if reason != reasonMeasured && standing(r.Replicas[kept.open.name], kept.open.stages) {
@@ -252,7 +257,8 @@
 		return err
 	}
 	k.cfg.Book.take(kept.open.place, record)
-	kept.adopt(now, model, chain, record.Replicas[kept.open.name], d.Document.Policy.WeightMegabytesPerSecond)
+	kept.adopt(now, model, chain, record.Replicas[kept.open.name])
+	kept.state = placement.Moving
 	k.recordPlan(now, kept, record.Version, reason)
 	return nil
 }
@@ -280,60 +286,3 @@
 		},
 	})
 }
-
-// order tells each engine whose holding differs from the plan to follow it. An
-// engine that restarted empty is found the same way.
-func (k *Keeper) order(ctx context.Context, now time.Time, d *directory.Directory, kept *keptReplica) {
-	stages, version, ok := k.cfg.Book.Plan(kept.open.place.model, kept.open.name)
-	if !ok {
-		return
-	}
-	for _, s := range stages {
-		if now.Before(kept.notBefore[s.Endpoint]) {
-			continue
-		}
-		e, known := d.Endpoint(s.Endpoint)
-		if !known {
-			continue
-		}
-		k.orderEngine(ctx, kept.open, e, engineapi.Order{
-			Model:            kept.open.place.model,
-			First:            s.Layers[0],
-			Last:             s.Layers[1],
-			PlacementVersion: version,
-		})
-	}
-}
-
-func (k *Keeper) orderEngine(ctx context.Context, open openReplica, e document.Endpoint, order engineapi.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	holding, err := k.cfg.Engines.Holding(ctx, e.Address)
-	if err == nil && holding == engineapi.Holding(order) {
-		return
-	}
-	if err := k.cfg.Engines.Order(ctx, e.Address, order); err != nil {
-		k.cfg.Log.Warn("order not taken", "endpoint", e.Name, "version", order.PlacementVersion, "error", err)
-		if engine.Status(err) == http.StatusConflict {
-			k.raise(open, holding.PlacementVersion)
-		}
-		return
-	}
-	k.cfg.Log.Info("order", "endpoint", e.Name, "model", order.Model, "first", order.First, "last", order.Last, "version", order.PlacementVersion)
-}
-
-// raise puts the replica's plan above a fencing number that an engine took from
-// someone else; the next round orders by the new number.
-func (k *Keeper) raise(open openReplica, above int64) {
-	ctx, cancel := context.WithTimeout(context.Background(), agreeTimeout)
-	defer cancel()
-	key := plan.Key(k.cfg.Environment, open.place.model, open.place.domain)
-	record, err := plan.Agree(ctx, k.cfg.Store, key, k.cfg.Node, func(r *plan.Record) bool {
-		return r.Raise(open.name, above)
-	})
-	if err != nil {
-		k.cfg.Log.Warn("plan not raised", "replica", open.name, "above", above, "error", err)
-		return
-	}
-	k.cfg.Book.take(open.place, record)
-}
--- /dev/null
+++ b/route/plans/keeper_test.go
@@ -0,0 +1,251 @@
+package plans
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/stream"
+)
+
+const (
+	model  = "pastry-llm"
+	layers = 8
+)
+
+var epoch = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
+
+// fleet is engines by address, which is their name.
+type fleet struct {
+	now    time.Time
+	holds  map[string]engineapi.Holding
+	loads  map[string]time.Duration // when an engine was last ordered other layers
+	silent map[string]bool
+	// loadFor is how long a load takes; an engine reports what it held until then.
+	loadFor time.Duration
+	loading map[string]load
+}
+
+type load struct {
+	order engineapi.Order
+	ready time.Time
+}
+
+func (f *fleet) Holding(_ context.Context, address string) (engineapi.Holding, error) {
+	if f.silent[address] {
+		return engineapi.Holding{}, errors.New("no answer")
+	}
+	if l, ok := f.loading[address]; ok && !f.now.Before(l.ready) {
+		f.holds[address] = engineapi.Holding(l.order)
+	}
+	return f.holds[address], nil
+}
+
+func (f *fleet) Order(_ context.Context, address string, order engineapi.Order) error {
+	if f.loading[address].order != order || f.loadFor == 0 {
+		f.loading[address] = load{order, f.now.Add(f.loadFor)}
+		f.loads[address] = f.now.Sub(epoch)
+	}
+	if f.loadFor == 0 {
+		f.holds[address] = engineapi.Holding(order)
+	}
+	return nil
+}
+
+// Record implements decision.Recorder.
+func (f *fleet) Record(decision.Decision) {}
+
+// site is replicas of two engines, in one failure domain or each in its own, and
+// a keeper for each domain.
+type site struct {
+	*fleet
+	keepers []*Keeper
+}
+
+func newSite(t *testing.T, replicas, domains, rate int) *site {
+	memory := storetest.NewMemory()
+	t.Cleanup(memory.Close)
+	d := directory.Build(documentOf(replicas, domains, rate), 1, "digest")
+	s := &site{fleet: &fleet{now: epoch, holds: map[string]engineapi.Holding{}, loads: map[string]time.Duration{}, silent: map[string]bool{}, loading: map[string]load{}}}
+	for i := range domains {
+		client := storetest.NewClient(memory)
+		book := NewBook(client, "java", hclog.NewNullLogger())
+		book.Apply(d)
+		k := NewKeeper(KeeperConfig{
+			Node: fmt.Sprint("vm-", i), Environment: "java", Store: client, Engines: s.fleet, Book: book,
+			Record: s.fleet, Log: hclog.NewNullLogger(),
+			Turn:    func(_, domain string) bool { return domain == domainName(i) },
+			Members: func() any { return 0 },
+		})
+		k.Apply(d)
+		s.keepers = append(s.keepers, k)
+	}
+	return s
+}
+
+func domainName(i int) string { return fmt.Sprint("domain-", i) }
+
+func documentOf(replicas, domains, rate int) *document.Document {
+	doc := &document.Document{Policy: document.Policy{WeightMegabytesPerSecond: rate}}
+	m := &document.Model{Layers: layers, LayerMegabytes: 1}
+	for i := range replicas {
+		r := document.Replica{Name: fmt.Sprint("replica-", i)}
+		for _, stage := range []string{"a", "b", "c"} {
+			name := fmt.Sprint("engine-", i, stage)
+			doc.Endpoints = append(doc.Endpoints, document.Endpoint{Name: name, Address: name, FailureDomain: domainName(i % domains)})
+			r.Stages = append(r.Stages, document.Stage{Endpoint: name})
+		}
+		m.Replicas = append(m.Replicas, r)
+	}
+	doc.Services = []document.Service{{Name: model, Kind: document.KindModel, Model: m}}
+	return doc
+}
+
+// run plays rounds, one a second, and returns the most replicas that were not whole
+// by their plan at once, from the given second on.
+func (s *site) run(seconds, from int, each func()) int {
+	worst := 0
+	for second := range seconds {
+		each()
+		for _, k := range s.keepers {
+			k.round(context.Background(), s.now)
+		}
+		if second >= from {
+			worst = max(worst, s.moving())
+		}
+		s.now = s.now.Add(time.Second)
+	}
+	return worst
+}
+
+func (s *site) moving() int {
+	n := 0
+	for _, k := range s.keepers {
+		for name := range k.kept {
+			stages, version, _ := k.cfg.Book.Plan(name.model, name.replica)
+			if slices.ContainsFunc(stages, func(st document.Stage) bool {
+				want := engineapi.Holding{Model: model, First: st.Layers[0], Last: st.Layers[1], PlacementVersion: version}
+				return s.holds[st.Endpoint] != want
+			}) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func nothing() {}
+
+// Callers get the first replica back in the time of its own loads. Two failure
+// domains come back empty at once, each kept by another node; paced each for itself
+// they share the weight store's rate, and nothing serves until all is loaded.
+func TestLoadsArePacedTogether(t *testing.T) {
+	s := newSite(t, 2, 2, 1)
+	s.run(2*layers+4, 0, nothing)
+	ordered := slices.Sorted(maps.Values(s.loads))
+	if len(ordered) < 4 || s.moving() != 0 {
+		t.Fatalf("ordered at %v, %d replicas not whole", ordered, s.moving())
+	}
+	t.Logf("loads begin at %v", ordered)
+	// Each engine holds a part of 8 MB of layers; the rate is 1 MB a second.
+	loaded := time.Duration(0)
+	for _, at := range ordered {
+		if at < loaded {
+			t.Errorf("a load begins at %v, the one before takes until %v: %v", at, loaded, ordered)
+		}
+		loaded += s.shortest() // no engine's part is shorter
+	}
+	again := len(s.loads)
+	clear(s.holds) // a rack comes back empty
+	clear(s.loading)
+	clear(s.loads)
+	back := s.now.Sub(epoch)
+	s.run(2*layers+4, 0, nothing)
+	ordered = slices.Sorted(maps.Values(s.loads))
+	if len(ordered) != again || ordered[again-1] < back+layers*time.Second {
+		t.Errorf("back at %v, ordered at %v: all at once", back, ordered)
+	}
+}
+
+// shortest is the time of the shortest load.
+func (s *site) shortest() time.Duration {
+	least := layers
+	for _, h := range s.holds {
+		least = min(least, h.Last-h.First+1)
+	}
+	return time.Duration(least) * time.Second
+}
+
+// Callers keep two of three replicas while all three move. A switch makes the same
+// link of every replica bad, so all plans are due in the same second; each plan
+// that is agreed stops its replica until its layers are loaded.
+func TestReplicasMoveOneAtATime(t *testing.T) {
+	s := newSite(t, 3, 1, 0)
+	s.loadFor = 3 * time.Second
+	k := s.keepers[0]
+	s.run(3*layers+6, 0, nothing)
+	versions := func() (sum int64) {
+		for i := range 3 {
+			_, v, _ := k.cfg.Book.Plan(model, fmt.Sprint("replica-", i))
+			sum += v
+		}
+		return sum
+	}
+	before := versions()
+	measured := func() { s.observe(k) }
+	worst := s.run(120, 0, measured)
+	if worst != 1 {
+		t.Errorf("%d replicas moved at once, want 1", worst)
+	}
+	if after := versions(); after <= before+2 || s.moving() != 0 {
+		t.Errorf("the plans did not all change: versions %d, then %d; %d not whole", before, after, s.moving())
+	}
+}
+
+// observe tells the times of each replica's present hops: a millisecond a layer,
+// and 50 ms for the link behind the first engine.
+func (s *site) observe(k *Keeper) {
+	for i := range 3 {
+		name := fmt.Sprint("replica-", i)
+		stages, _, _ := k.cfg.Book.Plan(model, name)
+		var hops []stream.Hop
+		for j, st := range stages {
+			micros := 1000 * float64(st.Layers[1]-st.Layers[0]+1)
+			if j+1 < len(stages) && st.Endpoint == fmt.Sprint("engine-", i, "a") && stages[j+1].Endpoint == fmt.Sprint("engine-", i, "b") {
+				micros += 50_000
+			}
+			hops = append(hops, stream.Hop{Endpoint: st.Endpoint, Micros: micros})
+		}
+		k.Observe(model, name, hops)
+	}
+}
+
+// Callers keep the only replica that serves: the others do not answer, and a plan
+// that is better by measure must not stop the last one.
+func TestLastReplicaIsNotMoved(t *testing.T) {
+	s := newSite(t, 3, 1, 1)
+	k := s.keepers[0]
+	s.run(3*layers+6, 0, nothing)
+	for _, i := range []int{1, 2} {
+		for _, stage := range []string{"a", "b", "c"} {
+			s.silent[fmt.Sprint("engine-", i, stage)] = true
+		}
+	}
+	s.run(10, 0, nothing) // every engine is asked once
+	_, before, _ := k.cfg.Book.Plan(model, "replica-0")
+	s.run(60, 0, func() { s.observe(k) })
+	if _, after, _ := k.cfg.Book.Plan(model, "replica-0"); after != before {
+		t.Errorf("the last replica was stopped for version %d", after)
+	}
+}
--- a/route/plans/shape.go
+++ b/route/plans/shape.go
@@ -122,8 +122,8 @@
 	return stages
 }
 
-// adopt takes an agreed plan and spaces its loads by the weight store's rate.
-func (kept *keptReplica) adopt(now time.Time, model placement.Model, chain placement.Chain, agreed plan.Replica, megabytesPerSecond int) {
+// adopt takes an agreed plan.
+func (kept *keptReplica) adopt(now time.Time, model placement.Model, chain placement.Chain, agreed plan.Replica) {
 	next := placement.Cut{}
 	for _, s := range agreed.Stages {
 		next.Stages = append(next.Stages, placement.Stage{Endpoint: s.Endpoint, First: s.First, Last: s.Last})
@@ -131,16 +131,10 @@
 	if priced, ok := placement.Measured(next, chain); ok {
 		next = priced
 	}
-	old := placement.Cut{}
 	adopted := placement.Plan{Version: agreed.Version, Cut: next}
 	if kept.planner == nil {
 		kept.planner = placement.NewPlanner(model, chain, adopted, placement.Policy{})
-	} else {
-		old = kept.planner.Plan().Cut
-		kept.planner.Adopt(now, adopted)
-	}
-	clear(kept.notBefore)
-	for _, load := range placement.Loads(model, old, next, int64(megabytesPerSecond)*megabyte) {
-		kept.notBefore[load.Endpoint] = now.Add(load.After)
+		return
 	}
+	kept.planner.Adopt(now, adopted)
 }
