Layers leave a bad link on running nodes

Cause: moving layers by measured hop times was proved in decide/placement only. On real nodes it never happened (test: no move in 60 s): hop times go no further than the node whose streams measure them, and the turn to keep a failure domain's plans fell to any node, mostly one of another domain that sends nothing there. And the keeper took a whole hop for layers, as streams do not tell the step's part. Excluded: the planner (moves at once with the same measures in its own test), the gain, the hold, the weight store's pace. Change: the turn goes to a node of the domain itself, to others only if it has none that stays; the engine's own report of its step goes along with the hop. Left: at over 64 replicas in reach a keeper measures a part of its domain only.

--- a/node/server/plans.go
+++ b/node/server/plans.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"slices"
+
 	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/route/plans"
@@ -37,10 +39,25 @@
 // plansFor says whether it is this node's turn to keep a model's plans in a
 // failure domain: the node that ranks first for it. Trial nodes keep none; the
 // engines follow production.
+//
+// A node of that domain comes first, as its streams run there. Moves go by the hop
+// times of the keeper's own streams: one in another domain keeps a plan without
+// ever hearing that a link has turned bad, and callers stay behind the link.
 func (s *Server) plansFor(model, domain string) bool {
 	if s.settings.Slot != settings.SlotProduction || s.draining.Load() {
 		return false
 	}
-	first := entry.Homes("plans/"+model+"/"+domain, s.entryMembers(), 1)
-	return len(first) == 1 && first[0] == s.settings.Name
+	return planKeeper(model, domain, s.entryMembers()) == s.settings.Name
+}
+
+// planKeeper is the node whose turn it is, empty if there is none.
+func planKeeper(model, domain string, members []entry.Member) string {
+	key := "plans/" + model + "/" + domain
+	near := slices.DeleteFunc(slices.Clone(members), func(m entry.Member) bool { return m.FailureDomain != domain })
+	for _, candidates := range [][]entry.Member{near, members} {
+		if first := entry.Homes(key, candidates, 1); len(first) == 1 {
+			return first[0]
+		}
+	}
+	return ""
 }
--- a/proof/placement/placement_test.go
+++ b/proof/placement/placement_test.go
@@ -76,7 +76,7 @@
 // fails the test at any answer that is not the model's.
 func ask(ctx context.Context, t *testing.T, r *rig.Rig, node int) {
 	t.Helper()
-	want := strings.Join(engine.Answer(harness.Layers, []engineapi.Message{{Role: "user", Content: prompt}}, tokens), "")
+	want := answerOf(tokens)
 	for ctx.Err() == nil {
 		a, err := r.Caller.Chat(ctx, r.Nodes[node].Addresses.Callers, prompt, tokens, nil)
 		switch {
@@ -138,6 +138,11 @@
 	}
 }
 
+// answerOf is the model's answer to the prompt.
+func answerOf(tokens int) string {
+	return strings.Join(engine.Answer(harness.Layers, []engineapi.Message{{Role: "user", Content: prompt}}, tokens), "")
+}
+
 func holding(ctx context.Context, t *testing.T, address string) engineapi.Holding {
 	t.Helper()
 	h, err := rig.Engines.Holding(ctx, address)
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -107,6 +107,11 @@
 	if r.End == stream.EndMismatch {
 		c.answer.server.Plans.Suspect(c.answer.Service.Name, chain.Replica)
 	}
+	for i := range r.Hops {
+		// Without it a slow link looks like slow layers, and the plan leaves the
+		// engine out in place of the link.
+		r.Hops[i].StepMicros = float64(c.answer.At.Step(r.Hops[i].Endpoint).Microseconds())
+	}
 	if len(r.Hops) > 0 {
 		c.answer.server.Plans.Observe(c.answer.Service.Name, chain.Replica, r.Hops)
 	}
--- a/route/plans/keeper.go
+++ b/route/plans/keeper.go
@@ -114,7 +114,7 @@
 		if len(k.measures) >= maxMeasures {
 			return
 		}
-		m := placement.Measure{Endpoint: h.Endpoint, HopMicros: h.Micros}
+		m := placement.Measure{Endpoint: h.Endpoint, HopMicros: h.Micros, StepMicros: h.StepMicros}
 		if i+1 < len(hops) {
 			m.Next = hops[i+1].Endpoint
 		}
--- a/route/plans/keeper_test.go
+++ b/route/plans/keeper_test.go
@@ -74,9 +74,13 @@
 }
 
 func newSite(t *testing.T, replicas, domains, rate int) *site {
+	return siteOf(t, documentOf(replicas, domains, rate), domains)
+}
+
+func siteOf(t *testing.T, doc *document.Document, domains int) *site {
 	memory := storetest.NewMemory()
 	t.Cleanup(memory.Close)
-	d := directory.Build(documentOf(replicas, domains, rate), 1, "digest")
+	d := directory.Build(doc, 1, "digest")
 	s := &site{fleet: &fleet{now: epoch, holds: map[string]engineapi.Holding{}, loads: map[string]time.Duration{}, silent: map[string]bool{}, loading: map[string]load{}}}
 	for i := range domains {
 		client := storetest.NewClient(memory)
@@ -249,3 +253,41 @@
 		t.Errorf("the last replica was stopped for version %d", after)
 	}
 }
+
+// Callers get the fast engine's tokens. The link behind it turns bad; the engine
+// itself reports that its layers are as quick as ever, and the plan goes past the
+// link. Without its report the whole hop would count as its layers, and the plan would
+// leave the fast engine out.
+func TestSlowLinkIsNotSlowLayers(t *testing.T) {
+	doc := documentOf(1, 1, 0)
+	doc.Accelerators = []document.Accelerator{
+		{Name: "fast", LayerMicros: 1000, MemoryMegabytes: 100},
+		{Name: "slow", LayerMicros: 5000, MemoryMegabytes: 100},
+	}
+	for i, kind := range []string{"fast", "slow", "slow"} {
+		doc.Endpoints[i].Accelerator = kind
+	}
+	s := siteOf(t, doc, 1)
+	k := s.keepers[0]
+	s.run(5, 0, nothing)
+	s.run(60, 0, func() {
+		stages, _, _ := k.cfg.Book.Plan(model, "replica-0")
+		var hops []stream.Hop
+		for i, st := range stages {
+			step := 1000 * float64(st.Layers[1]-st.Layers[0]+1)
+			if st.Endpoint != "engine-0a" {
+				step *= 5
+			}
+			link := 0.0
+			if i+1 < len(stages) && stages[i+1].Endpoint == "engine-0b" {
+				link = 500_000
+			}
+			hops = append(hops, stream.Hop{Endpoint: st.Endpoint, Micros: step + link, StepMicros: step})
+		}
+		k.Observe(model, "replica-0", hops)
+	})
+	stages, _, _ := k.cfg.Book.Plan(model, "replica-0")
+	if stages[0].Endpoint != "engine-0a" || stages[len(stages)-1].Endpoint == "engine-0b" {
+		t.Errorf("the plan is %+v", stages)
+	}
+}
--- a/route/service/rate.go
+++ b/route/service/rate.go
@@ -24,6 +24,14 @@
 	s.usedPart += usedWeight * (used/cost - s.usedPart)
 }
 
+// Step returns an endpoint's own report of its time for a token, zero if it has
+// made none.
+func (s *Service) Step(endpoint string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.steps[endpoint]
+}
+
 // Expected is how long a request of an expected cost, in tokens, will run once it
 // has room; zero if the endpoints' pace is not known.
 func (s *Service) Expected(cost float64) time.Duration {
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -147,6 +147,9 @@
 type Hop struct {
 	Endpoint string
 	Micros   float64
+	// StepMicros is the engine's own report of the time of its layers, for who
+	// knows it; zero if not known.
+	StepMicros float64
 }
 
 // Recovery is one change of chain partway.
