--- a/route/service/service.go
+++ b/route/service/service.go
@@ -30,6 +30,9 @@
 	Gate   *gate.Gate
 	Picker *picker.Picker
 	Retry  *Retry
+	// Prefixes are hints at what the engines have cached; empty for a plain
+	// service.
+	Prefixes *Prefixes
 
 	mu sync.Mutex
 	// replicasOf maps each endpoint to the replicas that need it, stagesOf each
@@ -170,6 +173,9 @@
 		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
 		Retry: &Retry{now: r.cfg.Now, seed: seed},
 		marks: map[leavingMark]bool{},
+
+		Prefixes: newPrefixes(r.cfg.Now),
+
 		heard: map[string]time.Time{},
 		steps: map[string]time.Duration{},
 
@@ -280,6 +286,13 @@
 	return stages
 }
 
+// IsModel says whether the service's replicas are chains of engines.
+func (s *Service) IsModel() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spec != nil && s.spec.Kind == document.KindModel
+}
+
 func inverted(stages map[string][]string) map[string][]string {
 	replicas := map[string][]string{}
 	for name, endpoints := range stages {
