A call whose chain fell silent is tried as long as one that is partway

With one chain only, one silence was enough. Excluded: waiting longer for the silence (the aim is 300 ms). Change: a silent chain (AttemptResult.Silent) gives the answer the patience of one that is partway: six tries in a row with growing pauses, within the retry budget; with no other chain the same one is tried again. TestOnlyChainComesBack fails without the second try of the only chain.

--- a/route/front/model_test.go
+++ b/route/front/model_test.go
@@ -229,3 +229,23 @@
 		t.Errorf("whole %t: %q, want %q", answer.whole, answer.text, undisturbed())
 	}
 }
+
+// The caller gets a whole answer from the only chain, whose link between the stages
+// is lost for a moment before the first token. The silence ends the first epoch in a
+// fraction of a second; there is no other chain, so the same one is tried again
+// rather than the caller told that its call may have run.
+func TestOnlyChainComesBack(t *testing.T) {
+	s := newSite(t, siteConfig{chains: 1})
+	first := s.engines[0][0].Engine
+	first.SetFaults(standinengine.Faults{CutNext: true})
+	go func() {
+		for first.Stats().Ended < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		first.SetFaults(standinengine.Faults{})
+	}()
+	answer := readStream(t, s.ask(chat(true)).body)
+	if answer.text != undisturbed() || !answer.whole {
+		t.Errorf("whole %t: %q, want %q", answer.whole, answer.text, undisturbed())
+	}
+}
--- a/route/model/attempts.go
+++ b/route/model/attempts.go
@@ -29,7 +29,7 @@
 	if !d.Retry {
 		return fmt.Errorf("not tried again: %s", d.Reason)
 	}
-	if !c.partway() {
+	if !c.patient() {
 		return service.Pause(ctx, d.After)
 	}
 	return service.Pause(ctx, c.partwayPause())
@@ -51,6 +51,18 @@
 	return slices.ContainsFunc(c.runs, func(r run) bool { return r.started })
 }
 
+// silent says whether a chain that had the request was not heard of any more before
+// its first token. It may have run a part, so the caller can't be told otherwise.
+func (c *chooser) silent() bool {
+	return slices.ContainsFunc(c.runs, func(r run) bool { return r.silent })
+}
+
+// patient says whether the answer is tried for longer than a call that provably
+// did not run. A silence is judged after a quarter of a second; when all chains
+// stand still for a moment, as behind a switch that starts again, three tries are
+// over within a second and the caller would be told "unknown".
+func (c *chooser) patient() bool { return c.partway() || c.silent() }
+
 // barren is how many of the last chains brought no token.
 func (c *chooser) barren() int {
 	n := 0
@@ -61,14 +73,14 @@
 }
 
 // attemptsThatCount is the number that the budget's bound on attempts is held
-// against. Before the first token it is all. Partway, an answer given up is lost
+// against. Before the first token it is all, unless a chain fell silent. Partway, an answer given up is lost
 // to the caller with what it has: a failover that brought tokens is a success,
 // and when all chains stand still for a moment, three tries of 0.3 s are over
 // before the first of them is back. So only tries in a row without a token
 // count there, up to a bound of their own; the budget's share of retries stays
 // in force, which is what keeps a service that is down from a storm.
 func (c *chooser) attemptsThatCount() int {
-	if !c.partway() {
+	if !c.patient() {
 		return len(c.runs)
 	}
 	if c.barren() >= maxPartwayTries {
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -47,10 +47,14 @@
 		}
 	}
 	chain, err := c.firstWithPlan(exclude)
-	if errors.Is(err, errNoReplica) && len(exclude) > 1 && c.partway() {
+	if errors.Is(err, errNoReplica) && len(exclude) > 1 && c.patient() {
 		// Every chain has failed this answer once. The one that failed last is the
 		// only one known to be bad now.
-		return c.firstWithPlan(exclude[len(exclude)-1:])
+		chain, err = c.firstWithPlan(exclude[len(exclude)-1:])
+	}
+	if errors.Is(err, errNoReplica) && len(c.runs) == c.ended && c.silent() {
+		// There is one chain only, and it was silent for a fraction of a second.
+		return c.firstWithPlan(nil)
 	}
 	return chain, err
 }
@@ -96,6 +100,7 @@
 func (c *chooser) Ended(chain stream.Chain, r stream.AttemptResult) {
 	c.last = r
 	c.ended++
+	c.runs[r.Epoch-1].silent = r.Silent
 	mine := c.runs[r.Epoch-1]
 	c.answer.At.Picker.Finished(chain.Replica, balance.Result{
 		Cost:       c.answer.cost,
--- a/route/model/progress.go
+++ b/route/model/progress.go
@@ -11,6 +11,9 @@
 	replica string
 	first   string // the chain's first endpoint, which tells the load
 	since   time.Time
+	// silent is set if the chain had the request and then was not heard of before
+	// its first token.
+	silent bool
 	// started is set with the first token; reported and tokens are the time and
 	// the number of tokens since the balancer was last told of the pace.
 	started  bool
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -164,6 +164,7 @@
 func (e *epoch) lost(ctx context.Context, err error) {
 	switch {
 	case errors.Is(context.Cause(e.ctx), errStalled) && e.result.Tokens == 0:
+		e.result.Silent = errors.Is(context.Cause(e.ctx), errSilent)
 		e.end(EndNoFirstToken, err)
 	case errors.Is(context.Cause(e.ctx), errStalled):
 		e.end(EndStalled, err)
@@ -239,7 +240,7 @@
 		// given longer next time.
 		e.gap.sample(time.Since(e.a.lastToken))
 	}
-	if e.result.End == EndNoFirstToken {
+	if e.result.Silent {
 		e.a.silences++
 	}
 	if e.gap.known {
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -127,6 +127,9 @@
 	NotRun bool
 	// Reason is set if End is EndRejected.
 	Reason Reason
+	// Silent is set if End is EndNoFirstToken because the chain was not heard of,
+	// long before the time of a first token was up.
+	Silent bool
 	// Err is the error below, if there was one.
 	Err error
 	// Status is the HTTP status of a refusal, or zero.
--- a/route/stream/watchdog.go
+++ b/route/stream/watchdog.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 )
 
-var errStalled = errors.New("no token in time")
+var (
+	errStalled = errors.New("no token in time")
+	errSilent  = fmt.Errorf("%w: the chain does not answer", errStalled)
+)
 
 // pauseGrace is how late the watchdog may run before it takes itself, not the
 // chain, to have stood still.
@@ -103,7 +107,7 @@
 		return // the token came meanwhile
 	}
 	if silent {
-		w.cancel(errStalled)
+		w.cancel(errSilent)
 		return
 	}
 	// From when this look was due: late by a little each time, ten of them would
