--- a/fleet/spread/payload.go
+++ b/fleet/spread/payload.go
@@ -7,8 +7,9 @@
 	"io"
 )
 
-// MaxBodyBytes is the largest body taken from a peer: what the store holds.
-const MaxBodyBytes = 1 << 20
+// MaxBodyBytes is the largest body taken from a peer: the longest text that an
+// operator's command puts in force.
+const MaxBodyBytes = 4 << 20
 
 // blockSize is the unit in which a difference looks for unchanged text. A
 // smaller one finds more and costs more memory while comparing.
@@ -49,7 +50,12 @@
 	if !whole && base.Holding() != p.Base {
 		return Record{}, Error.Wrap(ErrBase)
 	}
-	data, err := inflate(p.Data)
+	// The operations of a difference take a little more than the body itself.
+	limit := p.Length
+	if !whole {
+		limit = 2 * (p.Length + blockSize)
+	}
+	data, err := inflate(p.Data, limit)
 	if err != nil {
 		return Record{}, Error.Wrap(err)
 	}
@@ -78,10 +84,8 @@
 }
 
 // inflate unpacks data, bounded: a few packed bytes can stand for gigabytes.
-func inflate(data []byte) ([]byte, error) {
-	// The operations of a difference take a little more than the body itself.
-	const limit = 2 * MaxBodyBytes
-	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), limit+1))
+func inflate(data []byte, limit int) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), int64(limit)+1))
 	if err != nil {
 		return nil, ErrMalformed
 	}
@@ -93,7 +97,47 @@
 
 // difference encodes target as operations: copy (length, offset in base) and
 // insert (zero, length, bytes), numbers as varints.
+//
+// A common beginning and end are found first: most changes are of one place in
+// a long text, and indexing all of the base took most of a push's time.
 func difference(base, target []byte) []byte {
+	head := commonPrefix(base, target)
+	tail := commonSuffix(base[head:], target[head:])
+	out := appendCopy(nil, 0, head)
+	if middle := target[head : len(target)-tail]; len(middle) < blockSize {
+		out = appendInsert(out, middle)
+	} else {
+		out = append(out, blockDifference(base, middle)...)
+	}
+	return appendCopy(out, len(base)-tail, tail)
+}
+
+func commonPrefix(a, b []byte) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+func commonSuffix(a, b []byte) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[len(a)-1-n] == b[len(b)-1-n] {
+		n++
+	}
+	return n
+}
+
+func appendCopy(out []byte, offset, length int) []byte {
+	if length == 0 {
+		return out
+	}
+	out = binary.AppendUvarint(out, uint64(length))
+	return binary.AppendUvarint(out, uint64(offset))
+}
+
+// blockDifference looks for blocks of target anywhere in base.
+func blockDifference(base, target []byte) []byte {
 	blocks := indexBlocks(base)
 	var out []byte
 	pending := 0
@@ -104,8 +148,7 @@
 			continue
 		}
 		out = appendInsert(out, target[pending:at])
-		out = binary.AppendUvarint(out, uint64(length))
-		out = binary.AppendUvarint(out, uint64(offset))
+		out = appendCopy(out, offset, length)
 		at += length
 		pending = at
 	}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -155,6 +155,11 @@
 	m.scope.Gauge("document_revision").Update(float64(revision))
 }
 
+// DocumentRefused counts a document that could not be taken, by the reason.
+func (m *Metrics) DocumentRefused(reason string) {
+	m.scope.Tagged(map[string]string{labelReason: reason}).Counter("documents_refused_total").Inc(1)
+}
+
 // Underway sets how many requests the node is serving.
 func (m *Metrics) Underway(n int64) {
 	m.scope.Gauge("requests_underway").Update(float64(n))
@@ -173,6 +178,15 @@
 	}).Counter("replica_health_changes_total").Inc(1)
 }
 
+// CacheEvents counts answers of engines to questions for their cache events, by
+// what they meant for the trust in the replica.
+func (m *Metrics) CacheEvents(service, change string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  change,
+	}).Counter("cache_event_polls_total").Inc(1)
+}
+
 // Slots sets the usable slots of a service on this node.
 func (m *Metrics) Slots(service string, n int) {
 	m.service(service).Gauge("usable_slots").Update(float64(n))
--- a/proof/matrix/faults_test.go
+++ b/proof/matrix/faults_test.go
@@ -74,9 +74,9 @@
 // ownerFaults concern an order that comes to the second node while the first
 // one writes its shard of the ledger.
 var ownerFaults = []fault{
-	{"owner cut off from its peers", (*cell).cutOwner},
-	{"owner's link frozen", (*cell).freezeOwnerLink},
-	{"asked node killed", func(c *cell) { c.kill(1) }},
+	{"owner cut off from its peers", func(c *cell) { c.cutOwner() }},
+	{"owner's link frozen", func(c *cell) { c.freezeOwnerLink() }},
+	{"asked node killed", func(c *cell) { c.Nodes[1].Kill() }},
 	{"asked node frozen for a while", func(c *cell) { c.freeze(1) }},
 	{"caller asks a third node", func(c *cell) { c.askNode(2) }},
 }
@@ -165,21 +165,21 @@
 }
 
 // killNode strikes the node that the caller asks now, as the next two do.
-func (c *cell) killNode() { c.kill(c.serving.Load()) }
-
-func (c *cell) kill(node int32) {
+func (c *cell) killNode() {
+	node := c.serving.Load()
 	c.Nodes[node].Kill()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.killed[node] = true
 }
 
-func (c *cell) freezeNode() { c.freeze(c.serving.Load()) }
+func (c *cell) freezeNode() {
+	c.freeze(int(c.serving.Load()))
+}
 
-func (c *cell) freeze(i int32) {
-	node := c.Nodes[i]
-	c.signal(node, syscall.SIGSTOP)
-	time.AfterFunc(pause, func() { _ = node.Thaw() }) // it may have been killed
+func (c *cell) freeze(node int) {
+	c.signal(c.Nodes[node], syscall.SIGSTOP)
+	time.AfterFunc(pause, func() { _ = c.Nodes[node].Thaw() }) // it may have been killed
 }
 
 func (c *cell) drainNode() {
--- a/proof/matrix/order_test.go
+++ b/proof/matrix/order_test.go
@@ -109,22 +109,32 @@
 	c.nodesSane()
 }
 
+// askNext asks the second node, or the third if the second is gone.
+func (c *cell) askNext() outcome.Outcome {
+	node := 1
+	if c.wasKilled(node) || c.wasDrained(node) {
+		node = 2
+	}
+	c.serving.Store(int32(node))
+	return c.ask(node)
+}
+
 // ownedPath is an order that comes to the second node, while the first one is
 // the owner of its shard: of the three names it ranks first for it. The faults
 // of "node" strike the owner.
 var ownedPath = path{
-	name:    "order by its owner",
-	body:    judgeOwned,
-	noPairs: "those of the order path go on to nodes that are not the owner",
-	steps:   orderSteps,
-	faults:  joined(nodeFaults, ownerFaults, ownerPairs),
+	name:   "order by its owner",
+	steps:  orderSteps,
+	faults: joined(nodeFaults, ownerFaults, ownerPairs),
 	omitted: []omission{
 		{joined(engineFaults, allPaused, slowEngine, wrongEngine), "an order touches no engine"},
 		{peerFaults, "faults of the owner and of the asked node stand for them"},
 		{plainFaults, "who writes the claim is nothing to the endpoint; the path before has them"},
 		{joined(operatorFaults, commandFaults), "to a node it is a document promoted"},
 	},
-	adjust: func(config *rig.Config) { config.PeerLinks = true },
+	body:    judgeOwned,
+	noPairs: "faults at two steps of an order are on the path before; here two come together at one step",
+	adjust:  func(config *rig.Config) { config.PeerLinks = true },
 }
 
 // A caller places an order at the second node, which has the first one write
@@ -141,7 +151,8 @@
 	said := []outcome.Outcome{c.ask(1)}
 	c.sprang()
 	c.Heal()
-	c.judgeSaid(append(said, c.askUntilKnown(2, said[0] == outcome.Done && !c.wasKilled(1))...))
+	kept := said[0] == outcome.Done && !c.struckBy("asked node killed")
+	c.judgeSaid(append(said, c.askUntilKnown(2, kept)...))
 	c.nodesSane()
 }
 
@@ -174,16 +185,6 @@
 	return said
 }
 
-// askNext asks the second node, or the third if the second is gone.
-func (c *cell) askNext() outcome.Outcome {
-	node := 1
-	if c.wasKilled(node) || c.wasDrained(node) {
-		node = 2
-	}
-	c.serving.Store(int32(node))
-	return c.ask(node)
-}
-
 // ask places the order at a node. A connection that breaks tells the caller
 // nothing.
 func (c *cell) ask(node int) outcome.Outcome {
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -237,7 +237,7 @@
 		return err
 	}
 	base := int64(0)
-	if current, err := r.Promoter.Current(ctx, harness.Environment); err == nil {
+	if current, err := r.Promoter.InForce(ctx, harness.Environment); err == nil {
 		base = current.Revision
 	}
 	_, err = r.Promoter.Promote(ctx, harness.Environment, tried.Digest, base, promotion.NewID(), "rig")
@@ -278,7 +278,7 @@
 }
 
 func (r *Rig) addLinkedNode() error {
-	l, err := link.Listen(net.JoinHostPort(r.ip, "0"))
+	l, err := link.Listen(net.JoinHostPort(r.ip, "0")) // the node's port is not known yet
 	if err != nil {
 		return err
 	}
--- a/route/engine/client.go
+++ b/route/engine/client.go
@@ -83,6 +83,16 @@
 	return holding, c.call(ctx, http.MethodGet, address, engineapi.PathHolding, nil, &holding)
 }
 
+// Way asks the first engine of a chain whether the stages behind it answer over
+// the links that activations take, and returns what each of them holds.
+// Status(err) is 404 or 405 from engines that don't know the call.
+func (c *Client) Way(ctx context.Context, chain []engineapi.Stage) ([]engineapi.Holding, error) {
+	var reply engineapi.WayReply
+	req := engineapi.WayRequest{Chain: chain}
+	err := c.call(ctx, http.MethodPost, chain[0].Address, engineapi.PathWay, req, &reply)
+	return reply.Holdings, err
+}
+
 // Order tells an engine what to hold. Status(err) is 409 if the engine has
 // taken a later placement version.
 func (c *Client) Order(ctx context.Context, address string, order engineapi.Order) error {
@@ -104,10 +114,10 @@
 
 // CacheEvents asks for the cache events after a sequence number. Gaps in the
 // sequence mean that events were lost.
-func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]engineapi.CacheEvent, error) {
-	var events []engineapi.CacheEvent
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) (engineapi.CachePage, error) {
+	var page engineapi.CachePage
 	path := engineapi.PathEvents + "?after=" + strconv.FormatUint(after, 10)
-	return events, c.call(ctx, http.MethodGet, address, path, nil, &events)
+	return page, c.call(ctx, http.MethodGet, address, path, nil, &page)
 }
 
 // call sends body, if any, and reads the reply into reply, if any.
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
@@ -22,6 +23,19 @@
 	runs  []run
 	ended int
 	last  stream.AttemptResult
+	// prefixes are the names of the prompt's prefixes; nil until they are needed.
+	prefixes []uint64
+}
+
+// maxPrefixes bounds the prefixes of a prompt that are looked for: 512 words tell
+// system prompts and templates apart.
+const maxPrefixes = 32
+
+func (c *chooser) hashes() []uint64 {
+	if c.prefixes == nil {
+		c.prefixes = engineapi.PrefixHashes(c.answer.chat.Messages, maxPrefixes)
+	}
+	return c.prefixes
 }
 
 // Choose picks a replica that is none of exclude. From the second epoch on the
@@ -64,6 +78,7 @@
 	a := c.answer
 	choice, ok := a.At.Picker.Pick(balance.Query{
 		Prefix:  prefixHash(a.chat.Messages),
+		Holders: a.At.Prefixes.Holders(c.hashes()),
 		Cost:    a.cost,
 		Exclude: exclude,
 	})
@@ -92,6 +107,11 @@
 	if r.End == stream.EndMismatch {
 		c.answer.server.Plans.Suspect(c.answer.Service.Name, chain.Replica)
 	}
+	for i := range r.Hops {
+		// Without it a slow link looks like slow layers, and the plan leaves the
+		// engine out in place of the link.
+		r.Hops[i].StepMicros = float64(c.answer.At.Step(r.Hops[i].Endpoint).Microseconds())
+	}
 	if len(r.Hops) > 0 {
 		c.answer.server.Plans.Observe(c.answer.Service.Name, chain.Replica, r.Hops)
 	}
