--- a/decide/balance/balancer_test.go
+++ b/decide/balance/balancer_test.go
@@ -83,7 +83,7 @@
 		}
 		_, ok := b.Pick(epoch, Query{})
 		So(ok, ShouldBeFalse)
-		So(b.FreeSlots(epoch), ShouldEqual, 0)
+		So(b.Room(epoch), ShouldEqual, 0)
 	})
 }
 
@@ -166,7 +166,7 @@
 		So(b.Capacity(epoch), ShouldEqual, 64)
 		b.SetLeaving(epoch, "replica-1", true)
 		So(b.Capacity(epoch), ShouldEqual, 64)
-		So(b.FreeSlots(epoch), ShouldEqual, 64)
+		So(b.Room(epoch), ShouldEqual, 64)
 		So(picked(b, epoch, 10, Query{NoProbe: true}), ShouldResemble, map[string]int{"replica-0": 10})
 		b.SetLeaving(epoch, "replica-0", true)
 		So(b.Capacity(epoch), ShouldEqual, 0)
