--- a/route/stream/fleet_test.go
+++ b/route/stream/fleet_test.go
@@ -35,14 +35,16 @@
 // patience is the waits of tests that set none. The defaults are for machines
 // of their own: where all packages are tested side by side, a healthy engine is
 // now and then kept from running for 250 ms, and the last chain that a test has
-// is then taken for frozen.
+// is then taken for frozen. Benchmarks measure the defaults.
 var patience = Options{StallFloor: time.Second, HoldingTimeout: time.Second}
 
 // newFleet starts n chains, of which half the layers stand on each stage.
 func newFleet(t testing.TB, n int, cfg standin.Config, options Options) *fleet {
 	t.Helper()
-	options.StallFloor = orDefault(options.StallFloor, patience.StallFloor)
-	options.HoldingTimeout = orDefault(options.HoldingTimeout, patience.HoldingTimeout)
+	if _, test := t.(*testing.T); test {
+		options.StallFloor = orDefault(options.StallFloor, patience.StallFloor)
+		options.HoldingTimeout = orDefault(options.HoldingTimeout, patience.HoldingTimeout)
+	}
 	f := &fleet{t: t, client: engine.New(nil)}
 	for range n {
 		f.chains = append(f.chains, [2]*standin.Server{
--- a/route/stream/recovery_bench_test.go
+++ b/route/stream/recovery_bench_test.go
@@ -40,7 +40,7 @@
 
 // failUnder runs streams on one chain, fails it and returns the recoveries.
 func failUnder(b *testing.B, streams int, fail func(*standin.Server)) []Recovery {
-	f := newFleet(b, 2, steady, Options{}.withDefaults())
+	f := newFleet(b, 2, steady, Options{})
 	defer f.stop()
 	var running, finished sync.WaitGroup
 	running.Add(streams)
@@ -97,7 +97,7 @@
 	for _, words := range []int{64, 512, 4096, 16384} {
 		for _, way := range []string{"recompute", "import", "chosen"} {
 			b.Run(fmt.Sprintf("tokens=%d/%s", words, way), func(b *testing.B) {
-				f := newFleet(b, 2, cfg, Options{}.withDefaults())
+				f := newFleet(b, 2, cfg, Options{})
 				defer f.stop()
 				var all []Recovery
 				imports := 0
