Bench: a rush whose nodes, engines, store and document change under it

Single faults were measured one by one, each on a quiet site.

Change: section 'churn' of make bench. Answers are compared with the engine's own, orders with what arrived.

--- a/proof/bench/caller.go
+++ b/proof/bench/caller.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -31,10 +32,17 @@
 	tokens              int
 	// timeout is the caller's own; zero: none.
 	timeout time.Duration
+	// prompt is the question; empty: always the same one.
+	prompt string
+	// digest asks for a digest of the answer's text.
+	digest bool
 	// onToken, if set, is told of each token's number as it comes.
 	onToken func(n int)
 }
 
+// usualPrompt is asked where the text does not matter.
+const usualPrompt = "How much butter does Braga need tomorrow?"
+
 // answer is what the caller received.
 type answer struct {
 	status int
@@ -45,7 +53,9 @@
 	firstToken, total time.Duration
 	// gap is the longest between two tokens.
 	gap time.Duration
-	err error
+	// digest of the text, if it was asked for.
+	digest uint64
+	err    error
 }
 
 // ask streams one answer.
@@ -65,15 +75,19 @@
 	}
 	defer response.Body.Close()
 	a.status = response.StatusCode
-	a.read(response.Body, began, q.onToken)
+	a.read(response.Body, began, q)
 	a.total = time.Since(began)
 	return a
 }
 
 func (q question) send(ctx context.Context) (*http.Response, error) {
+	prompt := q.prompt
+	if prompt == "" {
+		prompt = usualPrompt
+	}
 	body, err := json.Marshal(engineapi.ChatRequest{
 		Model:     q.model,
-		Messages:  []engineapi.Message{{Role: "user", Content: "How much butter does Braga need tomorrow?"}},
+		Messages:  []engineapi.Message{{Role: "user", Content: prompt}},
 		MaxTokens: q.tokens,
 		Stream:    true,
 	})
@@ -95,12 +109,16 @@
 var (
 	// tokenMark is in each event with a token and in no other.
 	tokenMark = []byte(`"content":"`)
-	doneMark  = []byte("data: " + engineapi.DoneMarker)
+	// textEnd ends a token's text; the stand-in's words hold no quotes.
+	textEnd  = []byte(`"`)
+	doneMark = []byte("data: " + engineapi.DoneMarker)
 )
 
 // read counts tokens without decoding them: this process also runs the engines.
-func (a *answer) read(body io.Reader, began time.Time, onToken func(int)) {
+func (a *answer) read(body io.Reader, began time.Time, q question) {
 	last := began
+	text := fnv.New64a()
+	defer func() { a.digest = text.Sum64() }()
 	lines := bufio.NewReader(body)
 	for {
 		line, err := lines.ReadSlice('\n')
@@ -113,9 +131,14 @@
 		if bytes.HasPrefix(line, doneMark) {
 			a.whole = true
 		}
-		if !bytes.Contains(line, tokenMark) {
+		_, token, found := bytes.Cut(line, tokenMark)
+		if !found {
 			continue
 		}
+		if q.digest {
+			word, _, _ := bytes.Cut(token, textEnd)
+			text.Write(word)
+		}
 		now := time.Now()
 		if a.tokens == 0 {
 			a.firstToken = now.Sub(began)
@@ -124,8 +147,8 @@
 		}
 		last = now
 		a.tokens++
-		if onToken != nil {
-			onToken(a.tokens)
+		if q.onToken != nil {
+			q.onToken(a.tokens)
 		}
 	}
 }
@@ -174,6 +197,21 @@
 	return nil
 }
 
+// pickOther draws like pick, and another address than the one given if there is
+// one in a few draws.
+func (e *entries) pickOther(team int, than string) string {
+	address := e.pick(team)
+	for range drawsForOther {
+		if address != than {
+			break
+		}
+		address = e.pick(team)
+	}
+	return address
+}
+
+const drawsForOther = 8
+
 // pick draws one of a team's addresses by weight.
 func (e *entries) pick(team int) string {
 	e.mu.Lock()
--- a/proof/bench/orders.go
+++ b/proof/bench/orders.go
@@ -26,24 +26,32 @@
 // order places one order under a key and returns the status and the time that
 // the answer took.
 func order(ctx context.Context, node, key string) (int, time.Duration) {
-	return post(ctx, "http://"+node+"/services/stock-ledger/orders", key)
+	reply, took := post(ctx, "http://"+node+"/services/stock-ledger/orders", key, teamKey(0))
+	return reply.status, took
 }
 
-func post(ctx context.Context, url, key string) (int, time.Duration) {
+// orderReply is the answer to an order; status zero: there was none.
+type orderReply struct {
+	status  int
+	outcome outcome.Outcome
+}
+
+func post(ctx context.Context, url, key, team string) (orderReply, time.Duration) {
 	began := time.Now()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(strings.NewReader(orderBody)))
 	if err != nil {
-		return 0, 0
+		return orderReply{}, 0
 	}
-	request.Header.Set("Authorization", "Bearer "+teamKey(0))
+	request.Header.Set("Authorization", "Bearer "+team)
 	request.Header.Set(outcome.HeaderOrderKey, key)
 	response, err := client.Do(request)
 	if err != nil {
-		return 0, time.Since(began)
+		return orderReply{}, time.Since(began)
 	}
 	defer response.Body.Close()
 	_, _ = io.Copy(io.Discard, response.Body) // the status is what counts
-	return response.StatusCode, time.Since(began)
+	reply := orderReply{response.StatusCode, outcome.Outcome(response.Header.Get(outcome.Header))}
+	return reply, time.Since(began)
 }
 
 // orders measures non-idempotent orders by the number of callers who each place
@@ -125,7 +133,7 @@
 func directOrder(ctx context.Context, address string) time.Duration {
 	took := newTimes()
 	for i := range probes {
-		_, d := post(ctx, "http://"+address+"/orders", fmt.Sprint("direct-", i))
+		_, d := post(ctx, "http://"+address+"/orders", fmt.Sprint("direct-", i), teamKey(0))
 		took.record(d)
 	}
 	return took.at(50)
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cicadatack/cicadatack/node/server"
@@ -104,14 +105,23 @@
 
 // serve runs a handler on a free port and counts its bytes.
 func (t *site) serve(h http.Handler, count *traffic) (string, error) {
+	address, end, err := t.listen(h, count)
+	if err != nil {
+		return "", err
+	}
+	t.closers = append(t.closers, end)
+	return address, nil
+}
+
+// listen is serve for a handler that the caller ends.
+func (t *site) listen(h http.Handler, count *traffic) (address string, end func(), err error) {
 	l, err := net.Listen("tcp", loopback)
 	if err != nil {
-		return "", Error.Wrap(err)
+		return "", nil, Error.Wrap(err)
 	}
 	server := &http.Server{Handler: h}
 	go server.Serve(listener{l, count}) //nolint:errcheck // ends with Close
-	t.closers = append(t.closers, func() { server.Close() })
-	return l.Addr().String(), nil
+	return l.Addr().String(), func() { server.Close() }, nil
 }
 
 // place is an endpoint before it is in the document.
@@ -161,19 +171,41 @@
 		cfg.Name = fmt.Sprintf("%s-engine-%d", model, i)
 		cfg.Model = model
 		cfg.Last = layers - 1
-		e := engine.New(cfg)
-		t.closers = append(t.closers, e.Close)
-		address, err := t.serve(e, &t.endpointTraffic)
+		e, err := t.engine(cfg)
 		if err != nil {
 			return nil, err
 		}
-		addresses = append(addresses, address)
-		chains = append(chains, []place{{cfg.Name, address, domains[i%len(domains)]}})
+		addresses = append(addresses, e.address)
+		chains = append(chains, []place{{e.name, e.address, domains[i%len(domains)]}})
 	}
 	t.addModel(model, chains)
 	return addresses, nil
 }
 
+// engineVM is an engine that can be taken away.
+type engineVM struct {
+	name, address string
+	kill          func()
+}
+
+// engine runs one engine on a listener of its own.
+func (t *site) engine(cfg engine.Config) (*engineVM, error) {
+	e := engine.New(cfg)
+	address, closeServer, err := t.listen(e, &t.endpointTraffic)
+	if err != nil {
+		return nil, err
+	}
+	var once sync.Once
+	vm := &engineVM{name: cfg.Name, address: address, kill: func() {
+		once.Do(func() {
+			closeServer()
+			e.Close()
+		})
+	}}
+	t.closers = append(t.closers, vm.kill)
+	return vm, nil
+}
+
 // promote puts the document in force in the store; weight tells its versions
 // apart.
 func (t *site) promote(ctx context.Context, weight float64) error {
--- a/proof/bench/suite.go
+++ b/proof/bench/suite.go
@@ -42,6 +42,7 @@
 	{"nodes", nodeRecovery},
 	{"store", storeRecovery},
 	{"orders", orders},
+	{"churn", churnRush},
 	{"control", control},
 	{"decisions", decisions},
 }
