Entry answers name two failure domains; the churn loses a whole one

Homes and the addresses of an answer were drawn by rank alone: with two homes of six nodes in three domains a fifth of the teams has both in one domain, and their callers keep that answer for up to 20 s.

Change: the last of k homes, or of an answer's addresses, is the best of another domain if all others are in one.

The churn's callers give up a silent address after a second, and nodes freeze.

Conclusion: a lost domain costs callers a second try, not their request. Two homes lost one after the other within the time of detection still cost up to 3 s.

--- a/decide/entry/doc.go
+++ b/decide/entry/doc.go
@@ -22,7 +22,9 @@
 //   - ValidFor 20 s: with 2,200 nodes and, say, 100,000 callers this is 5,000
 //     questions a second, 2.3 a node; and a node can leave within half a minute.
 //   - RetryAfter 2 s is the validity of an answer given from a doubtful list.
-//   - MinHomes 2: the loss of one VM must not cut off a team.
+//   - MinHomes 2: the loss of one VM must not cut off a team. Homes, and the
+//     addresses of an answer, are in at least two failure domains if the nodes
+//     are: nor must the loss of a failure domain.
 //   - HomeHeadroom 4: see docs/decisions/balance.md for the spread of load
 //     measured with other values.
 //   - NearPreference 8: entry VMs are near to each other and callers farther
--- a/decide/entry/entry.go
+++ b/decide/entry/entry.go
@@ -116,7 +116,7 @@
 
 func homesOf(team string, members []Member, k int) []Member {
 	key := rendezvous.Hash(team)
-	return top(members, k, func(m Member) float64 {
+	return spanning(members, k, func(m Member) float64 {
 		if !m.usable() {
 			return 0
 		}
@@ -129,7 +129,7 @@
 // and the callers of a team spread over its homes.
 func choose(q Query, homes []Member) []Member {
 	key := rendezvous.Hash(q.Team + "\x00" + q.Caller)
-	return top(homes, MaxAddresses, func(m Member) float64 {
+	return spanning(homes, MaxAddresses, func(m Member) float64 {
 		return rendezvous.Weighted(key, rendezvous.Hash(m.ID), preference(q, m))
 	})
 }
@@ -159,6 +159,42 @@
 	return room
 }
 
+// spanning returns the k members of the highest rank, but for the last one if
+// all are in one failure domain and members of others are to be had: then it is
+// the best of those.
+//
+// The failure is the loss of a failure domain. A caller whose addresses are all
+// in it has nowhere to go until its answer runs out; with two homes of six nodes
+// in three domains that is a fifth of the teams. One address elsewhere is enough,
+// as the caller tries the next when one does not answer; the other members stay
+// by rank, so that callers stay near and few homes move when a node comes or
+// goes.
+func spanning(members []Member, k int, rank func(Member) float64) []Member {
+	best := top(members, k, rank)
+	if len(best) < 2 || !sameDomain(best) {
+		return best
+	}
+	elsewhere := top(members, 1, func(m Member) float64 {
+		if m.FailureDomain == best[0].FailureDomain {
+			return 0
+		}
+		return rank(m)
+	})
+	if len(elsewhere) > 0 {
+		best[len(best)-1] = elsewhere[0]
+	}
+	return best
+}
+
+func sameDomain(members []Member) bool {
+	for _, m := range members {
+		if m.FailureDomain != members[0].FailureDomain {
+			return false
+		}
+	}
+	return true
+}
+
 // ranked is a member by its index and its rank.
 type ranked struct {
 	index int
--- a/decide/entry/entry_test.go
+++ b/decide/entry/entry_test.go
@@ -105,6 +105,33 @@
 	})
 }
 
+// A failure domain is lost: its nodes are gone at once, and callers keep their
+// answers for up to ValidFor. A caller with an address elsewhere goes there by
+// itself; one without has nowhere to go. So every answer names two domains, and
+// the homes, which alone have a part of the team's limit, stand in two.
+func TestLossOfAFailureDomain(t *testing.T) {
+	for _, c := range []struct {
+		nodes, domains int
+		share          float64
+	}{{6, 3, 0}, {9, 3, 0}, {9, 3, 0.5}, {9, 2, 1}, {230, 23, 0.01}} {
+		all, alone := members(c.nodes, c.domains), 0
+		const teams = 100
+		for team := range teams {
+			q := Query{Team: fmt.Sprint(team), Caller: "192.0.2.7", Share: c.share, FailureDomain: "fd-1"}
+			domains := map[string]bool{}
+			for _, a := range Answer(q, all).Addresses {
+				domains[a.FailureDomain] = true
+			}
+			if len(domains) < 2 {
+				alone++
+			}
+		}
+		if alone > 0 {
+			t.Errorf("%d nodes in %d domains, share %.2f: %d of %d answers name one domain only", c.nodes, c.domains, c.share, alone, teams)
+		}
+	}
+}
+
 // spreadOf returns the load of the busiest node over the mean. 240 teams, a few
 // of them large, have callers of whom a tenth ask again at each step. A blind
 // answer knows no loads.
--- a/proof/bench/caller.go
+++ b/proof/bench/caller.go
@@ -32,6 +32,9 @@
 	tokens              int
 	// timeout is the caller's own; zero: none.
 	timeout time.Duration
+	// silence is how long the caller waits for a token, the first included,
+	// before it hangs up; zero: for ever.
+	silence time.Duration
 	// prompt is the question; empty: always the same one.
 	prompt string
 	// digest asks for a digest of the answer's text.
@@ -66,6 +69,14 @@
 		ctx, cancel = context.WithTimeout(ctx, q.timeout)
 		defer cancel()
 	}
+	if q.silence > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		hangUp := time.AfterFunc(q.silence, cancel)
+		defer hangUp.Stop()
+		q.onToken = func(int) { hangUp.Reset(q.silence) }
+	}
 	var a answer
 	response, err := q.send(ctx)
 	if err != nil {
@@ -197,33 +208,39 @@
 	return nil
 }
 
-// pickOther draws like pick, and another address than the one given if there is
-// one in a few draws.
-func (e *entries) pickOther(team int, than string) string {
-	address := e.pick(team)
-	for range drawsForOther {
-		if address != than {
-			break
+// pickOther draws like pick from the addresses that have not failed a caller yet;
+// if all have, it begins anew.
+func (e *entries) pickOther(team int, failed map[string]bool) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var left []front.EntryAddress
+	for _, a := range e.answers[team].Addresses {
+		if !failed[a.Address] {
+			left = append(left, a)
 		}
-		address = e.pick(team)
 	}
-	return address
+	if len(left) == 0 {
+		clear(failed)
+		left = e.answers[team].Addresses
+	}
+	return draw(left)
 }
 
-const drawsForOther = 8
-
 // pick draws one of a team's addresses by weight.
 func (e *entries) pick(team int) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	addresses := e.answers[team].Addresses
+	return draw(e.answers[team].Addresses)
+}
+
+func draw(addresses []front.EntryAddress) string {
 	total := 0.0
 	for _, a := range addresses {
 		total += a.Weight
 	}
-	draw := rand.Float64() * total
+	at := rand.Float64() * total
 	for _, a := range addresses {
-		if draw -= a.Weight; draw <= 0 {
+		if at -= a.Weight; at <= 0 {
 			return a.Address
 		}
 	}
--- a/proof/bench/churn.go
+++ b/proof/bench/churn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,6 +30,9 @@
 	churnLead   = 750 * time.Millisecond
 	churnRounds = 3
 	storeGone   = time.Second
+	nodeFrozen  = 2 * time.Second
+	// domainGone passes before the VMs of a lost failure domain are replaced.
+	domainGone = 1500 * time.Millisecond
 	// drainTimeout bounds the wait for drained nodes at the end: entry answers
 	// that name them have to run out.
 	drainTimeout = time.Minute
@@ -110,7 +114,7 @@
 
 func (c *churn) addEngine() error {
 	c.started++
-	e, err := c.site.engine(engine.Config{
+	e, err := c.site.engine(domains[c.started%len(domains)], engine.Config{
 		Name:  fmt.Sprintf("engine-%d", c.started),
 		Model: "pastry-llm",
 		Last:  layers - 1,
@@ -138,8 +142,8 @@
 	}
 	c.site.doc.Services, c.site.doc.Endpoints = services, endpoints
 	var chains [][]place
-	for i, e := range c.engines {
-		chains = append(chains, []place{{e.name, e.address, domains[i%len(domains)]}})
+	for _, e := range c.engines {
+		chains = append(chains, []place{e.place})
 	}
 	c.site.addModel("pastry-llm", chains)
 }
@@ -155,8 +159,10 @@
 			{"node killed, another starts", c.killNode},
 			{"engine dies, another in its place", c.replaceEngine},
 			{"node drained, another starts", c.drainNode},
-			{"store away for a second", c.loseStore},
+			{"node frozen for two seconds", c.freezeNode},
 			{"document changes", c.changeDocument},
+			{"failure domain lost, replaced after 1.5 s", c.loseDomain},
+			{"store away for a second", c.loseStore},
 		} {
 			c.changes = append(c.changes, change{each.name, time.Now()})
 			if err := each.do(ctx); err != nil {
@@ -199,13 +205,56 @@
 func (c *churn) replaceEngine(ctx context.Context) error {
 	c.engines[0].kill()
 	c.engines = c.engines[1:]
-	if err := c.addEngine(); err != nil {
-		return err
+	return c.fillUp(ctx)
+}
+
+// fillUp starts engines and nodes in place of those that are missing.
+func (c *churn) fillUp(ctx context.Context) error {
+	for len(c.engines) < churnReplicas {
+		if err := c.addEngine(); err != nil {
+			return err
+		}
+	}
+	for len(c.site.nodes) < churnNodes {
+		if err := c.startNode(ctx); err != nil {
+			return err
+		}
 	}
 	c.layOut()
 	return c.site.promoteDocument(ctx)
 }
 
+// loseDomain kills all VMs of the failure domain of the oldest node at once.
+func (c *churn) loseDomain(ctx context.Context) error {
+	lost := c.site.nodes[0].domain
+	c.site.nodes = slices.DeleteFunc(c.site.nodes, func(n *node) bool {
+		if n.domain == lost {
+			n.kill()
+		}
+		return n.domain == lost
+	})
+	c.engines = slices.DeleteFunc(c.engines, func(e *engineVM) bool {
+		if e.domain == lost {
+			e.kill()
+		}
+		return e.domain == lost
+	})
+	c.callers.serve(c.site.nodes)
+	time.Sleep(domainGone)
+	return c.fillUp(ctx)
+}
+
+// freezeNode stops a node's process for a while, as a paused VM is; its
+// connections stay open.
+func (c *churn) freezeNode(context.Context) error {
+	process := c.site.nodes[0].command.Process
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return Error.Wrap(err)
+	}
+	time.Sleep(nodeFrozen)
+	return Error.Wrap(process.Signal(syscall.SIGCONT))
+}
+
 func (c *churn) loseStore(context.Context) error {
 	c.site.store.SetFaults(storefake.Faults{Outage: true})
 	time.Sleep(storeGone)
@@ -243,8 +292,8 @@
 		title: "A rush with churn",
 		columns: []string{"change", "times", "calls", "whole", "asked again", "refused", "in vain", "wrong",
 			"first token p50", "p95", "max", "longest gap"},
-		note: fmt.Sprintf("Calls sent from %v before a change to %v before the next one, %v later. %d nodes, %d replicas of %d slots, %.1f of what they can answer (%.0f calls a second of %d tokens). A caller whose connection breaks asks at another address at once; its first token is that of the whole answer, counted from its first try. Every answer is compared with the engine's own to the same prompt. Callers wait %v.",
-			churnLead, churnLead, churnPause, churnNodes, churnReplicas, overloadSlots, churnLoad, churnLoad*churnBound, overloadTokens, patience),
+		note: fmt.Sprintf("Calls sent from %v before a change to %v before the next one, %v later. %d nodes, %d replicas of %d slots, %.1f of what they can answer (%.0f calls a second of %d tokens). A caller whose connection breaks or is refused, or who gets no token for %v, asks at another address of its entry answer after %v; its first token is that of the whole answer, counted from its first try. Every answer is compared with the engine's own to the same prompt. Callers wait %v.",
+			churnLead, churnLead, churnPause, churnNodes, churnReplicas, overloadSlots, churnLoad, churnLoad*churnBound, overloadTokens, churnSilence, tryAgain, patience),
 	}
 	for _, name := range c.kinds() {
 		c.callsRow(&result, name)
--- a/proof/bench/churn_callers.go
+++ b/proof/bench/churn_callers.go
@@ -19,6 +19,9 @@
 	churnOrders  = 8
 	// orderPatience is how long a caller tries to place one order.
 	orderPatience = 10 * time.Second
+	// churnSilence is how long a caller waits for a token, or for the answer to
+	// an order, before it tries another address.
+	churnSilence = time.Second
 	// orderAgain is a caller's pause after a refusal.
 	orderAgain = 100 * time.Millisecond
 )
@@ -148,7 +151,7 @@
 func (c *churnCallers) call(ctx context.Context) {
 	team, prompt := rand.IntN(teamCount), rand.IntN(churnPrompts)
 	made := churnCall{sent: time.Now()}
-	broken := ""
+	broken := map[string]bool{}
 	for {
 		left := patience - time.Since(made.sent)
 		if left <= 0 {
@@ -156,6 +159,7 @@
 		}
 		q := churnQuestion(c.book.pickOther(team, broken), team, prompt)
 		q.timeout = left
+		q.silence = churnSilence
 		tried := time.Now()
 		a := ask(ctx, q)
 		made.gap = max(made.gap, a.gap)
@@ -170,7 +174,8 @@
 			break
 		}
 		made.again++
-		broken = q.address
+		broken[q.address] = true
+		time.Sleep(tryAgain)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,23 +195,30 @@
 // place tries one order under one key, at other nodes too, until it is placed
 // or told as in doubt.
 func (c *churnCallers) place(ctx context.Context, team int, key string) orderFate {
-	broken := ""
+	broken := map[string]bool{}
 	for began := time.Now(); time.Since(began) < orderPatience; {
 		address := c.book.pickOther(team, broken)
-		reply, _ := post(ctx, "http://"+address+"/services/stock-ledger/orders", key, teamKey(team))
+		reply := c.order(ctx, address, team, key)
 		switch {
 		case reply.status == http.StatusCreated:
 			return orderPlaced
 		case reply.outcome == outcome.Unknown:
 			return orderInDoubt
 		case reply.status == 0:
-			broken = address
+			broken[address] = true
 		}
 		time.Sleep(orderAgain)
 	}
 	return orderGivenUp
 }
 
+func (c *churnCallers) order(ctx context.Context, address string, team int, key string) orderReply {
+	ctx, cancel := context.WithTimeout(ctx, churnSilence)
+	defer cancel()
+	reply, _ := post(ctx, "http://"+address+"/services/stock-ledger/orders", key, teamKey(team))
+	return reply
+}
+
 // callSum adds up calls.
 type callSum struct {
 	calls, whole, again, refused, vain, wrong int
@@ -287,7 +299,7 @@
 	result := table{
 		title:   "The same rush: orders that may not be repeated",
 		columns: []string{"orders", "placed", "in doubt", "of these arrived", "not placed in time", "arrived twice", "told placed, not arrived"},
-		note:    fmt.Sprintf("%d callers, each with one order after the other, tried again under its key at another address when a connection breaks and %v after a refusal, for %v at most.", churnOrders, orderAgain, orderPatience),
+		note:    fmt.Sprintf("%d callers, each with one order after the other, tried again under its key at another address when a connection breaks or %v pass without an answer, and %v after a refusal, for %v at most.", churnOrders, churnSilence, orderAgain, orderPatience),
 	}
 	result.row(n.orders, n.placed, n.inDoubt, n.doubtArrived, n.givenUp, n.twice, n.lost)
 	return result
--- a/proof/bench/node.go
+++ b/proof/bench/node.go
@@ -28,6 +28,7 @@
 // hundreds of thousands of lines.
 type node struct {
 	name      string
+	domain    string
 	addresses harness.Addresses
 	command   *exec.Cmd
 	relay     *relay
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -171,12 +171,12 @@
 		cfg.Name = fmt.Sprintf("%s-engine-%d", model, i)
 		cfg.Model = model
 		cfg.Last = layers - 1
-		e, err := t.engine(cfg)
+		e, err := t.engine(domains[i%len(domains)], cfg)
 		if err != nil {
 			return nil, err
 		}
 		addresses = append(addresses, e.address)
-		chains = append(chains, []place{{e.name, e.address, domains[i%len(domains)]}})
+		chains = append(chains, []place{e.place})
 	}
 	t.addModel(model, chains)
 	return addresses, nil
@@ -184,19 +184,19 @@
 
 // engineVM is an engine that can be taken away.
 type engineVM struct {
-	name, address string
-	kill          func()
+	place
+	kill func()
 }
 
 // engine runs one engine on a listener of its own.
-func (t *site) engine(cfg engine.Config) (*engineVM, error) {
+func (t *site) engine(domain string, cfg engine.Config) (*engineVM, error) {
 	e := engine.New(cfg)
 	address, closeServer, err := t.listen(e, &t.endpointTraffic)
 	if err != nil {
 		return nil, err
 	}
 	var once sync.Once
-	vm := &engineVM{name: cfg.Name, address: address, kill: func() {
+	vm := &engineVM{place: place{cfg.Name, address, domain}, kill: func() {
 		once.Do(func() {
 			closeServer()
 			e.Close()
@@ -264,9 +264,10 @@
 	if err != nil {
 		return nil, err
 	}
+	n.domain = domains[i%len(domains)]
 	t.nodes = append(t.nodes, n)
 	r.to.Store(&n.addresses.Peers)
-	return n, t.listVM(ctx, "entry", place{name, r.address(), domains[i%len(domains)]})
+	return n, t.listVM(ctx, "entry", place{name, r.address(), n.domain})
 }
 
 // startTimeout bounds the wait for nodes to meet.
