Engines report and run artifacts: weights and adapters, checked at use and in each span

Cause: a stream resumed on a replica with other weights or another adapter would give the caller one answer's beginning and another's end; layers and positions are in order, so nothing told.

Change: an engine's report names its weights, role, adapters and cache; a chain carries the artifact that its stages must hold; Check refuses a span of another one; an answer stays with the artifact of its first token. Stand-in engines load layers and adapters in time and take roles.

--- a/proof/placement/placement_test.go
+++ b/proof/placement/placement_test.go
@@ -145,9 +145,9 @@
 
 func holding(ctx context.Context, t *testing.T, address string) engineapi.Holding {
 	t.Helper()
-	h, err := rig.Engines.Holding(ctx, address)
+	report, err := rig.Engines.Holding(ctx, address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return h
+	return report.Holding
 }
--- a/route/engine/client.go
+++ b/route/engine/client.go
@@ -78,15 +78,15 @@
 }
 
 // Holding asks an engine what it holds.
-func (c *Client) Holding(ctx context.Context, address string) (engineapi.Holding, error) {
-	var holding engineapi.Holding
+func (c *Client) Holding(ctx context.Context, address string) (engineapi.Report, error) {
+	var holding engineapi.Report
 	return holding, c.call(ctx, http.MethodGet, address, engineapi.PathHolding, nil, &holding)
 }
 
 // Way asks the first engine of a chain whether the stages behind it answer over
 // the links that activations take, and returns what each of them holds.
 // Status(err) is 404 or 405 from engines that don't know the call.
-func (c *Client) Way(ctx context.Context, chain []engineapi.Stage) ([]engineapi.Holding, error) {
+func (c *Client) Way(ctx context.Context, chain []engineapi.Stage) ([]engineapi.Report, error) {
 	var reply engineapi.WayReply
 	req := engineapi.WayRequest{Chain: chain}
 	err := c.call(ctx, http.MethodPost, chain[0].Address, engineapi.PathWay, req, &reply)
@@ -99,6 +99,12 @@
 	return c.call(ctx, http.MethodPost, address, engineapi.PathOrders, order, nil)
 }
 
+// OrderAdapters tells an engine which adapters to hold. Status(err) is 409 if the
+// engine has taken a later version.
+func (c *Client) OrderAdapters(ctx context.Context, address string, order engineapi.AdapterOrder) error {
+	return c.call(ctx, http.MethodPost, address, engineapi.PathAdapters, order, nil)
+}
+
 // Cancel ends a stream's epochs up to the given one; zero ends all.
 func (c *Client) Cancel(ctx context.Context, address, stream string, epoch uint32) error {
 	req := engineapi.CancelRequest{Stream: stream, Epoch: epoch}
--- a/route/engine/client_test.go
+++ b/route/engine/client_test.go
@@ -65,7 +65,7 @@
 
 		holding, err := client.Holding(ctx, srv.Address)
 		So(err, ShouldBeNil)
-		So(holding, ShouldResemble, engineapi.Holding{Model: "toy", Last: 3, PlacementVersion: 2})
+		So(holding.Holding, ShouldResemble, engineapi.Holding{Model: "toy", Last: 3, PlacementVersion: 2})
 		err = client.Order(ctx, srv.Address, engineapi.Order{Model: "toy", Last: 1, PlacementVersion: 1})
 		So(Status(err), ShouldEqual, http.StatusConflict)
 		So(client.Order(ctx, srv.Address, engineapi.Order{Model: "toy", Last: 1, PlacementVersion: 3}), ShouldBeNil)
--- a/route/stream/answer.go
+++ b/route/stream/answer.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
 )
 
 // answer is one answer underway.
@@ -21,10 +23,11 @@
 	better    *Chain // chosen already, to leave a slow chain for
 	leftSlow  bool
 	stalls    int
-	silences  int       // chains given up before their first token
-	lastToken time.Time // last token delivered, or start of the epoch
-	failedAt  time.Time // when the last epoch was given up, zero if none
-	handle    string    // exported KV cache for the next epoch
+	silences  int                // chains given up before their first token
+	lastToken time.Time          // last token delivered, or start of the epoch
+	failedAt  time.Time          // when the last epoch was given up, zero if none
+	handle    string             // exported KV cache for the next epoch
+	artifact  engineapi.Artifact // what made the tokens delivered, if there are any
 	exporting time.Duration
 	summary   Summary
 }
@@ -102,6 +105,7 @@
 // epoch runs the answer on one chain from where it stands.
 func (a *answer) epoch(ctx context.Context, number uint32, chain Chain) AttemptResult {
 	a.check.Begin(number)
+	a.check.Require(chain.Artifact)
 	a.summary.Epochs = int(number)
 	e := &epoch{a: a, chain: chain, number: number, gap: a.r.gaps.get(chain.Replica)}
 	e.pace.usual = time.Duration(e.gap.mean)
@@ -117,8 +121,9 @@
 }
 
 // accept notes a token that the caller has.
-func (a *answer) accept(token string) {
+func (a *answer) accept(token string, artifact engineapi.Artifact) {
 	now := time.Now()
+	a.artifact = artifact
 	a.delivered = append(a.delivered, token)
 	a.lastToken = now
 	if a.summary.FirstToken == 0 {
--- a/route/stream/check.go
+++ b/route/stream/check.go
@@ -24,11 +24,15 @@
 	BadSpan
 	// TooLong tokens follow an answer that has reached its longest length.
 	TooLong
+	// OtherArtifact tokens were made in part by other weights or another adapter
+	// than the chain's.
+	OtherArtifact
 )
 
 var reasonNames = [...]string{
 	"accepted", "foreign stream", "old epoch", "future epoch",
 	"wrong position", "skipped layer", "repeated layer", "bad span", "too long",
+	"other weights or adapter",
 }
 
 // String returns the reason in words.
@@ -46,6 +50,12 @@
 	limit  int
 	epoch  uint32
 	next   int
+	// artifact is what each span of the present epoch must have run. An engine that
+	// ignores fencing numbers takes other weights in the middle of an answer, and
+	// the caller would get half of it from each: the layers are complete and in
+	// order, so nothing but the span's own word tells. An engine that lies about it
+	// is not found.
+	artifact engineapi.Artifact
 }
 
 // NewCheck returns the check of a stream of a model with the given number of
@@ -58,6 +68,9 @@
 // position stays, because the new chain resumes after the last token accepted.
 func (c *Check) Begin(epoch uint32) { c.epoch = epoch }
 
+// Require says what the epoch's tokens must be made by.
+func (c *Check) Require(a engineapi.Artifact) { c.artifact = a }
+
 // Next returns the position of the next token.
 func (c *Check) Next() int { return c.next }
 
@@ -107,6 +120,8 @@
 			return SkippedLayer
 		case s.First < due:
 			return RepeatedLayer
+		case s.Artifact != c.artifact:
+			return OtherArtifact
 		}
 		due = s.Last + 1
 	}
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -56,7 +57,14 @@
 }
 
 // verify is the check at use.
+//
+// A chain with other weights or another adapter than made the answer so far is not
+// used: the caller would get one answer's beginning and another's end, both
+// plausible. Nothing was sent, so another chain may be tried.
 func (e *epoch) verify(ctx context.Context) error {
+	if len(e.a.delivered) > 0 && e.chain.Artifact != e.a.artifact {
+		return fmt.Errorf("%w: %+v, not %+v", errOtherArtifact, e.chain.Artifact, e.a.artifact)
+	}
 	return e.a.r.holdings.verify(ctx, e.a.req.Chat.Model, e.a.req.Layers, e.chain, time.Time{})
 }
 
@@ -70,6 +78,7 @@
 		Chain:            e.chain.Stages,
 		ResumeTokens:     e.a.delivered,
 		KVHandle:         e.a.handle,
+		Artifact:         e.chain.Artifact,
 	}
 	return chat
 }
@@ -114,7 +123,7 @@
 		e.end(EndCallerGone, err)
 		return true
 	}
-	e.a.accept(event.Token)
+	e.a.accept(event.Token, e.chain.Artifact)
 	if e.leaveSlow(ctx) {
 		return true
 	}
@@ -252,6 +261,10 @@
 	if e.result.End != EndCallerGone && e.result.End != EndDeadline {
 		e.a.noteFailure(e.result)
 	}
+	if e.result.End == EndRefused {
+		// The engine may refuse because it lost what it last reported.
+		e.a.r.holdings.forget(e.chain)
+	}
 	if e.result.NotRun {
 		return
 	}
--- a/route/stream/holding.go
+++ b/route/stream/holding.go
@@ -13,7 +13,9 @@
 
 var (
 	errMismatch = errors.New("the engine holds something else than the plan says")
-	errBadChain = errors.New("the chain's stages do not cover the model's layers")
+	// errOtherArtifact ends an epoch before anything is sent.
+	errOtherArtifact = errors.New("the chain has other weights or another adapter than the answer so far")
+	errBadChain      = errors.New("the chain's stages do not cover the model's layers")
 )
 
 const (
@@ -34,18 +36,21 @@
 	client  *engine.Client
 	ttl     time.Duration
 	timeout time.Duration
+	lost    func(model, replica string)
 
 	mu      sync.Mutex
 	reports map[string]*holdingReport
+	// caches are the prefix caches that engines reported last, by address.
+	caches map[string]string
 }
 
 // holdingReport is an engine's answer, or one that is being waited for.
 type holdingReport struct {
-	asked   time.Time
-	ready   chan struct{} // closed when the fields below are set
-	holding engineapi.Holding
-	err     error
-	at      time.Time
+	asked  time.Time
+	ready  chan struct{} // closed when the fields below are set
+	report engineapi.Report
+	err    error
+	at     time.Time
 }
 
 func newHoldingCheck(client *engine.Client, o Options) *holdingCheck {
@@ -53,7 +58,9 @@
 		client:  client,
 		ttl:     o.HoldingTTL,
 		timeout: o.HoldingTimeout,
+		lost:    o.CacheLost,
 		reports: map[string]*holdingReport{},
+		caches:  map[string]string{},
 	}
 }
 
@@ -65,10 +72,10 @@
 	}
 	reports := make([]*holdingReport, len(chain.Stages))
 	for i, stage := range chain.Stages {
-		reports[i] = h.report(stage.Address, wanted(model, stage, chain.PlacementVersion), since)
+		reports[i] = h.report(wanted(model, stage, chain), stage.Address, since)
 	}
 	for i, report := range reports {
-		want := wanted(model, chain.Stages[i], chain.PlacementVersion)
+		want := wanted(model, chain.Stages[i], chain)
 		if err := report.matches(ctx, want); err != nil {
 			return err
 		}
@@ -76,8 +83,26 @@
 	return nil
 }
 
-func wanted(model string, stage engineapi.Stage, version int64) engineapi.Holding {
-	return engineapi.Holding{Model: model, First: stage.First, Last: stage.Last, PlacementVersion: version}
+// want is what a stage must report.
+type want struct {
+	holding  engineapi.Holding
+	artifact engineapi.Artifact
+	replica  string
+}
+
+func wanted(model string, stage engineapi.Stage, chain Chain) want {
+	return want{
+		holding: engineapi.Holding{
+			Model: model, Weights: chain.Artifact.Weights, First: stage.First, Last: stage.Last,
+			PlacementVersion: chain.PlacementVersion,
+		},
+		artifact: chain.Artifact,
+		replica:  chain.Replica,
+	}
+}
+
+func (w want) met(report engineapi.Report) bool {
+	return report.Holding == w.holding && report.Runs(w.artifact)
 }
 
 // covers reports whether stages hold layers 0 to layers-1 once and in order.
@@ -93,7 +118,7 @@
 }
 
 // matches waits for the report and compares it.
-func (r *holdingReport) matches(ctx context.Context, want engineapi.Holding) error {
+func (r *holdingReport) matches(ctx context.Context, want want) error {
 	select {
 	case <-r.ready:
 	case <-ctx.Done():
@@ -102,15 +127,15 @@
 	if r.err != nil {
 		return r.err
 	}
-	if r.holding != want {
-		return fmt.Errorf("%w: %+v, not %+v", errMismatch, r.holding, want)
+	if !want.met(r.report) {
+		return fmt.Errorf("%w: %+v, not %+v", errMismatch, r.report, want)
 	}
 	return nil
 }
 
 // report returns the report to go by. All streams that need a new one share
 // the one call.
-func (h *holdingCheck) report(address string, want engineapi.Holding, since time.Time) *holdingReport {
+func (h *holdingCheck) report(want want, address string, since time.Time) *holdingReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r, ok := h.reports[address]; ok && r.usable(want, h.ttl, since) {
@@ -121,13 +146,13 @@
 	}
 	r := &holdingReport{ready: make(chan struct{}), asked: time.Now()}
 	h.reports[address] = r
-	go h.ask(address, r)
+	go h.ask(want, address, r)
 	return r
 }
 
 // usable reports whether a report is underway or still fresh, and was asked
 // for after since.
-func (r *holdingReport) usable(want engineapi.Holding, ttl time.Duration, since time.Time) bool {
+func (r *holdingReport) usable(want want, ttl time.Duration, since time.Time) bool {
 	if r.asked.Before(since) {
 		return false
 	}
@@ -136,7 +161,7 @@
 	default:
 		return true
 	}
-	if r.err != nil || r.holding != want {
+	if r.err != nil || !want.met(r.report) {
 		ttl = min(ttl, mismatchTTL)
 	}
 	return time.Since(r.at) < ttl
@@ -144,14 +169,36 @@
 
 // ask fills a report. The call has a bound of its own, because the stream that
 // started it may end while others wait.
-func (h *holdingCheck) ask(address string, r *holdingReport) {
+func (h *holdingCheck) ask(want want, address string, r *holdingReport) {
 	ctx, cancel := context.WithTimeout(context.Background(), h.timeout)
 	defer cancel()
-	r.holding, r.err = h.client.Holding(ctx, address)
+	r.report, r.err = h.client.Holding(ctx, address)
+	if r.err == nil && h.cacheChanged(address, r.report.Cache) {
+		h.lost(want.holding.Model, want.replica)
+	}
 	r.at = time.Now()
 	close(r.ready)
 }
 
+// cacheChanged notes an engine's cache and reports whether it had told of another.
+//
+// A later stage that restarts alone loses its part of every cached prompt, while
+// the first stage, whose events are read, goes on as before: calls would be sent
+// after a cache that the chain has lost, past replicas that do have it.
+func (h *holdingCheck) cacheChanged(address, cache string) bool {
+	if h.lost == nil || cache == "" {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before := h.caches[address]
+	if len(h.caches) >= maxHoldings {
+		clear(h.caches)
+	}
+	h.caches[address] = cache
+	return before != "" && before != cache
+}
+
 // forget drops what is known of a chain's engines, after it failed.
 func (h *holdingCheck) forget(chain Chain) {
 	h.mu.Lock()
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -31,6 +31,9 @@
 	Stages []engineapi.Stage
 	// PlacementVersion is the plan's version, which engines must report too.
 	PlacementVersion int64
+	// Artifact is what every stage must hold and run. An answer stays with that of
+	// its first token.
+	Artifact engineapi.Artifact
 }
 
 // Chooser picks the chain of each epoch and learns how it went. It is called
@@ -216,6 +219,9 @@
 	HoldingTTL, HoldingTimeout time.Duration
 	// MaxTokens bounds an answer, and with it what is kept for a resumption.
 	MaxTokens int
+	// CacheLost, if set, is told when a stage of a replica reports another cache
+	// than before: the chain then recomputes every prompt from that stage on.
+	CacheLost func(model, replica string)
 }
 
 func (o Options) withDefaults() Options {
--- a/route/stream/way.go
+++ b/route/stream/way.go
@@ -166,12 +166,12 @@
 	return holdsPlan(holdings, model, chain), true
 }
 
-func holdsPlan(holdings []engineapi.Holding, model string, chain Chain) bool {
+func holdsPlan(holdings []engineapi.Report, model string, chain Chain) bool {
 	if len(holdings) != len(chain.Stages) {
 		return false
 	}
 	for i, stage := range chain.Stages {
-		if holdings[i] != wanted(model, stage, chain.PlacementVersion) {
+		if !wanted(model, stage, chain).met(holdings[i]) {
 			return false
 		}
 	}
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -79,6 +79,7 @@
 		Stream:           "own-" + strconv.FormatUint(ownStreams.Add(1), 10),
 		Epoch:            1,
 		PlacementVersion: e.holding.PlacementVersion,
+		Artifact:         engineapi.Artifact{Weights: e.holding.Weights},
 		Chain:            []engineapi.Stage{{Endpoint: e.name(), Address: e.name(), First: e.holding.First, Last: e.holding.Last}},
 	}
 }
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -21,9 +21,14 @@
 	Model       string
 	First, Last int
 	Version     int64
+	// Weights is the version of the weights, empty if they have no name.
+	Weights string
+	// LayerLoad is the time to fetch one layer's weights, AdapterLoad an adapter.
+	LayerLoad, AdapterLoad time.Duration
 	// CheckFencing makes the engine refuse orders with an older placement
-	// version, and requests for layers that it does not hold. An engine that
-	// does not check runs what it holds, whatever it was asked for.
+	// version, and requests for layers, weights or adapters that it does not
+	// hold. An engine that does not check runs what it holds, whatever it was
+	// asked for.
 	CheckFencing bool
 	// Slots is how many streams run at once, Queue how many more may wait.
 	Slots, Queue int
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -52,17 +52,18 @@
 	once   sync.Once
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	holding engineapi.Holding
-	faults  Faults
-	thaw    chan struct{} // not nil while frozen
-	idle    chan struct{} // not nil while busy
-	slots   slots
-	table   sessionTable
-	cache   prefixCache
-	exports map[string]exportedKV
-	load    loadReport
-	stats   Stats
+	mu        sync.Mutex
+	holding   engineapi.Holding
+	faults    Faults
+	thaw      chan struct{} // not nil while frozen
+	idle      chan struct{} // not nil while busy
+	slots     slots
+	table     sessionTable
+	cache     prefixCache
+	exports   map[string]exportedKV
+	artifacts artifacts
+	load      loadReport
+	stats     Stats
 }
 
 // Stats counts what an engine did, for tests.
@@ -89,10 +90,11 @@
 		cfg:     cfg,
 		closed:  make(chan struct{}),
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
-		holding: engineapi.Holding{Model: cfg.Model, First: cfg.First, Last: cfg.Last, PlacementVersion: cfg.Version},
+		holding: engineapi.Holding{Model: cfg.Model, First: cfg.First, Last: cfg.Last, Weights: cfg.Weights, PlacementVersion: cfg.Version},
 		exports: map[string]exportedKV{},
 	}
 	e.slots = slots{free: cfg.Slots, queue: cfg.Queue}
+	e.artifacts.uses = map[string]uint64{}
 	e.table = newSessionTable()
 	e.cache = newPrefixCache(cfg.CacheBlocks, cfg.EventLag, cfg.EventLoss)
 	e.router = e.routes()
@@ -108,6 +110,7 @@
 		r.Get(engineapi.PathLoad, e.handleLoad)
 		r.Get(engineapi.PathHolding, e.handleHolding)
 		r.Post(engineapi.PathOrders, e.handleOrder)
+		r.Post(engineapi.PathAdapters, e.handleAdapters)
 		if !e.cfg.NoWay {
 			r.Post(engineapi.PathWay, e.handleWay)
 		}
@@ -184,9 +187,9 @@
 
 func (e *Engine) handleHolding(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	holding := e.holding
+	report := e.report()
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, holding)
+	writeJSON(w, http.StatusOK, report)
 }
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -201,18 +204,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Order changes what the engine holds. An engine with CheckFencing refuses a
-// placement version below the last that it took.
-func (e *Engine) Order(order engineapi.Order) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.cfg.CheckFencing && order.PlacementVersion < e.holding.PlacementVersion {
-		return Error.Wrap(errOldOrder)
-	}
-	e.holding = engineapi.Holding(order)
-	return nil
-}
-
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
 	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/engine/link.go
+++ b/standin/engine/link.go
@@ -62,7 +62,7 @@
 		return
 	}
 	e.mu.Lock()
-	reply := engineapi.WayReply{Holdings: []engineapi.Holding{e.holding}}
+	reply := engineapi.WayReply{Holdings: []engineapi.Report{e.report()}}
 	e.mu.Unlock()
 	if req.Index++; req.Index > 0 && req.Index < len(req.Chain) {
 		var rest engineapi.WayReply
--- a/standin/engine/model.go
+++ b/standin/engine/model.go
@@ -30,12 +30,17 @@
 // Answer returns the tokens that an undisturbed pipeline of the given number
 // of layers gives to messages. maxTokens of zero means DefaultMaxTokens.
 func Answer(layers int, messages []engineapi.Message, maxTokens int) []string {
+	return AnswerBy(engineapi.Artifact{}, layers, messages, maxTokens)
+}
+
+// AnswerBy returns the answer of a version of the weights and an adapter.
+func AnswerBy(artifact engineapi.Artifact, layers int, messages []engineapi.Message, maxTokens int) []string {
 	state := promptState(messages)
 	tokens := make([]string, 0, answerLength(maxTokens))
 	for position := range answerLength(maxTokens) {
 		hidden := firstHidden(state, position)
 		for layer := range layers {
-			hidden = runLayer(hidden, layer)
+			hidden = runLayer(hidden^salt(artifact), layer)
 		}
 		token := tokenText(hidden)
 		tokens = append(tokens, token)
--- a/standin/engine/session.go
+++ b/standin/engine/session.go
@@ -18,6 +18,7 @@
 	chain       []engineapi.Stage
 	index       int
 	first, last int // what the engine held when the stream was opened
+	artifact    engineapi.Artifact
 	ctx         context.Context
 	cancel      context.CancelFunc
 
--- a/standin/engine/stage.go
+++ b/standin/engine/stage.go
@@ -42,11 +42,11 @@
 func (e *Engine) admit(p *engineapi.Pipeline, index int) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.Drain {
+	if e.faults.Drain || e.holding.Role == engineapi.RoleDrain {
 		return errDraining
 	}
 	stage := p.Chain[index]
-	holds := stage.First == e.holding.First && stage.Last == e.holding.Last
+	holds := stage.First == e.holding.First && stage.Last == e.holding.Last && e.report().Runs(p.Artifact)
 	if e.cfg.CheckFencing && (!holds || p.PlacementVersion != e.holding.PlacementVersion) {
 		return errHolding
 	}
@@ -70,12 +70,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &session{
 		stream: p.Stream, epoch: p.Epoch, chain: p.Chain, index: req.Index,
-		first: e.holding.First, last: e.holding.Last,
+		first: e.holding.First, last: e.holding.Last, artifact: p.Artifact,
 		ctx: ctx, cancel: cancel, lastUsed: time.Now(),
 	}
 	s.prefillDue, s.tokens = e.prefill(req)
 	e.table.add(s)
 	e.stats.Opened++
+	if p.Adapter != "" && e.holds(p.Adapter) {
+		e.artifacts.uses[p.Adapter]++
+	}
 	return s, nil
 }
 
@@ -102,8 +105,9 @@
 		return stepReply{}, err
 	}
 	layers := e.layersToRun(s)
+	artifact := e.runs(s)
 	for _, layer := range layers {
-		hidden = runLayer(hidden, layer)
+		hidden = runLayer(hidden^salt(artifact), layer)
 	}
 	reply := stepReply{Hidden: hidden}
 	if next, ok := s.next(); ok {
@@ -113,7 +117,7 @@
 		}
 	}
 	own := time.Since(start).Microseconds() - totalMicros(reply.Spans)
-	reply.Spans = append(e.spansOf(layers, max(own, 0)), reply.Spans...)
+	reply.Spans = append(e.spansOf(layers, artifact, max(own, 0)), reply.Spans...)
 	return reply, nil
 }
 
@@ -145,14 +149,14 @@
 }
 
 // spansOf describes a run of layers truthfully; the first span carries the time.
-func (e *Engine) spansOf(layers []int, micros int64) []engineapi.Span {
+func (e *Engine) spansOf(layers []int, artifact engineapi.Artifact, micros int64) []engineapi.Span {
 	var spans []engineapi.Span
 	for i, layer := range layers {
 		if i > 0 && layer == layers[i-1]+1 {
 			spans[len(spans)-1].Last = layer
 			continue
 		}
-		spans = append(spans, engineapi.Span{Endpoint: e.name(), First: layer, Last: layer})
+		spans = append(spans, engineapi.Span{Endpoint: e.name(), First: layer, Last: layer, Artifact: artifact})
 	}
 	if len(spans) > 0 {
 		spans[0].Micros = micros
