Plans order versions and adapters; roll-outs drain replicas part by part

The keeper enters both into the plans by compare-and-swap, drains engines by role before their weights change, and gives loads their time at the weight store as it does for layers. Calls name adapters as model:adapter, or use their team's; one that nobody is to hold is refused at once. Replicas whose engines differ from their plan are passed over without using up a try. A later stage's lost cache ends the hint. Tests follow.

--- a/decide/cacheindex/cacheindex.go
+++ b/decide/cacheindex/cacheindex.go
@@ -103,6 +103,15 @@
 	}
 }
 
+// Lost forgets what a replica held, and goes on from the event last seen: a part of
+// the replica lost its cache while the one that tells the events did not.
+func (x *Index) Lost(replica string) {
+	if p := x.parts[replica]; p != nil {
+		p.order.Init()
+		clear(p.held)
+	}
+}
+
 // After returns the sequence number to ask a replica's events after.
 func (x *Index) After(replica string) uint64 {
 	p := x.parts[replica]
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -121,7 +121,7 @@
 	s.leaving = newLeavingList(s.registry)
 	s.sender = send.New()
 	s.engines = engine.New(nil)
-	s.streams = stream.New(s.engines, nil, stream.Options{MaxEpochs: streamEpochs, MaxTries: 2 * streamEpochs})
+	s.streams = stream.New(s.engines, nil, stream.Options{MaxEpochs: streamEpochs, MaxTries: 2 * streamEpochs, CacheLost: s.cacheLost})
 	s.orderPeers = newOrderPeers(s)
 	s.orders = ledger.New(s.store, s.settings.Environment, ledger.Config{Peers: s.orderPeers})
 	s.buildPlans()
@@ -139,6 +139,14 @@
 	return s.buildListeners()
 }
 
+// cacheLost passes on that a stage of a model's replica has lost its cache.
+func (s *Server) cacheLost(model, replica string) {
+	if service := s.registry.Get(model); service != nil {
+		service.Prefixes.Lost(replica)
+		s.log.Info("cache lost by a stage", "service", model, "replica", replica)
+	}
+}
+
 func (s *Server) fleetConfig() fleet.Config {
 	return fleet.Config{
 		Name:          s.settings.Name,
--- a/route/call/call.go
+++ b/route/call/call.go
@@ -32,9 +32,11 @@
 
 // Call is one authenticated request.
 type Call struct {
-	ID        string
-	Team      *document.Team
-	Service   *document.Service
+	ID      string
+	Team    *document.Team
+	Service *document.Service
+	// Adapter is the name of the adapter that a model call uses, if any.
+	Adapter   string
 	Class     admission.Class
 	Arrived   time.Time
 	Directory *directory.Directory
--- a/route/chains/chains.go
+++ b/route/chains/chains.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/platform/plan"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/stream"
@@ -22,10 +23,13 @@
 // ErrNoPlan reports a replica whose layers nobody has cut yet.
 var ErrNoPlan = errors.New("no plan for the replica yet")
 
+// ErrNoAdapter reports a replica that is not planned to hold the adapter asked for.
+var ErrNoAdapter = errors.New("the replica is not to hold the adapter")
+
 // Plans returns the layers of a replica that the document leaves open.
 type Plans interface {
-	// Plan returns the stages with their layers and the version to fence by.
-	Plan(model, replica string) (stages []document.Stage, version int64, ok bool)
+	// Agreed returns the plan in force, as far as this node knows.
+	Agreed(model, replica string) (agreed plan.Replica, ok bool)
 }
 
 // Resolver resolves replicas. Plans may be nil: then the document must give
@@ -40,11 +44,32 @@
 	if spec == nil {
 		return stream.Chain{}, Error.Wrap(fmt.Errorf("no replica is named %q", replica))
 	}
-	stages, version, err := r.stages(c, spec)
+	agreed, err := r.agreed(c, spec)
+	if err != nil {
+		return stream.Chain{}, Error.Wrap(err)
+	}
+	artifact, err := artifactOf(c, agreed)
 	if err != nil {
 		return stream.Chain{}, Error.Wrap(err)
 	}
-	return build(c.Directory, replica, stages, version)
+	return build(c.Directory, replica, agreed, artifact)
+}
+
+// artifactOf is what a call runs on a replica. Of two versions of its adapter it is
+// the one that the replica was given first: the other may still be loading, and is
+// alone once it is there.
+func artifactOf(c *call.Call, agreed plan.Replica) (engineapi.Artifact, error) {
+	artifact := engineapi.Artifact{Weights: agreed.Weights}
+	if c.Adapter == "" {
+		return artifact, nil
+	}
+	for _, a := range agreed.Adapters {
+		if a.Name == c.Adapter {
+			artifact.Adapter = engineapi.Adapter(a).String()
+			return artifact, nil
+		}
+	}
+	return artifact, fmt.Errorf("%w: %q", ErrNoAdapter, c.Adapter)
 }
 
 // DocumentVersion is the placement version of chains whose layers stand in the
@@ -52,16 +77,24 @@
 // number; what they hold is still compared.
 const DocumentVersion = 0
 
-func (r *Resolver) stages(c *call.Call, spec *document.Replica) ([]document.Stage, int64, error) {
+func (r *Resolver) agreed(c *call.Call, spec *document.Replica) (plan.Replica, error) {
 	if len(spec.Stages[0].Layers) > 0 {
-		return spec.Stages, DocumentVersion, nil
+		return fixed(spec), nil
 	}
 	if r.Plans != nil {
-		if stages, version, ok := r.Plans.Plan(c.Service.Name, spec.Name); ok {
-			return stages, version, nil
+		if agreed, ok := r.Plans.Agreed(c.Service.Name, spec.Name); ok {
+			return agreed, nil
 		}
 	}
-	return nil, 0, fmt.Errorf("%w: %q", ErrNoPlan, spec.Name)
+	return plan.Replica{}, fmt.Errorf("%w: %q", ErrNoPlan, spec.Name)
+}
+
+func fixed(spec *document.Replica) plan.Replica {
+	agreed := plan.Replica{Version: DocumentVersion}
+	for _, s := range spec.Stages {
+		agreed.Stages = append(agreed.Stages, plan.Stage{Endpoint: s.Endpoint, First: s.Layers[0], Last: s.Layers[1]})
+	}
+	return agreed
 }
 
 func find(m *document.Model, replica string) *document.Replica {
@@ -73,9 +106,9 @@
 	return nil
 }
 
-func build(d *directory.Directory, replica string, stages []document.Stage, version int64) (stream.Chain, error) {
-	chain := stream.Chain{Replica: replica, PlacementVersion: version}
-	for _, s := range stages {
+func build(d *directory.Directory, replica string, agreed plan.Replica, artifact engineapi.Artifact) (stream.Chain, error) {
+	chain := stream.Chain{Replica: replica, PlacementVersion: agreed.Version, Artifact: artifact}
+	for _, s := range agreed.Stages {
 		e, ok := d.Endpoint(s.Endpoint)
 		if !ok {
 			return stream.Chain{}, Error.Wrap(fmt.Errorf("no endpoint is named %q", s.Endpoint))
@@ -83,8 +116,8 @@
 		chain.Stages = append(chain.Stages, engineapi.Stage{
 			Endpoint: e.Name,
 			Address:  e.Address,
-			First:    s.Layers[0],
-			Last:     s.Layers[1],
+			First:    s.First,
+			Last:     s.Last,
 		})
 	}
 	return chain, nil
--- a/route/chains/chains_test.go
+++ b/route/chains/chains_test.go
@@ -5,14 +5,19 @@
 	"testing"
 
 	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/platform/plan"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
-type plan struct{ stages []document.Stage }
+type agreed []plan.Stage
 
-func (p plan) Plan(_, replica string) ([]document.Stage, int64, bool) {
-	return p.stages, 7, replica == "planned"
+func (a agreed) Agreed(_, replica string) (plan.Replica, bool) {
+	return plan.Replica{
+		Version: 7, Stages: a, Weights: "v2",
+		Adapters: []plan.Adapter{{Name: "notes", Version: "1"}, {Name: "notes", Version: "2"}},
+	}, replica == "planned"
 }
 
 // A chain's layers are the document's, or the plan's where the document leaves
@@ -28,7 +33,7 @@
 		}}}},
 	}
 	c := &call.Call{Service: &doc.Services[0], Directory: directory.Build(doc, 1, "digest")}
-	planned := plan{[]document.Stage{{Endpoint: "a", Layers: []int{0, 1}}, {Endpoint: "b", Layers: []int{2, 7}}}}
+	planned := agreed{{Endpoint: "a", Last: 1}, {Endpoint: "b", First: 2, Last: 7}}
 	cases := []struct {
 		replica string
 		plans   Plans
@@ -42,7 +47,7 @@
 		{"open", planned, 0, 0, true},
 		{"open", nil, 0, 0, true},
 		{"unknown", planned, 0, 0, true},
-		{"planned", plan{[]document.Stage{{Endpoint: "gone", Layers: []int{0, 7}}}}, 0, 0, true},
+		{"planned", agreed{{Endpoint: "gone", Last: 7}}, 0, 0, true},
 	}
 	for _, c2 := range cases {
 		chain, err := (&Resolver{Plans: c2.plans}).Chain(c, c2.replica)
@@ -57,4 +62,15 @@
 	if _, err := (&Resolver{}).Chain(c, "open"); !errors.Is(err, ErrNoPlan) {
 		t.Errorf("without a plan: %v", err)
 	}
+	c.Adapter = "notes"
+	chain, err := (&Resolver{Plans: planned}).Chain(c, "planned")
+	if want := (engineapi.Artifact{Weights: "v2", Adapter: "notes@1"}); err != nil || chain.Artifact != want {
+		t.Errorf("%+v, want %+v: %v", chain.Artifact, want, err)
+	}
+	c.Adapter = "other"
+	for _, replica := range []string{"planned", "fixed"} {
+		if _, err := (&Resolver{Plans: planned}).Chain(c, replica); !errors.Is(err, ErrNoAdapter) {
+			t.Errorf("%s, an adapter that it does not hold: %v", replica, err)
+		}
+	}
 }
--- a/route/front/front.go
+++ b/route/front/front.go
@@ -148,15 +148,22 @@
 		refused.Write(w)
 		return
 	}
-	c, refused := call.New(d, r, chat.Model, f.Now())
+	service, adapter := call.SplitModel(chat.Model)
+	c, refused := call.New(d, r, service, f.Now())
 	if refused != nil {
 		refused.Write(w)
 		return
 	}
 	if c.Service.Kind != document.KindModel {
-		refusal(http.StatusBadRequest, "not_a_model", fmt.Sprintf("service %q is not a model", chat.Model)).Write(w)
+		refusal(http.StatusBadRequest, "not_a_model", fmt.Sprintf("service %q is not a model", service)).Write(w)
 		return
 	}
+	if refused := c.UseAdapter(adapter); refused != nil {
+		refused.Write(w)
+		return
+	}
+	// Engines know the model by the service's name.
+	chat.Model = service
 	w.Header().Set(outcome.HeaderRequest, c.ID)
 	f.Models.ServeModel(w, r, c, chat)
 }
--- /dev/null
+++ b/route/model/adapter.go
@@ -0,0 +1,45 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cicadatack/cicadatack/route/call"
+	"github.com/cicadatack/cicadatack/route/chains"
+	"github.com/cicadatack/cicadatack/route/entrance"
+	"github.com/cicadatack/cicadatack/route/outcome"
+)
+
+// retryAdapter is when a caller may come back for an adapter that no replica is
+// planned to hold: the keeper of the plans looks each second, the order takes
+// another, and some hundred megabytes at some hundred a second a few more.
+const retryAdapter = 5 * time.Second
+
+// noHolder refuses a call at once if no replica that this node uses is to hold its
+// adapter.
+//
+// Weighed: letting the call wait for the load. Loads take seconds to minutes at the
+// weight store's rate, one after the other, and nobody knows how long; the calls of
+// one adapter that is on its way would fill the queue before the calls of all
+// others. The adapter is loaded without them, as the document names it.
+func (s *Server) noHolder(c *call.Call, visit *entrance.Visit) *outcome.Refusal {
+	if c.Adapter == "" {
+		return nil
+	}
+	used := visit.At.Picker.Subset()
+	for _, replica := range used {
+		if _, err := s.Chains.Chain(c, replica); !errors.Is(err, chains.ErrNoAdapter) && !errors.Is(err, chains.ErrNoPlan) {
+			return nil
+		}
+	}
+	for _, replica := range used {
+		s.Plans.Suspect(c.Service.Name, replica) // this node may know an old plan
+	}
+	return &outcome.Refusal{
+		Status: http.StatusServiceUnavailable, Code: "no_adapter",
+		Message: fmt.Sprintf("no replica holds adapter %q yet", c.Adapter),
+		Outcome: outcome.NotRun, RetryAfter: retryAdapter,
+	}
+}
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -46,26 +46,28 @@
 			return stream.Chain{}, err
 		}
 	}
-	chain, err := c.firstWithPlan(exclude)
+	chain, err := c.firstWithPlan(ctx, exclude)
 	if errors.Is(err, errNoReplica) && len(exclude) > 1 && c.patient() {
 		// Every chain has failed this answer once. The one that failed last is the
 		// only one known to be bad now.
-		chain, err = c.firstWithPlan(exclude[len(exclude)-1:])
+		chain, err = c.firstWithPlan(ctx, exclude[len(exclude)-1:])
 	}
 	if errors.Is(err, errNoReplica) && len(c.runs) == c.ended && c.silent() {
 		// There is one chain only, and it was silent for a fraction of a second.
-		return c.firstWithPlan(nil)
+		return c.firstWithPlan(ctx, nil)
 	}
 	return chain, err
 }
 
 // firstWithPlan picks until a replica's chain is known. Each replica is looked
 // at once.
-func (c *chooser) firstWithPlan(exclude []string) (stream.Chain, error) {
+func (c *chooser) firstWithPlan(ctx context.Context, exclude []string) (stream.Chain, error) {
 	for {
-		choice, chain, err := c.pick(exclude)
+		choice, chain, err := c.pick(ctx, exclude)
 		if err == nil {
-			c.runs = append(c.runs, run{replica: choice.Replica, first: chain.Stages[0].Endpoint, since: c.answer.Now()})
+			c.runs = append(c.runs, run{
+				replica: choice.Replica, first: chain.Stages[0].Endpoint, since: c.answer.Now(), artifact: chain.Artifact,
+			})
 			c.recordChoice(choice)
 			return chain, nil
 		}
@@ -77,8 +79,9 @@
 }
 
 // pick asks the balancer for a replica and resolves its chain. A replica whose
-// layers have no plan yet is passed over: that says nothing of its health.
-func (c *chooser) pick(exclude []string) (balance.Choice, stream.Chain, error) {
+// layers have no plan yet, or that cannot go on with this answer, is passed over:
+// that says nothing of its health.
+func (c *chooser) pick(ctx context.Context, exclude []string) (balance.Choice, stream.Chain, error) {
 	a := c.answer
 	choice, ok := a.At.Picker.Pick(balance.Query{
 		Prefix:  prefixHash(a.chat.Messages),
@@ -89,13 +92,46 @@
 	if !ok {
 		return balance.Choice{}, stream.Chain{}, errNoReplica
 	}
-	chain, err := a.server.Chains.Chain(a.Call, choice.Replica)
+	chain, err := c.resolve(ctx, choice.Replica)
 	if err != nil {
 		a.At.Picker.Finished(choice.Replica, balance.Result{Cost: a.cost, Failure: health.Canceled})
 	}
 	return choice, chain, err
 }
 
+var (
+	errOtherArtifact = errors.New("the replica has other weights or another adapter than the answer so far")
+	errDiffers       = errors.New("the replica's engines differ from its plan")
+)
+
+// resolve returns a replica's chain if it can go on with this answer.
+func (c *chooser) resolve(ctx context.Context, replica string) (stream.Chain, error) {
+	a := c.answer
+	chain, err := a.server.Chains.Chain(a.Call, replica)
+	if err != nil {
+		return chain, err
+	}
+	if begun, ok := c.artifact(); ok && chain.Artifact != begun {
+		return chain, errOtherArtifact
+	}
+	if a.server.Streams.Differs(ctx, a.chat.Model, a.Service.Model.Layers, chain) {
+		a.server.Plans.Suspect(a.Service.Name, replica)
+		return chain, errDiffers
+	}
+	return chain, nil
+}
+
+// artifact is what made the tokens that the caller has, if it has any. The stream
+// itself refuses to go on with another; here it is a matter of not trying in vain.
+func (c *chooser) artifact() (engineapi.Artifact, bool) {
+	for _, r := range c.runs {
+		if r.started {
+			return r.artifact, true
+		}
+	}
+	return engineapi.Artifact{}, false
+}
+
 // Ended tells the balancer how the epoch went.
 func (c *chooser) Ended(chain stream.Chain, r stream.AttemptResult) {
 	c.last = r
@@ -109,7 +145,7 @@
 		Started:    mine.started,
 		Failure:    failureOf(r),
 	})
-	if r.End == stream.EndMismatch {
+	if r.End == stream.EndMismatch || r.Reason == stream.OtherArtifact {
 		c.answer.server.Plans.Suspect(c.answer.Service.Name, chain.Replica)
 	}
 	for i := range r.Hops {
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -65,6 +65,10 @@
 		visit.Refuse(w, refusal)
 		return
 	}
+	if refusal := s.noHolder(c, visit); refusal != nil {
+		visit.Refuse(w, refusal)
+		return
+	}
 	if chat.MaxTokens == 0 {
 		chat.MaxTokens = defaultMaxTokens
 	}
--- a/route/model/progress.go
+++ b/route/model/progress.go
@@ -11,6 +11,8 @@
 	replica string
 	first   string // the chain's first endpoint, which tells the load
 	since   time.Time
+	// artifact is what the chain's engines run.
+	artifact engineapi.Artifact
 	// silent is set if the chain had the request and then was not heard of before
 	// its first token.
 	silent bool
--- a/route/plans/book.go
+++ b/route/plans/book.go
@@ -100,18 +100,23 @@
 // Plan returns a replica's stages and the version to fence by. If there is none
 // the plan is read, for those who ask later.
 func (b *Book) Plan(model, replica string) ([]document.Stage, int64, bool) {
+	agreed, ok := b.Agreed(model, replica)
+	if !ok {
+		return nil, 0, false
+	}
+	return documentStages(agreed), agreed.Version, true
+}
+
+// Agreed returns a replica's plan, and like Plan has one read that is not known.
+func (b *Book) Agreed(model, replica string) (plan.Replica, bool) {
 	b.mu.RLock()
 	p, known := b.placeOf[replicaName{model, replica}]
 	agreed, planned := b.records[p].Replicas[replica]
 	b.mu.RUnlock()
-	if !known {
-		return nil, 0, false
-	}
-	if !planned {
+	if known && !planned {
 		b.want(p)
-		return nil, 0, false
 	}
-	return documentStages(agreed), agreed.Version, true
+	return agreed, known && planned
 }
 
 func documentStages(r plan.Replica) []document.Stage {
--- a/route/plans/keeper.go
+++ b/route/plans/keeper.go
@@ -34,8 +34,9 @@
 
 // Engines is the part of the engine's client that plans are carried out by.
 type Engines interface {
-	Holding(ctx context.Context, address string) (engineapi.Holding, error)
+	Holding(ctx context.Context, address string) (engineapi.Report, error)
 	Order(ctx context.Context, address string, order engineapi.Order) error
+	OrderAdapters(ctx context.Context, address string, order engineapi.AdapterOrder) error
 }
 
 // KeeperConfig is what a Keeper works with.
@@ -70,6 +71,8 @@
 	kept     map[replicaName]*keptReplica
 	followed *directory.Directory
 	stamp    any
+	// rollouts are this round's, by place.
+	rollouts map[place]placement.Rollout
 }
 
 // keptReplica is one replica that this node plans for.
@@ -83,6 +86,12 @@
 	state placement.State
 	// checked is when the engines were last asked what they hold.
 	checked time.Time
+	// reports are the engines' last answers, by endpoint.
+	reports map[string]engineapi.Report
+	// drained is since when the engines are told to finish their streams before
+	// other weights; zero if they are not.
+	drained  time.Time
+	adapters keptAdapters
 }
 
 // measured is what a stream told of a hop.
@@ -149,6 +158,7 @@
 		return
 	}
 	k.follow(d)
+	k.rollouts = map[place]placement.Rollout{}
 	for _, m := range measures {
 		if kept := k.kept[m.name]; kept != nil && kept.planner != nil {
 			kept.planner.Observe(now, m.measure)
@@ -167,6 +177,7 @@
 			k.order(ctx, now, d, kept)
 		}
 	}
+	k.placeAdapters(ctx, now, d)
 }
 
 func (k *Keeper) taken() (*directory.Directory, []measured, map[replicaName]bool) {
@@ -205,7 +216,7 @@
 func (k *Keeper) takeUp(open openReplica) *keptReplica {
 	kept := k.kept[open.full()]
 	if kept == nil {
-		kept = &keptReplica{booked: map[string]booking{}}
+		kept = &keptReplica{booked: map[string]booking{}, reports: map[string]engineapi.Report{}}
 	}
 	kept.open = open
 	return kept
@@ -241,17 +252,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, agreeTimeout)
 	defer cancel()
-	if reason == reasonMeasured {
-		if may, err := k.mayMove(ctx, now, kept); !may {
-			return err
-		}
+	if may, err := k.may(ctx, now, kept, reason); !may {
+		return err
 	}
 	key := plan.Key(k.cfg.Environment, kept.open.place.model, kept.open.place.domain)
 	record, err := plan.Agree(ctx, k.cfg.Store, key, k.cfg.Node, func(r *plan.Record) bool {
-		if reason != reasonMeasured && standing(r.Replicas[kept.open.name], kept.open.stages) {
-			return false
-		}
-		return r.Put(kept.open.name, stages)
+		return put(r, kept.open, stages, reason)
 	})
 	if err != nil {
 		return err
@@ -263,6 +269,22 @@
 	return nil
 }
 
+// put enters a plan that was decided for a reason into the record in force, which
+// may be another than the one that the decision saw.
+func put(r *plan.Record, open openReplica, stages []plan.Stage, reason string) bool {
+	inForce := r.Replicas[open.name]
+	switch {
+	case reason == reasonMeasured:
+		return r.Put(open.name, stages, inForce.Weights)
+	case !standing(inForce, open.stages):
+		return r.Put(open.name, stages, open.model.Version)
+	case reason == reasonVersion:
+		return r.Put(open.name, inForce.Stages, open.model.Version)
+	default:
+		return false
+	}
+}
+
 // standing says whether a replica has a plan already that the document allows. A
 // node that has just begun to keep plans has not read them; without this look it
 // would put a first plan in place of one that measured times have led to.
@@ -272,17 +294,24 @@
 
 func (k *Keeper) recordPlan(now time.Time, kept *keptReplica, version int64, reason string) {
 	cut := kept.planner.Plan().Cut
+	figures := map[string]float64{
+		"version":       float64(version),
+		"stages":        float64(len(cut.Stages)),
+		"bottleneck_us": cut.Bottleneck,
+		"total_us":      cut.Total,
+	}
+	if reason == reasonVersion {
+		rollout := k.rollouts[kept.open.place]
+		figures["out"] = float64(rollout.Out)
+		figures["may_be_out"] = float64(rollout.MayBeOut)
+		figures["behind"] = float64(rollout.Behind)
+	}
 	k.cfg.Record.Record(decision.Decision{
 		At:      now,
 		Kind:    decision.Place,
 		Service: kept.open.place.model,
 		Chosen:  kept.open.name,
 		Reason:  reason,
-		Figures: map[string]float64{
-			"version":       float64(version),
-			"stages":        float64(len(cut.Stages)),
-			"bottleneck_us": cut.Bottleneck,
-			"total_us":      cut.Total,
-		},
+		Figures: figures,
 	})
 }
--- a/route/plans/keeper_test.go
+++ b/route/plans/keeper_test.go
@@ -35,6 +35,12 @@
 	// loadFor is how long a load takes; an engine reports what it held until then.
 	loadFor time.Duration
 	loading map[string]load
+	// running is how many streams each engine works on; adapters and taken what it
+	// holds of adapters and the orders for them, with the time of each load.
+	running  map[string]int
+	adapters map[string]engineapi.AdapterOrder
+	uses     map[string]uint64
+	added    []time.Duration
 }
 
 type load struct {
@@ -42,14 +48,23 @@
 	ready time.Time
 }
 
-func (f *fleet) Holding(_ context.Context, address string) (engineapi.Holding, error) {
+func (f *fleet) Holding(_ context.Context, address string) (engineapi.Report, error) {
 	if f.silent[address] {
-		return engineapi.Holding{}, errors.New("no answer")
+		return engineapi.Report{}, errors.New("no answer")
 	}
 	if l, ok := f.loading[address]; ok && !f.now.Before(l.ready) {
 		f.holds[address] = engineapi.Holding(l.order)
 	}
-	return f.holds[address], nil
+	return engineapi.Report{
+		Holding: f.holds[address], Running: f.running[address], Uses: f.uses,
+		Adapters: f.adapters[address].Adapters, AdapterVersion: f.adapters[address].Version,
+	}, nil
+}
+
+func (f *fleet) OrderAdapters(_ context.Context, address string, order engineapi.AdapterOrder) error {
+	f.adapters[address] = order
+	f.added = append(f.added, f.now.Sub(epoch))
+	return nil
 }
 
 func (f *fleet) Order(_ context.Context, address string, order engineapi.Order) error {
@@ -81,7 +96,7 @@
 	memory := storetest.NewMemory()
 	t.Cleanup(memory.Close)
 	d := directory.Build(doc, 1, "digest")
-	s := &site{fleet: &fleet{now: epoch, holds: map[string]engineapi.Holding{}, loads: map[string]time.Duration{}, silent: map[string]bool{}, loading: map[string]load{}}}
+	s := &site{fleet: &fleet{now: epoch, holds: map[string]engineapi.Holding{}, loads: map[string]time.Duration{}, silent: map[string]bool{}, loading: map[string]load{}, running: map[string]int{}, adapters: map[string]engineapi.AdapterOrder{}}}
 	for i := range domains {
 		client := storetest.NewClient(memory)
 		book := NewBook(client, "java", hclog.NewNullLogger())
--- a/route/plans/orders.go
+++ b/route/plans/orders.go
@@ -23,20 +23,48 @@
 type due struct {
 	endpoint document.Endpoint
 	order    engineapi.Order
-	holding  engineapi.Holding
+	holding  engineapi.Report
 }
 
 // order tells each engine whose holding differs from the plan to follow it, once
 // the weight store has time for what it must fetch. An engine that restarted empty
 // is found the same way, so a rack that comes back is paced too.
 func (k *Keeper) order(ctx context.Context, now time.Time, d *directory.Directory, kept *keptReplica) {
-	stages, version, ok := k.cfg.Book.Plan(kept.open.place.model, kept.open.name)
+	agreed, ok := k.cfg.Book.Agreed(kept.open.place.model, kept.open.name)
 	if !ok {
 		return
 	}
+	differ := k.differing(ctx, d, kept, agreed)
+	kept.noteUses(now, agreed.Stages[0].Endpoint)
+	if len(differ) == 0 {
+		kept.drained = time.Time{}
+		if kept.state == placement.Whole {
+			k.orderAdapters(ctx, now, d, kept, agreed)
+		}
+		return
+	}
+	kept.state = placement.Moving
+	if !k.drain(ctx, now, kept, differ) {
+		kept.checked = time.Time{} // looked at first in the next round
+		return
+	}
+	if err := k.book(ctx, now, d, kept, differ); err != nil {
+		k.cfg.Log.Warn("loads not booked", "model", kept.open.place.model, "replica", kept.open.name, "error", err)
+		return
+	}
+	for _, each := range differ {
+		if !now.Before(kept.booked[each.endpoint.Name].start) {
+			k.send(ctx, kept.open, each)
+		}
+	}
+}
+
+// differing asks the engines of a replica what they hold, notes how it stands to its
+// plan, and returns the orders that are due.
+func (k *Keeper) differing(ctx context.Context, d *directory.Directory, kept *keptReplica, agreed plan.Replica) []due {
 	var differ []due
 	kept.state = placement.Whole
-	for _, s := range stages {
+	for _, s := range agreed.Stages {
 		e, known := d.Endpoint(s.Endpoint)
 		if !known {
 			kept.state = placement.Unknown
@@ -45,31 +73,24 @@
 		holding, err := k.holding(ctx, e)
 		if err != nil {
 			kept.state = placement.Unknown // asked again in the next round
+			delete(kept.reports, e.Name)
 			continue
 		}
-		order := engineapi.Order{Model: kept.open.place.model, First: s.Layers[0], Last: s.Layers[1], PlacementVersion: version}
-		if holding == engineapi.Holding(order) {
+		kept.reports[e.Name] = holding
+		order := engineapi.Order{
+			Model: kept.open.place.model, Weights: agreed.Weights, First: s.First, Last: s.Last,
+			PlacementVersion: agreed.Version,
+		}
+		if holding.Holding == engineapi.Holding(order) {
 			delete(kept.booked, e.Name)
 			continue
 		}
 		differ = append(differ, due{e, order, holding})
 	}
-	if len(differ) == 0 {
-		return
-	}
-	kept.state = placement.Moving
-	if err := k.book(ctx, now, d, kept, differ); err != nil {
-		k.cfg.Log.Warn("loads not booked", "model", kept.open.place.model, "replica", kept.open.name, "error", err)
-		return
-	}
-	for _, each := range differ {
-		if !now.Before(kept.booked[each.endpoint.Name].start) {
-			k.send(ctx, kept.open, each)
-		}
-	}
+	return differ
 }
 
-func (k *Keeper) holding(ctx context.Context, e document.Endpoint) (engineapi.Holding, error) {
+func (k *Keeper) holding(ctx context.Context, e document.Endpoint) (engineapi.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return k.cfg.Engines.Holding(ctx, e.Address)
@@ -116,7 +137,7 @@
 
 // held is what an engine has of the ordered model.
 func held(d due) placement.Stage {
-	if d.holding.Model != d.order.Model {
+	if d.holding.Model != d.order.Model || d.holding.Weights != d.order.Weights {
 		return placement.Stage{First: 0, Last: -1}
 	}
 	return placement.Stage{First: d.holding.First, Last: d.holding.Last}
@@ -136,20 +157,23 @@
 		}
 		return
 	}
-	k.cfg.Log.Info("order", "endpoint", d.endpoint.Name, "model", d.order.Model, "first", d.order.First, "last", d.order.Last, "version", d.order.PlacementVersion)
+	k.cfg.Log.Info("order", "endpoint", d.endpoint.Name, "model", d.order.Model, "weights", d.order.Weights, "first", d.order.First, "last", d.order.Last, "role", d.order.Role, "version", d.order.PlacementVersion)
 }
 
 // raise puts the replica's plan above a fencing number that an engine took from
 // someone else; the next round orders by the new number.
 func (k *Keeper) raise(open openReplica, above int64) {
+	k.change(open, func(r *plan.Record) bool { return r.Raise(open.name, above) })
+}
+
+// change agrees on a change of a replica's plan by which later orders are taken.
+func (k *Keeper) change(open openReplica, change func(*plan.Record) bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), agreeTimeout)
 	defer cancel()
 	key := plan.Key(k.cfg.Environment, open.place.model, open.place.domain)
-	record, err := plan.Agree(ctx, k.cfg.Store, key, k.cfg.Node, func(r *plan.Record) bool {
-		return r.Raise(open.name, above)
-	})
+	record, err := plan.Agree(ctx, k.cfg.Store, key, k.cfg.Node, change)
 	if err != nil {
-		k.cfg.Log.Warn("plan not raised", "replica", open.name, "above", above, "error", err)
+		k.cfg.Log.Warn("plan not raised", "replica", open.name, "error", err)
 		return
 	}
 	k.cfg.Book.take(open.place, record)
--- a/route/plans/shape.go
+++ b/route/plans/shape.go
@@ -23,6 +23,7 @@
 	reasonFirst        = "first plan: least bottleneck within memory"
 	reasonEndpoints    = "the document names other endpoints"
 	reasonMeasured     = "measured times make another cut better"
+	reasonVersion      = "the document names another version of the weights"
 )
 
 // shapeOf is a replica as the planner sees it.
@@ -74,7 +75,8 @@
 // decide says whether the replica needs another plan than the one agreed, and
 // which.
 func (kept *keptReplica) decide(now time.Time, model placement.Model, chain placement.Chain, book *Book) ([]plan.Stage, string, bool, error) {
-	agreed, version, ok := book.Plan(kept.open.place.model, kept.open.name)
+	planned, ok := book.Agreed(kept.open.place.model, kept.open.name)
+	agreed, version := documentStages(planned), planned.Version
 	switch {
 	case !ok || !within(agreed, kept.open.stages):
 		reason := reasonFirst
@@ -83,6 +85,8 @@
 		}
 		cut, err := placement.Best(model, chain)
 		return stagesOf(cut), reason, true, err
+	case planned.Weights != kept.open.model.Version:
+		return planned.Stages, reasonVersion, true, nil
 	case kept.planner == nil:
 		kept.planner = placement.NewPlanner(model, chain, placement.Plan{Version: version, Cut: measuredCut(agreed, chain)}, placement.Policy{})
 	default:
--- a/route/service/prefixes.go
+++ b/route/service/prefixes.go
@@ -47,11 +47,19 @@
 	return p.index.Apply(p.now(), replica, page)
 }
 
+// Lost says that a stage of a replica has lost its cache. Only the first stage's
+// events are read, and they do not tell.
+func (p *Prefixes) Lost(replica string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index.Lost(replica)
+}
+
 // EventsDue is a replica whose cache events are to be asked for.
 type EventsDue struct {
 	Replica string
-	// Endpoint is the replica's first stage. Its cache stands for the chain's: all
-	// stages see the same prompts.
+	// Endpoint is the replica's first stage. Its cache stands for the chain's, as all
+	// stages see the same prompts; a later one that loses its own is told by Lost.
 	Endpoint string
 	// After is the sequence number to ask after, Asked when this was last done.
 	After uint64
--- a/route/stream/holding.go
+++ b/route/stream/holding.go
@@ -83,6 +83,14 @@
 	return nil
 }
 
+// Differs reports whether an engine of a chain says that it holds something else
+// than the chain needs. To find out before the chain is chosen costs no try: while a
+// version is rolled out many replicas differ for a moment, and an answer that used
+// up its tries on them would be refused though others hold what it needs.
+func (r *Runner) Differs(ctx context.Context, model string, layers int, chain Chain) bool {
+	return errors.Is(r.holdings.verify(ctx, model, layers, chain, time.Time{}), errMismatch)
+}
+
 // want is what a stage must report.
 type want struct {
 	holding  engineapi.Holding
