Tests of versions, adapters, roll-outs and a later stage's lost cache

Also TestEnginesThatAreAskedDirectly is stricter: it passed when engines that don't know /v1/path were taken as silent without being asked; a busy one that answers for itself must be kept.

--- a/decide/cacheindex/cacheindex_test.go
+++ b/decide/cacheindex/cacheindex_test.go
@@ -44,6 +44,14 @@
 		So(x.Apply(start, "a", page("two", stored(4, 99))), ShouldEqual, Restarted)
 		So(blocks(x, start), ShouldEqual, 0)
 	})
+	Convey("What a later stage lost is gone, and the events go on", t, func() {
+		x := known(Config{})
+		x.Lost("a")
+		x.Lost("unknown")
+		So(blocks(x, start), ShouldEqual, 0)
+		So(x.Apply(start, "a", page("one", stored(4, 11))), ShouldEqual, Continued)
+		So(blocks(x, start), ShouldEqual, 1)
+	})
 	Convey("A sequence that went back is a restart too", t, func() {
 		x := known(Config{})
 		So(x.Apply(start, "a", Page{Instance: "one", Last: 1}), ShouldEqual, Restarted)
--- /dev/null
+++ b/route/call/adapter_test.go
@@ -0,0 +1,30 @@
+package call
+
+import (
+	"testing"
+
+	"github.com/cicadatack/cicadatack/platform/document"
+)
+
+// A caller gets the adapter that it asks for, its team's if it asks for none, and no
+// other: one that does not exist is refused, or the bare model would answer.
+func TestUseAdapter(t *testing.T) {
+	service := &document.Service{Name: "pastry-llm", Model: &document.Model{Adapters: []document.Adapter{
+		{Name: "notes"}, {Name: "plans", Teams: []string{"menteng"}},
+	}}}
+	cases := []struct{ model, team, want, refused string }{
+		{"pastry-llm", "menteng", "plans", ""},
+		{"pastry-llm", "kuta", "", ""},
+		{"pastry-llm:notes", "menteng", "notes", ""},
+		{"pastry-llm:plans", "kuta", "plans", ""},
+		{"pastry-llm:other", "menteng", "", "unknown_adapter"},
+	}
+	for _, c := range cases {
+		name, adapter := SplitModel(c.model)
+		call := &Call{Service: service, Team: &document.Team{Name: c.team}}
+		refusal := call.UseAdapter(adapter)
+		if name != "pastry-llm" || call.Adapter != c.want || (refusal != nil) != (c.refused != "") {
+			t.Errorf("%s of %s: %q of %q, %v", c.model, c.team, call.Adapter, name, refusal)
+		}
+	}
+}
--- a/route/plans/keeper_test.go
+++ b/route/plans/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/cicadatack/cicadatack/platform/store/storetest"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/engine"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
 
@@ -35,9 +37,12 @@
 	// loadFor is how long a load takes; an engine reports what it held until then.
 	loadFor time.Duration
 	loading map[string]load
-	// running is how many streams each engine works on; adapters and taken what it
-	// holds of adapters and the orders for them, with the time of each load.
-	running  map[string]int
+	// running is how many streams each engine works on, cut how often engines took
+	// other weights with streams on them. broken weights are never there.
+	running map[string]int
+	cut     int
+	broken  string
+	// adapters is what each engine holds of adapters, added when it was told.
 	adapters map[string]engineapi.AdapterOrder
 	uses     map[string]uint64
 	added    []time.Duration
@@ -62,12 +67,28 @@
 }
 
 func (f *fleet) OrderAdapters(_ context.Context, address string, order engineapi.AdapterOrder) error {
+	if order.Version < f.adapters[address].Version {
+		return &engine.SendError{Endpoint: address, Status: http.StatusConflict}
+	}
 	f.adapters[address] = order
 	f.added = append(f.added, f.now.Sub(epoch))
 	return nil
 }
 
 func (f *fleet) Order(_ context.Context, address string, order engineapi.Order) error {
+	if order.Role == engineapi.RoleDrain {
+		delete(f.loading, address)
+		f.holds[address] = engineapi.Holding(order)
+		return nil
+	}
+	if f.holds[address].Weights != "" && f.holds[address].Weights != order.Weights && f.running[address] > 0 {
+		f.cut++
+	}
+	if order.Weights == f.broken && order.Weights != "" {
+		delete(f.loading, address)
+		f.holds[address] = engineapi.Holding{Last: -1, PlacementVersion: order.PlacementVersion}
+		return nil
+	}
 	if f.loading[address].order != order || f.loadFor == 0 {
 		f.loading[address] = load{order, f.now.Add(f.loadFor)}
 		f.loads[address] = f.now.Sub(epoch)
--- /dev/null
+++ b/route/plans/rollout_test.go
@@ -0,0 +1,191 @@
+package plans
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/route/directory"
+)
+
+// promote puts a document in force at every node.
+func (s *site) promote(doc *document.Document) {
+	d := directory.Build(doc, 1, "digest")
+	for _, k := range s.keepers {
+		k.cfg.Book.Apply(d)
+		k.Apply(d)
+	}
+}
+
+func versionOf(doc *document.Document, version string) *document.Document {
+	doc.Services[0].Model.Version = version
+	return doc
+}
+
+// serving counts the replicas whose engines all hold a version and take new streams.
+func (s *site) serving(replicas int, version string) int {
+	n := 0
+	for i := range replicas {
+		whole := true
+		for _, st := range s.agreed(i).Stages {
+			h := s.holds[st.Endpoint]
+			whole = whole && h.Weights == version && h.Role == engineapi.RoleBoth && h.Last == st.Last
+		}
+		if whole {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *site) agreed(i int) plan.Replica {
+	agreed, _ := s.keepers[0].cfg.Book.Agreed(model, fmt.Sprint("replica-", i))
+	return agreed
+}
+
+// Callers keep half of the replicas, and every answer that has begun ends where it
+// began. A new version is promoted while each replica works on streams that take
+// five more seconds; a replica that is to change takes no new ones, ends these, loads
+// at the weight store's rate, and the next two begin when it is free.
+func TestVersionIsRolledOut(t *testing.T) {
+	const replicas, rate = 4, 4
+	s := siteOf(t, versionOf(documentOf(replicas, 1, rate), "v1"), 1)
+	s.loadFor = 2 * time.Second // a replica's 8 MB at 4 MB/s
+	s.run(30, 0, nothing)
+	if n := s.serving(replicas, "v1"); n != replicas {
+		t.Fatalf("%d of %d replicas serve", n, replicas)
+	}
+	for i := range replicas {
+		s.running[s.agreed(i).Stages[0].Endpoint] = 1
+	}
+	s.promote(versionOf(documentOf(replicas, 1, rate), "v2"))
+	drainedAt := map[string]time.Time{}
+	least := replicas
+	s.run(60, 0, func() {
+		for name, h := range s.holds {
+			if h.Role == engineapi.RoleDrain && drainedAt[name].IsZero() {
+				drainedAt[name] = s.now
+			}
+			if at := drainedAt[name]; !at.IsZero() && s.now.Sub(at) >= 5*time.Second {
+				s.running[name] = 0
+			}
+		}
+		least = min(least, s.serving(replicas, "v1")+s.serving(replicas, "v2"))
+	})
+	if n := s.serving(replicas, "v2"); n != replicas || least != replicas/2 || s.cut != 0 {
+		t.Errorf("%d of %d replicas on the new version, at least %d served, %d engines changed under streams", n, replicas, least, s.cut)
+	}
+}
+
+// Callers keep half of the replicas though the new version cannot be loaded. The
+// roll-out stops by itself, and goes back with the document.
+func TestBrokenVersionStops(t *testing.T) {
+	const replicas = 4
+	s := siteOf(t, versionOf(documentOf(replicas, 1, 0), "v1"), 1)
+	s.run(30, 0, nothing)
+	s.broken = "v2"
+	s.promote(versionOf(documentOf(replicas, 1, 0), "v2"))
+	s.run(60, 0, nothing)
+	if n := s.serving(replicas, "v1"); n != replicas/2 {
+		t.Errorf("%d of %d replicas serve", n, replicas)
+	}
+	s.promote(versionOf(documentOf(replicas, 1, 0), "v1"))
+	s.run(30, 0, nothing)
+	if n := s.serving(replicas, "v1"); n != replicas {
+		t.Errorf("%d of %d replicas are back", n, replicas)
+	}
+}
+
+// An engine that works on a stream for ever does not hold a roll-out up for ever.
+func TestDrainEnds(t *testing.T) {
+	s := siteOf(t, versionOf(documentOf(2, 1, 0), "v1"), 1)
+	s.run(10, 0, nothing)
+	s.running["engine-0a"] = 1
+	s.run(2, 0, nothing) // its engines have told
+	s.promote(versionOf(documentOf(2, 1, 0), "v2"))
+	s.run(int(drainLimit/time.Second)-5, 0, nothing)
+	if n := s.serving(2, "v2"); n != 1 {
+		t.Errorf("%d replicas on the new version before the limit, want 1", n)
+	}
+	s.run(20, 0, nothing)
+	if n := s.serving(2, "v2"); n != 2 {
+		t.Errorf("%d replicas on the new version after the limit, want 2", n)
+	}
+}
+
+func adaptersOf(doc *document.Document, version string) *document.Document {
+	doc.Services[0].Model.Adapters = []document.Adapter{{Name: "notes", Version: version, Bytes: 3 * megabyte, Replicas: 2}}
+	return doc
+}
+
+func (s *site) holding(a engineapi.Adapter) int {
+	n := 0
+	for _, held := range s.adapters {
+		if slices.Contains(held.Adapters, a) {
+			n++
+		}
+	}
+	return n
+}
+
+// Callers of an adapter find it on two replicas, which serve all others meanwhile.
+// Its loads wait for each other, an engine that lost it gets it again, and one that
+// took a higher number from someone else gets it under a higher one still.
+func TestAdaptersAreOrdered(t *testing.T) {
+	notes := engineapi.Adapter{Name: "notes", Version: "1"}
+	s := siteOf(t, adaptersOf(documentOf(3, 1, 1), "1"), 1)
+	s.run(40, 0, nothing)
+	engines := 0
+	for i := range 3 {
+		if len(s.agreed(i).Adapters) > 0 {
+			engines += len(s.agreed(i).Stages)
+		}
+	}
+	if n := s.holding(notes); engines == 0 || n != engines {
+		t.Fatalf("%d engines hold the adapter, want %d", n, engines)
+	}
+	// The last layers are loaded by now; the second replica's load of 3 MB at 1 MB/s
+	// begins when the first one's is over.
+	if first, last := s.added[0], s.added[len(s.added)-1]; last-first < 3*time.Second {
+		t.Errorf("loads at %v, all at once", s.added)
+	}
+	var name string
+	for name = range s.adapters {
+		break
+	}
+	s.adapters[name] = engineapi.AdapterOrder{Version: 1000}
+	before := s.agreed(0).Version
+	s.run(20, 0, nothing)
+	if n := s.holding(notes); n != engines || s.agreed(0).Version != before {
+		t.Errorf("%d engines hold the adapter, want %d; the layers' plan went from %d to %d", n, engines, before, s.agreed(0).Version)
+	}
+	s.promote(adaptersOf(documentOf(3, 1, 1), "2"))
+	least := engines
+	s.run(40, 0, func() { least = min(least, s.holding(notes)+s.holding(engineapi.Adapter{Name: "notes", Version: "2"})) })
+	if n := s.holding(engineapi.Adapter{Name: "notes", Version: "2"}); n != engines || s.holding(notes) != 0 || least < engines {
+		t.Errorf("%d engines hold the new version, %d the old one; at least %d held either", n, s.holding(notes), least)
+	}
+}
+
+// A node whose turn has just come does not undo what another has agreed: the change
+// is made to the record in force.
+func TestPlansKeepAdapters(t *testing.T) {
+	s := siteOf(t, adaptersOf(versionOf(documentOf(2, 1, 0), "v1"), "1"), 1)
+	s.run(10, 0, nothing)
+	s.promote(adaptersOf(versionOf(documentOf(2, 1, 0), "v2"), "1"))
+	s.run(30, 0, nothing)
+	record, _, err := plan.Load(context.Background(), s.keepers[0].cfg.Store, plan.Key("java", model, domainName(0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, r := range record.Replicas {
+		if r.Weights != "v2" || len(r.Adapters) != 1 || len(r.Stages) == 0 {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
--- /dev/null
+++ b/route/stream/artifact_test.go
@@ -0,0 +1,175 @@
+package stream
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	standin "github.com/cicadatack/cicadatack/standin/engine"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var notes = engineapi.Adapter{Name: "notes", Version: "1"}
+
+// versions is a chooser over a fleet whose chains need artifacts of their own.
+type versions struct {
+	*fleet
+	artifacts []engineapi.Artifact
+}
+
+func (v versions) Choose(ctx context.Context, exclude []string) (Chain, error) {
+	chain, err := v.fleet.Choose(ctx, exclude)
+	for i := range v.chains {
+		if chain.Replica == v.chain(i).Replica {
+			chain.Artifact = v.artifacts[i]
+		}
+	}
+	return chain, err
+}
+
+// newVersions starts a chain for each artifact, whose engines hold it.
+func newVersions(t *testing.T, cfg standin.Config, artifacts ...engineapi.Artifact) versions {
+	f := newFleet(t, 0, cfg, Options{})
+	for _, a := range artifacts {
+		cfg.Weights = a.Weights
+		f.chains = append(f.chains, [2]*standin.Server{
+			f.start(cfg, 0, testLayers/2-1),
+			f.start(cfg, testLayers/2, testLayers-1),
+		})
+		for _, srv := range f.chains[len(f.chains)-1] {
+			if a.Adapter != "" {
+				So(srv.Engine.OrderAdapters(engineapi.AdapterOrder{Adapters: []engineapi.Adapter{notes}, Version: 1}), ShouldBeNil)
+			}
+		}
+	}
+	return versions{f, artifacts}
+}
+
+func (v versions) request(stream string) Request {
+	req := request(stream)
+	req.Chooser = v
+	return req
+}
+
+func answerBy(a engineapi.Artifact, req Request) string {
+	return strings.Join(standin.AnswerBy(a, req.Layers, req.Chat.Messages, req.Chat.MaxTokens), "")
+}
+
+// The caller gets one version's answer to the last byte. Its chain dies partway
+// while a new version is rolled out; the next replica has the new weights already,
+// works, and would go on with plausible tokens of another answer. Only the third
+// has the weights that the answer began with.
+func TestAnswerStaysWithItsVersion(t *testing.T) {
+	old, next := engineapi.Artifact{Weights: "v1"}, engineapi.Artifact{Weights: "v2"}
+	Convey("The resume passes over the other version", t, func() {
+		v := newVersions(t, quick, old, next, old)
+		defer v.stop()
+		req := v.request("roll-out")
+		answer, summary, err := v.collect(context.Background(), req, func(position int) {
+			if position == testTokens/2 {
+				v.chains[0][1].Kill()
+			}
+		})
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, answerBy(old, req))
+		So(summary.Epochs, ShouldEqual, 3)
+		So(v.ended[1].End, ShouldEqual, EndMismatch)
+		So(v.chains[1][0].Engine.Stats().Opened, ShouldEqual, 0)
+	})
+}
+
+// The caller gets one version's answer to the last byte. A later stage ignores
+// fencing numbers and takes an order for other weights in the middle of the answer;
+// what it reported before is still trusted. Its next span names the weights, and the
+// token is not delivered.
+func TestWeightsChangeMidAnswer(t *testing.T) {
+	old := engineapi.Artifact{Weights: "v1"}
+	Convey("The span tells", t, func() {
+		v := newVersions(t, quick, old, old)
+		defer v.stop()
+		var once sync.Once
+		req := v.request("mid-answer")
+		answer, summary, err := v.collect(context.Background(), req, func(position int) {
+			if position < testTokens/2 {
+				return
+			}
+			once.Do(func() {
+				So(v.chains[0][1].Engine.Order(engineapi.Order{
+					Model: testModel, Weights: "v2", First: testLayers / 2, Last: testLayers - 1, PlacementVersion: 1,
+				}), ShouldBeNil)
+			})
+		})
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, answerBy(old, req))
+		So(summary.Recoveries[0].Reason, ShouldEqual, OtherArtifact)
+	})
+}
+
+// The caller gets the adapter's answer. An engine has dropped the adapter for want
+// of memory and told nobody. If it is asked it says so and nothing is sent; within
+// the time that a report is trusted an engine that checks refuses, and one that does
+// not runs the bare model, which its first span tells.
+func TestAdapterIsLost(t *testing.T) {
+	withNotes := engineapi.Artifact{Weights: "v1", Adapter: notes.String()}
+	cases := []struct {
+		name    string
+		checks  bool
+		trusted bool // the engine has been asked a moment ago
+		end     End
+	}{
+		{"asked before use", false, false, EndMismatch},
+		{"an engine that checks", true, true, EndRefused},
+		{"an engine that does not check", false, true, EndRejected},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			cfg := quick
+			cfg.CheckFencing = c.checks
+			v := newVersions(t, cfg, withNotes, withNotes)
+			defer v.stop()
+			if c.trusted {
+				before := v.request("before")
+				answer, _, err := v.collect(context.Background(), before, nil)
+				So(err, ShouldBeNil)
+				So(answer, ShouldEqual, answerBy(withNotes, before))
+			}
+			v.chains[0][1].Engine.DropAdapters()
+			v.ended = nil
+			req := v.request("after")
+			answer, _, err := v.collect(context.Background(), req, nil)
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, answerBy(withNotes, req))
+			So(v.ended[0].End, ShouldEqual, c.end)
+			So(v.chains[0][0].Engine.Stats().Opened, ShouldBeLessThanOrEqualTo, 2)
+		})
+	}
+}
+
+// Callers wait for a prompt computed anew on a chain that was taken to have it
+// cached: a later stage has lost its cache, and the first one, whose events are read,
+// has not. The next report before work is sent names another cache.
+func TestLaterStageLosesItsCache(t *testing.T) {
+	Convey("Each loss is told once", t, func() {
+		var mu sync.Mutex
+		var lost []string
+		f := newFleet(t, 1, quick, Options{HoldingTTL: 1, CacheLost: func(model, replica string) {
+			mu.Lock()
+			defer mu.Unlock()
+			lost = append(lost, model+"/"+replica)
+		}})
+		defer f.stop()
+		ask := func(stream string) {
+			_, _, err := f.collect(context.Background(), request(stream), nil)
+			So(err, ShouldBeNil)
+		}
+		ask("first")
+		ask("second")
+		So(lost, ShouldBeEmpty)
+		f.chains[0][1].Engine.DropCache()
+		ask("third")
+		ask("fourth")
+		So(lost, ShouldResemble, []string{testModel + "/replica-0"})
+	})
+}
--- a/route/stream/way_test.go
+++ b/route/stream/way_test.go
@@ -105,6 +105,24 @@
 		So(answer, ShouldEqual, undisturbed(req))
 		So(summary.Recoveries[0].Detection, ShouldBeLessThan, DefaultFirstTokenTimeout/2)
 	})
+	Convey("A busy stage that answers is kept", t, func() {
+		const floor, asked = time.Second, 6
+		f := newFleet(t, 2, standin.Config{NoWay: true}, Options{StallFloor: floor})
+		defer f.stop()
+		first := f.chains[0][0].Engine
+		first.SetFaults(standin.Faults{Busy: true})
+		go func() {
+			wait(func() bool { return first.Running() == 1 })
+			since := first.Stats().Holdings
+			wait(func() bool { return first.Stats().Holdings >= since+asked })
+			first.SetFaults(standin.Faults{})
+		}()
+		req := request("busy")
+		answer, summary, err := f.collect(context.Background(), req, nil)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(summary.Epochs, ShouldEqual, 1)
+	})
 }
 
 // answers is a transport that answers questions along the way, or loses them.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -74,6 +74,8 @@
 	Steps int
 	// Ways counts the questions along the chain that were answered.
 	Ways int
+	// Holdings counts the questions for what the engine holds.
+	Holdings int
 	// Refused counts streams refused before any work.
 	Refused int
 	// Cancelled counts streams ended by a cancel or a caller gone.
@@ -188,6 +190,7 @@
 func (e *Engine) handleHolding(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	report := e.report()
+	e.stats.Holdings++
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, report)
 }
