Nodes learn of new holders; calls of an adapter leave out replicas without it

Cause: a node's record of plans was read again only when an engine differed from it. A replica that gains an adapter differs from nothing, so a busy adapter's calls stayed with the holders known before. Change: a record with adapters is read again when it is a minute old and used. Replicas without the adapter are left out before the choice, not picked and passed over.

--- a/decide/placement/rollout.go
+++ b/decide/placement/rollout.go
@@ -46,7 +46,6 @@
 // whose engines differ from its plan serves nobody, so it changes course at once.
 func NextRollout(version string, part float64, replicas []Candidate) Rollout {
 	r := Rollout{MayBeOut: mayBeOut(part, len(replicas))}
-	var serving []Candidate
 	moving := 0
 	for _, c := range replicas {
 		if c.State != Whole {
@@ -59,27 +58,39 @@
 			continue
 		}
 		r.Behind++
-		switch c.State {
-		case Moving:
+		if c.State == Moving {
 			r.Start = append(r.Start, c.Name)
-		case Whole:
-			serving = append(serving, c)
 		}
 	}
-	room := max(min(r.MayBeOut-r.Out, rolloutAtOnce-moving), 0)
-	if room == 0 || len(serving) == 0 {
-		return r
-	}
-	// The one with the fewest streams is free the soonest.
-	slices.SortFunc(serving, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.Name, b.Name))
-	})
-	for _, c := range serving[:min(room, len(serving))] {
-		r.Start = append(r.Start, c.Name)
+	room := min(r.MayBeOut-r.Out, rolloutAtOnce-moving)
+	var stopped []int
+	for len(stopped) < room {
+		next := soonest(version, replicas, stopped)
+		if next < 0 {
+			break
+		}
+		stopped = append(stopped, next)
+		r.Start = append(r.Start, replicas[next].Name)
 	}
 	return r
 }
 
+// soonest is the serving replica with another version that has the fewest streams,
+// and so is free the soonest; -1 if there is none but those already chosen.
+func soonest(version string, replicas []Candidate, chosen []int) int {
+	best := -1
+	for i := range replicas {
+		c := &replicas[i]
+		if c.State != Whole || c.Version == version || slices.Contains(chosen, i) {
+			continue
+		}
+		if best < 0 || cmp.Or(cmp.Compare(c.Running, replicas[best].Running), cmp.Compare(c.Name, replicas[best].Name)) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
 // roundingSlack keeps a part such as 0.3 of 10 from being 2.9999.
 const roundingSlack = 1e-9
 
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -62,6 +62,7 @@
 // firstWithPlan picks until a replica's chain is known. Each replica is looked
 // at once.
 func (c *chooser) firstWithPlan(ctx context.Context, exclude []string) (stream.Chain, error) {
+	exclude = slices.Concat(exclude, c.answer.without)
 	for {
 		choice, chain, err := c.pick(ctx, exclude)
 		if err == nil {
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -65,14 +65,15 @@
 		visit.Refuse(w, refusal)
 		return
 	}
-	if refusal := s.noHolder(c, visit); refusal != nil {
+	without, refusal := s.withoutAdapter(c, visit)
+	if refusal != nil {
 		visit.Refuse(w, refusal)
 		return
 	}
 	if chat.MaxTokens == 0 {
 		chat.MaxTokens = defaultMaxTokens
 	}
-	a := &answer{Visit: visit, server: s, chat: chat, cost: expectedCost(chat)}
+	a := &answer{Visit: visit, server: s, chat: chat, cost: expectedCost(chat), without: without}
 	pass, err := a.Enter(r.Context(), a.cost)
 	if err != nil {
 		a.NotEntered(w, err)
@@ -101,6 +102,8 @@
 	server *Server
 	chat   engineapi.ChatRequest
 	cost   float64
+	// without are the replicas that do not hold the call's adapter.
+	without []string
 }
 
 // run sends the call along chains until its answer is whole, and returns the
--- a/route/plans/book.go
+++ b/route/plans/book.go
@@ -28,6 +28,13 @@
 	readPause = 500 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = 2 * time.Second
+	// adapterRefresh is how old a record with adapters may be before it is read
+	// again. An engine that lost an adapter is noticed where a stream is sent, but a
+	// replica that gained one is not: its calls would go on to the holders that this
+	// node knows, which are busy. A read a minute for each of the few records that a
+	// node uses is 400 a second for 2,200 nodes with a dozen each, of the two thousand
+	// that the store gives.
+	adapterRefresh = time.Minute
 	// maxQueued bounds the reads asked for and not begun; more are dropped, and
 	// asked for again by the next stream.
 	maxQueued = 256
@@ -45,11 +52,14 @@
 	environment string
 	log         hclog.Logger
 	wanted      chan place
+	now         func() time.Time
 
 	mu      sync.RWMutex
 	placeOf map[replicaName]place
 	records map[place]plan.Record
 	readAt  map[place]time.Time
+	// adapted are the records in which some replica is to hold an adapter.
+	adapted map[place]bool
 }
 
 // replicaName names a replica within the environment.
@@ -65,9 +75,11 @@
 		environment: environment,
 		log:         log,
 		wanted:      make(chan place, maxQueued),
+		now:         time.Now,
 		placeOf:     map[replicaName]place{},
 		records:     map[place]plan.Record{},
 		readAt:      map[place]time.Time{},
+		adapted:     map[place]bool{},
 	}
 }
 
@@ -112,8 +124,9 @@
 	b.mu.RLock()
 	p, known := b.placeOf[replicaName{model, replica}]
 	agreed, planned := b.records[p].Replicas[replica]
+	old := b.adapted[p] && b.now().Sub(b.readAt[p]) >= adapterRefresh
 	b.mu.RUnlock()
-	if known && !planned {
+	if known && (!planned || old) {
 		b.want(p)
 	}
 	return agreed, known && planned
@@ -141,12 +154,13 @@
 func (b *Book) want(p place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if time.Since(b.readAt[p]) < readPause {
+	now := b.now()
+	if now.Sub(b.readAt[p]) < readPause {
 		return
 	}
 	select {
 	case b.wanted <- p:
-		b.readAt[p] = time.Now()
+		b.readAt[p] = now
 	default:
 	}
 }
@@ -180,9 +194,19 @@
 	defer b.mu.Unlock()
 	if record.Version >= b.records[p].Version {
 		b.records[p] = record
+		b.adapted[p] = hasAdapters(record)
 	}
 }
 
+func hasAdapters(record plan.Record) bool {
+	for _, r := range record.Replicas {
+		if len(r.Adapters) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // openReplica is a replica whose layers the document leaves to the planner.
 type openReplica struct {
 	place  place
--- a/route/plans/rollout_test.go
+++ b/route/plans/rollout_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/platform/plan"
@@ -185,6 +187,69 @@
 	}
 }
 
+// Callers of a busy adapter get a third replica. Every stream that its holders are
+// opened for counts, whichever node it came through, as the engines tell; nothing
+// else is added while the load is underway, or later, while one of them is idle.
+func TestBusyAdapterIsSpread(t *testing.T) {
+	s := siteOf(t, adaptersOf(documentOf(4, 1, 0), "1"), 1)
+	s.run(20, 0, nothing)
+	s.uses = map[string]uint64{}
+	holders := func() (n int) {
+		for i := range 4 {
+			if len(s.agreed(i).Adapters) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if n := holders(); n != 2 {
+		t.Fatalf("%d replicas are to hold the adapter, want 2", n)
+	}
+	for i := range 4 {
+		if len(s.agreed(i).Adapters) > 0 {
+			s.running[s.agreed(i).Stages[0].Endpoint] = assumedSlots
+		}
+	}
+	s.run(30, 0, func() { s.uses = map[string]uint64{"notes@1": uint64(s.now.Sub(epoch) / time.Second)} })
+	if n := holders(); n != 3 {
+		t.Errorf("%d replicas are to hold the adapter, want 3", n)
+	}
+}
+
+// Callers at every node reach a replica that gained an adapter. Nothing there shows a
+// node that its plan is old, as the holders that it knows are as they were.
+func TestNewHoldersAreLearnt(t *testing.T) {
+	s := siteOf(t, adaptersOf(documentOf(4, 1, 0), "1"), 1)
+	s.run(20, 0, nothing)
+	other := NewBook(s.keepers[0].cfg.Store, "java", hclog.NewNullLogger())
+	now := epoch
+	other.now = func() time.Time { return now }
+	other.Apply(s.keepers[0].directory)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go other.Run(ctx)
+	knows := func(replicas int) bool {
+		n := 0
+		for i := range 4 {
+			agreed, _ := other.Agreed(model, fmt.Sprint("replica-", i))
+			n += len(agreed.Adapters)
+		}
+		return n == replicas
+	}
+	await := func(replicas int) {
+		for !knows(replicas) {
+			time.Sleep(time.Millisecond) // the test's own time limit ends it
+		}
+	}
+	await(2)
+	doc := adaptersOf(documentOf(4, 1, 0), "1")
+	doc.Services[0].Model.Adapters[0].Replicas = 4
+	s.promote(doc)
+	s.run(10, 0, nothing)
+	now = now.Add(adapterRefresh)
+	await(4)
+}
+
 // A replica that takes a new version keeps its adapters: they are neither dropped
 // from its plan nor ordered again under a new number.
 func TestPlansKeepAdapters(t *testing.T) {
