--- a/route/plans/rollout_test.go
+++ b/route/plans/rollout_test.go
@@ -273,3 +273,19 @@
 		}
 	}
 }
+
+// Callers get a replica back whose engine someone else has ordered into another
+// role: its report differs from the plan, and the keeper orders it anew.
+func TestRoleIsOrderedBack(t *testing.T) {
+	s := newSite(t, 1, 1, 0)
+	s.run(5, 0, nothing)
+	name := s.agreed(0).Stages[0].Endpoint
+	other := s.holds[name]
+	other.Role = engineapi.RolePrefill
+	s.holds[name] = other
+	delete(s.loading, name)
+	s.run(5, 0, nothing)
+	if got := s.holds[name].Role; got != engineapi.RoleBoth {
+		t.Errorf("the engine's role is %q", got)
+	}
+}
--- a/route/stream/artifact_test.go
+++ b/route/stream/artifact_test.go
@@ -178,3 +178,20 @@
 		So(lost, ShouldResemble, []string{testModel + "/replica-0"})
 	})
 }
+
+// The caller is answered by an engine that works on prompts and on answers. Someone
+// has ordered the first one to do prompts only; it says so before work is sent.
+func TestOtherRoleIsNotUsed(t *testing.T) {
+	Convey("Another chain is taken", t, func() {
+		v := newVersions(t, quick, engineapi.Artifact{}, engineapi.Artifact{})
+		defer v.stop()
+		So(v.chains[0][0].Engine.Order(engineapi.Order{
+			Model: testModel, First: 0, Last: testLayers/2 - 1, PlacementVersion: 1, Role: engineapi.RolePrefill,
+		}), ShouldBeNil)
+		req := v.request("role")
+		answer, _, err := v.collect(context.Background(), req, nil)
+		So(err, ShouldBeNil)
+		So(answer, ShouldEqual, undisturbed(req))
+		So(v.ended[0].End, ShouldEqual, EndMismatch)
+	})
+}
