--- a/route/front/refusal_test.go
+++ b/route/front/refusal_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
 
@@ -30,6 +31,8 @@
 		{"no messages", asked{http.MethodPost, chat, teamKey, `{"model":"pastry-llm"}`, nil}, 400, "no_messages"},
 		{"negative length", asked{http.MethodPost, chat, teamKey, `{"messages":[{}],"max_tokens":-1}`, nil}, 400, "bad_max_tokens"},
 		{"unknown model", asked{http.MethodPost, chat, teamKey, `{"model":"x","messages":[{}]}`, nil}, 404, "unknown_service"},
+		{"unknown adapter", asked{http.MethodPost, chat, teamKey, `{"model":"pastry-llm:x","messages":[{}]}`, nil}, 404, "unknown_adapter"},
+		{"adapter that nobody holds", asked{http.MethodPost, chat, teamKey, `{"model":"pastry-llm:notes","messages":[{}]}`, nil}, 503, "no_adapter"},
 		{"unknown service", asked{http.MethodPost, "/services/x/orders", teamKey, "", nil}, 404, "unknown_service"},
 		{"unknown path", asked{http.MethodGet, "/v2", teamKey, "", nil}, 404, "unknown_path"},
 		{"wrong method", asked{http.MethodGet, chat, teamKey, "", nil}, 405, "method_not_allowed"},
@@ -43,6 +46,7 @@
 		{"bad timeout", asked{http.MethodPost, orders, teamKey, "", map[string]string{outcome.HeaderTimeout: "soon"}}, 400, "bad_timeout"},
 	}
 	s := newSite(t, siteConfig{chains: 1})
+	s.document.Services[0].Model.Adapters = []document.Adapter{{Name: "notes", Version: "1"}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { refusedAs(t, s.ask(c.ask), c.status, c.code) })
 	}
--- a/route/plans/adapters.go
+++ b/route/plans/adapters.go
@@ -53,7 +53,10 @@
 func (k *Keeper) placeAdapters(ctx context.Context, now time.Time, d *directory.Directory) {
 	groups := map[place][]*keptReplica{}
 	for _, kept := range k.kept {
-		groups[kept.open.place] = append(groups[kept.open.place], kept)
+		// Most models have no adapters, and this runs each second.
+		if len(kept.open.model.Adapters) > 0 || k.cfg.Book.adapters(kept.open.place) {
+			groups[kept.open.place] = append(groups[kept.open.place], kept)
+		}
 	}
 	for p, group := range groups {
 		result := adapters.Decide(wantedAdapters(group[0].open), k.holders(d, group))
@@ -114,7 +117,7 @@
 // adapterRoom is the memory for adapters in bytes over all layers: each engine keeps
 // the part of an adapter that belongs to its layers, so the tightest one counts.
 func adapterRoom(d *directory.Directory, open openReplica, agreed plan.Replica) int64 {
-	model, _ := shapeOf(d, open)
+	model := modelOf(open)
 	room := math.Inf(1)
 	for _, s := range agreed.Stages {
 		e, _ := d.Endpoint(s.Endpoint)
--- a/route/plans/book.go
+++ b/route/plans/book.go
@@ -198,6 +198,13 @@
 	}
 }
 
+// adapters says whether some replica of a record is to hold an adapter.
+func (b *Book) adapters(p place) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.adapted[p]
+}
+
 func hasAdapters(record plan.Record) bool {
 	for _, r := range record.Replicas {
 		if len(r.Adapters) > 0 {
--- a/route/plans/shape.go
+++ b/route/plans/shape.go
@@ -28,10 +28,7 @@
 
 // shapeOf is a replica as the planner sees it.
 func shapeOf(d *directory.Directory, open openReplica) (placement.Model, placement.Chain) {
-	model := placement.Model{Layers: open.model.Layers, LayerBytes: assumedLayerBytes}
-	if open.model.LayerMegabytes > 0 {
-		model.LayerBytes = int64(open.model.LayerMegabytes) * megabyte
-	}
+	model := modelOf(open)
 	var chain placement.Chain
 	domains := make([]string, len(open.stages))
 	for i, s := range open.stages {
@@ -49,6 +46,14 @@
 	return model, chain
 }
 
+func modelOf(open openReplica) placement.Model {
+	model := placement.Model{Layers: open.model.Layers, LayerBytes: assumedLayerBytes}
+	if open.model.LayerMegabytes > 0 {
+		model.LayerBytes = int64(open.model.LayerMegabytes) * megabyte
+	}
+	return model
+}
+
 func acceleratorOf(doc *document.Document, e document.Endpoint) placement.Accelerator {
 	a := placement.Accelerator{Endpoint: e.Name, LayerMicros: assumedLayerMicros, MemoryBytes: assumedMemory}
 	for _, kind := range doc.Accelerators {
