--- a/route/plans/rollout_test.go
+++ b/route/plans/rollout_test.go
@@ -289,3 +289,25 @@
 		t.Errorf("the engine's role is %q", got)
 	}
 }
+
+// Callers keep a replica that would only stand empty: the weight store's next minute
+// is given away to other loads, and the roll-out begins when it is free.
+func TestRollOutWaitsForTheWeightStore(t *testing.T) {
+	const busy = 60
+	s := siteOf(t, versionOf(documentOf(2, 1, 1), "v1"), 1)
+	s.run(30, 0, nothing)
+	key := plan.PaceKey("java")
+	if _, err := plan.Book(context.Background(), s.keepers[0].cfg.Store, key, "other", s.now, []time.Duration{busy * time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	s.promote(versionOf(documentOf(2, 1, 1), "v2"))
+	s.run(busy, 0, func() {
+		if n := s.serving(2, "v1"); n != 2 {
+			t.Fatalf("%d of 2 replicas serve while the weight store is busy", n)
+		}
+	})
+	s.run(40, 0, nothing)
+	if n := s.serving(2, "v2"); n != 2 {
+		t.Errorf("%d of 2 replicas are on the new version", n)
+	}
+}
