--- a/route/plans/rollout_test.go
+++ b/route/plans/rollout_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/cicadatack/cicadatack/decide/adapters"
 	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/platform/plan"
@@ -311,3 +312,34 @@
 		t.Errorf("%d of 2 replicas are on the new version", n)
 	}
 }
+
+// Callers keep what another node has just agreed. Its keeper looked at other reports
+// and gave the replica an adapter; this node, whose record is older, takes it out.
+func TestAdaptersOfAnotherKeeperStay(t *testing.T) {
+	s := siteOf(t, adaptersOf(documentOf(2, 1, 0), "1"), 1)
+	s.run(10, 0, nothing)
+	k := s.keepers[0]
+	at := place{model, domainName(0)}
+	both := []plan.Adapter{{Name: "notes", Version: "1"}, {Name: "plans", Version: "1"}}
+	record, err := plan.Agree(context.Background(), k.cfg.Store, plan.Key("java", model, at.domain), "other", func(r *plan.Record) bool {
+		return r.PutAdapters("replica-0", both)
+	})
+	if err == nil {
+		err = k.agreeAdapters(context.Background(), at, []adapters.Change{{Replica: "replica-0"}})
+	}
+	if got := s.agreed(0); err != nil || len(got.Adapters) != 2 || got.AdapterVersion != record.Version {
+		t.Errorf("%+v: %v", got, err)
+	}
+}
+
+// The engine with the least room counts: it keeps its layers' part of each adapter.
+func TestAdapterRoom(t *testing.T) {
+	doc := documentOf(1, 1, 0)
+	doc.Accelerators = []document.Accelerator{{Name: "wide", MemoryMegabytes: 100}, {Name: "tight", MemoryMegabytes: 5}}
+	doc.Endpoints[0].Accelerator, doc.Endpoints[1].Accelerator, doc.Endpoints[2].Accelerator = "wide", "tight", "wide"
+	d := directory.Build(doc, 1, "digest")
+	agreed := plan.Replica{Stages: []plan.Stage{{Endpoint: "engine-0a", Last: 1}, {Endpoint: "engine-0b", First: 2, Last: 5}, {Endpoint: "engine-0c", First: 6, Last: 7}}}
+	if got := adapterRoom(d, openReplicas(d)[0], agreed); got != 2*megabyte {
+		t.Errorf("room for %d bytes, want %d", got, 2*megabyte) // 1 MB for half of the layers
+	}
+}
