--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -52,17 +52,18 @@
 	once   sync.Once
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	holding engineapi.Holding
-	faults  Faults
-	thaw    chan struct{} // not nil while frozen
-	idle    chan struct{} // not nil while busy
-	slots   slots
-	table   sessionTable
-	cache   prefixCache
-	exports map[string]exportedKV
-	load    loadReport
-	stats   Stats
+	mu        sync.Mutex
+	holding   engineapi.Holding
+	faults    Faults
+	thaw      chan struct{} // not nil while frozen
+	idle      chan struct{} // not nil while busy
+	slots     slots
+	table     sessionTable
+	cache     prefixCache
+	exports   map[string]exportedKV
+	artifacts artifacts
+	load      loadReport
+	stats     Stats
 }
 
 // Stats counts what an engine did, for tests.
@@ -73,6 +74,8 @@
 	Steps int
 	// Ways counts the questions along the chain that were answered.
 	Ways int
+	// Holdings counts the questions for what the engine holds.
+	Holdings int
 	// Refused counts streams refused before any work.
 	Refused int
 	// Cancelled counts streams ended by a cancel or a caller gone.
@@ -89,10 +92,11 @@
 		cfg:     cfg,
 		closed:  make(chan struct{}),
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
-		holding: engineapi.Holding{Model: cfg.Model, First: cfg.First, Last: cfg.Last, PlacementVersion: cfg.Version},
+		holding: engineapi.Holding{Model: cfg.Model, First: cfg.First, Last: cfg.Last, Weights: cfg.Weights, PlacementVersion: cfg.Version},
 		exports: map[string]exportedKV{},
 	}
 	e.slots = slots{free: cfg.Slots, queue: cfg.Queue}
+	e.artifacts.uses = map[string]uint64{}
 	e.table = newSessionTable()
 	e.cache = newPrefixCache(cfg.CacheBlocks, cfg.EventLag, cfg.EventLoss)
 	e.router = e.routes()
@@ -108,6 +112,7 @@
 		r.Get(engineapi.PathLoad, e.handleLoad)
 		r.Get(engineapi.PathHolding, e.handleHolding)
 		r.Post(engineapi.PathOrders, e.handleOrder)
+		r.Post(engineapi.PathAdapters, e.handleAdapters)
 		if !e.cfg.NoWay {
 			r.Post(engineapi.PathWay, e.handleWay)
 		}
@@ -184,9 +189,10 @@
 
 func (e *Engine) handleHolding(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	holding := e.holding
+	report := e.report()
+	e.stats.Holdings++
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, holding)
+	writeJSON(w, http.StatusOK, report)
 }
 
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -201,18 +207,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Order changes what the engine holds. An engine with CheckFencing refuses a
-// placement version below the last that it took.
-func (e *Engine) Order(order engineapi.Order) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.cfg.CheckFencing && order.PlacementVersion < e.holding.PlacementVersion {
-		return Error.Wrap(errOldOrder)
-	}
-	e.holding = engineapi.Holding(order)
-	return nil
-}
-
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
 	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
