Leaving endpoints at size: the node that looks first tells the others

Cause: all nodes together look at the platform's list 20 times a second, so at 2,200 nodes a node looks each 110 s, and an endpoint that says nothing itself gets new work until then. Over 40 nodes the list alone did not keep 3 s.

Weighed: a watch of the list by the watch holders (46 more waiting calls, each renewed every minute, and one node that lags hides a change) or the looks that are made anyway, spread over time: one of 20 a second sees a change after 50 ms on average at any size. Chosen: the latter. Its notice goes to two kept peers at once, each of which tells two more, and with every exchange of the next seconds. The store's revision of the list's entry orders notices; what a node has read itself overrides them. Coming back is not spread: a wrong word would break the promise, and without it a replica is missed for one look.

A notice is a hint until a node's own look: at most a quarter of a service's replicas go by hints, and a hint ends with the look that contradicts it, or after 4 minutes. A node holds the endpoints that leave, and no longer the whole list.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -74,6 +74,8 @@
 	Scheme string
 	// Limits splits the teams' limits between their homes; nil: none is split.
 	Limits Limits
+	// OnLeaving is called when LeavingEndpoints has changed; it must return soon.
+	OnLeaving func()
 	// Orders does operations of the order ledger for a peer; nil: none are taken.
 	Orders OrderServer
 	// Transport for exchanges; nil: one with connections kept for a while.
@@ -101,6 +103,9 @@
 	if c.Limits == nil {
 		c.Limits = noLimits{}
 	}
+	if c.OnLeaving == nil {
+		c.OnLeaving = func() {}
+	}
 	if c.Orders == nil {
 		c.Orders = noOrders{}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,12 +10,13 @@
 
 	"github.com/cicadatack/cicadatack/fleet/exchange"
 	"github.com/cicadatack/cicadatack/fleet/member"
+	"github.com/cicadatack/cicadatack/fleet/notice"
 	"github.com/cicadatack/cicadatack/fleet/spread"
 	"github.com/hashicorp/go-hclog"
 )
 
 // Fleet is one node among the others. Its state is in shards, each under its
-// own lock: the view of the members, the record, the subscribers.
+// own lock: the view of the members, the record, the notices, the subscribers.
 type Fleet struct {
 	cfg       Config
 	vms       VMs
@@ -28,6 +29,7 @@
 
 	view    viewShard
 	records recordShard
+	notices noticeShard
 	subs    subscribers
 
 	// running ends when Run returns; work started by peers' calls ends with it.
@@ -88,6 +90,7 @@
 	f.records.machine = spread.New(spread.Config{
 		Self: cfg.Name, FailureDomain: cfg.FailureDomain, Environment: cfg.Environment,
 	})
+	f.notices.machine = notice.New(notice.Config{Interval: cfg.Interval})
 	f.view.machine = member.New(f.memberConfig(), time.Now())
 	f.view.stale = true
 	return f, nil
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -104,6 +104,8 @@
 	records  chan Record
 	held     atomic.Pointer[chan struct{}] // answers wait for it, if set
 	counters *counters
+	// leavingCalls counts the calls of OnLeaving.
+	leavingCalls atomic.Int64
 }
 
 // counters of the bytes on a node's own connections, headers included.
@@ -200,6 +202,7 @@
 	f, err := New(Config{
 		Name: name, Address: l.Addr().String(), CallerAddress: "10.0.0.1:8080", FailureDomain: domain,
 		Environment: store.slot, Interval: interval, Scheme: scheme, Transport: countingTransport(n.counters, client), Limits: n.testLimits,
+		OnLeaving: func() { n.leavingCalls.Add(1) },
 	}, store, store, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
--- a/fleet/measure_test.go
+++ b/fleet/measure_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cicadatack/cicadatack/fleet/notice"
 )
 
 // measureTime is how long a fleet is measured once it has settled.
@@ -104,6 +106,83 @@
 	}
 }
 
+// leaveEvery is the pace of BenchmarkLeaving; 660 VMs replaced a day are one in
+// 131 s.
+const leaveEvery = 3 * time.Second
+
+// BenchmarkLeaving measures what it costs to tell all nodes that an endpoint
+// leaves, and how long it takes from one node's look at the list to the last node:
+//
+//	go test -run '^$' -bench Leaving -benchtime 1x ./fleet
+//
+// B/s/node is as in Control, with a notice each 3 s; B/notice/node is what a
+// notice adds to the same fleet without.
+func BenchmarkLeaving(b *testing.B) {
+	for _, secure := range []bool{false, true} {
+		for _, n := range []int{3, 10, 30, 100} {
+			b.Run(fmt.Sprintf("tls=%v/nodes=%d", secure, n), func(b *testing.B) {
+				for range b.N {
+					measureLeaving(b, n, secure)
+				}
+			})
+		}
+	}
+}
+
+func measureLeaving(b *testing.B, n int, secure bool) {
+	store := newFakeStore(record(1, "first"))
+	if secure {
+		store.peers = newPeerTLS(b)
+	}
+	nodes := startNodes(b, store, n, 3, time.Second)
+	for _, each := range nodes {
+		each.EndpointsListed(notice.Listed{Revision: 1})
+		await(b, "all live", 2*time.Minute, func() bool { return each.count("live") == n })
+	}
+	awaitQuiet(b, nodes, secure)
+	quiet := perSecond(nodes, measureTime, func() {})
+	slowest, notices := time.Duration(0), 0
+	busy := perSecond(nodes, measureTime, func() {
+		notices++
+		slowest = max(slowest, leaveOnce(b, nodes, notices))
+	})
+	b.ReportMetric(quiet, "quiet-B/s/node")
+	b.ReportMetric(busy, "B/s/node")
+	b.ReportMetric((busy-quiet)*leaveEvery.Seconds(), "B/notice/node")
+	b.ReportMetric(float64(slowest.Milliseconds()), "ms-to-last-node")
+	b.ReportMetric(0, "ns/op")
+	for _, each := range nodes {
+		each.kill()
+	}
+}
+
+// perSecond returns the bytes a second of a node while something happens each
+// leaveEvery.
+func perSecond(nodes []*node, whole time.Duration, happens func()) float64 {
+	bytes, start := traffic(nodes), time.Now()
+	for time.Since(start) < whole {
+		next := time.Now().Add(leaveEvery)
+		happens()
+		time.Sleep(time.Until(next))
+	}
+	return 2 * float64(traffic(nodes)-bytes) / time.Since(start).Seconds() / float64(len(nodes))
+}
+
+// leaveOnce has one node read that an endpoint leaves and returns when the last
+// node knows.
+func leaveOnce(b *testing.B, nodes []*node, i int) time.Duration {
+	start := time.Now()
+	revision := int64(i + 1)
+	nodes[i*7%len(nodes)].EndpointsListed(notice.Listed{
+		VMs:      []notice.VM{{Name: fmt.Sprintf("gpu-%05d", i), Revision: revision, Leaving: true}},
+		Revision: revision,
+	})
+	for _, each := range nodes {
+		await(b, "the notice", 30*time.Second, func() bool { return len(each.LeavingEndpoints()) == i })
+	}
+	return time.Since(start)
+}
+
 func (n *node) digest() uint64 {
 	n.view.Lock()
 	defer n.view.Unlock()
--- a/fleet/member/machine.go
+++ b/fleet/member/machine.go
@@ -107,6 +107,8 @@
 		m.advanceSelf(now, Live)
 	case Drain:
 		m.advanceSelf(now, Draining)
+	case Relay:
+		m.relayKept(now)
 	}
 	return m.batch
 }
@@ -228,6 +230,15 @@
 	}
 }
 
+// relayKept starts exchanges with peers that are kept anyway: with others each
+// would cost a new connection, over TLS ten times the exchange's bytes. With a
+// fanout of two four of five nodes hear so, the others with the next exchanges.
+func (m *Machine) relayKept(now time.Time) {
+	for _, name := range m.peers.randomKept(m, relayFanout) {
+		m.send(now, name)
+	}
+}
+
 func (m *Machine) send(now time.Time, name string) {
 	e := m.entries[name]
 	if e == nil {
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -74,7 +74,7 @@
 	Table []Member
 }
 
-// Input is one of Tick, Received, Answered, Failed, Listed, Serve and Drain.
+// Input is one of Tick, Received, Answered, Failed, Listed, Serve, Drain and Relay.
 type Input interface{ input() }
 
 // Tick is given once an interval.
@@ -102,6 +102,10 @@
 // Drain says that this node takes no new work from now on.
 type Drain struct{}
 
+// Relay asks for exchanges with a few peers at once, for news that is not of
+// members.
+type Relay struct{}
+
 func (Tick) input()     {}
 func (Received) input() {}
 func (Answered) input() {}
@@ -109,6 +113,7 @@
 func (Listed) input()   {}
 func (Serve) input()    {}
 func (Drain) input()    {}
+func (Relay) input()    {}
 
 // Send is one exchange to be started.
 type Send struct {
--- a/fleet/member/peers.go
+++ b/fleet/member/peers.go
@@ -187,6 +187,17 @@
 	return ""
 }
 
+// randomKept returns up to n of the kept peers, near and far.
+func (p *peers) randomKept(m *Machine, n int) []string {
+	names := slices.Concat(p.near.kept, p.far.kept)
+	names = slices.DeleteFunc(names, func(name string) bool {
+		e := m.entries[name]
+		return e == nil || e.State == Gone || e.Incarnation == 0
+	})
+	m.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(n, len(names))]
+}
+
 // random returns up to n peers that were heard of.
 func (p *peers) random(m *Machine, n int) []string {
 	names := m.shuffled(func(e *entry) bool {
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -50,11 +50,17 @@
 	return f.records.machine.Base(held)
 }
 
-// call makes one exchange.
+// call makes one exchange, which carries the notices of leaving endpoints both
+// ways.
 func (f *Fleet) call(ctx context.Context, to Member, request *exchange.ExchangeRequest) (*exchange.ExchangeResponse, error) {
 	client := exchange.NewPeerProtobufClient(f.cfg.Scheme+"://"+to.Address, f.client)
+	request.Notices = f.takeNotices(nil)
 	answer, err := client.Exchange(ctx, request)
-	return answer, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f.hearNotices(answer.GetNotices())
+	return answer, nil
 }
 
 func (f *Fleet) request(msg member.Message) *exchange.ExchangeRequest {
@@ -245,6 +251,7 @@
 		WantTable: request.GetWantMembers(),
 	}})
 	f.settle(sender[0], request.GetDocument(), false)
+	f.hearNotices(request.GetNotices())
 	return f.answer(sender[0], request, *batch.Reply)
 }
 
@@ -260,6 +267,7 @@
 		Table:         table,
 		Document:      f.documentFor(request),
 		Loans:         loansToWire(f.cfg.Limits.Lend(to.Name, asksFromWire(request.GetAsks()))),
+		Notices:       f.takeNotices(request.GetNotices()),
 	}
 	return answer, nil
 }
--- /dev/null
+++ b/node/server/leaving_test.go
@@ -0,0 +1,113 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/fleet/notice"
+	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/route/directory"
+	"github.com/cicadatack/cicadatack/route/service"
+)
+
+// eightReplicas is a service of replicas gpu-0 to gpu-7, each an endpoint.
+func eightReplicas() *directory.Directory {
+	doc := &document.Document{Teams: []document.Team{{Name: "menteng", Weight: 1}}}
+	m := &document.Model{Layers: 8}
+	for i := range 8 {
+		name := fmt.Sprint("gpu-", i)
+		doc.Endpoints = append(doc.Endpoints, document.Endpoint{Name: name, FailureDomain: "bandung"})
+		m.Replicas = append(m.Replicas, document.Replica{Name: name, Stages: []document.Stage{{Endpoint: name}}})
+	}
+	doc.Services = []document.Service{{Name: "pastry-llm", Kind: document.KindModel, Model: m}}
+	return directory.Build(doc, 1, "digest")
+}
+
+// used counts the replicas that get any of many requests.
+func used(s *service.Service) int {
+	chosen := map[string]bool{}
+	for range 200 {
+		if c, ok := s.Picker.Pick(balance.Query{Cost: 1}); ok {
+			s.Picker.Finished(c.Replica, balance.Result{Cost: 1, FirstToken: time.Millisecond})
+			chosen[c.Replica] = true
+		}
+	}
+	return len(chosen)
+}
+
+// A peer that reads a wrong list says of every endpoint that it leaves. Callers
+// would find the service without any. Notices of peers take away a quarter of the
+// replicas at most; what the node's own list says, and what is taken back, holds
+// for each of them.
+func TestNoticesTakeAPartOfAService(t *testing.T) {
+	registry := service.NewRegistry(service.Config{Now: time.Now})
+	registry.Apply(eightReplicas())
+	pastry := registry.Get("pastry-llm")
+	list := newLeavingList(registry, hclog.NewNullLogger())
+	say := func(confirmed, hints int) func() []notice.Endpoint {
+		return func() (all []notice.Endpoint) {
+			for i := range confirmed + hints {
+				all = append(all, notice.Endpoint{Name: fmt.Sprint("gpu-", i), Confirmed: i < confirmed})
+			}
+			return all
+		}
+	}
+	for _, c := range []struct{ confirmed, hints, used int }{
+		{0, 8, 6}, {0, 1, 7}, {3, 5, 3}, {0, 0, 8}, {7, 0, 1},
+	} {
+		list.follow(say(c.confirmed, c.hints))
+		if got := used(pastry); got != c.used {
+			t.Errorf("%d confirmed and %d hints leave %d of 8 replicas in use, want %d", c.confirmed, c.hints, got, c.used)
+		}
+	}
+}
+
+// changes is a store whose list is read from a revision on.
+type changes struct {
+	entries []store.Entry
+	since   []int64
+	err     error
+}
+
+func (c *changes) Changed(_ context.Context, _ string, since int64) ([]store.Entry, int64, error) {
+	c.since = append(c.since, since)
+	if c.err != nil {
+		return nil, 0, c.err
+	}
+	return c.entries, since + 10, nil
+}
+
+// A node reads the list whole once and then what has changed. A failed read must
+// not lose the changes before it, and an entry that can't be read must not hide
+// the others.
+func TestEndpointListReadsWhatChanged(t *testing.T) {
+	source := &changes{entries: []store.Entry{
+		{Key: endpointVMs + "gpu-1", Value: []byte(`{"name":"gpu-1","state":"leaving"}`), Revision: 4},
+		{Key: endpointVMs + "gpu-2", Value: []byte(`{"name":`), Revision: 5},
+		{Key: endpointVMs + "gpu-3", Value: []byte(`{"name":"gpu-3","state":"live"}`), Revision: 6},
+	}}
+	list := &endpointList{store: source}
+	got, err := list.read(context.Background())
+	want := fmt.Sprint(notice.Listed{VMs: []notice.VM{{Name: "gpu-1", Revision: 4, Leaving: true}, {Name: "gpu-3", Revision: 6}}, Revision: 10})
+	if err != nil || fmt.Sprint(got) != want {
+		t.Fatalf("read %v, %v, want %s", got, err, want)
+	}
+	source.err = errors.New("down")
+	if _, err := list.read(context.Background()); !errors.Is(err, source.err) {
+		t.Errorf("error %v", err)
+	}
+	source.err = nil
+	if got, err := list.read(context.Background()); err != nil || got.Revision != 20 {
+		t.Errorf("read up to %d, %v", got.Revision, err)
+	}
+	if fmt.Sprint(source.since) != "[0 10 10]" {
+		t.Errorf("asked since %v", source.since)
+	}
+}
--- a/node/server/loops.go
+++ b/node/server/loops.go
@@ -29,11 +29,15 @@
 		each.Picker.Refresh()
 		s.logHealth(each)
 	}
+	s.followLeaving()
 	s.metrics.Underway(s.front.Underway())
 	s.metrics.Revision(s.revision())
 	s.followMembers()
 }
 
+// followLeaving tells the services which endpoints leave.
+func (s *Server) followLeaving() { s.leaving.follow(s.fleet.LeavingEndpoints) }
+
 // logHealth writes a line for each replica that was ejected or has returned.
 func (s *Server) logHealth(each *service.Service) {
 	for _, c := range each.Picker.Changes() {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -118,7 +118,7 @@
 		OnSlots:       s.metrics.Slots,
 	})
 	s.limits = limiter.New(limits.New(limits.Config{Self: s.settings.Name, Lease: limitLease}), time.Now)
-	s.leaving = newLeavingList(s.registry)
+	s.leaving = newLeavingList(s.registry, s.log)
 	s.sender = send.New()
 	s.engines = engine.New(nil)
 	s.streams = stream.New(s.engines, nil, stream.Options{MaxEpochs: streamEpochs, MaxTries: 2 * streamEpochs})
@@ -148,6 +148,7 @@
 		Environment:   s.settings.Environment + "/" + s.settings.Slot,
 		Limits:        s.limits,
 		Orders:        s.orderPeers,
+		OnLeaving:     s.followLeaving,
 		Interval:      time.Duration(s.settings.Fleet.IntervalMillis) * time.Millisecond,
 	}
 }
--- a/node/server/vms.go
+++ b/node/server/vms.go
@@ -4,16 +4,13 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/route/service"
 )
 
 // Prefixes of the platform's lists.
@@ -59,17 +56,17 @@
 	wholePerVM = 2 * time.Second
 )
 
-// wholeDue says whether the list has to be read whole again.
-func (c *vmCache) wholeDue() bool {
-	pause := max(wholeInterval, time.Duration(len(c.vms))*wholePerVM)
-	return time.Since(c.wholeAt) > pause
+// wholeDue says whether a list of so many VMs has to be read whole again.
+func wholeDue(last time.Time, vms int) bool {
+	pause := max(wholeInterval, time.Duration(vms)*wholePerVM)
+	return time.Since(last) > pause
 }
 
 // read brings the list up to date and returns it.
 func (c *vmCache) read(ctx context.Context) (map[string]platformVM, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	whole := c.wholeDue()
+	whole := wholeDue(c.wholeAt, len(c.vms))
 	since := c.revision
 	if whole {
 		since = 0
@@ -135,85 +132,3 @@
 	}
 	return vm.Slot
 }
-
-const (
-	// leavingFloor is the least time between two looks for leaving endpoint VMs:
-	// with it, an endpoint gets nothing new 3 s after the platform says so.
-	leavingFloor = 2 * time.Second
-	// leavingPerNode spaces the looks in a large fleet, so that all nodes
-	// together make at most 20 a second. At 2,200 nodes that is one in 110 s a
-	// node; endpoints' own word is quicker there.
-	leavingPerNode = 50 * time.Millisecond
-	leavingTimeout = 2 * time.Second
-)
-
-// leavingLoop follows the platform's list of endpoint VMs.
-func (s *Server) leavingLoop(ctx context.Context) {
-	list := &vmCache{store: s.store, prefix: endpointVMs}
-	for {
-		s.lookForLeaving(ctx, list)
-		pause := max(leavingFloor, time.Duration(len(s.fleet.Members()))*leavingPerNode)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(jittered(pause)):
-		}
-	}
-}
-
-// jittered draws from nine tenths of d to d, so that nodes started together do
-// not look in step.
-func jittered(d time.Duration) time.Duration {
-	return d - time.Duration(rand.Float64()*float64(d)/10)
-}
-
-func (s *Server) lookForLeaving(ctx context.Context, list *vmCache) {
-	ctx, cancel := context.WithTimeout(ctx, leavingTimeout)
-	defer cancel()
-	vms, err := list.read(ctx)
-	if err != nil {
-		s.log.Debug("list of endpoint VMs not read", "error", err)
-		return
-	}
-	s.leaving.platformSays(vms)
-}
-
-// leavingList turns the platform's list of endpoint VMs into news for the
-// services.
-type leavingList struct {
-	registry *service.Registry
-
-	mu      sync.Mutex
-	leaving map[string]bool
-}
-
-func newLeavingList(r *service.Registry) *leavingList {
-	return &leavingList{registry: r, leaving: map[string]bool{}}
-}
-
-// platformSays takes the platform's list. That a VM leaves is passed on each
-// time, as a service that a new document brought has not heard it; and it stands
-// until the list calls the VM live again, as one that has gone from the list has
-// left.
-func (l *leavingList) platformSays(vms map[string]platformVM) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name, vm := range vms {
-		switch {
-		case vm.State == stateLeaving:
-			l.leaving[name] = true
-		case l.leaving[name]:
-			delete(l.leaving, name)
-			l.tell(name, false)
-		}
-	}
-	for name := range l.leaving {
-		l.tell(name, true)
-	}
-}
-
-func (l *leavingList) tell(endpoint string, leaving bool) {
-	for _, each := range l.registry.All() {
-		each.EndpointLeaving(endpoint, balance.SourcePlatform, leaving)
-	}
-}
--- a/route/service/leaving.go
+++ b/route/service/leaving.go
@@ -58,6 +58,13 @@
 	return s.quiet.First()
 }
 
+// Replicas returns how many replicas the document names.
+func (s *Service) Replicas() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.stagesOf)
+}
+
 func (s *Service) endpointsOf(replicas []string) []string {
 	var endpoints []string
 	for _, replica := range replicas {
