store: a node's share of the calls follows the fleet's size

Cause: each node might make 60 calls a second, so 2,200 nodes 132,000, where the service handles some two thousand reads and several hundred writes.

Change: reads and writes have shares of their own out of 1,600 and 400 a second, set each second and at each read of the list of entry VMs. Up to nine nodes share evenly, 178 and 44 each, so the budget of 60 and the ledger's 40 writes stay what binds. Above that a quarter of the reads and half of the writes go to the owners of the order ledger's shards. A starting node has the share of one of 2,200 and 16 reads at once until it has read the list; one that sees less than half of the fleet live counts no shards as its own.

TestSharesAddUp, 1 to 2,200 nodes: 1,600 reads and 400 writes in all at each size; at 2,200 0.55 and 0.09 a node, 25.6 and 12.6 with a group of shards (one node of 2,200 before: 60).

--- a/decide/owner/owner.go
+++ b/decide/owner/owner.go
@@ -10,6 +10,9 @@
 // groupShards is how many shards in a row have one owner.
 const groupShards = 16
 
+// Groups returns how many groups a number of shards has.
+func Groups(shards int) int { return (shards + groupShards - 1) / groupShards }
+
 // Group returns the name of the group that a shard belongs to. Pick takes groups.
 func Group(shard int) string { return strconv.Itoa(shard / groupShards) }
 
@@ -76,6 +79,25 @@
 	return best
 }
 
+// Owned returns how many of the groups of a number of shards a node ranks first for,
+// silent ones not left out: what a node may do must not change with each of them.
+func (n *Nodes) Owned(name string, shards int) int {
+	owned := 0
+	for g := range Groups(shards) {
+		key := rendezvous.Hash(strconv.Itoa(g))
+		best, bestScore := "", uint64(0)
+		for _, each := range n.live {
+			if score := rendezvous.Score(key, each.hash); best == "" || score > bestScore {
+				best, bestScore = each.name, score
+			}
+		}
+		if best == name {
+			owned++
+		}
+	}
+	return owned
+}
+
 // Failed says that a node did not answer. It returns for how long the node is
 // left out, and zero if it is left out already: many operations that waited for
 // it fail together and count as one failure.
--- a/node/server/leaving.go
+++ b/node/server/leaving.go
@@ -25,8 +25,9 @@
 	// node; the node that looks first tells the others.
 	leavingPerNode = 50 * time.Millisecond
 	leavingTimeout = 2 * time.Second
-	// leavingPerVM is added to leavingTimeout for a whole read of a long list.
-	leavingPerVM = 5 * time.Millisecond
+	// wholeTimeout is for a read of the whole list: at the share of one of 2,200
+	// nodes its 25 pages take 45 s.
+	wholeTimeout = time.Minute
 	// hintedPart of a service's replicas, and one at least, is the most that
 	// peers' notices alone may take out of use. Without it one node that reads a
 	// wrong list would take a whole service from all others. What goes beyond it
@@ -65,7 +66,11 @@
 }
 
 func (s *Server) lookForLeaving(ctx context.Context, list *endpointList) {
-	ctx, cancel := context.WithTimeout(ctx, leavingTimeout+time.Duration(list.count)*leavingPerVM)
+	timeout := leavingTimeout
+	if wholeDue(list.wholeAt, list.count) {
+		timeout = wholeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	listed, err := list.read(ctx)
 	if err != nil {
--- a/node/server/loops.go
+++ b/node/server/loops.go
@@ -30,6 +30,7 @@
 		s.logHealth(each)
 	}
 	s.followLeaving()
+	s.shareStore()
 	s.metrics.Underway(s.front.Underway())
 	s.metrics.Revision(s.revision())
 	s.followMembers()
--- a/node/server/orders.go
+++ b/node/server/orders.go
@@ -22,8 +22,10 @@
 
 	mu     sync.Mutex
 	owners *owner.Nodes
-	// stamp is of the members that owners was last given.
-	stamp *fleet.Member
+	// stamp is of the members that owners was last given; so many were live, and
+	// this node owned so many groups.
+	stamp        *fleet.Member
+	live, groups int
 }
 
 func newOrderPeers(s *Server) *orderPeers {
@@ -32,13 +34,9 @@
 
 // Owner implements ledger.Peers.
 func (p *orderPeers) Owner(shard int) string {
-	stamp := p.server.memberStamp()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if stamp != p.stamp {
-		p.owners.SetLive(p.server.liveMembers())
-		p.stamp = stamp
-	}
+	p.followLive()
 	picked := p.owners.Pick(time.Now(), owner.Group(shard))
 	if picked == p.server.settings.Name {
 		return ""
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -80,6 +80,8 @@
 	parser    document.Parser
 	directory atomic.Pointer[directory.Directory]
 	draining  atomic.Bool
+	// listed is how many entry VMs the platform's list last had; zero: not read.
+	listed    atomic.Int64
 	followMu  sync.Mutex
 	followed  followed
 	drainOnce sync.Once
@@ -114,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	s.store.Start()
 	s.metrics = metrics.New(s.settings.Name, func(err error) { s.log.Error("metric not registered", "error", err) })
 	s.decisions = decision.NewLog(s.log)
 	s.registry = service.NewRegistry(service.Config{
@@ -139,7 +142,8 @@
 		return err
 	}
 	source := s.newDocuments()
-	s.fleet, err = fleet.New(peers, vmList{&vmCache{store: s.store, prefix: entryVMs}, s.settings.Slot}, source, s.log)
+	list := vmList{&vmCache{store: s.store, prefix: entryVMs}, s.settings.Slot}
+	s.fleet, err = fleet.New(peers, sharedList{list, s}, source, s.log)
 	if err != nil {
 		return err
 	}
--- a/node/server/vms.go
+++ b/node/server/vms.go
@@ -89,6 +89,13 @@
 	return next, nil
 }
 
+// size is how many VMs the list had when it was last read.
+func (c *vmCache) size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.vms)
+}
+
 // put reads one line. One that can't be read must not hide the others.
 func (c *vmCache) put(vms map[string]platformVM, e store.Entry) {
 	var vm platformVM
