--- a/fleet/measure_test.go
+++ b/fleet/measure_test.go
@@ -183,6 +183,121 @@
 	return time.Since(start)
 }
 
+const (
+	// churnEvery is the pace of BenchmarkChurn: thirteen times that of 745 VMs a day
+	// in all, so that a few minutes see enough of them.
+	churnEvery = 9 * time.Second
+	churnTime  = 4 * time.Minute
+	// One in failedOf of these fails and stays away for failedTime, as 85 of 745 do.
+	failedOf   = 9
+	failedTime = 45 * time.Second
+)
+
+// BenchmarkChurn measures the news of nodes that are replaced or fail:
+//
+//	go test -run '^$' -bench Churn -benchtime 1x ./fleet
+//
+// B/event/node is what one of them costs each node over the quiet fleet, the
+// newcomer's whole view included; wrong counts members that a node held for gone
+// though they ran, at the end of each pause.
+func BenchmarkChurn(b *testing.B) {
+	for _, n := range []int{30, 100} {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			for range b.N {
+				measureChurn(b, n)
+			}
+		})
+	}
+}
+
+func measureChurn(b *testing.B, n int) {
+	store := newFakeStore(record(1, "first"))
+	nodes := startNodes(b, store, n, 3, time.Second)
+	for _, each := range nodes {
+		await(b, "all live", 2*time.Minute, func() bool { return each.count("live") == n })
+	}
+	awaitQuiet(b, nodes, false)
+	c := &churn{b: b, store: store, nodes: nodes, all: slices.Clone(nodes), back: map[int]time.Time{}}
+	quiet := c.rate(measureTime, func() {})
+	busy := c.rate(churnTime, c.next)
+	b.ReportMetric(quiet, "quiet-B/s/node")
+	b.ReportMetric(busy, "B/s/node")
+	b.ReportMetric((busy-quiet)*churnEvery.Seconds(), "B/event/node")
+	b.ReportMetric(float64(c.wrong), "wrong")
+	b.ReportMetric(0, "ns/op")
+	for _, each := range c.all {
+		each.kill()
+	}
+}
+
+// churn replaces nodes one after the other.
+type churn struct {
+	b     *testing.B
+	store *fakeStore
+	// nodes run; all has those that were replaced too, for their bytes.
+	nodes, all []*node
+	// back is when a failed node returns.
+	back          map[int]time.Time
+	events, wrong int
+}
+
+// rate returns the bytes a second of a node while something happens each churnEvery.
+func (c *churn) rate(whole time.Duration, happens func()) float64 {
+	bytes, start := traffic(c.all), time.Now()
+	for time.Since(start) < whole {
+		next := time.Now().Add(churnEvery)
+		happens()
+		time.Sleep(time.Until(next))
+		c.check()
+	}
+	return 2 * float64(traffic(c.all)-bytes) / time.Since(start).Seconds() / float64(len(c.nodes))
+}
+
+// next replaces a node, or lets it fail, and brings failed ones back.
+func (c *churn) next() {
+	for i, at := range c.back {
+		if time.Now().After(at) {
+			delete(c.back, i)
+			c.start(i)
+		}
+	}
+	c.events++
+	i := c.events * 7 % len(c.nodes)
+	if _, down := c.back[i]; down {
+		return
+	}
+	if c.events%failedOf == 0 {
+		c.nodes[i].kill()
+		c.back[i] = time.Now().Add(failedTime)
+		return
+	}
+	c.start(i)
+}
+
+// start puts a new node in the place of one.
+func (c *churn) start(i int) {
+	l := c.nodes[i].replace(c.b)
+	c.nodes[i] = startNode(c.b, c.store, l, c.nodes[i].cfg.Name, c.nodes[i].cfg.FailureDomain, time.Second)
+	c.all = append(c.all, c.nodes[i])
+}
+
+// check counts running members that a running node holds for gone.
+func (c *churn) check() {
+	for i, each := range c.nodes {
+		if _, down := c.back[i]; down {
+			continue
+		}
+		for j, other := range c.nodes {
+			if _, down := c.back[j]; down {
+				continue
+			}
+			if m, known := each.lookup(other.cfg.Name); known && m.State.String() == "gone" {
+				c.wrong++
+			}
+		}
+	}
+}
+
 func (n *node) digest() uint64 {
 	n.view.Lock()
 	defer n.view.Unlock()
--- a/fleet/notice/machine_test.go
+++ b/fleet/notice/machine_test.go
@@ -114,13 +114,13 @@
 type swarm struct {
 	nodes     []*Machine
 	near, far [][]int
-	rng   *rand.Rand
+	rng       *rand.Rand
 	// relayTo is how many peers a relay goes to.
 	relayTo int
 	// held is how many notices all nodes hold, relays counts the exchanges that they
 	// caused, carried the times that one went over a link.
 	held, relays, carried int
-	queue                  []hop
+	queue                 []hop
 }
 
 type hop struct {
