node/server: a hint never takes the only replica of a service

At least one replica was a hint's room, so a wrong notice took a service of one replica whole until the node's own look.

--- a/node/server/leaving.go
+++ b/node/server/leaving.go
@@ -28,10 +28,10 @@
 	// wholeTimeout is for a read of the whole list: at the share of one of 2,200
 	// nodes its 25 pages take 45 s.
 	wholeTimeout = time.Minute
-	// hintedPart of a service's replicas, and one at least, is the most that
-	// peers' notices alone may take out of use. Without it one node that reads a
-	// wrong list would take a whole service from all others. What goes beyond it
-	// waits for this node's own look at the list.
+	// hintedPart of a service's replicas, one at least but never the only one, is
+	// the most that peers' notices alone may take out of use. Without it one node
+	// that reads a wrong list would take a whole service from all others. What goes
+	// beyond it waits for this node's own look at the list.
 	hintedPart = 0.25
 )
 
@@ -148,11 +148,16 @@
 	}
 }
 
+// hintRoom is how many of a service's replicas may be left out by hints.
+func hintRoom(replicas int) int {
+	return min(replicas-1, max(1, int(hintedPart*float64(replicas))))
+}
+
 // tell marks a service's endpoints that leave and takes back what was said of
 // others before.
 func (l *leavingList) tell(s *service.Service, leaving []notice.Endpoint, before map[string]bool) map[string]bool {
 	now := map[string]bool{}
-	room := max(1, int(hintedPart*float64(s.Replicas())))
+	room := hintRoom(s.Replicas())
 	for _, e := range leaving {
 		replicas := s.ReplicasOf(e.Name)
 		if !e.Confirmed {
--- a/node/server/leaving_test.go
+++ b/node/server/leaving_test.go
@@ -17,11 +17,11 @@
 	"github.com/cicadatack/cicadatack/route/service"
 )
 
-// eightReplicas is a service of replicas gpu-0 to gpu-7, each an endpoint.
-func eightReplicas() *directory.Directory {
+// ofReplicas is a service of replicas gpu-0 and so on, each an endpoint.
+func ofReplicas(n int) *directory.Directory {
 	doc := &document.Document{Teams: []document.Team{{Name: "menteng", Weight: 1}}}
 	m := &document.Model{Layers: 8}
-	for i := range 8 {
+	for i := range n {
 		name := fmt.Sprint("gpu-", i)
 		doc.Endpoints = append(doc.Endpoints, document.Endpoint{Name: name, FailureDomain: "bandung"})
 		m.Replicas = append(m.Replicas, document.Replica{Name: name, Stages: []document.Stage{{Endpoint: name}}})
@@ -48,7 +48,7 @@
 // for each of them.
 func TestNoticesTakeAPartOfAService(t *testing.T) {
 	registry := service.NewRegistry(service.Config{Now: time.Now})
-	registry.Apply(eightReplicas())
+	registry.Apply(ofReplicas(8))
 	pastry := registry.Get("pastry-llm")
 	list := newLeavingList(registry, hclog.NewNullLogger())
 	say := func(confirmed, hints int) func() []notice.Endpoint {
@@ -67,6 +67,15 @@
 			t.Errorf("%d confirmed and %d hints leave %d of 8 replicas in use, want %d", c.confirmed, c.hints, got, c.used)
 		}
 	}
+	registry.Apply(ofReplicas(1))
+	list.follow(say(0, 1))
+	if used(pastry) != 1 {
+		t.Error("a hint takes the only replica")
+	}
+	list.follow(say(1, 0))
+	if used(pastry) != 0 {
+		t.Error("the only replica is used though it leaves")
+	}
 }
 
 // changes is a store whose list is read from a revision on.
