--- a/decide/limits/doc.go
+++ b/decide/limits/doc.go
@@ -53,6 +53,6 @@
 // Lease spans several exchanges of about a second, so that one lost message
 // does not move the split. LeasePerHome is what one more question takes a node that
 // asks in three of four seconds: with 37 homes and 20 s, loans run out while the
-// node looks for more (0.39 of the limit at one hot home, 0.86 with 61 s). Headroom keeps at home what demand may grow by
+// node looks for more (0.39 of the limit at one hot home, 0.81 with 61 s). Headroom keeps at home what demand may grow by
 // before the next exchange. Burst lets requests of a second come in together.
 package limits
--- a/fleet/member/peers.go
+++ b/fleet/member/peers.go
@@ -12,8 +12,10 @@
 	turns         = 4
 	farTurn       = 1
 	concernedTurn = 3
-	// fewConcerned peers can all be met on the concerned turn while a loan lasts.
-	fewConcerned = 2
+	// fewConcerned peers can all be met on the concerned turn while a loan lasts,
+	// someConcerned with one of the near turns besides, and more with both.
+	fewConcerned  = 2
+	someConcerned = 9
 	// lostEvery ticks, a member that is gone but still listed is tried in
 	// addition: this is how the halves of a partition find each other again.
 	lostEvery = 10
@@ -28,6 +30,9 @@
 	renewed = 12
 )
 
+// concernedFrom is the least number of concerned peers for which a turn is theirs.
+var concernedFrom = [turns]int{0: fewConcerned + 1, 2: someConcerned + 1, concernedTurn: 1}
+
 // ring walks through the peers of one kind. Every peer is kept at some time,
 // so all are reached.
 type ring struct {
@@ -172,15 +177,17 @@
 }
 
 // nextConcerned returns the most urgent peer for a team's limit, if it is its turn:
-// one in four, and all but the far one with more than fewConcerned to meet. The
-// near peers are then left to each other's exchanges; without that, loans of a team
-// with 37 homes run out before the lender's turn comes again.
+// one in four, and one or both of the near turns too with more to meet. Without
+// that, loans of a team with 37 homes run out before the lender's turn comes again.
+// The near peers are then left more to each other's exchanges: with nine nodes that
+// all lack something, a dead one is suspected after 4.2 intervals in place of 2.9,
+// and with both near turns after 5.6.
 func nextConcerned(m *Machine, turn int) string {
 	if m.cfg.Concerned == nil || turn == farTurn {
 		return ""
 	}
 	names := m.cfg.Concerned()
-	if turn != concernedTurn && len(names) <= fewConcerned {
+	if len(names) < concernedFrom[turn] {
 		return ""
 	}
 	for _, name := range names {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -50,7 +50,7 @@
 	// three homes meet twice in it.
 	limitLease = 20 * time.Second
 	// limitLeasePerHome is added for each home beyond four. A node with many to ask
-	// asks three in four seconds; with 37 homes a loan lasts 61 s, and going round
+	// asks in up to three of four seconds; with 37 homes a loan lasts 61 s, and going round
 	// them takes 48 s.
 	limitLeasePerHome = 1250 * time.Millisecond
 )
