node/server: looks for leaving endpoints fall at random from the start on

Drawn from half to one and a half of the mean, no node of 2,200 that started together would have looked from 2 to 55 s after it (TestLooksFallAtRandom fails so: no node looks from 0s on). Drawn from nothing to twice the mean there is no such hole.

--- a/fleet/notice/machine.go
+++ b/fleet/notice/machine.go
@@ -9,7 +9,7 @@
 
 const (
 	// HintLife is how long a notice stands that this node's own list has not
-	// confirmed: twice the time between two looks at 2,200 nodes (110 s), rounded
+	// confirmed: the longest time between two looks at 2,200 nodes (220 s), rounded
 	// up. A VM that left and was removed between two looks is never confirmed.
 	HintLife = 4 * time.Minute
 	// MaxHints bounds the notices that the list has not confirmed, and with them
--- a/node/server/leaving.go
+++ b/node/server/leaving.go
@@ -49,14 +49,15 @@
 }
 
 // leavingPause is the time between two looks. In a large fleet it is drawn from
-// half to one and a half of its mean: the looks of nodes that started together
-// spread over it, and a change is seen by the first of them.
+// nothing to twice its mean: looks fall at random from the start on, also of nodes
+// that started together, and the first of them sees a change. Drawn from half of the
+// mean on, no node of 2,200 would look for 55 s after such a start.
 func leavingPause(nodes int) time.Duration {
 	pause := time.Duration(nodes) * leavingPerNode
 	if pause <= leavingFloor {
 		return jittered(leavingFloor)
 	}
-	return pause/2 + rand.N(pause)
+	return rand.N(2 * pause)
 }
 
 // jittered draws from nine tenths of d to d, so that nodes started together do
--- a/node/server/leaving_test.go
+++ b/node/server/leaving_test.go
@@ -120,3 +120,26 @@
 		t.Errorf("asked since %v", source.since)
 	}
 }
+
+// A large fleet is started at once. Its nodes' looks must not come in step from then
+// on, with seconds in between in which no node sees that an endpoint leaves; and
+// all together they look no more than 20 times a second.
+func TestLooksFallAtRandom(t *testing.T) {
+	const nodes, windows, window = 1000, 20, 5 * time.Second
+	looks := make([]int, windows)
+	for range nodes {
+		for at := leavingPause(nodes); at < windows*window; at += leavingPause(nodes) {
+			looks[int(at/window)]++
+		}
+	}
+	sum := 0
+	for i, n := range looks {
+		sum += n
+		if n == 0 {
+			t.Errorf("no node looks from %v on", time.Duration(i)*window)
+		}
+	}
+	if mean := float64(sum) / (windows * window.Seconds()); mean > 25 {
+		t.Errorf("%.1f looks a second", mean)
+	}
+}
