--- a/fleet/member/peers.go
+++ b/fleet/member/peers.go
@@ -12,6 +12,10 @@
 	turns         = 4
 	farTurn       = 1
 	concernedTurn = 3
+	// fewConcerned peers can all be met on the concerned turn while a loan lasts,
+	// someConcerned with one of the near turns besides, and more with both.
+	fewConcerned  = 2
+	someConcerned = 9
 	// lostEvery ticks, a member that is gone but still listed is tried in
 	// addition: this is how the halves of a partition find each other again.
 	lostEvery = 10
@@ -26,6 +30,9 @@
 	renewed = 12
 )
 
+// concernedFrom is the least number of concerned peers for which a turn is theirs.
+var concernedFrom = [turns]int{0: fewConcerned + 1, 2: someConcerned + 1, concernedTurn: 1}
+
 // ring walks through the peers of one kind. Every peer is kept at some time,
 // so all are reached.
 type ring struct {
@@ -41,11 +48,10 @@
 
 // peers chooses whom to exchange with.
 type peers struct {
-	tick      int
-	near      ring
-	far       ring
-	lost      ring
-	concerned int
+	tick int
+	near ring
+	far  ring
+	lost ring
 	// retry holds peers whose last exchange failed once.
 	retry []string
 }
@@ -70,10 +76,8 @@
 		return []string{name}
 	}
 	turn := p.tick % turns
-	if turn == concernedTurn {
-		if name := p.nextConcerned(m); name != "" {
-			return []string{name}
-		}
+	if name := nextConcerned(m, turn); name != "" {
+		return []string{name}
 	}
 	first, second := &p.near, &p.far
 	firstKind, secondKind := m.isNear(now), m.isFar(now)
@@ -172,14 +176,21 @@
 	return names
 }
 
-func (p *peers) nextConcerned(m *Machine) string {
-	if m.cfg.Concerned == nil {
+// nextConcerned returns the most urgent peer for a team's limit, if it is its turn:
+// one in four, and one or both of the near turns too with more to meet. Without
+// that, loans of a team with 37 homes run out before the lender's turn comes again.
+// The near peers are then left more to each other's exchanges: with nine nodes that
+// all lack something, a dead one is suspected after 4.2 intervals in place of 2.9,
+// and with both near turns after 5.6.
+func nextConcerned(m *Machine, turn int) string {
+	if m.cfg.Concerned == nil || turn == farTurn {
 		return ""
 	}
 	names := m.cfg.Concerned()
-	for range names {
-		p.concerned++
-		name := names[p.concerned%len(names)]
+	if len(names) < concernedFrom[turn] {
+		return ""
+	}
+	for _, name := range names {
 		if e := m.entries[name]; e != nil && e.Name != m.cfg.Self.Name && e.State != Gone {
 			return name
 		}
@@ -187,6 +198,17 @@
 	return ""
 }
 
+// randomKept returns up to n of the kept peers, near and far.
+func (p *peers) randomKept(m *Machine, n int) []string {
+	names := slices.Concat(p.near.kept, p.far.kept)
+	names = slices.DeleteFunc(names, func(name string) bool {
+		e := m.entries[name]
+		return e == nil || e.State == Gone || e.Incarnation == 0
+	})
+	m.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(n, len(names))]
+}
+
 // random returns up to n peers that were heard of.
 func (p *peers) random(m *Machine, n int) []string {
 	names := m.shuffled(func(e *entry) bool {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -44,11 +44,16 @@
 // each token from going round for ever.
 const streamEpochs = 16
 
-// limitLease is how long a loan between two homes of a team's limit lasts. They
-// exchange every fourth second with one home each, so that three homes meet
-// twice in it; with more homes, some loans run out and the even split holds
-// there.
-const limitLease = 20 * time.Second
+const (
+	// limitLease is how long a loan between two homes of a team's limit lasts. A
+	// node that needs loans exchanges every fourth second with one home, so that
+	// three homes meet twice in it.
+	limitLease = 20 * time.Second
+	// limitLeasePerHome is added for each home beyond four. A node with many to ask
+	// asks in up to three of four seconds; with 37 homes a loan lasts 61 s, and going round
+	// them takes 48 s.
+	limitLeasePerHome = 1250 * time.Millisecond
+)
 
 // Server is one node. Create it with New, then call Run once.
 type Server struct {
@@ -75,6 +80,8 @@
 	parser    document.Parser
 	directory atomic.Pointer[directory.Directory]
 	draining  atomic.Bool
+	// listed is how many entry VMs the platform's list last had; zero: not read.
+	listed    atomic.Int64
 	followMu  sync.Mutex
 	followed  followed
 	drainOnce sync.Once
@@ -109,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	s.store.Start()
 	s.metrics = metrics.New(s.settings.Name, func(err error) { s.log.Error("metric not registered", "error", err) })
 	s.decisions = decision.NewLog(s.log)
 	s.registry = service.NewRegistry(service.Config{
@@ -117,8 +125,12 @@
 		Now:           time.Now,
 		OnSlots:       s.metrics.Slots,
 	})
-	s.limits = limiter.New(limits.New(limits.Config{Self: s.settings.Name, Lease: limitLease}), time.Now)
-	s.leaving = newLeavingList(s.registry)
+	s.limits = limiter.New(limits.New(limits.Config{
+		Self:         s.settings.Name,
+		Lease:        limitLease,
+		LeasePerHome: limitLeasePerHome,
+	}), time.Now)
+	s.leaving = newLeavingList(s.registry, s.log)
 	s.sender = send.New()
 	s.engines = engine.New(nil)
 	s.streams = stream.New(s.engines, nil, stream.Options{MaxEpochs: streamEpochs, MaxTries: 2 * streamEpochs, CacheLost: s.cacheLost})
@@ -130,7 +142,8 @@
 		return err
 	}
 	source := s.newDocuments()
-	s.fleet, err = fleet.New(peers, vmList{&vmCache{store: s.store, prefix: entryVMs}, s.settings.Slot}, source, s.log)
+	list := vmList{&vmCache{store: s.store, prefix: entryVMs}, s.settings.Slot}
+	s.fleet, err = fleet.New(peers, sharedList{list, s}, source, s.log)
 	if err != nil {
 		return err
 	}
@@ -156,6 +169,7 @@
 		Environment:   s.settings.Environment + "/" + s.settings.Slot,
 		Limits:        s.limits,
 		Orders:        s.orderPeers,
+		OnLeaving:     s.followLeaving,
 		Interval:      time.Duration(s.settings.Fleet.IntervalMillis) * time.Millisecond,
 	}
 }
