Dead nodes leave entry answers sooner: a refusal is enough, and the news goes at once

A peer's first failure only asked for a second try at the next tick, and a suspicion was told to two others.

Excluded: the callers' own refresh (each second), the relay of drains (at once).

Change: a refused connection makes a suspicion at once; a suspicion is told to eight others at once, at most once an interval by one node.

--- a/fleet/member/machine.go
+++ b/fleet/member/machine.go
@@ -30,6 +30,10 @@
 	drainFanout = 8
 	joinFanout  = 4
 	relayFanout = 2
+	// suspectFanout peers hear of a suspicion at once from a node that finds a
+	// peer silent: all others in fleets of up to nine. With relayFanout the last of
+	// six nodes named a dead one for 3.6 intervals on average, so for 2.0.
+	suspectFanout = 8
 	// refuteFanout peers hear a refutation at once: a suspect gets no work.
 	refuteFanout = 4
 	// suspectsSent is how many suspects a message names beside its rumors.
@@ -69,7 +73,9 @@
 
 	lastTick    time.Time
 	lastContact time.Time
-	batch       Batch
+	// toldSuspicion is when this node last told others of a suspicion at once.
+	toldSuspicion time.Time
+	batch         Batch
 }
 
 // New returns the view of a node that knows only itself.
@@ -100,7 +106,7 @@
 	case Answered:
 		m.answered(now, in)
 	case Failed:
-		m.failed(now, in.Peer)
+		m.failed(now, in)
 	case Listed:
 		m.list(now, in.VMs)
 	case Serve:
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -91,7 +91,11 @@
 }
 
 // Failed says that a peer did not answer in time.
-type Failed struct{ Peer string }
+type Failed struct {
+	Peer string
+	// Refused: the peer's VM refused the connection, so that no node runs there.
+	Refused bool
+}
 
 // Listed is the platform's list, whole.
 type Listed struct{ VMs []VM }
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -75,6 +75,62 @@
 	}
 }
 
+// A node's process dies and its VM refuses connections. Callers who have its address
+// in an entry answer are sent there until the nodes suspect it. The first refusal is
+// enough; a VM that is silent may have lost a packet, so there it takes two tries.
+func TestRefusedConnectionIsSuspectedAtOnce(t *testing.T) {
+	mean := func(refuses bool) float64 {
+		const seeds = 30
+		sum := 0
+		for seed := range uint64(seeds) {
+			s := newSeededSim(t, 6, 3, seed).settled()
+			s.refuses = refuses
+			s.down["vm-0001"] = true
+			sum += s.until("suspected on all", 60, func() bool { return !s.liveOnAny("vm-0001") })
+		}
+		return float64(sum) / seeds
+	}
+	silent, refused := mean(false), mean(true)
+	t.Logf("suspected on all of six after %.2f intervals, %.2f if connections are refused", silent, refused)
+	if refused > silent-0.5 || silent > 2.5 {
+		t.Error("a refusal must save most of the second try's interval, and the news go at once")
+	}
+	m := newSim(t, 5, 1).settled().machines["vm-0000"]
+	m.Step(m.lastTick, Failed{Peer: "vm-0001", Refused: true})
+	if countState(m, Suspect) != 1 {
+		t.Error("a refused connection makes no suspicion")
+	}
+}
+
+// A failure domain of sixty nodes in three dies at once. Every node that finds a peer
+// silent tells others at once; the exchanges that this costs must stay a small
+// multiple of the regular one an interval, or the rest would be busy with the news.
+func TestLossOfADomainMakesNoStorm(t *testing.T) {
+	s := newSim(t, 60, 3).settled()
+	s.refuses = true
+	for i, name := range s.names {
+		s.down[name] = i%3 == 1
+	}
+	clear(s.contacts)
+	intervals := s.until("none of the dead is live anywhere", 60, func() bool {
+		for _, name := range s.names {
+			if s.down[name] && s.liveOnAny(name) {
+				return false
+			}
+		}
+		return true
+	})
+	begun := 0
+	for _, n := range s.contacts {
+		begun += n
+	}
+	mean := float64(begun) / float64(40*intervals)
+	t.Logf("none of 20 live on any of 40 after %d intervals, %.1f exchanges a node and interval", intervals, mean)
+	if mean > 3 {
+		t.Errorf("%.1f exchanges a node and interval, want about one", mean)
+	}
+}
+
 // Sixty VMs join within one interval in the dawn rush. Every node must know
 // every other soon, while each message keeps to its budget of news.
 func TestRushOfJoinsKeepsToTheBudget(t *testing.T) {
--- a/fleet/member/merge.go
+++ b/fleet/member/merge.go
@@ -169,8 +169,12 @@
 }
 
 // failed notes that a peer did not answer. One failure is tried again at the
-// next tick, the second makes a suspicion, so that one lost packet makes none.
-func (m *Machine) failed(now time.Time, peer string) {
+// next tick, the second makes a suspicion, so that one lost packet makes none. A
+// refused connection is no lost packet: the VM answers and the node's process is
+// gone. It makes a suspicion at once, or callers are sent there for an interval
+// more. A node that is just restarting refutes it by its new incarnation.
+func (m *Machine) failed(now time.Time, in Failed) {
+	peer := in.Peer
 	e := m.entries[peer]
 	if e == nil || e.State == Gone {
 		return
@@ -179,7 +183,7 @@
 		e.retryAfter = now.Add(unheardBackoff * m.cfg.Interval)
 		return
 	}
-	if !e.failedOnce {
+	if !e.failedOnce && !in.Refused {
 		e.failedOnce = true
 		m.peers.retry = append(m.peers.retry, peer)
 		return
@@ -188,10 +192,12 @@
 	if m.isolated(now) {
 		return
 	}
-	// Only the start of a suspicion is relayed: a relayed exchange that fails
-	// would else start the next, without end.
-	if m.suspect(now, e) {
-		m.relay(now, relayFanout)
+	// Only the start of a suspicion is told, and once in an interval: an exchange
+	// begun for it that fails would else start the next, and on a network that
+	// loses much, where suspicions are refuted and begin anew, that has no end.
+	if m.suspect(now, e) && now.Sub(m.toldSuspicion) >= m.cfg.Interval {
+		m.toldSuspicion = now
+		m.relay(now, suspectFanout)
 	}
 }
 
--- a/fleet/member/sim_test.go
+++ b/fleet/member/sim_test.go
@@ -16,6 +16,8 @@
 	names    []string
 	machines map[string]*Machine
 	down     map[string]bool
+	// refuses says that the VMs of nodes that are down answer that nobody listens.
+	refuses bool
 	// lost says whether a message between two nodes is lost.
 	lost func(from, to string) bool
 	vms  []VM
@@ -90,7 +92,7 @@
 		s.tables++
 	}
 	if s.machines[to] == nil || s.down[to] || s.lost(from, to) {
-		s.step(from, Failed{Peer: to})
+		s.step(from, Failed{Peer: to, Refused: s.refuses && s.down[to]})
 		return
 	}
 	reply := s.step(to, Received{Message: send.Message}).Reply
@@ -145,6 +147,19 @@
 	return true
 }
 
+// liveOnAny says whether any node that is up takes the member for live.
+func (s *sim) liveOnAny(name string) bool {
+	for _, node := range s.names {
+		if s.down[node] {
+			continue
+		}
+		if u, ok := s.machines[node].Member(name); ok && u.State == Live {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *sim) allLive() bool {
 	for _, name := range s.names {
 		if !s.down[name] && !s.all(name, Live) {
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cicadatack/cicadatack/fleet/exchange"
@@ -87,7 +88,7 @@
 	if err != nil {
 		if f.running.Err() == nil {
 			f.log.Debug("exchange failed", "peer", send.To.Name, "error", err)
-			f.stepView(member.Failed{Peer: send.To.Name})
+			f.stepView(member.Failed{Peer: send.To.Name, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		}
 		return
 	}
