--- a/node/server/orders_test.go
+++ b/node/server/orders_test.go
@@ -25,7 +25,7 @@
 	t.Cleanup(s.orders.Close)
 	request := &exchange.OrdersRequest{
 		Environment: "salish",
-		Operations:  operationsToWire([]ledger.Operation{{Kind: ledger.KindClaim, ID: "a", Attempt: "b"}}),
+		Operations:  operationsToWire([]ledger.Operation{{Kind: ledger.KindClaim, ID: "aaaa", Attempt: "b"}}),
 	}
 	if _, err := newOrderPeers(s).Orders(context.Background(), request); err == nil {
 		t.Error("a claim of salish was taken by a node of java")
--- a/standin/storefake/ledger_bench_test.go
+++ b/standin/storefake/ledger_bench_test.go
@@ -72,11 +72,36 @@
 	b.ReportMetric(writes/took, "writes/s")
 	b.ReportMetric(float64(b.N)/writes, "orders/write")
 	b.ReportMetric(float64(fake.Status().ByPath[store.PathRange])/writes, "reads/write")
+	reportKept(b, address, b.N)
 	b.ReportMetric(float64(refused.Load()), "refused")
 	b.ReportMetric(all[len(all)/2].Seconds()*1e3, "p50-claim-ms")
 	b.ReportMetric(all[len(all)*99/100].Seconds()*1e3, "p99-claim-ms")
 }
 
+// reportKept reports what the orders take in the store, and how long a node that
+// knows nothing of the shards takes for its first claim.
+func reportKept(b *testing.B, address string, orders int) {
+	client, err := store.New(store.Config{Address: address, CallsPerSecond: 1e6, Burst: 1e6})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	kept, err := client.List(context.Background(), "/cicadatack/dawn/ledger/")
+	if err != nil {
+		b.Fatal(err)
+	}
+	bytes := 0
+	for _, entry := range kept {
+		bytes += len(entry.Value)
+	}
+	node := ledger.New(client, "dawn", ledger.Config{})
+	defer node.Close()
+	var refused atomic.Int64
+	b.ReportMetric(float64(bytes)/float64(orders), "kept-bytes/order")
+	b.ReportMetric(float64(len(kept)), "values")
+	b.ReportMetric(placeOrder(b, node, int64(orders)+1, &refused).Seconds()*1e3, "takeover-ms")
+}
+
 // toFirst sends all operations to the first node, in process: no hop is counted.
 type toFirst struct {
 	nodes *[]*ledger.Ledger
