cicadactl prune removes old revisions and parts that nothing names

A removal can pass a trial or promotion that has found a part in the store and not named it yet; several keys in one transaction are not promised by the platform, and marks in the parts themselves would be seen by nodes.

Change: a trial or promotion writes a pin, reads the plan of a prune, and writes planned parts again; a prune writes its plan, then reads pins, trial, production and history, in that order, and removes what is left by comparing the planned revision.

Parts are read eight at a time. The second reading stays: it is what makes a promotion of a lost part fail.

Three tests that count writes count the pin's as well, and are as strict.

--- a/node/cmd/cicadactl/documents.go
+++ b/node/cmd/cicadactl/documents.go
@@ -10,7 +10,6 @@
 
 	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
 )
 
 type checkCommand struct {
@@ -202,12 +201,9 @@
 
 // promoter reaches the store.
 func (args *arguments) promoter() (*promotion.Promoter, error) {
-	if args.Store == "" || args.Environment == "" {
-		return nil, Error.New("--store and --environment are needed, or CICADATACK_STORE and CICADATACK_ENVIRONMENT")
-	}
-	s, err := store.New(store.Config{Address: args.Store})
+	s, err := args.openStore()
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
 	return promotion.New(s), nil
 }
--- a/node/cmd/cicadactl/documents_test.go
+++ b/node/cmd/cicadactl/documents_test.go
@@ -175,3 +175,28 @@
 	d.store.SetFaults(storefake.Faults{})
 	d.must(&promoteCommand{Digest: digest, Base: 0})
 }
+
+// An operator sees what would go before it goes, and runs a prune that an outage
+// ended once more.
+func TestPrune(t *testing.T) {
+	d := newDesk(t)
+	for weight := 1; weight <= 5; weight++ {
+		d.must(&promoteCommand{Digest: d.trial(weight), Base: -1})
+	}
+	dry := d.must(&pruneCommand{Keep: 2, DryRun: true})
+	if !strings.Contains(dry, "would remove 2 revisions") {
+		t.Errorf("dry run: %s", dry)
+	}
+	d.store.SetFaults(storefake.Faults{Outage: true})
+	d.fails(&pruneCommand{Keep: 2}, "run it again to go on")
+	d.store.SetFaults(storefake.Faults{})
+	if got := d.must(&pruneCommand{Keep: 2}); strings.TrimPrefix(got, "removed") != strings.TrimPrefix(dry, "would remove") {
+		t.Errorf("said before: %sdone: %s", dry, got)
+	}
+	if listed := d.must(&historyCommand{Limit: 20}); strings.Count(listed, "\n") != 3 {
+		t.Errorf("history: %s", listed)
+	}
+	d.must(&rollbackCommand{Revision: 4, Base: -1})
+	d.fails(&rollbackCommand{Revision: 1, Base: -1}, "had no revision 1")
+	d.fails(&pruneCommand{}, "--keep must be at least 1")
+}
--- a/node/cmd/cicadactl/main.go
+++ b/node/cmd/cicadactl/main.go
@@ -23,6 +23,7 @@
 	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"put the text of an earlier revision in force as a new revision"`
 	Diff     *diffCommand     `arg:"subcommand:diff" help:"show how a document differs from the one in force"`
 	History  *historyCommand  `arg:"subcommand:history" help:"list the documents in force so far, the latest first"`
+	Prune    *pruneCommand    `arg:"subcommand:prune" help:"remove old revisions, and parts of documents that nothing needs"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show a node's state and the fleet as it sees it"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show why a request was sent where it was, or refused"`
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"take a node out of service without cutting off a request"`
@@ -50,7 +51,7 @@
 	parser := arg.MustParse(&args)
 	chosen, ok := parser.Subcommand().(command)
 	if !ok {
-		parser.Fail("a command is needed: check, trial, promote, rollback, diff, history, status, explain, drain or entry")
+		parser.Fail("a command is needed: check, trial, promote, rollback, diff, history, prune, status, explain, drain or entry")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), args.Timeout)
 	defer cancel()
--- a/standin/storefake/calls.go
+++ b/standin/storefake/calls.go
@@ -24,6 +24,9 @@
 		Count:  int64(len(kvs)),
 	}
 	for _, kv := range kvs {
+		if request.KeysOnly {
+			kv.Value = nil
+		}
 		response.KVs = append(response.KVs, keyValue(kv))
 	}
 	answer(w, response)
