An owner that alone is cut off from the store is passed over

Cause: it refused the claims of its shards, each node claimed by itself and asked it again for the next one, so that all wrote the shards side by side.

Change: a node that was refused and then did the operation itself says so, and the owner is left out like a silent one; an answer that did nothing does not bring it back. In an outage for all nobody is passed over, as nothing is done here either: the shards have their owners at once afterwards.

Orders a second with such an owner were not measured.

--- a/node/server/orders.go
+++ b/node/server/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,10 +72,23 @@
 		p.failed(node, err)
 		return nil, Error.Wrap(err)
 	}
-	p.answered(node)
-	return repliesFromWire(answer.GetReplies()), nil
+	replies := repliesFromWire(answer.GetReplies())
+	// A node that did nothing is not back yet, though it answers.
+	if slices.ContainsFunc(replies, func(r ledger.Reply) bool { return !r.Untouched }) {
+		p.answered(node)
+	}
+	return replies, nil
 }
 
+// Refused implements ledger.Peers. A node that alone is cut off from the store
+// refuses what it is asked for; were it asked on and on, all others would write
+// its shards side by side, and most of their writes would lose to each other.
+// Left out like a silent one, it has the next in rank take its shards. That it
+// alone is cut off is no more than a hint; who is wrong asks another node.
+func (p *orderPeers) Refused(node string) { p.failed(node, errRefused) }
+
+var errRefused = errors.New("it did nothing that it was asked for: its store is out of reach")
+
 func (p *orderPeers) failed(node string, err error) {
 	p.mu.Lock()
 	pause := p.owners.Failed(time.Now(), node)
--- a/node/server/orders_test.go
+++ b/node/server/orders_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/decide/owner"
 	"github.com/cicadatack/cicadatack/fleet/exchange"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/platform/ledger"
@@ -70,3 +73,30 @@
 		t.Errorf("an outcome of a later version was read as %+v", got)
 	}
 }
+
+// An owner that alone is cut off from the store is passed over: it refuses what
+// it is asked for, the asking node does it, and from then on asks the next in
+// rank. An answer that did nothing does not bring it back; one that did, does.
+func TestOwnerWithoutStoreIsPassedOver(t *testing.T) {
+	p := newOrderPeers(&Server{settings: settings.Settings{Name: "near"}, log: hclog.NewNullLogger()})
+	p.owners.SetLive([]string{"far", "other"})
+	now := time.Now()
+	first := p.owners.Pick(now, owner.Group(0))
+	p.Refused(first)
+	second := p.owners.Pick(now, owner.Group(0))
+	if second == first || second == "" {
+		t.Fatalf("%q refused, and %q is asked next", first, second)
+	}
+	later := now.Add(owner.MinPause + time.Second)
+	if got := p.owners.Pick(later, owner.Group(0)); got != first {
+		t.Fatalf("after its pause %q is asked, not %q", got, first)
+	}
+	p.Refused(first)
+	if got := p.owners.Pick(now.Add(owner.MinPause+owner.MinPause/2), owner.Group(0)); got != second {
+		t.Errorf("it refused again, and after as short a pause %q is asked", got)
+	}
+	p.answered(first)
+	if got := p.owners.Pick(later, owner.Group(0)); got != first {
+		t.Errorf("it answered, and %q is asked", got)
+	}
+}
--- a/standin/storefake/ledger_bench_test.go
+++ b/standin/storefake/ledger_bench_test.go
@@ -117,6 +117,8 @@
 
 func (p *toFirst) Routed(ledger.Way) {}
 
+func (p *toFirst) Refused(string) {}
+
 func (p *toFirst) Forward(ctx context.Context, _ string, shard int, operations []ledger.Operation) ([]ledger.Reply, error) {
 	return (*p.nodes)[0].Serve(ctx, shard, operations)
 }
