--- a/standin/storefake/ledger_bench_test.go
+++ b/standin/storefake/ledger_bench_test.go
@@ -78,6 +78,42 @@
 	b.ReportMetric(all[len(all)*99/100].Seconds()*1e3, "p99-claim-ms")
 }
 
+// BenchmarkManyTeams places orders of many teams, whose shards belong to as many
+// nodes as there are owners.
+func BenchmarkManyTeams(b *testing.B) {
+	const owners, teams, callers = 16, 240, 4000
+	fake, address := benchStore(b)
+	var ledgers []*ledger.Ledger
+	for range owners {
+		client, err := store.New(store.Config{Address: address, CallsPerSecond: 1e6, Burst: 1e6})
+		if err != nil {
+			b.Fatal(err)
+		}
+		orders := ledger.New(client, "dawn", ledger.Config{})
+		b.Cleanup(func() { orders.Close(); client.Close() })
+		ledgers = append(ledgers, orders)
+	}
+	var next, refused atomic.Int64
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	began := time.Now()
+	for range callers {
+		wg.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				key := ledger.Key{Team: fmt.Sprint("team-", n%teams), Service: "stock-ledger", Key: fmt.Sprint("reorder-", n)}
+				placeUnder(b, ledgers[key.Shard()*owners/ledger.Shards], key, &refused)
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(began).Seconds()
+	writes := float64(fake.Status().ByPath[store.PathTxn])
+	b.ReportMetric(float64(b.N)/took, "orders/s")
+	b.ReportMetric(writes/took, "writes/s")
+	b.ReportMetric(float64(b.N)/writes, "orders/write")
+	b.ReportMetric(float64(refused.Load()), "refused")
+}
+
 // reportKept reports what the orders take in the store, and how long a node that
 // knows nothing of the shards takes for its first claim.
 func reportKept(b *testing.B, address string, orders int) {
@@ -125,7 +161,10 @@
 
 // placeOrder claims and records one order and returns the claim's delay.
 func placeOrder(b *testing.B, orders *ledger.Ledger, n int64, refused *atomic.Int64) time.Duration {
-	key := ledger.Key{Team: "bogor", Service: "stock-ledger", Key: fmt.Sprint("reorder-", n)}
+	return placeUnder(b, orders, ledger.Key{Team: "bogor", Service: "stock-ledger", Key: fmt.Sprint("reorder-", n)}, refused)
+}
+
+func placeUnder(b *testing.B, orders *ledger.Ledger, key ledger.Key, refused *atomic.Int64) time.Duration {
 	began := time.Now()
 	claim, err := orders.Claim(context.Background(), key, "20 kg")
 	delay := time.Since(began)
@@ -134,7 +173,7 @@
 		return delay
 	}
 	if claim.State != ledger.Fresh {
-		b.Errorf("claim %d: %v", n, claim.State)
+		b.Errorf("claim of %s: %v", key.Key, claim.State)
 	}
 	if err := orders.Record(context.Background(), key, claim, ledger.Result{Status: 201, Body: []byte(`{"order":17}`)}); err != nil {
 		refused.Add(1)
