--- a/decide/owner/doc.go
+++ b/decide/owner/doc.go
@@ -14,11 +14,9 @@
 // a frozen node holds up one operation and not all of them.
 //
 // Grounds for the figures:
-//   - Groups of 16 shards: a team's four shards in a row mostly have one owner,
-//     whose writes then carry all of the team's orders; and 16 owners at 40
-//     writes a second each are what the store takes (several hundred), however
-//     many nodes there are. With an owner for each shard, three nodes spent
-//     three times the writes on the same orders (docs/decisions/state.md).
+//   - One owner a shard, and 16 shards (platform/ledger): 16 owners at 40 writes
+//     a second each are what the store takes (several hundred), however many
+//     nodes there are, and each write carries all orders that its shard has.
 //   - MinPause 1 s: what a trial of a frozen node may cost one operation at
 //     most, and about what members need to suspect a node.
 //   - MaxPause 16 s: a node that was cut off from only this one is used again
--- a/decide/owner/owner.go
+++ b/decide/owner/owner.go
@@ -7,11 +7,8 @@
 	"github.com/cicadatack/cicadatack/decide/balance/rendezvous"
 )
 
-// groupShards is how many shards in a row have one owner.
-const groupShards = 16
-
-// Group returns the name of the group that a shard belongs to. Pick takes groups.
-func Group(shard int) string { return strconv.Itoa(shard / groupShards) }
+// Shard returns the name of a shard. Pick takes names.
+func Shard(shard int) string { return "shard-" + strconv.Itoa(shard) }
 
 // Pauses for which a node that did not answer is left out; they double.
 const (
@@ -56,11 +53,11 @@
 	n.silent = kept
 }
 
-// Pick returns the node for a group of shards; empty if there is none. A silent node
+// Pick returns the node for a shard; empty if there is none. A silent node
 // whose pause is over is given out once and then left out for another pause,
 // unless Answered says that it is back.
-func (n *Nodes) Pick(now time.Time, group string) string {
-	key := rendezvous.Hash(group)
+func (n *Nodes) Pick(now time.Time, shard string) string {
+	key := rendezvous.Hash(shard)
 	best, bestScore := "", uint64(0)
 	for _, each := range n.live {
 		score := rendezvous.Score(key, each.hash)
--- a/node/server/orders.go
+++ b/node/server/orders.go
@@ -40,7 +40,7 @@
 		p.owners.SetLive(p.server.liveMembers())
 		p.stamp = stamp
 	}
-	picked := p.owners.Pick(time.Now(), owner.Group(shard))
+	picked := p.owners.Pick(time.Now(), owner.Shard(shard))
 	if picked == p.server.settings.Name {
 		return ""
 	}
