--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -10,7 +10,8 @@
  * may be slow to place an order, and which may refuse before work.
  *
  * Not modelled: group commit (several claims in one write: the write is the
- * same, as the shard has one version), retention of results, more than one key.
+ * same, as the shard has one version), retention of results, archives of done
+ * orders (archives.pml), more than one key.
  * "Not run" speaks of the request, not of the key: an earlier request with the
  * same key may have run. A caller therefore retries with the same key only.
  *
--- a/spec/documents.pml
+++ b/spec/documents.pml
@@ -10,7 +10,8 @@
  * restarts with empty memory and asks the store, else its peers. A text's parts
  * are one bit: all in the store, or not.
  *
- * Not modelled: bodies and digests, parts lost or damaged in the store; who holds the watch; the time that
+ * Not modelled: bodies and digests, parts lost or damaged in the store, removal
+ * of parts (prune.pml); who holds the watch; the time that
  * spreading takes. Two restarts at once while the store is down are left out:
  * see the limit in docs/decisions/fleet.md.
  *
--- a/standin/storefake/ledger_bench_test.go
+++ b/standin/storefake/ledger_bench_test.go
@@ -114,6 +114,70 @@
 	b.ReportMetric(float64(refused.Load()), "refused")
 }
 
+// BenchmarkOwnerWithoutStore places orders at two nodes, whose shard's owner
+// alone is cut off from the store; with the hint, the first of them owns the
+// shard from the first refusal on.
+func BenchmarkOwnerWithoutStore(b *testing.B) {
+	for _, hint := range []bool{false, true} {
+		b.Run(fmt.Sprint("hint=", hint), func(b *testing.B) {
+			fake, address := benchStore(b)
+			var ledgers []*ledger.Ledger
+			for i, at := range []string{"127.0.0.1:1", address, address} {
+				client, err := store.New(store.Config{Address: at, CallsPerSecond: 1e6, Burst: 1e6})
+				if err != nil {
+					b.Fatal(err)
+				}
+				orders := ledger.New(client, "dawn", ledger.Config{Peers: &toNext{nodes: &ledgers, self: i, hint: hint}})
+				b.Cleanup(func() { orders.Close(); client.Close() })
+				ledgers = append(ledgers, orders)
+			}
+			var next, refused atomic.Int64
+			var wg sync.WaitGroup
+			b.ResetTimer()
+			began := time.Now()
+			for range 256 {
+				wg.Go(func() {
+					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+						placeOrder(b, ledgers[1+n%2], n, &refused)
+					}
+				})
+			}
+			wg.Wait()
+			took := time.Since(began).Seconds()
+			b.ReportMetric(float64(b.N)/took, "orders/s")
+			b.ReportMetric(float64(b.N)/float64(fake.Status().ByPath[store.PathTxn]), "orders/write")
+			b.ReportMetric(float64(refused.Load()), "refused")
+		})
+	}
+}
+
+// toNext sends operations to the first node that is not known to do nothing.
+type toNext struct {
+	nodes *[]*ledger.Ledger
+	self  int
+	hint  bool
+	owner atomic.Int64
+}
+
+func (p *toNext) Owner(int) string {
+	if owner := int(p.owner.Load()); owner != p.self {
+		return fmt.Sprint(owner)
+	}
+	return ""
+}
+
+func (p *toNext) Routed(ledger.Way) {}
+
+func (p *toNext) Refused(string) {
+	if p.hint {
+		p.owner.Store(1)
+	}
+}
+
+func (p *toNext) Forward(ctx context.Context, node string, shard int, operations []ledger.Operation) ([]ledger.Reply, error) {
+	return (*p.nodes)[node[0]-'0'].Serve(ctx, shard, operations)
+}
+
 // reportKept reports what the orders take in the store, and how long a node that
 // knows nothing of the shards takes for its first claim.
 func reportKept(b *testing.B, address string, orders int) {
