--- a/proof/bench/caller.go
+++ b/proof/bench/caller.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -31,21 +32,35 @@
 	tokens              int
 	// timeout is the caller's own; zero: none.
 	timeout time.Duration
+	// silence is how long the caller waits for a token, the first included,
+	// before it hangs up; zero: for ever.
+	silence time.Duration
+	// prompt is the question; empty: always the same one.
+	prompt string
+	// digest asks for a digest of the answer's text.
+	digest bool
 	// onToken, if set, is told of each token's number as it comes.
 	onToken func(n int)
 }
 
+// usualPrompt is asked where the text does not matter.
+const usualPrompt = "How much butter does Braga need tomorrow?"
+
 // answer is what the caller received.
 type answer struct {
 	status int
-	tokens int
+	// refusal is the code of a refusal.
+	refusal string
+	tokens  int
 	// whole is set if the closing marker came.
 	whole bool
 	// firstToken, refused and total are since the call.
 	firstToken, total time.Duration
 	// gap is the longest between two tokens.
 	gap time.Duration
-	err error
+	// digest of the text, if it was asked for.
+	digest uint64
+	err    error
 }
 
 // ask streams one answer.
@@ -56,6 +71,14 @@
 		ctx, cancel = context.WithTimeout(ctx, q.timeout)
 		defer cancel()
 	}
+	if q.silence > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		hangUp := time.AfterFunc(q.silence, cancel)
+		defer hangUp.Stop()
+		q.onToken = func(int) { hangUp.Reset(q.silence) }
+	}
 	var a answer
 	response, err := q.send(ctx)
 	if err != nil {
@@ -65,15 +88,30 @@
 	}
 	defer response.Body.Close()
 	a.status = response.StatusCode
-	a.read(response.Body, began, q.onToken)
+	if a.status >= http.StatusBadRequest {
+		a.refusal = refusalCode(response.Body)
+	} else {
+		a.read(response.Body, began, q)
+	}
 	a.total = time.Since(began)
 	return a
 }
 
+// refusalCode reads a refusal; without one the code is empty.
+func refusalCode(body io.Reader) string {
+	var refusal outcome.Body
+	_ = json.NewDecoder(body).Decode(&refusal)
+	return refusal.Error.Code
+}
+
 func (q question) send(ctx context.Context) (*http.Response, error) {
+	prompt := q.prompt
+	if prompt == "" {
+		prompt = usualPrompt
+	}
 	body, err := json.Marshal(engineapi.ChatRequest{
 		Model:     q.model,
-		Messages:  []engineapi.Message{{Role: "user", Content: "How much butter does Braga need tomorrow?"}},
+		Messages:  []engineapi.Message{{Role: "user", Content: prompt}},
 		MaxTokens: q.tokens,
 		Stream:    true,
 	})
@@ -95,12 +133,16 @@
 var (
 	// tokenMark is in each event with a token and in no other.
 	tokenMark = []byte(`"content":"`)
-	doneMark  = []byte("data: " + engineapi.DoneMarker)
+	// textEnd ends a token's text; the stand-in's words hold no quotes.
+	textEnd  = []byte(`"`)
+	doneMark = []byte("data: " + engineapi.DoneMarker)
 )
 
 // read counts tokens without decoding them: this process also runs the engines.
-func (a *answer) read(body io.Reader, began time.Time, onToken func(int)) {
+func (a *answer) read(body io.Reader, began time.Time, q question) {
 	last := began
+	text := fnv.New64a()
+	defer func() { a.digest = text.Sum64() }()
 	lines := bufio.NewReader(body)
 	for {
 		line, err := lines.ReadSlice('\n')
@@ -113,9 +155,14 @@
 		if bytes.HasPrefix(line, doneMark) {
 			a.whole = true
 		}
-		if !bytes.Contains(line, tokenMark) {
+		_, token, found := bytes.Cut(line, tokenMark)
+		if !found {
 			continue
 		}
+		if q.digest {
+			word, _, _ := bytes.Cut(token, textEnd)
+			text.Write(word)
+		}
 		now := time.Now()
 		if a.tokens == 0 {
 			a.firstToken = now.Sub(began)
@@ -124,8 +171,8 @@
 		}
 		last = now
 		a.tokens++
-		if onToken != nil {
-			onToken(a.tokens)
+		if q.onToken != nil {
+			q.onToken(a.tokens)
 		}
 	}
 }
@@ -174,18 +221,39 @@
 	return nil
 }
 
+// pickOther draws like pick from the addresses that have not failed a caller yet;
+// if all have, it begins anew.
+func (e *entries) pickOther(team int, failed map[string]bool) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var left []front.EntryAddress
+	for _, a := range e.answers[team].Addresses {
+		if !failed[a.Address] {
+			left = append(left, a)
+		}
+	}
+	if len(left) == 0 {
+		clear(failed)
+		left = e.answers[team].Addresses
+	}
+	return draw(left)
+}
+
 // pick draws one of a team's addresses by weight.
 func (e *entries) pick(team int) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	addresses := e.answers[team].Addresses
+	return draw(e.answers[team].Addresses)
+}
+
+func draw(addresses []front.EntryAddress) string {
 	total := 0.0
 	for _, a := range addresses {
 		total += a.Weight
 	}
-	draw := rand.Float64() * total
+	at := rand.Float64() * total
 	for _, a := range addresses {
-		if draw -= a.Weight; draw <= 0 {
+		if at -= a.Weight; at <= 0 {
 			return a.Address
 		}
 	}
--- a/route/plans/shape.go
+++ b/route/plans/shape.go
@@ -23,14 +23,12 @@
 	reasonFirst        = "first plan: least bottleneck within memory"
 	reasonEndpoints    = "the document names other endpoints"
 	reasonMeasured     = "measured times make another cut better"
+	reasonVersion      = "the document names another version of the weights"
 )
 
 // shapeOf is a replica as the planner sees it.
 func shapeOf(d *directory.Directory, open openReplica) (placement.Model, placement.Chain) {
-	model := placement.Model{Layers: open.model.Layers, LayerBytes: assumedLayerBytes}
-	if open.model.LayerMegabytes > 0 {
-		model.LayerBytes = int64(open.model.LayerMegabytes) * megabyte
-	}
+	model := modelOf(open)
 	var chain placement.Chain
 	domains := make([]string, len(open.stages))
 	for i, s := range open.stages {
@@ -48,6 +46,14 @@
 	return model, chain
 }
 
+func modelOf(open openReplica) placement.Model {
+	model := placement.Model{Layers: open.model.Layers, LayerBytes: assumedLayerBytes}
+	if open.model.LayerMegabytes > 0 {
+		model.LayerBytes = int64(open.model.LayerMegabytes) * megabyte
+	}
+	return model
+}
+
 func acceleratorOf(doc *document.Document, e document.Endpoint) placement.Accelerator {
 	a := placement.Accelerator{Endpoint: e.Name, LayerMicros: assumedLayerMicros, MemoryBytes: assumedMemory}
 	for _, kind := range doc.Accelerators {
@@ -74,7 +80,8 @@
 // decide says whether the replica needs another plan than the one agreed, and
 // which.
 func (kept *keptReplica) decide(now time.Time, model placement.Model, chain placement.Chain, book *Book) ([]plan.Stage, string, bool, error) {
-	agreed, version, ok := book.Plan(kept.open.place.model, kept.open.name)
+	planned, ok := book.Agreed(kept.open.place.model, kept.open.name)
+	agreed, version := documentStages(planned), planned.Version
 	switch {
 	case !ok || !within(agreed, kept.open.stages):
 		reason := reasonFirst
@@ -83,6 +90,8 @@
 		}
 		cut, err := placement.Best(model, chain)
 		return stagesOf(cut), reason, true, err
+	case planned.Weights != kept.open.model.Version:
+		return planned.Stages, reasonVersion, true, nil
 	case kept.planner == nil:
 		kept.planner = placement.NewPlanner(model, chain, placement.Plan{Version: version, Cut: measuredCut(agreed, chain)}, placement.Policy{})
 	default:
