--- a/node/server/share.go
+++ b/node/server/share.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/cicadatack/cicadatack/decide/owner"
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/member"
 	"github.com/cicadatack/cicadatack/node/settings"
@@ -39,7 +38,7 @@
 	if nodes <= 1 && s.listed.Load() == 0 {
 		return // not known yet: the share of a start stays
 	}
-	s.store.SetShare(store.ShareOf(nodes, s.orderPeers.owned(nodes), owner.Groups(ledger.Shards)))
+	s.store.SetShare(store.ShareOf(nodes, s.orderPeers.owned(nodes), ledger.Shards))
 }
 
 func (s *Server) presentMembers() int {
@@ -52,7 +51,7 @@
 	return present
 }
 
-// owned returns how many groups of the ledger's shards this node writes. A node that
+// owned returns how many of the ledger's shards this node writes. A node that
 // sees less than half of the fleet live, as each does when it starts, would hold
 // itself for the owner of nearly all and counts none. The nodes of the trial get no
 // part for theirs: few orders are tried there.
@@ -66,7 +65,7 @@
 	if 2*p.live < nodes {
 		return 0
 	}
-	return p.groups
+	return p.shards
 }
 
 // followLive keeps the owners in step with the members; the caller holds the lock.
@@ -78,6 +77,6 @@
 	live := p.server.liveMembers()
 	p.owners.SetLive(live)
 	p.live = len(live)
-	p.groups = p.owners.Owned(p.server.settings.Name, ledger.Shards)
+	p.shards = p.owners.Owned(p.server.settings.Name, ledger.Shards)
 	p.stamp = stamp
 }
