Admission: at the start of a rush a third of the slots is for teams below their share

A node that starts in a rush gave every slot to a team at ten times the bound in a second and a half, before the others had sent what they need; with answers of fifteen seconds these waited for the first of its answers to end. Headroom by measured demand comes too late, and not at all while no rate is known.

Change: for the first ten seconds after a time without work, in which demand is not known, a third of the slots, less each second, is kept for teams below their share by what they run, and what these run already is counted in. It needs no rate.

--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -20,6 +20,11 @@
 	// Below it, chance makes a team look hot, and headroom would stand idle
 	// for nothing.
 	hotFactor = 1.5
+	// rushRoom is the part of the slots that is kept, at the start of a rush, for
+	// teams below their share, with what these run counted in. A team that asks for
+	// ten times the bound takes all slots in a second and a half, and with answers of
+	// fifteen seconds the others wait until the first of these ends.
+	rushRoom = 1.0 / 3
 	// lightest is the demand, in tokens per second, below which a team counts
 	// as gone. A request of 300 tokens is remembered for half a minute.
 	lightest = 1
@@ -32,6 +37,8 @@
 	drain float64 // of the whole service
 	// weight is that of the teams that have asked for work lately.
 	weight float64
+	// began is when teams began to ask for work, after a time without.
+	began time.Time
 	// headroom is the number of slots kept for teams below their share.
 	headroom int
 	stalled  bool
@@ -106,10 +113,11 @@
 	f := &q.forecast
 	f.at = now
 	f.drain = rate * q.share.meanAt(now)
-	f.headroom = 0
 	f.stalled = q.meter.stalled(now)
 	q.longRoom = q.slots
 	q.measureDemand(now)
+	f.weight = q.activeWeight()
+	f.headroom = q.rushHeadroom(now)
 	if f.drain <= 0 {
 		return
 	}
@@ -118,7 +126,7 @@
 		t.rate = f.all.rate(t.demand[short]+t.demand[long], t.flow.Weight())
 	}
 	q.longRoom = q.slots - q.shortRoom(rate)
-	f.weight, f.headroom = q.lightTeams(rate)
+	f.headroom = max(f.headroom, q.lightHeadroom(rate))
 	f.long = split(rate*float64(q.longRoom), q.order, func(t *team) float64 { return t.demand[long] })
 	for _, t := range q.order {
 		t.longRate = f.long.rate(t.demand[long], t.flow.Weight())
@@ -159,15 +167,53 @@
 	return int(min(keep, math.Floor(float64(q.slots)*maxShortPart)))
 }
 
-// lightTeams returns the weight of the teams that ask for work, and how many
-// slots to keep for those of them that ask for less than their share: the square
-// root of what these fill, up to headroomPart. Unless a team is hot, none are
-// kept.
+// activeWeight returns the weight of the teams that ask for work.
+func (q *Queue) activeWeight() (weight float64) {
+	for _, t := range q.order {
+		if t.demand[short]+t.demand[long] > 0 {
+			weight += t.flow.Weight()
+		}
+	}
+	return weight
+}
+
+// rushHeadroom returns how many slots to keep for teams below their share while a
+// rush is so young that their demand is not known: what these run not of rushRoom,
+// which shrinks to nothing over the window of the measured demand.
+//
+// Without it a node that starts in a rush gives every slot to the hottest team
+// before the others have sent what they need, and has none to give them until its
+// answers end: callers of other teams waited for two to four seconds (p95).
+func (q *Queue) rushHeadroom(now time.Time) int {
+	f := &q.forecast
+	if f.weight == 0 {
+		f.began = time.Time{}
+		return 0
+	}
+	if f.began.IsZero() {
+		f.began = now
+	}
+	left := 1 - now.Sub(f.began).Seconds()/rateWindow.Seconds()
+	if left <= 0 {
+		return 0
+	}
+	keep := float64(q.slots) * rushRoom * left
+	for _, t := range q.order {
+		if q.belowShare(t) {
+			keep -= float64(t.running)
+		}
+	}
+	return int(max(keep, 0))
+}
+
+// lightHeadroom returns how many slots to keep for teams that ask for less than
+// their share: the square root of what these fill, up to headroomPart. Unless a
+// team is hot, none are kept.
 //
 // Without headroom, a hot team holds every slot, and the first request of
 // another waits until one is done. With long answers and few slots that is a
 // good part of a second, which the hot team causes and the other one pays.
-func (q *Queue) lightTeams(rate float64) (weight float64, headroom int) {
+func (q *Queue) lightHeadroom(rate float64) int {
 	need := 0.0
 	hot := false
 	for _, t := range q.order {
@@ -175,17 +221,16 @@
 		if demand == 0 {
 			continue
 		}
-		weight += t.flow.Weight()
 		if demand <= t.rate {
 			need += demand / rate
 		}
 		hot = hot || demand > hotFactor*q.forecast.all.floor*t.flow.Weight()
 	}
 	if !hot {
-		return weight, 0
+		return 0
 	}
 	keep := math.Ceil(headroomSpread * math.Sqrt(need))
-	return weight, int(min(keep, math.Floor(float64(q.slots)*headroomPart)))
+	return int(min(keep, math.Floor(float64(q.slots)*headroomPart)))
 }
 
 // belowShare tells whether the team runs less than its part of the slots.
--- a/decide/admission/load_test.go
+++ b/decide/admission/load_test.go
@@ -194,6 +194,33 @@
 	return first(beside) / first(alone), beside.Goodput(slotRate, from, to) / bound
 }
 
+func TestHotCallerAtStart(t *testing.T) {
+	// Callers of the other team wait for seconds. A node starts in a rush; a team
+	// that asks for ten times the bound, in answers of fifteen seconds, takes every
+	// slot in a second and a half, before the other has filled those that it needs,
+	// and nothing ends for seven.
+	Convey("A hot caller leaves room to others from the first second on", t, func() {
+		for _, c := range []hotCase{{0.05, 10, 1500}, {0.2, 10, 1500}} {
+			for _, assumed := range []float64{0, slotRate} {
+				sum, served, least := time.Duration(0), 1.0, 1.0
+				for i := range uint64(hotRuns) {
+					s := scenario(calls("good", c.part, 300), calls("hot", c.hot, c.cost))
+					s.Seed, s.Length = *seed+i, seconds(30)
+					r := sim.Run(s, admission.New(admission.Config{Slots: slots, SlotRate: assumed}))
+					sum += sim.P95(r.Waits(0, 0, seconds(10)))
+					served = min(served, r.Served(0, 0, seconds(10)))
+					least = min(least, r.Goodput(slotRate, seconds(2), seconds(12))/bound)
+				}
+				t.Logf("team of %g beside one of %g, assumed rate %g: p95 wait %v on average, served %.3f at least; goodput/bound %.3f at least",
+					c.part, c.hot, assumed, sum/hotRuns, served, least)
+				So(sum/hotRuns, ShouldBeLessThan, time.Second)
+				So(served, ShouldEqual, 1)
+				So(least, ShouldBeGreaterThan, 0.85)
+			}
+		}
+	})
+}
+
 func TestShareByWeight(t *testing.T) {
 	// Three teams with weights 1, 2 and 4 ask for more than there is, the
 	// lightest for most; the second declares half of its cost. Without weights
