--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -32,6 +32,8 @@
 //     fairness; within a team orders, then interactive, then batch, each in order
 //     of arrival. No batch job starts while an order waits, of any team that is
 //     not far beyond its share.
+//   - At the start of a rush a part of the slots is kept for teams below their
+//     share, until their demand is measured.
 //   - Long jobs (Config.LongCost) use only the slots that the short jobs of
 //     late don't need, and are passed over when these are full.
 //   - Refusal: at the offer, if the predicted start is after the deadline; later,
@@ -44,7 +46,8 @@
 //
 // The wait is predicted from tokens per second of a slot, measured over
 // rateWindow, times the slots that the node has had of late (shareWindow): these
-// swing where nodes share replicas. A loss of replicas counts at once, before any
+// swing where nodes share replicas. The mean begins anew when the first request has
+// to wait: slots that stood free before a rush go to all nodes. A loss of replicas counts at once, before any
 // request has finished late. The other figures stand with
 // their constants; docs/decisions/queue.md has the runs.
 //
--- a/proof/bench/overload.go
+++ b/proof/bench/overload.go
@@ -54,9 +54,9 @@
 	}
 	result := table{
 		title: "Throughput against its bound",
-		columns: []string{"offered", "way", "goodput / bound", "whole answers/s", "first token p50", "p95", "refused",
+		columns: []string{"offered", "way", "goodput / bound", "whole answers/s", "whole in the window / bound", "slots filled", "a token took", "first token p50", "p95", "refused",
 			"refused after p50", "p99", "waited in vain", "nodes' cores", "bench's cores"},
-		note: fmt.Sprintf("Bound: %d replicas of %d slots, %d tokens of %v each: %.0f answers (%.0f tokens) a second. Poisson arrivals of %d teams; callers wait %v for a whole answer; %v measured after %v. Round robin: callers take the engines in turn, without a limit.",
+		note: fmt.Sprintf("Bound: %d replicas of %d slots, %d tokens of %v each: %.0f answers (%.0f tokens) a second. Poisson arrivals of %d teams; callers wait %v for a whole answer; %v measured after %v. Goodput: whole answers to calls sent in the window; it is off by the change of the waits from its begin to its end. In the window: whole answers that came in it. Round robin: callers take the engines in turn, without a limit.",
 			overloadReplicas, overloadSlots, overloadTokens, overloadStep, overloadBound, overloadBound*overloadTokens, teamCount, patience, overloadTime, overloadWarm),
 	}
 	for _, factor := range []float64{1, 2, 4} {
@@ -102,6 +102,8 @@
 	mu                sync.Mutex
 	sent, unsent      int
 	whole, vain       int
+	inWindow          int // whole answers that came in the window, whenever sent
+	filled            filled
 	first, refused    *times
 	nodes, bench      float64
 	began             time.Time
@@ -122,6 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
+	used := watchFilled(ctx, t.standins, o.measured, o.stopped)
 	var open sync.WaitGroup
 	free := make(chan struct{}, maxOpen)
 	next := o.began
@@ -148,18 +151,23 @@
 	}
 	o.bench, err = own.cores()
 	open.Wait()
+	o.filled = <-used
 	return o, err
 }
 
 func (o *offered) take(sent time.Time, a answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	whole := a.whole && a.total <= patience
+	if came := sent.Add(a.total); whole && !came.Before(o.measured) && came.Before(o.stopped) {
+		o.inWindow++
+	}
 	if sent.Before(o.measured) {
 		return
 	}
 	o.sent++
 	switch {
-	case a.whole && a.total <= patience:
+	case whole:
 		o.whole++
 		o.first.record(a.firstToken)
 	case a.status >= 400:
@@ -171,9 +179,11 @@
 
 func (o *offered) row(t *table, factor float64, way string) {
 	rate := float64(o.whole) / overloadTime.Seconds()
+	inWindow := float64(o.inWindow) / overloadTime.Seconds()
 	vain := fmt.Sprint(o.vain)
 	if o.unsent > 0 {
 		vain += fmt.Sprintf(" (+%d not sent)", o.unsent)
 	}
-	t.row(fmt.Sprintf("%gx", factor), way, rate/overloadBound, rate, o.first.at(50), o.first.at(95), o.refused.count(), o.refused.at(50), o.refused.at(99), vain, o.nodes, o.bench)
+	t.row(fmt.Sprintf("%gx", factor), way, rate/overloadBound, rate, inWindow/overloadBound,
+		o.filled.slots/(overloadReplicas*overloadSlots), o.filled.token, o.first.at(50), o.first.at(95), o.refused.count(), o.refused.at(50), o.refused.at(99), vain, o.nodes, o.bench)
 }
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -43,6 +43,7 @@
 	promoter *promotion.Promoter
 	doc      document.Document
 	nodes    []*node
+	standins []*engine.Engine
 	closers  []func()
 	// storeCalls is a node's budget of store calls a second; zero: the default.
 	storeCalls int
@@ -163,6 +164,7 @@
 		cfg.Last = layers - 1
 		e := engine.New(cfg)
 		t.closers = append(t.closers, e.Close)
+		t.standins = append(t.standins, e)
 		address, err := t.serve(e, &t.endpointTraffic)
 		if err != nil {
 			return nil, err
