Admission: a step of demand counts at once

After a calm each team seems to ask for little, a wait is foretold as if a team could have what the others leave, and callers are given up seconds later.

Change: the demand of all teams over one second is held against the measured one; if it is half as much again, that of each team is raised alike.

TestRushFromNothing now also comes after a calm and after a rush, each with a pause of 8 s.

--- a/decide/admission/fleet_test.go
+++ b/decide/admission/fleet_test.go
@@ -124,19 +124,27 @@
 	// Callers see: a refusal after three seconds. Two or four times the bound comes
 	// in at once, at nodes that have nothing to do. Each sees nearly all slots free
 	// and takes what it can, foretells waits by it and lets callers wait; within a
-	// second it has a third of that, and gives them up.
+	// second it has a third of that, and gives them up. Nodes that have served before
+	// moreover know each team's demand by the last ten seconds only.
 	Convey("Given nodes without load to which a rush comes", t, func() {
-		for _, x := range []float64{2, 4} {
-			Convey(fmt.Sprintf("at %gx nearly all refusals are told at once from the first second on", x), func() {
-				good := play(t, "from nothing", x, func(f *sim.Fleet) {
-					f.OnePrompt, f.Domains = true, 3
-					f.Length, f.Warm = 12*time.Second, 0
+		for name, before := range map[string]sim.Prelude{
+			"just started": {},
+			"after a calm": {Offered: 0.3, For: 8 * time.Second, Pause: 8 * time.Second},
+			"after a rush": {Offered: 1, For: 8 * time.Second, Pause: 8 * time.Second},
+		} {
+			for _, x := range []float64{2, 4} {
+				Convey(fmt.Sprintf("%s, at %gx nearly all refusals are told at once from the first second on", name, x), func() {
+					good := play(t, name, x, func(f *sim.Fleet) {
+						f.OnePrompt, f.Domains, f.Prelude = true, 3, before
+						f.Warm = before.For + before.Pause
+						f.Length = f.Warm + 12*time.Second
+					})
+					late := len(good.told) - countBelow(good.told, atOnce)
+					t.Logf("refused later than after %v: %d of %d", atOnce, late, len(good.told))
+					So(late, ShouldBeLessThan, len(good.told)/200)
+					So(good.least, ShouldBeGreaterThan, 0.95)
 				})
-				late := len(good.told) - countBelow(good.told, atOnce)
-				t.Logf("refused later than after %v: %d of %d", atOnce, late, len(good.told))
-				So(late, ShouldBeLessThan, len(good.told)/200)
-				So(good.least, ShouldBeGreaterThan, 0.95)
-			})
+			}
 		}
 	})
 }
--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -135,7 +135,11 @@
 
 // measureDemand also forgets teams that SetTeam has not named and whose demand
 // has faded, so that names which come and go do not add up.
+//
+// If demand has just risen, each team's is taken to have risen alike: what a team
+// gets depends on what the others ask for.
 func (q *Queue) measureDemand(now time.Time) {
+	sum := 0.0
 	for i := len(q.order) - 1; i >= 0; i-- {
 		t := q.order[i]
 		for l := range t.demand {
@@ -143,11 +147,18 @@
 			if t.demand[l] < lightest {
 				t.demand[l] = 0
 			}
+			sum += t.demand[l]
 		}
 		if !t.declared && t.demand == [lengthCount]float64{} {
 			q.forget(t)
 		}
 	}
+	boost := q.step.boost(now, sum)
+	for _, t := range q.order {
+		for l := range t.demand {
+			t.demand[l] *= boost
+		}
+	}
 }
 
 // shortRoom returns how many slots to keep free of long jobs: as many as the
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -27,6 +27,7 @@
 	items    map[uint64]*item
 	spare    *item // finished items for reuse, linked by next
 	meter    meter
+	step     step
 	forecast forecast
 
 	share
@@ -93,6 +94,7 @@
 	q.refresh(now)
 	it := q.newItem(now, r)
 	it.team.offered[it.length].add(now, it.Cost)
+	q.step.add(now, it.Cost)
 	if q.admit(now, it) {
 		q.enqueue(now, it)
 		q.dispatch(now)
--- a/decide/internal/sim/fleet.go
+++ b/decide/internal/sim/fleet.go
@@ -29,6 +29,8 @@
 	Teams  int
 	// Offered is the load over the bound.
 	Offered float64
+	// Prelude is served before.
+	Prelude Prelude
 	// Patience is how long a caller waits for its whole answer.
 	Patience time.Duration
 	// Length of the run; calls from Warm on are judged.
@@ -47,6 +49,13 @@
 	Strangers bool
 }
 
+// Prelude is a load before that of the run, and a pause after it.
+type Prelude struct {
+	// Offered is the load over the bound.
+	Offered    float64
+	For, Pause time.Duration
+}
+
 const (
 	// reportLag is how old a replica's report may be: it is renewed no sooner.
 	reportLag = 100 * time.Millisecond
@@ -171,16 +180,32 @@
 }
 
 func (r *fleet) arrive() {
-	gap := time.Duration(r.rng.ExpFloat64() / (r.Offered * r.Bound()) * float64(time.Second))
-	if r.Now.Add(gap).Sub(Start) > r.Length {
+	next := r.next()
+	if next.Sub(Start) > r.Length {
 		return
 	}
-	r.At(r.Now.Add(gap), func() {
+	r.At(next, func() {
 		r.call()
 		r.arrive()
 	})
 }
 
+// next draws the time of the next call.
+func (r *fleet) next() time.Time {
+	begin, end := Start.Add(r.Prelude.For), Start.Add(r.Prelude.For+r.Prelude.Pause)
+	if r.Now.Before(begin) {
+		if at := r.Now.Add(r.gap(r.Prelude.Offered)); at.Before(begin) {
+			return at
+		}
+		return end
+	}
+	return r.Now.Add(r.gap(r.Offered))
+}
+
+func (r *fleet) gap(offered float64) time.Duration {
+	return time.Duration(r.rng.ExpFloat64() / (offered * r.Bound()) * float64(time.Second))
+}
+
 func (r *fleet) call() {
 	a := &Answer{Sent: r.Now.Sub(Start)}
 	r.answers = append(r.answers, a)
