--- a/decide/balance/full.go
+++ b/decide/balance/full.go
@@ -9,6 +9,11 @@
 // other nodes may be off the mean and still pass for noise.
 const noiseSpread = 2
 
+// fullLooks is how many replicas of the near and of the other failure domains are
+// looked at, from the one in turn on, unless all of these may not be used. A look
+// takes some 25 ns, and a node may use more than a hundred replicas.
+const fullLooks = 16
+
 // meanLoad is the load per unit of capacity over all failure domains that the node
 // uses.
 func (b *Balancer) meanLoad() float64 {
@@ -47,6 +52,9 @@
 		}
 		start := t.nextIndex() // equals come in turn
 		for i := range t.usable {
+			if i >= fullLooks && best.member != nil && !best.busy {
+				break
+			}
 			m := t.usable[(start+i)%len(t.usable)]
 			if excluded(q, m) {
 				continue
