List of VMs: not copied when nothing has changed

Cause: a node reads what has changed of the endpoints' list every two seconds and copied the whole list for it, 10,000 VMs (1.1 MB), though nothing had changed. Found in the heap profile of an idle node with 10,000 replicas.

--- a/node/server/vms.go
+++ b/node/server/vms.go
@@ -78,6 +78,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if !whole && len(changed) == 0 {
+		// Nearly every read; to copy 10,000 VMs each two seconds was the largest
+		// part of an idle node's processor time that grew with the replicas.
+		c.revision = revision
+		return c.vms, nil
+	}
 	next := map[string]platformVM{}
 	if !whole {
 		maps.Copy(next, c.vms)
