Check at use: streams' own first tokens renew what engines hold

Cause: a node asked each stage of each replica that it uses every two seconds, as busy as it may be; worked out 70 calls/s and 20 KB/s with 35 replicas of four stages, ten times the budget of bytes. Change: the first token of a stream, if its spans are what the plan says of each stage, renews the engines' reports as of the moment when the stream was sent; so does the question along the chain. An engine is asked itself each 20 s all the same, as spans do not name the placement version. A failed chain is asked again. Safeguards seen failing, each on a change of the code: renewed at a token's arrival (an engine that changed its layers gets new work: "rejected" in place of "holding mismatch"); renewed by what was sent before the failure; renewed for ever.

--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/platform/engineapi"
@@ -20,6 +21,8 @@
 	gap    gapEstimate
 	pace   pace
 	sent   time.Time
+	// opened is sent by the clock of the holding check.
+	opened time.Time
 	hops   hopTimes
 	stray  int
 	result AttemptResult
@@ -42,6 +45,7 @@
 	e.dog = newWatchdog(cancel)
 	defer e.dog.disarm()
 	e.sent = time.Now()
+	e.opened = e.a.r.holdings.now()
 	e.dog.armFirst(e.a.r.ways.tick(), e.a.req.FirstTokenTimeout, func(since time.Time) bool {
 		return e.a.r.ways.silent(e.a.req.Chat.Model, e.chain, since, e.a.silences)
 	})
@@ -211,6 +215,7 @@
 		return
 	}
 	e.result.FirstToken = time.Since(e.sent)
+	e.renewHoldings(spans)
 	e.a.r.resumes.learn(e.a.handle != "", e.a.contextTokens(), e.result.FirstToken+e.a.exporting)
 	if !e.gap.known {
 		// The first token's own time is all there is to go by; prefill makes
@@ -219,6 +224,17 @@
 	}
 }
 
+// renewHoldings takes the first token's spans as a sign of what the engines held
+// when the stream was opened, if each stage ran what the plan says.
+func (e *epoch) renewHoldings(spans []engineapi.Span) {
+	ranThePlan := slices.EqualFunc(spans, e.chain.Stages, func(span engineapi.Span, stage engineapi.Stage) bool {
+		return span.Endpoint == stage.Endpoint && span.First == stage.First && span.Last == stage.Last
+	})
+	if ranThePlan {
+		e.a.r.holdings.renew(e.a.req.Chat.Model, e.chain, e.opened)
+	}
+}
+
 // bound is how long to wait for the next token. Each stall before in this
 // answer doubles it: if every chain is slow, moving on makes it worse.
 func (e *epoch) bound() time.Duration {
--- a/route/stream/holding.go
+++ b/route/stream/holding.go
@@ -23,6 +23,10 @@
 	mismatchTTL = 100 * time.Millisecond
 	// maxHoldings bounds the reports kept.
 	maxHoldings = 4096
+	// ownWord, in times that a report is trusted, is how long answers may renew it
+	// before the engine is asked itself again: spans name the layers but not the
+	// placement version, and one call in 20 s is a tenth of one in 2 s.
+	ownWord = 10
 )
 
 // holdingCheck is the check at use: before work is sent to a chain, what its
@@ -30,10 +34,16 @@
 // number, but some engines ignore it and some take orders from anyone, so the
 // plan alone does not tell what an engine runs. Without the check the work is
 // sent, and thrown away when its spans are found wrong.
+//
+// Load pattern answered: a busy node would ask each stage of each replica that it
+// uses every two seconds, some 70 calls and 20 KB a second at 35 replicas of four
+// stages. What streams show of their engines renews the reports, so that only
+// engines that were quiet are asked (see renew).
 type holdingCheck struct {
 	client  *engine.Client
 	ttl     time.Duration
 	timeout time.Duration
+	now     func() time.Time
 
 	mu      sync.Mutex
 	reports map[string]*holdingReport
@@ -45,7 +55,9 @@
 	ready   chan struct{} // closed when the fields below are set
 	holding engineapi.Holding
 	err     error
-	at      time.Time
+	// at is when the report was true, by the engine's own word or by an answer
+	// since; told is when it was by its own word.
+	at, told time.Time
 }
 
 func newHoldingCheck(client *engine.Client, o Options) *holdingCheck {
@@ -53,6 +65,7 @@
 		client:  client,
 		ttl:     o.HoldingTTL,
 		timeout: o.HoldingTimeout,
+		now:     time.Now,
 		reports: map[string]*holdingReport{},
 	}
 }
@@ -113,13 +126,13 @@
 func (h *holdingCheck) report(address string, want engineapi.Holding, since time.Time) *holdingReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r, ok := h.reports[address]; ok && r.usable(want, h.ttl, since) {
+	if r, ok := h.reports[address]; ok && r.usable(h.now(), want, h.ttl, since) {
 		return r
 	}
 	if len(h.reports) >= maxHoldings {
 		clear(h.reports)
 	}
-	r := &holdingReport{ready: make(chan struct{}), asked: time.Now()}
+	r := &holdingReport{ready: make(chan struct{}), asked: h.now()}
 	h.reports[address] = r
 	go h.ask(address, r)
 	return r
@@ -127,7 +140,7 @@
 
 // usable reports whether a report is underway or still fresh, and was asked
 // for after since.
-func (r *holdingReport) usable(want engineapi.Holding, ttl time.Duration, since time.Time) bool {
+func (r *holdingReport) usable(now time.Time, want engineapi.Holding, ttl time.Duration, since time.Time) bool {
 	if r.asked.Before(since) {
 		return false
 	}
@@ -139,7 +152,7 @@
 	if r.err != nil || r.holding != want {
 		ttl = min(ttl, mismatchTTL)
 	}
-	return time.Since(r.at) < ttl
+	return now.Sub(r.at) < ttl
 }
 
 // ask fills a report. The call has a bound of its own, because the stream that
@@ -148,10 +161,36 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.timeout)
 	defer cancel()
 	r.holding, r.err = h.client.Holding(ctx, address)
-	r.at = time.Now()
+	r.at = h.now()
+	r.told = r.at
 	close(r.ready)
 }
 
+// renew notes that a chain's engines were seen, by an answer, to hold at a moment
+// what the plan says.
+//
+// The moment is when the stream was sent and not when a token came. Otherwise an
+// engine that is ordered to hold other layers and runs the streams that it has to
+// their end by the old ones would be believed for as long as these last, and sent
+// new work that is thrown away. For the same reason an answer to what was sent
+// before the chain failed, or before the engine last spoke, renews nothing.
+func (h *holdingCheck) renew(model string, chain Chain, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, stage := range chain.Stages {
+		r, ok := h.reports[stage.Address]
+		if ok && r.done() && r.renewable(wanted(model, stage, chain.PlacementVersion), at, h.ttl) {
+			h.reports[stage.Address] = &holdingReport{asked: at, ready: r.ready, holding: r.holding, at: at, told: r.told}
+		}
+	}
+}
+
+// renewable says whether the report is the engine's word of not long ago, and
+// older than the moment. The report is done.
+func (r *holdingReport) renewable(want engineapi.Holding, at time.Time, ttl time.Duration) bool {
+	return r.err == nil && r.holding == want && r.at.Before(at) && at.Sub(r.told) < ownWord*ttl
+}
+
 // forget drops what is known of a chain's engines, after it failed.
 func (h *holdingCheck) forget(chain Chain) {
 	h.mu.Lock()
--- /dev/null
+++ b/route/stream/holding_test.go
@@ -0,0 +1,181 @@
+package stream
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/route/engine"
+	standin "github.com/cicadatack/cicadatack/standin/engine"
+)
+
+// holdingCalls counts the questions for what engines hold, and calls opened, if
+// set, once an engine has accepted a stream.
+type holdingCalls struct {
+	next   http.RoundTripper
+	count  atomic.Int64
+	opened func()
+}
+
+func (h *holdingCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path == engineapi.PathHolding {
+		h.count.Add(1)
+	}
+	response, err := h.next.RoundTrip(r)
+	if err == nil && h.opened != nil && r.URL.Path == engineapi.PathChat {
+		h.opened()
+	}
+	return response, err
+}
+
+// timedFleet has a clock of its own for the holding check.
+func timedFleet(t *testing.T, chains int) (f *fleet, calls *holdingCalls, pass func(time.Duration)) {
+	f = newFleet(t, chains, quick, Options{})
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	calls = &holdingCalls{next: transport}
+	f.runner.holdings.client = engine.New(calls)
+	f.runner.client = f.runner.holdings.client
+	var passed atomic.Int64
+	began := time.Now()
+	f.runner.holdings.now = func() time.Time { return began.Add(time.Duration(passed.Load())) }
+	return f, calls, func(d time.Duration) { passed.Add(int64(d)) }
+}
+
+func (f *fleet) mustAnswer(stream string) {
+	req := request(stream)
+	answer, _, err := f.collect(context.Background(), req, nil)
+	So(err, ShouldBeNil)
+	So(answer, ShouldEqual, undisturbed(req))
+}
+
+// A busy node's streams show what its engines hold, so these are not asked as
+// well; one that was quiet is. Answers alone are not gone by for ever: they do not
+// name the placement version.
+func TestBusyEnginesAreNotAsked(t *testing.T) {
+	Convey("Streams on one chain of two stages, each second", t, func() {
+		f, calls, pass := timedFleet(t, 1)
+		defer f.stop()
+		for i := range 18 {
+			f.mustAnswer(fmt.Sprint("busy-", i))
+			pass(DefaultHoldingTTL / 2)
+		}
+		So(calls.count.Load(), ShouldEqual, 2)
+		for i := range 6 {
+			f.mustAnswer(fmt.Sprint("longer-", i))
+			pass(DefaultHoldingTTL / 2)
+		}
+		So(calls.count.Load(), ShouldEqual, 4)
+		pass(DefaultHoldingTTL)
+		f.mustAnswer("after a pause")
+		So(calls.count.Load(), ShouldEqual, 6)
+	})
+}
+
+// The caller sees the undisturbed answer. A long stream runs along a chain; one of
+// its engines, which takes orders from anyone, is ordered to hold other layers and
+// runs the streams that it has to their end by the old ones. Their tokens must not
+// make the node believe that it still holds these, or new work would be sent to it.
+func TestLongStreamsDoNotHideNewLayers(t *testing.T) {
+	other := engineapi.Order{Model: testModel, First: 0, Last: testLayers/2 - 1, PlacementVersion: 2}
+	for _, c := range []struct {
+		name     string
+		position int // of the token before which the engine changes
+	}{{"before the first token", -1}, {"later", failAt}} {
+		Convey("A stream sent before the engine changed renews nothing: "+c.name, t, func() {
+			f, calls, pass := timedFleet(t, 2)
+			defer f.stop()
+			change := func() {
+				So(f.chains[0][1].Engine.Order(other), ShouldBeNil)
+				pass(DefaultHoldingTTL)
+			}
+			if c.position < 0 {
+				calls.opened = sync.OnceFunc(change)
+			}
+			req := request("long")
+			answer, _, err := f.collect(context.Background(), req, func(position int) {
+				if position == c.position {
+					change()
+				}
+			})
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, undisturbed(req))
+
+			f.mustAnswer("new")
+			So(f.ended[1].End, ShouldEqual, EndMismatch)
+			So(f.ended[1].NotRun, ShouldBeTrue)
+		})
+	}
+	Convey("What was sent before the chain failed renews nothing", t, func() {
+		f, calls, pass := timedFleet(t, 1)
+		defer f.stop()
+		f.mustAnswer("first")
+		holdings, chain := f.runner.holdings, f.chain(0)
+		sent := holdings.now()
+		pass(time.Millisecond)
+		holdings.forget(chain)
+		holdings.renew(testModel, chain, sent)
+		f.mustAnswer("second")
+		So(calls.count.Load(), ShouldEqual, 4)
+		holdings.renew(testModel, chain, sent)
+		pass(DefaultHoldingTTL - time.Millisecond/2)
+		f.mustAnswer("third")
+		So(calls.count.Load(), ShouldEqual, 4)
+	})
+}
+
+// BenchmarkHoldingCalls is a node with 50 streams a second over 35 chains of two
+// stages at the default settings:
+//
+//	go test -run '^$' -bench HoldingCalls -benchtime 1x ./route/stream
+func BenchmarkHoldingCalls(b *testing.B) {
+	const (
+		chains = 35
+		rate   = 50 // a second
+		warmUp = 3 * time.Second
+		length = 20 * time.Second
+	)
+	f := newFleet(b, chains, standin.Config{Step: 20 * time.Millisecond, Slots: 64}, Options{})
+	defer f.stop()
+	transport := &http.Transport{MaxIdleConnsPerHost: rate}
+	defer transport.CloseIdleConnections()
+	calls := &holdingCalls{next: transport}
+	f.runner.holdings.client = engine.New(calls)
+	f.runner.ways.client = f.runner.holdings.client
+	var running sync.WaitGroup
+	counted := int64(0)
+	ticker := time.NewTicker(time.Second / rate)
+	defer ticker.Stop()
+	for i := range int((warmUp + length).Seconds() * rate) {
+		<-ticker.C
+		if i == int(warmUp.Seconds()*rate) {
+			counted = calls.count.Load()
+		}
+		running.Go(func() {
+			req := request(fmt.Sprint("stream-", i))
+			req.Chooser = oneOf{f, rand.IntN(chains)}
+			if answer, _, err := f.collect(context.Background(), req, nil); err != nil || answer != undisturbed(req) {
+				b.Error("not whole: ", err)
+			}
+		})
+	}
+	running.Wait()
+	b.ReportMetric(float64(calls.count.Load()-counted)/length.Seconds(), "calls/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// oneOf chooses one chain.
+type oneOf struct {
+	*fleet
+	i int
+}
+
+func (o oneOf) Choose(context.Context, []string) (Chain, error) { return o.chain(o.i), nil }
--- a/route/stream/way.go
+++ b/route/stream/way.go
@@ -139,6 +139,9 @@
 	if !direct {
 		open, known = c.along(ctx, model, chain)
 	}
+	if open {
+		c.holdings.renew(model, chain, start)
+	}
 	if !known {
 		open = c.holdings.verify(ctx, model, layersOf(chain), chain, start) == nil
 	}
