--- a/proof/bench/control.go
+++ b/proof/bench/control.go
@@ -20,6 +20,9 @@
 	// passed on a few times.
 	idleSettle = 4 * time.Second
 	idleTime   = 8 * time.Second
+	// roundTime passes first where endpoints are polled once a second: until each of
+	// a node's 40 has been asked, loads and cache events are asked for side by side.
+	roundTime = 45 * time.Second
 	// idleListeners is how many addresses answer for load; further endpoints get
 	// addresses where nobody listens, whose polls end at once.
 	idleListeners = 1000
@@ -157,6 +160,9 @@
 		return Error.Wrap(err)
 	}
 	time.Sleep(idleSettle)
+	if size.polls == largeFleetPolls {
+		time.Sleep(roundTime)
+	}
 	use, err := beginUsage(t.pids()...)
 	if err != nil {
 		return err
