--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -54,9 +54,8 @@
 // call makes one exchange, which carries the notices of leaving endpoints both
 // ways.
 func (f *Fleet) call(ctx context.Context, to Member, request *exchange.ExchangeRequest) (*exchange.ExchangeResponse, error) {
-	client := exchange.NewPeerProtobufClient(f.cfg.Scheme+"://"+to.Address, f.client)
 	request.Notices = f.takeNotices(nil)
-	answer, err := client.Exchange(ctx, request)
+	answer, err := f.newPeer(to, f.client).Exchange(ctx, request)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/node/server/vms.go
+++ b/node/server/vms.go
@@ -52,8 +52,9 @@
 	// not among what has changed.
 	wholeInterval = 5 * time.Minute
 	// wholePerVM spaces the whole reads of a long list: at about 200 bytes a VM
-	// they take 100 bytes a second at any length.
-	wholePerVM = 2 * time.Second
+	// they take 50 bytes a second at any length. Until the read, VMs that have gone
+	// stand on in the list and cost their memory only.
+	wholePerVM = 4 * time.Second
 )
 
 // wholeDue says whether a list of so many VMs has to be read whole again.
@@ -75,6 +76,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if !whole && len(changed) == 0 {
+		// Nearly every read; to copy 10,000 VMs each two seconds was the largest
+		// part of an idle node's processor time that grew with the replicas.
+		c.revision = revision
+		return c.vms, nil
+	}
 	next := map[string]platformVM{}
 	if !whole {
 		maps.Copy(next, c.vms)
--- a/proof/bench/control.go
+++ b/proof/bench/control.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/platform/store"
@@ -19,16 +20,25 @@
 	// passed on a few times.
 	idleSettle = 4 * time.Second
 	idleTime   = 8 * time.Second
+	// roundTime passes first where endpoints are polled once a second: until each of
+	// a node's 40 has been asked, loads and cache events are asked for side by side.
+	roundTime = 45 * time.Second
 	// idleListeners is how many addresses answer for load; further endpoints get
 	// addresses where nobody listens, whose polls end at once.
 	idleListeners = 1000
 	promotionRuns = 5
 )
 
-// loadStandin answers the question for load like an idle engine.
-func loadStandin(w http.ResponseWriter, _ *http.Request) {
+// pollStandin answers the questions for load and cache events like an idle
+// engine.
+func pollStandin(w http.ResponseWriter, r *http.Request) {
+	load := engineapi.Load{Slots: coreSlots}
+	var answer any = load
+	if r.URL.Path == engineapi.PathEvents {
+		answer = engineapi.CachePage{Instance: "1", Load: &load}
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(engineapi.Load{Slots: coreSlots}) // the node may have gone
+	_ = json.NewEncoder(w).Encode(answer) // the node may have gone
 }
 
 // addIdle enters a model with that many replicas of one engine, and puts the
@@ -38,7 +48,7 @@
 	for i := range replicas {
 		p := place{fmt.Sprintf("gpu-%05d", i), "", domains[i%len(domains)]}
 		if i < idleListeners {
-			address, err := t.serve(http.HandlerFunc(loadStandin), &t.endpointTraffic)
+			address, err := t.serve(http.HandlerFunc(pollStandin), &t.endpointTraffic)
 			if err != nil {
 				return err
 			}
@@ -56,14 +66,39 @@
 }
 
 // siteSize is what control is measured by.
-type siteSize struct{ nodes, replicas, teams int }
+type siteSize struct {
+	nodes, replicas, teams int
+	// polls a second of each kind; zero: the defaults, which fall to largeFleetPolls
+	// as the fleet grows.
+	polls int
+}
+
+// largeFleetPolls is the pace of polls in fleets of 144 nodes on, which one
+// machine does not run.
+const largeFleetPolls = 1
+
+func (s siteSize) pace() string {
+	if s.polls == 0 {
+		return "default"
+	}
+	return fmt.Sprint(s.polls, "/s")
+}
 
 // targetReplicas is the size that the design is meant for.
 const targetReplicas = 10_000
 
 var siteSizes = []siteSize{
-	{3, 10, 10}, {3, 100, 10}, {3, 1000, 10}, {3, 5000, 10}, {3, targetReplicas, 10},
-	{6, 100, 10}, {9, 100, 10}, {3, 100, 240},
+	{nodes: 3, replicas: 10, teams: 10},
+	{nodes: 3, replicas: 100, teams: 10},
+	{nodes: 3, replicas: 1000, teams: 10},
+	{nodes: 3, replicas: 5000, teams: 10},
+	{nodes: 3, replicas: targetReplicas, teams: 10},
+	{nodes: 3, replicas: targetReplicas, teams: 10, polls: largeFleetPolls},
+	{nodes: 6, replicas: 100, teams: 10},
+	{nodes: 9, replicas: 100, teams: 10},
+	{nodes: 20, replicas: 40, teams: 10},
+	{nodes: 20, replicas: 40, teams: 10, polls: largeFleetPolls},
+	{nodes: 3, replicas: 100, teams: 240},
 }
 
 // teamLimit in tokens a second makes the homes of a team lend to each other.
@@ -74,9 +109,9 @@
 func control(ctx context.Context, s *suite) error {
 	idle := table{
 		title: "What control costs a node that serves nobody",
-		columns: []string{"nodes", "replicas", "teams", "document KB", "index KB", "parts", "CPU, % of a core", "resident MB", "exchange B/s", "store B/s", "load polls B/s", "sum B/s",
+		columns: []string{"nodes", "replicas", "teams", "polls", "document KB", "index KB", "parts", "CPU, % of a core", "resident MB", "exchange B/s", "store B/s", "polls B/s", "sum B/s",
 			"store calls/s, all nodes", "watches"},
-		note: fmt.Sprintf("Each figure is a node's mean over %v at the default settings; bytes sent and received, with HTTP headers and without TCP/IP. The endpoint VMs are on the platform's list; each team has a limit. Processor time to one tick of 10 ms: %.2f%% of a core for three nodes. From %d replicas on, the further addresses refuse polls.",
+		note: fmt.Sprintf("Each figure is a node's mean over %v at the default settings; bytes sent and received, with HTTP headers and without TCP/IP. The endpoint VMs are on the platform's list; each team has a limit. Processor time to one tick of 10 ms: %.2f%% of a core for three nodes. From %d replicas on, the further addresses refuse polls. Polls: of load and of cache events, at the default pace or as in a large fleet.",
 			idleTime, 100*tick.Seconds()/idleTime.Seconds()/3, idleListeners),
 	}
 	changes := table{
@@ -102,6 +137,7 @@
 	}
 	defer t.close()
 	t.doc.Teams = newTeams(size.teams, teamLimit)
+	t.load = settings.Load{PollsPerSecond: size.polls, CacheEventPollsPerSecond: size.polls}
 	if err := t.addIdle(ctx, size.replicas); err != nil {
 		return err
 	}
@@ -124,6 +160,9 @@
 		return Error.Wrap(err)
 	}
 	time.Sleep(idleSettle)
+	if size.polls == largeFleetPolls {
+		time.Sleep(roundTime)
+	}
 	use, err := beginUsage(t.pids()...)
 	if err != nil {
 		return err
@@ -147,7 +186,7 @@
 	stored := float64(now.store-before.store) / perNode
 	polls := float64(now.endpoints-before.endpoints) / perNode
 	status := t.store.Status()
-	result.row(size.nodes, size.replicas, size.teams, float64(len(current.Text))/1e3, float64(len(index))/1e3, len(current.Parts), 100*cores/float64(size.nodes), resident/1e6,
+	result.row(size.nodes, size.replicas, size.teams, size.pace(), float64(len(current.Text))/1e3, float64(len(index))/1e3, len(current.Parts), 100*cores/float64(size.nodes), resident/1e6,
 		peers, stored, polls, peers+stored+polls, float64(status.Calls-calls)/seconds, status.Watches)
 	return nil
 }
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/platform/engineapi"
@@ -21,6 +22,10 @@
 	gap    gapEstimate
 	pace   pace
 	sent   time.Time
+	// opened is sent by the clock of the holding check.
+	opened time.Time
+	// told is when the way check was last told of a token.
+	told   time.Time
 	hops   hopTimes
 	stray  int
 	result AttemptResult
@@ -43,6 +48,7 @@
 	e.dog = newWatchdog(cancel)
 	defer e.dog.disarm()
 	e.sent = time.Now()
+	e.opened = e.a.r.holdings.now()
 	e.dog.armFirst(e.a.r.ways.tick(), e.a.req.FirstTokenTimeout, func(since time.Time) bool {
 		return e.a.r.ways.silent(e.a.req.Chat.Model, e.chain, since, e.a.silences)
 	})
@@ -213,6 +219,7 @@
 func (e *epoch) noteToken(wait time.Duration, spans []engineapi.Span) {
 	e.result.Tokens++
 	e.hops.add(spans)
+	e.tellWay(time.Now())
 	if e.result.Tokens > 1 {
 		gap := gapOf(wait, spans)
 		e.gap.sample(gap)
@@ -220,6 +227,7 @@
 		return
 	}
 	e.result.FirstToken = time.Since(e.sent)
+	e.renewHoldings(spans)
 	e.a.r.resumes.learn(e.a.handle != "", e.a.contextTokens(), e.result.FirstToken+e.a.exporting)
 	if !e.gap.known {
 		// The first token's own time is all there is to go by; prefill makes
@@ -228,6 +236,26 @@
 	}
 }
 
+// tellWay tells the way check of a token, twice in the time after which it asks
+// and not with each: all streams share its lock.
+func (e *epoch) tellWay(now time.Time) {
+	if now.Sub(e.told) >= e.a.r.ways.interval()/2 {
+		e.told = now
+		e.a.r.ways.heard(e.chain, now)
+	}
+}
+
+// renewHoldings takes the first token's spans as a sign of what the engines held
+// when the stream was opened, if each stage ran what the plan says.
+func (e *epoch) renewHoldings(spans []engineapi.Span) {
+	ranThePlan := slices.EqualFunc(spans, e.chain.Stages, func(span engineapi.Span, stage engineapi.Stage) bool {
+		return span.Endpoint == stage.Endpoint && span.First == stage.First && span.Last == stage.Last
+	})
+	if ranThePlan {
+		e.a.r.holdings.renew(e.a.req.Chat.Model, e.chain, e.opened)
+	}
+}
+
 // bound is how long to wait for the next token. Each stall before in this
 // answer doubles it: if every chain is slow, moving on makes it worse.
 func (e *epoch) bound() time.Duration {
--- a/route/stream/holding.go
+++ b/route/stream/holding.go
@@ -25,6 +25,10 @@
 	mismatchTTL = 100 * time.Millisecond
 	// maxHoldings bounds the reports kept.
 	maxHoldings = 4096
+	// ownWord, in times that a report is trusted, is how long answers may renew it
+	// before the engine is asked itself again: spans name the layers but not the
+	// placement version, and one call in 20 s is a tenth of one in 2 s.
+	ownWord = 10
 )
 
 // holdingCheck is the check at use: before work is sent to a chain, what its
@@ -32,11 +36,17 @@
 // number, but some engines ignore it and some take orders from anyone, so the
 // plan alone does not tell what an engine runs. Without the check the work is
 // sent, and thrown away when its spans are found wrong.
+//
+// Load pattern answered: a busy node would ask each stage of each replica that it
+// uses every two seconds, some 70 calls and 20 KB a second at 35 replicas of four
+// stages. What streams show of their engines renews the reports, so that only
+// engines that were quiet are asked (see renew).
 type holdingCheck struct {
 	client  *engine.Client
 	ttl     time.Duration
 	timeout time.Duration
 	lost    func(model, replica string)
+	now     func() time.Time
 
 	mu      sync.Mutex
 	reports map[string]*holdingReport
@@ -50,7 +60,9 @@
 	ready  chan struct{} // closed when the fields below are set
 	report engineapi.Report
 	err    error
-	at     time.Time
+	// at is when the report was true, by the engine's own word or by an answer
+	// since; told is when it was by its own word.
+	at, told time.Time
 }
 
 func newHoldingCheck(client *engine.Client, o Options) *holdingCheck {
@@ -59,6 +71,7 @@
 		ttl:     o.HoldingTTL,
 		timeout: o.HoldingTimeout,
 		lost:    o.CacheLost,
+		now:     time.Now,
 		reports: map[string]*holdingReport{},
 		caches:  map[string]string{},
 	}
@@ -146,13 +159,13 @@
 func (h *holdingCheck) report(want want, address string, since time.Time) *holdingReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r, ok := h.reports[address]; ok && r.usable(want, h.ttl, since) {
+	if r, ok := h.reports[address]; ok && r.usable(h.now(), want, h.ttl, since) {
 		return r
 	}
 	if len(h.reports) >= maxHoldings {
 		clear(h.reports)
 	}
-	r := &holdingReport{ready: make(chan struct{}), asked: time.Now()}
+	r := &holdingReport{ready: make(chan struct{}), asked: h.now()}
 	h.reports[address] = r
 	go h.ask(want, address, r)
 	return r
@@ -160,7 +173,7 @@
 
 // usable reports whether a report is underway or still fresh, and was asked
 // for after since.
-func (r *holdingReport) usable(want want, ttl time.Duration, since time.Time) bool {
+func (r *holdingReport) usable(now time.Time, want want, ttl time.Duration, since time.Time) bool {
 	if r.asked.Before(since) {
 		return false
 	}
@@ -172,7 +185,7 @@
 	if r.err != nil || !want.met(r.report) {
 		ttl = min(ttl, mismatchTTL)
 	}
-	return time.Since(r.at) < ttl
+	return now.Sub(r.at) < ttl
 }
 
 // ask fills a report. The call has a bound of its own, because the stream that
@@ -181,13 +194,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), h.timeout)
 	defer cancel()
 	r.report, r.err = h.client.Holding(ctx, address)
-	if r.err == nil && h.cacheChanged(address, r.report.Cache) {
-		h.lost(want.holding.Model, want.replica)
+	if r.err == nil {
+		h.noteCache(want, address, r.report.Cache)
 	}
-	r.at = time.Now()
+	r.at = h.now()
+	r.told = r.at
 	close(r.ready)
 }
 
+// noteCache notes an engine's cache and says so if it had told of another.
+func (h *holdingCheck) noteCache(want want, address, cache string) {
+	if h.cacheChanged(address, cache) {
+		h.lost(want.holding.Model, want.replica)
+	}
+}
+
 // cacheChanged notes an engine's cache and reports whether it had told of another.
 //
 // A later stage that restarts alone loses its part of every cached prompt, while
@@ -207,6 +228,58 @@
 	return before != "" && before != cache
 }
 
+// renew notes that a chain's engines held at a moment what the plan says, by a
+// stream's first token.
+//
+// The moment is when the stream was sent and not when the token came. Otherwise an
+// engine that is ordered to hold other layers and runs the streams that it has to
+// their end by the old ones would be believed for as long as these last, and sent
+// new work that is thrown away. For the same reason an answer to what was sent
+// before the chain failed, or before the engine last spoke, renews nothing.
+func (h *holdingCheck) renew(model string, chain Chain, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, stage := range chain.Stages {
+		r, ok := h.reports[stage.Address]
+		if !ok || !r.renewable(wanted(model, stage, chain), at) {
+			continue
+		}
+		if at.Sub(r.told) < ownWord*h.ttl {
+			h.reports[stage.Address] = &holdingReport{asked: at, ready: r.ready, report: r.report, at: at, told: r.told}
+		}
+	}
+}
+
+// renewable says whether the report is there, is what the plan says, and is older
+// than the moment.
+//
+// A stream shows the weights that ran and that its engines take new work, and of
+// adapters its own alone. Where an engine holds others too they would be believed
+// for as long as there are streams, so there it is asked as before.
+func (r *holdingReport) renewable(want want, at time.Time) bool {
+	if !r.done() || r.err != nil || !want.met(r.report) || !r.at.Before(at) {
+		return false
+	}
+	others := len(r.report.Adapters)
+	if want.artifact.Adapter != "" {
+		others--
+	}
+	return others == 0
+}
+
+// told takes what a chain's engines said of themselves when they were asked along
+// the chain, which is what the plan says. A report that is newer stays.
+func (h *holdingCheck) told(model string, chain Chain, at time.Time, reports []engineapi.Report) {
+	for i, stage := range chain.Stages {
+		h.noteCache(wanted(model, stage, chain), stage.Address, reports[i].Cache)
+		h.mu.Lock()
+		if r, ok := h.reports[stage.Address]; ok && r.done() && r.at.Before(at) {
+			h.reports[stage.Address] = &holdingReport{asked: at, ready: r.ready, report: reports[i], at: at, told: at}
+		}
+		h.mu.Unlock()
+	}
+}
+
 // forget drops what is known of a chain's engines, after it failed.
 func (h *holdingCheck) forget(chain Chain) {
 	h.mu.Lock()
