--- a/route/stream/holding_test.go
+++ b/route/stream/holding_test.go
@@ -143,25 +143,40 @@
 }
 
 // BenchmarkHoldingCalls is a node with 50 streams a second over 35 chains of two
-// stages at the default settings, by the time of a first token:
+// stages at the default settings, by the time of a first token and of the others:
 //
 //	go test -run '^$' -bench HoldingCalls -benchtime 1x ./route/stream
 func BenchmarkHoldingCalls(b *testing.B) {
-	for _, first := range []time.Duration{20 * time.Millisecond, time.Second} {
-		b.Run(fmt.Sprint("first token ", first), func(b *testing.B) { countHoldingCalls(b, first) })
+	const short, long = 20 * time.Millisecond, 100 * time.Millisecond
+	for _, load := range []streamLoad{
+		{first: short, step: short, tokens: 24},
+		{first: time.Second, step: short, tokens: 24},
+		{first: time.Second, step: long, tokens: 81},
+	} {
+		name := fmt.Sprintf("first token %v, then %d each %v", load.first, load.tokens-1, load.step)
+		b.Run(name, func(b *testing.B) { countHoldingCalls(b, load) })
 	}
 }
 
-func countHoldingCalls(b *testing.B, first time.Duration) {
+// streamLoad is the times of a benchmark's streams.
+type streamLoad struct {
+	first, step time.Duration
+	tokens      int
+}
+
+func (l streamLoad) lasts() time.Duration { return l.first + time.Duration(l.tokens-1)*l.step }
+
+func countHoldingCalls(b *testing.B, load streamLoad) {
 	const (
 		chains = 35
+		stages = 2
 		rate   = 50 // a second
-		step   = 20 * time.Millisecond
-		warmUp = 3 * time.Second
 		length = 20 * time.Second
-		words  = 3 // of a prompt
+		words  = 3 // of a prompt, which each stage works on
 	)
-	f := newFleet(b, chains, standin.Config{Step: step, Slots: 256, PrefillToken: (first - step) / words}, Options{})
+	warmUp := load.lasts() + 2*time.Second
+	cfg := standin.Config{Step: load.step, Slots: 256, PrefillToken: (load.first - load.step) / (stages * words)}
+	f := newFleet(b, chains, cfg, Options{})
 	defer f.stop()
 	transport := &http.Transport{MaxIdleConnsPerHost: rate}
 	defer transport.CloseIdleConnections()
@@ -179,6 +194,7 @@
 		}
 		running.Go(func() {
 			req := request(fmt.Sprint("stream-", i))
+			req.Chat.MaxTokens = load.tokens
 			req.Chooser = oneOf{f, rand.IntN(chains)}
 			if answer, _, err := f.collect(context.Background(), req, nil); err != nil || answer != undisturbed(req) {
 				b.Error("not whole: ", err)
