--- a/node/tlsfiles/handshake_bench_test.go
+++ b/node/tlsfiles/handshake_bench_test.go
@@ -27,21 +27,32 @@
 	return n, err
 }
 
-// BenchmarkHandshake counts what a new connection to a peer costs, both ways:
+// BenchmarkHandshake counts what a new connection to a peer costs, both ways, as the
+// settings are and by what they leave out:
 //
 //	go test -run '^$' -bench Handshake ./node/tlsfiles
 func BenchmarkHandshake(b *testing.B) {
 	a := tlstest.NewAuthority(b)
 	server, client := files(b, a, a), files(b, a, a)
 	for _, c := range []struct {
-		name    string
-		resumed bool
-	}{{"full", false}, {"resumed", true}} {
+		name           string
+		mlkem, resumed bool
+	}{
+		{"as set", false, false},
+		{"resumed", false, true},
+		{"ML-KEM", true, false},
+		{"ML-KEM, resumed", true, true},
+	} {
 		b.Run(c.name, func(b *testing.B) {
 			serve, call := server.MutualServer(), client.MutualClient()
 			call.ServerName = "peer"
+			if c.mlkem {
+				call.CurvePreferences = nil // Go's own
+				change(serve, func(each *tls.Config) { each.CurvePreferences = nil })
+			}
 			if c.resumed {
 				call.ClientSessionCache = tls.NewLRUClientSessionCache(1)
+				change(serve, func(each *tls.Config) { each.SessionTicketsDisabled = false })
 				handshake(b, serve, call)
 			}
 			b.ResetTimer()
@@ -58,6 +69,18 @@
 	}
 }
 
+// change changes the settings that a server takes for each connection.
+func change(serve *tls.Config, f func(*tls.Config)) {
+	get := serve.GetConfigForClient
+	serve.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		each, err := get(hello)
+		if err == nil {
+			f(each)
+		}
+		return each, err
+	}
+}
+
 // handshake connects, passes a byte each way, and returns the bytes that took.
 func handshake(b *testing.B, serve, call *tls.Config) (int64, bool) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
