Peers' key exchange: what is given up, in full

Answers to orders cross between peers too when a claim goes to its shard's owner; the grounds for leaving out ML-KEM named the exchange only.

--- a/node/tlsfiles/tlsfiles.go
+++ b/node/tlsfiles/tlsfiles.go
@@ -152,9 +152,10 @@
 
 // peerCurves leaves out the key exchange with ML-KEM: its keys are 2.3 KB of a
 // handshake, at 0.14 handshakes a second a sixth of what control may send. It
-// guards what is recorded today against computers to come, and what peers tell
-// each other, who is alive, a document without keys, is worth little by then. A
-// peer proves itself by its certificate as before.
+// guards what is recorded today against computers to come. Peers tell each other
+// who is alive, a document without callers' keys, and the answers to orders, which
+// endpoints and store get in the clear. A peer proves itself by its certificate as
+// before.
 var peerCurves = []tls.CurveID{tls.X25519}
 
 // MutualClient identifies the node to peers that it calls and checks theirs.
