--- a/node/server/loops.go
+++ b/node/server/loops.go
@@ -12,14 +12,20 @@
 const refreshInterval = time.Second
 
 func (s *Server) refreshLoop(ctx context.Context) {
-	ticker := time.NewTicker(refreshInterval)
+	every(ctx, refreshInterval, s.refresh)
+}
+
+// every calls do after each interval until ctx ends. While do takes longer than
+// the interval, calls are left out.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.refresh()
+			do()
 		}
 	}
 }
--- a/node/server/results.go
+++ b/node/server/results.go
@@ -20,16 +20,7 @@
 // shard, and a caller who asks again at another node would be told that the
 // order is in doubt, long after the store is back.
 func (s *Server) settleLoop(ctx context.Context) {
-	ticker := time.NewTicker(settleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.settle(ctx)
-		}
-	}
+	every(ctx, settleInterval, func() { s.settle(ctx) })
 }
 
 // settle returns how many results are still owed to the store.
