An epoch tells only of the load that closes its answer

Cause, found by reading: the last report of a stream was told to the balancer once with its token and again at the epoch's end. A report's age counts from when it was sent, so at the end of a long epoch that was cut off a report of a minute ago passed for new, and the replica for as idle as it was then.

Change: an epoch's result has the report of the closing event only; the others are told with their tokens as before. TestOldLoadIsNotToldAtTheEnd was seen failing before (Actual: &{1 0 256 1000 ...}). Not measured: how often it moved a choice.

--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -112,8 +112,8 @@
 		e.lost(ctx, err)
 		return true
 	}
-	e.noteLoad(event.Trace.Load)
 	if event.Finish != "" {
+		e.result.Load = event.Trace.Load
 		return e.closing(event, stream)
 	}
 	reason := e.a.check.Token(&event.Trace)
@@ -209,12 +209,6 @@
 	e.result.Err = err
 }
 
-func (e *epoch) noteLoad(load *engineapi.Load) {
-	if load != nil {
-		e.result.Load = load
-	}
-}
-
 // noteToken keeps the times of an accepted token.
 func (e *epoch) noteToken(wait time.Duration, spans []engineapi.Span) {
 	e.result.Tokens++
--- a/route/stream/runner_test.go
+++ b/route/stream/runner_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// Callers are sent to an engine that looked idle a minute ago. Reports come with
+// tokens now and then and are passed on with these; at the end of an epoch that was
+// cut off the last one is old, and its age counts from when it was sent. So an epoch
+// tells only of the report that closes its answer.
+func TestOldLoadIsNotToldAtTheEnd(t *testing.T) {
+	Convey("A chain that is killed partway and one that ends its answer", t, func() {
+		f := newFleet(t, 2, quick, Options{})
+		defer f.stop()
+		_, _, err := f.collect(context.Background(), request("load"), func(position int) {
+			if position == failAt {
+				f.chains[0][0].Kill()
+			}
+		})
+		So(err, ShouldBeNil)
+		So(f.ended[0].End, ShouldEqual, EndCut)
+		So(f.ended[0].Load, ShouldBeNil)
+		So(f.ended[1].Load, ShouldNotBeNil)
+	})
+}
+
 // The caller sees the undisturbed answer. Two of three chains fail, each with
 // a fault, on a stage and at a position drawn at random, so that faults come
 // together, one after the other, before the first token and at the last one.
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -143,7 +143,9 @@
 	FirstToken time.Duration
 	// MeanGap is the mean time between tokens, zero if fewer than two came.
 	MeanGap time.Duration
-	// Load is the engine's last report, or nil.
+	// Load is the report that closed the answer, or nil. Those that came with
+	// tokens are old by then: a report says how old it was when it was sent, so one
+	// of a minute ago would be taken for new.
 	Load *engineapi.Load
 	// Hops are the mean times of the stages and their outgoing links.
 	Hops []Hop
