--- /dev/null
+++ b/decide/layers/layers.go
@@ -0,0 +1,359 @@
+// Package layers decides which layers of a model each replica of a failure domain
+// holds, where no replica holds them all.
+//
+// Use: call Plan with the replicas as they are now; it returns the orders to give.
+// It keeps no state, so any node can go on from what replicas report, and calling it
+// again before the orders have been carried out gives the same ones, as long as the
+// caller passes what it has ordered in Card.Held.
+//
+// # Load pattern
+//
+// A fleet of unlike cards, each too small for the model, of which some are lost,
+// drained or added at any time. Requests run through all layers inside one failure
+// domain, since the links between domains carry a fraction of what passes between
+// layers.
+//
+// # Without it
+//
+// Equal cuts leave domains without a whole chain or fast cards without work; cards
+// filled to the brim have no room for requests, whose memory is what is left beside
+// the weights; and the loss of one card stops its whole domain.
+//
+// # Rules
+//
+//   - Every card holds the same part of what it could (Fill): the room for requests
+//     of a card is then the same for all, and no span is the narrow place. What is
+//     held beyond one whole copy is a second holder of some layers.
+//   - An empty card takes the window of layers that needs it most: layers that
+//     nobody holds first, then those with the least room.
+//   - Layers that nobody holds any more, and no empty card is there to take, go to
+//     the neighbours: only the missing layers are loaded, and what the neighbours
+//     hold goes on serving.
+//   - If the neighbours are full, a card whose own layers all have other holders
+//     moves.
+//
+// Nothing is moved for balance alone: a load takes seconds of the weight store and
+// empties the prompts that pass through.
+package layers
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Span is the layers from From up to but without To.
+type Span struct{ From, To int }
+
+// Len is the number of layers.
+func (s Span) Len() int { return s.To - s.From }
+
+// Empty says whether the span holds no layer.
+func (s Span) Empty() bool { return s.To <= s.From }
+
+// Covers says whether all layers of t are in s.
+func (s Span) Covers(t Span) bool { return s.From <= t.From && t.To <= s.To }
+
+// Model is what the plan needs to know of a model.
+type Model struct {
+	Layers int
+	// LayerMB is the weight of a layer and TokenLayerMB the memory of one token in
+	// one layer, both in megabytes.
+	LayerMB, TokenLayerMB float64
+}
+
+// Card is one replica.
+type Card struct {
+	ID string
+	// MemoryMB holds weights and requests.
+	MemoryMB float64
+	// Held is the layers held, or ordered and not yet reported.
+	Held Span
+	// Fixed cards take no order now: one is being carried out, or they are in doubt.
+	Fixed bool
+	// Leaving cards count for no cover and take no order.
+	Leaving bool
+}
+
+// Order tells a replica to hold a span.
+type Order struct {
+	ID   string
+	Hold Span
+	// Reason is one of the Reason constants, for the log.
+	Reason string
+}
+
+// Reasons of an order.
+const (
+	ReasonFill   = "empty replica"
+	ReasonExtend = "neighbours take layers that nobody holds"
+	ReasonMove   = "redundant replica moves to layers that nobody holds"
+)
+
+const (
+	// Fill is the part of a card's most layers that it is given. Chosen by the
+	// room that is left: 0.75 leaves 79,000 tokens a holder whatever the card,
+	// twice what a domain needs on a usual day, and 1.3 to 1.7 copies in the
+	// domains of today's sites.
+	Fill = 0.75
+	// MaxFill bounds what a neighbour takes over: 26,000 tokens stay, about 30
+	// requests of usual size.
+	MaxFill = 0.9
+)
+
+// state is the cover of a domain while a plan is made.
+type state struct {
+	model Model
+	cards []Card
+	room  []float64 // tokens by layer, summed over holders
+	held  []int     // holders by layer
+}
+
+// Plan returns the orders for one failure domain.
+func Plan(model Model, cards []Card) []Order {
+	s := newState(model, cards)
+	orders := s.fillEmpty()
+	if gaps := s.gaps(); len(gaps) > 0 && s.holders() > 0 {
+		orders = append(orders, s.repair(gaps)...)
+	}
+	return orders
+}
+
+// Whole says whether each layer has a holder that is not leaving.
+func Whole(model Model, cards []Card) bool {
+	return len(newState(model, cards).gaps()) == 0
+}
+
+func newState(model Model, cards []Card) *state {
+	s := &state{
+		model: model,
+		cards: slices.Clone(cards),
+		room:  make([]float64, model.Layers),
+		held:  make([]int, model.Layers),
+	}
+	// Large cards first, so that small ones close the gaps that are left.
+	slices.SortStableFunc(s.cards, func(a, b Card) int {
+		return cmp.Or(cmp.Compare(b.MemoryMB, a.MemoryMB), cmp.Compare(a.ID, b.ID))
+	})
+	for i := range s.cards {
+		s.count(&s.cards[i], 1)
+	}
+	return s
+}
+
+// Most is the number of layers that a part of a card's memory holds.
+func (m Model) Most(memoryMB, fill float64) int {
+	most := int(memoryMB / m.LayerMB)
+	return min(m.Layers, max(1, int(math.Round(float64(most)*fill))))
+}
+
+// Room is the tokens that fit beside n layers in all of them.
+func (m Model) Room(memoryMB float64, n int) float64 {
+	if n <= 0 {
+		return 0
+	}
+	return max(0, memoryMB-float64(n)*m.LayerMB) / (float64(n) * m.TokenLayerMB)
+}
+
+// count adds or takes away what a card gives to its layers.
+func (s *state) count(c *Card, sign int) {
+	if c.Leaving || c.Held.Empty() {
+		return
+	}
+	room := s.model.Room(c.MemoryMB, c.Held.Len())
+	for l := max(0, c.Held.From); l < min(c.Held.To, s.model.Layers); l++ {
+		s.room[l] += float64(sign) * room
+		s.held[l] += sign
+	}
+}
+
+func (s *state) holders() int {
+	n := 0
+	for _, c := range s.cards {
+		if !c.Leaving && !c.Held.Empty() {
+			n++
+		}
+	}
+	return n
+}
+
+// gaps returns the spans that nobody holds.
+func (s *state) gaps() []Span {
+	var gaps []Span
+	for l := 0; l < s.model.Layers; l++ {
+		if s.held[l] > 0 {
+			continue
+		}
+		if n := len(gaps); n > 0 && gaps[n-1].To == l {
+			gaps[n-1].To++
+			continue
+		}
+		gaps = append(gaps, Span{l, l + 1})
+	}
+	return gaps
+}
+
+// give notes that a card is to hold a span.
+func (s *state) give(c *Card, span Span, reason string) Order {
+	s.count(c, -1)
+	c.Held = span
+	s.count(c, 1)
+	return Order{ID: c.ID, Hold: span, Reason: reason}
+}
+
+func (s *state) fillEmpty() []Order {
+	var orders []Order
+	for i := range s.cards {
+		c := &s.cards[i]
+		if c.Leaving || c.Fixed || !c.Held.Empty() {
+			continue
+		}
+		n := s.model.Most(c.MemoryMB, Fill)
+		orders = append(orders, s.give(c, s.neediest(n, c.MemoryMB), ReasonFill))
+	}
+	return orders
+}
+
+// neediest returns the window of n layers that gains most from a holder. Of equal
+// windows the first is taken, so that spans follow one another without gaps that no
+// card fits.
+func (s *state) neediest(n int, memoryMB float64) Span {
+	add := s.model.Room(memoryMB, n)
+	best, gain := Span{0, n}, -1.0
+	for from := 0; from+n <= s.model.Layers; from++ {
+		sum := 0.0
+		for l := from; l < from+n; l++ {
+			sum += s.need(l, add)
+		}
+		if sum > gain+1e-9 {
+			best, gain = Span{from, from + n}, sum
+		}
+	}
+	return best
+}
+
+const (
+	// uncovered outweighs any gain at layers that have a holder.
+	uncovered = 100
+	// single is what a second holder is worth beyond its room: the loss of one
+	// replica then no longer stops the domain.
+	single = 0.5
+)
+
+// need is the gain of a layer from a holder with the given room: by what part its
+// room grows, with more for the first and the second holder.
+func (s *state) need(layer int, add float64) float64 {
+	if s.held[layer] == 0 {
+		return uncovered
+	}
+	gain := add / (s.room[layer] + add)
+	if s.held[layer] == 1 {
+		gain += single
+	}
+	return gain
+}
+
+func (s *state) repair(gaps []Span) []Order {
+	var orders []Order
+	for _, gap := range gaps {
+		taken, left := s.extend(gap)
+		orders = append(orders, taken...)
+		if !left.Empty() {
+			orders = append(orders, s.move(left)...)
+		}
+	}
+	return orders
+}
+
+// extend lets the cards on both sides of a gap grow into it, the one with more room
+// first, and returns what is left over.
+func (s *state) extend(gap Span) ([]Order, Span) {
+	grown := map[*Card]Span{}
+	for !gap.Empty() {
+		c, span, room := s.bestNeighbour(gap, grown)
+		if c == nil || room <= 0 {
+			break
+		}
+		grown[c] = span
+		if span.From <= gap.From && span.To > gap.From {
+			gap.From++
+		} else {
+			gap.To--
+		}
+	}
+	var orders []Order
+	for i := range s.cards {
+		if span, ok := grown[&s.cards[i]]; ok {
+			orders = append(orders, s.give(&s.cards[i], span, ReasonExtend))
+		}
+	}
+	return orders, gap
+}
+
+// bestNeighbour returns the card that has most room left after taking the first or
+// the last layer of the gap.
+func (s *state) bestNeighbour(gap Span, grown map[*Card]Span) (*Card, Span, float64) {
+	var best *Card
+	var bestSpan Span
+	bestRoom := 0.0
+	for i := range s.cards {
+		c := &s.cards[i]
+		held, ok := grown[c]
+		if !ok {
+			held = c.Held
+		}
+		if c.Leaving || c.Fixed || held.Empty() {
+			continue
+		}
+		span, adjacent := grow(held, gap)
+		if !adjacent || span.Len() > s.model.Most(c.MemoryMB, MaxFill) {
+			continue
+		}
+		if room := s.model.Room(c.MemoryMB, span.Len()); room > bestRoom {
+			best, bestSpan, bestRoom = c, span, room
+		}
+	}
+	return best, bestSpan, bestRoom
+}
+
+// grow returns held with one layer of the gap beside it.
+func grow(held, gap Span) (Span, bool) {
+	switch {
+	case held.From <= gap.From && held.To == gap.From:
+		return Span{held.From, held.To + 1}, true
+	case held.To >= gap.To && held.From == gap.To:
+		return Span{held.From - 1, held.To}, true
+	}
+	return held, false
+}
+
+// move gives a gap to a card whose layers all have another holder.
+func (s *state) move(gap Span) []Order {
+	var best *Card
+	bestSpan, bestLoss := Span{}, math.Inf(1)
+	for i := range s.cards {
+		c := &s.cards[i]
+		if c.Leaving || c.Fixed || c.Held.Empty() || !s.redundant(c) {
+			continue
+		}
+		n := min(s.model.Most(c.MemoryMB, MaxFill), max(gap.Len(), s.model.Most(c.MemoryMB, Fill)))
+		loss := -float64(min(n, gap.Len())) + float64(n)/float64(s.model.Layers)
+		if loss < bestLoss {
+			from := min(gap.From, s.model.Layers-n)
+			best, bestSpan, bestLoss = c, Span{from, from + n}, loss
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []Order{s.give(best, bestSpan, ReasonMove)}
+}
+
+func (s *state) redundant(c *Card) bool {
+	for l := c.Held.From; l < c.Held.To; l++ {
+		if s.held[l] < 2 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/decide/paths/paths.go
@@ -0,0 +1,356 @@
+package paths
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
+)
+
+// Replica is what a path may run through.
+type Replica struct {
+	ID      string
+	Born    int64
+	Address string
+	Domain  string
+	Holds   layers.Span
+	// Room is the memory for requests, in tokens times layers.
+	Room float64
+	// LayerMillis is the time of one step through one layer.
+	LayerMillis float64
+	// Leaving replicas take no new requests.
+	Leaving bool
+}
+
+// Part is one replica's layers of a path.
+type Part struct {
+	Replica string
+	Address string
+	Domain  string
+	Run     layers.Span
+}
+
+// Path runs through all layers, each once and in order.
+type Path []Part
+
+// Runs says whether the path runs each of the layers once and in order, with no
+// replica twice. Engines check none of this.
+func (p Path) Runs(span layers.Span) bool {
+	at := span.From
+	seen := make(map[string]bool, len(p))
+	for _, part := range p {
+		if part.Run.From != at || part.Run.Empty() || seen[part.Replica] {
+			return false
+		}
+		seen[part.Replica] = true
+		at = part.Run.To
+	}
+	return at == span.To
+}
+
+// Reason says why there is no path.
+type Reason uint8
+
+const (
+	// Found comes with a path.
+	Found Reason = iota
+	// NoCover means that some layer has no usable holder.
+	NoCover
+	// NoRoom means that the holders of some layer are full.
+	NoRoom
+)
+
+// String names the reason for log lines.
+func (r Reason) String() string {
+	return [...]string{"found", "layers without a usable holder", "no room"}[r]
+}
+
+// Query asks for a path.
+type Query struct {
+	// Domain is the asking node's failure domain.
+	Domain string
+	// Run is the layers to run, all of the model's for a new request.
+	Run layers.Span
+	// Tokens is the most that the request is expected to hold at a time.
+	Tokens float64
+	// Exclude names replicas not to use.
+	Exclude []string
+}
+
+const (
+	// MaxParts is the most parts that an engine accepts in a path.
+	MaxParts = 32
+	// hopCost is the time from one replica to the next in a failure domain, in
+	// milliseconds: two transfers and the wait for its next pass.
+	hopCost = 0.5
+	// crossCost is the price of leaving a failure domain within a path, and
+	// entryCost that of a first part in another than the node's, in milliseconds.
+	crossCost = 25
+	entryCost = 12
+	// slowLayer is the time of a layer on a slow card, in milliseconds; the price
+	// of room is a multiple of it.
+	slowLayer = 0.17
+	// maxUse is the part of a replica's room that is booked. The rest takes up what
+	// other nodes book at the same moment and answers longer than foreseen.
+	maxUse = 0.9
+	// jitter is the part by which costs vary by chance, so that nodes which see the
+	// same replicas do not all choose the same one.
+	jitter = 0.1
+)
+
+// node is a replica and what is known of it here.
+type node struct {
+	Replica
+	booked  float64 // tokens times layers of this node's requests
+	until   time.Time
+	full    time.Time
+	strikes int
+}
+
+// Book keeps what is booked on each replica. Not safe for concurrent use.
+type Book struct {
+	nodes  map[string]*node
+	order  []*node // by id, so that walks are the same each time
+	shares map[string]float64
+	random *rand.Rand
+}
+
+// New returns an empty Book; nodes take different seeds.
+func New(seed uint64) *Book {
+	return &Book{
+		nodes:  map[string]*node{},
+		shares: map[string]float64{},
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Update replaces the replicas. What is booked and suspected of one stays while it
+// lives; a replica that started again under its id begins anew.
+func (b *Book) Update(replicas []Replica) {
+	nodes := make(map[string]*node, len(replicas))
+	b.order = b.order[:0]
+	for _, r := range replicas {
+		n, ok := b.nodes[r.ID]
+		if !ok || n.Born != r.Born {
+			n = &node{}
+		}
+		n.Replica = r
+		nodes[r.ID] = n
+		b.order = append(b.order, n)
+	}
+	b.nodes = nodes
+	slices.SortFunc(b.order, func(a, c *node) int {
+		if a.ID < c.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// SetShare sets the part of a failure domain's room that this node may book: its
+// part of the nodes that send work there.
+func (b *Book) SetShare(domain string, share float64) {
+	b.shares[domain] = share
+}
+
+// use is the part of a replica's room that would be booked with more added.
+func (b *Book) use(n *node, more float64) float64 {
+	share, ok := b.shares[n.Domain]
+	if !ok || share <= 0 {
+		share = 1
+	}
+	if n.Room <= 0 {
+		return math.Inf(1)
+	}
+	return (n.booked + more) / (n.Room * share)
+}
+
+// Usable says whether a replica takes new requests, as far as is known.
+func (b *Book) Usable(now time.Time, id string) bool {
+	n, ok := b.nodes[id]
+	return ok && !n.Leaving && !now.Before(n.until)
+}
+
+// way is the cheapest known way to a boundary between layers that ends in a
+// domain.
+type way struct {
+	cost   float64
+	from   int // index of the boundary before
+	domain int // of the way before
+	node   *node
+}
+
+// Choose returns the cheapest path, or why there is none.
+func (b *Book) Choose(now time.Time, q Query) (Path, Reason) {
+	usable := b.usable(now, q)
+	path := b.search(now, q, usable, maxUse)
+	if path != nil {
+		return path, Found
+	}
+	if b.search(now, q, usable, math.Inf(1)) != nil {
+		return nil, NoRoom
+	}
+	return nil, NoCover
+}
+
+func (b *Book) usable(now time.Time, q Query) []*node {
+	var usable []*node
+	for _, n := range b.order {
+		if n.Leaving || n.Holds.Empty() || now.Before(n.until) || slices.Contains(q.Exclude, n.ID) {
+			continue
+		}
+		usable = append(usable, n)
+	}
+	return usable
+}
+
+// search is a shortest path over the boundaries between layers. The state is the
+// boundary and the domain of the last part, as only a change of domain has a price.
+func (b *Book) search(now time.Time, q Query, usable []*node, most float64) Path {
+	cuts := boundaries(q.Run, usable)
+	domains, index := domainsOf(q.Domain, usable)
+	ways := make([]way, len(cuts)*len(domains))
+	for i := range ways {
+		ways[i].cost = math.Inf(1)
+	}
+	at := func(cut, domain int) *way { return &ways[cut*len(domains)+domain] }
+	at(0, 0).cost = 0
+	weights := b.weights(now, usable)
+	for to := 1; to < len(cuts); to++ {
+		for k, n := range usable {
+			if n.Holds.To < cuts[to] {
+				continue
+			}
+			domain := index[k]
+			for from := to - 1; from >= 0 && cuts[from] >= n.Holds.From; from-- {
+				part, ok := b.partCost(n, cuts[to]-cuts[from], q.Tokens, most, weights[k])
+				if !ok {
+					continue
+				}
+				for last := range domains {
+					cost := at(from, last).cost + part + crossing(from == 0 && q.Run.From == 0, last, domain)
+					if cost < at(to, domain).cost {
+						*at(to, domain) = way{cost: cost, from: from, domain: last, node: n}
+					}
+				}
+			}
+		}
+	}
+	return trace(cuts, len(domains), ways)
+}
+
+// crossing is the price of going from one domain to another. Before the first part
+// stands the node itself.
+func crossing(first bool, last, domain int) float64 {
+	switch {
+	case last == domain:
+		return 0
+	case first:
+		return entryCost
+	default:
+		return crossCost
+	}
+}
+
+func boundaries(run layers.Span, usable []*node) []int {
+	cuts := []int{run.From, run.To}
+	for _, n := range usable {
+		for _, cut := range []int{n.Holds.From, n.Holds.To} {
+			if cut > run.From && cut < run.To {
+				cuts = append(cuts, cut)
+			}
+		}
+	}
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
+}
+
+// domainsOf lists the domains, the node's own first, and each replica's place among
+// them.
+func domainsOf(own string, usable []*node) (domains []string, index []int) {
+	domains = []string{own}
+	index = make([]int, len(usable))
+	for k, n := range usable {
+		place := slices.Index(domains, n.Domain)
+		if place < 0 {
+			place = len(domains)
+			domains = append(domains, n.Domain)
+		}
+		index[k] = place
+	}
+	return domains, index
+}
+
+// weights draws what chance adds to each replica's cost, and a price on those that
+// have just said that they are full.
+func (b *Book) weights(now time.Time, usable []*node) []float64 {
+	weights := make([]float64, len(usable))
+	for k, n := range usable {
+		weights[k] = 1 + jitter*b.random.Float64()
+		if now.Before(n.full) {
+			weights[k] *= fullWeight
+		}
+	}
+	return weights
+}
+
+// fullWeight makes a replica that has just refused for want of room the last choice
+// in its domain.
+const fullWeight = 8
+
+// partCost is the cost of n layers on a replica, in milliseconds a step.
+func (b *Book) partCost(n *node, count int, tokens, most, weight float64) (float64, bool) {
+	use := b.use(n, tokens*float64(count))
+	if use > most {
+		return 0, false
+	}
+	use = min(use, 0.99)
+	return hopCost + weight*float64(count)*(n.LayerMillis+slowLayer*use/(1-use)), true
+}
+
+// trace reads the path off the ways, last part first, and joins parts of one
+// replica.
+func trace(cuts []int, domains int, ways []way) Path {
+	last := len(cuts) - 1
+	best := -1
+	for d := range domains {
+		if w := ways[last*domains+d]; w.node != nil && (best < 0 || w.cost < ways[last*domains+best].cost) {
+			best = d
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	var path Path
+	for cut, domain := last, best; cut > 0; {
+		w := ways[cut*domains+domain]
+		path = append(path, Part{
+			Replica: w.node.ID, Address: w.node.Address, Domain: w.node.Domain,
+			Run: layers.Span{From: cuts[w.from], To: cuts[cut]},
+		})
+		cut, domain = w.from, w.domain
+	}
+	slices.Reverse(path)
+	path = joined(path)
+	if len(path) > MaxParts {
+		return nil
+	}
+	return path
+}
+
+// joined gives all layers between two parts of one replica to that replica, which
+// holds them too: an engine refuses a path that names it twice.
+func joined(path Path) Path {
+	for i := 0; i < len(path); i++ {
+		for j := len(path) - 1; j > i; j-- {
+			if path[j].Replica == path[i].Replica {
+				path[i].Run.To = path[j].Run.To
+				path = slices.Delete(path, i+1, j+1)
+				break
+			}
+		}
+	}
+	return path
+}
--- a/platform/internal/historytest/historytest.go
+++ b/keep/internal/historytest/historytest.go
@@ -9,7 +9,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // checkTimeout bounds the search of one history; an unfinished one is Unknown.
--- a/platform/ledger/archive_test.go
+++ b/keep/ledger/archive_test.go
@@ -10,8 +10,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // archiving is a node that archives an order as soon as it is done.
--- a/platform/ledger/codec.go
+++ b/keep/ledger/codec.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // shardFormat is the version of the stored shard that this program reads.
--- a/platform/ledger/history_test.go
+++ b/keep/ledger/history_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/cicadatack/cicadatack/platform/internal/historytest"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/internal/historytest"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // request is a call of the ledger as the history records it.
--- a/platform/ledger/ledger.go
+++ b/keep/ledger/ledger.go
@@ -39,7 +39,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Defaults of Config.
--- a/platform/ledger/outage.go
+++ b/keep/ledger/outage.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Pauses between two probes of a store that is down; they double. The first
--- a/platform/plan/pace_test.go
+++ b/keep/plan/pace_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // Nodes of several failure domains order loads in the same moment. No two of the
--- a/platform/plan/plan.go
+++ b/keep/plan/plan.go
@@ -21,7 +21,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Error is the class of this layer's errors.
--- a/platform/plan/plan_test.go
+++ b/keep/plan/plan_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 var key = Key("java", "pastry-llm", "bandung")
--- a/platform/promotion/check.go
+++ b/keep/promotion/check.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 )
 
 func checkText(env string, text []byte, operator string) error {
--- a/platform/promotion/errors.go
+++ b/keep/promotion/errors.go
@@ -7,9 +7,9 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Error is the class of every error of this layer.
--- a/platform/promotion/parts_test.go
+++ b/keep/promotion/parts_test.go
@@ -9,9 +9,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // longText is a sound document of several parts; addresses end in version.
--- a/platform/promotion/pin.go
+++ b/keep/promotion/pin.go
@@ -8,9 +8,9 @@
 	"fmt"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // A trial or promotion finds parts in the store and then names them; a prune
--- a/platform/promotion/promotion.go
+++ b/keep/promotion/promotion.go
@@ -30,9 +30,9 @@
 	"strconv"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // maxIDBytes bounds operators' names and promotion ids.
--- a/platform/promotion/prune.go
+++ b/keep/promotion/prune.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // PruneStore is what a prune needs of the platform's store.
--- a/platform/promotion/prune_test.go
+++ b/keep/promotion/prune_test.go
@@ -8,10 +8,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // newest keeps production, the trial and the last two of the history.
--- a/platform/promotion/read.go
+++ b/keep/promotion/read.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Current returns the record in force in production, or ErrNoRecord.
--- a/platform/store/store.go
+++ b/keep/store/store.go
@@ -83,3 +83,26 @@
 	Leaser
 	Watcher
 }
+
+// Put is one write of a Change; a zero Lease is none.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Change is a change under conditions, all or nothing: it is made if each entry of
+// Expect still has its revision, zero meaning that the key does not exist.
+type Change struct {
+	Expect []Entry
+	Put    []Put
+	Remove []string
+}
+
+// Changer makes changes under conditions.
+type Changer interface {
+	// Apply returns the revision of the change. It fails with ErrConflict if a
+	// condition does not hold, with ErrLeaseGone if a lease has ended, and with
+	// ErrUnknown if the change may have been made although no reply came.
+	Apply(ctx context.Context, change Change) (int64, error)
+}
--- a/platform/store/storetest/client.go
+++ b/keep/store/storetest/client.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Op names a call of the store.
--- a/node/cmd/cicadactl/documents.go
+++ b/node/cmd/cicadactl/documents.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/promotion"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/promotion"
 )
 
 type checkCommand struct {
--- a/node/cmd/cicadactl/documents_test.go
+++ b/node/cmd/cicadactl/documents_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/promotion"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/promotion"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
 
--- a/node/cmd/cicadactl/hints.go
+++ b/node/cmd/cicadactl/hints.go
@@ -8,7 +8,7 @@
 	"strings"
 	"syscall"
 
-	"github.com/cicadatack/cicadatack/platform/promotion"
+	"github.com/cicadatack/cicadatack/keep/promotion"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
 
--- a/node/cmd/cicadactl/prune.go
+++ b/node/cmd/cicadactl/prune.go
@@ -6,8 +6,8 @@
 	"io"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/promotion"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 type pruneCommand struct {
--- a/node/cmd/cicadatack/main.go
+++ b/node/cmd/cicadatack/main.go
@@ -16,7 +16,7 @@
 )
 
 type arguments struct {
-	Settings string `arg:"--settings,required" help:"file with this node's settings in JSON"`
+	Settings string `arg:"--settings" help:"file with this node's settings in JSON; without it the node runs on the users' platform, with the settings that the platform gives"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
@@ -34,6 +34,9 @@
 }
 
 func run(args arguments) error {
+	if args.Settings == "" {
+		return runOnPlatform(args.Check)
+	}
 	cfg, err := settings.Read(args.Settings)
 	if err != nil {
 		return err
--- /dev/null
+++ b/node/cmd/cicadatack/platform.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/node/logsink"
+	"github.com/cicadatack/cicadatack/node/site"
+	"github.com/cicadatack/cicadatack/platform/boot"
+)
+
+// runOnPlatform runs the node with the settings that the users' platform gives.
+func runOnPlatform(check bool) error {
+	settings, err := boot.Read()
+	if err != nil {
+		return err
+	}
+	if check {
+		fmt.Printf("valid; node %s in %s\n", settings.Node, settings.Domain)
+		return nil
+	}
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "cicadatack", Level: hclog.Info, Output: sink, JSONFormat: true,
+	}).With("node", settings.Node)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return site.New(settings, log).Run(ctx)
+}
--- a/node/documents/documents.go
+++ b/node/documents/documents.go
@@ -27,9 +27,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cicadatack/cicadatack/fleet"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // Why a document was not taken, as the metric's label has it.
--- a/node/documents/documents_test.go
+++ b/node/documents/documents_test.go
@@ -13,11 +13,11 @@
 	"go.uber.org/goleak"
 
 	"github.com/cicadatack/cicadatack/fleet"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/parts"
-	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/parts"
+	"github.com/cicadatack/cicadatack/keep/promotion"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/node/server/documents.go
+++ b/node/server/documents.go
@@ -4,9 +4,9 @@
 	"runtime/debug"
 
 	"github.com/cicadatack/cicadatack/fleet"
+	"github.com/cicadatack/cicadatack/keep/promotion"
 	"github.com/cicadatack/cicadatack/node/documents"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/promotion"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
--- a/node/server/events.go
+++ b/node/server/events.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/cacheindex"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/service"
 )
 
--- a/node/server/leaving.go
+++ b/node/server/leaving.go
@@ -12,7 +12,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/fleet/notice"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/route/service"
 )
 
--- a/node/server/leaving_test.go
+++ b/node/server/leaving_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/fleet/notice"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/service"
 )
--- a/node/server/orders.go
+++ b/node/server/orders.go
@@ -13,7 +13,7 @@
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/exchange"
 	"github.com/cicadatack/cicadatack/fleet/member"
-	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/keep/ledger"
 )
 
 // orderPeers carries the ledger's operations to the nodes that write its shards
--- a/node/server/orders_test.go
+++ b/node/server/orders_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/cicadatack/cicadatack/decide/owner"
 	"github.com/cicadatack/cicadatack/fleet/exchange"
+	"github.com/cicadatack/cicadatack/keep/ledger"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/ledger"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
 )
 
 // A node sends its orders' claims to a node of another environment, after a VM
--- a/node/server/polls.go
+++ b/node/server/polls.go
@@ -7,7 +7,7 @@
 
 	"encoding/json"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/send"
 	"github.com/cicadatack/cicadatack/route/service"
 )
--- a/node/server/share.go
+++ b/node/server/share.go
@@ -5,9 +5,9 @@
 
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/member"
+	"github.com/cicadatack/cicadatack/keep/ledger"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/ledger"
-	"github.com/cicadatack/cicadatack/platform/store"
 )
 
 // sharedList is the platform's list of entry VMs; each read of it sets this node's
--- a/node/server/share_test.go
+++ b/node/server/share_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/tlsfiles/tlstest"
-	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
 
--- a/node/server/slots_test.go
+++ b/node/server/slots_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/member"
+	"github.com/cicadatack/cicadatack/keep/promotion"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/tlsfiles/tlstest"
-	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
 
--- a/node/settings/examples_test.go
+++ b/node/settings/examples_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 )
 
 const examples = "../../examples"
--- /dev/null
+++ b/node/site/doors.go
@@ -0,0 +1,110 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cicadatack/cicadatack/decide/entry"
+	"github.com/cicadatack/cicadatack/platform/directory"
+)
+
+// serveReady answers the platform's checks.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready says whether this node takes requests.
+func (n *Node) ready() bool {
+	return n.rules.Load() != nil && n.leavingFor() == 0
+}
+
+// entryTTL is how long callers keep an answer to where to connect. Some keep it three
+// times as long; a leaving node serves on for that.
+const entryTTL = 2 * time.Second
+
+// serveDirectory tells callers which nodes to use.
+func (n *Node) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	near := entry.Near(directory.Domain(r), n.entries())
+	addresses := make([]string, 0, len(near))
+	for _, m := range near {
+		addresses = append(addresses, m.Address)
+	}
+	directory.Answer(w, addresses, min(entryTTL, n.settings.Bounds.EntryTTL))
+}
+
+// operators serves metrics and the node's state.
+func (n *Node) operators() http.Handler {
+	router := chi.NewRouter()
+	router.Method(http.MethodGet, "/metrics", n.metrics.Handler())
+	router.Get("/state", n.serveState)
+	return router
+}
+
+// serveState tells what this node believes.
+func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
+	state := map[string]any{
+		"node": n.settings.Node, "proof_age_ms": n.Age().Milliseconds(), "fresh": n.Fresh(),
+		"leaving": n.leavingFor() > 0, "underway": n.underway.Load(), "nodes": n.members.get(), "replicas": n.replicas(),
+	}
+	if rules := n.rules.Load(); rules != nil {
+		state["configuration"] = rules.Version
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		n.log.Debug("state not sent", "error", err)
+	}
+}
+
+const (
+	// leaveMargin of the time until SIGKILL is left for the end of the process.
+	leaveMargin = 400 * time.Millisecond
+	// leaveLeast is how long a leaving node takes new requests in any case: callers
+	// who keep an answer three times as long as they were told still come.
+	leaveLeast = 3 * entryTTL
+	leaveLook  = 20 * time.Millisecond
+)
+
+// leavingFor is how long ago SIGTERM came, zero if it did not.
+func (n *Node) leavingFor() time.Duration {
+	at := n.leaving.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(1, time.Since(n.started)-time.Duration(at))
+}
+
+// leave takes the node out of the answers and serves on until callers have gone and
+// what is underway has ended.
+func (n *Node) leave(ctx context.Context) {
+	n.leaving.Store(int64(time.Since(n.started)))
+	n.log.Info("leaving", "underway", n.underway.Load())
+	go n.deregister(ctx)
+	last := n.settings.Bounds.Grace - leaveMargin
+	for n.leavingFor() < last {
+		if n.leavingFor() >= min(leaveLeast, last) && n.underway.Load() == 0 {
+			return
+		}
+		if !sleep(ctx, leaveLook) {
+			return
+		}
+	}
+}
+
+// deregister removes this node's entry by ending its lease.
+func (n *Node) deregister(ctx context.Context) {
+	lease := n.poll.member.lease
+	if lease == 0 {
+		return
+	}
+	if err := n.store.Revoke(ctx, lease); err != nil {
+		n.log.Warn("entry not removed, it lapses", "error", err)
+	}
+}
--- /dev/null
+++ b/node/site/follow.go
@@ -0,0 +1,180 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/platform/operator"
+	"github.com/cicadatack/cicadatack/platform/replicas"
+	"github.com/cicadatack/cicadatack/route/roster"
+)
+
+const (
+	// pollEvery is between two reads of the store. A configuration must be in force,
+	// and a leaving replica be let alone, two seconds after the store has it: one
+	// read may be lost.
+	pollEvery = 800 * time.Millisecond
+	// pollSoon is the same until the configuration and the replicas are known, and
+	// after a read that failed.
+	pollSoon = 300 * time.Millisecond
+	// storeTimeout bounds one call: several times what a slow store takes, and short
+	// enough that a connection which has gone silent costs one read.
+	storeTimeout = 700 * time.Millisecond
+	// pollJitter is the part by which the pause varies, so that nodes which started
+	// together do not call together.
+	pollJitter = 0.1
+)
+
+// poller is what is remembered from one read of the store to the next.
+type poller struct {
+	tracker replicaTracker
+	decoded map[string]*roster.Replica // by id, with the revision that was decoded
+	faulty  map[string]int64           // entries that can't be read, by revision
+	ruleRev int64
+	lost    bool // the last read failed
+	member  membership
+
+	mu   sync.Mutex
+	list []*roster.Replica
+}
+
+// follow reads the store until the context ends.
+func (n *Node) follow(ctx context.Context) {
+	n.poll.decoded = map[string]*roster.Replica{}
+	n.poll.faulty = map[string]int64{}
+	for ctx.Err() == nil {
+		ok := n.look(ctx)
+		pause := pollEvery
+		if !ok || n.rules.Load() == nil {
+			pause = pollSoon
+		}
+		jittered := time.Duration(float64(pause) * (1 + pollJitter*(rand.Float64()-0.5)))
+		if !sleep(ctx, jittered) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// look reads all that the store holds: configuration, replicas and nodes come with
+// one call, so that one call proves all three.
+func (n *Node) look(ctx context.Context) bool {
+	proof, begun := sinceBoot(), time.Now()
+	entries, revision, err := n.store.Changed(ctx, "", 0)
+	if err != nil {
+		if !n.poll.lost && ctx.Err() == nil {
+			n.log.Warn("store lost", "error", err, "proof_age_ms", n.Age().Milliseconds())
+		}
+		n.poll.lost = true
+		return false
+	}
+	if n.poll.lost {
+		n.poll.lost = false
+		n.log.Info("store regained", "revision", revision, "proof_age_ms", n.Age().Milliseconds())
+	}
+	n.take(begun, proof, entries)
+	n.register(ctx)
+	n.pool.Prune()
+	n.plan(ctx)
+	return true
+}
+
+// take puts in force what one read has found.
+func (n *Node) take(begun time.Time, proof time.Duration, entries []store.Entry) {
+	var found []*roster.Replica
+	var members []member
+	current := false
+	for _, e := range entries {
+		if e.Key == operator.Key {
+			current = n.takeRules(e)
+			continue
+		}
+		if id, ok := replicas.ID(e.Key); ok {
+			if r := n.decode(id, e); r != nil {
+				found = append(found, r)
+			}
+			continue
+		}
+		if m, ok := decodeMember(e); ok {
+			members = append(members, m)
+		}
+	}
+	if current {
+		n.prove(proof)
+	}
+	list, changes := n.poll.tracker.Update(begun, found)
+	for _, c := range changes {
+		n.log.Info("replica "+c.What, "replica", c.Replica.ID, "service", c.Replica.Service, "domain", c.Replica.Domain,
+			"kind", c.Replica.Kind, "holds", c.Replica.Holds, "revision", c.Replica.Revision)
+	}
+	n.poll.mu.Lock()
+	n.poll.list = list
+	n.poll.mu.Unlock()
+	n.members.set(members)
+	n.services.update(list)
+}
+
+// takeRules puts a newer configuration in force. It says whether the one in force is
+// the store's.
+func (n *Node) takeRules(e store.Entry) bool {
+	if e.Revision == n.poll.ruleRev {
+		return true
+	}
+	rules, err := operator.Decode(e.Value)
+	if err != nil {
+		// The last good one stays, and is not proved by this read.
+		if n.poll.faulty[e.Key] != e.Revision {
+			n.poll.faulty[e.Key] = e.Revision
+			n.log.Error("configuration refused", "revision", e.Revision, "error", err)
+		}
+		return false
+	}
+	if old := n.rules.Load(); old != nil && rules.Version < old.Version {
+		n.log.Error("configuration refused", "revision", e.Revision, "error", errors.New("its version is older than the one in force"),
+			"version", rules.Version, "in_force", old.Version)
+		return false
+	}
+	n.poll.ruleRev = e.Revision
+	n.rules.Store(rules)
+	n.log.Info("configuration in force", "version", rules.Version, "revision", e.Revision)
+	return true
+}
+
+// decode reads a replica's entry, once for each revision of it.
+func (n *Node) decode(id string, e store.Entry) *roster.Replica {
+	if known := n.poll.decoded[id]; known != nil && known.Revision == e.Revision {
+		return known
+	}
+	r, err := replicas.Decode(id, e.Revision, e.Value)
+	if err != nil {
+		delete(n.poll.decoded, id)
+		if n.poll.faulty[e.Key] != e.Revision {
+			n.poll.faulty[e.Key] = e.Revision
+			n.log.Warn("replica's entry can't be read", "replica", id, "revision", e.Revision, "error", err)
+		}
+		return nil
+	}
+	n.poll.decoded[id] = r
+	return r
+}
+
+// replicas is the list in force.
+func (n *Node) replicas() []*roster.Replica {
+	n.poll.mu.Lock()
+	defer n.poll.mu.Unlock()
+	return n.poll.list
+}
--- /dev/null
+++ b/node/site/site.go
@@ -0,0 +1,229 @@
+// Package site is a node on the users' platform: the same program on every entry VM,
+// without a disk, told by a settings file where it stands.
+//
+// It wires the platform's adapter to the product: the store's reads become the
+// configuration, the replicas and the other nodes in force; the callers' door leads
+// to the data path (route/relay).
+package site
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/decide/freshness"
+	"github.com/cicadatack/cicadatack/node/metrics"
+	"github.com/cicadatack/cicadatack/platform/boot"
+	"github.com/cicadatack/cicadatack/platform/callers"
+	"github.com/cicadatack/cicadatack/platform/engines"
+	"github.com/cicadatack/cicadatack/platform/kv"
+	"github.com/cicadatack/cicadatack/route/reach"
+	"github.com/cicadatack/cicadatack/route/relay"
+	"github.com/cicadatack/cicadatack/route/roster"
+	"github.com/cicadatack/cicadatack/route/ruleset"
+	"github.com/cicadatack/cicadatack/route/upstream"
+)
+
+// Error is the class of this layer's errors.
+var Error = errs.Class("site")
+
+// Node is one node on the platform.
+type Node struct {
+	settings *boot.Settings
+	log      hclog.Logger
+	metrics  *metrics.Metrics
+	started  time.Time
+	seed     uint64
+
+	store   *kv.Client
+	pool    *upstream.Pool
+	engines *engines.Client
+	relay   *relay.Server
+
+	rules atomic.Pointer[ruleset.Ruleset]
+	lease struct {
+		sync.Mutex
+		freshness.Lease
+	}
+	services services
+	members  members
+	poll     poller
+
+	// leaving is when SIGTERM came, in nanoseconds after the start; zero before.
+	leaving  atomic.Int64
+	underway atomic.Int64
+}
+
+// freshFor is the part of the time after which a key that was taken away must run
+// nothing, for which a proof of the configuration is good. Beyond 0.6 a request with a
+// key is not owed on a node that can't reach the store; what is left takes up the
+// time between a caller's sending and this node's reading.
+const freshFor = 0.8
+
+// New wires a node.
+func New(settings *boot.Settings, log hclog.Logger) *Node {
+	name := fnv.New64a()
+	// A hash takes any write.
+	_, _ = name.Write([]byte(settings.Node + settings.IP.String()))
+	n := &Node{
+		settings: settings,
+		log:      log,
+		started:  time.Now(),
+		seed:     name.Sum64(),
+		store:    kv.New(settings.Store.String(), storeTimeout),
+		pool:     upstream.New(time.Now),
+	}
+	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
+	n.engines = &engines.Client{Pool: n.pool}
+	n.lease.Limit = time.Duration(float64(settings.Bounds.Revoke) * freshFor)
+	n.services.init(n)
+	n.relay = &relay.Server{
+		Rules: n, Dialect: callers.Dialect{}, Services: &n.services, Engines: n.engines,
+		Pool: n.pool, Prober: reach.New(n.pool, time.Now), Figures: n.metrics, Log: log, Now: time.Now,
+		NewBudget: n.newBudget, Leaving: n.leavingFor,
+	}
+	return n
+}
+
+// memoryPart of the process's bound is where garbage collection begins to work
+// against the bound rather than at its own pace.
+const memoryPart = 0.7
+
+// Run serves until the context ends, and then leaves.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(float64(n.settings.MemoryMB) * memoryPart * (1 << 20)))
+	doors, err := n.open()
+	if err != nil {
+		return err
+	}
+	n.log.Info("started", "domain", n.settings.Domain, "callers", n.settings.Callers, "store", n.settings.Store)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go n.follow(background)
+	failed := doors.serve()
+	select {
+	case err := <-failed:
+		return Error.Wrap(err)
+	case <-ctx.Done():
+	}
+	n.leave(background)
+	doors.close()
+	n.log.Info("stopped", "underway", n.underway.Load())
+	return nil
+}
+
+// doors are the node's listeners with their servers.
+type doors struct {
+	servers   []*http.Server
+	listeners []net.Listener
+}
+
+const (
+	// headerTimeout bounds how long a caller may take over its head before the
+	// configuration's bound is known.
+	headerTimeout = 3 * time.Second
+	// idleTimeout is longer than callers keep idle connections for reuse (four
+	// fifths of the configured bound), so that none sends into a closing one.
+	idleTimeout = 45 * time.Second
+	// maxHeaderBytes is above what configurations allow.
+	maxHeaderBytes = 64 << 10
+)
+
+func (n *Node) open() (*doors, error) {
+	d := &doors{}
+	for _, door := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
+		{n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
+		{n.settings.Control, n.operators()},
+		{n.settings.Callers, n.counted(n.relay)},
+	} {
+		if !door.address.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp", door.address.String())
+		if err != nil {
+			d.close()
+			return nil, Error.Wrap(err)
+		}
+		d.listeners = append(d.listeners, listener)
+		d.servers = append(d.servers, &http.Server{
+			Handler:           door.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		})
+	}
+	return d, nil
+}
+
+func (d *doors) serve() <-chan error {
+	failed := make(chan error, len(d.servers))
+	for i, s := range d.servers {
+		go func() {
+			if err := s.Serve(d.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return failed
+}
+
+func (d *doors) close() {
+	for _, s := range d.servers {
+		// The process ends; what is underway was waited for.
+		_ = s.Close()
+	}
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
+
+// counted counts requests underway.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.underway.Add(1)
+		defer n.underway.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Current implements relay.Rules.
+func (n *Node) Current() *ruleset.Ruleset { return n.rules.Load() }
+
+// Fresh implements relay.Rules.
+func (n *Node) Fresh() bool {
+	n.lease.Lock()
+	defer n.lease.Unlock()
+	return n.lease.Fresh(sinceBoot())
+}
+
+// Age implements relay.Rules.
+func (n *Node) Age() time.Duration {
+	n.lease.Lock()
+	defer n.lease.Unlock()
+	age, _ := n.lease.Age(sinceBoot())
+	return age
+}
+
+func (n *Node) prove(begun time.Duration) {
+	n.lease.Lock()
+	defer n.lease.Unlock()
+	n.lease.Prove(begun)
+}
+
+// replicaTracker is made anew with each node.
+type replicaTracker = roster.Tracker
--- a/proof/bench/caller.go
+++ b/proof/bench/caller.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/front"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
--- a/proof/bench/control.go
+++ b/proof/bench/control.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/server"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/store"
 )
 
 const (
--- a/proof/bench/decisions.go
+++ b/proof/bench/decisions.go
@@ -10,7 +10,7 @@
 	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/decide/limits"
 	"github.com/cicadatack/cicadatack/fleet/member"
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/limiter"
 	"github.com/cicadatack/cicadatack/route/service"
--- a/proof/bench/orders.go
+++ b/proof/bench/orders.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/standin/plain"
 	"github.com/cicadatack/cicadatack/standin/storefake"
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/promotion"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/server"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
--- a/proof/cmd/demo/main.go
+++ b/proof/cmd/demo/main.go
@@ -17,8 +17,8 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/node/server"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/plain"
--- a/proof/harness/caller.go
+++ b/proof/harness/caller.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/front"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -10,9 +10,9 @@
 	"path/filepath"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/server"
 	"github.com/cicadatack/cicadatack/node/settings"
-	"github.com/cicadatack/cicadatack/platform/store"
 )
 
 // intervalMillis lets a site of a few nodes come together in well under a
--- a/proof/matrix/drain_test.go
+++ b/proof/matrix/drain_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/proof/rig"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
--- a/proof/matrix/faults_test.go
+++ b/proof/matrix/faults_test.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/plain"
--- a/proof/matrix/order_test.go
+++ b/proof/matrix/order_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/owner"
-	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/keep/ledger"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
 	"github.com/cicadatack/cicadatack/route/outcome"
--- a/proof/matrix/promotion_test.go
+++ b/proof/matrix/promotion_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/node/server"
-	"github.com/cicadatack/cicadatack/platform/document"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
 )
--- a/proof/placement/links_test.go
+++ b/proof/placement/links_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/plan"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
 )
--- a/proof/placement/rollout_test.go
+++ b/proof/placement/rollout_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
 	"github.com/cicadatack/cicadatack/standin/engine"
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -15,9 +15,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadatack/cicadatack/keep/promotion"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/server"
-	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	engineclient "github.com/cicadatack/cicadatack/route/engine"
 	"github.com/cicadatack/cicadatack/standin/engine"
--- a/route/call/adapter_test.go
+++ b/route/call/adapter_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 )
 
 // A caller gets the adapter that it asks for, its team's if it asks for none, and no
--- a/route/call/call.go
+++ b/route/call/call.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/admission"
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
--- a/route/chains/chains.go
+++ b/route/chains/chains.go
@@ -9,9 +9,9 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/plan"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/stream"
--- a/route/chains/chains_test.go
+++ b/route/chains/chains_test.go
@@ -4,9 +4,9 @@
 	"errors"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/plan"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
--- a/route/directory/directory.go
+++ b/route/directory/directory.go
@@ -11,7 +11,7 @@
 	"path"
 	"strings"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 )
 
 // Directory is one revision of the document. Safe for concurrent use.
--- a/route/directory/directory_test.go
+++ b/route/directory/directory_test.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 )
 
 func TestNonIdempotent(t *testing.T) {
--- a/route/engine/client.go
+++ b/route/engine/client.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 const (
--- a/route/engine/client_test.go
+++ b/route/engine/client_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	standin "github.com/cicadatack/cicadatack/standin/engine"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/goleak"
--- a/route/engine/decoder_test.go
+++ b/route/engine/decoder_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
--- a/route/engine/standard_test.go
+++ b/route/engine/standard_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // The decoder's JSON library was chosen for its speed. An engine's event that
--- a/route/engine/stream.go
+++ b/route/engine/stream.go
@@ -8,7 +8,7 @@
 
 	"github.com/goccy/go-json"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // MaxEventBytes bounds one event. A token with the spans of a few dozen
--- a/route/front/front.go
+++ b/route/front/front.go
@@ -16,8 +16,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cicadatack/cicadatack/decide/admission"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/outcome"
--- a/route/front/model_test.go
+++ b/route/front/model_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/stream"
 	standinengine "github.com/cicadatack/cicadatack/standin/engine"
--- a/route/front/order_test.go
+++ b/route/front/order_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/keep/ledger"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	standinplain "github.com/cicadatack/cicadatack/standin/plain"
 )
--- a/route/front/refusal_test.go
+++ b/route/front/refusal_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
 
--- a/route/front/site_test.go
+++ b/route/front/site_test.go
@@ -17,9 +17,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cicadatack/cicadatack/decide/limits"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/ledger"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/ledger"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 	"github.com/cicadatack/cicadatack/route/chains"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/directory"
--- /dev/null
+++ b/route/layering/layering.go
@@ -0,0 +1,251 @@
+// Package layering gives the orders of decide/layers to model replicas: it is the
+// driver of the planner.
+//
+// One node orders the replicas of a failure domain; which one that is, is a hint. Two
+// that order at once do no harm: an order names how many the replica has accepted,
+// and the replica refuses the second. What a replica holds is believed only when the
+// replica says so.
+package layering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
+	"github.com/cicadatack/cicadatack/route/roster"
+	"github.com/cicadatack/cicadatack/route/ruleset"
+)
+
+// Error is the class of this layer's errors.
+var Error = errs.Class("layering")
+
+// Orderer gives an order to one replica.
+type Orderer interface {
+	// Place orders a replica to hold a span. orders is how many orders it has
+	// accepted; it refuses if it has taken another one since.
+	Place(ctx context.Context, address, replica string, orders int64, hold layers.Span) error
+	// Report asks a replica for its account of itself.
+	Report(ctx context.Context, address, replica string) (Report, error)
+}
+
+// Report is a replica's account of itself.
+type Report struct {
+	// Born tells its lives apart.
+	Born int64
+	// Busy says that an order is being carried out.
+	Busy bool
+	// Orders counts those accepted in this life.
+	Orders int64
+	Holds  layers.Span
+	// Pace is over 1 if the replica is slower than its kind.
+	Pace float64
+}
+
+const (
+	// settle is how long the first plan of a domain waits for further replicas after
+	// the last one was listed: fleets start within a few seconds, and the first plan
+	// is the only one that costs no load under traffic.
+	settle = 1200 * time.Millisecond
+	// settleMost is the longest such wait after the first replica.
+	settleMost = 4 * time.Second
+	// reportDelay is how long after an order was carried out its result may still be
+	// unreported: a heartbeat and a read of the store.
+	reportDelay = 2500 * time.Millisecond
+)
+
+// ordered is an order that has not shown in the list yet.
+type ordered struct {
+	born  int64
+	hold  layers.Span
+	until time.Time
+}
+
+// count is how many orders a replica is known to have accepted in one life.
+type count struct {
+	born int64
+	n    int64
+}
+
+// Keeper orders the replicas of one service. Safe for concurrent use.
+type Keeper struct {
+	service string
+	orderer Orderer
+	log     hclog.Logger
+
+	mu      sync.Mutex
+	pending map[string]ordered
+	orders  map[string]count
+	planned map[string]bool // domains that have had a first plan
+	first   map[string]time.Time
+	last    map[string]time.Time
+	counts  map[string]int
+}
+
+// New returns a Keeper.
+func New(service string, orderer Orderer, log hclog.Logger) *Keeper {
+	return &Keeper{
+		service: service, orderer: orderer, log: log.With("service", service),
+		pending: map[string]ordered{}, orders: map[string]count{}, planned: map[string]bool{},
+		first: map[string]time.Time{}, last: map[string]time.Time{}, counts: map[string]int{},
+	}
+}
+
+// Step looks at the replicas of a domain and orders what they lack. usable says
+// whether a replica is thought to be alive.
+func (k *Keeper) Step(ctx context.Context, now time.Time, model *ruleset.Model, domain string, list []*roster.Replica, usable func(id string) bool) {
+	replicas := inDomain(domain, list)
+	for _, o := range k.plan(now, model, domain, replicas, usable) {
+		go k.give(ctx, now, model, o.replica, o.Order)
+	}
+}
+
+func inDomain(domain string, list []*roster.Replica) []*roster.Replica {
+	var in []*roster.Replica
+	for _, r := range list {
+		if r.Domain == domain {
+			in = append(in, r)
+		}
+	}
+	return in
+}
+
+type assignment struct {
+	layers.Order
+	replica *roster.Replica
+}
+
+func (k *Keeper) plan(now time.Time, model *ruleset.Model, domain string, replicas []*roster.Replica, usable func(string) bool) []assignment {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.settled(now, domain, replicas) {
+		return nil
+	}
+	byID := map[string]*roster.Replica{}
+	cards := make([]layers.Card, 0, len(replicas))
+	for _, r := range replicas {
+		byID[r.ID] = r
+		cards = append(cards, k.card(now, model, r, usable(r.ID)))
+	}
+	shape := layers.Model{
+		Layers: model.Layers, LayerMB: model.LayerMB, TokenLayerMB: model.TokenLayerBytes / bytesPerMB,
+	}
+	var list []assignment
+	for _, o := range layers.Plan(shape, cards) {
+		r := byID[o.ID]
+		k.pending[o.ID] = ordered{
+			born: r.Born, hold: o.Hold,
+			until: now.Add(loadTime(model, r.Holds, o.Hold) + reportDelay),
+		}
+		list = append(list, assignment{Order: o, replica: r})
+	}
+	return list
+}
+
+const bytesPerMB = 1e6
+
+// settled says whether the first plan may be made.
+func (k *Keeper) settled(now time.Time, domain string, replicas []*roster.Replica) bool {
+	if k.planned[domain] {
+		return true
+	}
+	if len(replicas) == 0 {
+		return false
+	}
+	if k.first[domain].IsZero() {
+		k.first[domain] = now
+	}
+	if len(replicas) != k.counts[domain] {
+		k.counts[domain], k.last[domain] = len(replicas), now
+	}
+	held := false
+	for _, r := range replicas {
+		held = held || !r.Holds.Empty()
+	}
+	// Replicas that hold layers were ordered by another node before this one.
+	if !held && now.Sub(k.last[domain]) < settle && now.Sub(k.first[domain]) < settleMost {
+		return false
+	}
+	k.planned[domain] = true
+	return true
+}
+
+// card is a replica with what it has been ordered.
+func (k *Keeper) card(now time.Time, model *ruleset.Model, r *roster.Replica, usable bool) layers.Card {
+	c := layers.Card{
+		ID: r.ID, MemoryMB: model.Cards[r.Kind].MemoryMB, Held: r.Holds,
+		Fixed: r.Busy, Leaving: r.Draining || !usable || model.Cards[r.Kind].MemoryMB == 0,
+	}
+	p, ok := k.pending[r.ID]
+	if !ok {
+		return c
+	}
+	if p.born != r.Born || r.Holds == p.hold || now.After(p.until) {
+		delete(k.pending, r.ID)
+		return c
+	}
+	c.Held, c.Fixed = p.hold, true
+	return c
+}
+
+// loadTime is how long an engine takes to load what it does not hold, with as many
+// loads at once as the whole fleet may have.
+func loadTime(model *ruleset.Model, held, hold layers.Span) time.Duration {
+	missing := 0
+	for l := hold.From; l < hold.To; l++ {
+		if l < held.From || l >= held.To {
+			missing++
+		}
+	}
+	return 2 * model.LoadTime * time.Duration(missing) / time.Duration(max(1, model.Layers))
+}
+
+// give gives one order. If it was refused, or its fate is not known, what the
+// replica reports decides what is ordered next.
+func (k *Keeper) give(ctx context.Context, now time.Time, model *ruleset.Model, r *roster.Replica, o layers.Order) {
+	accepted := k.accepted(r)
+	err := k.orderer.Place(ctx, r.Address, r.ID, accepted, o.Hold)
+	k.log.Info("layers ordered", "replica", r.ID, "domain", r.Domain, "kind", r.Kind, "held", r.Holds, "hold", o.Hold,
+		"reason", o.Reason, "orders", accepted, "born", r.Born, "revision", r.Revision, "error", err)
+	if err == nil {
+		k.setAccepted(r, accepted+1)
+		return
+	}
+	k.ask(ctx, r)
+}
+
+func (k *Keeper) accepted(r *roster.Replica) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if c := k.orders[r.ID]; c.born == r.Born {
+		return c.n
+	}
+	return 0
+}
+
+func (k *Keeper) setAccepted(r *roster.Replica, n int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.orders[r.ID] = count{born: r.Born, n: n}
+}
+
+// ask learns from a replica what it has accepted, after an order that it refused or
+// that got no answer. An order that may still come is none the less expected: until
+// its time has passed nothing else is ordered, and then the count tells.
+func (k *Keeper) ask(ctx context.Context, r *roster.Replica) {
+	report, err := k.orderer.Report(ctx, r.Address, r.ID)
+	if err != nil {
+		k.log.Warn("no report", "replica", r.ID, "error", err)
+		return
+	}
+	k.log.Info("report", "replica", r.ID, "orders", report.Orders, "holds", report.Holds, "busy", report.Busy, "born", report.Born)
+	k.setAccepted(r, report.Orders)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p, ok := k.pending[r.ID]; ok && report.Holds != p.hold && !report.Busy {
+		delete(k.pending, r.ID)
+	}
+}
--- a/route/model/chooser.go
+++ b/route/model/chooser.go
@@ -7,7 +7,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/stream"
 )
--- a/route/model/model.go
+++ b/route/model/model.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/entrance"
--- a/route/model/prefix.go
+++ b/route/model/prefix.go
@@ -3,7 +3,7 @@
 import (
 	"hash/fnv"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // prefixBytes is how much of the first message names a prompt's prefix: the
--- a/route/model/progress.go
+++ b/route/model/progress.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // run is one chain's part of the answer.
--- a/route/model/sink.go
+++ b/route/model/sink.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
--- a/route/model/sink_test.go
+++ b/route/model/sink_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/call"
 )
 
--- a/route/plain/order.go
+++ b/route/plain/order.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
-	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/keep/ledger"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/service"
--- a/route/plain/plain.go
+++ b/route/plain/plain.go
@@ -14,7 +14,7 @@
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
-	"github.com/cicadatack/cicadatack/platform/ledger"
+	"github.com/cicadatack/cicadatack/keep/ledger"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/entrance"
--- a/route/plans/adapters.go
+++ b/route/plans/adapters.go
@@ -9,8 +9,8 @@
 
 	"github.com/cicadatack/cicadatack/decide/adapters"
 	"github.com/cicadatack/cicadatack/decide/placement"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/plan"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/engine"
--- a/route/plans/book.go
+++ b/route/plans/book.go
@@ -16,9 +16,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/plan"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/plan"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
--- a/route/plans/keeper_test.go
+++ b/route/plans/keeper_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/engine"
--- a/route/plans/rollout.go
+++ b/route/plans/rollout.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/placement"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/plan"
 )
 
 // drainLimit is how long engines may finish their streams before they take other
--- a/route/plans/rollout_test.go
+++ b/route/plans/rollout_test.go
@@ -10,9 +10,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/cicadatack/cicadatack/decide/adapters"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
+	"github.com/cicadatack/cicadatack/keep/plan"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
--- a/route/plans/shape.go
+++ b/route/plans/shape.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/placement"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/plan"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/plan"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
--- /dev/null
+++ b/route/relay/stream.go
@@ -0,0 +1,299 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/targets"
+	"github.com/cicadatack/cicadatack/route/upstream"
+)
+
+const (
+	// firstSilence is how long a replica may take to begin before the path is looked
+	// at; usual first events come after a tenth of it.
+	firstSilence = 600 * time.Millisecond
+	// stallAfter is the pause between two events after which the path is looked at:
+	// under the longest pause that is on time, and several usual ones.
+	stallAfter = 150 * time.Millisecond
+	// stallAgain is between two looks at a path that stays silent.
+	stallAgain = 400 * time.Millisecond
+	// silenceLimit is the pause after which a stream is given up although all of its
+	// path can be reached: longer than engines themselves wait for a part.
+	silenceLimit = 4 * time.Second
+)
+
+// stream makes an attempt whose events are passed on as they come.
+func (a *attempt) stream() verdict {
+	q := a.q
+	if q.started {
+		a.after = q.lastID
+	}
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	watch := a.watch(ctx, cancel)
+	defer watch.stop()
+	exchange, failed := a.send(ctx, silenceLimit)
+	if failed != nil {
+		return watch.judge(*failed)
+	}
+	defer exchange.Close()
+	if !isEvents(exchange) {
+		if q.started {
+			return a.unexpected(exchange)
+		}
+		return a.wholeFrom(exchange)
+	}
+	if bad := a.bad(exchange); bad != "" {
+		return verdict{end: endUnknown, detail: bad, result: targets.Result{Failure: health.Internal}}
+	}
+	return watch.judge(a.copyEvents(exchange, watch))
+}
+
+func isEvents(e *upstream.Exchange) bool {
+	kind, _, err := mime.ParseMediaType(e.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream" && e.StatusCode == http.StatusOK
+}
+
+// unexpected judges an answer to a resumed stream that is none.
+func (a *attempt) unexpected(e *upstream.Exchange) verdict {
+	if a.seen.NotRun || a.seen.Misdirected {
+		a.drain(e)
+		return a.refused(e.StatusCode)
+	}
+	return verdict{
+		end: endUnknown, detail: fmt.Sprintf("%d to a stream that goes on", e.StatusCode),
+		result: targets.Result{Failure: health.Internal},
+	}
+}
+
+// copyEvents passes whole events on until the stream ends.
+func (a *attempt) copyEvents(e *upstream.Exchange, watch *watch) verdict {
+	q := a.q
+	var split splitter
+	buffer := make([]byte, 2<<10)
+	for {
+		n, err := e.Read(buffer, min(silenceLimit, q.deadline.Sub(q.s.Now())))
+		split.add(buffer[:n])
+		if gone := a.passEvents(e, &split, watch); gone != nil {
+			return verdict{end: endCallerGone, detail: gone.Error(), result: targets.Result{Failure: health.Canceled}}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return a.finish(e, &split)
+		case err != nil:
+			return a.failed(err)
+		case split.rest() > maxEvent:
+			return verdict{end: endUnknown, detail: "an event without an end", result: targets.Result{Failure: health.Internal}}
+		}
+	}
+}
+
+// passEvents gives the whole events that have come to the caller. It fails if the
+// caller has gone.
+func (a *attempt) passEvents(e *upstream.Exchange, split *splitter, watch *watch) error {
+	q := a.q
+	wrote := false
+	for {
+		ev, ok := split.next()
+		if !ok {
+			break
+		}
+		if !q.follows(ev.id) {
+			continue
+		}
+		q.beginStream(e)
+		if _, err := q.w.Write(ev.data); err != nil {
+			return err
+		}
+		wrote = true
+		q.events++
+		if ev.id != "" {
+			q.lastID = ev.id
+		}
+	}
+	if !wrote {
+		return nil
+	}
+	watch.heard()
+	return http.NewResponseController(q.w).Flush()
+}
+
+// follows says whether an event comes after those that the caller has. A replica
+// that goes on with an answer may begin with the event that it was told.
+func (q *request) follows(id string) bool {
+	if q.lastID == "" || id == "" {
+		return true
+	}
+	last, err1 := strconv.ParseInt(q.lastID, 10, 64)
+	now, err2 := strconv.ParseInt(id, 10, 64)
+	return err1 != nil || err2 != nil || now > last
+}
+
+// beginStream writes the head with the first event. Until then another replica's
+// answer can take its place.
+func (q *request) beginStream(e *upstream.Exchange) {
+	if q.started {
+		return
+	}
+	q.started = true
+	if err := http.NewResponseController(q.w).SetWriteDeadline(q.deadline); err != nil {
+		q.log.Debug("write deadline", "error", err)
+	}
+	q.writeHead(e.StatusCode, e.Header, -1)
+	q.s.Figures.FirstToken(q.service, q.s.Now().Sub(q.arrived))
+}
+
+// finish judges a stream that has ended as whole.
+func (a *attempt) finish(e *upstream.Exchange, split *splitter) verdict {
+	if split.rest() > 0 {
+		return verdict{end: endUnknown, detail: "the stream ended within an event", result: targets.Result{Failure: health.Broken}}
+	}
+	q := a.q
+	q.beginStream(e)
+	e.Keep(a.seen.KeepFor)
+	q.done("events", q.events, "parts", len(a.target.Path))
+	return verdict{end: endWhole, result: targets.Result{Whole: true}}
+}
+
+// watch looks after the path of one attempt: when it has gone silent, or one of its
+// replicas is found lost by another request, the request is led around.
+type watch struct {
+	a      *attempt
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
+
+	mu      sync.Mutex
+	busy    bool
+	stopped bool
+	why     string // why the attempt was ended from here
+	gone    string // the address found lost
+}
+
+func (a *attempt) watch(ctx context.Context, cancel context.CancelFunc) *watch {
+	w := &watch{a: a, ctx: ctx, cancel: cancel}
+	if a.target.Flight == nil {
+		return w
+	}
+	w.timer = time.AfterFunc(firstSilence, w.silent)
+	a.target.Flight.OnLost(func(replica string) { w.lead("a part of the path is lost: " + replica) })
+	return w
+}
+
+// heard notes that events have come.
+func (w *watch) heard() {
+	if w.timer != nil {
+		w.timer.Reset(stallAfter)
+	}
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// silent finds out which replicas of the path no longer answer.
+func (w *watch) silent() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	path := w.a.target.Flight.Path()
+	addresses := make([]string, len(path))
+	replicas := make(map[string]string, len(path))
+	for i, part := range path {
+		addresses[i] = part.Address
+		replicas[part.Address] = part.Replica
+	}
+	lost := w.a.q.s.Prober.Lost(w.ctx, addresses)
+	if len(lost) == 0 {
+		w.timer.Reset(stallAgain)
+		return
+	}
+	model, ok := w.a.q.targets.(*targets.Model)
+	if !ok {
+		return
+	}
+	w.a.q.log.Info("path silent", "service", w.a.q.service, "lost", lost, "parts", len(path))
+	for _, address := range lost {
+		model.Suspect(replicas[address]) // which leads this request around as well
+	}
+}
+
+// maxDetours bounds the orders for one loss.
+const maxDetours = 3
+
+// lead sends the request around what is lost, or ends the attempt so that another
+// replica can go on with it.
+func (w *watch) lead(why string) {
+	if !w.take() {
+		return
+	}
+	defer w.give()
+	q := w.a.q
+	flight := w.a.target.Flight
+	for range maxDetours {
+		path := flight.Detour()
+		if path == nil {
+			break
+		}
+		err := q.s.Engines.Detour(w.ctx, w.a.target.Address, q.call.ID, path)
+		q.log.Info("detour", "service", q.service, "why", why, "first", w.a.target.Replica, "parts", len(path), "error", err)
+		if err == nil {
+			flight.Moved(path)
+			q.s.Figures.Resumed(q.service, "detour")
+			w.heard()
+			return
+		}
+		if w.ctx.Err() != nil {
+			return
+		}
+	}
+	w.end(why)
+}
+
+func (w *watch) take() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy || w.stopped {
+		return false
+	}
+	w.busy = true
+	return true
+}
+
+func (w *watch) give() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy = false
+}
+
+// end ends the attempt from this side.
+func (w *watch) end(why string) {
+	w.mu.Lock()
+	w.why = why
+	w.mu.Unlock()
+	w.cancel()
+}
+
+// judge corrects the verdict of an attempt that was ended from here: neither its
+// caller nor its deadline ended it.
+func (w *watch) judge(v verdict) verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.why == "" || v.end == endWhole || w.a.q.ctx.Err() != nil {
+		return v
+	}
+	return verdict{end: endUnknown, detail: w.why, result: targets.Result{Failure: health.Broken}}
+}
--- /dev/null
+++ b/route/roster/tracker.go
@@ -0,0 +1,91 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// AwayAfter is the pause between two reads of the store after which entries may
+	// have lapsed in it because their owners could not renew them.
+	AwayAfter = 1500 * time.Millisecond
+	// ReturnWithin is how long owners take to enter themselves again once the store
+	// is back; the platform says about two seconds.
+	ReturnWithin = 2200 * time.Millisecond
+)
+
+// Change is a difference between two lists, for the log.
+type Change struct {
+	Replica *Replica
+	// What is "listed", "changed", "draining", "gone" or "lapsed".
+	What string
+}
+
+// Tracker makes lists of replicas from reads of the store.
+//
+// The failure that it answers: while the store is away replicas can't renew their
+// entries, and when it is back the list is empty for a second or two. A node that
+// took that for their end would have nowhere to send its requests, though every
+// replica serves. So an entry that vanishes over an absence of the store holds until
+// its owner has had time to come back; one that vanishes while the store is there is
+// gone.
+//
+// It is not safe for concurrent use.
+type Tracker struct {
+	known    map[string]*Replica
+	lastRead time.Time
+	// until is up to when vanished entries hold, after an absence of the store.
+	until time.Time
+}
+
+// Update takes what one read has found and returns the replicas to use, by id, and
+// what has changed. read is when the read began.
+func (t *Tracker) Update(read time.Time, found []*Replica) ([]*Replica, []Change) {
+	if !t.lastRead.IsZero() && read.Sub(t.lastRead) > AwayAfter {
+		t.until = read.Add(ReturnWithin)
+	}
+	t.lastRead = read
+	now := make(map[string]*Replica, len(found))
+	var changes []Change
+	for _, r := range found {
+		now[r.ID] = r
+		if what := difference(t.known[r.ID], r); what != "" {
+			changes = append(changes, Change{Replica: r, What: what})
+		}
+	}
+	for id, r := range t.known {
+		if now[id] != nil {
+			continue
+		}
+		if read.Before(t.until) && !r.Draining {
+			now[id] = r
+			changes = append(changes, Change{Replica: r, What: "lapsed"})
+			continue
+		}
+		changes = append(changes, Change{Replica: r, What: "gone"})
+	}
+	t.known = now
+	return sorted(now), changes
+}
+
+func difference(old, now *Replica) string {
+	switch {
+	case old == nil || old.Born != now.Born:
+		return "listed"
+	case now.Draining && !old.Draining:
+		return "draining"
+	case old.Holds != now.Holds || old.Address != now.Address || old.Draining != now.Draining:
+		return "changed"
+	}
+	return ""
+}
+
+func sorted(replicas map[string]*Replica) []*Replica {
+	list := make([]*Replica, 0, len(replicas))
+	for _, r := range replicas {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *Replica) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- /dev/null
+++ b/route/ruleset/ruleset.go
@@ -0,0 +1,218 @@
+// Package ruleset holds the operator's configuration as the data path reads it:
+// which request goes to which service, under which bounds, for which team.
+//
+// A Ruleset is immutable once it is built. Its source, an adapter, builds one for
+// each version and hands it to the data path whole, so that no request is ever
+// judged by parts of two versions.
+package ruleset
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated.
+type Kind uint8
+
+const (
+	// Once must not run more than once for one request.
+	Once Kind = iota
+	// Repeatable may run any number of times.
+	Repeatable
+	// Stream answers with events; Route.Resumable says whether it may be repeated.
+	Stream
+)
+
+// String names the kind for log lines.
+func (k Kind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case Stream:
+		return "stream"
+	default:
+		return "once"
+	}
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route sends the requests below a path to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Resumable streams go on after a given event at any replica.
+	Resumable bool
+	// Public routes need no key.
+	Public bool
+	// Timeout is the longest time that a caller is kept waiting for the whole answer.
+	Timeout time.Duration
+	// Objective is the time in which an answer, or its first event, is on time.
+	Objective time.Duration
+	// MaxPause is the longest pause between events that is on time.
+	MaxPause time.Duration
+	// MaxReplicas is how many replicas may be handed one request.
+	MaxReplicas int
+	// Priority ranks the route's requests, 0 first.
+	Priority int
+	// Shares is never empty.
+	Shares []Share
+}
+
+// Idempotent says whether a request of this route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
+}
+
+// Service is what stands behind routes.
+type Service struct {
+	Name string
+	// MaxConns bounds the connections to one replica over all callers.
+	MaxConns int
+	// HealthPath answers whether a replica considers itself healthy.
+	HealthPath string
+	// Model is nil for plain services.
+	Model *Model
+}
+
+// Model is what the operator says of a model and its engines.
+type Model struct {
+	// Layers is how many layers each token runs through.
+	Layers int
+	// LayerMB is the memory of one layer's weights, in megabytes.
+	LayerMB float64
+	// TokenLayerBytes is the memory of one token in one layer.
+	TokenLayerBytes float64
+	// Slots bounds the requests that one replica receives as a path's first.
+	Slots int
+	// StepMillis is the time of one step through all layers on a card of pace 1.
+	StepMillis float64
+	// ReadPerMilli is the prompt tokens that such a card reads in a millisecond.
+	ReadPerMilli float64
+	// LoadTime is the time to load all layers' weights onto one replica.
+	LoadTime time.Duration
+	// LoadsAtOnce is how many loads run at full speed together.
+	LoadsAtOnce int
+	// ReportLag is how old a replica's report of its state is.
+	ReportLag time.Duration
+	// Prompt and Answer are the usual sizes in tokens.
+	Prompt, Answer float64
+	// Cards are the kinds of accelerators by name.
+	Cards map[string]Card
+}
+
+// Card is a kind of accelerator.
+type Card struct {
+	// MemoryMB holds weights and requests, in megabytes.
+	MemoryMB float64
+	// Pace multiplies the time of a step, ReadPace that of reading prompts.
+	Pace, ReadPace float64
+}
+
+// MaxLayers is the most layers that a card's memory holds, with no room for
+// requests.
+func (m *Model) MaxLayers(c Card) int {
+	return int(c.MemoryMB / m.LayerMB)
+}
+
+// Limits bound what a caller may send and how slowly.
+type Limits struct {
+	HeaderBytes, BodyBytes   int
+	HeaderTimeout, IdleAfter time.Duration
+}
+
+// Team is a tenant of the fleet.
+type Team struct {
+	Name string
+	// Priority goes before the route's; nil means that the team has none.
+	Priority *int
+}
+
+// Ruleset is one version of the operator's configuration.
+type Ruleset struct {
+	Version  int64
+	Limits   Limits
+	services map[string]*Service
+	byHost   map[string][]*Route
+	byKey    map[string]*Team
+}
+
+// Build indexes a configuration.
+func Build(version int64, limits Limits, services []*Service, routes []*Route, keys map[string]*Team) *Ruleset {
+	r := &Ruleset{
+		Version:  version,
+		Limits:   limits,
+		services: make(map[string]*Service, len(services)),
+		byHost:   make(map[string][]*Route),
+		byKey:    keys,
+	}
+	for _, s := range services {
+		r.services[s.Name] = s
+	}
+	for _, route := range routes {
+		r.byHost[route.Host] = append(r.byHost[route.Host], route)
+	}
+	for _, list := range r.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return r
+}
+
+// Match returns the route of a host and path: of those whose prefix begins the
+// path, the one with the longest. It returns nil if there is none.
+func (r *Ruleset) Match(host, path string) *Route {
+	for _, route := range r.byHost[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Team returns the holder of a key, or nil.
+func (r *Ruleset) Team(key string) *Team {
+	if key == "" {
+		return nil
+	}
+	return r.byKey[key]
+}
+
+// Service returns a service by name, or nil.
+func (r *Ruleset) Service(name string) *Service {
+	return r.services[name]
+}
+
+// Services returns all services, ordered by name.
+func (r *Ruleset) Services() []*Service {
+	list := make([]*Service, 0, len(r.services))
+	for _, s := range r.services {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Pick chooses the service of one request; draw is uniform in [0,1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	point := draw * float64(total)
+	for _, s := range r.Shares {
+		point -= float64(s.Weight)
+		if point < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- a/route/send/send.go
+++ b/route/send/send.go
@@ -27,7 +27,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/decide/health"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // Error is the class of this layer's errors.
--- a/route/service/leaving.go
+++ b/route/service/leaving.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // leavingMark is what one source says of one endpoint.
--- a/route/service/leaving_test.go
+++ b/route/service/leaving_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
-	"github.com/cicadatack/cicadatack/platform/document"
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/directory"
 )
 
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -14,7 +14,7 @@
 	"github.com/cicadatack/cicadatack/decide/admission"
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/retry"
-	"github.com/cicadatack/cicadatack/platform/document"
+	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/gate"
 	"github.com/cicadatack/cicadatack/route/picker"
--- a/route/stream/artifact_test.go
+++ b/route/stream/artifact_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	standin "github.com/cicadatack/cicadatack/standin/engine"
 	. "github.com/smartystreets/goconvey/convey"
 )
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/engine"
 )
 
--- a/route/stream/gap.go
+++ b/route/stream/gap.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 const (
--- a/route/stream/holding_test.go
+++ b/route/stream/holding_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/engine"
 	standin "github.com/cicadatack/cicadatack/standin/engine"
 )
--- a/route/stream/hops.go
+++ b/route/stream/hops.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // hopTimes sums the times of the stages over an epoch.
--- a/route/stream/runner.go
+++ b/route/stream/runner.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/engine"
 )
 
--- a/route/stream/token_bench_test.go
+++ b/route/stream/token_bench_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/engine"
 )
 
--- a/route/stream/way_test.go
+++ b/route/stream/way_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 	"github.com/cicadatack/cicadatack/route/engine"
 	standin "github.com/cicadatack/cicadatack/standin/engine"
 	. "github.com/smartystreets/goconvey/convey"
--- /dev/null
+++ b/route/targets/flight.go
@@ -0,0 +1,109 @@
+package targets
+
+import (
+	"github.com/cicadatack/cicadatack/decide/layers"
+	"github.com/cicadatack/cicadatack/decide/paths"
+)
+
+// notice is a request that must be told that a replica of its path is lost.
+type notice struct {
+	lost    func(replica string)
+	replica string
+}
+
+func tell(notices []notice) {
+	for _, n := range notices {
+		go n.lost(n.replica)
+	}
+}
+
+// through lists the requests that run through a replica. The caller holds the lock.
+func (m *Model) through(replica string) []notice {
+	var list []notice
+	for f := range m.flights {
+		if f.lost != nil && f.passes(replica) {
+			list = append(list, notice{f.lost, replica})
+		}
+	}
+	return list
+}
+
+// stranded lists the requests that run through a replica which the list no longer
+// holds. The caller holds the lock.
+func (m *Model) stranded() []notice {
+	var list []notice
+	for f := range m.flights {
+		for _, part := range f.path {
+			if f.lost != nil && !m.book.Known(part.Replica) {
+				list = append(list, notice{f.lost, part.Replica})
+				break
+			}
+		}
+	}
+	return list
+}
+
+func (f *Flight) passes(replica string) bool {
+	for _, part := range f.path {
+		if part.Replica == replica {
+			return true
+		}
+	}
+	return false
+}
+
+// OnLost sets what is called, in a goroutine of its own, when a replica of the path
+// turns out to be lost. It may be called more than once.
+func (f *Flight) OnLost(lost func(replica string)) {
+	f.model.mu.Lock()
+	defer f.model.mu.Unlock()
+	f.lost = lost
+}
+
+// Path is the path that the request runs along now.
+func (f *Flight) Path() paths.Path {
+	f.model.mu.Lock()
+	defer f.model.mu.Unlock()
+	return f.path
+}
+
+// Detour chooses a path that begins as the present one does and avoids what can't
+// be used. It returns nil if there is none.
+func (f *Flight) Detour() paths.Path {
+	m := f.model
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first := f.path[0]
+	now := m.now()
+	if !m.book.Usable(now, first.Replica) {
+		return nil
+	}
+	if first.Run.To == m.layers {
+		return nil
+	}
+	rest, reason := m.book.Choose(now, paths.Query{
+		Domain: first.Domain, Run: layers.Span{From: first.Run.To, To: m.layers},
+		Tokens: f.tokens, Exclude: []string{first.Replica},
+	})
+	if reason != paths.Found {
+		return nil
+	}
+	path := append(paths.Path{first}, rest...)
+	if !path.Runs(layers.Span{To: m.layers}) {
+		return nil
+	}
+	return path
+}
+
+// Moved notes that the request now runs along another path.
+func (f *Flight) Moved(path paths.Path) {
+	m := f.model
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, underway := m.flights[f]; !underway {
+		return
+	}
+	m.book.Release(f.path, f.tokens)
+	m.book.Hold(path, f.tokens)
+	f.path = path
+}
--- /dev/null
+++ b/route/targets/model.go
@@ -0,0 +1,250 @@
+package targets
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
+	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/route/roster"
+	"github.com/cicadatack/cicadatack/route/ruleset"
+)
+
+// retryRoom is how often one who waits for room looks again without a sign: a
+// replica that was suspected is used again by time alone.
+const retryRoom = 50 * time.Millisecond
+
+// Model chooses paths through the replicas that hold a model's layers. Safe for
+// concurrent use.
+type Model struct {
+	domain string
+	now    func() time.Time
+
+	mu      sync.Mutex
+	layers  int
+	slots   int
+	conns   int
+	book    *paths.Book
+	flights map[*Flight]struct{}
+	waiting []*waiter // by rank, then by arrival
+}
+
+type waiter struct {
+	rank int
+	wake chan struct{}
+}
+
+// Flight is a request underway along a path.
+type Flight struct {
+	model  *Model
+	path   paths.Path
+	tokens float64
+	lost   func(replica string)
+}
+
+// NewModel returns a Model without replicas for a node in a failure domain.
+func NewModel(domain string, seed uint64, now func() time.Time) *Model {
+	return &Model{
+		domain:  domain,
+		now:     now,
+		book:    paths.New(seed),
+		flights: map[*Flight]struct{}{},
+	}
+}
+
+// Update puts a new list in force. share says which part of a failure domain's room
+// is this node's; conns bounds its connections to each replica.
+func (m *Model) Update(model *ruleset.Model, list []*roster.Replica, share func(domain string) float64, conns int) {
+	replicas := make([]paths.Replica, 0, len(list))
+	for _, r := range list {
+		replicas = append(replicas, pathReplica(model, r))
+	}
+	m.mu.Lock()
+	m.layers, m.slots, m.conns = model.Layers, model.Slots, conns
+	m.book.Update(replicas)
+	for _, r := range list {
+		m.book.SetShare(r.Domain, share(r.Domain))
+	}
+	m.wakeOne()
+	lost := m.stranded()
+	m.mu.Unlock()
+	tell(lost)
+}
+
+func pathReplica(model *ruleset.Model, r *roster.Replica) paths.Replica {
+	card := model.Cards[r.Kind]
+	perToken := model.TokenLayerBytes / bytesPerMB
+	room := max(0, card.MemoryMB-float64(r.Holds.Len())*model.LayerMB) / perToken
+	return paths.Replica{
+		ID: r.ID, Born: r.Born, Address: r.Address, Domain: r.Domain, Holds: r.Holds,
+		Room:        room,
+		LayerMillis: model.StepMillis * card.Pace / float64(model.Layers),
+		Leaving:     r.Draining,
+	}
+}
+
+// bytesPerMB: the operator gives memory in units of a million bytes.
+const bytesPerMB = 1e6
+
+// Choose implements Targets.
+func (m *Model) Choose(ctx context.Context, q Query) (Target, error) {
+	w := &waiter{rank: q.Rank, wake: make(chan struct{}, 1)}
+	for first := true; ; first = false {
+		t, reason, ok := m.try(q, w, first)
+		if ok {
+			return t, nil
+		}
+		left := q.WaitUntil.Sub(m.now())
+		if left <= 0 {
+			m.leave(w)
+			return Target{}, errorOf(reason)
+		}
+		if err := pause(ctx, w.wake, min(left, retryRoom)); err != nil {
+			m.leave(w)
+			return Target{}, err
+		}
+	}
+}
+
+func errorOf(reason paths.Reason) error {
+	if reason == paths.NoRoom {
+		return ErrNoRoom
+	}
+	return ErrNoEndpoint
+}
+
+func pause(ctx context.Context, wake <-chan struct{}, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// try books a path, unless others wait who come first. One who finds none waits.
+func (m *Model) try(q Query, w *waiter, first bool) (Target, paths.Reason, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if first && m.ahead(w) {
+		m.enqueue(w)
+		return Target{}, paths.NoRoom, false
+	}
+	path, reason := m.book.Choose(m.now(), paths.Query{
+		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude,
+	})
+	if reason != paths.Found || !path.Runs(layers.Span{To: m.layers}) {
+		if first {
+			m.enqueue(w)
+		}
+		return Target{}, reason, false
+	}
+	m.dequeue(w)
+	m.wakeOne() // there may be room for the next as well
+	return m.begin(path, q.Tokens), paths.Found, true
+}
+
+func (m *Model) begin(path paths.Path, tokens float64) Target {
+	f := &Flight{model: m, path: path, tokens: tokens}
+	m.book.Hold(path, tokens)
+	m.flights[f] = struct{}{}
+	return Target{
+		Replica: path[0].Replica, Address: path[0].Address, Domain: path[0].Domain,
+		Path: path, MostConns: m.conns, Flight: f,
+	}
+}
+
+func (m *Model) ahead(w *waiter) bool {
+	return len(m.waiting) > 0 && m.waiting[0].rank <= w.rank
+}
+
+func (m *Model) enqueue(w *waiter) {
+	at, _ := slices.BinarySearchFunc(m.waiting, w.rank+1, func(e *waiter, rank int) int { return cmp.Compare(e.rank, rank) })
+	m.waiting = slices.Insert(m.waiting, at, w)
+}
+
+func (m *Model) dequeue(w *waiter) {
+	if i := slices.Index(m.waiting, w); i >= 0 {
+		m.waiting = slices.Delete(m.waiting, i, i+1)
+	}
+}
+
+func (m *Model) leave(w *waiter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dequeue(w)
+	m.wakeOne()
+}
+
+// wakeOne lets the first who waits look again.
+func (m *Model) wakeOne() {
+	if len(m.waiting) == 0 {
+		return
+	}
+	select {
+	case m.waiting[0].wake <- struct{}{}:
+	default: // it is about to look anyway
+	}
+}
+
+// Ended implements Targets.
+func (m *Model) Ended(t Target, r Result) {
+	m.mu.Lock()
+	f := t.Flight
+	delete(m.flights, f)
+	m.book.Release(f.path, f.tokens)
+	if r.Whole {
+		m.book.Well(f.path)
+	}
+	lost := m.learn(t, r)
+	m.wakeOne()
+	m.mu.Unlock()
+	tell(lost)
+}
+
+func (m *Model) learn(t Target, r Result) []notice {
+	fault := t.Replica
+	if r.Fault != "" {
+		fault = m.book.ByAddress(r.Fault)
+	}
+	switch {
+	case fault == "":
+		return nil
+	case r.Gone:
+		m.book.Suspect(m.now(), fault)
+		return m.through(fault)
+	case r.NoRoom:
+		m.book.Full(m.now(), fault)
+	}
+	return nil
+}
+
+// Suspect notes that a replica looks dead; the requests that run through it are
+// told.
+func (m *Model) Suspect(replica string) {
+	m.mu.Lock()
+	m.book.Suspect(m.now(), replica)
+	lost := m.through(replica)
+	m.mu.Unlock()
+	tell(lost)
+}
+
+// Usable says whether a replica takes new requests, as far as is known.
+func (m *Model) Usable(replica string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Usable(m.now(), replica)
+}
+
+// Waiting is how many requests wait for room, and Underway how many run.
+func (m *Model) Waiting() (waiting, underway int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.waiting), len(m.flights)
+}
--- /dev/null
+++ b/route/targets/targets.go
@@ -0,0 +1,78 @@
+// Package targets finds, for each attempt of a request, the endpoint to send it to:
+// a replica of a plain service, or a path through replicas that hold a model's
+// layers. It holds the locks around the decisions of decide/paths and decide/balance
+// and tells them how attempts ended.
+package targets
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/decide/paths"
+)
+
+// ErrNoEndpoint means that no endpoint may be used now, ErrNoRoom that those there
+// are have no room.
+var (
+	ErrNoEndpoint = errors.New("no endpoint may be used now")
+	ErrNoRoom     = errors.New("no endpoint has room")
+)
+
+// Query asks for a target.
+type Query struct {
+	// Tokens is the most memory that the request is expected to need.
+	Tokens float64
+	// Exclude names replicas that have failed this request.
+	Exclude []string
+	// Once is set for requests that must not run twice: they are not used to try
+	// endpoints that failed of late.
+	Once bool
+	// Rank orders those who wait for room, 0 first.
+	Rank int
+	// WaitUntil is up to when the request may wait for room.
+	WaitUntil time.Time
+}
+
+// Target is where one attempt goes.
+type Target struct {
+	Replica string
+	Address string
+	Domain  string
+	// Path is empty for plain services.
+	Path paths.Path
+	// MostConns bounds this node's connections to the endpoint.
+	MostConns int
+	// Flight is set for paths.
+	Flight *Flight
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Failure health.Failure
+	// Whole is set if the whole answer came.
+	Whole bool
+	// NoRoom is set if the endpoint refused for want of room.
+	NoRoom bool
+	// Fault is the address of the part of the path at fault, if the answer named it.
+	Fault string
+	// Gone says that the part at fault, the first if none is named, looks dead.
+	Gone bool
+	// Took is the time of the attempt.
+	Took time.Duration
+	// Load is what the endpoint said, if it did.
+	Load *Load
+}
+
+// Load is an endpoint's load as it says itself.
+type Load struct{ Running, Waiting int }
+
+// Targets chooses for one service. Safe for concurrent use.
+type Targets interface {
+	// Choose returns a target, waiting for room if it must. It fails with
+	// ErrNoEndpoint, ErrNoRoom or the context's error. Each target needs one Ended.
+	Choose(ctx context.Context, q Query) (Target, error)
+	// Ended tells how the attempt went.
+	Ended(t Target, r Result)
+}
--- /dev/null
+++ b/route/upstream/exchange.go
@@ -0,0 +1,230 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Request is one request to one endpoint.
+type Request struct {
+	// Address is the endpoint's IP number and port.
+	Address string
+	Method  string
+	// Target is the path with its query, as the caller sent it.
+	Target string
+	// Host is the caller's.
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a connection of its own, which can bring no other request's
+	// answer and whose end before an answer leaves no doubt about which request it
+	// ended.
+	Fresh bool
+	// MostConns bounds this node's connections to the endpoint; zero for no bound.
+	MostConns int
+	// Belongs says whether an answer's head belongs to this request.
+	Belongs func(h http.Header) bool
+	// AnswerWithin bounds the wait for the answer's head.
+	AnswerWithin time.Duration
+}
+
+// Failure is the error of a request without a whole answer.
+type Failure struct {
+	Address string
+	// NotSent is set if no byte of the request can have reached the endpoint.
+	NotSent bool
+	// Unreachable is set if no connection came about.
+	Unreachable bool
+	// Full is set if this node has as many connections open as it may.
+	Full bool
+	// Silent is set if the endpoint did not answer in time.
+	Silent bool
+	Cause  error
+}
+
+// Error names the endpoint, what is known, and the cause.
+func (f *Failure) Error() string {
+	state := "may have run"
+	if f.NotSent {
+		state = "not sent"
+	}
+	return fmt.Sprintf("%s (%s): %v", f.Address, state, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// NotSent says whether err proves that the endpoint read nothing.
+func NotSent(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.NotSent
+}
+
+const (
+	// maxStrays bounds the answers to other requests that are passed over on one
+	// connection. An endpoint that answers twice sends one.
+	maxStrays = 2
+	// maxStrayBytes bounds the length of one.
+	maxStrayBytes = 64 << 10
+	// writtenAtOnce is the body length up to which a request is written before its
+	// answer is read: it fits the socket's buffer, so that an endpoint which answers
+	// before it reads can't block the writer.
+	writtenAtOnce = 8 << 10
+)
+
+// Exchange is an answer underway.
+type Exchange struct {
+	*http.Response
+	pool    *Pool
+	address string
+	conn    *conn
+	stop    func() bool
+	// unwritten is set while the rest of a long request is being written.
+	unwritten atomic.Bool
+	ended     bool // the whole body was read
+	closed    bool
+}
+
+// Send sends the request and waits for the head of its answer. Any error is a
+// *Failure, but for the context's own, which comes as the Failure's cause. The
+// connection is closed when ctx ends: endpoints take that for a cancellation.
+func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
+	c, err := p.get(ctx, r.Address, r.Fresh, r.MostConns)
+	if err != nil {
+		return nil, err
+	}
+	e := &Exchange{pool: p, address: r.Address, conn: c}
+	e.stop = context.AfterFunc(ctx, func() { p.discard(r.Address, c) })
+	if err := e.exchange(r); err != nil {
+		e.Close()
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Exchange) exchange(r Request) error {
+	if err := e.conn.SetDeadline(e.pool.now().Add(r.AnswerWithin)); err != nil {
+		return &Failure{Address: r.Address, NotSent: true, Cause: Error.Wrap(err)}
+	}
+	if err := e.write(r); err != nil {
+		return err
+	}
+	response, err := e.readHead(r)
+	if err != nil {
+		return &Failure{Address: r.Address, Silent: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
+	}
+	e.Response = response
+	return nil
+}
+
+// write sends the request, the rest of a long body in the background.
+func (e *Exchange) write(r Request) error {
+	head := encodeHead(r)
+	if len(r.Body) <= writtenAtOnce {
+		return e.writeAll(r, append(head, r.Body...))
+	}
+	e.unwritten.Store(true)
+	go func() {
+		// An endpoint that has answered may read no further; the connection is not
+		// used again then, and the error has no other consequence.
+		if e.writeAll(r, append(head, r.Body...)) == nil {
+			e.unwritten.Store(false)
+		}
+	}()
+	return nil
+}
+
+func (e *Exchange) writeAll(r Request, data []byte) error {
+	n, err := e.conn.Write(data)
+	if err != nil {
+		return &Failure{Address: r.Address, NotSent: n == 0, Cause: Error.Wrap(err)}
+	}
+	return nil
+}
+
+// encodeHead writes the head. The target goes out as it came: a library that
+// parses and prints it again may change its encoding.
+func encodeHead(r Request) []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// A bytes.Buffer takes any write.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// readHead reads heads until one belongs to the request. An answer to another
+// request is what an endpoint sent a second time; it must not reach this caller.
+func (e *Exchange) readHead(r Request) (*http.Response, error) {
+	request := &http.Request{Method: r.Method}
+	for strays := 0; ; {
+		response, err := http.ReadResponse(e.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Belongs == nil || r.Belongs(response.Header) {
+			return response, nil
+		}
+		strays++
+		if strays > maxStrays || response.Close {
+			return nil, errors.New("the answer belongs to another request")
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
+			return nil, errors.New("the answer belongs to another request and does not end")
+		}
+	}
+}
+
+// Read reads the answer's body; it fails if nothing comes within the time. io.EOF
+// means that the answer is whole. Other errors are *Failure.
+func (e *Exchange) Read(p []byte, within time.Duration) (int, error) {
+	if err := e.conn.SetReadDeadline(e.pool.now().Add(within)); err != nil {
+		return 0, &Failure{Address: e.address, Cause: Error.Wrap(err)}
+	}
+	n, err := e.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		e.ended = true
+		return n, io.EOF
+	}
+	return n, &Failure{Address: e.address, Silent: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
+}
+
+// Keep ends the exchange; if the answer was read whole and nothing follows it, its
+// connection is kept for the given time. Close must still be called.
+func (e *Exchange) Keep(keepFor time.Duration) {
+	if e.closed || !e.ended || e.Response.Close || e.unwritten.Load() || e.conn.reader.Buffered() > 0 {
+		return
+	}
+	if !e.stop() {
+		return // the context has ended, and the connection with it
+	}
+	e.closed = true
+	e.pool.keep(e.address, e.conn, keepFor)
+}
+
+// Close ends the exchange and, unless it was kept, its connection.
+func (e *Exchange) Close() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	e.stop()
+	e.pool.discard(e.address, e.conn)
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 # detector, model checks. The verdict is that of the last failing step.
 set -u
 cd "$(dirname "$0")/.."
-modules="decide platform fleet route node standin proof"
+modules="decide keep platform fleet route node standin proof"
 rapid_seed=20261203
 failed=0
 
--- a/spec/documents.pml
+++ b/spec/documents.pml
@@ -17,15 +17,15 @@
  *
  * Safeguards, and where the code has them:
  *   NO_CAS        the write is a compare-and-swap on the base revision
- *                 (platform/promotion); without it the second operator
+ *                 (keep/promotion); without it the second operator
  *                 overwrites the first one's accepted document.
  *   NO_READBACK   after a lost reply the promotion id is looked up in the
- *                 history (platform/promotion); without it the promotion is
+ *                 history (keep/promotion); without it the promotion is
  *                 applied twice.
  *   NEW_BASE      a promotion is tried again on its own base only; without it
  *                 it goes over a document that its operator never saw.
  *   INDEX_FIRST   a text's parts are in the store before the index that names
- *                 them is swapped (platform/promotion promote, platform/parts);
+ *                 them is swapped (keep/promotion promote, keep/parts);
  *                 without it a node that reads the index finds no text, and a
  *                 starting one has nothing to serve.
  *   TAKE_LOWER    a node takes higher revisions only (fleet/spread learned);
--- a/spec/prune.pml
+++ b/spec/prune.pml
@@ -13,7 +13,7 @@
  * is replaced, and read there last), several parts to a plan, pins that are a
  * day old.
  *
- * Safeguards, and where the code has them (platform/promotion, pin.go and
+ * Safeguards, and where the code has them (keep/promotion, pin.go and
  * prune.go):
  *   NO_PIN      the operator pins the part before looking (Promoter.pin);
  *               without it the prune looks before the index is in place.
--- a/standin/engine/artifact.go
+++ b/standin/engine/artifact.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // artifacts is what an engine holds beside its place in the chain. Engine.mu guards
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 const (
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"sync/atomic"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 const (
--- a/standin/engine/model.go
+++ b/standin/engine/model.go
@@ -7,7 +7,7 @@
 	"math/bits"
 	"strings"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // DefaultMaxTokens is the length of an answer when a request names none.
--- a/standin/engine/stage.go
+++ b/standin/engine/stage.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/engineapi"
+	"github.com/cicadatack/cicadatack/keep/engineapi"
 )
 
 // errRefusedNext wraps a refusal of a later stage before any work.
--- a/standin/storefake/calls.go
+++ b/standin/storefake/calls.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 const codeInvalid = 3
--- a/standin/storefake/changed_test.go
+++ b/standin/storefake/changed_test.go
@@ -5,7 +5,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // A node keeps a list of VMs by what has changed. It sees each line once when it
--- a/standin/storefake/client_test.go
+++ b/standin/storefake/client_test.go
@@ -11,7 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // served is a stand-in store behind a real listener.
--- a/standin/storefake/ledger_bench_test.go
+++ b/standin/storefake/ledger_bench_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/ledger"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/ledger"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // storeMillis is how long the stand-in takes for a call; the platform's
--- a/standin/storefake/promotion_bench_test.go
+++ b/standin/storefake/promotion_bench_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/promotion"
-	"github.com/cicadatack/cicadatack/platform/store"
+	"github.com/cicadatack/cicadatack/keep/promotion"
+	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 // BenchmarkPromotion puts changes of a long text on trial and in force, as the
--- a/standin/storefake/server.go
+++ b/standin/storefake/server.go
@@ -18,8 +18,8 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/platform/store"
-	"github.com/cicadatack/cicadatack/platform/store/storetest"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
 )
 
 // PathControl sets and shows faults and counts.
