--- a/node/cmd/cicadatack/platform.go
+++ b/node/cmd/cicadatack/platform.go
@@ -31,5 +31,18 @@
 	}).With("node", settings.Node)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return site.New(settings, log).Run(ctx)
+	return site.New(settings, boot.Read, log).Run(ctx, hangups())
+}
+
+// hangups tells of each SIGHUP: the settings may have changed.
+func hangups() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	told := make(chan struct{})
+	go func() {
+		for range signals {
+			told <- struct{}{}
+		}
+	}()
+	return told
 }
--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -37,7 +37,7 @@
 	for _, m := range near {
 		addresses = append(addresses, m.Address)
 	}
-	directory.Answer(w, addresses, min(entryTTL, n.settings.Bounds.EntryTTL))
+	directory.Answer(w, addresses, min(entryTTL, n.bounds().EntryTTL))
 }
 
 // operators serves metrics and the node's state.
@@ -87,7 +87,7 @@
 	n.leaving.Store(int64(time.Since(n.started)))
 	n.log.Info("leaving", "underway", n.underway.Load())
 	go n.deregister(ctx)
-	last := n.settings.Bounds.Grace - leaveMargin
+	last := n.bounds().Grace - leaveMargin
 	for n.leavingFor() < last {
 		if n.leavingFor() >= min(leaveLeast, last) && n.underway.Load() == 0 {
 			return
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -158,7 +158,7 @@
 // newBudget is this node's part of the tries beyond the first that all nodes may
 // send to a service in a window.
 func (n *Node) newBudget(string) *relay.Budget {
-	b := n.settings.Bounds
+	b := n.bounds()
 	_, all := n.peers("")
 	burst := math.Max(2, b.RetrySlack*budgetPart/float64(all))
 	return relay.NewBudget(retry.Config{
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -40,10 +40,13 @@
 // Node is one node on the platform.
 type Node struct {
 	settings *boot.Settings
-	log      hclog.Logger
-	metrics  *metrics.Metrics
-	started  time.Time
-	seed     uint64
+	// read reads the settings again.
+	read    func() (*boot.Settings, error)
+	inForce atomic.Pointer[boot.Bounds]
+	log     hclog.Logger
+	metrics *metrics.Metrics
+	started time.Time
+	seed    uint64
 
 	store   *kv.Client
 	pool    *upstream.Pool
@@ -70,13 +73,14 @@
 // time between a caller's sending and this node's reading.
 const freshFor = 0.8
 
-// New wires a node.
-func New(settings *boot.Settings, log hclog.Logger) *Node {
+// New wires a node. read reads its settings again when they may have changed.
+func New(settings *boot.Settings, read func() (*boot.Settings, error), log hclog.Logger) *Node {
 	name := fnv.New64a()
 	// A hash takes any write.
 	_, _ = name.Write([]byte(settings.Node + settings.IP.String()))
 	n := &Node{
 		settings: settings,
+		read:     read,
 		log:      log,
 		started:  time.Now(),
 		seed:     name.Sum64(),
@@ -85,7 +89,8 @@
 	}
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool}
-	n.lease.Limit = time.Duration(float64(settings.Bounds.Revoke) * freshFor)
+	n.inForce.Store(&settings.Bounds)
+	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
 	n.relay = &relay.Server{
 		Rules: n, Dialect: callers.Dialect{}, Services: &n.services, Engines: n.engines,
@@ -99,8 +104,9 @@
 // against the bound rather than at its own pace.
 const memoryPart = 0.7
 
-// Run serves until the context ends, and then leaves.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until the context ends, and then leaves. The settings are read again at
+// each reload.
+func (n *Node) Run(ctx context.Context, reload <-chan struct{}) error {
 	debug.SetMemoryLimit(int64(float64(n.settings.MemoryMB) * memoryPart * (1 << 20)))
 	doors, err := n.open()
 	if err != nil {
@@ -110,6 +116,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go n.follow(background)
+	go n.watchSettings(background, reload)
 	failed := doors.serve()
 	select {
 	case err := <-failed:
