--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -92,10 +92,10 @@
 
 const (
 	// Fill is the part of a card's most layers that it is given. Chosen by the
-	// room that is left: 0.75 leaves 79,000 tokens a holder whatever the card,
-	// twice what a domain needs on a usual day, and 1.3 to 1.7 copies in the
+	// room that is left: 0.62 leaves 145,000 tokens a holder whatever the card, so
+	// that two of three domains carry the load of all, and 1.1 to 1.4 copies in the
 	// domains of today's sites.
-	Fill = 0.75
+	Fill = 0.62
 	// MaxFill bounds what a neighbour takes over: 26,000 tokens stay, about 30
 	// requests of usual size.
 	MaxFill = 0.9
--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -5,16 +5,41 @@
 )
 
 const (
-	// strikePause is how long a replica is left alone after the first sign that it
-	// is gone; it doubles with each further one up to maxPause. The first is about
-	// the time in which a refused connection of a starting process is served.
-	strikePause = 500 * time.Millisecond
-	maxPause    = 4 * time.Second
-	// fullPause is how long a refusal for want of room counts: the time in which
-	// some streams of a few seconds end.
+	// fullPause is how long a refusal for want of room makes a replica the last
+	// choice: the time in which some streams of a few seconds end.
 	fullPause = 150 * time.Millisecond
+	// fullStep is what a refusal for want of room leaves of the room that is reckoned
+	// with, and roomPerSecond the part that comes back each second: what other nodes
+	// have booked ends within the seconds that streams last.
+	fullStep      = 0.85
+	roomPerSecond = 0.1
+	// leastRoom is the smallest part of a replica's room that is reckoned with.
+	leastRoom = 0.1
 )
 
+// learned is the part of its share of a replica's room that a node can use. Nodes
+// book without knowing of one another; where they together book more than there is,
+// the replica refuses, and each takes less until it no longer does.
+type learned struct {
+	part float64
+	at0  time.Time
+}
+
+func (l *learned) at(now time.Time) float64 {
+	if l.part >= 1 {
+		return 1
+	}
+	return min(1, l.part+roomPerSecond*now.Sub(l.at0).Seconds())
+}
+
+// refused lowers the part. Refusals that come together are one sign.
+func (l *learned) refused(now time.Time) {
+	if now.Sub(l.at0) < fullPause {
+		return
+	}
+	l.part, l.at0 = max(leastRoom, l.at(now)*fullStep), now
+}
+
 // Hold books tokens of memory along a path.
 func (b *Book) Hold(path Path, tokens float64) {
 	for _, part := range path {
@@ -33,35 +58,48 @@
 	}
 }
 
-// Suspect leaves a replica out for a while after a sign that it is gone. It returns
-// for how long.
-func (b *Book) Suspect(now time.Time, id string) time.Duration {
+// Suspect leaves a replica out after a sign that it is gone, until Alive. It says
+// whether that is new.
+func (b *Book) Suspect(now time.Time, id string) bool {
 	n, ok := b.nodes[id]
-	if !ok {
-		return 0
+	if !ok || n.suspected {
+		return false
 	}
-	pause := min(maxPause, strikePause<<n.strikes)
-	if now.Before(n.until) {
-		// Streams that ran through it end at the same time: one sign, not many.
-		return n.until.Sub(now)
+	n.suspected, n.since = true, now
+	return true
+}
+
+// Alive notes a sign that a replica lives. It says whether it was suspected.
+func (b *Book) Alive(id string) bool {
+	n, ok := b.nodes[id]
+	if !ok || !n.suspected {
+		return false
 	}
-	n.strikes = min(n.strikes+1, 4)
-	n.until = now.Add(pause)
-	return pause
+	n.suspected = false
+	return true
 }
 
-// Well notes a whole answer along a path: its replicas are trusted again.
-func (b *Book) Well(path Path) {
-	for _, part := range path {
-		if n, ok := b.nodes[part.Replica]; ok {
-			n.strikes = 0
+// Suspects returns the replicas that are suspected.
+func (b *Book) Suspects() []Replica {
+	var list []Replica
+	for _, n := range b.order {
+		if n.suspected {
+			list = append(list, n.Replica)
 		}
 	}
+	return list
+}
+
+// Lost says whether a replica has been suspected for at least the given time.
+func (b *Book) Lost(now time.Time, id string, after time.Duration) bool {
+	n, ok := b.nodes[id]
+	return ok && n.suspected && now.Sub(n.since) >= after
 }
 
 // Full notes that a replica has refused for want of room.
 func (b *Book) Full(now time.Time, id string) {
 	if n, ok := b.nodes[id]; ok {
+		n.room.refused(now)
 		n.full = now.Add(fullPause)
 	}
 }
@@ -76,14 +114,13 @@
 	return ""
 }
 
-// Use is the part of a failure domain's room that is booked here, by replica, for
-// log lines and metrics.
-func (b *Book) Use(id string) float64 {
+// Use is the part of a replica's room that is booked here, for log lines.
+func (b *Book) Use(now time.Time, id string) float64 {
 	n, ok := b.nodes[id]
 	if !ok {
 		return 0
 	}
-	return b.use(n, 0)
+	return b.use(now, n, 0)
 }
 
 // Known says whether a replica is in the list.
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -77,6 +77,8 @@
 	Tokens float64
 	// Exclude names replicas not to use.
 	Exclude []string
+	// FirstOf, if not empty, names the replicas that the path may begin with.
+	FirstOf []string
 }
 
 const (
@@ -103,10 +105,12 @@
 // node is a replica and what is known of it here.
 type node struct {
 	Replica
-	booked  float64 // tokens times layers of this node's requests
-	until   time.Time
-	full    time.Time
-	strikes int
+	booked float64 // tokens times layers of this node's requests
+	room   learned
+	// suspected is set from a sign that the replica is gone until one that it lives.
+	suspected bool
+	since     time.Time // of the suspicion
+	full      time.Time
 }
 
 // Book keeps what is booked on each replica. Not safe for concurrent use.
@@ -134,7 +138,7 @@
 	for _, r := range replicas {
 		n, ok := b.nodes[r.ID]
 		if !ok || n.Born != r.Born {
-			n = &node{}
+			n = &node{room: learned{part: 1}}
 		}
 		n.Replica = r
 		nodes[r.ID] = n
@@ -149,28 +153,30 @@
 	})
 }
 
-// SetShare sets the part of a failure domain's room that this node may book: its
+// SetShare sets the part of a failure domain's room that this node reckons with: its
 // part of the nodes that send work there.
 func (b *Book) SetShare(domain string, share float64) {
 	b.shares[domain] = share
 }
 
-// use is the part of a replica's room that would be booked with more added.
-func (b *Book) use(n *node, more float64) float64 {
+// use is the part of a replica's room that would be booked with more added, by this
+// node and, as far as it knows, the others.
+func (b *Book) use(now time.Time, n *node, more float64) float64 {
 	share, ok := b.shares[n.Domain]
 	if !ok || share <= 0 {
 		share = 1
 	}
-	if n.Room <= 0 {
+	room := n.Room * share * n.room.at(now)
+	if room <= 0 {
 		return math.Inf(1)
 	}
-	return (n.booked + more) / (n.Room * share)
+	return (n.booked + more) / room
 }
 
 // Usable says whether a replica takes new requests, as far as is known.
-func (b *Book) Usable(now time.Time, id string) bool {
+func (b *Book) Usable(id string) bool {
 	n, ok := b.nodes[id]
-	return ok && !n.Leaving && !now.Before(n.until)
+	return ok && !n.Leaving && !n.suspected
 }
 
 // way is the cheapest known way to a boundary between layers that ends in a
@@ -184,7 +190,7 @@
 
 // Choose returns the cheapest path, or why there is none.
 func (b *Book) Choose(now time.Time, q Query) (Path, Reason) {
-	usable := b.usable(now, q)
+	usable := b.usable(q)
 	path := b.search(now, q, usable, maxUse)
 	if path != nil {
 		return path, Found
@@ -195,10 +201,10 @@
 	return nil, NoCover
 }
 
-func (b *Book) usable(now time.Time, q Query) []*node {
+func (b *Book) usable(q Query) []*node {
 	var usable []*node
 	for _, n := range b.order {
-		if n.Leaving || n.Holds.Empty() || now.Before(n.until) || slices.Contains(q.Exclude, n.ID) {
+		if n.Leaving || n.Holds.Empty() || n.suspected || slices.Contains(q.Exclude, n.ID) {
 			continue
 		}
 		usable = append(usable, n)
@@ -225,7 +231,10 @@
 			}
 			domain := index[k]
 			for from := to - 1; from >= 0 && cuts[from] >= n.Holds.From; from-- {
-				part, ok := b.partCost(n, cuts[to]-cuts[from], q.Tokens, most, weights[k])
+				if from == 0 && len(q.FirstOf) > 0 && !slices.Contains(q.FirstOf, n.ID) {
+					continue
+				}
+				part, ok := b.partCost(now, n, cuts[to]-cuts[from], q.Tokens, most, weights[k])
 				if !ok {
 					continue
 				}
@@ -301,8 +310,8 @@
 const fullWeight = 8
 
 // partCost is the cost of n layers on a replica, in milliseconds a step.
-func (b *Book) partCost(n *node, count int, tokens, most, weight float64) (float64, bool) {
-	use := b.use(n, tokens*float64(count))
+func (b *Book) partCost(now time.Time, n *node, count int, tokens, most, weight float64) (float64, bool) {
+	use := b.use(now, n, tokens*float64(count))
 	if use > most {
 		return 0, false
 	}
--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -22,8 +22,10 @@
 type Config struct {
 	// Share is the retries earned per success.
 	Share float64
-	// Burst is the most retries that can be saved up; a new Budget holds them.
+	// Burst is the most retries that can be saved up; a new Budget holds them, or
+	// Start if that is set.
 	Burst float64
+	Start float64
 	// Floor is the retries earned per second whatever succeeds.
 	Floor float64
 	// MaxAttempts bounds the attempts of one request, the first included.
@@ -106,12 +108,12 @@
 	random *rand.Rand
 }
 
-// New returns a full Budget.
+// New returns a Budget that holds Config.Start.
 func New(cfg Config) *Budget {
 	cfg = withDefaults(cfg)
 	return &Budget{
 		cfg:    cfg,
-		tokens: cfg.Burst,
+		tokens: cmp.Or(cfg.Start, cfg.Burst),
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 }
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -98,14 +99,41 @@
 	return k
 }
 
-// share is the part of a domain's room that this node books: that of its nodes that
-// it is one of. Another domain's room is taken only when its own is short, and then
-// by all of this one's nodes.
+// share is the part of a domain's room that this node reckons with. Its own domain's
+// is shared by the domain's nodes; another's is taken when the own is short, by nodes
+// that do not see each other's bookings, and so only a part of the same size as if
+// all nodes took from it.
 func (n *Node) share(domain string) float64 {
-	near, _ := n.peers(domain)
+	near, all := n.peers(domain)
+	if domain != n.settings.Domain {
+		return 1 / float64(all)
+	}
 	return 1 / float64(max(1, len(near)))
 }
 
+// recheckEvery is how often suspected replicas are tried again. A connection costs
+// next to nothing, a request that meets a dead part seconds.
+const recheckEvery = 400 * time.Millisecond
+
+// recheck tries the suspected replicas until the context ends.
+func (n *Node) recheck(ctx context.Context) {
+	for sleep(ctx, recheckEvery) {
+		for service, model := range n.services.allModels() {
+			for _, r := range model.Suspects() {
+				if n.prober.Reachable(ctx, r.Address) && model.Alive(r.ID) {
+					n.log.Info("replica reached again", "replica", r.ID, "service", service, "address", r.Address)
+				}
+			}
+		}
+	}
+}
+
+func (s *services) allModels() map[string]*targets.Model {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.models)
+}
+
 // connsPart of a replica's connections is shared by the nodes; the rest is for those
 // that start or come late to know of one another.
 const connsPart = 0.85
@@ -141,7 +169,7 @@
 		model := n.services.model(service.Name)
 		for domain := range domains {
 			if n.keeps(domain) {
-				n.services.keeper(service.Name).Step(ctx, time.Now(), service.Model, domain, own, model.Usable)
+				n.services.keeper(service.Name).Step(ctx, time.Now(), service.Model, domain, own, model.Lost)
 			}
 		}
 	}
@@ -151,17 +179,28 @@
 // the nodes that started with it have entered themselves.
 const planAfter = 1500 * time.Millisecond
 
-// budgetPart of the allowed further tries is used: nodes come and go, and each keeps
-// its part.
-const budgetPart = 0.6
+const (
+	// budgetPart of the allowed further tries is used: nodes differ for a moment on
+	// how many they are.
+	budgetPart = 0.8
+	// startNodes is how many nodes one that knows of no others reckons with.
+	startNodes = 12
+)
 
 // newBudget is this node's part of the tries beyond the first that all nodes may
-// send to a service in a window.
+// send to a service in a window. In any window a budget gives what it held and what
+// it earned, so it holds one half and earns the other over the window; and a node
+// that starts holds little, or a fleet that is restarted one by one would have twice
+// the allowance.
 func (n *Node) newBudget(string) *relay.Budget {
 	b := n.bounds()
 	_, all := n.peers("")
-	burst := math.Max(2, b.RetrySlack*budgetPart/float64(all))
+	if all < 2 {
+		all = startNodes
+	}
+	part := b.RetrySlack * budgetPart / float64(all)
 	return relay.NewBudget(retry.Config{
-		Share: b.RetryRatio * budgetPart, Burst: burst, Floor: 0.2, Seed: n.seed,
+		Share: b.RetryRatio * budgetPart, Burst: math.Max(2, part/2), Start: part / 8,
+		Floor: part / 2 / b.RetryWindow.Seconds(), Seed: n.seed,
 	})
 }
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -50,6 +50,7 @@
 
 	store   *kv.Client
 	pool    *upstream.Pool
+	prober  *reach.Prober
 	engines *engines.Client
 	relay   *relay.Server
 
@@ -89,12 +90,13 @@
 	}
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool}
+	n.prober = reach.New(n.pool, time.Now)
 	n.inForce.Store(&settings.Bounds)
 	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
 	n.relay = &relay.Server{
 		Rules: n, Dialect: callers.Dialect{}, Services: &n.services, Engines: n.engines,
-		Pool: n.pool, Prober: reach.New(n.pool, time.Now), Figures: n.metrics, Log: log, Now: time.Now,
+		Pool: n.pool, Prober: n.prober, Figures: n.metrics, Log: log, Now: time.Now,
 		NewBudget: n.newBudget, Leaving: n.leavingFor,
 	}
 	return n
@@ -116,6 +118,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go n.follow(background)
+	go n.recheck(background)
 	go n.watchSettings(background, reload)
 	failed := doors.serve()
 	select {
--- a/route/layering/layering.go
+++ b/route/layering/layering.go
@@ -94,11 +94,11 @@
 	}
 }
 
-// Step looks at the replicas of a domain and orders what they lack. usable says
-// whether a replica is thought to be alive.
-func (k *Keeper) Step(ctx context.Context, now time.Time, model *ruleset.Model, domain string, list []*roster.Replica, usable func(id string) bool) {
+// Step looks at the replicas of a domain and orders what they lack. lost says
+// whether a replica is thought to be dead.
+func (k *Keeper) Step(ctx context.Context, now time.Time, model *ruleset.Model, domain string, list []*roster.Replica, lost func(id string) bool) {
 	replicas := inDomain(domain, list)
-	for _, o := range k.plan(now, model, domain, replicas, usable) {
+	for _, o := range k.plan(now, model, domain, replicas, lost) {
 		go k.give(ctx, now, model, o.replica, o.Order)
 	}
 }
@@ -118,7 +118,7 @@
 	replica *roster.Replica
 }
 
-func (k *Keeper) plan(now time.Time, model *ruleset.Model, domain string, replicas []*roster.Replica, usable func(string) bool) []assignment {
+func (k *Keeper) plan(now time.Time, model *ruleset.Model, domain string, replicas []*roster.Replica, lost func(string) bool) []assignment {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.settled(now, domain, replicas) {
@@ -128,7 +128,7 @@
 	cards := make([]layers.Card, 0, len(replicas))
 	for _, r := range replicas {
 		byID[r.ID] = r
-		cards = append(cards, k.card(now, model, r, usable(r.ID)))
+		cards = append(cards, k.card(now, model, r, lost(r.ID)))
 	}
 	shape := layers.Model{
 		Layers: model.Layers, LayerMB: model.LayerMB, TokenLayerMB: model.TokenLayerBytes / bytesPerMB,
@@ -174,10 +174,10 @@
 }
 
 // card is a replica with what it has been ordered.
-func (k *Keeper) card(now time.Time, model *ruleset.Model, r *roster.Replica, usable bool) layers.Card {
+func (k *Keeper) card(now time.Time, model *ruleset.Model, r *roster.Replica, lost bool) layers.Card {
 	c := layers.Card{
 		ID: r.ID, MemoryMB: model.Cards[r.Kind].MemoryMB, Held: r.Holds,
-		Fixed: r.Busy, Leaving: r.Draining || !usable || model.Cards[r.Kind].MemoryMB == 0,
+		Fixed: r.Busy, Leaving: r.Draining || lost || model.Cards[r.Kind].MemoryMB == 0,
 	}
 	p, ok := k.pending[r.ID]
 	if !ok {
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -66,6 +66,11 @@
 	return lost
 }
 
+// Reachable says whether an address accepts connections.
+func (p *Prober) Reachable(ctx context.Context, address string) bool {
+	return len(p.Lost(ctx, []string{address})) == 0
+}
+
 // probe returns a young probe of an address, or begins one.
 func (p *Prober) probe(ctx context.Context, address string) *probe {
 	p.mu.Lock()
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -108,22 +108,31 @@
 	return v
 }
 
-// choose asks for a target.
+// choose asks for a target. A stream goes on at as many replicas as its route allows;
+// after that at those that it has been at.
 func (q *request) choose() (targets.Target, error) {
 	wait := q.s.Now()
-	until := wait
-	if q.sends == 0 {
-		until = wait.Add(q.patience())
+	query := targets.Query{
+		Tokens: q.tokens(), Exclude: q.tried, Once: !q.route.Idempotent(), Rank: q.rank(),
+		WaitUntil: q.arrived.Add(q.patience()),
 	}
-	t, err := q.targets.Choose(q.ctx, targets.Query{
-		Tokens: q.tokens(), Exclude: q.tried, Once: !q.route.Idempotent(), Rank: q.rank(), WaitUntil: until,
-	})
+	if q.started {
+		query.WaitUntil = wait.Add(resumePatience)
+	}
+	if len(q.ran) >= q.route.MaxReplicas {
+		query.FirstOf, query.Exclude = q.ran, nil
+	}
+	t, err := q.targets.Choose(q.ctx, query)
 	if waited := q.s.Now().Sub(wait); waited > time.Millisecond {
 		q.s.Figures.Waited(q.service, waited)
 	}
 	return t, err
 }
 
+// resumePatience is how long a stream that has begun waits for a path to go on: as
+// long as its caller does for the next event.
+const resumePatience = 1500 * time.Millisecond
+
 // patience is how long a request waits for room: as long as its answer can still be
 // on time.
 func (q *request) patience() time.Duration {
@@ -278,24 +287,29 @@
 	return list[len(list)-1]
 }
 
-// note remembers which replica failed, and whether it may have run the request.
+// note remembers which replica failed, and which may have run the request. Where an
+// answer names the part of the path at fault, the first part did not fail.
 func (q *request) note(v verdict) {
-	if q.lastTarget.Replica == "" {
+	first := q.lastTarget.Replica
+	if first == "" {
 		return
 	}
-	replica := q.lastTarget.Replica
-	if !slices.Contains(q.tried, replica) {
-		q.tried = append(q.tried, replica)
+	failed := first
+	if v.result.Fault != "" {
+		failed = q.lastTarget.ReplicaAt(v.result.Fault)
+	}
+	if failed != "" && !slices.Contains(q.tried, failed) {
+		q.tried = append(q.tried, failed)
 	}
-	if !v.notRun() && !slices.Contains(q.ran, replica) {
-		q.ran = append(q.ran, replica)
+	if !v.notRun() && !slices.Contains(q.ran, first) {
+		q.ran = append(q.ran, first)
 	}
 }
 
 // mayRetry asks the budget. Tries that were not sent cost the endpoints nothing.
 func (q *request) mayRetry(v verdict) retry.Decision {
 	switch {
-	case q.sends >= maxSends || len(q.ran) >= max(1, q.route.MaxReplicas):
+	case q.sends >= maxSends, len(q.ran) >= q.route.MaxReplicas && q.route.Kind != ruleset.Stream:
 		return retry.Decision{Reason: retry.TooManyAttempts}
 	case v.end == endNotSent:
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -225,9 +225,16 @@
 	if !ok {
 		return
 	}
-	w.a.q.log.Info("path silent", "service", w.a.q.service, "lost", lost, "parts", len(path))
+	fresh := false
 	for _, address := range lost {
-		model.Suspect(replicas[address]) // which leads this request around as well
+		// This leads all requests that run through it around.
+		if model.Suspect(replicas[address]) {
+			fresh = true
+			w.a.q.log.Info("replica out of reach", "service", w.a.q.service, "replica", replicas[address], "address", address)
+		}
+	}
+	if !fresh {
+		w.lead("a part of the path is lost")
 	}
 }
 
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -75,7 +75,7 @@
 	defer m.mu.Unlock()
 	first := f.path[0]
 	now := m.now()
-	if !m.book.Usable(now, first.Replica) {
+	if !m.book.Usable(first.Replica) {
 		return nil
 	}
 	if first.Run.To == m.layers {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -137,7 +137,7 @@
 		return Target{}, paths.NoRoom, false
 	}
 	path, reason := m.book.Choose(m.now(), paths.Query{
-		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude,
+		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstOf: q.FirstOf,
 	})
 	if reason != paths.Found || !path.Runs(layers.Span{To: m.layers}) {
 		if first {
@@ -199,9 +199,6 @@
 	f := t.Flight
 	delete(m.flights, f)
 	m.book.Release(f.path, f.tokens)
-	if r.Whole {
-		m.book.Well(f.path)
-	}
 	lost := m.learn(t, r)
 	m.wakeOne()
 	m.mu.Unlock()
@@ -217,8 +214,9 @@
 	case fault == "":
 		return nil
 	case r.Gone:
-		m.book.Suspect(m.now(), fault)
-		return m.through(fault)
+		if m.book.Suspect(m.now(), fault) {
+			return m.through(fault)
+		}
 	case r.NoRoom:
 		m.book.Full(m.now(), fault)
 	}
@@ -226,20 +224,45 @@
 }
 
 // Suspect notes that a replica looks dead; the requests that run through it are
-// told.
-func (m *Model) Suspect(replica string) {
+// told. It says whether that is new.
+func (m *Model) Suspect(replica string) bool {
 	m.mu.Lock()
-	m.book.Suspect(m.now(), replica)
-	lost := m.through(replica)
+	fresh := m.book.Suspect(m.now(), replica)
+	var lost []notice
+	if fresh {
+		lost = m.through(replica)
+	}
 	m.mu.Unlock()
 	tell(lost)
+	return fresh
 }
 
-// Usable says whether a replica takes new requests, as far as is known.
-func (m *Model) Usable(replica string) bool {
+// Alive notes that a suspected replica lives. It says whether it was suspected.
+func (m *Model) Alive(replica string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	was := m.book.Alive(replica)
+	m.wakeOne()
+	return was
+}
+
+// Suspects returns the replicas that are suspected.
+func (m *Model) Suspects() []paths.Replica {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Suspects()
+}
+
+// lostAfter is how long a replica is suspected before its layers count as lost: the
+// time of some tries to reach it.
+const lostAfter = 600 * time.Millisecond
+
+// Lost says whether a replica has been out of reach for so long that others should
+// take its layers.
+func (m *Model) Lost(replica string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.book.Usable(m.now(), replica)
+	return m.book.Lost(m.now(), replica, lostAfter)
 }
 
 // Waiting is how many requests wait for room, and Underway how many run.
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -26,6 +26,8 @@
 	Tokens float64
 	// Exclude names replicas that have failed this request.
 	Exclude []string
+	// FirstOf, if not empty, names the only replicas that may be handed the request.
+	FirstOf []string
 	// Once is set for requests that must not run twice: they are not used to try
 	// endpoints that failed of late.
 	Once bool
@@ -48,6 +50,16 @@
 	Flight *Flight
 }
 
+// ReplicaAt is the replica of the target's path at an address, or "".
+func (t Target) ReplicaAt(address string) string {
+	for _, part := range t.Path {
+		if part.Address == address {
+			return part.Replica
+		}
+	}
+	return ""
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	Failure health.Failure
