Crossings are dear, slow replicas are known by their reports, stalls are looked at sooner

Excluded: detection, the orders. Replicas slowed twelvefold were not told from others. Change: a crossing costs as much as ten paths, the pace of a report counts squared, a path is looked at after 100 ms (150) of silence.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -90,6 +90,32 @@
 	return list
 }
 
+// SetPace notes how much slower than its kind a replica says it is, 1 for not at all.
+// It says whether that has changed what the replica counts as.
+func (b *Book) SetPace(id string, pace float64) bool {
+	n, ok := b.nodes[id]
+	if !ok {
+		return false
+	}
+	was := n.pace
+	n.pace = max(1, pace)
+	return (was >= slowPace) != (n.pace >= slowPace)
+}
+
+// slowPace is the pace from which a replica is asked again until it is well.
+const slowPace = 1.5
+
+// Slow returns the replicas that are slower than their kind.
+func (b *Book) Slow() []Replica {
+	var list []Replica
+	for _, n := range b.order {
+		if n.pace >= slowPace && !n.suspected {
+			list = append(list, n.Replica)
+		}
+	}
+	return list
+}
+
 // Lost says whether a replica has been suspected for at least the given time.
 func (b *Book) Lost(now time.Time, id string, after time.Duration) bool {
 	n, ok := b.nodes[id]
--- a/decide/paths/doc.go
+++ b/decide/paths/doc.go
@@ -32,7 +32,10 @@
 //     doubles the cost of a slow card, so fast and slow cards fill at about the same
 //     rate, and speed decides only while there is room. Objectives are met at the
 //     slowest card's pace, so speed buys nothing more.
-//   - Crossing a failure domain in the middle of a path costs as much as a whole path
-//     (crossCost): all paths share the pipes between domains, and one crossing of all
-//     paths would exceed them.
+//   - Crossing a failure domain in the middle of a path costs as much as ten paths
+//     (crossCost): all share the pipes between domains, a prompt takes 16 ms of one,
+//     and the prompts of one domain, crossing twice, fill it. A first part in another
+//     domain (entryCost) costs the answer's bytes only.
+//   - The pace of a slow replica counts squared: at twelve times the usual step it is
+//     not only slow but can't keep up with what runs through it.
 package paths
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -89,7 +89,7 @@
 	hopCost = 0.5
 	// crossCost is the price of leaving a failure domain within a path, and
 	// entryCost that of a first part in another than the node's, in milliseconds.
-	crossCost = 25
+	crossCost = 150
 	entryCost = 12
 	// slowLayer is the time of a layer on a slow card, in milliseconds; the price
 	// of room is a multiple of it.
@@ -111,6 +111,8 @@
 	suspected bool
 	since     time.Time // of the suspicion
 	full      time.Time
+	// pace is over 1 for a replica that is slower than its kind.
+	pace float64
 }
 
 // Book keeps what is booked on each replica. Not safe for concurrent use.
@@ -138,7 +140,7 @@
 	for _, r := range replicas {
 		n, ok := b.nodes[r.ID]
 		if !ok || n.Born != r.Born {
-			n = &node{room: learned{part: 1}}
+			n = &node{room: learned{part: 1}, pace: 1}
 		}
 		n.Replica = r
 		nodes[r.ID] = n
@@ -316,7 +318,7 @@
 		return 0, false
 	}
 	use = min(use, 0.99)
-	return hopCost + weight*float64(count)*(n.LayerMillis+slowLayer*use/(1-use)), true
+	return hopCost + weight*float64(count)*(n.LayerMillis*n.pace*n.pace+slowLayer*use/(1-use)), true
 }
 
 // trace reads the path off the ways, last part first, and joins parts of one
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -128,6 +128,27 @@
 	}
 }
 
+// repaceEvery is how often slow replicas are asked whether they still are. Nothing is
+// sent to them meanwhile that would show it.
+const repaceEvery = time.Second
+
+// repace asks the slow replicas until the context ends.
+func (n *Node) repace(ctx context.Context) {
+	for sleep(ctx, repaceEvery) {
+		for service, model := range n.services.allModels() {
+			for _, r := range model.Slow() {
+				account, _, err := n.reports.Ask(ctx, r.Address, r.ID)
+				if err != nil {
+					continue // the next request that meets it, or the list, tells
+				}
+				if model.SetPace(r.ID, account.Pace) {
+					n.log.Info("replica's pace", "service", service, "replica", r.ID, "domain", r.Domain, "pace", account.Pace)
+				}
+			}
+		}
+	}
+}
+
 func (s *services) allModels() map[string]*targets.Model {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -29,6 +29,7 @@
 	"github.com/cicadatack/cicadatack/platform/kv"
 	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/relay"
+	"github.com/cicadatack/cicadatack/route/report"
 	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/upstream"
@@ -51,6 +52,7 @@
 	store   *kv.Client
 	pool    *upstream.Pool
 	prober  *reach.Prober
+	reports *report.Inspector
 	engines *engines.Client
 	relay   *relay.Server
 
@@ -91,12 +93,13 @@
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool}
 	n.prober = reach.New(n.pool, time.Now)
+	n.reports = report.New(n.engines, time.Now)
 	n.inForce.Store(&settings.Bounds)
 	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
 	n.relay = &relay.Server{
 		Rules: n, Dialect: callers.Dialect{}, Services: &n.services, Engines: n.engines,
-		Pool: n.pool, Prober: n.prober, Figures: n.metrics, Log: log, Now: time.Now,
+		Pool: n.pool, Prober: n.prober, Reports: n.reports, Figures: n.metrics, Log: log, Now: time.Now,
 		NewBudget: n.newBudget, Leaving: n.leavingFor,
 	}
 	return n
@@ -119,6 +122,7 @@
 	defer stop()
 	go n.follow(background)
 	go n.recheck(background)
+	go n.repace(background)
 	go n.watchSettings(background, reload)
 	failed := doors.serve()
 	select {
--- a/route/layering/layering.go
+++ b/route/layering/layering.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/decide/layers"
+	"github.com/cicadatack/cicadatack/route/report"
 	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 )
@@ -29,20 +30,7 @@
 	// accepted; it refuses if it has taken another one since.
 	Place(ctx context.Context, address, replica string, orders int64, hold layers.Span) error
 	// Report asks a replica for its account of itself.
-	Report(ctx context.Context, address, replica string) (Report, error)
-}
-
-// Report is a replica's account of itself.
-type Report struct {
-	// Born tells its lives apart.
-	Born int64
-	// Busy says that an order is being carried out.
-	Busy bool
-	// Orders counts those accepted in this life.
-	Orders int64
-	Holds  layers.Span
-	// Pace is over 1 if the replica is slower than its kind.
-	Pace float64
+	Report(ctx context.Context, address, replica string) (report.Report, error)
 }
 
 const (
@@ -236,16 +224,16 @@
 // that got no answer. An order that may still come is none the less expected: until
 // its time has passed nothing else is ordered, and then the count tells.
 func (k *Keeper) ask(ctx context.Context, r *roster.Replica) {
-	report, err := k.orderer.Report(ctx, r.Address, r.ID)
+	account, err := k.orderer.Report(ctx, r.Address, r.ID)
 	if err != nil {
 		k.log.Warn("no report", "replica", r.ID, "error", err)
 		return
 	}
-	k.log.Info("report", "replica", r.ID, "orders", report.Orders, "holds", report.Holds, "busy", report.Busy, "born", report.Born)
-	k.setAccepted(r, report.Orders)
+	k.log.Info("report", "replica", r.ID, "orders", account.Orders, "holds", account.Holds, "busy", account.Busy, "born", account.Born)
+	k.setAccepted(r, account.Orders)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if p, ok := k.pending[r.ID]; ok && report.Holds != p.hold && !report.Busy {
+	if p, ok := k.pending[r.ID]; ok && account.Holds != p.hold && !account.Busy {
 		delete(k.pending, r.ID)
 	}
 }
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// within is how long an endpoint has to accept a connection: over a hundred round
-	// trips inside a region.
-	within = 60 * time.Millisecond
+	// within is how long an endpoint has to accept a connection: some ten times what it
+	// takes between failure domains of a region.
+	within = 25 * time.Millisecond
 	// validFor is how long an answer is shared among the requests that ask: when an
 	// endpoint dies, all that run through it ask at once.
 	validFor = 250 * time.Millisecond
--- a/route/relay/relay.go
+++ b/route/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/cicadatack/cicadatack/route/dialect"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/reach"
+	"github.com/cicadatack/cicadatack/route/report"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
@@ -91,6 +92,7 @@
 	Engines  Engines
 	Pool     *upstream.Pool
 	Prober   *reach.Prober
+	Reports  *report.Inspector
 	Figures  Figures
 	Log      hclog.Logger
 	Now      func() time.Time
@@ -156,6 +158,12 @@
 	started bool
 	events  int
 	lastID  string
+	// first is the time to the first event; longest the longest pause after it, which
+	// began after pausedAt events.
+	first    time.Duration
+	longest  time.Duration
+	pausedAt int
+	heard    time.Time
 }
 
 // ServeHTTP answers one request of a caller.
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -19,10 +20,10 @@
 const (
 	// firstSilence is how long a replica may take to begin before the path is looked
 	// at; usual first events come after a tenth of it.
-	firstSilence = 600 * time.Millisecond
+	firstSilence = 250 * time.Millisecond
 	// stallAfter is the pause between two events after which the path is looked at:
-	// under the longest pause that is on time, and several usual ones.
-	stallAfter = 150 * time.Millisecond
+	// half of the longest pause that is on time, and over two usual ones.
+	stallAfter = 100 * time.Millisecond
 	// stallAgain is between two looks at a path that stays silent.
 	stallAgain = 400 * time.Millisecond
 	// silenceLimit is the pause after which a stream is given up although all of its
@@ -122,10 +123,22 @@
 	if !wrote {
 		return nil
 	}
+	q.noteProgress()
 	watch.heard()
 	return http.NewResponseController(q.w).Flush()
 }
 
+// noteProgress measures the pauses that the caller sees.
+func (q *request) noteProgress() {
+	now := q.s.Now()
+	if q.heard.IsZero() {
+		q.first = now.Sub(q.arrived)
+	} else if pause := now.Sub(q.heard); pause > q.longest {
+		q.longest, q.pausedAt = pause, q.events
+	}
+	q.heard = now
+}
+
 // follows says whether an event comes after those that the caller has. A replica
 // that goes on with an answer may begin with the event that it was told.
 func (q *request) follows(id string) bool {
@@ -159,7 +172,8 @@
 	q := a.q
 	q.beginStream(e)
 	e.Keep(a.seen.KeepFor)
-	q.done("events", q.events, "parts", len(a.target.Path))
+	q.done("events", q.events, "parts", len(a.target.Path), "first_ms", q.first.Milliseconds(),
+		"longest_pause_ms", q.longest.Milliseconds(), "pause_after_event", q.pausedAt)
 	return verdict{end: endWhole, result: targets.Result{Whole: true}}
 }
 
@@ -217,14 +231,15 @@
 		replicas[part.Address] = part.Replica
 	}
 	lost := w.a.q.s.Prober.Lost(w.ctx, addresses)
-	if len(lost) == 0 {
-		w.timer.Reset(stallAgain)
-		return
-	}
 	model, ok := w.a.q.targets.(*targets.Model)
 	if !ok {
 		return
 	}
+	if len(lost) == 0 {
+		w.timer.Reset(stallAgain)
+		w.inspect(model, path)
+		return
+	}
 	fresh := false
 	for _, address := range lost {
 		// This leads all requests that run through it around.
@@ -270,6 +285,22 @@
 	w.end(why)
 }
 
+// inspect asks the parts of a path that all can be reached how fast they are.
+func (w *watch) inspect(model *targets.Model, path paths.Path) {
+	q := w.a.q
+	for _, part := range path {
+		go func() {
+			account, fresh, err := q.s.Reports.Ask(w.ctx, part.Address, part.Replica)
+			if err != nil || !fresh {
+				return // another request has learned it, or there is nothing to learn
+			}
+			if model.SetPace(part.Replica, account.Pace) {
+				q.log.Info("replica's pace", "service", q.service, "replica", part.Replica, "domain", part.Domain, "pace", account.Pace)
+			}
+		}()
+	}
+}
+
 func (w *watch) take() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/route/relay/whole.go
+++ b/route/relay/whole.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -173,15 +174,23 @@
 func (q *request) done(fields ...any) {
 	took := q.s.Now().Sub(q.arrived)
 	q.s.Figures.Request(q.service, q.teamName(), "done")
-	if q.sends == 1 && q.number%successSample != 0 {
+	if q.sends == 1 && !q.late() && q.number%successSample != 0 {
 		return
 	}
 	q.log.Info("answered", append(fields, "service", q.service, "team", q.teamName(), "route", q.route.Name,
 		"configuration", q.rules.Version, "replica", q.lastTarget.Replica, "sends", q.sends, "took_ms", took.Milliseconds())...)
 }
 
-// successSample: of the requests that are answered at the first try one in so many
-// is logged. All others are.
+// late says whether the answer missed its route's objectives.
+func (q *request) late() bool {
+	if q.route.Kind == ruleset.Stream {
+		return q.first > q.route.Objective || q.route.MaxPause > 0 && q.longest > q.route.MaxPause
+	}
+	return q.s.Now().Sub(q.arrived) > q.route.Objective
+}
+
+// successSample: of the requests that are answered on time at the first try one in so
+// many is logged. All others are.
 const successSample = 10
 
 // cut ends an answer that has begun and can't be completed. The connection ends
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -253,6 +253,21 @@
 	return m.book.Suspects()
 }
 
+// SetPace notes how much slower than its kind a replica says it is. It says whether
+// that is news.
+func (m *Model) SetPace(replica string, pace float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.SetPace(replica, pace)
+}
+
+// Slow returns the replicas that are slower than their kind.
+func (m *Model) Slow() []paths.Replica {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Slow()
+}
+
 // lostAfter is how long a replica is suspected before its layers count as lost: the
 // time of some tries to reach it.
 const lostAfter = 600 * time.Millisecond
