Requests are led away from parts that leave; refused orders are learned from

A part that leaves ends its streams some seconds later, and the way round then is a crossing. Change: on a list that shows a part leaving or without the layers, requests through it go to another holder of the domain, 15 ms apart. An order that an engine refuses makes the parts that it named the last choice.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
 )
 
 const (
@@ -130,6 +132,20 @@
 	}
 }
 
+// Avoid makes a replica the last choice for a moment, without a lesson about its room.
+func (b *Book) Avoid(now time.Time, id string) {
+	if n, ok := b.nodes[id]; ok {
+		n.full = now.Add(fullPause)
+	}
+}
+
+// Leaving says whether a replica that is listed is about to leave, or no longer holds
+// the span.
+func (b *Book) Leaving(id string, span layers.Span) bool {
+	n, ok := b.nodes[id]
+	return ok && (n.Replica.Leaving || !n.Holds.Covers(span))
+}
+
 // ByAddress returns the id of the replica at an address, or "".
 func (b *Book) ByAddress(address string) string {
 	for _, n := range b.order {
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -105,12 +105,24 @@
 // all nodes took from it.
 func (n *Node) share(domain string) float64 {
 	near, all := n.peers(domain)
+	if time.Since(n.started) < meetAfter {
+		// Nodes that started together do not see one another yet.
+		return 1 / float64(max(startNear, len(near)))
+	}
 	if domain != n.settings.Domain {
 		return 1 / float64(all)
 	}
 	return 1 / float64(max(1, len(near)))
 }
 
+const (
+	// meetAfter is how long a node that starts may not know of the others: a lease, an
+	// entry and a read of the store each.
+	meetAfter = 3 * time.Second
+	// startNear is how many nodes of its domain it reckons with until then.
+	startNear = 3
+)
+
 // recheckEvery is how often suspected replicas are tried again. A connection costs
 // next to nothing, a request that meets a dead part seconds.
 const recheckEvery = 400 * time.Millisecond
--- a/route/relay/relay.go
+++ b/route/relay/relay.go
@@ -48,10 +48,25 @@
 // Engines gives orders to model engines.
 type Engines interface {
 	// Detour makes a request that is underway at its first replica go on along
-	// another path with the same first part.
+	// another path with the same first part. It fails with a *DetourRefused if the
+	// engine did not take the order.
 	Detour(ctx context.Context, address, request string, path paths.Path) error
 }
 
+// DetourRefused is the error of an order that an engine did not take.
+type DetourRefused struct {
+	// Fault is the address of the part that is not there or has no room; "" if the
+	// engine did not say.
+	Fault string
+	Cause error
+}
+
+// Error implements error.
+func (d *DetourRefused) Error() string { return d.Cause.Error() }
+
+// Unwrap returns the cause.
+func (d *DetourRefused) Unwrap() error { return d.Cause }
+
 // Figures is told what became of requests; metrics implement it.
 type Figures interface {
 	Request(service, team, outcome string)
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -198,7 +198,10 @@
 		return w
 	}
 	w.timer = time.AfterFunc(firstSilence, w.silent)
-	a.target.Flight.OnLost(func(replica string) { w.lead("a part of the path is lost: " + replica) })
+	a.target.Flight.Watch(
+		func(replica string) { w.lead("a part of the path is lost: "+replica, false) },
+		func(replica string) { w.lead("a part of the path leaves: "+replica, true) },
+	)
 	return w
 }
 
@@ -249,7 +252,7 @@
 		}
 	}
 	if !fresh {
-		w.lead("a part of the path is lost")
+		w.lead("a part of the path is lost", false)
 	}
 }
 
@@ -257,32 +260,44 @@
 const maxDetours = 3
 
 // lead sends the request around what is lost, or ends the attempt so that another
-// replica can go on with it.
-func (w *watch) lead(why string) {
+// replica can go on with it. A part that is only about to leave is worth a way around
+// in the same failure domains; without one the request stays on its path.
+func (w *watch) lead(why string, leaving bool) {
 	if !w.take() {
 		return
 	}
 	defer w.give()
-	q := w.a.q
-	flight := w.a.target.Flight
 	for range maxDetours {
-		path := flight.Detour()
+		path := w.a.target.Flight.Detour(leaving)
 		if path == nil {
 			break
 		}
-		err := q.s.Engines.Detour(w.ctx, w.a.target.Address, q.call.ID, path)
-		q.log.Info("detour", "service", q.service, "why", why, "first", w.a.target.Replica, "parts", len(path), "error", err)
-		if err == nil {
-			flight.Moved(path)
-			q.s.Figures.Resumed(q.service, "detour")
-			w.heard()
-			return
-		}
-		if w.ctx.Err() != nil {
+		if w.detour(path, why) || w.ctx.Err() != nil {
 			return
 		}
 	}
-	w.end(why)
+	if !leaving {
+		w.end(why)
+	}
+}
+
+// detour orders the first replica to go on along another path. It says whether the
+// order was taken.
+func (w *watch) detour(path paths.Path, why string) bool {
+	q := w.a.q
+	err := q.s.Engines.Detour(w.ctx, w.a.target.Address, q.call.ID, path)
+	q.log.Info("detour", "service", q.service, "why", why, "first", w.a.target.Replica, "parts", len(path), "error", err)
+	if err == nil {
+		w.a.target.Flight.Moved(path)
+		q.s.Figures.Resumed(q.service, "detour")
+		w.heard()
+		return true
+	}
+	var refused *DetourRefused
+	if model, ok := q.targets.(*targets.Model); ok && errors.As(err, &refused) {
+		model.Refused(path, refused.Fault)
+	}
+	return false
 }
 
 // inspect asks the parts of a path that all can be reached how fast they are.
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -1,22 +1,61 @@
 package targets
 
 import (
+	"time"
+
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
 )
 
 // notice is a request that must be told that a replica of its path is lost.
 type notice struct {
-	lost    func(replica string)
+	tell    func(replica string)
 	replica string
 }
 
 func tell(notices []notice) {
 	for _, n := range notices {
-		go n.lost(n.replica)
+		go n.tell(n.replica)
 	}
 }
 
+// tellPause is between two requests that are led away from a replica that leaves: the
+// replicas that take them read their prompts, some milliseconds each, between the
+// steps of all others.
+const tellPause = 15 * time.Millisecond
+
+func tellSlowly(notices []notice) {
+	if len(notices) == 0 {
+		return
+	}
+	go func() {
+		for _, n := range notices {
+			n.tell(n.replica)
+			time.Sleep(tellPause)
+		}
+	}()
+}
+
+// leaving lists the requests that run through a replica which will end, or give up
+// the layers, before they do, each once. The first part can't be replaced. The caller
+// holds the lock.
+func (m *Model) leaving() []notice {
+	var list []notice
+	for f := range m.flights {
+		if f.leave == nil || f.told {
+			continue
+		}
+		for _, part := range f.path[1:] {
+			if m.book.Leaving(part.Replica, part.Run) {
+				f.told = true
+				list = append(list, notice{f.leave, part.Replica})
+				break
+			}
+		}
+	}
+	return list
+}
+
 // through lists the requests that run through a replica. The caller holds the lock.
 func (m *Model) through(replica string) []notice {
 	var list []notice
@@ -52,12 +91,13 @@
 	return false
 }
 
-// OnLost sets what is called, in a goroutine of its own, when a replica of the path
-// turns out to be lost. It may be called more than once.
-func (f *Flight) OnLost(lost func(replica string)) {
+// Watch sets what is called, in a goroutine of its own, when a replica of the path
+// turns out to be lost, and when one is about to leave. Each may be called more than
+// once.
+func (f *Flight) Watch(lost, leave func(replica string)) {
 	f.model.mu.Lock()
 	defer f.model.mu.Unlock()
-	f.lost = lost
+	f.lost, f.leave = lost, leave
 }
 
 // Path is the path that the request runs along now.
@@ -68,8 +108,9 @@
 }
 
 // Detour chooses a path that begins as the present one does and avoids what can't
-// be used. It returns nil if there is none.
-func (f *Flight) Detour() paths.Path {
+// be used. It returns nil if there is none. near asks for one that stays in the
+// failure domains of the present path.
+func (f *Flight) Detour(near bool) paths.Path {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,12 +130,22 @@
 		return nil
 	}
 	path := append(paths.Path{first}, rest...)
-	if !path.Runs(layers.Span{To: m.layers}) {
+	if !path.Runs(layers.Span{To: m.layers}) || near && crossings(path) > crossings(f.path) {
 		return nil
 	}
 	return path
 }
 
+func crossings(path paths.Path) int {
+	n := 0
+	for i := 1; i < len(path); i++ {
+		if path[i].Domain != path[i-1].Domain {
+			n++
+		}
+	}
+	return n
+}
+
 // Moved notes that the request now runs along another path.
 func (f *Flight) Moved(path paths.Path) {
 	m := f.model
@@ -105,5 +156,5 @@
 	}
 	m.book.Release(f.path, f.tokens)
 	m.book.Hold(path, f.tokens)
-	f.path = path
+	f.path, f.told = path, false
 }
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -43,6 +43,8 @@
 	path   paths.Path
 	tokens float64
 	lost   func(replica string)
+	leave  func(replica string)
+	told   bool // that a part of the path leaves
 }
 
 // NewModel returns a Model without replicas for a node in a failure domain.
@@ -70,8 +72,10 @@
 	}
 	m.wakeOne()
 	lost := m.stranded()
+	leaving := m.leaving()
 	m.mu.Unlock()
 	tell(lost)
+	tellSlowly(leaving)
 }
 
 func pathReplica(model *ruleset.Model, r *roster.Replica) paths.Replica {
@@ -280,6 +284,21 @@
 	return m.book.Lost(m.now(), replica, lostAfter)
 }
 
+// Refused notes an order to go around that an engine did not take. fault is the
+// address of the part that it named, "" if none.
+func (m *Model) Refused(path paths.Path, fault string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	if id := m.book.ByAddress(fault); id != "" {
+		m.book.Full(now, id)
+		return
+	}
+	for _, part := range path[1:] {
+		m.book.Avoid(now, part.Replica)
+	}
+}
+
 // Waiting is how many requests wait for room, and Underway how many run.
 func (m *Model) Waiting() (waiting, underway int) {
 	m.mu.Lock()
