An attempt is not ended while its first replica has the request

Change: ways around are tried each 150 ms for as long as the engine itself waits; a started stream waits for the budget.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -81,6 +81,12 @@
 	return true
 }
 
+// Suspected says whether a replica is left out.
+func (b *Book) Suspected(id string) bool {
+	n, ok := b.nodes[id]
+	return ok && n.suspected
+}
+
 // Suspects returns the replicas that are suspected.
 func (b *Book) Suspects() []Replica {
 	var list []Replica
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -175,12 +175,6 @@
 	return (n.booked + more) / room
 }
 
-// Usable says whether a replica takes new requests, as far as is known.
-func (b *Book) Usable(id string) bool {
-	n, ok := b.nodes[id]
-	return ok && !n.Leaving && !n.suspected
-}
-
 // way is the cheapest known way to a boundary between layers that ends in a
 // domain.
 type way struct {
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -270,6 +270,14 @@
 		return false
 	}
 	d := q.mayRetry(v)
+	for q.started && d.Reason == retry.BudgetSpent && q.s.Now().Sub(q.heard) < resumePatience {
+		// What the caller has is lost if the answer is given up, and the budget is
+		// earned again with the time.
+		if !q.pause(budgetPause) {
+			break
+		}
+		d = q.mayRetry(v)
+	}
 	q.log.Info("try failed", "service", q.service, "replica", lastOf(q.tried), "end", v.detail, "not_run", v.notRun(),
 		"sends", q.sends, "again", d.Retry, "reason", d.Reason.String(), "budget_left", int(d.Left))
 	if !d.Retry {
@@ -280,6 +288,20 @@
 	return true
 }
 
+// budgetPause is between two questions to a budget that is spent.
+const budgetPause = 100 * time.Millisecond
+
+func (q *request) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-q.ctx.Done():
+		return false
+	}
+}
+
 func lastOf(list []string) string {
 	if len(list) == 0 {
 		return ""
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -256,28 +256,53 @@
 	}
 }
 
-// maxDetours bounds the orders for one loss.
-const maxDetours = 3
+const (
+	// maxDetours bounds the orders for one part that leaves, and maxTries those for
+	// one that is lost: with the pauses they last a little longer than an engine
+	// waits for a part that is silent.
+	maxDetours = 2
+	maxTries   = 20
+	// detourPause is between two tries to find a way around: room is given back with
+	// each stream that ends.
+	detourPause = 150 * time.Millisecond
+)
 
-// lead sends the request around what is lost, or ends the attempt so that another
-// replica can go on with it. A part that is only about to leave is worth a way around
-// in the same failure domains; without one the request stays on its path.
+// lead sends the request around what is lost. While there is no way around, the
+// request stays where it is: the first replica still has it, and to end the answer
+// from here would lose what may yet go on. Only if the first replica itself is lost
+// is the attempt ended, so that another can go on with the request. A part that is
+// only about to leave is worth a way around in the same failure domains.
 func (w *watch) lead(why string, leaving bool) {
 	if !w.take() {
 		return
 	}
 	defer w.give()
-	for range maxDetours {
-		path := w.a.target.Flight.Detour(leaving)
-		if path == nil {
-			break
+	flight := w.a.target.Flight
+	for try := 0; w.ctx.Err() == nil; try++ {
+		if !leaving && flight.FirstLost() {
+			w.end(why)
+			return
 		}
-		if w.detour(path, why) || w.ctx.Err() != nil {
+		if path := flight.Detour(leaving); path != nil && w.detour(path, why) {
 			return
 		}
+		if leaving && try >= maxDetours || try >= maxTries || !w.pause(detourPause) {
+			break
+		}
 	}
-	if !leaving {
-		w.end(why)
+	if leaving {
+		flight.StillLeaving()
+	}
+}
+
+func (w *watch) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-w.ctx.Done():
+		return false
 	}
 }
 
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -100,6 +100,21 @@
 	f.lost, f.leave = lost, leave
 }
 
+// FirstLost says whether the replica that was handed the request is suspected.
+func (f *Flight) FirstLost() bool {
+	f.model.mu.Lock()
+	defer f.model.mu.Unlock()
+	return f.model.book.Suspected(f.path[0].Replica)
+}
+
+// StillLeaving notes that no way was found around a part that leaves: the next list
+// asks again.
+func (f *Flight) StillLeaving() {
+	f.model.mu.Lock()
+	defer f.model.mu.Unlock()
+	f.told = false
+}
+
 // Path is the path that the request runs along now.
 func (f *Flight) Path() paths.Path {
 	f.model.mu.Lock()
@@ -116,9 +131,6 @@
 	defer m.mu.Unlock()
 	first := f.path[0]
 	now := m.now()
-	if !m.book.Usable(first.Replica) {
-		return nil
-	}
 	if first.Run.To == m.layers {
 		return nil
 	}
