Redundant cards move to lost layers first; neighbours give back what others took

Change: a redundant card moves first, neighbours take what is left, and give back; second holders stand at the last layers, as where a request begins it can't be led away (a move took 7 s to empty).

--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -26,11 +26,13 @@
 //     held beyond one whole copy is a second holder of some layers.
 //   - An empty card takes the window of layers that needs it most: layers that
 //     nobody holds first, then those with the least room.
-//   - Layers that nobody holds any more, and no empty card is there to take, go to
-//     the neighbours: only the missing layers are loaded, and what the neighbours
-//     hold goes on serving.
-//   - If the neighbours are full, a card whose own layers all have other holders
-//     moves.
+//   - Layers that nobody holds any more, and no empty card is there to take, go to a
+//     card whose own layers all have other holders, and what is left to the
+//     neighbours: only the missing layers are loaded, and what the neighbours hold
+//     goes on serving. Neighbours that take over much become the narrow place of
+//     their domain, so they come second, and give back what another card has taken.
+//   - Second holders stand at the last layers: where a request begins it can't be led
+//     away from, so a card that holds the first layers is slow to move.
 //
 // Nothing is moved for balance alone: a load takes seconds of the weight store and
 // empties the prompts that pass through.
@@ -88,6 +90,7 @@
 	ReasonFill   = "empty replica"
 	ReasonExtend = "neighbours take layers that nobody holds"
 	ReasonMove   = "redundant replica moves to layers that nobody holds"
+	ReasonShrink = "layers that others hold now are given back"
 )
 
 const (
@@ -114,9 +117,9 @@
 	s := newState(model, cards)
 	orders := s.fillEmpty()
 	if gaps := s.gaps(); len(gaps) > 0 && s.holders() > 0 {
-		orders = append(orders, s.repair(gaps)...)
+		return append(orders, s.repair(gaps)...)
 	}
-	return orders
+	return append(orders, s.shrink()...)
 }
 
 // Whole says whether each layer has a holder that is not leaving.
@@ -215,8 +218,8 @@
 }
 
 // neediest returns the window of n layers that gains most from a holder. Of equal
-// windows the first is taken, so that spans follow one another without gaps that no
-// card fits.
+// windows with layers that nobody holds the first is taken, so that spans follow one
+// another without gaps that no card fits; of others the last.
 func (s *state) neediest(n int, memoryMB float64) Span {
 	add := s.model.Room(memoryMB, n)
 	best, gain := Span{0, n}, -1.0
@@ -225,13 +228,16 @@
 		for l := from; l < from+n; l++ {
 			sum += s.need(l, add)
 		}
-		if sum > gain+1e-9 {
+		if sum > gain+tie || sum > gain-tie && sum < uncovered {
 			best, gain = Span{from, from + n}, sum
 		}
 	}
 	return best
 }
 
+// tie is the difference in gain below which windows are equal.
+const tie = 1e-9
+
 const (
 	// uncovered outweighs any gain at layers that have a holder.
 	uncovered = 100
@@ -256,15 +262,54 @@
 func (s *state) repair(gaps []Span) []Order {
 	var orders []Order
 	for _, gap := range gaps {
+		for gap.Len() >= smallGap {
+			moved, ok := s.move(gap)
+			if !ok {
+				break
+			}
+			orders = append(orders, moved)
+			gap.From = min(gap.To, moved.Hold.To)
+		}
 		taken, left := s.extend(gap)
 		orders = append(orders, taken...)
 		if !left.Empty() {
-			orders = append(orders, s.move(left)...)
+			if moved, ok := s.move(left); ok {
+				orders = append(orders, moved)
+			}
 		}
 	}
 	return orders
 }
 
+// smallGap is what neighbours take without becoming narrow: two layers each.
+const smallGap = 4
+
+// shrink lets cards that hold more than their part give back what others hold too.
+func (s *state) shrink() []Order {
+	var orders []Order
+	for i := range s.cards {
+		c := &s.cards[i]
+		usual := s.model.Most(c.MemoryMB, Fill)
+		if c.Leaving || c.Fixed || c.Held.Len() < usual+leastShrink {
+			continue
+		}
+		span := c.Held
+		for span.Len() > usual && s.held[span.To-1] > 1 {
+			span.To--
+		}
+		for span.Len() > usual && s.held[span.From] > 1 {
+			span.From++
+		}
+		if c.Held.Len()-span.Len() >= leastShrink {
+			orders = append(orders, s.give(c, span, ReasonShrink))
+		}
+	}
+	return orders
+}
+
+// leastShrink is the fewest layers that are worth an order.
+const leastShrink = 2
+
 // extend lets the cards on both sides of a gap grow into it, the one with more room
 // first, and returns what is left over.
 func (s *state) extend(gap Span) ([]Order, Span) {
@@ -327,26 +372,32 @@
 	return held, false
 }
 
-// move gives a gap to a card whose layers all have another holder.
-func (s *state) move(gap Span) []Order {
+// move gives the beginning of a gap to a card whose layers all have another holder:
+// the one that closes most of it, and of these the smallest, but one that holds the
+// first layer only if there is no other.
+func (s *state) move(gap Span) (Order, bool) {
 	var best *Card
-	bestSpan, bestLoss := Span{}, math.Inf(1)
+	bestCost := math.Inf(1)
 	for i := range s.cards {
 		c := &s.cards[i]
 		if c.Leaving || c.Fixed || c.Held.Empty() || !s.redundant(c) {
 			continue
 		}
-		n := min(s.model.Most(c.MemoryMB, MaxFill), max(gap.Len(), s.model.Most(c.MemoryMB, Fill)))
-		loss := -float64(min(n, gap.Len())) + float64(n)/float64(s.model.Layers)
-		if loss < bestLoss {
-			from := min(gap.From, s.model.Layers-n)
-			best, bestSpan, bestLoss = c, Span{from, from + n}, loss
+		n := s.model.Most(c.MemoryMB, Fill)
+		cost := float64(n)/float64(s.model.Layers) - float64(min(n, gap.Len()))
+		if c.Held.From == 0 {
+			cost += float64(s.model.Layers)
+		}
+		if cost < bestCost {
+			best, bestCost = c, cost
 		}
 	}
 	if best == nil {
-		return nil
+		return Order{}, false
 	}
-	return []Order{s.give(best, bestSpan, ReasonMove)}
+	n := s.model.Most(best.MemoryMB, Fill)
+	from := min(gap.From, s.model.Layers-n)
+	return s.give(best, Span{from, from + n}, ReasonMove), true
 }
 
 func (s *state) redundant(c *Card) bool {
