--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -114,7 +114,7 @@
 	wait := q.s.Now()
 	query := targets.Query{
 		Tokens: q.tokens(), Exclude: q.tried, Once: !q.route.Idempotent(), Rank: q.rank(),
-		WaitUntil: q.arrived.Add(q.patience()),
+		OnTimeUntil: q.arrived.Add(q.patience()), WaitUntil: q.arrived.Add(latePatience * q.patience()),
 	}
 	if q.started {
 		query.WaitUntil = wait.Add(resumePatience)
@@ -133,12 +133,16 @@
 // long as its caller does for the next event.
 const resumePatience = 1500 * time.Millisecond
 
-// patience is how long a request waits for room: as long as its answer can still be
-// on time.
+// patience is how long a request may wait for room and its answer still be on time.
 func (q *request) patience() time.Duration {
 	return q.route.Objective * 6 / 10
 }
 
+// latePatience times its patience is how long a request waits for room at all. A late
+// answer is worth a part of one on time, a refusal nothing; callers leave a little
+// later.
+const latePatience = 2
+
 // rank orders those who wait: a team's own rank goes before its route's.
 func (q *request) rank() int {
 	if q.team != nil && q.team.Priority != nil {
@@ -270,13 +274,8 @@
 		return false
 	}
 	d := q.mayRetry(v)
-	for q.started && d.Reason == retry.BudgetSpent && q.s.Now().Sub(q.heard) < resumePatience {
-		// What the caller has is lost if the answer is given up, and the budget is
-		// earned again with the time.
-		if !q.pause(budgetPause) {
-			break
-		}
-		d = q.mayRetry(v)
+	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && q.pause(budgetPause) {
+		d = q.mayRetry(v) // the budget is earned again with the time
 	}
 	q.log.Info("try failed", "service", q.service, "replica", lastOf(q.tried), "end", v.detail, "not_run", v.notRun(),
 		"sends", q.sends, "again", d.Retry, "reason", d.Reason.String(), "budget_left", int(d.Left))
@@ -288,6 +287,15 @@
 	return true
 }
 
+// givesUp is up to when the request waits for the budget: what the caller has of a
+// stream is lost if it is given up, and one that has not begun waits as for room.
+func (q *request) givesUp() time.Time {
+	if q.started {
+		return q.heard.Add(resumePatience)
+	}
+	return q.arrived.Add(q.patience())
+}
+
 // budgetPause is between two questions to a budget that is spent.
 const budgetPause = 100 * time.Millisecond
 
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -101,6 +101,7 @@
 		if ok {
 			return t, nil
 		}
+		m.demote(q, w)
 		left := q.WaitUntil.Sub(m.now())
 		if left <= 0 {
 			m.leave(w)
@@ -173,6 +174,24 @@
 	m.waiting = slices.Insert(m.waiting, at, w)
 }
 
+// lateRank puts those who can't be on time any more behind all who can. Were they
+// served in order of arrival, in overload everybody would be late; as it is most are
+// on time, and the others get what room is left.
+const lateRank = 1000
+
+// demote puts a waiter that can't be on time any more behind the others.
+func (m *Model) demote(q Query, w *waiter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w.rank >= lateRank || q.OnTimeUntil.IsZero() || m.now().Before(q.OnTimeUntil) {
+		return
+	}
+	m.dequeue(w)
+	w.rank += lateRank
+	m.enqueue(w)
+	m.wakeOne()
+}
+
 func (m *Model) dequeue(w *waiter) {
 	if i := slices.Index(m.waiting, w); i >= 0 {
 		m.waiting = slices.Delete(m.waiting, i, i+1)
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -33,6 +33,9 @@
 	Once bool
 	// Rank orders those who wait for room, 0 first.
 	Rank int
+	// OnTimeUntil is up to when an answer that begins is on time. Those who wait beyond
+	// it come after all others.
+	OnTimeUntil time.Time
 	// WaitUntil is up to when the request may wait for room.
 	WaitUntil time.Time
 }
