Tests of the plan of layers, of paths and of freshness; a full neighbour passes layers on

Cause, found by TestAnyLossIsRepaired: after the loss of the largest card two layers stayed without a holder, as the card beside them was full. Change: it takes them and gives its far end to the next card.

--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -310,16 +310,18 @@
 // leastShrink is the fewest layers that are worth an order.
 const leastShrink = 2
 
-// extend lets the cards on both sides of a gap grow into it, the one with more room
-// first, and returns what is left over.
+// extend lets the cards on both sides of a gap grow into it layer by layer, the one
+// with more room first, and returns what is left over. If both are full, one passes
+// its far end on to the next card.
 func (s *state) extend(gap Span) ([]Order, Span) {
-	grown := map[*Card]Span{}
+	before := map[*Card]Span{}
 	for !gap.Empty() {
-		c, span, room := s.bestNeighbour(gap, grown)
-		if c == nil || room <= 0 {
+		c, span := s.bestNeighbour(gap)
+		if c != nil {
+			s.set(c, span, before)
+		} else if c, span = s.pushNeighbour(gap, before); c == nil {
 			break
 		}
-		grown[c] = span
 		if span.From <= gap.From && span.To > gap.From {
 			gap.From++
 		} else {
@@ -328,29 +330,33 @@
 	}
 	var orders []Order
 	for i := range s.cards {
-		if span, ok := grown[&s.cards[i]]; ok {
-			orders = append(orders, s.give(&s.cards[i], span, ReasonExtend))
+		c := &s.cards[i]
+		if was, ok := before[c]; ok && was != c.Held {
+			orders = append(orders, Order{ID: c.ID, Hold: c.Held, Reason: ReasonExtend})
 		}
 	}
 	return orders, gap
 }
 
+// set changes what a card is to hold and remembers what it held.
+func (s *state) set(c *Card, span Span, before map[*Card]Span) {
+	if _, ok := before[c]; !ok {
+		before[c] = c.Held
+	}
+	s.count(c, -1)
+	c.Held = span
+	s.count(c, 1)
+}
+
 // bestNeighbour returns the card that has most room left after taking the first or
-// the last layer of the gap.
-func (s *state) bestNeighbour(gap Span, grown map[*Card]Span) (*Card, Span, float64) {
+// the last layer of the gap, or nil if none may take one.
+func (s *state) bestNeighbour(gap Span) (*Card, Span) {
 	var best *Card
 	var bestSpan Span
 	bestRoom := 0.0
 	for i := range s.cards {
 		c := &s.cards[i]
-		held, ok := grown[c]
-		if !ok {
-			held = c.Held
-		}
-		if c.Leaving || c.Fixed || held.Empty() {
-			continue
-		}
-		span, adjacent := grow(held, gap)
+		span, adjacent := s.grown(c, gap)
 		if !adjacent || span.Len() > s.model.Most(c.MemoryMB, MaxFill) {
 			continue
 		}
@@ -358,15 +364,70 @@
 			best, bestSpan, bestRoom = c, span, room
 		}
 	}
-	return best, bestSpan, bestRoom
+	return best, bestSpan
+}
+
+// maxPushes is over how many cards the layers of a gap are passed on.
+const maxPushes = 6
+
+// pushNeighbour lets a full card beside the gap take a layer and pass its far end on.
+func (s *state) pushNeighbour(gap Span, before map[*Card]Span) (*Card, Span) {
+	for i := range s.cards {
+		c := &s.cards[i]
+		span, adjacent := s.grown(c, gap)
+		if adjacent && s.push(c, span, before, maxPushes) {
+			return c, c.Held
+		}
+	}
+	return nil, Span{}
+}
+
+// push gives a card a span that is one layer longer than it held. Beyond its most the
+// layer at the other end goes to whoever holds it too, or to the next card.
+func (s *state) push(c *Card, span Span, before map[*Card]Span, left int) bool {
+	if span.Len() <= s.model.Most(c.MemoryMB, MaxFill) {
+		s.set(c, span, before)
+		return true
+	}
+	if left == 0 {
+		return false
+	}
+	far, rest := span.From, Span{span.From + 1, span.To}
+	if span.From < c.Held.From {
+		far, rest = span.To-1, Span{span.From, span.To - 1}
+	}
+	if s.held[far] > 1 {
+		s.set(c, rest, before)
+		return true
+	}
+	for i := range s.cards {
+		next := &s.cards[i]
+		if next == c {
+			continue
+		}
+		longer, adjacent := s.grown(next, Span{far, far + 1})
+		if adjacent && s.push(next, longer, before, left-1) {
+			s.set(c, rest, before)
+			return true
+		}
+	}
+	return false
+}
+
+// grown is what a card would hold with one layer of a gap beside it.
+func (s *state) grown(c *Card, gap Span) (Span, bool) {
+	if c.Leaving || c.Fixed || c.Held.Empty() {
+		return Span{}, false
+	}
+	return grow(c.Held, gap)
 }
 
 // grow returns held with one layer of the gap beside it.
 func grow(held, gap Span) (Span, bool) {
 	switch {
-	case held.From <= gap.From && held.To == gap.From:
+	case held.To == gap.From:
 		return Span{held.From, held.To + 1}, true
-	case held.To >= gap.To && held.From == gap.To:
+	case held.From == gap.To:
 		return Span{held.From - 1, held.To}, true
 	}
 	return held, false
--- /dev/null
+++ b/decide/layers/layers_test.go
@@ -0,0 +1,199 @@
+package layers
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// model is one of 80 layers; a token takes as much in a layer as with today's sites.
+var model = Model{Layers: 80, LayerMB: 1750, TokenLayerMB: 0.007375}
+
+// Memory of the cards in use, in megabytes.
+const (
+	h100  = 72000
+	a100s = 36000
+	l4    = 21600
+	t4    = 14400
+)
+
+func fleet(memory ...float64) []Card {
+	cards := make([]Card, len(memory))
+	for i, mb := range memory {
+		cards[i] = Card{ID: fmt.Sprintf("r%02d", i), MemoryMB: mb}
+	}
+	return cards
+}
+
+// domain is the cards of one failure domain without the fastest kind.
+func domain() []Card {
+	return fleet(a100s, l4, l4, l4, l4, l4, l4, l4, l4, t4, t4, t4)
+}
+
+// obey carries orders out.
+func obey(cards []Card, orders []Order) []Card {
+	out := append([]Card(nil), cards...)
+	for _, o := range orders {
+		for i := range out {
+			if out[i].ID == o.ID {
+				out[i].Held = o.Hold
+			}
+		}
+	}
+	return out
+}
+
+func without(cards []Card, id string) []Card {
+	var out []Card
+	for _, c := range cards {
+		if c.ID != id {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// An empty domain gets one whole chain, with room for requests on every card and a
+// second holder of some layers.
+func TestFirstPlanIsWhole(t *testing.T) {
+	for name, cards := range map[string][]Card{
+		"one fast card": fleet(h100, a100s, l4, l4, l4, l4, l4, t4, t4, t4, t4, t4, t4, t4),
+		"no fast card":  domain(),
+		"two middling":  fleet(a100s, a100s, l4, l4, l4, l4, t4, t4, t4, t4, t4, t4, t4),
+	} {
+		cards = obey(cards, Plan(model, cards))
+		if !Whole(model, cards) {
+			t.Errorf("%s: not whole: %v", name, cards)
+		}
+		for _, c := range cards {
+			if room := model.Room(c.MemoryMB, c.Held.Len()); room < 80000 {
+				t.Errorf("%s: %s holds %v, room for %.0f tokens", name, c.ID, c.Held, room)
+			}
+		}
+	}
+}
+
+// A plan that is made again from what it has ordered changes nothing: another node
+// that takes over, or the same one before replicas have reported, gives no second
+// order.
+func TestPlanIsStable(t *testing.T) {
+	cards := domain()
+	cards = obey(cards, Plan(model, cards))
+	if again := Plan(model, cards); len(again) > 0 {
+		t.Errorf("ordered again: %v", again)
+	}
+}
+
+// The callers of a domain that has lost a replica go to others, or their prompts
+// cross to another domain, until its layers are held again. So whichever one is lost,
+// one round of orders closes the gap.
+func TestAnyLossIsRepaired(t *testing.T) {
+	cards := domain()
+	cards = obey(cards, Plan(model, cards))
+	for _, lost := range cards {
+		left := without(cards, lost.ID)
+		orders := Plan(model, left)
+		repaired := obey(left, orders)
+		if !Whole(model, repaired) {
+			t.Errorf("%s (%v) lost: not whole after %v", lost.ID, lost.Held, orders)
+		}
+	}
+}
+
+// A card that takes over what its neighbour held fills up; the requests of the whole
+// domain then find room on it alone for as long as it stays so. Once another card
+// holds these layers too, it gives them back.
+func TestTakenLayersAreGivenBack(t *testing.T) {
+	cards := []Card{
+		{ID: "a", MemoryMB: l4, Held: Span{0, 11}}, // 8 are its part
+		{ID: "b", MemoryMB: h100, Held: Span{8, 36}},
+		{ID: "c", MemoryMB: h100, Held: Span{36, 64}},
+		{ID: "d", MemoryMB: h100, Held: Span{52, 80}},
+	}
+	orders := Plan(model, cards)
+	if len(orders) != 1 || orders[0].ID != "a" || orders[0].Hold != (Span{0, 8}) || orders[0].Reason != ReasonShrink {
+		t.Errorf("orders %v, want a to hold 0-8", orders)
+	}
+}
+
+// A card that is about to leave counts for no cover: its layers are held by others
+// before it has gone.
+func TestLeavingCardIsReplaced(t *testing.T) {
+	cards := domain()
+	cards = obey(cards, Plan(model, cards))
+	for i := range cards {
+		leaving := append([]Card(nil), cards...)
+		leaving[i].Leaving = true
+		after := obey(leaving, Plan(model, leaving))
+		if !Whole(model, after) {
+			t.Errorf("%s leaves: not whole", leaving[i].ID)
+		}
+		if after[i].Held != cards[i].Held {
+			t.Errorf("%s was ordered while it leaves", leaving[i].ID)
+		}
+	}
+}
+
+// A replica that is ordered to hold more than its memory crashes, and with it
+// everything that runs through it. No history of losses and newcomers may end in such
+// an order, nor in one to a card that has an order or leaves.
+func TestNoOrderExceedsMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cards := domain()
+		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			for i := range cards {
+				cards[i].Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+				cards[i].Fixed = rapid.IntRange(0, 9).Draw(t, "fixed") == 0
+			}
+			orders := Plan(model, cards)
+			byID := map[string]Card{}
+			for _, c := range cards {
+				byID[c.ID] = c
+			}
+			for _, o := range orders {
+				c := byID[o.ID]
+				if o.Hold.From < 0 || o.Hold.To > model.Layers || o.Hold.Empty() {
+					t.Fatalf("%v is no span", o)
+				}
+				if float64(o.Hold.Len())*model.LayerMB > c.MemoryMB {
+					t.Fatalf("%v exceeds %v MB", o, c.MemoryMB)
+				}
+				if c.Leaving || c.Fixed {
+					t.Fatalf("%v to a card that takes none", o)
+				}
+			}
+			cards = obey(cards, orders)
+			if rapid.Bool().Draw(t, "lose") && len(cards) > 4 {
+				cards = cards[1:]
+			} else {
+				cards = append(cards, Card{ID: fmt.Sprintf("new%02d", step), MemoryMB: l4})
+			}
+		}
+	})
+}
+
+// Measured against equal cuts: how many whole chains' worth of room the narrowest
+// layer of a domain has. Equal cuts give each card the same number of layers, so the
+// small ones are full and the large ones idle.
+func TestRoomAgainstEqualCuts(t *testing.T) {
+	cards := domain()
+	planned := narrowest(obey(cards, Plan(model, cards)))
+	equal := append([]Card(nil), cards...)
+	per := (model.Layers + len(equal) - 1) / len(equal)
+	for i := range equal {
+		equal[i].Held = Span{i * per, min(model.Layers, (i+1)*per)}
+	}
+	if planned < 1.5*narrowest(equal) {
+		t.Errorf("narrowest layer: %.0f tokens, equal cuts %.0f", planned, narrowest(equal))
+	}
+}
+
+func narrowest(cards []Card) float64 {
+	s := newState(model, cards)
+	least := s.room[0]
+	for _, room := range s.room {
+		least = min(least, room)
+	}
+	return least
+}
--- /dev/null
+++ b/decide/paths/paths_test.go
@@ -0,0 +1,238 @@
+package paths
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
+	whole = layers.Span{To: 80}
+)
+
+func replica(id, domain string, from, to int) Replica {
+	return Replica{
+		ID: id, Address: id, Domain: domain, Holds: layers.Span{From: from, To: to},
+		Room: 100000 * float64(to-from), LayerMillis: 0.17,
+	}
+}
+
+// twoDomains has a whole chain in each; near holds the middle twice.
+func twoDomains() *Book {
+	b := New(1)
+	b.Update([]Replica{
+		replica("n1", "near", 0, 30), replica("n2", "near", 30, 60), replica("n3", "near", 60, 80),
+		replica("n4", "near", 25, 62),
+		replica("f1", "far", 0, 40), replica("f2", "far", 40, 80),
+	})
+	return b
+}
+
+func choose(t *testing.T, b *Book, q Query) Path {
+	t.Helper()
+	q.Run = whole
+	path, reason := b.Choose(start, q)
+	if reason != Found {
+		t.Fatalf("no path: %v", reason)
+	}
+	if !path.Runs(whole) {
+		t.Fatalf("%v does not run each layer once and in order", path)
+	}
+	return path
+}
+
+func domains(path Path) map[string]bool {
+	in := map[string]bool{}
+	for _, part := range path {
+		in[part.Domain] = true
+	}
+	return in
+}
+
+// A path stays in the node's own domain while that has a whole chain: what passes
+// between layers is many times what passes to the caller, and the pipe between
+// domains is shared by all.
+func TestPathStaysInItsDomain(t *testing.T) {
+	path := choose(t, twoDomains(), Query{Domain: "near", Tokens: 1000})
+	if in := domains(path); len(in) != 1 || !in["near"] {
+		t.Errorf("path %v leaves its domain", path)
+	}
+}
+
+// The caller of a domain that has lost some layers sees nothing of it: its requests
+// run wholly in another domain, not through it and back at every token.
+func TestLostLayersSendWholePathsElsewhere(t *testing.T) {
+	b := twoDomains()
+	b.Suspect(start, "n3")
+	path := choose(t, b, Query{Domain: "near", Tokens: 1000})
+	if in := domains(path); len(in) != 1 || !in["far"] {
+		t.Errorf("path %v, want one in the far domain", path)
+	}
+}
+
+// Where no domain is whole any more, a path crosses: slow is better than refused.
+func TestPathCrossesWhenNoDomainIsWhole(t *testing.T) {
+	b := twoDomains()
+	b.Suspect(start, "n3")
+	b.Suspect(start, "f1")
+	path := choose(t, b, Query{Domain: "near", Tokens: 1000})
+	if len(domains(path)) != 2 {
+		t.Errorf("path %v", path)
+	}
+}
+
+// A replica that says that it is slower than its kind is left alone while another
+// holds its layers.
+func TestSlowReplicaIsAvoided(t *testing.T) {
+	b := twoDomains()
+	b.SetPace("n2", 12)
+	for _, part := range choose(t, b, Query{Domain: "near", Tokens: 1000}) {
+		if part.Replica == "n2" {
+			t.Errorf("it goes through the slow replica")
+		}
+	}
+}
+
+// Requests fill two holders of the same layers at about the same rate, whatever their
+// speed: were the fast one taken alone, it would preempt its newest request while the
+// slow one stands empty.
+func TestRoomIsSharedByFastAndSlow(t *testing.T) {
+	b := New(1)
+	fast, slow := replica("fast", "d", 0, 80), replica("slow", "d", 0, 80)
+	fast.LayerMillis = 0.015
+	b.Update([]Replica{fast, slow})
+	count := map[string]int{}
+	for range 120 {
+		path := choose(t, b, Query{Domain: "d", Tokens: 1000})
+		b.Hold(path, 1000)
+		count[path[0].Replica]++
+	}
+	if count["slow"] < 30 || count["fast"] < count["slow"] {
+		t.Errorf("fast %d, slow %d", count["fast"], count["slow"])
+	}
+}
+
+// What does not fit is refused before it is sent, and fits again when others end.
+func TestFullReplicasAreNotChosen(t *testing.T) {
+	b := New(1)
+	b.Update([]Replica{replica("r", "d", 0, 80)})
+	var held []Path
+	for range 200 {
+		path, reason := b.Choose(start, Query{Domain: "d", Run: whole, Tokens: 1000})
+		if reason == NoRoom {
+			break
+		}
+		b.Hold(path, 1000)
+		held = append(held, path)
+	}
+	if len(held) < 100 || len(held) > 115 {
+		t.Fatalf("%d requests of 1,000 tokens in a room of 100,000", len(held))
+	}
+	for _, path := range held {
+		b.Release(path, 1000)
+	}
+	choose(t, b, Query{Domain: "d", Tokens: 1000})
+}
+
+// Two nodes fill one replica, each without seeing the other's bookings. Refusals teach
+// each to take less; when they end, the room comes back within seconds.
+func TestRoomIsLearnedFromRefusals(t *testing.T) {
+	b := New(1)
+	b.Update([]Replica{replica("r", "d", 0, 80)})
+	now := start
+	for range 10 {
+		now = now.Add(200 * time.Millisecond)
+		b.Full(now, "r")
+	}
+	fits := func(now time.Time) bool {
+		_, reason := b.Choose(now, Query{Domain: "d", Run: whole, Tokens: 50000})
+		return reason == Found
+	}
+	if fits(now) {
+		t.Error("half of the room is still reckoned with after ten refusals")
+	}
+	if !fits(now.Add(10 * time.Second)) {
+		t.Error("the room has not come back after ten seconds without a refusal")
+	}
+}
+
+// A request goes on at the replica that was handed it, and the new part does not hold
+// that one's layers again.
+func TestRestOfAPath(t *testing.T) {
+	b := twoDomains()
+	rest, reason := b.Choose(start, Query{Domain: "near", Run: layers.Span{From: 30, To: 80}, Tokens: 10, Exclude: []string{"n1", "n2"}})
+	if reason != Found || !rest.Runs(layers.Span{From: 30, To: 80}) || rest[0].Replica != "n4" {
+		t.Errorf("%v, %v", rest, reason)
+	}
+}
+
+func TestFirstOfIsKept(t *testing.T) {
+	b := twoDomains()
+	if path := choose(t, b, Query{Domain: "near", Tokens: 10, FirstOf: []string{"f1"}}); path[0].Replica != "f1" {
+		t.Errorf("%v", path)
+	}
+}
+
+// A suspicion lasts until the replica is reached; a new life under the same id is
+// another replica.
+func TestSuspicionEnds(t *testing.T) {
+	b := New(1)
+	r := replica("r", "d", 0, 80)
+	b.Update([]Replica{r})
+	if !b.Suspect(start, "r") || b.Suspect(start, "r") {
+		t.Error("a second sign is no news")
+	}
+	if !b.Lost(start.Add(time.Second), "r", 600*time.Millisecond) || b.Lost(start, "r", 600*time.Millisecond) {
+		t.Error("it counts as lost after the time, and not before")
+	}
+	if _, reason := b.Choose(start, Query{Domain: "d", Run: whole}); reason != NoCover {
+		t.Errorf("reason %v", reason)
+	}
+	b.Alive("r")
+	choose(t, b, Query{Domain: "d", Tokens: 1})
+	b.Suspect(start, "r")
+	r.Born++
+	b.Update([]Replica{r})
+	choose(t, b, Query{Domain: "d", Tokens: 1})
+}
+
+// Whatever the replicas hold, a path that is given runs every layer once and in
+// order, names no replica twice and only what each holds: engines check none of it,
+// and an answer made along another path would be wrong.
+func TestEveryPathIsSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(7)
+		held := map[string]layers.Span{}
+		var list []Replica
+		for i := range rapid.IntRange(1, 25).Draw(t, "replicas") {
+			from := rapid.IntRange(0, 75).Draw(t, "from")
+			to := rapid.IntRange(from+1, 80).Draw(t, "to")
+			r := replica(fmt.Sprint("r", i), []string{"a", "b", "c"}[rapid.IntRange(0, 2).Draw(t, "domain")], from, to)
+			r.LayerMillis = rapid.SampledFrom([]float64{0.015, 0.03, 0.17}).Draw(t, "speed")
+			r.Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+			held[r.ID] = r.Holds
+			list = append(list, r)
+		}
+		b.Update(list)
+		for range 20 {
+			path, reason := b.Choose(start, Query{Domain: "a", Run: whole, Tokens: 3000})
+			if reason != Found {
+				return
+			}
+			if !path.Runs(whole) || len(path) > MaxParts {
+				t.Fatalf("unsound: %v", path)
+			}
+			for _, part := range path {
+				if !held[part.Replica].Covers(part.Run) {
+					t.Fatalf("%v holds %v", part, held[part.Replica])
+				}
+			}
+			b.Hold(path, 3000)
+		}
+	})
+}
