One store client over the platform's protocol; a first replica that still sends is not given up

The product's client keeps shares, budgets and repeats; the calls are the adapter's (platform/kv), and the stand-in store speaks the same protocol, so all tests exercise the client that ships. Change: it is given up only after 300 ms of silence.

--- a/keep/store/share.go
+++ b/keep/store/share.go
@@ -70,19 +70,19 @@
 
 // Start puts the share of a starting node in force, with fewer reads at once than
 // later.
-func (h *HTTP) Start() {
-	h.SetShare(StartShare())
-	h.shares.reads.AllowN(time.Now(), readBurst-startReads)
+func (c *Client) Start() {
+	c.SetShare(StartShare())
+	c.shares.reads.AllowN(time.Now(), readBurst-startReads)
 }
 
 // Share returns the share in force.
-func (h *HTTP) Share() Share {
-	return Share{Reads: float64(h.shares.reads.Limit()), Writes: float64(h.shares.writes.Limit())}
+func (c *Client) Share() Share {
+	return Share{Reads: float64(c.shares.reads.Limit()), Writes: float64(c.shares.writes.Limit())}
 }
 
 // SetShare bounds reads and writes. A call beyond its bound waits as one beyond the
 // whole budget does.
-func (h *HTTP) SetShare(s Share) {
-	h.shares.reads.SetLimit(rate.Limit(s.Reads))
-	h.shares.writes.SetLimit(rate.Limit(s.Writes))
+func (c *Client) SetShare(s Share) {
+	c.shares.reads.SetLimit(rate.Limit(s.Reads))
+	c.shares.writes.SetLimit(rate.Limit(s.Writes))
 }
--- a/keep/store/store.go
+++ b/keep/store/store.go
@@ -1,6 +1,6 @@
 // Package store is the client of the platform's key-value service: reads,
-// compare-and-swap, leases and watches, spoken over the JSON gateway form of
-// the etcd v3 API.
+// compare-and-swap, leases and watches. What the service's calls look like is an
+// adapter's to know (Wire); this package decides when they are made.
 //
 // Everything that must be agreed or kept rests on CompareAndSwap. Leases and
 // watches are hints: a lease can lapse while its holder is paused, a watch can
@@ -8,7 +8,9 @@
 package store
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 )
 
@@ -50,6 +52,21 @@
 	Changed(ctx context.Context, prefix string, since int64) ([]Entry, int64, error)
 }
 
+// KeyReader lists keys without their values.
+type KeyReader interface {
+	// Keys returns every entry whose key starts with prefix, in key order,
+	// without values.
+	Keys(ctx context.Context, prefix string) ([]Entry, error)
+}
+
+// Remover removes a key only if it has not changed since it was read.
+type Remover interface {
+	// CompareAndRemove removes key if it is still at revision. It fails with
+	// ErrConflict if the key moved on or is gone, and with ErrUnknown if no reply
+	// came; removing again is then harmless.
+	CompareAndRemove(ctx context.Context, key string, revision int64) error
+}
+
 // Swapper writes a key only if it has not changed since it was read.
 type Swapper interface {
 	// CompareAndSwap writes value at key if the key is still at revision (zero:
@@ -106,3 +123,19 @@
 	// ErrUnknown if the change may have been made although no reply came.
 	Apply(ctx context.Context, change Change) (int64, error)
 }
+
+func sortEntries(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// PrefixEnd returns the first key after all keys that start with prefix.
+func PrefixEnd(prefix string) string {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return string(end[:i+1])
+		}
+	}
+	return "\x00"
+}
--- a/node/cmd/cicadactl/prune.go
+++ b/node/cmd/cicadactl/prune.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"io"
 	"time"
 
@@ -39,10 +40,10 @@
 }
 
 // openStore reaches the store.
-func (args *arguments) openStore() (*store.HTTP, error) {
+func (args *arguments) openStore() (*store.Client, error) {
 	if args.Store == "" || args.Environment == "" {
 		return nil, Error.New("--store and --environment are needed, or CICADATACK_STORE and CICADATACK_ENVIRONMENT")
 	}
-	s, err := store.New(store.Config{Address: args.Store})
+	s, err := kv.Open(args.Store, store.Config{})
 	return s, Error.Wrap(err)
 }
--- a/node/cmd/cicadatack/platform.go
+++ b/node/cmd/cicadatack/platform.go
@@ -31,7 +31,11 @@
 	}).With("node", settings.Node)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return site.New(settings, boot.Read, log).Run(ctx, hangups())
+	node, err := site.New(settings, boot.Read, log)
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx, hangups())
 }
 
 // hangups tells of each SIGHUP: the settings may have changed.
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -59,7 +60,7 @@
 type Server struct {
 	settings   settings.Settings
 	log        hclog.Logger
-	store      *store.HTTP
+	store      *store.Client
 	fleet      *fleet.Fleet
 	registry   *service.Registry
 	limits     *limiter.Limiter
@@ -108,8 +109,7 @@
 
 func (s *Server) build() error {
 	var err error
-	s.store, err = store.New(store.Config{
-		Address:        s.settings.Store.Address,
+	s.store, err = kv.Open(s.settings.Store.Address, store.Config{
 		CallTimeout:    time.Duration(s.settings.Store.TimeoutMillis) * time.Millisecond,
 		CallsPerSecond: float64(s.settings.Store.CallsPerSecond),
 	})
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/decide/freshness"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/metrics"
 	"github.com/cicadatack/cicadatack/platform/boot"
 	"github.com/cicadatack/cicadatack/platform/callers"
@@ -49,7 +50,7 @@
 	started time.Time
 	seed    uint64
 
-	store   *kv.Client
+	store   *store.Client
 	pool    *upstream.Pool
 	prober  *reach.Prober
 	reports *report.Inspector
@@ -77,7 +78,13 @@
 const freshFor = 0.8
 
 // New wires a node. read reads its settings again when they may have changed.
-func New(settings *boot.Settings, read func() (*boot.Settings, error), log hclog.Logger) *Node {
+func New(settings *boot.Settings, read func() (*boot.Settings, error), log hclog.Logger) (*Node, error) {
+	// A read that fails is followed by the next one of the loop, with the newest
+	// proof; repeats within it would only delay that.
+	client, err := kv.Open(settings.Store.String(), store.Config{CallTimeout: storeTimeout, ReadAttempts: 1})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	name := fnv.New64a()
 	// A hash takes any write.
 	_, _ = name.Write([]byte(settings.Node + settings.IP.String()))
@@ -87,7 +94,7 @@
 		log:      log,
 		started:  time.Now(),
 		seed:     name.Sum64(),
-		store:    kv.New(settings.Store.String(), storeTimeout),
+		store:    client,
 		pool:     upstream.New(time.Now),
 	}
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
@@ -102,7 +109,7 @@
 		Pool: n.pool, Prober: n.prober, Reports: n.reports, Figures: n.metrics, Log: log, Now: time.Now,
 		NewBudget: n.newBudget, Leaving: n.leavingFor,
 	}
-	return n
+	return n, nil
 }
 
 // memoryPart of the process's bound is where garbage collection begins to work
--- a/proof/bench/orders.go
+++ b/proof/bench/orders.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/standin/plain"
@@ -158,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	writes := after[store.PathTxn] - before[store.PathTxn]
+	writes := after[storefake.PathTxn] - before[storefake.PathTxn]
 	placed := took.count()
 	*total += placed
 	kept, err := t.ledgerBytes(ctx)
@@ -167,7 +166,7 @@
 	}
 	result.row(t.storeCalls, load.nodes, load.callers, load.pause, float64(placed)/seconds, failed, took.at(50), took.at(95), took.at(99),
 		float64(writes)/seconds, float64(placed)/float64(max(writes, 1)),
-		float64(after[store.PathRange]-before[store.PathRange])/seconds, used/time.Duration(max(placed, 1)), kept/int(max(*total, 1)))
+		float64(after[storefake.PathRange]-before[storefake.PathRange])/seconds, used/time.Duration(max(placed, 1)), kept/int(max(*total, 1)))
 	return nil
 }
 
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"net"
 	"net/http"
 	"sync"
@@ -40,7 +41,7 @@
 	suite    *suite
 	store    *storefake.Server
 	address  string
-	client   *store.HTTP
+	client   *store.Client
 	promoter *promotion.Promoter
 	doc      document.Document
 	nodes    []*node
@@ -63,7 +64,7 @@
 	if t.address, err = t.serve(t.store, &t.storeTraffic); err != nil {
 		return nil, err
 	}
-	t.client, err = store.New(store.Config{Address: t.address, CallsPerSecond: ownCalls})
+	t.client, err = kv.Open(t.address, store.Config{CallsPerSecond: ownCalls})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"net"
 	"net/http"
 	"os"
@@ -62,7 +63,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	client, err := store.New(store.Config{Address: storeAddress})
+	client, err := kv.Open(storeAddress, store.Config{})
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -6,9 +6,9 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"errors"
 	"fmt"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"net"
 	"net/http"
 	"os"
@@ -97,7 +97,7 @@
 	Caller    *harness.Caller
 	// Client is the test's own way to the store, past the link and the traps:
 	// what the test does itself must not spring what waits for the nodes.
-	Client   *store.HTTP
+	Client   *store.Client
 	Promoter *promotion.Promoter
 
 	ip      string
@@ -173,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	r.Client, err = store.New(store.Config{Address: direct.Addr})
+	r.Client, err = kv.Open(direct.Addr, store.Config{})
 	r.Promoter = promotion.New(r.Client)
 	return err
 }
@@ -358,13 +358,9 @@
 	}
 }
 
-// Key is a part of a store call's body that names a key with the given prefix,
-// as the wire has it. Base64 works in groups of three bytes, so only the whole
-// groups of the prefix are looked for.
-func Key(prefix string) string {
-	whole := len(prefix) - len(prefix)%3
-	return base64.StdEncoding.EncodeToString([]byte(prefix[:whole]))
-}
+// Key is a part of a store call's body that names a key with the given prefix, as
+// the wire has it.
+func Key(prefix string) string { return `"key":"` + prefix }
 
 // Engines asks stand-in engines as a node does.
 var Engines = engineclient.New(nil)
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
@@ -184,12 +185,13 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	timer  *time.Timer
+	// last is when events last came, counted from the attempt's beginning.
+	last atomic.Int64
 
 	mu      sync.Mutex
 	busy    bool
 	stopped bool
 	why     string // why the attempt was ended from here
-	gone    string // the address found lost
 }
 
 func (a *attempt) watch(ctx context.Context, cancel context.CancelFunc) *watch {
@@ -207,11 +209,17 @@
 
 // heard notes that events have come.
 func (w *watch) heard() {
+	w.last.Store(int64(w.a.q.s.Now().Sub(w.a.begun)))
 	if w.timer != nil {
 		w.timer.Reset(stallAfter)
 	}
 }
 
+// silentFor is how long no event has come in this attempt.
+func (w *watch) silentFor() time.Duration {
+	return w.a.q.s.Now().Sub(w.a.begun) - time.Duration(w.last.Load())
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	w.stopped = true
@@ -265,6 +273,10 @@
 	// detourPause is between two tries to find a way around: room is given back with
 	// each stream that ends.
 	detourPause = 150 * time.Millisecond
+	// deadAfter is the silence after which a first replica that takes no connections
+	// is taken for dead. One that leaves takes none either, and goes on with what it
+	// has: its events still come.
+	deadAfter = 300 * time.Millisecond
 )
 
 // lead sends the request around what is lost. While there is no way around, the
@@ -279,7 +291,7 @@
 	defer w.give()
 	flight := w.a.target.Flight
 	for try := 0; w.ctx.Err() == nil; try++ {
-		if !leaving && flight.FirstLost() {
+		if !leaving && flight.FirstLost() && w.silentFor() >= deadAfter {
 			w.end(why)
 			return
 		}
@@ -315,7 +327,7 @@
 	if err == nil {
 		w.a.target.Flight.Moved(path)
 		q.s.Figures.Resumed(q.service, "detour")
-		w.heard()
+		w.timer.Reset(stallAgain)
 		return true
 	}
 	var refused *DetourRefused
