--- a/node/cmd/cicadatack/platform.go
+++ b/node/cmd/cicadatack/platform.go
@@ -31,7 +31,7 @@
 	}).With("node", settings.Node)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node, err := site.New(settings, boot.Read, log)
+	node, err := site.New(settings, boot.Read, site.DefaultTiming, log)
 	if err != nil {
 		return err
 	}
--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -26,10 +26,6 @@
 	return n.rules.Load() != nil && n.leavingFor() == 0
 }
 
-// entryTTL is how long callers keep an answer to where to connect. Some keep it three
-// times as long; a leaving node serves on for that.
-const entryTTL = 2 * time.Second
-
 // serveDirectory tells callers which nodes to use.
 func (n *Node) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	near := entry.Near(directory.Domain(r), n.entries())
@@ -37,7 +33,7 @@
 	for _, m := range near {
 		addresses = append(addresses, m.Address)
 	}
-	directory.Answer(w, addresses, min(entryTTL, n.bounds().EntryTTL))
+	directory.Answer(w, addresses, min(n.timing.EntryTTL, n.bounds().EntryTTL))
 }
 
 // operators serves metrics and the node's state.
@@ -66,10 +62,10 @@
 const (
 	// leaveMargin of the time until SIGKILL is left for the end of the process.
 	leaveMargin = 400 * time.Millisecond
-	// leaveLeast is how long a leaving node takes new requests in any case: callers
-	// who keep an answer three times as long as they were told still come.
-	leaveLeast = 3 * entryTTL
-	leaveLook  = 20 * time.Millisecond
+	// leaveTTLs times the time that answers hold is how long a leaving node takes new
+	// requests in any case: some callers keep answers three times as long as told.
+	leaveTTLs = 3
+	leaveLook = 20 * time.Millisecond
 )
 
 // leavingFor is how long ago SIGTERM came, zero if it did not.
@@ -89,7 +85,7 @@
 	go n.deregister(ctx)
 	last := n.bounds().Grace - leaveMargin
 	for n.leavingFor() < last {
-		if n.leavingFor() >= min(leaveLeast, last) && n.underway.Load() == 0 {
+		if n.leavingFor() >= min(leaveTTLs*n.timing.EntryTTL, last) && n.underway.Load() == 0 {
 			return
 		}
 		if !sleep(ctx, leaveLook) {
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -13,14 +13,35 @@
 	"github.com/cicadatack/cicadatack/route/roster"
 )
 
+// Timing sets the pace of a node's own loops.
+type Timing struct {
+	// Poll is between two reads of the store, PollSoon the same until the
+	// configuration is known, and after a read that failed.
+	Poll, PollSoon time.Duration
+	// PlanAfter is how long a node that starts leaves the planning of layers to
+	// others, and Settle how long the first plan of a domain waits for replicas after
+	// the last one was listed.
+	PlanAfter, Settle time.Duration
+	// EntryTTL is how long callers keep an answer to where to connect. Some keep it
+	// three times as long; a leaving node serves on for that.
+	EntryTTL time.Duration
+}
+
+// DefaultTiming keeps the platform's bounds at the least number of calls.
+//
+//   - Poll 800 ms: a configuration must be in force, and a leaving replica be let
+//     alone, two seconds after the store has it: one read may be lost.
+//   - PlanAfter 1.5 s: by then the nodes that started together have entered
+//     themselves. Settle 1.2 s: fleets start within a few seconds, and the first plan
+//     is the only one that costs no load under traffic.
+//   - EntryTTL 2 s: three times that are over before a leaving node is killed (8 s).
+var DefaultTiming = Timing{
+	Poll: 800 * time.Millisecond, PollSoon: 300 * time.Millisecond,
+	PlanAfter: 1500 * time.Millisecond, Settle: 1200 * time.Millisecond,
+	EntryTTL: 2 * time.Second,
+}
+
 const (
-	// pollEvery is between two reads of the store. A configuration must be in force,
-	// and a leaving replica be let alone, two seconds after the store has it: one
-	// read may be lost.
-	pollEvery = 800 * time.Millisecond
-	// pollSoon is the same until the configuration and the replicas are known, and
-	// after a read that failed.
-	pollSoon = 300 * time.Millisecond
 	// storeTimeout bounds one call: several times what a slow store takes, and short
 	// enough that a connection which has gone silent costs one read.
 	storeTimeout = 700 * time.Millisecond
@@ -48,9 +69,9 @@
 	n.poll.faulty = map[string]int64{}
 	for ctx.Err() == nil {
 		ok := n.look(ctx)
-		pause := pollEvery
+		pause := n.timing.Poll
 		if !ok || n.rules.Load() == nil {
-			pause = pollSoon
+			pause = n.timing.PollSoon
 		}
 		jittered := time.Duration(float64(pause) * (1 + pollJitter*(rand.Float64()-0.5)))
 		if !sleep(ctx, jittered) {
--- /dev/null
+++ b/node/site/harness_test.go
@@ -0,0 +1,292 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/keep/store/storetest"
+	"github.com/cicadatack/cicadatack/platform/boot"
+	"github.com/cicadatack/cicadatack/standin/replica"
+	"github.com/cicadatack/cicadatack/standin/storefake"
+)
+
+// patience bounds a wait for an event that has to come.
+const patience = 20 * time.Second
+
+const (
+	modelService = "llm"
+	plainService = "ledger"
+	goodKey      = "key-of-bogor"
+)
+
+// platform is a store, an operator and replicas in one process.
+type platform struct {
+	t     *testing.T
+	store *storefake.Server
+	addr  netip.AddrPort
+	fleet *replica.Fleet
+
+	mu       sync.Mutex
+	replicas map[string]*replica.Replica
+	version  int
+	keys     []string
+	logs     bytes.Buffer
+}
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{
+		t: t, store: storefake.New(), fleet: replica.NewFleet(8),
+		replicas: map[string]*replica.Replica{}, keys: []string{goodKey},
+	}
+	server := httptest.NewServer(p.store)
+	p.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
+	t.Cleanup(func() {
+		p.fleet.Close()
+		p.store.Close()
+		server.Close()
+	})
+	p.configure()
+	return p
+}
+
+// put writes a key as the operator or a replica does.
+func (p *platform) put(key string, value []byte) {
+	p.t.Helper()
+	if _, _, err := p.store.Memory().Txn(nil, []storetest.Write{{Key: key, Value: value}}); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *platform) remove(key string) {
+	p.t.Helper()
+	if _, _, err := p.store.Memory().Txn(nil, []storetest.Write{{Key: key, Delete: true}}); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// configure writes the next version of the configuration.
+func (p *platform) configure() {
+	p.version += 3
+	keys, err := json.Marshal(p.keys)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.put("op/config", fmt.Appendf(nil, `{"version":%d,
+	 "routes":[
+	  {"name":"r1","host":"a.example","prefix":"/ask/","kind":"stream","timeoutMs":20000,"goalMs":500,"gapAimMs":200,
+	   "maxAttempts":2,"resumable":true,"service":"llm"},
+	  {"name":"r2","host":"a.example","prefix":"/order/","kind":"unsafe","timeoutMs":1500,"goalMs":300,"maxAttempts":1,"service":"ledger"},
+	  {"name":"r3","host":"a.example","prefix":"/read/","kind":"safe","timeoutMs":1500,"goalMs":300,"maxAttempts":2,"service":"ledger"},
+	  {"name":"r4","host":"a.example","prefix":"/open/","kind":"safe","timeoutMs":1500,"goalMs":300,"maxAttempts":2,"public":true,"service":"ledger"}],
+	 "services":[
+	  {"name":"llm","maxConns":400,"engine":{"slots":192,"kvBytes":8000,"layers":8,"layerMb":100,"step_ms":1,"read_per_s":1000,
+	   "loads_at_once":6,"report_lag_ms":10,"usual":{"prompt":10,"answer":10},"models":[{"loadS":0.01}],
+	   "kinds":[{"name":"l4","mb":700,"pace":1,"readX":1}]}},
+	  {"name":"ledger","maxConns":96}],
+	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+	 "tenants":[{"name":"bogor","apiKeys":%s,"priority":1}]}`, p.version, keys))
+}
+
+// add starts a replica and keeps its entry in the store as it is.
+func (p *platform) add(c replica.Config) *replica.Replica {
+	p.t.Helper()
+	r, err := p.fleet.Add(c)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.mu.Lock()
+	p.replicas[c.ID] = r
+	p.mu.Unlock()
+	p.beat()
+	return r
+}
+
+// beat renews the entries of all replicas.
+func (p *platform) beat() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, r := range p.replicas {
+		p.put("servers/"+id, r.Entry())
+	}
+}
+
+// lose ends a replica without a word; its entry lapses later.
+func (p *platform) lose(id string) {
+	p.mu.Lock()
+	r := p.replicas[id]
+	delete(p.replicas, id)
+	p.mu.Unlock()
+	r.Kill()
+}
+
+// chains starts two whole chains' worth of replicas and two of a plain service.
+func (p *platform) chains(events int, pause time.Duration) {
+	for i := range 4 {
+		p.add(replica.Config{
+			ID: fmt.Sprint("i-model-", i), Service: modelService, Domain: "bandung", Kind: "l4",
+			Model: true, Events: events, Pause: pause,
+		})
+	}
+	for i := range 2 {
+		p.add(replica.Config{ID: fmt.Sprint("i-plain-", i), Service: plainService, Domain: "bandung"})
+	}
+}
+
+// running is a node underway.
+type running struct {
+	*Node
+	stop func()
+	done chan error
+}
+
+// free asks for any port.
+var free = netip.MustParseAddrPort("127.0.0.1:0")
+
+// quick is the pace of the nodes under test.
+var quick = Timing{
+	Poll: 20 * time.Millisecond, PollSoon: 10 * time.Millisecond, Settle: 30 * time.Millisecond,
+	EntryTTL: 200 * time.Millisecond,
+}
+
+// settings are those of a node on loopback.
+func (p *platform) settings(name string) *boot.Settings {
+	return &boot.Settings{
+		Node: name, Domain: "bandung", IP: netip.MustParseAddr("127.0.0.1"),
+		Callers: free, Ready: free, Control: free, Directory: free,
+		Store: p.addr, LeaseMin: time.Second, MemoryMB: 256,
+		Bounds: boot.Bounds{
+			Apply: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, Grace: 8 * time.Second,
+			Stall: 2500 * time.Millisecond, EntryTTL: 5 * time.Second,
+			RetryRatio: 0.2, RetrySlack: 2000, RetryWindow: 10 * time.Second,
+		},
+	}
+}
+
+// node starts a node and waits until it serves.
+func (p *platform) node(settings *boot.Settings) *running {
+	p.t.Helper()
+	log := hclog.New(&hclog.LoggerOptions{Output: &lockedBuffer{p: p}, JSONFormat: true})
+	n, err := New(settings, func() (*boot.Settings, error) { return settings, nil }, quick, log)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Node: n, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- n.Run(ctx, nil) }()
+	p.t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-r.done:
+			if err != nil {
+				p.t.Error(err)
+			}
+		case <-time.After(patience):
+			p.t.Error("the node did not end")
+		}
+	})
+	p.until("the node serves", func() bool {
+		p.beat()
+		return n.serving() && n.pathsKnown()
+	})
+	return r
+}
+
+// pathsKnown says whether the node could send to the model and the plain service.
+func (n *Node) pathsKnown() bool {
+	held := 0
+	for _, r := range n.replicas() {
+		held += r.Holds.Len()
+	}
+	return held >= 8
+}
+
+// until waits for a condition.
+func (p *platform) until(what string, ok func() bool) {
+	p.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			p.t.Fatalf("it never came that %s\n%s", what, p.log())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+type lockedBuffer struct{ p *platform }
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.p.mu.Lock()
+	defer b.p.mu.Unlock()
+	return b.p.logs.Write(line)
+}
+
+func (p *platform) log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.logs.String()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends one request over a connection of its own and reads the whole answer.
+func (r *running) ask(method, path, id, key string, headers ...string) answer {
+	transport := &http.Transport{DisableKeepAlives: true}
+	q, err := http.NewRequest(method, "http://"+r.settings.Callers.String()+path, strings.NewReader(bodyOf(method)))
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Host = "a.example"
+	q.Header.Set("Request-Id", id)
+	q.Header.Set("Deadline-Ms", "15000")
+	q.Header.Set("Token-Count", "10,20")
+	if key != "" {
+		q.Header.Set("Authorization", "Token "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		q.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := transport.RoundTrip(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func bodyOf(method string) string {
+	if method == http.MethodPost {
+		return "some cream"
+	}
+	return ""
+}
+
+// wholeStream says whether a body is all events of a request, each once, in order.
+func wholeStream(body, id string, events int) error {
+	var want strings.Builder
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(&want, "id: %d\ndata: token %d of %s\n\n", n, n, id)
+	}
+	if body != want.String() {
+		return fmt.Errorf("got %d bytes of %d: ...%q", len(body), want.Len(), body[max(0, len(body)-80):])
+	}
+	return nil
+}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -93,7 +93,7 @@
 	defer s.mu.Unlock()
 	k, ok := s.keepers[name]
 	if !ok {
-		k = layering.New(name, s.node.engines, s.node.log)
+		k = layering.New(name, s.node.engines, s.node.timing.Settle, s.node.log)
 		s.keepers[name] = k
 	}
 	return k
@@ -183,7 +183,7 @@
 // plan orders layers where it is this node's turn.
 func (n *Node) plan(ctx context.Context) {
 	rules := n.rules.Load()
-	if rules == nil || n.leavingFor() > 0 || time.Since(n.started) < planAfter {
+	if rules == nil || n.leavingFor() > 0 || time.Since(n.started) < n.timing.PlanAfter {
 		return
 	}
 	list := n.replicas()
@@ -208,10 +208,6 @@
 	}
 }
 
-// planAfter is how long a node that starts leaves the planning to others: by then
-// the nodes that started with it have entered themselves.
-const planAfter = 1500 * time.Millisecond
-
 const (
 	// budgetPart of the allowed further tries is used: nodes differ for a moment on
 	// how many they are.
@@ -228,7 +224,7 @@
 func (n *Node) newBudget(string) *relay.Budget {
 	b := n.bounds()
 	_, all := n.peers("")
-	if all < 2 {
+	if all < 2 && time.Since(n.started) < meetAfter {
 		all = startNodes
 	}
 	part := b.RetrySlack * budgetPart / float64(all)
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -47,6 +47,7 @@
 	inForce atomic.Pointer[boot.Bounds]
 	log     hclog.Logger
 	metrics *metrics.Metrics
+	timing  Timing
 	started time.Time
 	seed    uint64
 
@@ -78,7 +79,7 @@
 const freshFor = 0.8
 
 // New wires a node. read reads its settings again when they may have changed.
-func New(settings *boot.Settings, read func() (*boot.Settings, error), log hclog.Logger) (*Node, error) {
+func New(settings *boot.Settings, read func() (*boot.Settings, error), timing Timing, log hclog.Logger) (*Node, error) {
 	// A read that fails is followed by the next one of the loop, with the newest
 	// proof; repeats within it would only delay that.
 	client, err := kv.Open(settings.Store.String(), store.Config{CallTimeout: storeTimeout, ReadAttempts: 1})
@@ -91,6 +92,7 @@
 	n := &Node{
 		settings: settings,
 		read:     read,
+		timing:   timing,
 		log:      log,
 		started:  time.Now(),
 		seed:     name.Sum64(),
@@ -163,13 +165,13 @@
 func (n *Node) open() (*doors, error) {
 	d := &doors{}
 	for _, door := range []struct {
-		address netip.AddrPort
+		address *netip.AddrPort
 		handler http.Handler
 	}{
-		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
-		{n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
-		{n.settings.Control, n.operators()},
-		{n.settings.Callers, n.counted(n.relay)},
+		{&n.settings.Ready, http.HandlerFunc(n.serveReady)},
+		{&n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
+		{&n.settings.Control, n.operators()},
+		{&n.settings.Callers, n.counted(n.relay)},
 	} {
 		if !door.address.IsValid() {
 			continue
@@ -179,6 +181,8 @@
 			d.close()
 			return nil, Error.Wrap(err)
 		}
+		// A port 0 in the settings is known only now.
+		*door.address = listener.Addr().(*net.TCPAddr).AddrPort()
 		d.listeners = append(d.listeners, listener)
 		d.servers = append(d.servers, &http.Server{
 			Handler:           door.handler,
--- a/route/layering/layering.go
+++ b/route/layering/layering.go
@@ -34,10 +34,6 @@
 }
 
 const (
-	// settle is how long the first plan of a domain waits for further replicas after
-	// the last one was listed: fleets start within a few seconds, and the first plan
-	// is the only one that costs no load under traffic.
-	settle = 1200 * time.Millisecond
 	// settleMost is the longest such wait after the first replica.
 	settleMost = 4 * time.Second
 	// reportDelay is how long after an order was carried out its result may still be
@@ -62,6 +58,7 @@
 type Keeper struct {
 	service string
 	orderer Orderer
+	settle  time.Duration
 	log     hclog.Logger
 
 	mu      sync.Mutex
@@ -73,10 +70,11 @@
 	counts  map[string]int
 }
 
-// New returns a Keeper.
-func New(service string, orderer Orderer, log hclog.Logger) *Keeper {
+// New returns a Keeper. settle is how long the first plan of a domain waits for
+// further replicas after the last one was listed.
+func New(service string, orderer Orderer, settle time.Duration, log hclog.Logger) *Keeper {
 	return &Keeper{
-		service: service, orderer: orderer, log: log.With("service", service),
+		service: service, orderer: orderer, settle: settle, log: log.With("service", service),
 		pending: map[string]ordered{}, orders: map[string]count{}, planned: map[string]bool{},
 		first: map[string]time.Time{}, last: map[string]time.Time{}, counts: map[string]int{},
 	}
@@ -154,7 +152,7 @@
 		held = held || !r.Holds.Empty()
 	}
 	// Replicas that hold layers were ordered by another node before this one.
-	if !held && now.Sub(k.last[domain]) < settle && now.Sub(k.first[domain]) < settleMost {
+	if !held && now.Sub(k.last[domain]) < k.settle && now.Sub(k.first[domain]) < settleMost {
 		return false
 	}
 	k.planned[domain] = true
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -13,6 +13,8 @@
 	// within is how long an endpoint has to accept a connection: some ten times what it
 	// takes between failure domains of a region.
 	within = 25 * time.Millisecond
+	// tries in a row must fail: one packet may be lost on the way.
+	tries = 2
 	// validFor is how long an answer is shared among the requests that ask: when an
 	// endpoint dies, all that run through it ask at once.
 	validFor = 250 * time.Millisecond
@@ -91,5 +93,10 @@
 
 func (p *Prober) run(ctx context.Context, address string, fresh *probe) {
 	defer close(fresh.done)
-	fresh.reachable = p.dialer.Reachable(ctx, address, within) || p.dialer.Reachable(ctx, address, within)
+	for range tries {
+		if p.dialer.Reachable(ctx, address, within) {
+			fresh.reachable = true
+			return
+		}
+	}
 }
