--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -434,8 +434,8 @@
 }
 
 // move gives the beginning of a gap to a card whose layers all have another holder:
-// the one that closes most of it, and of these the smallest, but one that holds the
-// first layer only if there is no other.
+// the smallest, through which least passes that must end first, and one that holds
+// the first layer only if there is no other.
 func (s *state) move(gap Span) (Order, bool) {
 	var best *Card
 	bestCost := math.Inf(1)
@@ -444,8 +444,7 @@
 		if c.Leaving || c.Fixed || c.Held.Empty() || !s.redundant(c) {
 			continue
 		}
-		n := s.model.Most(c.MemoryMB, Fill)
-		cost := float64(n)/float64(s.model.Layers) - float64(min(n, gap.Len()))
+		cost := float64(s.model.Most(c.MemoryMB, Fill))
 		if c.Held.From == 0 {
 			cost += float64(s.model.Layers)
 		}
