Replicas that refuse their layers are left out until they say what they hold

Cause (incident inc-86e5, 10 to 13 s): a replica started anew at its address; 67 requests met 421, as each accepted connection cleared the suspicion.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -71,6 +71,15 @@
 	return true
 }
 
+// Misheld notes that a replica does not hold what it is listed with: it was started
+// anew, or its address is another's now. That its machine answers says nothing then;
+// it is left out until it has told what it holds.
+func (b *Book) Misheld(id string) {
+	if n, ok := b.nodes[id]; ok {
+		n.misheld = true
+	}
+}
+
 // Alive notes a sign that a replica lives. It says whether it was suspected.
 func (b *Book) Alive(id string) bool {
 	n, ok := b.nodes[id]
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -22,6 +22,8 @@
 	LayerMillis float64
 	// Leaving replicas take no new requests.
 	Leaving bool
+	// Revision rises with each account that the replica gives of itself.
+	Revision int64
 }
 
 // Part is one replica's layers of a path.
@@ -110,7 +112,10 @@
 	// suspected is set from a sign that the replica is gone until one that it lives.
 	suspected bool
 	since     time.Time // of the suspicion
-	full      time.Time
+	// misheld is set if the replica has refused layers that it is listed with, until
+	// it has given a newer account of itself.
+	misheld bool
+	full    time.Time
 	// pace is over 1 for a replica that is slower than its kind.
 	pace float64
 }
@@ -142,6 +147,9 @@
 		if !ok || n.Born != r.Born {
 			n = &node{room: learned{part: 1}, pace: 1}
 		}
+		if r.Revision != n.Revision {
+			n.misheld = false
+		}
 		n.Replica = r
 		nodes[r.ID] = n
 		b.order = append(b.order, n)
@@ -200,7 +208,7 @@
 func (b *Book) usable(q Query) []*node {
 	var usable []*node
 	for _, n := range b.order {
-		if n.Leaving || n.Holds.Empty() || n.suspected || slices.Contains(q.Exclude, n.ID) {
+		if n.Leaving || n.Holds.Empty() || n.suspected || n.misheld || slices.Contains(q.Exclude, n.ID) {
 			continue
 		}
 		usable = append(usable, n)
--- a/decide/paths/paths_test.go
+++ b/decide/paths/paths_test.go
@@ -201,6 +201,24 @@
 	choose(t, b, Query{Domain: "d", Tokens: 1})
 }
 
+// A replica was started anew under its address and holds nothing, while the list still
+// says that it does. It refuses; asking its machine whether it answers would send the
+// next request there again. Its next account of itself counts.
+func TestReplicaThatDoesNotHoldItsLayers(t *testing.T) {
+	b := New(1)
+	r := replica("r", "d", 0, 80)
+	b.Update([]Replica{r})
+	b.Misheld("r")
+	b.Alive("r")
+	b.Update([]Replica{r})
+	if _, reason := b.Choose(start, Query{Domain: "d", Run: whole}); reason != NoCover {
+		t.Errorf("reason %v", reason)
+	}
+	r.Revision++
+	b.Update([]Replica{r})
+	choose(t, b, Query{Domain: "d", Tokens: 1})
+}
+
 // Whatever the replicas hold, a path that is given runs every layer once and in
 // order, names no replica twice and only what each holds: engines check none of it,
 // and an answer made along another path would be wrong.
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -255,7 +255,8 @@
 		result: targets.Result{
 			Failure: send.RefusalFailure(status),
 			Fault:   a.seen.Fault,
-			Gone:    a.seen.Misdirected || slow,
+			Misheld: a.seen.Misdirected,
+			Gone:    slow,
 			NoRoom:  !a.seen.Misdirected && !slow,
 		},
 	}
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -86,7 +86,7 @@
 		ID: r.ID, Born: r.Born, Address: r.Address, Domain: r.Domain, Holds: r.Holds,
 		Room:        room,
 		LayerMillis: model.StepMillis * card.Pace / float64(model.Layers),
-		Leaving:     r.Draining,
+		Leaving:     r.Draining, Revision: r.Revision,
 	}
 }
 
@@ -236,6 +236,8 @@
 	switch {
 	case fault == "":
 		return nil
+	case r.Misheld:
+		m.book.Misheld(fault)
 	case r.Gone:
 		if m.book.Suspect(m.now(), fault) {
 			return m.through(fault)
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -72,6 +72,9 @@
 	NoRoom bool
 	// Fault is the address of the part of the path at fault, if the answer named it.
 	Fault string
+	// Misheld says that the part at fault does not hold the layers that it is listed
+	// with.
+	Misheld bool
 	// Gone says that the part at fault, the first if none is named, looks dead.
 	Gone bool
 	// Took is the time of the attempt.
