--- a/route/relay/relay.go
+++ b/route/relay/relay.go
@@ -55,8 +55,7 @@
 
 // DetourRefused is the error of an order that an engine did not take.
 type DetourRefused struct {
-	// Fault is the address of the part that is not there or has no room; "" if the
-	// engine did not say.
+	// Fault is the address of the part that is not there; "" if one has no room.
 	Fault string
 	Cause error
 }
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -306,13 +306,13 @@
 }
 
 // Refused notes an order to go around that an engine did not take. fault is the
-// address of the part that it named, "" if none.
+// address of the part that is not there, "" if one has no room.
 func (m *Model) Refused(path paths.Path, fault string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	if id := m.book.ByAddress(fault); id != "" {
-		m.book.Full(now, id)
+		m.book.Misheld(id)
 		return
 	}
 	for _, part := range path[1:] {
