--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -180,6 +180,18 @@
 	return b.use(now, n, 0)
 }
 
+// Used is the part of the room that is booked on the fullest replica of each failure
+// domain.
+func (b *Book) Used(now time.Time) map[string]float64 {
+	used := map[string]float64{}
+	for _, n := range b.order {
+		if !n.Holds.Empty() && n.Room > 0 {
+			used[n.Domain] = max(used[n.Domain], b.use(now, n, 0))
+		}
+	}
+	return used
+}
+
 // Known says whether a replica is in the list.
 func (b *Book) Known(id string) bool {
 	_, ok := b.nodes[id]
--- a/node/cmd/cicadatack/main.go
+++ b/node/cmd/cicadatack/main.go
@@ -18,6 +18,7 @@
 type arguments struct {
 	Settings string `arg:"--settings" help:"file with this node's settings in JSON; without it the node runs on the users' platform, with the settings that the platform gives"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
+	Metrics  uint16 `arg:"--metrics-port" help:"on the users' platform: also serve /metrics at this port of the VM's address"`
 }
 
 func (arguments) Description() string {
@@ -35,7 +36,7 @@
 
 func run(args arguments) error {
 	if args.Settings == "" {
-		return runOnPlatform(args.Check)
+		return runOnPlatform(args)
 	}
 	cfg, err := settings.Read(args.Settings)
 	if err != nil {
--- a/node/cmd/cicadatack/platform.go
+++ b/node/cmd/cicadatack/platform.go
@@ -15,12 +15,12 @@
 )
 
 // runOnPlatform runs the node with the settings that the users' platform gives.
-func runOnPlatform(check bool) error {
+func runOnPlatform(args arguments) error {
 	settings, err := boot.Read()
 	if err != nil {
 		return err
 	}
-	if check {
+	if args.Check {
 		fmt.Printf("valid; node %s in %s\n", settings.Node, settings.Domain)
 		return nil
 	}
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	node.MetricsPort = args.Metrics
 	return node.Run(ctx, hangups())
 }
 
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -195,3 +195,40 @@
 func (m *Metrics) service(name string) tally.Scope {
 	return m.scope.Tagged(map[string]string{labelService: name})
 }
+
+// ProofAge sets the age of the proof that the configuration is current.
+func (m *Metrics) ProofAge(d time.Duration) {
+	m.scope.Gauge("configuration_proof_age_seconds").Update(d.Seconds())
+}
+
+// Version sets the operator's configuration in force.
+func (m *Metrics) Version(version int64) {
+	m.scope.Gauge("configuration_version").Update(float64(version))
+}
+
+// Queue sets how many requests of a model wait for room, and how many are underway.
+func (m *Metrics) Queue(service string, waiting, underway int) {
+	m.service(service).Gauge("requests_waiting").Update(float64(waiting))
+	m.service(service).Gauge("streams_underway").Update(float64(underway))
+}
+
+// Replicas sets how many replicas of a service are in a state.
+func (m *Metrics) Replicas(service, state string, n int) {
+	m.scope.Tagged(map[string]string{labelService: service, "state": state}).Gauge("replicas").Update(float64(n))
+}
+
+// Room sets the part of a model's room in a failure domain that this node has booked
+// on the fullest replica.
+func (m *Metrics) Room(service, domain string, used float64) {
+	m.scope.Tagged(map[string]string{labelService: service, "domain": domain}).Gauge("room_used").Update(used)
+}
+
+// StoreCall counts a call of the platform's store by its kind and result.
+func (m *Metrics) StoreCall(kind, result string) {
+	m.scope.Tagged(map[string]string{"kind": kind, "result": result}).Counter("store_calls_total").Inc(1)
+}
+
+// Connections sets how many connections to endpoints are open.
+func (m *Metrics) Connections(n int) {
+	m.scope.Gauge("endpoint_connections").Update(float64(n))
+}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -96,6 +96,8 @@
 func (n *Node) look(ctx context.Context) bool {
 	proof, begun := sinceBoot(), time.Now()
 	entries, revision, err := n.store.Changed(ctx, "", 0)
+	n.metrics.StoreCall("read", resultOf(err))
+	defer n.gauge()
 	if err != nil {
 		if !n.poll.lost && ctx.Err() == nil {
 			n.log.Warn("store lost", "error", err, "proof_age_ms", n.Age().Milliseconds())
@@ -110,7 +112,7 @@
 	n.take(begun, proof, entries)
 	n.register(ctx)
 	n.pool.Prune()
-	n.plan(ctx)
+	n.plan(ctx, revision)
 	return true
 }
 
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -96,6 +96,7 @@
 	m := &n.poll.member
 	if m.lease != 0 && m.written {
 		_, err := n.store.KeepAlive(ctx, m.lease)
+		n.metrics.StoreCall("renewal", resultOf(err))
 		if err == nil {
 			return
 		}
@@ -106,7 +107,9 @@
 		n.log.Warn("lease lapsed")
 		*m = membership{}
 	}
-	if err := n.enter(ctx, m); err != nil {
+	err := n.enter(ctx, m)
+	n.metrics.StoreCall("entry", resultOf(err))
+	if err != nil {
 		n.log.Warn("not entered in the store", "error", err)
 	}
 }
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -181,7 +181,7 @@
 }
 
 // plan orders layers where it is this node's turn.
-func (n *Node) plan(ctx context.Context) {
+func (n *Node) plan(ctx context.Context, revision int64) {
 	rules := n.rules.Load()
 	if rules == nil || n.leavingFor() > 0 || time.Since(n.started) < n.timing.PlanAfter {
 		return
@@ -202,7 +202,7 @@
 		model := n.services.model(service.Name)
 		for domain := range domains {
 			if n.keeps(domain) {
-				n.services.keeper(service.Name).Step(ctx, time.Now(), service.Model, domain, own, model.Lost)
+				n.services.keeper(service.Name).Step(ctx, time.Now(), service.Model, domain, revision, own, model.Lost)
 			}
 		}
 	}
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -41,6 +41,10 @@
 
 // Node is one node on the platform.
 type Node struct {
+	// MetricsPort, if it is not 0, serves the metrics at the VM's own address. It is
+	// set before Run.
+	MetricsPort uint16
+
 	settings *boot.Settings
 	// read reads the settings again.
 	read    func() (*boot.Settings, error)
@@ -164,6 +168,7 @@
 
 func (n *Node) open() (*doors, error) {
 	d := &doors{}
+	figures := n.metricsAddress()
 	for _, door := range []struct {
 		address *netip.AddrPort
 		handler http.Handler
@@ -172,6 +177,7 @@
 		{&n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
 		{&n.settings.Control, n.operators()},
 		{&n.settings.Callers, n.counted(n.relay)},
+		{&figures, n.metricsDoor()},
 	} {
 		if !door.address.IsValid() {
 			continue
--- a/route/layering/layering.go
+++ b/route/layering/layering.go
@@ -27,8 +27,10 @@
 // Orderer gives an order to one replica.
 type Orderer interface {
 	// Place orders a replica to hold a span. orders is how many orders it has
-	// accepted; it refuses if it has taken another one since.
-	Place(ctx context.Context, address, replica string, orders int64, hold layers.Span) error
+	// accepted; it refuses if it has taken another one since. fence rises with what
+	// the order is based on; a replica that checks it refuses one that is based on
+	// less than an earlier one.
+	Place(ctx context.Context, address, replica string, orders, fence int64, hold layers.Span) error
 	// Report asks a replica for its account of itself.
 	Report(ctx context.Context, address, replica string) (report.Report, error)
 }
@@ -81,11 +83,12 @@
 }
 
 // Step looks at the replicas of a domain and orders what they lack. lost says
-// whether a replica is thought to be dead.
-func (k *Keeper) Step(ctx context.Context, now time.Time, model *ruleset.Model, domain string, list []*roster.Replica, lost func(id string) bool) {
+// whether a replica is thought to be dead; revision is the store's when the list was
+// read.
+func (k *Keeper) Step(ctx context.Context, now time.Time, model *ruleset.Model, domain string, revision int64, list []*roster.Replica, lost func(id string) bool) {
 	replicas := inDomain(domain, list)
 	for _, o := range k.plan(now, model, domain, replicas, lost) {
-		go k.give(ctx, now, model, o.replica, o.Order)
+		go k.give(ctx, o.replica, revision, o.Order)
 	}
 }
 
@@ -191,11 +194,11 @@
 
 // give gives one order. If it was refused, or its fate is not known, what the
 // replica reports decides what is ordered next.
-func (k *Keeper) give(ctx context.Context, now time.Time, model *ruleset.Model, r *roster.Replica, o layers.Order) {
+func (k *Keeper) give(ctx context.Context, r *roster.Replica, revision int64, o layers.Order) {
 	accepted := k.accepted(r)
-	err := k.orderer.Place(ctx, r.Address, r.ID, accepted, o.Hold)
+	err := k.orderer.Place(ctx, r.Address, r.ID, accepted, revision, o.Hold)
 	k.log.Info("layers ordered", "replica", r.ID, "domain", r.Domain, "kind", r.Kind, "held", r.Holds, "hold", o.Hold,
-		"reason", o.Reason, "orders", accepted, "born", r.Born, "revision", r.Revision, "error", err)
+		"reason", o.Reason, "orders", accepted, "born", r.Born, "revision", revision, "error", err)
 	if err == nil {
 		k.setAccepted(r, accepted+1)
 		return
--- a/route/layering/layering_test.go
+++ b/route/layering/layering_test.go
@@ -47,7 +47,7 @@
 	return e.byID[id]
 }
 
-func (e *engines) Place(_ context.Context, _, id string, orders int64, hold layers.Span) error {
+func (e *engines) Place(_ context.Context, _, id string, orders, _ int64, hold layers.Span) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer func() { e.given <- id }()
@@ -102,7 +102,7 @@
 	e := newEngines()
 	k := keeper(e)
 	step := func(ms int, list []*roster.Replica) {
-		k.Step(context.Background(), start.Add(time.Duration(ms)*time.Millisecond), llm, "d", list, none)
+		k.Step(context.Background(), start.Add(time.Duration(ms)*time.Millisecond), llm, "d", 1, list, none)
 	}
 	step(0, e.list("a"))
 	step(800, e.list("a", "b"))
@@ -129,15 +129,15 @@
 	first, second := keeper(e), keeper(e)
 	list := e.list("a", "b")
 	for _, k := range []*Keeper{first, second} {
-		k.Step(context.Background(), start, llm, "d", list, none)
-		k.Step(context.Background(), start.Add(2*time.Second), llm, "d", list, none)
+		k.Step(context.Background(), start, llm, "d", 1, list, none)
+		k.Step(context.Background(), start.Add(2*time.Second), llm, "d", 1, list, none)
 	}
 	wait(t, e, 4)
 	if e.taken("a") != 1 || e.taken("b") != 1 {
 		t.Errorf("%d and %d orders were taken", e.taken("a"), e.taken("b"))
 	}
 	for _, k := range []*Keeper{first, second} {
-		k.Step(context.Background(), start.Add(10*time.Second), llm, "d", e.list("a", "b"), none)
+		k.Step(context.Background(), start.Add(10*time.Second), llm, "d", 1, e.list("a", "b"), none)
 	}
 	if len(e.given) > 0 {
 		t.Error("ordered again")
@@ -149,8 +149,8 @@
 func TestSuccessorLearnsTheCount(t *testing.T) {
 	e := newEngines()
 	old := keeper(e)
-	old.Step(context.Background(), start, llm, "d", e.list("a", "b"), none)
-	old.Step(context.Background(), start.Add(2*time.Second), llm, "d", e.list("a", "b"), none)
+	old.Step(context.Background(), start, llm, "d", 1, e.list("a", "b"), none)
+	old.Step(context.Background(), start.Add(2*time.Second), llm, "d", 1, e.list("a", "b"), none)
 	wait(t, e, 2)
 	next := keeper(e)
 	lost := func(id string) bool { return id == "b" }
@@ -159,7 +159,7 @@
 		if time.Now().After(deadline) {
 			t.Fatalf("never repaired: %d orders taken", e.taken("a"))
 		}
-		next.Step(context.Background(), at, llm, "d", e.list("a", "b"), lost)
+		next.Step(context.Background(), at, llm, "d", 1, e.list("a", "b"), lost)
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -320,6 +320,14 @@
 	}
 }
 
+// Used is the part of the room that is booked on the fullest replica of each failure
+// domain, for metrics.
+func (m *Model) Used() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Used(m.now())
+}
+
 // Waiting is how many requests wait for room, and Underway how many run.
 func (m *Model) Waiting() (waiting, underway int) {
 	m.mu.Lock()
