Large fleets share what they read of the store; paces are asked when a stream is late

Change: three nodes of each failure domain read, the others ask them (twirp), with the age of the read; fleets of up to three nodes a domain read for themselves as before. A path is looked at at half of the pause that is on time and asked for its pace when late.

--- /dev/null
+++ b/fleet/reads/reads_test.go
@@ -0,0 +1,122 @@
+package reads
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cicadatack/cicadatack/keep/store"
+)
+
+// clock is a reading that a test moves by hand.
+type clock struct{ now time.Duration }
+
+func (c *clock) read() time.Duration { return c.now }
+
+func served(t interface{ Cleanup(func()) }, c *Copy) string {
+	server := httptest.NewServer(c.Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func entries(pairs ...any) []store.Entry {
+	var list []store.Entry
+	for i := 0; i < len(pairs); i += 2 {
+		list = append(list, store.Entry{Key: pairs[i].(string), Revision: int64(pairs[i+1].(int)), Value: fmt.Appendf(nil, "%v@%v", pairs[i], pairs[i+1])})
+	}
+	return list
+}
+
+func text(list []store.Entry) string {
+	var words []string
+	for _, e := range list {
+		words = append(words, string(e.Value))
+	}
+	return strings.Join(words, " ")
+}
+
+// A key is taken away while a node asks another for what it has read. The proof that
+// it gets is never younger than that read: it counts from before the question, and the
+// time that the answer was on its way, or the asker stood still, only adds to its age.
+func TestProofIsNeverTooYoung(t *testing.T) {
+	reader, asker := &clock{now: 100 * time.Second}, &clock{now: 500 * time.Second}
+	c := NewCopy(reader.read)
+	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: 97 * time.Second})
+	a := NewAsker(asker.read)
+	r, err := a.Ask(context.Background(), served(t, c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if age := 500*time.Second - r.Proof; age < 3*time.Second || age > 3*time.Second+time.Millisecond {
+		t.Errorf("the proof is %v old, want 3 s", age)
+	}
+}
+
+// A node hears from one reader what another has not read yet. It does not go back.
+func TestOlderReadsAreNotTaken(t *testing.T) {
+	now := &clock{}
+	young, old := NewCopy(now.read), NewCopy(now.read)
+	young.Set(Read{Entries: entries("a", 8), Revision: 8})
+	old.Set(Read{Entries: entries("a", 5), Revision: 5})
+	a := NewAsker(now.read)
+	if _, err := a.Ask(context.Background(), served(t, young)); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := a.Ask(context.Background(), served(t, old)); !Error.Has(err) {
+		t.Errorf("took %v", r)
+	}
+	if _, err := NewAsker(now.read).Ask(context.Background(), served(t, NewCopy(now.read))); !Error.Has(err) {
+		t.Error("took the word of a node that has read nothing")
+	}
+}
+
+// Whatever is written and removed, and whichever of two readers is asked when, an asker
+// ends up with what that reader has read, or takes nothing.
+func TestAskersHaveWhatReadersRead(t *testing.T) {
+	now := &clock{}
+	readers := []*Copy{NewCopy(now.read), NewCopy(now.read)}
+	addresses := []string{served(t, readers[0]), served(t, readers[1])}
+	rapid.Check(t, func(t *rapid.T) {
+		held, revision := map[string]int{}, 1
+		last := make([]Read, 2)
+		for i := range readers {
+			last[i] = Read{}
+			readers[i].Set(last[i])
+		}
+		a := NewAsker(now.read)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			switch reader := rapid.IntRange(0, 1).Draw(t, "reader"); rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				revision++
+				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+				if rapid.Bool().Draw(t, "remove") {
+					delete(held, key)
+				} else {
+					held[key] = revision
+				}
+			case 1:
+				var pairs []any
+				for _, key := range []string{"a", "b", "c", "d"} {
+					if held[key] > 0 {
+						pairs = append(pairs, key, held[key])
+					}
+				}
+				last[reader] = Read{Entries: entries(pairs...), Revision: int64(revision)}
+				readers[reader].Set(last[reader])
+			case 2:
+				got, err := a.Ask(context.Background(), addresses[reader])
+				if err == nil && text(got.Entries) != text(last[reader].Entries) {
+					t.Fatalf("got %q, the reader has %q", text(got.Entries), text(last[reader].Entries))
+				}
+				if err != nil && last[reader].Revision > 0 && last[reader].Revision >= a.floor {
+					t.Fatalf("a newer read was not taken: %v", err)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/fleet/reads/readspb/doc.go
@@ -0,0 +1,2 @@
+// Package readspb is the generated code of reads.proto; see scripts/generate.sh.
+package readspb
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/readers"
+	"github.com/cicadatack/cicadatack/fleet/reads"
 	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/platform/operator"
 	"github.com/cicadatack/cicadatack/platform/replicas"
@@ -15,8 +17,9 @@
 
 // Timing sets the pace of a node's own loops.
 type Timing struct {
-	// Poll is between two reads of the store, PollSoon the same until the
-	// configuration is known, and after a read that failed.
+	// Poll is between two reads of the store; 0 takes pollPart of the tightest bound.
+	// PollSoon is the same until the configuration is known, and after a read that
+	// failed.
 	Poll, PollSoon time.Duration
 	// PlanAfter is how long a node that starts leaves the planning of layers to
 	// others, and Settle how long the first plan of a domain waits for replicas after
@@ -29,14 +32,14 @@
 
 // DefaultTiming keeps the platform's bounds at the least number of calls.
 //
-//   - Poll 800 ms: a configuration must be in force, and a leaving replica be let
-//     alone, two seconds after the store has it: one read may be lost.
+//   - Poll 0.4 of the time in which a configuration must be in force, and a leaving
+//     replica be let alone (0.8 of 2 s): one read may be lost.
 //   - PlanAfter 1.5 s: by then the nodes that started together have entered
 //     themselves. Settle 1.2 s: fleets start within a few seconds, and the first plan
 //     is the only one that costs no load under traffic.
 //   - EntryTTL 2 s: three times that are over before a leaving node is killed (8 s).
 var DefaultTiming = Timing{
-	Poll: 800 * time.Millisecond, PollSoon: 300 * time.Millisecond,
+	PollSoon:  300 * time.Millisecond,
 	PlanAfter: 1500 * time.Millisecond, Settle: 1200 * time.Millisecond,
 	EntryTTL: 2 * time.Second,
 }
@@ -45,6 +48,12 @@
 	// storeTimeout bounds one call: several times what a slow store takes, and short
 	// enough that a connection which has gone silent costs one read.
 	storeTimeout = 700 * time.Millisecond
+	// pollPart of the tightest of the bounds on configurations and leaving replicas is
+	// between two reads.
+	pollPart = 0.4
+	// askPart of that is between two questions to other nodes, which cost the store
+	// nothing: what is heard is as old as their read and this pause together.
+	askPart = 0.5
 	// pollJitter is the part by which the pause varies, so that nodes which started
 	// together do not call together.
 	pollJitter = 0.1
@@ -57,6 +66,7 @@
 	faulty  map[string]int64           // entries that can't be read, by revision
 	ruleRev int64
 	lost    bool // the last read failed
+	asked   bool // what is known was heard from another node
 	member  membership
 
 	mu   sync.Mutex
@@ -68,11 +78,7 @@
 	n.poll.decoded = map[string]*roster.Replica{}
 	n.poll.faulty = map[string]int64{}
 	for ctx.Err() == nil {
-		ok := n.look(ctx)
-		pause := n.timing.Poll
-		if !ok || n.rules.Load() == nil {
-			pause = n.timing.PollSoon
-		}
+		pause := n.look(ctx)
 		jittered := time.Duration(float64(pause) * (1 + pollJitter*(rand.Float64()-0.5)))
 		if !sleep(ctx, jittered) {
 			return
@@ -80,6 +86,15 @@
 	}
 }
 
+// pollEvery is between two reads of the store.
+func (n *Node) pollEvery() time.Duration {
+	if n.timing.Poll > 0 {
+		return n.timing.Poll
+	}
+	b := n.bounds()
+	return time.Duration(float64(min(b.Apply, b.Drain)) * pollPart)
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -91,13 +106,27 @@
 	}
 }
 
-// look reads all that the store holds: configuration, replicas and nodes come with
+// look learns what the store holds, and returns after how long to look again. In a
+// large fleet a few nodes of each failure domain read it and the others ask those. A
+// node that can't reach the store asks too: the store may turn it away and serve the
+// others.
+func (n *Node) look(ctx context.Context) time.Duration {
+	defer n.gauge()
+	if n.rules.Load() != nil && !n.reads() && n.ask(ctx) {
+		return time.Duration(float64(n.pollEvery()) * askPart)
+	}
+	if n.readStore(ctx) && n.rules.Load() != nil {
+		return n.pollEvery()
+	}
+	return n.timing.PollSoon
+}
+
+// readStore reads all that the store holds: configuration, replicas and nodes come with
 // one call, so that one call proves all three.
-func (n *Node) look(ctx context.Context) bool {
+func (n *Node) readStore(ctx context.Context) bool {
 	proof, begun := sinceBoot(), time.Now()
 	entries, revision, err := n.store.Changed(ctx, "", 0)
 	n.metrics.StoreCall("read", resultOf(err))
-	defer n.gauge()
 	if err != nil {
 		if !n.poll.lost && ctx.Err() == nil {
 			n.log.Warn("store lost", "error", err, "proof_age_ms", n.Age().Milliseconds())
@@ -105,17 +134,53 @@
 		n.poll.lost = true
 		return false
 	}
-	if n.poll.lost {
-		n.poll.lost = false
+	if n.poll.lost || n.poll.asked {
 		n.log.Info("store regained", "revision", revision, "proof_age_ms", n.Age().Milliseconds())
 	}
-	n.take(begun, proof, entries)
+	n.poll.lost, n.poll.asked = false, false
+	r := reads.Read{Entries: entries, Revision: revision, Proof: proof}
+	n.copy.Set(r)
+	n.asker.Took(r)
+	n.use(ctx, begun, r)
 	n.register(ctx)
-	n.pool.Prune()
-	n.plan(ctx, revision)
 	return true
 }
 
+// ask takes what another node of the failure domain has read. It says whether one had
+// anything new enough.
+func (n *Node) ask(ctx context.Context) bool {
+	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, rand.IntN(readers.PerDomain), n.members.readers()) {
+		begun := time.Now()
+		r, err := n.asker.Ask(ctx, m.Address)
+		if err != nil {
+			n.log.Debug("not told", "node", m.Name, "error", err)
+			continue
+		}
+		if !n.poll.asked {
+			n.log.Info("store read by another node", "node", m.Name, "revision", r.Revision, "age_ms", (sinceBoot() - r.Proof).Milliseconds())
+		}
+		n.poll.asked = true
+		n.use(ctx, begun, r)
+		if !n.poll.lost {
+			n.register(ctx)
+		}
+		return true
+	}
+	return false
+}
+
+// reads says whether this node reads the store itself.
+func (n *Node) reads() bool {
+	return readers.Reads(n.settings.Node, n.settings.Domain, n.members.readers())
+}
+
+// use puts a read in force.
+func (n *Node) use(ctx context.Context, begun time.Time, r reads.Read) {
+	n.take(begun, r.Proof, r.Entries)
+	n.pool.Prune()
+	n.plan(ctx, r.Revision)
+}
+
 // take puts in force what one read has found.
 func (n *Node) take(begun time.Time, proof time.Duration, entries []store.Entry) {
 	var found []*roster.Replica
@@ -139,6 +204,7 @@
 	if current {
 		n.prove(proof)
 	}
+	n.poll.tracker.AwayAfter = n.pollEvery() + storeTimeout
 	list, changes := n.poll.tracker.Update(begun, found)
 	for _, c := range changes {
 		n.log.Info("replica "+c.What, "replica", c.Replica.ID, "service", c.Replica.Service, "domain", c.Replica.Domain,
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/entry"
+	"github.com/cicadatack/cicadatack/decide/readers"
 	"github.com/cicadatack/cicadatack/keep/store"
 )
 
@@ -19,6 +20,8 @@
 	// memberLease is how long a node that has died is still named to callers by the
 	// others; callers who meet it take another of the addresses.
 	memberLease = 3 * time.Second
+	// renewals of a lease are made in its time: two may be lost.
+	renewals = 4
 )
 
 // member is a node as it enters itself in the store.
@@ -26,6 +29,8 @@
 	Name    string `json:"name"`
 	Domain  string `json:"domain"`
 	Callers string `json:"callers"`
+	// Peers is where other nodes ask what this one has read; "" if they can't.
+	Peers string `json:"peers,omitempty"`
 	// Leaving nodes take no new callers.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -45,6 +50,7 @@
 type membership struct {
 	lease   store.LeaseID
 	written bool
+	renewed time.Time
 }
 
 // members are the nodes of the last read. While the store is away they stay: a node
@@ -66,6 +72,23 @@
 	return m.list
 }
 
+// readers are the nodes as decide/readers knows them.
+func (m *members) readers() []readers.Member {
+	var list []readers.Member
+	for _, each := range m.get() {
+		list = append(list, readers.Member{Name: each.Name, Domain: each.Domain, Address: each.Peers})
+	}
+	return list
+}
+
+// peersAddress is where other nodes ask this one, "" if the settings give no port.
+func (n *Node) peersAddress() string {
+	if !n.peerDoor.IsValid() {
+		return ""
+	}
+	return n.peerDoor.String()
+}
+
 // entries are the nodes that callers may be sent to, this one included if it can
 // serve them.
 func (n *Node) entries() []entry.Member {
@@ -95,9 +118,13 @@
 	}
 	m := &n.poll.member
 	if m.lease != 0 && m.written {
+		if time.Since(m.renewed) < memberLease/renewals {
+			return
+		}
 		_, err := n.store.KeepAlive(ctx, m.lease)
 		n.metrics.StoreCall("renewal", resultOf(err))
 		if err == nil {
+			m.renewed = time.Now()
 			return
 		}
 		if !errors.Is(err, store.ErrLeaseGone) {
@@ -119,14 +146,16 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(member{Name: n.settings.Node, Domain: n.settings.Domain, Callers: n.settings.Callers.String()})
+	value, err := json.Marshal(member{
+		Name: n.settings.Node, Domain: n.settings.Domain, Callers: n.settings.Callers.String(), Peers: n.peersAddress(),
+	})
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	if err := n.store.PutLeased(ctx, memberPrefix+n.settings.Node, value, lease); err != nil {
 		return err
 	}
-	*m = membership{lease: lease, written: true}
+	*m = membership{lease: lease, written: true, renewed: time.Now()}
 	return nil
 }
 
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/decide/freshness"
+	"github.com/cicadatack/cicadatack/fleet/reads"
 	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/metrics"
 	"github.com/cicadatack/cicadatack/platform/boot"
@@ -70,6 +71,11 @@
 	services services
 	members  members
 	poll     poller
+	// copy is what this node has read, asker what it hears from others; peerDoor is
+	// where they ask it.
+	copy     *reads.Copy
+	asker    *reads.Asker
+	peerDoor netip.AddrPort
 
 	// leaving is when SIGTERM came, in nanoseconds after the start; zero before.
 	leaving  atomic.Int64
@@ -103,6 +109,10 @@
 		store:    client,
 		pool:     upstream.New(time.Now),
 	}
+	n.copy, n.asker = reads.NewCopy(sinceBoot), reads.NewAsker(sinceBoot)
+	if settings.FirstPort != 0 {
+		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.FirstPort)
+	}
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool}
 	n.prober = reach.New(n.pool, time.Now)
@@ -178,6 +188,7 @@
 		{&n.settings.Control, n.operators()},
 		{&n.settings.Callers, n.counted(n.relay)},
 		{&figures, n.metricsDoor()},
+		{&n.peerDoor, n.copy.Handler()},
 	} {
 		if !door.address.IsValid() {
 			continue
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -19,12 +19,12 @@
 )
 
 const (
-	// firstSilence is how long a replica may take to begin before the path is looked
-	// at; usual first events come after a tenth of it.
-	firstSilence = 250 * time.Millisecond
-	// stallAfter is the pause between two events after which the path is looked at:
-	// half of the longest pause that is on time, and over two usual ones.
-	stallAfter = 100 * time.Millisecond
+	// silenceParts: a path is looked at when a stream has been silent for half of what
+	// is on time, so that what is found out can still help; and its replicas are asked
+	// for their pace, which is paid for, when it is late.
+	silenceParts = 2
+	// defaultPause is the pause that is on time where the route does not say.
+	defaultPause = 200 * time.Millisecond
 	// stallAgain is between two looks at a path that stays silent.
 	stallAgain = 400 * time.Millisecond
 	// silenceLimit is the pause after which a stream is given up although all of its
@@ -187,6 +187,8 @@
 	timer  *time.Timer
 	// last is when events last came, counted from the attempt's beginning.
 	last atomic.Int64
+	// looks counts the looks at the path since.
+	looks atomic.Int32
 
 	mu      sync.Mutex
 	busy    bool
@@ -199,7 +201,7 @@
 	if a.target.Flight == nil {
 		return w
 	}
-	w.timer = time.AfterFunc(firstSilence, w.silent)
+	w.timer = time.AfterFunc(a.q.route.Objective/silenceParts, w.silent)
 	a.target.Flight.Watch(
 		func(replica string) { w.lead("a part of the path is lost: "+replica, false) },
 		func(replica string) { w.lead("a part of the path leaves: "+replica, true) },
@@ -210,11 +212,20 @@
 // heard notes that events have come.
 func (w *watch) heard() {
 	w.last.Store(int64(w.a.q.s.Now().Sub(w.a.begun)))
+	w.looks.Store(0)
 	if w.timer != nil {
-		w.timer.Reset(stallAfter)
+		w.timer.Reset(w.a.q.stallAfter())
 	}
 }
 
+// stallAfter is the pause between two events after which the path is looked at.
+func (q *request) stallAfter() time.Duration {
+	if q.route.MaxPause <= 0 {
+		return defaultPause / silenceParts
+	}
+	return q.route.MaxPause / silenceParts
+}
+
 // silentFor is how long no event has come in this attempt.
 func (w *watch) silentFor() time.Duration {
 	return w.a.q.s.Now().Sub(w.a.begun) - time.Duration(w.last.Load())
@@ -247,8 +258,7 @@
 		return
 	}
 	if len(lost) == 0 {
-		w.timer.Reset(stallAgain)
-		w.inspect(model, path)
+		w.lookAgain(model, path)
 		return
 	}
 	fresh := false
@@ -337,6 +347,16 @@
 	return false
 }
 
+// lookAgain looks at a path that is silent although all of it can be reached.
+func (w *watch) lookAgain(model *targets.Model, path paths.Path) {
+	if w.looks.Add(1) < silenceParts {
+		w.timer.Reset(w.a.q.stallAfter())
+		return
+	}
+	w.timer.Reset(stallAgain)
+	w.inspect(model, path)
+}
+
 // inspect asks the parts of a path that all can be reached how fast they are.
 func (w *watch) inspect(model *targets.Model, path paths.Path) {
 	q := w.a.q
--- a/route/roster/tracker.go
+++ b/route/roster/tracker.go
@@ -6,14 +6,9 @@
 	"time"
 )
 
-const (
-	// AwayAfter is the pause between two reads of the store after which entries may
-	// have lapsed in it because their owners could not renew them.
-	AwayAfter = 1500 * time.Millisecond
-	// ReturnWithin is how long owners take to enter themselves again once the store
-	// is back; the platform says about two seconds.
-	ReturnWithin = 2200 * time.Millisecond
-)
+// ReturnWithin is how long owners take to enter themselves again once the store is
+// back; the platform says about two seconds.
+const ReturnWithin = 2200 * time.Millisecond
 
 // Change is a difference between two lists, for the log.
 type Change struct {
@@ -33,6 +28,11 @@
 //
 // It is not safe for concurrent use.
 type Tracker struct {
+	// AwayAfter is the pause between two reads of the store after which entries may
+	// have lapsed in it because their owners could not renew them: a usual pause and
+	// the time of a read that failed.
+	AwayAfter time.Duration
+
 	known    map[string]*Replica
 	lastRead time.Time
 	// until is up to when vanished entries hold, after an absence of the store.
@@ -42,7 +42,7 @@
 // Update takes what one read has found and returns the replicas to use, by id, and
 // what has changed. read is when the read began.
 func (t *Tracker) Update(read time.Time, found []*Replica) ([]*Replica, []Change) {
-	if !t.lastRead.IsZero() && read.Sub(t.lastRead) > AwayAfter {
+	if !t.lastRead.IsZero() && read.Sub(t.lastRead) > t.AwayAfter {
 		t.until = read.Add(ReturnWithin)
 	}
 	t.lastRead = read
--- a/route/roster/tracker_test.go
+++ b/route/roster/tracker_test.go
@@ -20,7 +20,7 @@
 // The store was away and is back with an empty list, as no replica could renew its
 // entry. Callers are served as before; whoever has not come back in time is gone.
 func TestEntriesThatLapsedInAnOutage(t *testing.T) {
-	var tr Tracker
+	tr := Tracker{AwayAfter: 1500 * time.Millisecond}
 	a, b, c := &Replica{ID: "a"}, &Replica{ID: "b"}, &Replica{ID: "c", Draining: true}
 	list := func(ms int, found ...*Replica) string {
 		got, _ := tr.Update(at(ms), found)
@@ -48,7 +48,7 @@
 // A replica that starts again under its id holds nothing of before; the log tells it
 // from one whose layers have changed.
 func TestChangesAreTold(t *testing.T) {
-	var tr Tracker
+	tr := Tracker{AwayAfter: 1500 * time.Millisecond}
 	for _, step := range []struct {
 		found *Replica
 		want  string
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -12,3 +12,8 @@
   --twirp_out=fleet/exchange --twirp_opt=paths=source_relative \
   exchange.proto
 gofmt -w fleet/exchange/*.go
+PATH="$PWD/bin:$PATH" protoc -I fleet/reads/readspb \
+  --go_out=fleet/reads/readspb --go_opt=paths=source_relative \
+  --twirp_out=fleet/reads/readspb --twirp_opt=paths=source_relative \
+  reads.proto
+gofmt -w fleet/reads/readspb/*.go
