--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cicadatack/cicadatack/decide/entry"
+	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/platform/directory"
 )
 
@@ -96,7 +97,7 @@
 
 // deregister removes this node's entry by ending its lease.
 func (n *Node) deregister(ctx context.Context) {
-	lease := n.poll.member.lease
+	lease := store.LeaseID(n.leaseID.Load())
 	if lease == 0 {
 		return
 	}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -61,7 +61,7 @@
 
 // poller is what is remembered from one read of the store to the next.
 type poller struct {
-	tracker replicaTracker
+	tracker roster.Tracker
 	decoded map[string]*roster.Replica // by id, with the revision that was decoded
 	faulty  map[string]int64           // entries that can't be read, by revision
 	ruleRev int64
@@ -107,9 +107,7 @@
 }
 
 // look learns what the store holds, and returns after how long to look again. In a
-// large fleet a few nodes of each failure domain read it and the others ask those. A
-// node that can't reach the store asks too: the store may turn it away and serve the
-// others.
+// large fleet a few nodes of each failure domain read it and the others ask those.
 func (n *Node) look(ctx context.Context) time.Duration {
 	defer n.gauge()
 	if n.rules.Load() != nil && !n.reads() && n.ask(ctx) {
--- a/node/site/harness_test.go
+++ b/node/site/harness_test.go
@@ -161,7 +161,7 @@
 		Store: p.addr, LeaseMin: time.Second, MemoryMB: 256,
 		Bounds: boot.Bounds{
 			Apply: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, Grace: 8 * time.Second,
-			Stall: 2500 * time.Millisecond, EntryTTL: 5 * time.Second,
+			EntryTTL:   5 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 2000, RetryWindow: 10 * time.Second,
 		},
 	}
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -46,10 +46,9 @@
 	return m, true
 }
 
-// membership is this node's own entry.
+// membership is this node's own entry; the zero value is none.
 type membership struct {
 	lease   store.LeaseID
-	written bool
 	renewed time.Time
 }
 
@@ -117,7 +116,7 @@
 		return
 	}
 	m := &n.poll.member
-	if m.lease != 0 && m.written {
+	if m.lease != 0 {
 		if time.Since(m.renewed) < memberLease/renewals {
 			return
 		}
@@ -132,16 +131,16 @@
 			return
 		}
 		n.log.Warn("lease lapsed")
-		*m = membership{}
+		n.setMembership(membership{})
 	}
-	err := n.enter(ctx, m)
+	err := n.enter(ctx)
 	n.metrics.StoreCall("entry", resultOf(err))
 	if err != nil {
 		n.log.Warn("not entered in the store", "error", err)
 	}
 }
 
-func (n *Node) enter(ctx context.Context, m *membership) error {
+func (n *Node) enter(ctx context.Context) error {
 	lease, err := n.store.Grant(ctx, max(memberLease, n.settings.LeaseMin))
 	if err != nil {
 		return err
@@ -155,10 +154,16 @@
 	if err := n.store.PutLeased(ctx, memberPrefix+n.settings.Node, value, lease); err != nil {
 		return err
 	}
-	*m = membership{lease: lease, written: true, renewed: time.Now()}
+	n.setMembership(membership{lease: lease, renewed: time.Now()})
 	return nil
 }
 
+// setMembership also tells the goroutine that ends the lease when the node leaves.
+func (n *Node) setMembership(m membership) {
+	n.poll.member = m
+	n.leaseID.Store(int64(m.lease))
+}
+
 // keeps says whether it is this node's turn to order the replicas of a failure
 // domain: the first by name of the domain's own nodes, or of all where it has none.
 func (n *Node) keeps(domain string) bool {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -32,7 +32,6 @@
 	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/report"
-	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -71,6 +70,8 @@
 	services services
 	members  members
 	poll     poller
+	// leaseID is the lease of this node's entry in the store, 0 if it has none.
+	leaseID atomic.Int64
 	// copy is what this node has read, asker what it hears from others; peerDoor is
 	// where they ask it.
 	copy     *reads.Copy
@@ -110,8 +111,8 @@
 		pool:     upstream.New(time.Now),
 	}
 	n.copy, n.asker = reads.NewCopy(sinceBoot), reads.NewAsker(sinceBoot)
-	if settings.FirstPort != 0 {
-		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.FirstPort)
+	if settings.PeerPort != 0 {
+		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
 	}
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool}
@@ -266,6 +267,3 @@
 	defer n.lease.Unlock()
 	n.lease.Prove(begun)
 }
-
-// replicaTracker is made anew with each node.
-type replicaTracker = roster.Tracker
--- a/route/layering/layering_test.go
+++ b/route/layering/layering_test.go
@@ -18,7 +18,7 @@
 var (
 	start = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
 	llm   = &ruleset.Model{
-		Layers: 8, LayerMB: 100, TokenLayerBytes: 1000, LoadTime: time.Second, LoadsAtOnce: 6,
+		Layers: 8, LayerMB: 100, TokenLayerBytes: 1000, LoadTime: time.Second,
 		Cards: map[string]ruleset.Card{"l4": {MemoryMB: 700}},
 	}
 )
--- a/route/relay/relay.go
+++ b/route/relay/relay.go
@@ -209,7 +209,6 @@
 	reasonNoService  = "unknown_service"
 	reasonNoEndpoint = "no_endpoint"
 	reasonNoRoom     = "no_room"
-	reasonBudget     = "retry_budget"
 	reasonUnknown    = "unknown"
 	reasonTimeout    = "timeout"
 	reasonLeaving    = "leaving"
--- a/route/relay/whole.go
+++ b/route/relay/whole.go
@@ -34,7 +34,11 @@
 
 // write passes the answer on as it is.
 func (w *wholeAnswer) write(q *request) {
-	q.writeHead(w.status, w.header, len(w.body))
+	length := len(w.body)
+	if n, err := strconv.Atoi(w.header.Get(headerLength)); err == nil && q.in.Method == http.MethodHead {
+		length = n // of the body that was not asked for
+	}
+	q.writeHead(w.status, w.header, length)
 	// The caller may have gone; there is nobody left to tell.
 	_, _ = q.w.Write(w.body)
 	q.done("status", w.status)
--- a/route/report/report.go
+++ b/route/report/report.go
@@ -22,8 +22,6 @@
 	Holds  layers.Span
 	// Pace is over 1 if the replica is slower than its kind.
 	Pace float64
-	// Used and Total are its memory for requests, in tokens times layers.
-	Used, Total float64
 }
 
 // Source asks one replica.
--- a/route/ruleset/ruleset.go
+++ b/route/ruleset/ruleset.go
@@ -78,8 +78,6 @@
 	Name string
 	// MaxConns bounds the connections to one replica over all callers.
 	MaxConns int
-	// HealthPath answers whether a replica considers itself healthy.
-	HealthPath string
 	// Model is nil for plain services.
 	Model *Model
 }
@@ -92,20 +90,10 @@
 	LayerMB float64
 	// TokenLayerBytes is the memory of one token in one layer.
 	TokenLayerBytes float64
-	// Slots bounds the requests that one replica receives as a path's first.
-	Slots int
 	// StepMillis is the time of one step through all layers on a card of pace 1.
 	StepMillis float64
-	// ReadPerMilli is the prompt tokens that such a card reads in a millisecond.
-	ReadPerMilli float64
 	// LoadTime is the time to load all layers' weights onto one replica.
 	LoadTime time.Duration
-	// LoadsAtOnce is how many loads run at full speed together.
-	LoadsAtOnce int
-	// ReportLag is how old a replica's report of its state is.
-	ReportLag time.Duration
-	// Prompt and Answer are the usual sizes in tokens.
-	Prompt, Answer float64
 	// Cards are the kinds of accelerators by name.
 	Cards map[string]Card
 }
@@ -114,20 +102,13 @@
 type Card struct {
 	// MemoryMB holds weights and requests, in megabytes.
 	MemoryMB float64
-	// Pace multiplies the time of a step, ReadPace that of reading prompts.
-	Pace, ReadPace float64
+	// Pace multiplies the time of a step.
+	Pace float64
 }
 
-// MaxLayers is the most layers that a card's memory holds, with no room for
-// requests.
-func (m *Model) MaxLayers(c Card) int {
-	return int(c.MemoryMB / m.LayerMB)
-}
-
-// Limits bound what a caller may send and how slowly.
+// Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes, BodyBytes   int
-	HeaderTimeout, IdleAfter time.Duration
+	BodyBytes int
 }
 
 // Team is a tenant of the fleet.
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -25,7 +25,6 @@
 
 	mu      sync.Mutex
 	layers  int
-	slots   int
 	conns   int
 	book    *paths.Book
 	flights map[*Flight]struct{}
@@ -65,7 +64,7 @@
 		replicas = append(replicas, pathReplica(model, r))
 	}
 	m.mu.Lock()
-	m.layers, m.slots, m.conns = model.Layers, model.Slots, conns
+	m.layers, m.conns = model.Layers, conns
 	m.book.Update(replicas)
 	for _, r := range list {
 		m.book.SetShare(r.Domain, share(r.Domain))
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -13,8 +13,8 @@
 )
 
 var llm = &ruleset.Model{
-	Layers: 8, LayerMB: 100, TokenLayerBytes: 1000, Slots: 10, StepMillis: 1,
-	Cards: map[string]ruleset.Card{"l4": {MemoryMB: 500, Pace: 1, ReadPace: 1}},
+	Layers: 8, LayerMB: 100, TokenLayerBytes: 1000, StepMillis: 1,
+	Cards: map[string]ruleset.Card{"l4": {MemoryMB: 500, Pace: 1}},
 }
 
 func part(id string, from, to int) *roster.Replica {
--- a/route/upstream/conn.go
+++ b/route/upstream/conn.go
@@ -17,8 +17,6 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// used says that an answer has been read on it.
-	used bool
 	// idleUntil is when the endpoint may close it.
 	idleUntil time.Time
 	once      sync.Once
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -140,7 +140,6 @@
 	if keepFor <= 0 {
 		keepFor = defaultKeep
 	}
-	c.used = true
 	c.idleUntil = p.now().Add(max(0, keepFor-keepMargin))
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		p.discard(address, c)
