--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -134,6 +134,12 @@
 	b.credit(b.cfg.Share)
 }
 
+// Left is how many retries the budget holds.
+func (b *Budget) Left(now time.Time) float64 {
+	b.earnFloor(now)
+	return b.tokens
+}
+
 // Allow decides on a failed attempt and, if it may be tried again, charges the
 // budget for the retry.
 func (b *Budget) Allow(now time.Time, a Attempt) Decision {
--- a/node/site/harness_test.go
+++ b/node/site/harness_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -16,124 +14,40 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/cicadatack/cicadatack/keep/store/storetest"
 	"github.com/cicadatack/cicadatack/platform/boot"
 	"github.com/cicadatack/cicadatack/standin/replica"
-	"github.com/cicadatack/cicadatack/standin/storefake"
+	"github.com/cicadatack/cicadatack/standin/site"
 )
 
 // patience bounds a wait for an event that has to come.
 const patience = 20 * time.Second
 
-const (
-	modelService = "llm"
-	plainService = "ledger"
-	goodKey      = "key-of-bogor"
-)
+const goodKey = "key-of-bogor"
 
-// platform is a store, an operator and replicas in one process.
+// platform is a store, an operator and replicas in one process, and the log of the
+// nodes that run on it.
 type platform struct {
-	t     *testing.T
-	store *storefake.Server
-	addr  netip.AddrPort
-	fleet *replica.Fleet
+	*site.Site
+	t    *testing.T
+	addr netip.AddrPort
 
-	mu       sync.Mutex
-	replicas map[string]*replica.Replica
-	version  int
-	keys     []string
-	logs     bytes.Buffer
+	mu   sync.Mutex
+	logs bytes.Buffer
 }
 
 func newPlatform(t *testing.T) *platform {
-	p := &platform{
-		t: t, store: storefake.New(), fleet: replica.NewFleet(8),
-		replicas: map[string]*replica.Replica{}, keys: []string{goodKey},
-	}
-	server := httptest.NewServer(p.store)
-	p.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
-	t.Cleanup(func() {
-		p.fleet.Close()
-		p.store.Close()
-		server.Close()
-	})
-	p.configure()
+	p := &platform{Site: site.New(), t: t}
+	p.addr = netip.MustParseAddrPort(p.Address())
+	t.Cleanup(p.Close)
+	p.Configure(goodKey)
 	return p
 }
 
-// put writes a key as the operator or a replica does.
-func (p *platform) put(key string, value []byte) {
-	p.t.Helper()
-	if _, _, err := p.store.Memory().Txn(nil, []storetest.Write{{Key: key, Value: value}}); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
-// configure writes the next version of the configuration.
-func (p *platform) configure() {
-	p.version += 3
-	keys, err := json.Marshal(p.keys)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.put("op/config", fmt.Appendf(nil, `{"version":%d,
-	 "routes":[
-	  {"name":"r1","host":"a.example","prefix":"/ask/","kind":"stream","timeoutMs":20000,"goalMs":500,"gapAimMs":200,
-	   "maxAttempts":2,"resumable":true,"service":"llm"},
-	  {"name":"r2","host":"a.example","prefix":"/order/","kind":"unsafe","timeoutMs":1500,"goalMs":300,"maxAttempts":1,"service":"ledger"},
-	  {"name":"r3","host":"a.example","prefix":"/read/","kind":"safe","timeoutMs":1500,"goalMs":300,"maxAttempts":2,"service":"ledger"},
-	  {"name":"r4","host":"a.example","prefix":"/open/","kind":"safe","timeoutMs":1500,"goalMs":300,"maxAttempts":2,"public":true,"service":"ledger"}],
-	 "services":[
-	  {"name":"llm","maxConns":400,"engine":{"slots":192,"kvBytes":8000,"layers":8,"layerMb":100,"step_ms":1,"read_per_s":1000,
-	   "loads_at_once":6,"report_lag_ms":10,"usual":{"prompt":10,"answer":10},"models":[{"loadS":0.01}],
-	   "kinds":[{"name":"l4","mb":700,"pace":1,"readX":1}]}},
-	  {"name":"ledger","maxConns":96}],
-	 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-	 "tenants":[{"name":"bogor","apiKeys":%s,"priority":1}]}`, p.version, keys))
-}
-
-// add starts a replica and keeps its entry in the store as it is.
-func (p *platform) add(c replica.Config) *replica.Replica {
-	p.t.Helper()
-	r, err := p.fleet.Add(c)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.mu.Lock()
-	p.replicas[c.ID] = r
-	p.mu.Unlock()
-	p.beat()
-	return r
-}
-
-// beat renews the entries of all replicas.
-func (p *platform) beat() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, r := range p.replicas {
-		p.put("servers/"+id, r.Entry())
-	}
-}
-
-// lose ends a replica without a word; its entry lapses later.
-func (p *platform) lose(id string) {
-	p.mu.Lock()
-	r := p.replicas[id]
-	delete(p.replicas, id)
-	p.mu.Unlock()
-	r.Kill()
-}
-
 // chains starts two whole chains' worth of replicas and two of a plain service.
 func (p *platform) chains(events int, pause time.Duration) {
-	for i := range 4 {
-		p.add(replica.Config{
-			ID: fmt.Sprint("i-model-", i), Service: modelService, Domain: "bandung", Kind: "l4",
-			Model: true, Events: events, Pause: pause,
-		})
-	}
-	for i := range 2 {
-		p.add(replica.Config{ID: fmt.Sprint("i-plain-", i), Service: plainService, Domain: "bandung"})
+	p.t.Helper()
+	if err := p.AddUsual(replica.Config{Domain: "bandung", Events: events, Pause: pause}); err != nil {
+		p.t.Fatal(err)
 	}
 }
 
@@ -190,7 +104,7 @@
 		}
 	})
 	p.until("the node serves", func() bool {
-		p.beat()
+		p.Beat()
 		return n.serving() && n.pathsKnown()
 	})
 	return r
@@ -246,7 +160,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	q.Host = "a.example"
+	q.Host = site.Host
 	q.Header.Set("Request-Id", id)
 	q.Header.Set("Deadline-Ms", "15000")
 	q.Header.Set("Token-Count", "10,20")
--- a/node/site/site_test.go
+++ b/node/site/site_test.go
@@ -36,7 +36,7 @@
 	if err := wholeStream(got.body, "s1", 20); err != nil || got.status != http.StatusOK || got.header.Get("Server-Stamp") == "" {
 		t.Errorf("stream: %v %d %v\n%s", err, got.status, got.header, p.log())
 	}
-	run := p.fleet.Runs("s1")
+	run := p.Fleet.Runs("s1")
 	if len(run) != 1 || run[0].Header.Get("Tenant") != "bogor" || run[0].Header.Get("Authorization") != "" ||
 		run[0].Header.Get("X-Other") != "kept" || run[0].Target != "/ask/x?y=%2F" || run[0].Body != "some cream" {
 		t.Errorf("the replica was sent %+v", run)
@@ -47,7 +47,7 @@
 	if got := node.ask("GET", "/open/1", "p1", ""); got.status != http.StatusOK {
 		t.Errorf("public read: %+v", got)
 	}
-	if problems := p.fleet.Problems(); len(problems) > 0 {
+	if problems := p.Fleet.Problems(); len(problems) > 0 {
 		t.Error(problems)
 	}
 }
@@ -92,7 +92,7 @@
 			t.Errorf("%s: %d, want %d", c.name, got.status, c.want)
 		}
 	}
-	if runs := p.fleet.Runs(""); len(runs) > 0 {
+	if runs := p.Fleet.Runs(""); len(runs) > 0 {
 		t.Errorf("ran: %v", runs)
 	}
 }
@@ -110,11 +110,11 @@
 	for i := range answers {
 		wg.Go(func() { answers[i] = node.ask("POST", "/ask/x", fmt.Sprint("s", i), goodKey) })
 	}
-	p.until("all streams run", func() bool { return len(p.fleet.Runs("")) == len(answers) })
-	victim := partOf(p.fleet.Runs("")[0].Header.Get("Hop-Count"), 1)
-	for id, r := range p.replicas {
+	p.until("all streams run", func() bool { return len(p.Fleet.Runs("")) == len(answers) })
+	victim := partOf(p.Fleet.Runs("")[0].Header.Get("Hop-Count"), 1)
+	for id, r := range p.Replicas() {
 		if r.Address == victim {
-			p.lose(id)
+			p.Lose(id)
 			break
 		}
 	}
@@ -124,7 +124,7 @@
 			t.Errorf("stream %d: %v, %v", i, err, got.err)
 		}
 	}
-	if problems := p.fleet.Problems(); len(problems) > 0 {
+	if problems := p.Fleet.Problems(); len(problems) > 0 {
 		t.Error(problems)
 	}
 	if t.Failed() {
@@ -145,14 +145,14 @@
 	p := newPlatform(t)
 	p.chains(30, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	for _, r := range p.replicas {
+	for _, r := range p.Replicas() {
 		r.SetFault(replica.Fault{CutAfter: 12})
 	}
 	got := node.ask("POST", "/ask/x", "s1", goodKey)
 	if err := wholeStream(got.body, "s1", 30); err != nil || got.err != nil {
 		t.Errorf("%v, %v\n%s", err, got.err, p.log())
 	}
-	if runs := p.fleet.Runs("s1"); len(runs) < 2 || runs[1].Header.Get("Last-Event-Id") != "12" {
+	if runs := p.Fleet.Runs("s1"); len(runs) < 2 || runs[1].Header.Get("Last-Event-Id") != "12" {
 		t.Errorf("%d runs", len(runs))
 	}
 }
@@ -163,14 +163,14 @@
 	p := newPlatform(t)
 	p.chains(3, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	for _, r := range p.replicas {
+	for _, r := range p.Replicas() {
 		r.SetFault(replica.Fault{LoseAnswer: true})
 	}
 	got := node.ask("POST", "/order/1", "o1", goodKey)
 	if got.status != http.StatusBadGateway {
 		t.Errorf("status %d", got.status)
 	}
-	if runs := p.fleet.Runs("o1"); len(runs) != 1 {
+	if runs := p.Fleet.Runs("o1"); len(runs) != 1 {
 		t.Errorf("it ran %d times", len(runs))
 	}
 }
@@ -180,11 +180,11 @@
 	p := newPlatform(t)
 	p.chains(3, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	p.replicas["i-plain-0"].SetFault(replica.Fault{Refuse: true})
+	p.Replica("i-plain-0").SetFault(replica.Fault{Refuse: true})
 	for i := range 6 {
 		id := fmt.Sprint("o", i)
-		if got := node.ask("POST", "/order/1", id, goodKey); got.status != http.StatusOK || len(p.fleet.Runs(id)) != 1 {
-			t.Errorf("order %d: %d, %d runs", i, got.status, len(p.fleet.Runs(id)))
+		if got := node.ask("POST", "/order/1", id, goodKey); got.status != http.StatusOK || len(p.Fleet.Runs(id)) != 1 {
+			t.Errorf("order %d: %d, %d runs", i, got.status, len(p.Fleet.Runs(id)))
 		}
 	}
 }
@@ -195,7 +195,7 @@
 	p := newPlatform(t)
 	p.chains(3, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	for _, r := range p.replicas {
+	for _, r := range p.Replicas() {
 		r.SetFault(replica.Fault{Twice: true})
 	}
 	for i := range 10 {
@@ -211,7 +211,7 @@
 	p := newPlatform(t)
 	p.chains(3, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	for _, r := range p.replicas {
+	for _, r := range p.Replicas() {
 		r.SetFault(replica.Fault{Unproved: true})
 	}
 	for _, path := range []string{"/order/1", "/ask/x"} {
@@ -226,8 +226,7 @@
 // store is back it refuses this key and serves the others.
 func TestKeyTakenAwayBehindAnOutage(t *testing.T) {
 	p := newPlatform(t)
-	p.keys = []string{goodKey, "other"}
-	p.configure()
+	p.Configure(goodKey, "other")
 	p.chains(3, time.Millisecond)
 	settings := p.settings("front-1")
 	settings.Bounds.Revoke = 1500 * time.Millisecond
@@ -235,9 +234,8 @@
 	if got := node.ask("GET", "/read/1", "before", goodKey); got.status != http.StatusOK {
 		t.Fatalf("before: %+v", got)
 	}
-	p.store.SetFaults(storefake.Faults{Outage: true})
-	p.keys = []string{"other"}
-	p.configure()
+	p.Store.SetFaults(storefake.Faults{Outage: true})
+	p.Configure("other")
 	p.until("the proof has run out", func() bool { return !node.Fresh() })
 	if got := node.ask("GET", "/read/1", "stale", goodKey); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("stale: %+v", got)
@@ -245,7 +243,7 @@
 	if got := node.ask("GET", "/open/1", "public", ""); got.status != http.StatusOK {
 		t.Errorf("a public route needs no proof: %+v", got)
 	}
-	p.store.SetFaults(storefake.Faults{})
+	p.Store.SetFaults(storefake.Faults{})
 	p.until("the store is read again", node.Fresh)
 	if got := node.ask("GET", "/read/1", "after", goodKey); got.status != http.StatusUnauthorized {
 		t.Errorf("after: %d", got.status)
@@ -253,7 +251,7 @@
 	if got := node.ask("GET", "/read/1", "after2", "other"); got.status != http.StatusOK {
 		t.Errorf("the other key: %d", got.status)
 	}
-	if runs := p.fleet.Runs("stale"); len(runs) > 0 {
+	if runs := p.Fleet.Runs("stale"); len(runs) > 0 {
 		t.Error("a request ran with a key that nobody could vouch for")
 	}
 }
@@ -264,9 +262,9 @@
 	p := newPlatform(t)
 	p.chains(3, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	p.put("servers/i-strange", []byte(`{"service":7}`))
-	p.put("servers/i-garbage", []byte{0xff, 0x00})
-	p.put("op/config", []byte(`{"version":`))
+	p.Put("servers/i-strange", []byte(`{"service":7}`))
+	p.Put("servers/i-garbage", []byte{0xff, 0x00})
+	p.Put("op/config", []byte(`{"version":`))
 	p.until("all three are refused", func() bool {
 		log := p.log()
 		return strings.Contains(log, "configuration refused") && strings.Count(log, "entry can't be read") >= 2
@@ -275,8 +273,8 @@
 		t.Errorf("%+v", got)
 	}
 	before := strings.Count(p.log(), "configuration refused")
-	seen := p.store.Status().ByPath[storefake.PathRange]
-	p.until("the store is read twice more", func() bool { return p.store.Status().ByPath[storefake.PathRange] >= seen+2 })
+	seen := p.Store.Status().ByPath[storefake.PathRange]
+	p.until("the store is read twice more", func() bool { return p.Store.Status().ByPath[storefake.PathRange] >= seen+2 })
 	if after := strings.Count(p.log(), "configuration refused"); after != before {
 		t.Errorf("told %d times", after)
 	}
@@ -295,7 +293,7 @@
 	})
 	got := make(chan answer)
 	go func() { got <- first.ask("POST", "/ask/x", "s1", goodKey) }()
-	p.until("the stream runs", func() bool { return len(p.fleet.Runs("s1")) == 1 })
+	p.until("the stream runs", func() bool { return len(p.Fleet.Runs("s1")) == 1 })
 	first.stop()
 	p.until("it is not ready", func() bool { return !first.ready() })
 	if ready := get(t, "http://"+first.settings.Ready.String()+"/ready"); ready.status != http.StatusServiceUnavailable {
@@ -316,12 +314,12 @@
 	p := newPlatform(t)
 	p.chains(10, time.Millisecond)
 	node := p.node(p.settings("front-1"))
-	p.replicas["i-model-0"].Drain()
-	p.beat()
+	p.Replica("i-model-0").Drain()
+	p.Beat()
 	p.until("the others hold all layers", func() bool {
-		p.beat()
+		p.Beat()
 		covered := map[int]bool{}
-		for id, r := range p.replicas {
+		for id, r := range p.Replicas() {
 			from, to := r.Holds()
 			for l := from; l < to && id != "i-model-0" && r.Model; l++ {
 				covered[l] = true
@@ -330,7 +328,7 @@
 		return len(covered) == 8
 	})
 	p.until("the node knows", func() bool {
-		p.beat()
+		p.Beat()
 		return node.ask("POST", "/ask/x", "probe", goodKey).status == http.StatusOK
 	})
 	for i := range 5 {
--- a/proof/harness/process.go
+++ b/proof/harness/process.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/platform/boot"
 )
 
 // Error is the class of this package's errors.
@@ -76,9 +78,19 @@
 	return p, Error.Wrap(json.Unmarshal([]byte(line), &p.Addresses))
 }
 
+// StartOnPlatform starts a node with settings of the users' platform.
+func StartOnPlatform(bin, name, settings string) (*Process, error) {
+	return startWith(bin, "cicadatack", name, []string{boot.Variable + "=" + settings})
+}
+
 func start(bin, program, name string, args ...string) (*Process, error) {
+	return startWith(bin, program, name, nil, args...)
+}
+
+func startWith(bin, program, name string, env []string, args ...string) (*Process, error) {
 	p := &Process{Name: name, lines: newLineLog(), ended: make(chan struct{})}
 	p.command = exec.Command(filepath.Join(bin, program), args...)
+	p.command.Env = append(os.Environ(), env...)
 	p.command.Stderr = os.Stderr
 	out, err := p.command.StdoutPipe()
 	if err != nil {
--- /dev/null
+++ b/proof/soak/callers_test.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/standin/site"
+)
+
+// kinds of requests.
+const (
+	stream = "/ask/"
+	order  = "/order/"
+	read   = "/read/"
+)
+
+// asked is one request and what its caller saw.
+type asked struct {
+	id, kind, key string
+	sent          time.Time
+	status        int // 0 if no answer came
+	body          string
+	whole         bool
+}
+
+// crowd is callers that ask where to connect, keep the answer for a while and connect
+// there themselves.
+type crowd struct {
+	vms     []*vm
+	current func() string // the key in force
+
+	mu   sync.Mutex
+	seen []asked
+}
+
+const (
+	callers = 12
+	// callerPatience is how long a caller waits, and is told to the system.
+	callerPatience = 4 * time.Second
+	thinkTime      = 30 * time.Millisecond
+)
+
+// run asks until the context ends.
+func (c *crowd) run(ctx context.Context, seed uint64) {
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			draw := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := 0; ctx.Err() == nil; n++ {
+				kind := []string{stream, stream, order, read}[draw.IntN(4)]
+				c.note(c.ask(kind, fmt.Sprintf("%d-%d-%d", seed, i, n), c.current(), draw))
+				time.Sleep(thinkTime)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (c *crowd) note(a asked) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = append(c.seen, a)
+}
+
+func (c *crowd) all() []asked {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]asked(nil), c.seen...)
+}
+
+// door is one of the addresses that some node names, "" if none answers.
+func (c *crowd) door(draw *rand.Rand) string {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 3 {
+		v := c.vms[draw.IntN(len(c.vms))]
+		response, err := client.Get("http://" + v.at().Directory + "/resolve?name=" + site.Host + "&zone=bandung")
+		if err != nil {
+			continue
+		}
+		var answer struct{ Addrs []string }
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		response.Body.Close()
+		if err == nil && len(answer.Addrs) > 0 {
+			return answer.Addrs[draw.IntN(len(answer.Addrs))]
+		}
+	}
+	return ""
+}
+
+func (c *crowd) ask(kind, id, key string, draw *rand.Rand) asked {
+	a := asked{id: id, kind: kind, key: key}
+	address := c.door(draw)
+	if address == "" {
+		return a
+	}
+	method, body := http.MethodPost, "some cream"
+	if kind == read {
+		method, body = http.MethodGet, ""
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+address+kind+"x", strings.NewReader(body))
+	if err != nil {
+		return a
+	}
+	q.Host = site.Host
+	q.Header.Set("Request-Id", id)
+	q.Header.Set("Deadline-Ms", fmt.Sprint(callerPatience.Milliseconds()))
+	q.Header.Set("Authorization", "Token "+key)
+	q.Header.Set("Token-Count", "10,20")
+	dialer := net.Dialer{Timeout: time.Second}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	a.sent = time.Now()
+	response, err := transport.RoundTrip(q)
+	if err != nil {
+		return a
+	}
+	defer response.Body.Close()
+	a.status = response.StatusCode
+	text, err := io.ReadAll(response.Body)
+	a.body, a.whole = string(text), err == nil
+	return a
+}
--- /dev/null
+++ b/proof/soak/judge_test.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cicadatack/cicadatack/standin/replica"
+)
+
+// judge holds what callers saw against what replicas did.
+func (r *run) judge() {
+	runs := map[string][]replica.Run{}
+	for _, each := range r.site.Fleet.Runs("") {
+		runs[each.Request] = append(runs[each.Request], each)
+	}
+	counts := map[int]int{}
+	for _, a := range r.crowd.all() {
+		counts[a.status]++
+		for _, problem := range r.problems(a, runs[a.id]) {
+			r.t.Errorf("seed %d, request %s (%s), status %d: %s", r.seed, a.id, a.kind, a.status, problem)
+		}
+	}
+	for _, problem := range r.site.Fleet.Problems() {
+		r.t.Errorf("seed %d: %s", r.seed, problem)
+	}
+	if counts[http.StatusOK] == 0 {
+		r.t.Errorf("seed %d: nobody was served: %v", r.seed, counts)
+	}
+	r.t.Logf("seed %d: answers by status %v", r.seed, counts)
+}
+
+func (r *run) problems(a asked, runs []replica.Run) []string {
+	var list []string
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	if a.kind == order && len(runs) > 1 {
+		add("the order ran %d times", len(runs))
+	}
+	if a.kind == order && notRun(a.status) && len(runs) > 0 {
+		add("told that it did not run, and it ran")
+	}
+	if a.kind == order && a.status == http.StatusOK && len(runs) != 1 {
+		add("told that it ran, and it ran %d times", len(runs))
+	}
+	if a.status == http.StatusOK {
+		if problem := wrongBody(a); problem != "" {
+			add("%s", problem)
+		}
+	}
+	if at, gone := r.retired[a.key]; gone && len(runs) > 0 && a.sent.After(at.Add(revoke)) {
+		add("it ran %v after its key was taken away", a.sent.Sub(at).Round(time.Millisecond))
+	}
+	for _, each := range runs {
+		if each.Header.Get("Authorization") != "" || each.Header.Get("Tenant") != "bogor" {
+			add("the replica was shown %v", each.Header)
+		}
+	}
+	return list
+}
+
+// notRun are the statuses that promise it.
+func notRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusNotFound,
+		http.StatusBadRequest, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusRequestEntityTooLarge:
+		return true
+	}
+	return false
+}
+
+// wrongBody says what is wrong with the body of a success: it must be the request's
+// own, and of a stream the events in order, all of them if it ended as whole.
+func wrongBody(a asked) string {
+	if a.kind != stream {
+		if a.whole && a.body != "answer to "+a.id {
+			return fmt.Sprintf("got %q", a.body)
+		}
+		return ""
+	}
+	var want strings.Builder
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(&want, "id: %d\ndata: token %d of %s\n\n", n, n, a.id)
+	}
+	switch {
+	case !strings.HasPrefix(want.String(), a.body):
+		return fmt.Sprintf("events are missing, doubled or another's: ...%q", a.body[max(0, len(a.body)-120):])
+	case a.whole && a.body != want.String():
+		return fmt.Sprintf("it ended as whole after %d of %d bytes", len(a.body), want.Len())
+	}
+	return ""
+}
--- /dev/null
+++ b/proof/soak/nodes_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/proof/harness"
+	"github.com/cicadatack/cicadatack/standin/link"
+)
+
+// vm is an entry VM: a node process, its settings, and its link to the store, which
+// outlive the process.
+type vm struct {
+	name     string
+	settings string
+	store    *link.Link
+	bin      string
+
+	mu      sync.Mutex
+	process *harness.Process
+	doors   doors
+	frozen  bool
+}
+
+// doors are where a node listens, as its log says.
+type doors struct {
+	Callers   string `json:"callers"`
+	Directory string `json:"directory"`
+	Ready     string `json:"ready"`
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir, "github.com/cicadatack/cicadatack/node/cmd/cicadatack").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return dir
+}
+
+// newVM writes a VM's settings; start runs its node.
+func newVM(t *testing.T, bin, name, domain, store string) *vm {
+	t.Helper()
+	l, err := link.Listen(store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	v := &vm{name: name, bin: bin, store: l, settings: filepath.Join(t.TempDir(), name+".conf")}
+	text := strings.Join([]string{
+		"node=" + name, "zone=" + domain, "ip=127.0.0.1",
+		"listen.front=127.0.0.1:0", "listen.ready=127.0.0.1:0", "listen.control=127.0.0.1:0", "listen.directory=127.0.0.1:0",
+		"platform.addr=" + l.Address(), "limits.ramMb=256",
+		fmt.Sprint("bounds.revokeMs=", revoke.Milliseconds()), "bounds.applyMs=2000", "bounds.drainMs=2000", "bounds.graceS=8",
+		"bounds.retryRatio=0.2", "bounds.retrySlack=1000", "bounds.retryWindowS=10",
+	}, "\n")
+	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(v.kill)
+	return v
+}
+
+func (v *vm) start(t *testing.T) {
+	t.Helper()
+	p, err := harness.StartOnPlatform(v.bin, v.name, v.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line, err := p.WaitLine(func(line string) bool { return strings.Contains(line, `"@message":"started"`) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.process = p
+	if err := json.Unmarshal([]byte(line), &v.doors); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (v *vm) at() doors {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.doors
+}
+
+func (v *vm) now() *harness.Process {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process
+}
+
+func (v *vm) kill() {
+	if p := v.now(); p != nil {
+		p.Kill()
+	}
+}
+
+// log is the end of the process's output.
+func (v *vm) log() string {
+	p := v.now()
+	if p == nil {
+		return ""
+	}
+	lines := p.Lines()
+	return strings.Join(lines[max(0, len(lines)-20):], "\n")
+}
--- /dev/null
+++ b/proof/soak/soak_test.go
@@ -0,0 +1,338 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/standin/replica"
+	"github.com/cicadatack/cicadatack/standin/site"
+	"github.com/cicadatack/cicadatack/standin/storefake"
+)
+
+const (
+	// revoke is the time after which a key that was taken away runs nothing.
+	revoke = 2 * time.Second
+	// events and pause shape the streams: some seconds long, so that faults meet them.
+	events = 40
+	pause  = 15 * time.Millisecond
+	// steps of a run, each one fault or the end of one, stepTime apart.
+	steps    = 24
+	stepTime = 250 * time.Millisecond
+	// healTime bounds the wait until all is served again after the last fault.
+	healTime = 30 * time.Second
+	nodes    = 3
+)
+
+// failedSeeds have failed once, each with its cause; they run always.
+var failedSeeds = []uint64{}
+
+// ciSeed is the one seed of a usual run.
+const ciSeed = 1
+
+func seeds(t *testing.T) []uint64 {
+	list := append([]uint64{ciSeed}, failedSeeds...)
+	var from, to uint64
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		if _, err := fmt.Sscanf(text, "%d-%d", &from, &to); err != nil {
+			t.Fatalf("SOAK_SEEDS=%q is not FROM-TO", text)
+		}
+		list = nil
+		for seed := from; seed <= to; seed++ {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// Nodes are killed, frozen, told to stop and cut off from the store, the store goes
+// away, replicas die, refuse, lose, double and break off answers, and keys are taken
+// away, drawn from a seed, while callers ask. Whatever happens, callers see whole
+// events in order and no other's answer; an order runs at most once, and not at all if
+// its caller was told so; every layer runs once and in order; no key runs anything
+// after its time; and when the faults have ended everybody is served again.
+func TestSoak(t *testing.T) {
+	bin := build(t)
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newRun(t, bin, seed).play() })
+	}
+}
+
+// run is one seed's run.
+type run struct {
+	t     *testing.T
+	seed  uint64
+	draw  *rand.Rand
+	site  *site.Site
+	vms   []*vm
+	crowd *crowd
+
+	mu      sync.Mutex
+	key     string
+	retired map[string]time.Time // keys taken away, and when
+	added   int
+	story   []string
+	began   time.Time
+}
+
+func newRun(t *testing.T, bin string, seed uint64) *run {
+	r := &run{
+		t: t, seed: seed, draw: rand.New(rand.NewPCG(seed, 7)), site: site.New(),
+		key: "key-0", retired: map[string]time.Time{}, began: time.Now(),
+	}
+	t.Cleanup(r.site.Close)
+	r.site.Configure(r.key)
+	if err := r.site.AddUsual(replica.Config{Domain: "bandung", Events: events, Pause: pause}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range nodes {
+		r.vms = append(r.vms, newVM(t, bin, fmt.Sprint("front-", i), "bandung", r.site.Address()))
+	}
+	r.crowd = &crowd{vms: r.vms, current: r.current}
+	return r
+}
+
+func (r *run) current() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.key
+}
+
+func (r *run) tell(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.story = append(r.story, fmt.Sprintf("%6.2f s  ", time.Since(r.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (r *run) play() {
+	beating, stopBeating := context.WithCancel(context.Background())
+	defer stopBeating()
+	go r.beat(beating)
+	for _, v := range r.vms {
+		v.start(r.t)
+	}
+	if !r.served(healTime) {
+		r.t.Fatalf("never served before the first fault\n%s", r.vms[0].log())
+	}
+	asking, stopAsking := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.crowd.run(asking, r.seed)
+	}()
+	for range steps {
+		r.step()
+		time.Sleep(stepTime)
+	}
+	r.heal()
+	if !r.served(healTime) {
+		r.t.Errorf("not served again %v after the last fault", healTime)
+	}
+	stopAsking()
+	<-done
+	r.judge()
+	if r.t.Failed() {
+		r.t.Logf("what happened:\n%s", strings.Join(r.story, "\n"))
+		for _, v := range r.vms {
+			r.t.Logf("%s:\n%s", v.name, v.log())
+		}
+	}
+}
+
+// beat keeps the replicas' entries, as they do themselves.
+func (r *run) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.site.Beat()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// step begins one fault, or ends those of a part.
+func (r *run) step() {
+	r.revive()
+	v := r.vms[r.draw.IntN(len(r.vms))]
+	switch r.draw.IntN(14) {
+	case 0:
+		r.tell("%s is killed and starts again", v.name)
+		v.kill()
+		v.start(r.t)
+	case 1:
+		r.tell("%s is told to stop", v.name)
+		r.signal(v, syscall.SIGTERM)
+	case 2:
+		r.freeze(v)
+	case 3:
+		r.tell("%s is cut off from the store", v.name)
+		v.store.Cut()
+	case 4:
+		r.tell("%s's way to the store goes silent", v.name)
+		v.store.Freeze()
+	case 5:
+		r.tell("the ways to the store are well")
+		r.healLinks()
+	case 6:
+		r.tell("the store refuses")
+		r.site.Store.SetFaults(storefake.Faults{Refuse: true})
+	case 7:
+		r.tell("the store is well")
+		r.site.Store.SetFaults(storefake.Faults{})
+	case 8:
+		r.replaceReplica()
+	case 9, 10:
+		r.spoilReplica()
+	case 11:
+		r.healReplicas()
+	case 12:
+		r.takeKey()
+	case 13:
+		r.tell("%s is told to read its settings", v.name)
+		r.signal(v, syscall.SIGHUP)
+	}
+}
+
+func (r *run) signal(v *vm, s os.Signal) {
+	if err := v.now().Signal(s); err != nil {
+		r.tell("%s could not be told: %v", v.name, err)
+	}
+}
+
+// revive starts nodes that have ended, as the platform does.
+func (r *run) revive() {
+	for _, v := range r.vms {
+		if v.now().Ended() {
+			r.tell("%s starts again", v.name)
+			v.start(r.t)
+		}
+	}
+}
+
+// freeze stands a process still for up to a second and a half.
+func (r *run) freeze(v *vm) {
+	p := v.now()
+	for_ := time.Duration(200+r.draw.IntN(1300)) * time.Millisecond
+	r.tell("%s stands still for %v", v.name, for_)
+	if err := p.Freeze(); err != nil {
+		r.tell("it did not: %v", err)
+		return
+	}
+	time.AfterFunc(for_, func() { _ = p.Thaw() }) // it may have been killed since
+}
+
+func (r *run) healLinks() {
+	for _, v := range r.vms {
+		v.store.Heal()
+	}
+}
+
+// replaceReplica ends a model replica without a word; another one comes, empty, and
+// the entry of the first goes a little later.
+func (r *run) replaceReplica() {
+	ids := r.models()
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[r.draw.IntN(len(ids))]
+	r.added++
+	fresh := fmt.Sprint("i-new-", r.added)
+	r.tell("%s dies, %s comes", id, fresh)
+	r.site.Lose(id)
+	time.AfterFunc(600*time.Millisecond, func() { r.site.Forget(id) })
+	err := r.site.Add(replica.Config{
+		ID: fresh, Service: site.ModelService, Domain: "bandung", Kind: site.Card, Model: true, Events: events, Pause: pause,
+	})
+	if err != nil {
+		r.t.Error(err)
+	}
+}
+
+// models are the ids of the model replicas, in order.
+func (r *run) models() []string {
+	var ids []string
+	for _, prefix := range []string{"i-model-", "i-new-"} {
+		for i := range 4 + r.added + 1 {
+			id := fmt.Sprint(prefix, i)
+			if r.site.Replica(id) != nil {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+func (r *run) spoilReplica() {
+	ids := append(r.models(), "i-plain-0", "i-plain-1")
+	id := ids[r.draw.IntN(len(ids))]
+	faults := []replica.Fault{
+		{Refuse: true}, {LoseAnswer: true}, {Twice: true}, {Unproved: true}, {CutAfter: 5}, {Hang: true},
+	}
+	fault := faults[r.draw.IntN(len(faults))]
+	r.tell("%s: %+v", id, fault)
+	r.site.Replica(id).SetFault(fault)
+}
+
+func (r *run) healReplicas() {
+	r.tell("replicas are well")
+	for _, each := range r.site.Replicas() {
+		each.SetFault(replica.Fault{})
+	}
+}
+
+// takeKey replaces the one key. Callers use the new one from now on; what they sent
+// before still bears the old one.
+func (r *run) takeKey() {
+	r.mu.Lock()
+	old := r.key
+	r.key = fmt.Sprint("key-", len(r.retired)+1)
+	fresh := r.key
+	r.mu.Unlock()
+	r.tell("%s is taken away, %s given", old, fresh)
+	r.site.Configure(fresh)
+	r.mu.Lock()
+	r.retired[old] = time.Now()
+	r.mu.Unlock()
+	// One caller goes on with the old key.
+	go func() {
+		draw := rand.New(rand.NewPCG(r.seed, 99))
+		for n := 0; n < 20; n++ {
+			r.crowd.note(r.crowd.ask(read, fmt.Sprint("old-", old, "-", r.seed, "-", n), old, draw))
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+// heal ends all faults; nodes that have ended start again.
+func (r *run) heal() {
+	r.tell("all is well again")
+	r.healLinks()
+	r.site.Store.SetFaults(storefake.Faults{})
+	r.healReplicas()
+	for _, v := range r.vms {
+		_ = v.now().Thaw() // it may have ended
+	}
+	r.revive()
+}
+
+// served waits until a request of each kind succeeds.
+func (r *run) served(within time.Duration) bool {
+	draw := rand.New(rand.NewPCG(r.seed, 3))
+	deadline := time.Now().Add(within)
+	for n := 0; time.Now().Before(deadline); n++ {
+		well := true
+		for _, kind := range []string{stream, order, read} {
+			a := r.crowd.ask(kind, fmt.Sprint("probe", kind, r.seed, "-", n, "-", time.Since(r.began)), r.current(), draw)
+			well = well && a.status == http.StatusOK && a.whole
+		}
+		if well {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
--- a/route/relay/relay.go
+++ b/route/relay/relay.go
@@ -92,6 +92,13 @@
 	return b.budget.Allow(now, a)
 }
 
+// left says whether a further try would be allowed.
+func (b *Budget) left(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Left(now) >= 1
+}
+
 func (b *Budget) success(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -285,8 +285,8 @@
 	detourPause = 150 * time.Millisecond
 	// deadAfter is the silence after which a first replica that takes no connections
 	// is taken for dead. One that leaves takes none either, and goes on with what it
-	// has: its events still come.
-	deadAfter = 300 * time.Millisecond
+	// has, in its time: a part further on may be what holds it up.
+	deadAfter = 700 * time.Millisecond
 )
 
 // lead sends the request around what is lost. While there is no way around, the
@@ -301,7 +301,7 @@
 	defer w.give()
 	flight := w.a.target.Flight
 	for try := 0; w.ctx.Err() == nil; try++ {
-		if !leaving && flight.FirstLost() && w.silentFor() >= deadAfter {
+		if !leaving && w.mayEnd(flight) {
 			w.end(why)
 			return
 		}
@@ -317,6 +317,13 @@
 	}
 }
 
+// mayEnd says whether to give up the first replica: it looks dead, and another can go
+// on now. Without one the answer would be lost for certain; as it is, the replica may
+// yet go on.
+func (w *watch) mayEnd(flight *targets.Flight) bool {
+	return flight.FirstLost() && w.silentFor() >= deadAfter && w.a.q.budget.left(w.a.q.s.Now()) && flight.Elsewhere()
+}
+
 func (w *watch) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -107,6 +107,17 @@
 	return f.model.book.Suspected(f.path[0].Replica)
 }
 
+// Elsewhere says whether the request could go on now at another first replica.
+func (f *Flight) Elsewhere() bool {
+	m := f.model
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, reason := m.book.Choose(m.now(), paths.Query{
+		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: f.tokens, Exclude: []string{f.path[0].Replica},
+	})
+	return reason == paths.Found
+}
+
 // StillLeaving notes that no way was found around a part that leaves: the next list
 // asks again.
 func (f *Flight) StillLeaving() {
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// A first replica looks dead. Its request is given up only if another can take it now:
+// it may yet go on, and given up for nothing its answer is lost.
+func TestElsewhere(t *testing.T) {
+	m := halves()
+	target := take(t, m, 20000)
+	if !target.Flight.Elsewhere() {
+		t.Error("the other half is free")
+	}
+	other := map[string]string{"a1": "a2", "a2": "a1"}[target.Replica]
+	m.Suspect(other)
+	if target.Flight.Elsewhere() {
+		t.Error("the only other first replica is out of reach")
+	}
+}
+
 // Those that run through a replica that leaves are told once each time the list says
 // so, while they still do.
 func TestLeavingIsTold(t *testing.T) {
