--- a/node/logsink/logsink_test.go
+++ b/node/logsink/logsink_test.go
@@ -32,7 +32,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for range 2 * defaultBytes / len(line) {
+		for range 4 * defaultBytes / len(line) {
 			if _, err := s.Write(line); err != nil {
 				t.Error(err)
 			}
--- a/proof/soak/soak_test.go
+++ b/proof/soak/soak_test.go
@@ -324,6 +324,7 @@
 	draw := rand.New(rand.NewPCG(r.seed, 3))
 	deadline := time.Now().Add(within)
 	for n := 0; time.Now().Before(deadline); n++ {
+		r.revive() // one that was told to stop ends seconds later
 		well := true
 		for _, kind := range []string{stream, order, read} {
 			a := r.crowd.ask(kind, fmt.Sprint("probe", kind, r.seed, "-", n, "-", time.Since(r.began)), r.current(), draw)
