--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -61,7 +61,7 @@
 func TestOlderReadsAreNotTaken(t *testing.T) {
 	now := &clock{}
 	young, old := NewCopy(now.read), NewCopy(now.read)
-	young.Set(Read{Entries: entries("a", 8), Revision: 8})
+	young.Set(Read{Entries: entries("a", 5, "b", 8), Revision: 8})
 	old.Set(Read{Entries: entries("a", 5), Revision: 5})
 	a := NewAsker(now.read)
 	if _, err := a.Ask(context.Background(), served(t, young)); err != nil {
--- a/node/site/site_test.go
+++ b/node/site/site_test.go
@@ -299,6 +299,9 @@
 	if ready := get(t, "http://"+first.settings.Ready.String()+"/ready"); ready.status != http.StatusServiceUnavailable {
 		t.Errorf("ready: %d", ready.status)
 	}
+	if own := get(t, "http://"+first.settings.Directory.String()+"/resolve?zone=bandung").body; strings.Contains(own, first.settings.Callers.String()) {
+		t.Errorf("it sends callers to itself: %s", own)
+	}
 	p.until("no answer names it", func() bool {
 		return !strings.Contains(get(t, "http://"+second.settings.Directory.String()+"/resolve?zone=bandung").body, first.settings.Callers.String())
 	})
--- /dev/null
+++ b/route/relay/attempt_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/route/ruleset"
+	"github.com/cicadatack/cicadatack/route/targets"
+)
+
+// An order whose fate is not known is sent nowhere else, however many replicas its
+// route allows; one that provably did not run is. What may repeat is sent again either
+// way, up to the route's number of replicas.
+func TestWhatIsSentAgain(t *testing.T) {
+	broken := verdict{end: endUnknown, result: targets.Result{Failure: health.Broken}}
+	refused := verdict{end: endNotRun, result: targets.Result{Failure: health.Unreachable}}
+	unsent := verdict{end: endNotSent, result: targets.Result{Failure: health.Unreachable}}
+	failed := verdict{end: endFailed, result: targets.Result{Failure: health.Internal}}
+	for _, c := range []struct {
+		name  string
+		kind  ruleset.Kind
+		ran   int
+		last  verdict
+		again bool
+	}{
+		{"order, unknown", ruleset.Once, 1, broken, false},
+		{"order, failed", ruleset.Once, 1, failed, false},
+		{"order, refused", ruleset.Once, 0, refused, true},
+		{"order, not sent", ruleset.Once, 0, unsent, true},
+		{"read, unknown", ruleset.Repeatable, 1, broken, true},
+		{"read, failed", ruleset.Repeatable, 2, failed, true},
+		{"read, at as many as allowed", ruleset.Repeatable, 3, failed, false},
+	} {
+		now := time.Now()
+		q := &request{
+			s: &Server{Now: func() time.Time { return now }}, route: &ruleset.Route{Kind: c.kind, MaxReplicas: 3},
+			budget: NewBudget(retry.Config{}), deadline: now.Add(time.Minute), sends: 1, ran: make([]string, c.ran),
+		}
+		if d := q.mayRetry(c.last); d.Retry != c.again {
+			t.Errorf("%s: %+v", c.name, d)
+		}
+	}
+}
