--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -112,9 +112,11 @@
 	}
 }
 
-// Ask returns what the node at an address read last. It fails if that is older than
-// what is known here, or not whole.
-func (a *Asker) Ask(ctx context.Context, address string) (Read, error) {
+// Ask returns what the node at an address read last. It fails if that read began
+// longer ago than young: a node that has lost the store goes on telling what it read
+// before, and whoever took it would go on asking while others can read. It also fails
+// if the read is older than what is known here, or not whole.
+func (a *Asker) Ask(ctx context.Context, address string, young time.Duration) (Read, error) {
 	asked := a.clock()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
 	answer, err := peer.Since(ctx, &readspb.SinceRequest{Revision: a.since})
@@ -124,13 +126,16 @@
 	if answer.Revision < a.floor {
 		return Read{}, Error.New("%s has read revision %d, this node %d", address, answer.Revision, a.floor)
 	}
+	// The read began at least its age before the answer, which is not before the
+	// question.
+	age := time.Duration(answer.AgeMicros) * time.Microsecond
+	if age > young {
+		return Read{}, Error.New("%s has read %v ago", address, age)
+	}
 	entries, err := a.join(answer)
 	if err != nil {
 		return Read{}, err
 	}
-	// The read began at least its age before the answer, which is not before the
-	// question.
-	age := time.Duration(answer.AgeMicros) * time.Microsecond
 	r := Read{Entries: entries, Revision: answer.Revision, Proof: asked - max(0, age)}
 	a.Took(r)
 	return r, nil
--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -48,7 +48,7 @@
 	c := NewCopy(reader.read)
 	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: 97 * time.Second})
 	a := NewAsker(asker.read)
-	r, err := a.Ask(context.Background(), served(t, c))
+	r, err := a.Ask(context.Background(), served(t, c), time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,17 +64,35 @@
 	young.Set(Read{Entries: entries("a", 5, "b", 8), Revision: 8})
 	old.Set(Read{Entries: entries("a", 5), Revision: 5})
 	a := NewAsker(now.read)
-	if _, err := a.Ask(context.Background(), served(t, young)); err != nil {
+	if _, err := a.Ask(context.Background(), served(t, young), time.Minute); err != nil {
 		t.Fatal(err)
 	}
-	if r, err := a.Ask(context.Background(), served(t, old)); !Error.Has(err) {
+	if r, err := a.Ask(context.Background(), served(t, old), time.Minute); !Error.Has(err) {
 		t.Errorf("took %v", r)
 	}
-	if _, err := NewAsker(now.read).Ask(context.Background(), served(t, NewCopy(now.read))); !Error.Has(err) {
+	if _, err := NewAsker(now.read).Ask(context.Background(), served(t, NewCopy(now.read)), time.Minute); !Error.Has(err) {
 		t.Error("took the word of a node that has read nothing")
 	}
 }
 
+// The readers of a failure domain are cut off from the store while it takes a new
+// configuration. What they tell is no older than what the asker has, and would keep it
+// from asking anybody else; it is refused for its age, so that the asker reads for
+// itself.
+func TestReadsThatAreNotYoungAreNotTaken(t *testing.T) {
+	now := &clock{now: time.Minute}
+	c := NewCopy(now.read)
+	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: now.now})
+	a, address := NewAsker(now.read), served(t, c)
+	if _, err := a.Ask(context.Background(), address, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	now.now += 1100 * time.Millisecond
+	if r, err := a.Ask(context.Background(), address, time.Second); !Error.Has(err) {
+		t.Errorf("took a read of %v ago", now.now-r.Proof)
+	}
+}
+
 // Whatever is written and removed, and whichever of two readers is asked when, an asker
 // ends up with what that reader has read, or takes nothing.
 func TestAskersHaveWhatReadersRead(t *testing.T) {
@@ -109,7 +127,7 @@
 				last[reader] = Read{Entries: entries(pairs...), Revision: int64(revision)}
 				readers[reader].Set(last[reader])
 			case 2:
-				got, err := a.Ask(context.Background(), addresses[reader])
+				got, err := a.Ask(context.Background(), addresses[reader], time.Minute)
 				if err == nil && text(got.Entries) != text(last[reader].Entries) {
 					t.Fatalf("got %q, the reader has %q", text(got.Entries), text(last[reader].Entries))
 				}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -54,6 +54,9 @@
 	// askPart of that is between two questions to other nodes, which cost the store
 	// nothing: what is heard is as old as their read and this pause together.
 	askPart = 0.5
+	// youngPart of that is the greatest age of what another node is believed: its own
+	// pause, with some for the read itself. Beyond it that node has lost the store.
+	youngPart = 1.25
 	// pollJitter is the part by which the pause varies, so that nodes which started
 	// together do not call together.
 	pollJitter = 0.1
@@ -147,9 +150,10 @@
 // ask takes what another node of the failure domain has read. It says whether one had
 // anything new enough.
 func (n *Node) ask(ctx context.Context) bool {
+	young := time.Duration(float64(n.pollEvery()) * youngPart)
 	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, rand.IntN(readers.PerDomain), n.members.readers()) {
 		begun := time.Now()
-		r, err := n.asker.Ask(ctx, m.Address)
+		r, err := n.asker.Ask(ctx, m.Address, young)
 		if err != nil {
 			n.log.Debug("not told", "node", m.Name, "error", err)
 			continue
--- a/proof/soak/nodes_test.go
+++ b/proof/soak/nodes_test.go
@@ -25,7 +25,6 @@
 	mu      sync.Mutex
 	process *harness.Process
 	doors   doors
-	frozen  bool
 }
 
 // doors are where a node listens, as its log says.
