--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -1,6 +1,7 @@
 package paths
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -96,8 +97,10 @@
 	// slowLayer is the time of a layer on a slow card, in milliseconds; the price
 	// of room is a multiple of it.
 	slowLayer = 0.17
-	// maxUse is the part of a replica's room that is booked. The rest takes up what
-	// other nodes book at the same moment and answers longer than foreseen.
+	// maxUse is the part of this node's share of a replica's room that is booked. It is
+	// over 1 since nodes are seldom all full at the same moment; where they are, the
+	// replica refuses, and the share that is reckoned with shrinks. Against 1, 0.3%
+	// and 1.9% more of the answers' worth was measured at two sites (decisions/layers).
 	maxUse = 1.1
 	// jitter is the part by which costs vary by chance, so that nodes which see the
 	// same replicas do not all choose the same one.
@@ -155,12 +158,7 @@
 		b.order = append(b.order, n)
 	}
 	b.nodes = nodes
-	slices.SortFunc(b.order, func(a, c *node) int {
-		if a.ID < c.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(b.order, func(a, c *node) int { return cmp.Compare(a.ID, c.ID) })
 }
 
 // SetShare sets the part of a failure domain's room that this node reckons with: its
--- a/keep/store/client.go
+++ b/keep/store/client.go
@@ -144,9 +144,12 @@
 			revision = page.Revision
 		}
 		entries = append(entries, page.Entries...)
-		if !page.More || len(page.Entries) == 0 {
+		if !page.More {
 			return entries, revision, nil
 		}
+		if len(page.Entries) == 0 {
+			return nil, 0, Error.Wrap(fmt.Errorf("%w: an empty page below %q that is not the last", ErrProtocol, prefix))
+		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 }
--- a/keep/store/client_test.go
+++ b/keep/store/client_test.go
@@ -112,3 +112,19 @@
 		So(compacted.Revision, ShouldEqual, 9)
 	})
 }
+
+// endlessWire says that more follows, without anything to go on from.
+type endlessWire struct{ fakeWire }
+
+func (w *endlessWire) Page(context.Context, string, string) (Page, error) {
+	return Page{Revision: 9, More: true}, nil
+}
+
+// A list that breaks off looks to its reader like one whose other entries are gone:
+// a node would drop replicas and nodes that live.
+func TestListThatBreaksOffIsAnError(t *testing.T) {
+	client := New(&endlessWire{}, Config{CallTimeout: time.Second, Backoff: time.Millisecond})
+	if entries, err := client.List(context.Background(), "/l/"); !errors.Is(err, ErrProtocol) {
+		t.Errorf("%v, %v", entries, err)
+	}
+}
--- a/node/site/clock.go
+++ b/node/site/clock.go
@@ -11,9 +11,10 @@
 func sinceBoot() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		// Every Linux has this clock. Without it nothing could be proved, and the
-		// greatest age is the safe answer.
-		return 1<<62 - 1
+		// Every Linux has this clock. Any reading made up in its place could make an old
+		// proof of the configuration look young, and keys that were taken away would be
+		// served on; a node that ends is replaced.
+		panic(Error.New("no clock that goes on while the machine is suspended: %v", err))
 	}
 	return time.Duration(now.Nano())
 }
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -31,8 +31,6 @@
 	Callers string `json:"callers"`
 	// Peers is where other nodes ask what this one has read; "" if they can't.
 	Peers string `json:"peers,omitempty"`
-	// Leaving nodes take no new callers.
-	Leaving bool `json:"leaving,omitempty"`
 }
 
 func decodeMember(e store.Entry) (member, bool) {
@@ -94,7 +92,7 @@
 	var list []entry.Member
 	for _, m := range n.members.get() {
 		if m.Name != n.settings.Node {
-			list = append(list, entry.Member{ID: m.Name, Address: m.Callers, FailureDomain: m.Domain, Draining: m.Leaving})
+			list = append(list, entry.Member{ID: m.Name, Address: m.Callers, FailureDomain: m.Domain})
 		}
 	}
 	if n.serving() {
--- a/route/layering/layering.go
+++ b/route/layering/layering.go
@@ -36,7 +36,8 @@
 }
 
 const (
-	// settleMost is the longest such wait after the first replica.
+	// settleMost is the longest wait for further replicas after the first: a domain
+	// whose replicas keep coming one by one must not stay without a plan.
 	settleMost = 4 * time.Second
 	// reportDelay is how long after an order was carried out its result may still be
 	// unreported: a heartbeat and a read of the store.
@@ -120,7 +121,7 @@
 		cards = append(cards, k.card(now, model, r, lost(r.ID)))
 	}
 	shape := layers.Model{
-		Layers: model.Layers, LayerMB: model.LayerMB, TokenLayerMB: model.TokenLayerBytes / bytesPerMB,
+		Layers: model.Layers, LayerMB: model.LayerMB, TokenLayerMB: model.TokenLayerMB(),
 	}
 	var list []assignment
 	for _, o := range layers.Plan(shape, cards) {
@@ -134,8 +135,6 @@
 	return list
 }
 
-const bytesPerMB = 1e6
-
 // settled says whether the first plan may be made.
 func (k *Keeper) settled(now time.Time, domain string, replicas []*roster.Replica) bool {
 	if k.planned[domain] {
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -275,7 +275,7 @@
 		return false
 	}
 	d := q.mayRetry(v)
-	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && q.pause(budgetPause) {
+	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && pause(q.ctx, budgetPause) {
 		d = q.mayRetry(v) // the budget is earned again with the time
 	}
 	q.log.Info("try failed", "service", q.service, "replica", lastOf(q.tried), "end", v.detail, "not_run", v.notRun(),
@@ -300,13 +300,14 @@
 // budgetPause is between two questions to a budget that is spent.
 const budgetPause = 100 * time.Millisecond
 
-func (q *request) pause(d time.Duration) bool {
+// pause waits; it returns false, early, if the context ends.
+func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
-	case <-q.ctx.Done():
+	case <-ctx.Done():
 		return false
 	}
 }
@@ -416,5 +417,7 @@
 }
 
 // answerPart of an answer's length is booked: requests underway are at all points of
-// their answers, and half of it is what they hold on the mean.
+// their answers and hold half of it on the mean; a little more allows for answers that
+// are longer than foreseen. Against the whole length, 0.8% and 3.4% more of the answers'
+// worth was measured at two sites (decisions/layers).
 const answerPart = 0.6
--- a/route/relay/relay.go
+++ b/route/relay/relay.go
@@ -368,12 +368,8 @@
 
 // refuse gives the final answer at once, with the reason in the log.
 func (q *request) refuse(r *outcome.Refusal) {
-	team := ""
-	if q.team != nil {
-		team = q.team.Name
-	}
 	fields := []any{
-		"status", r.Status, "reason", r.Code, "outcome", r.Outcome, "service", q.service, "team", team,
+		"status", r.Status, "reason", r.Code, "outcome", r.Outcome, "service", q.service, "team", q.teamName(),
 		"waited_ms", q.s.Now().Sub(q.arrived).Milliseconds(), "sends", q.sends, "retry_after_ms", r.RetryAfter.Milliseconds(),
 		"proof_age_ms", q.s.Rules.Age().Milliseconds(),
 	}
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -308,7 +308,7 @@
 		if path := flight.Detour(leaving); path != nil && w.detour(path, why) {
 			return
 		}
-		if leaving && try >= maxDetours || try >= maxTries || !w.pause(detourPause) {
+		if leaving && try >= maxDetours || try >= maxTries || !pause(w.ctx, detourPause) {
 			break
 		}
 	}
@@ -324,17 +324,6 @@
 	return flight.FirstLost() && w.silentFor() >= deadAfter && w.a.q.budget.left(w.a.q.s.Now()) && flight.Elsewhere()
 }
 
-func (w *watch) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-w.ctx.Done():
-		return false
-	}
-}
-
 // detour orders the first replica to go on along another path. It says whether the
 // order was taken.
 func (w *watch) detour(path paths.Path, why string) bool {
--- a/route/relay/whole.go
+++ b/route/relay/whole.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/route/ruleset"
@@ -60,7 +59,7 @@
 
 // whole makes an attempt whose answer is passed on only once it is whole.
 func (a *attempt) whole() verdict {
-	within := time.Until(a.q.deadline)
+	within := a.q.deadline.Sub(a.q.s.Now())
 	if a.q.route.Idempotent() && a.q.route.MaxReplicas > 1 {
 		within = silenceFactor * a.q.route.Objective
 	}
--- a/route/ruleset/ruleset.go
+++ b/route/ruleset/ruleset.go
@@ -98,6 +98,12 @@
 	Cards map[string]Card
 }
 
+// bytesPerMB: the operator gives memory in units of a million bytes.
+const bytesPerMB = 1e6
+
+// TokenLayerMB is the memory of one token in one layer, in megabytes.
+func (m *Model) TokenLayerMB() float64 { return m.TokenLayerBytes / bytesPerMB }
+
 // Card is a kind of accelerator.
 type Card struct {
 	// MemoryMB holds weights and requests, in megabytes.
@@ -127,7 +133,28 @@
 	byKey    map[string]*Team
 }
 
-// Build indexes a configuration.
+const (
+	// DefaultTimeout holds where a route has none: some times what the longest usual
+	// streams last.
+	DefaultTimeout = 20 * time.Second
+	// DefaultBodyBytes holds where the operator sets no limit: a long prompt is some
+	// hundred kilobytes, and a node holds the bodies of all requests underway.
+	DefaultBodyBytes = 4 << 20
+)
+
+// settle fills in what the operator left out. Without an objective a request is on time
+// if it is answered at all; a route without a bound on replicas may use one.
+func (r *Route) settle() {
+	if r.Timeout <= 0 {
+		r.Timeout = DefaultTimeout
+	}
+	if r.Objective <= 0 {
+		r.Objective = r.Timeout
+	}
+	r.MaxReplicas = max(1, r.MaxReplicas)
+}
+
+// Build indexes a configuration, with defaults for what it leaves out.
 func Build(version int64, limits Limits, services []*Service, routes []*Route, keys map[string]*Team) *Ruleset {
 	r := &Ruleset{
 		Version:  version,
@@ -136,10 +163,14 @@
 		byHost:   make(map[string][]*Route),
 		byKey:    keys,
 	}
+	if r.Limits.BodyBytes <= 0 {
+		r.Limits.BodyBytes = DefaultBodyBytes
+	}
 	for _, s := range services {
 		r.services[s.Name] = s
 	}
 	for _, route := range routes {
+		route.settle()
 		r.byHost[route.Host] = append(r.byHost[route.Host], route)
 	}
 	for _, list := range r.byHost {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -79,8 +79,7 @@
 
 func pathReplica(model *ruleset.Model, r *roster.Replica) paths.Replica {
 	card := model.Cards[r.Kind]
-	perToken := model.TokenLayerBytes / bytesPerMB
-	room := max(0, card.MemoryMB-float64(r.Holds.Len())*model.LayerMB) / perToken
+	room := max(0, card.MemoryMB-float64(r.Holds.Len())*model.LayerMB) / model.TokenLayerMB()
 	return paths.Replica{
 		ID: r.ID, Born: r.Born, Address: r.Address, Domain: r.Domain, Holds: r.Holds,
 		Room:        room,
@@ -89,9 +88,6 @@
 	}
 }
 
-// bytesPerMB: the operator gives memory in units of a million bytes.
-const bytesPerMB = 1e6
-
 // Choose implements Targets.
 func (m *Model) Choose(ctx context.Context, q Query) (Target, error) {
 	w := &waiter{rank: q.Rank, wake: make(chan struct{}, 1)}
