--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -181,3 +181,12 @@
 	m.book.Hold(path, f.tokens)
 	f.path, f.told = path, false
 }
+
+// Suspect notes that a replica looks dead. It says whether that is new.
+func (f *Flight) Suspect(replica string) bool { return f.model.Suspect(replica) }
+
+// SetPace notes a replica's pace. It says whether that is news.
+func (f *Flight) SetPace(replica string, pace float64) bool { return f.model.SetPace(replica, pace) }
+
+// Refused notes an order to go around that was not taken.
+func (f *Flight) Refused(path paths.Path, fault string) { f.model.Refused(path, fault) }
