--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/layers"
@@ -53,6 +55,18 @@
 	return at == span.To
 }
 
+// String is the path for log lines: each replica with its layers.
+func (p Path) String() string {
+	var b strings.Builder
+	for i, part := range p {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s:%d-%d", part.Replica, part.Run.From, part.Run.To)
+	}
+	return b.String()
+}
+
 // Reason says why there is no path.
 type Reason uint8
 
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -128,6 +128,14 @@
 	}).Counter("streams_resumed_total").Inc(1)
 }
 
+// Retried counts further tries of requests by how the try before them failed.
+func (m *Metrics) Retried(service, reason string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  reason,
+	}).Counter("retries_total").Inc(1)
+}
+
 // Dropped counts tokens that the span check kept from a caller.
 func (m *Metrics) Dropped(service, reason string) {
 	m.scope.Tagged(map[string]string{
--- a/node/server/loops.go
+++ b/node/server/loops.go
@@ -35,6 +35,7 @@
 		each.Picker.Refresh()
 		s.logHealth(each)
 	}
+	s.pool.Prune()
 	s.followLeaving()
 	s.shareStore()
 	s.metrics.Underway(s.front.Underway())
--- a/node/server/polls.go
+++ b/node/server/polls.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
-	"encoding/json"
-
 	"github.com/cicadatack/cicadatack/keep/engineapi"
-	"github.com/cicadatack/cicadatack/route/send"
 	"github.com/cicadatack/cicadatack/route/service"
+	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
 // pollTimeout bounds one question for load; an endpoint that takes longer says
@@ -103,19 +102,20 @@
 }
 
 func (s *Server) askLoad(ctx context.Context, address string) (engineapi.Load, error) {
-	response, err := s.sender.Do(ctx, send.Request{
-		Address: address,
-		Method:  http.MethodGet,
-		Path:    engineapi.PathLoad,
-		Header:  http.Header{"User-Agent": {""}}, // net/http would name itself
+	var load engineapi.Load
+	answer, err := s.pool.Send(ctx, upstream.Request{
+		Address: address, Host: address, Method: http.MethodGet, Target: engineapi.PathLoad, AnswerWithin: pollTimeout,
 	})
 	if err != nil {
-		return engineapi.Load{}, err
+		return load, err
 	}
-	defer response.Body.Close()
-	var load engineapi.Load
-	err = json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxLoadBytes)).Decode(&load)
-	return load, err
+	defer answer.Close()
+	body, err := answer.ReadAll(maxLoadBytes, pollTimeout)
+	if err != nil {
+		return load, err
+	}
+	answer.Keep(0)
+	return load, json.Unmarshal(body, &load)
 }
 
 // maxLoadBytes bounds what an endpoint may say of its load.
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"github.com/cicadatack/cicadatack/platform/kv"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 	"github.com/cicadatack/cicadatack/node/metrics"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/node/tlsfiles"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"github.com/cicadatack/cicadatack/route/chains"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/directory"
@@ -32,9 +32,10 @@
 	"github.com/cicadatack/cicadatack/route/model"
 	"github.com/cicadatack/cicadatack/route/plain"
 	"github.com/cicadatack/cicadatack/route/plans"
-	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/service"
 	"github.com/cicadatack/cicadatack/route/stream"
+	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
 // Error is the class of this layer's errors.
@@ -67,7 +68,7 @@
 	decisions  *decision.Log
 	metrics    *metrics.Metrics
 	front      *front.Front
-	sender     *send.Sender
+	pool       *upstream.Pool
 	engines    *engine.Client
 	streams    *stream.Runner
 	leaving    *leavingList
@@ -131,7 +132,7 @@
 		LeasePerHome: limitLeasePerHome,
 	}), time.Now)
 	s.leaving = newLeavingList(s.registry, s.log)
-	s.sender = send.New()
+	s.pool = upstream.New(time.Now)
 	s.engines = engine.New(nil)
 	s.streams = stream.New(s.engines, nil, stream.Options{MaxEpochs: streamEpochs, MaxTries: 2 * streamEpochs, CacheLost: s.cacheLost})
 	s.orderPeers = newOrderPeers(s)
@@ -194,8 +195,11 @@
 			Figures: s.metrics,
 		},
 		Plains: &plain.Server{
-			Desk:    desk,
-			Sender:  s.sender,
+			Desk: desk,
+			Path: &relay.Server{
+				Dialect: plain.Dialect{}, Pool: s.pool, Figures: s.metrics, Record: s.decisions, Log: s.log, Now: time.Now,
+				HoldBytes: plain.MaxAnswer,
+			},
 			Claims:  s.orders,
 			Figures: s.metrics,
 		},
@@ -248,7 +252,7 @@
 	s.orders.Close()
 	s.peers.Close()
 	s.operators.Close()
-	s.sender.Close()
+	s.pool.Close()
 	s.engines.CloseIdle()
 	_ = s.metrics.Close() // nothing is read any more
 }
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/route/budget"
 	"github.com/cicadatack/cicadatack/route/layering"
-	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
@@ -23,6 +23,7 @@
 	models  map[string]*targets.Model
 	plain   map[string]*targets.Plain
 	keepers map[string]*layering.Keeper
+	budgets map[string]*budget.Budget
 }
 
 func (s *services) init(n *Node) {
@@ -30,9 +31,10 @@
 	s.models = map[string]*targets.Model{}
 	s.plain = map[string]*targets.Plain{}
 	s.keepers = map[string]*layering.Keeper{}
+	s.budgets = map[string]*budget.Budget{}
 }
 
-// Targets implements relay.Services.
+// Targets implements door.Services.
 func (s *services) Targets(service string) targets.Targets {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,6 +47,18 @@
 	return nil
 }
 
+// Budget implements door.Services.
+func (s *services) Budget(service string) *budget.Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.budgets[service]
+	if !ok {
+		b = s.node.newBudget()
+		s.budgets[service] = b
+	}
+	return b
+}
+
 // update puts a list of replicas in force at the services that they belong to.
 func (s *services) update(list []*roster.Replica) {
 	rules := s.node.rules.Load()
@@ -221,15 +235,15 @@
 // it earned, so it holds one half and earns the other over the window; and a node
 // that starts holds little, or a fleet that is restarted one by one would have twice
 // the allowance.
-func (n *Node) newBudget(string) *relay.Budget {
+func (n *Node) newBudget() *budget.Budget {
 	b := n.bounds()
 	_, all := n.peers("")
 	if all < 2 && time.Since(n.started) < meetAfter {
 		all = startNodes
 	}
 	part := b.RetrySlack * budgetPart / float64(all)
-	return relay.NewBudget(retry.Config{
+	return budget.New(retry.Config{
 		Share: b.RetryRatio * budgetPart, Burst: math.Max(2, part/2), Start: part / 8,
 		Floor: part / 2 / b.RetryWindow.Seconds(), Seed: n.seed,
-	})
+	}, time.Now)
 }
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -29,6 +29,8 @@
 	"github.com/cicadatack/cicadatack/platform/callers"
 	"github.com/cicadatack/cicadatack/platform/engines"
 	"github.com/cicadatack/cicadatack/platform/kv"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/door"
 	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/report"
@@ -60,7 +62,9 @@
 	prober  *reach.Prober
 	reports *report.Inspector
 	engines *engines.Client
-	relay   *relay.Server
+	door    *door.Door
+	// decisions are the latest about requests, for the operators.
+	decisions *decision.Log
 
 	rules atomic.Pointer[ruleset.Ruleset]
 	lease struct {
@@ -121,14 +125,21 @@
 	n.inForce.Store(&settings.Bounds)
 	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
-	n.relay = &relay.Server{
-		Rules: n, Dialect: callers.Dialect{}, Services: &n.services, Engines: n.engines,
-		Pool: n.pool, Prober: n.prober, Reports: n.reports, Figures: n.metrics, Log: log, Now: time.Now,
-		NewBudget: n.newBudget, Leaving: n.leavingFor,
+	n.decisions = decision.NewLog(log)
+	n.door = &door.Door{
+		Rules: n, Services: &n.services, Leaving: n.leavingFor,
+		Path: &relay.Server{
+			Dialect: callers.Dialect{}, Engines: n.engines, Pool: n.pool, Prober: n.prober, Reports: n.reports,
+			Figures: n.metrics, Record: n.decisions, Log: log, Now: time.Now, Sample: successSample,
+		},
 	}
 	return n, nil
 }
 
+// successSample: of the requests that are answered on time at the first try one in so
+// many is logged.
+const successSample = 10
+
 // memoryPart of the process's bound is where garbage collection begins to work
 // against the bound rather than at its own pace.
 const memoryPart = 0.7
@@ -188,7 +199,7 @@
 		{&n.settings.Ready, http.HandlerFunc(n.serveReady)},
 		{&n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
 		{&n.settings.Control, n.operators()},
-		{&n.settings.Callers, n.counted(n.relay)},
+		{&n.settings.Callers, n.counted(n.door)},
 		{&figures, n.metricsDoor()},
 		{&n.peerDoor, n.copy.Handler()},
 	} {
@@ -245,17 +256,17 @@
 	})
 }
 
-// Current implements relay.Rules.
+// Current implements door.Rules.
 func (n *Node) Current() *ruleset.Ruleset { return n.rules.Load() }
 
-// Fresh implements relay.Rules.
+// Fresh implements relay.Proof.
 func (n *Node) Fresh() bool {
 	n.lease.Lock()
 	defer n.lease.Unlock()
 	return n.lease.Fresh(sinceBoot())
 }
 
-// Age implements relay.Rules.
+// Age implements relay.Proof.
 func (n *Node) Age() time.Duration {
 	n.lease.Lock()
 	defer n.lease.Unlock()
--- a/route/decision/decision.go
+++ b/route/decision/decision.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/decide/balance"
 )
 
 // Kind is what was decided.
@@ -19,7 +21,11 @@
 	Admit  Kind = "admit"
 	Refuse Kind = "refuse"
 	Route  Kind = "route"
+	// Retry is what follows a try that failed.
+	Retry  Kind = "retry"
 	Resume Kind = "resume"
+	// Detour leads a request that is underway around a part of its path.
+	Detour Kind = "detour"
 	Place  Kind = "place"
 	Finish Kind = "finish"
 )
@@ -33,6 +39,12 @@
 	HeldBlocks int `json:"held_blocks,omitempty"`
 }
 
+// Note is an input of a decision that is no number.
+type Note struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
 // Decision is one routing or placement decision.
 type Decision struct {
 	At           time.Time     `json:"at"`
@@ -45,8 +57,32 @@
 	Alternatives []Alternative `json:"alternatives,omitempty"`
 	// Figures are the numbers behind the reason, by name and with units.
 	Figures map[string]float64 `json:"figures,omitempty"`
-	// Revision is the document revision that was in force.
+	Notes   []Note             `json:"notes,omitempty"`
+	// Revision is the version of the document or configuration that was in force.
 	Revision int64 `json:"revision,omitempty"`
+	// Quiet decisions are remembered and not logged: where all went well, one request
+	// of many is logged as a sample.
+	Quiet bool `json:"-"`
+}
+
+// Weighed begins a decision with what a balancer's choice was made over; an empty one
+// for no choice.
+func Weighed(choice *balance.Choice) Decision {
+	d := Decision{Figures: map[string]float64{}}
+	if choice == nil {
+		return d
+	}
+	d.Reason = choice.Reason.String()
+	d.Figures["score"] = choice.Score
+	if choice.Held > 0 {
+		d.Figures["held_blocks"] = float64(choice.Held)
+	}
+	for _, other := range choice.Alternatives {
+		if other.ID != "" {
+			d.Alternatives = append(d.Alternatives, Alternative{Name: other.ID, Score: other.Score, HeldBlocks: other.Held})
+		}
+	}
+	return d
 }
 
 // Recorder logs decisions and remembers the latest.
@@ -81,7 +117,7 @@
 
 // Record logs d and remembers it. Safe for concurrent use.
 func (l *Log) Record(d Decision) {
-	if l.logger.IsInfo() {
+	if !d.Quiet && l.logger.IsInfo() {
 		l.logger.Info("decision", fields(d)...)
 	}
 	s := l.shard(d.Request)
@@ -126,6 +162,9 @@
 	for name, value := range d.Figures {
 		f = append(f, name, value)
 	}
+	for _, n := range d.Notes {
+		f = appendNamed(f, n.Name, n.Text)
+	}
 	if d.Revision > 0 {
 		f = append(f, "revision", d.Revision)
 	}
--- a/route/dialect/dialect.go
+++ b/route/dialect/dialect.go
@@ -13,8 +13,9 @@
 
 // Call is one request as its caller described it.
 type Call struct {
-	// ID is the caller's name for this request; endpoints echo it.
-	ID string
+	// ID is the name of this request; Echoed says that endpoints tell it back.
+	ID     string
+	Echoed bool
 	// Key is the caller's credential, "" if there is none.
 	Key string
 	// Patience is how long the caller waits; zero if it did not say.
@@ -50,8 +51,9 @@
 type Answer struct {
 	// ID is the request that it belongs to; "" if it does not say.
 	ID string
-	// Proved says that the endpoint vouches for the answer.
-	Proved bool
+	// Unsound says what keeps a success from being the endpoint's own as it made it;
+	// "" if nothing does.
+	Unsound string
 	// NotRun says that the endpoint has not run the request and never will.
 	NotRun bool
 	// Misdirected says that another endpoint has the address, or that a part of the
--- a/route/entrance/entrance.go
+++ b/route/entrance/entrance.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -187,16 +188,10 @@
 
 // Chose records the balancer's choice, with what it was chosen over.
 func (v *Visit) Chose(kind decision.Kind, choice balance.Choice, figures map[string]float64) {
-	figures["score"] = choice.Score
-	if choice.Held > 0 {
-		figures["held_blocks"] = float64(choice.Held)
-	}
-	d := v.decision(kind, choice.Replica, choice.Reason.String(), figures)
-	for _, other := range choice.Alternatives {
-		if other.ID != "" {
-			d.Alternatives = append(d.Alternatives, decision.Alternative{Name: other.ID, Score: other.Score, HeldBlocks: other.Held})
-		}
-	}
+	weighed := decision.Weighed(&choice)
+	maps.Copy(figures, weighed.Figures)
+	d := v.decision(kind, choice.Replica, weighed.Reason, figures)
+	d.Alternatives = weighed.Alternatives
 	v.desk.Record.Record(d)
 }
 
--- a/route/front/site_test.go
+++ b/route/front/site_test.go
@@ -30,9 +30,10 @@
 	"github.com/cicadatack/cicadatack/route/model"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/plain"
-	"github.com/cicadatack/cicadatack/route/send"
+	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/service"
 	"github.com/cicadatack/cicadatack/route/stream"
+	"github.com/cicadatack/cicadatack/route/upstream"
 	standinengine "github.com/cicadatack/cicadatack/standin/engine"
 	standinplain "github.com/cicadatack/cicadatack/standin/plain"
 )
@@ -164,8 +165,8 @@
 	registry.Apply(s.directory.Load())
 	limit := limiter.New(limits.New(limits.Config{Self: "entry-1"}), time.Now)
 	record := decision.NewLog(hclog.NewNullLogger())
-	sender := send.New()
-	s.t.Cleanup(sender.Close)
+	pool := upstream.New(time.Now)
+	s.t.Cleanup(pool.Close)
 	client := engine.New(nil)
 	s.t.Cleanup(client.CloseIdle)
 	desk := &entrance.Desk{Services: registry, Limits: limit, Record: record, Figures: noFigures{}, Now: time.Now}
@@ -176,7 +177,13 @@
 			Desk: desk, Streams: stream.New(client, nil, streams),
 			Chains: &chains.Resolver{}, Plans: noPlans{}, Figures: noFigures{},
 		},
-		Plains: &plain.Server{Desk: desk, Sender: sender, Claims: claims, Figures: noFigures{}},
+		Plains: &plain.Server{
+			Desk: desk, Claims: claims, Figures: noFigures{},
+			Path: &relay.Server{
+				Dialect: plain.Dialect{}, Pool: pool, Figures: noFigures{}, Record: record, Log: hclog.NewNullLogger(), Now: time.Now,
+				HoldBytes: plain.MaxAnswer,
+			},
+		},
 	}
 	handler := s.front.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -201,6 +208,7 @@
 func (noFigures) Tokens(string, int)               {}
 func (noFigures) Resumed(string, string)           {}
 func (noFigures) Dropped(string, string)           {}
+func (noFigures) Retried(string, string)           {}
 func (noFigures) Order(string, string)             {}
 
 // asked is one call of a caller.
--- a/route/model/attempts.go
+++ b/route/model/attempts.go
@@ -9,9 +9,9 @@
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
-	"github.com/cicadatack/cicadatack/route/send"
 	"github.com/cicadatack/cicadatack/route/service"
 	"github.com/cicadatack/cicadatack/route/stream"
+	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
 // mayRetry asks the budget and waits out the back-off. A model call may always
@@ -117,7 +117,7 @@
 	case stream.EndCallerGone, stream.EndDeadline:
 		return health.Canceled
 	case stream.EndRefused:
-		return send.RefusalFailure(r.Status)
+		return upstream.RefusalFailure(r.Status)
 	case stream.EndUnreachable:
 		return health.Unreachable
 	case stream.EndNoFirstToken, stream.EndStalled, stream.EndSlow:
--- /dev/null
+++ b/route/plain/endpoints.go
@@ -0,0 +1,36 @@
+package plain
+
+import (
+	"context"
+
+	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/entrance"
+	"github.com/cicadatack/cicadatack/route/targets"
+)
+
+// endpoints are those of a call's service, as the data path chooses among them: by the
+// service's balancer, at the addresses of the document that let the call in.
+type endpoints struct{ visit *entrance.Visit }
+
+// Choose implements targets.Targets. It does not wait: the entrance has.
+func (e endpoints) Choose(_ context.Context, q targets.Query) (targets.Target, error) {
+	for exclude := q.Exclude; ; {
+		choice, ok := e.visit.At.Picker.Pick(balance.Query{Cost: callCost, Exclude: exclude, NoProbe: q.Once})
+		if !ok {
+			return targets.Target{}, targets.ErrNoEndpoint
+		}
+		endpoint, known := e.visit.Directory.Endpoint(choice.Replica)
+		if known {
+			return targets.Target{Replica: choice.Replica, Address: endpoint.Address, Domain: endpoint.FailureDomain, Choice: &choice}, nil
+		}
+		// A later document has brought the endpoint; this call's does not know it.
+		e.visit.At.Picker.Finished(choice.Replica, balance.Result{Cost: callCost, Failure: health.Canceled})
+		exclude = append(exclude[:len(exclude):len(exclude)], choice.Replica)
+	}
+}
+
+// Ended implements targets.Targets.
+func (e endpoints) Ended(t targets.Target, r targets.Result) {
+	e.visit.At.Picker.Finished(t.Replica, balance.Result{Cost: callCost, Total: r.Took, Failure: r.Failure})
+}
--- a/route/plain/headers.go
+++ b/route/plain/headers.go
@@ -16,6 +16,7 @@
 	"Trailer",
 	"Transfer-Encoding",
 	"Upgrade",
+	"Expect",
 }
 
 // forwarded is the part of a caller's headers that an endpoint gets. The team's
--- a/route/plain/order.go
+++ b/route/plain/order.go
@@ -9,11 +9,10 @@
 	"net/http"
 	"time"
 
-	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/keep/ledger"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/outcome"
-	"github.com/cicadatack/cicadatack/route/service"
+	"github.com/cicadatack/cicadatack/route/relay"
 )
 
 const (
@@ -43,12 +42,13 @@
 func (e *exchange) order(ctx context.Context, w http.ResponseWriter) {
 	if e.key == "" {
 		e.server.Figures.Order(e.Service.Name, "without key")
-		e.finish(w)(e.once(ctx))
+		e.finish(w)(e.send(ctx))
 		return
 	}
 	// The ledger keeps of an answer its status, type and body. A compressed body
 	// would be replayed without the header that says how to read it.
-	e.request.Header.Set("Accept-Encoding", "identity")
+	e.header = e.header.Clone()
+	e.header.Set("Accept-Encoding", "identity")
 	key := ledger.Key{Team: e.Team.Name, Service: e.Service.Name, Key: e.key}
 	claim, err := e.server.Claims.Claim(ctx, key, e.fingerprint())
 	if err != nil {
@@ -91,8 +91,8 @@
 
 // fingerprint tells an order from another under the same key.
 func (e *exchange) fingerprint() string {
-	sum := sha256.Sum256(e.request.Body)
-	return e.request.Method + " " + e.request.Path + " " + hex.EncodeToString(sum[:])
+	sum := sha256.Sum256(e.body)
+	return e.method + " " + e.path + " " + hex.EncodeToString(sum[:])
 }
 
 // unclaimed answers an order whose claim could not be written. If every
@@ -105,7 +105,7 @@
 	if e.endpointsCheckKeys() {
 		e.server.Figures.Order(e.Service.Name, "endpoint checks")
 		e.Decide(decision.Place, "", "no claim, endpoints check keys: "+err.Error(), nil)
-		e.finish(w)(e.once(ctx))
+		e.finish(w)(e.send(ctx))
 		return
 	}
 	e.server.Figures.Order(e.Service.Name, "not claimed")
@@ -130,7 +130,7 @@
 
 // place sends a claimed order and keeps its result.
 func (e *exchange) place(ctx context.Context, w http.ResponseWriter, key ledger.Key, claim ledger.Claim) {
-	a, refusal := e.once(ctx)
+	a, refusal := e.send(ctx)
 	switch {
 	case a != nil:
 		e.keep(ctx, key, claim, a)
@@ -140,32 +140,6 @@
 	e.finish(w)(a, refusal)
 }
 
-// once sends an order, and sends it to another endpoint only while every one
-// tried so far provably did nothing.
-func (e *exchange) once(ctx context.Context) (*answer, *outcome.Refusal) {
-	var tried []string
-	for {
-		a := e.attempt(ctx, tried, true)
-		if a.answer != nil && !a.notRun {
-			if a.failure == health.None {
-				e.At.Retry.Success()
-			}
-			return a.answer, nil
-		}
-		if !a.notRun {
-			return nil, inDoubt("the order was sent and its result is not known: " + a.why())
-		}
-		d := e.At.Retry.Allow(e.attemptFor(len(tried)+1, a))
-		if !d.Retry || a.endpoint == "" {
-			return e.giveUp(a, false)
-		}
-		tried = append(tried, a.endpoint)
-		if service.Pause(ctx, d.After) != nil {
-			return e.giveUp(a, false)
-		}
-	}
-}
-
 // inDoubt is the answer to an order that may have been placed. It carries no
 // Retry-After: asking again with this key does not send it again.
 func inDoubt(message string) *outcome.Refusal {
@@ -178,13 +152,13 @@
 }
 
 // keep writes the result, so that a caller who asks again gets the same answer.
-func (e *exchange) keep(ctx context.Context, key ledger.Key, claim ledger.Claim, a *answer) {
+func (e *exchange) keep(ctx context.Context, key ledger.Key, claim ledger.Claim, a *relay.Answer) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
 	err := e.server.Claims.Record(ctx, key, claim, ledger.Result{
-		Status:      a.status,
-		ContentType: a.header.Get("Content-Type"),
-		Body:        a.body,
+		Status:      a.Status,
+		ContentType: a.Header.Get("Content-Type"),
+		Body:        a.Body,
 	})
 	if err != nil {
 		e.Decide(decision.Place, "", "result not kept yet: "+err.Error(), nil)
@@ -218,5 +192,5 @@
 		header.Set("Content-Type", r.ContentType)
 	}
 	header.Set(outcome.HeaderReplayed, "1")
-	e.pass(w, &answer{status: r.Status, header: header, body: r.Body})
+	e.pass(w, &relay.Answer{Status: r.Status, Header: header, Body: r.Body})
 }
--- a/route/plain/plain.go
+++ b/route/plain/plain.go
@@ -1,26 +1,25 @@
-// Package plain answers calls of plain services. Calls that may repeat are
-// tried again where that can help; orders that may not are claimed in the
-// ledger before they are sent, and then sent at most once.
+// Package plain answers calls of plain services. Limits and queue are the entrance's,
+// the way from the choice of an endpoint to its checked answer is relay's; what is left
+// here is what is peculiar to orders: they are claimed in the ledger before they are
+// sent, and their results are kept.
 package plain
 
 import (
+	"cmp"
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/admission"
-	"github.com/cicadatack/cicadatack/decide/balance"
-	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/keep/ledger"
 	"github.com/cicadatack/cicadatack/route/call"
 	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/dialect"
 	"github.com/cicadatack/cicadatack/route/entrance"
 	"github.com/cicadatack/cicadatack/route/outcome"
-	"github.com/cicadatack/cicadatack/route/send"
-	"github.com/cicadatack/cicadatack/route/service"
+	"github.com/cicadatack/cicadatack/route/relay"
+	"github.com/cicadatack/cicadatack/route/ruleset"
 )
 
 // Claims is the part of the ledger that orders need.
@@ -37,8 +36,9 @@
 
 // Server answers plain calls. Safe for concurrent use.
 type Server struct {
-	Desk    *entrance.Desk
-	Sender  *send.Sender
+	Desk *entrance.Desk
+	// Path speaks this package's Dialect and holds answers up to MaxAnswer.
+	Path    *relay.Server
 	Claims  Claims
 	Figures Figures
 }
@@ -49,9 +49,9 @@
 	callCost = 1
 	// defaultTimeout bounds a call without a deadline of its own.
 	defaultTimeout = 30 * time.Second
-	// maxAnswer bounds an endpoint's answer in bytes. It is read whole before
+	// MaxAnswer bounds an endpoint's answer in bytes. It is read whole before
 	// any of it is passed on, so that a broken answer can still be retried.
-	maxAnswer = 8 << 20
+	MaxAnswer = 8 << 20
 	// retryLater is what a caller is told when no endpoint could take a call:
 	// about the time in which an ejected endpoint is tried again.
 	retryLater = time.Second
@@ -65,10 +65,8 @@
 		return
 	}
 	e := &exchange{
-		Visit:   visit,
-		server:  s,
-		request: send.Request{Method: r.Method, Path: withQuery(path, r), Header: forwarded(r.Header), Body: body},
-		key:     r.Header.Get(outcome.HeaderOrderKey),
+		Visit: visit, server: s, key: r.Header.Get(outcome.HeaderOrderKey),
+		method: r.Method, path: withQuery(path, r), header: r.Header, body: body,
 	}
 	pass, err := e.Enter(r.Context(), callCost)
 	if err != nil {
@@ -89,185 +87,70 @@
 // exchange is one call underway.
 type exchange struct {
 	*entrance.Visit
-	server  *Server
-	request send.Request
-	key     string
-}
-
-// answer is an endpoint's whole answer.
-type answer struct {
-	status int
+	server *Server
+	// key names an order; "" for none.
+	key    string
+	method string
+	path   string
 	header http.Header
 	body   []byte
 }
 
 func (e *exchange) dispatch(w http.ResponseWriter, r *http.Request) {
 	if e.Class != admission.Order {
-		ctx, cancel := e.bounded(r.Context())
-		defer cancel()
-		e.finish(w)(e.repeatable(ctx))
+		e.finish(w)(e.send(r.Context()))
 		return
 	}
 	// A caller who leaves does not take an order back: it may be with the
 	// endpoint already, and its result has to reach the ledger.
-	ctx, cancel := e.bounded(context.WithoutCancel(r.Context()))
-	defer cancel()
-	e.order(ctx, w)
-}
-
-func (e *exchange) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
-	if e.Deadline.IsZero() {
-		return context.WithTimeout(ctx, defaultTimeout)
-	}
-	return context.WithDeadline(ctx, e.Deadline)
-}
-
-// repeatable sends a call that may run more than once, to other endpoints as
-// long as the retry budget allows.
-func (e *exchange) repeatable(ctx context.Context) (*answer, *outcome.Refusal) {
-	var tried []string
-	ran := false
-	for {
-		a := e.attempt(ctx, tried, false)
-		if a.answer != nil && !a.failure.Faulty() && a.failure != health.Overloaded {
-			e.At.Retry.Success()
-			return a.answer, nil
-		}
-		ran = ran || !a.notRun
-		d := e.At.Retry.Allow(e.attemptFor(len(tried)+1, a))
-		if !d.Retry || a.endpoint == "" {
-			return e.giveUp(a, ran)
-		}
-		tried = append(tried, a.endpoint)
-		if service.Pause(ctx, d.After) != nil {
-			return e.giveUp(a, ran)
-		}
-	}
-}
-
-func (e *exchange) attemptFor(made int, a attempt) retry.Attempt {
-	return retry.Attempt{
-		Made:         made,
-		Failure:      a.failure,
-		Repeatable:   e.Class != admission.Order,
-		NotRun:       a.notRun,
-		Deadline:     e.Deadline,
-		Alternatives: len(e.Service.Plain.Endpoints) - made,
-	}
-}
-
-// giveUp ends a call at once. An answer of the endpoint's own goes to the
-// caller as it is, with what it proves.
-func (e *exchange) giveUp(a attempt, ran bool) (*answer, *outcome.Refusal) {
-	if a.answer != nil && !a.notRun {
-		return a.answer, nil
-	}
-	refusal := &outcome.Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Code:       "no_endpoint",
-		Message:    a.why(),
-		Outcome:    outcome.NotRun,
-		RetryAfter: retryLater,
-	}
-	if ran {
-		refusal.Outcome = outcome.Unknown
-	}
-	if a.failure == health.Overloaded {
-		refusal.Status = http.StatusTooManyRequests
-		refusal.Code = "overloaded"
-	}
-	return nil, refusal
-}
-
-// attempt is one try of one endpoint.
-type attempt struct {
-	endpoint string
-	answer   *answer
-	failure  health.Failure
-	// notRun is set if the endpoint provably did nothing.
-	notRun bool
-	err    error
-}
-
-func (a attempt) why() string {
-	switch {
-	case a.endpoint == "":
-		return "no endpoint may be used now"
-	case a.err != nil:
-		return a.err.Error()
-	default:
-		return "endpoint " + a.endpoint + ": " + a.failure.String()
-	}
-}
-
-// attempt sends the call to one endpoint that is none of tried.
-func (e *exchange) attempt(ctx context.Context, tried []string, once bool) attempt {
-	choice, ok := e.At.Picker.Pick(balance.Query{Cost: callCost, Exclude: tried, NoProbe: once})
-	if !ok {
-		return attempt{failure: health.Unreachable, notRun: true}
-	}
-	e.Chose(decision.Route, choice, map[string]float64{"try": float64(len(tried) + 1)})
-	endpoint, known := e.Directory.Endpoint(choice.Replica)
-	if !known {
-		e.At.Picker.Finished(choice.Replica, balance.Result{Cost: callCost, Failure: health.Unreachable})
-		return attempt{endpoint: choice.Replica, failure: health.Unreachable, notRun: true}
-	}
-	started := e.Now()
-	request := e.request
-	request.Address = endpoint.Address
-	request.Once = once
-	a := e.exchangeOnce(ctx, request)
-	a.endpoint = choice.Replica
-	e.At.Picker.Finished(choice.Replica, balance.Result{
-		Cost:    callCost,
-		Total:   e.Now().Sub(started),
-		Failure: a.failure,
+	e.order(context.WithoutCancel(r.Context()), w)
+}
+
+// send gets the endpoint's answer. A call that may repeat is sent to other endpoints as
+// long as the budget allows, an order only while every one tried so far provably did
+// nothing.
+func (e *exchange) send(ctx context.Context) (*relay.Answer, *outcome.Refusal) {
+	kind := ruleset.Repeatable
+	if e.Class == admission.Order {
+		kind = ruleset.Once
+	}
+	deadline := e.Deadline
+	if deadline.IsZero() {
+		deadline = e.Now().Add(defaultTimeout)
+	}
+	timeout := deadline.Sub(e.Arrived)
+	answer, refusal := e.server.Path.Do(ctx, &relay.Visit{
+		Call: dialect.Call{ID: e.ID}, Team: e.Team.Name, Service: e.Service.Name, Revision: e.Directory.Revision,
+		// A document names no objective: an endpoint may take its whole time.
+		Route:   &ruleset.Route{Name: e.Service.Name, Kind: kind, Timeout: timeout, Objective: timeout, MaxReplicas: retry.DefaultMaxAttempts},
+		Targets: endpoints{e.Visit}, Budget: e.At.Retry,
+		Method: e.method, Target: e.path, Header: e.header, Body: e.body,
+		Arrived: e.Arrived, Deadline: deadline,
 	})
-	return a
-}
-
-func (e *exchange) exchangeOnce(ctx context.Context, request send.Request) attempt {
-	response, err := e.server.Sender.Do(ctx, request)
-	if err != nil {
-		return attempt{failure: failureOf(ctx, err), notRun: send.NotRun(err), err: err}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = errTooLong
-	}
-	if err != nil {
-		return attempt{failure: health.Broken, err: err}
-	}
-	a := attempt{answer: &answer{status: response.StatusCode, header: response.Header, body: body}}
-	switch {
-	case send.Refused(response):
-		a.failure = send.RefusalFailure(response.StatusCode)
-		a.notRun = true
-	case response.StatusCode >= http.StatusInternalServerError:
-		a.failure = health.Internal
+	if refusal != nil {
+		return nil, told(kind, refusal)
 	}
-	return a
+	return answer, nil
 }
 
-var errTooLong = errors.New("the endpoint's answer is longer than this node passes on")
-
-func failureOf(ctx context.Context, err error) health.Failure {
+// told puts a refusal of the data path into the words of this door. An order whose
+// fate is not known stays in doubt.
+func told(kind ruleset.Kind, r *outcome.Refusal) *outcome.Refusal {
 	switch {
-	case send.NotRun(err):
-		return health.Unreachable
-	case errors.Is(ctx.Err(), context.Canceled):
-		return health.Canceled
-	case ctx.Err() != nil:
-		return health.Timeout
-	default:
-		return health.Broken
+	case r.Code == relay.ReasonCallerGone || r.Code == relay.ReasonOverloaded:
+		return r
+	case r.Outcome == outcome.Unknown && kind == ruleset.Once:
+		return inDoubt("the order was sent and its result is not known: " + r.Message)
+	}
+	return &outcome.Refusal{
+		Status: http.StatusServiceUnavailable, Code: relay.ReasonNoEndpoint, Message: r.Message, Outcome: r.Outcome,
+		RetryAfter: cmp.Or(r.RetryAfter, retryLater),
 	}
 }
 
 // finish returns a function that writes either an answer or a refusal.
-func (e *exchange) finish(w http.ResponseWriter) func(*answer, *outcome.Refusal) {
-	return func(a *answer, refusal *outcome.Refusal) {
+func (e *exchange) finish(w http.ResponseWriter) func(*relay.Answer, *outcome.Refusal) {
+	return func(a *relay.Answer, refusal *outcome.Refusal) {
 		if refusal != nil {
 			e.Decide(decision.Finish, "", string(refusal.Outcome)+": "+refusal.Message, nil)
 			e.Refuse(w, refusal)
@@ -278,12 +161,12 @@
 }
 
 // pass hands an endpoint's answer to the caller.
-func (e *exchange) pass(w http.ResponseWriter, a *answer) {
-	copyHeader(w.Header(), a.header)
+func (e *exchange) pass(w http.ResponseWriter, a *relay.Answer) {
+	copyHeader(w.Header(), a.Header)
 	w.Header().Set(outcome.Header, string(outcome.Done))
-	w.WriteHeader(a.status)
+	w.WriteHeader(a.Status)
 	// The caller may have gone; there is nobody left to tell.
-	_, _ = w.Write(a.body)
+	_, _ = w.Write(a.Body)
 	e.Finished(outcome.Done)
-	e.Decide(decision.Finish, "", string(outcome.Done), map[string]float64{"status": float64(a.status)})
+	e.Decide(decision.Finish, "", string(outcome.Done), map[string]float64{"status": float64(a.Status)})
 }
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -1,19 +1,21 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/dialect"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/ruleset"
-	"github.com/cicadatack/cicadatack/route/send"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -33,7 +35,7 @@
 type end uint8
 
 const (
-	// endWhole has been answered to the caller.
+	// endWhole has a whole answer, which the caller has if it was passed on as it came.
 	endWhole end = iota
 	// endNotSent and endNotRun provably did not run.
 	endNotSent
@@ -52,8 +54,9 @@
 	end    end
 	detail string // for the log
 	result targets.Result
-	// answer is the endpoint's own failure, to be passed on if nothing better comes.
-	answer *wholeAnswer
+	// answer is a whole answer, or the endpoint's own failure, to be passed on if
+	// nothing better comes.
+	answer *Answer
 }
 
 // notRun says whether the try provably did not run.
@@ -69,21 +72,21 @@
 	seen  dialect.Answer
 }
 
-// serve tries until the request is answered.
-func (q *request) serve() {
+// serve tries until there is an answer or a reason to give up. It returns neither if
+// the answer was passed on as it came.
+func (q *request) serve() (*Answer, *outcome.Refusal) {
 	for {
 		target, err := q.choose()
 		if err != nil {
-			q.giveUp(err)
-			return
+			return q.giveUp(err)
 		}
 		v := q.try(target)
 		if v.end == endWhole {
-			q.budget.success(q.s.Now())
-			return
+			q.Budget.Success()
+			return v.answer, nil
 		}
 		if !q.again(v) {
-			return
+			return q.settle(v)
 		}
 	}
 }
@@ -93,8 +96,9 @@
 	a := &attempt{q: q, target: t, begun: q.s.Now()}
 	q.sends++
 	q.lastTarget = t
+	q.recordRoute(t)
 	var v verdict
-	if q.route.Kind == ruleset.Stream {
+	if q.Route.Kind == ruleset.Stream {
 		v = a.stream()
 	} else {
 		v = a.whole()
@@ -103,28 +107,42 @@
 	if a.seen.Load != nil {
 		v.result.Load = &targets.Load{Running: a.seen.Load.Running, Waiting: a.seen.Load.Waiting}
 	}
-	q.targets.Ended(a.target, v.result)
+	q.Targets.Ended(a.target, v.result)
 	q.last = v
 	return v
 }
 
+// recordRoute records where the request is sent and why.
+func (q *request) recordRoute(t targets.Target) {
+	d := decision.Weighed(t.Choice)
+	d.Kind, d.Chosen = decision.Route, t.Replica
+	d.Figures["try"] = float64(q.sends)
+	d.Notes = []decision.Note{{Name: "address", Text: t.Address}}
+	if len(t.Path) > 0 {
+		d.Reason = "cheapest path with room"
+		d.Notes = append(d.Notes, decision.Note{Name: "path", Text: t.Path.String()})
+	}
+	d.Quiet = !q.sampled && q.sends == 1
+	q.record(d)
+}
+
 // choose asks for a target. A stream goes on at as many replicas as its route allows;
 // after that at those that it has been at.
 func (q *request) choose() (targets.Target, error) {
 	wait := q.s.Now()
 	query := targets.Query{
-		Tokens: q.tokens(), Exclude: q.tried, Once: !q.route.Idempotent(), Rank: q.rank(),
-		OnTimeUntil: q.arrived.Add(q.patience()), WaitUntil: q.arrived.Add(latePatience * q.patience()),
+		Tokens: q.tokens(), Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
+		OnTimeUntil: q.Arrived.Add(q.patience()), WaitUntil: q.Arrived.Add(latePatience * q.patience()),
 	}
 	if q.started {
 		query.WaitUntil = wait.Add(resumePatience)
 	}
-	if len(q.ran) >= q.route.MaxReplicas {
+	if len(q.ran) >= q.Route.MaxReplicas {
 		query.FirstOf, query.Exclude = q.ran, nil
 	}
-	t, err := q.targets.Choose(q.ctx, query)
+	t, err := q.Targets.Choose(q.ctx, query)
 	if waited := q.s.Now().Sub(wait); waited > time.Millisecond {
-		q.s.Figures.Waited(q.service, waited)
+		q.s.Figures.Waited(q.Service, waited)
 	}
 	return t, err
 }
@@ -135,7 +153,7 @@
 
 // patience is how long a request may wait for room and its answer still be on time.
 func (q *request) patience() time.Duration {
-	return q.route.Objective * 6 / 10
+	return q.Route.Objective * 6 / 10
 }
 
 // latePatience times its patience is how long a request waits for room at all. A late
@@ -143,50 +161,40 @@
 // later.
 const latePatience = 2
 
-// rank orders those who wait: a team's own rank goes before its route's.
-func (q *request) rank() int {
-	if q.team != nil && q.team.Priority != nil {
-		return *q.team.Priority
-	}
-	return q.route.Priority
-}
-
 // tokens is the memory that the request is expected to need at its end.
 func (q *request) tokens() float64 {
-	answer := q.call.Expected
+	answer := q.Call.Expected
 	if answer == 0 {
-		answer = q.call.MaxAnswer
+		answer = q.Call.MaxAnswer
 	}
 	if answer == 0 {
 		answer = defaultExpected
 	}
-	if q.call.MaxAnswer > 0 {
-		answer = min(answer, q.call.MaxAnswer)
+	if q.Call.MaxAnswer > 0 {
+		answer = min(answer, q.Call.MaxAnswer)
 	}
-	return float64(q.call.Prompt) + answerPart*float64(answer)
+	return float64(q.Call.Prompt) + answerPart*float64(answer)
 }
 
 // send sends the request to the attempt's target and checks the answer's head.
 func (a *attempt) send(ctx context.Context, within time.Duration) (*upstream.Exchange, *verdict) {
 	q := a.q
-	left := q.deadline.Sub(q.s.Now())
+	left := q.Deadline.Sub(q.s.Now())
 	if left <= leftMargin {
 		return nil, &verdict{end: endDeadline, detail: "no time left"}
 	}
-	if !q.route.Public && !q.s.Rules.Fresh() {
+	if q.Proof != nil && !q.Proof.Fresh() {
 		return nil, &verdict{end: endNotSent, detail: "the configuration is not proved any more"}
 	}
-	sending := dialect.Sending{Replica: a.target.Replica, Left: left - leftMargin, After: a.after, Path: a.target.Path}
-	if q.team != nil {
-		sending.Team = q.team.Name
-	}
 	exchange, err := q.s.Pool.Send(ctx, upstream.Request{
 		Address: a.target.Address,
-		Method:  q.in.Method, Target: q.target, Host: q.in.Host, Body: q.body,
-		Header: q.s.Dialect.Forward(q.in.Header, sending),
+		Method:  q.Method, Target: q.Target, Host: cmp.Or(q.Host, a.target.Address), Body: q.Body,
+		Header: q.s.Dialect.Forward(q.Header, dialect.Sending{
+			Replica: a.target.Replica, Team: q.Team, Left: left - leftMargin, After: a.after, Path: a.target.Path,
+		}),
 		// A request that may not repeat gets a connection of its own: if it ends
 		// before an answer, no earlier request can be what ended it.
-		Fresh:        !q.route.Idempotent(),
+		Fresh:        !q.Route.Idempotent(),
 		MostConns:    a.target.MostConns,
 		Belongs:      a.belongs,
 		AnswerWithin: min(left, within),
@@ -203,13 +211,13 @@
 // that could not be read bear no id.
 func (a *attempt) belongs(h http.Header) bool {
 	id := a.q.s.Dialect.Answer(http.StatusOK, h).ID
-	return id == "" || id == a.q.call.ID
+	return id == "" || id == a.q.Call.ID
 }
 
 // failed judges a try without an answer.
 func (a *attempt) failed(err error) verdict {
 	if end, ok := a.ended(); ok {
-		return verdict{end: end, detail: err.Error(), result: targets.Result{Failure: health.Canceled}}
+		return verdict{end: end, detail: err.Error(), result: targets.Result{Failure: a.blame(end)}}
 	}
 	var f *upstream.Failure
 	v := verdict{end: endUnknown, detail: err.Error(), result: targets.Result{Failure: health.Broken}}
@@ -229,14 +237,29 @@
 	return v
 }
 
+// blame says what an attempt that was ended from this side tells of its endpoint:
+// nothing, unless it had most of the time there was and let it pass. An endpoint that
+// hangs shows in no other way.
+func (a *attempt) blame(e end) health.Failure {
+	all := a.q.Deadline.Sub(a.q.Arrived)
+	if e == endDeadline && a.q.s.Now().Sub(a.begun) >= all/hangPart {
+		return health.Timeout
+	}
+	return health.Canceled
+}
+
+// hangPart: an endpoint that lets half of a request's whole time pass has hung; less may
+// be a caller who came with little time left.
+const hangPart = 2
+
 // ended says whether the request was ended from this side, by its caller or by its
 // deadline.
 func (a *attempt) ended() (end, bool) {
 	q := a.q
 	switch {
-	case q.in.Context().Err() != nil:
+	case q.caller.Err() != nil:
 		return endCallerGone, true
-	case !q.s.Now().Before(q.deadline.Add(-leftMargin)):
+	case !q.s.Now().Before(q.Deadline.Add(-leftMargin)):
 		return endDeadline, true
 	}
 	return 0, false
@@ -253,7 +276,7 @@
 		end:    endNotRun,
 		detail: fmt.Sprintf("%d from %s, at fault: %q", status, a.target.Address, a.seen.Fault),
 		result: targets.Result{
-			Failure: send.RefusalFailure(status),
+			Failure: upstream.RefusalFailure(status),
 			Fault:   a.seen.Fault,
 			Misheld: a.seen.Misdirected,
 			Gone:    slow,
@@ -262,30 +285,27 @@
 	}
 }
 
-// again says whether to try once more. If not, the caller has been answered.
+// again says whether to try once more.
 func (q *request) again(v verdict) bool {
 	q.note(v)
-	switch v.end {
-	case endCallerGone:
-		q.log.Info("caller left", "service", q.service, "sends", q.sends, "after_ms", q.s.Now().Sub(q.arrived).Milliseconds())
-		q.s.Figures.Request(q.service, q.teamName(), reasonCallerGone)
-		panic(http.ErrAbortHandler)
-	case endDeadline:
-		q.expire()
+	if v.end == endCallerGone || v.end == endDeadline {
 		return false
 	}
 	d := q.mayRetry(v)
 	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && pause(q.ctx, budgetPause) {
 		d = q.mayRetry(v) // the budget is earned again with the time
 	}
-	q.log.Info("try failed", "service", q.service, "replica", lastOf(q.tried), "end", v.detail, "not_run", v.notRun(),
-		"sends", q.sends, "again", d.Retry, "reason", d.Reason.String(), "budget_left", int(d.Left))
-	if !d.Retry {
-		q.settle(v)
-		return false
+	q.record(decision.Decision{
+		Kind: decision.Retry, Chosen: lastOf(q.tried), Reason: d.Reason.String(),
+		Notes: []decision.Note{{Name: "end", Text: v.detail}},
+		Figures: map[string]float64{
+			"not_run": flag(v.notRun()), "sends": float64(q.sends), "again": flag(d.Retry), "budget_left": math.Floor(d.Left),
+		},
+	})
+	if d.Retry {
+		q.s.Figures.Retried(q.Service, v.result.Failure.String())
 	}
-	q.s.Figures.Resumed(q.service, d.Reason.String())
-	return true
+	return d.Retry
 }
 
 // givesUp is up to when the request waits for the budget: what the caller has of a
@@ -294,7 +314,7 @@
 	if q.started {
 		return q.heard.Add(resumePatience)
 	}
-	return q.arrived.Add(q.patience())
+	return q.Arrived.Add(q.patience())
 }
 
 // budgetPause is between two questions to a budget that is spent.
@@ -341,7 +361,7 @@
 // mayRetry asks the budget. Tries that were not sent cost the endpoints nothing.
 func (q *request) mayRetry(v verdict) retry.Decision {
 	switch {
-	case q.sends >= maxSends, len(q.ran) >= q.route.MaxReplicas && q.route.Kind != ruleset.Stream:
+	case q.sends >= maxSends, len(q.ran) >= q.Route.MaxReplicas && q.Route.Kind != ruleset.Stream:
 		return retry.Decision{Reason: retry.TooManyAttempts}
 	case v.end == endNotSent:
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
@@ -350,70 +370,77 @@
 	if failure == health.None || failure == health.Canceled {
 		failure = health.Internal
 	}
-	return q.budget.allow(q.s.Now(), retry.Attempt{
-		Made: 1, Failure: failure, Repeatable: q.route.Idempotent(), NotRun: v.notRun(),
-		Deadline: q.deadline, Alternatives: 1,
+	return q.Budget.Allow(retry.Attempt{
+		Made: 1, Failure: failure, Repeatable: q.Route.Idempotent(), NotRun: v.notRun(),
+		Deadline: q.Deadline, Alternatives: 1,
 	})
 }
 
-// settle gives the final answer after a try that is not repeated.
-func (q *request) settle(v verdict) {
+// settle is the final answer after a try that is not repeated.
+func (q *request) settle(v verdict) (*Answer, *outcome.Refusal) {
 	switch {
+	case v.end == endCallerGone:
+		return nil, q.callerGone()
+	case v.end == endDeadline:
+		return nil, q.expired()
 	case q.started:
-		q.cut(reasonUnknown)
+		q.cut(ReasonUnknown)
 	case v.answer != nil:
-		v.answer.write(q)
-	case len(q.ran) == 0:
-		q.refuse(refusal(http.StatusServiceUnavailable, reasonNoEndpoint, "no endpoint took the request", retryRoom))
-	default:
-		q.refuse(unknown(http.StatusBadGateway, reasonUnknown, "the endpoint that was given the request did not answer it"))
+		return v.answer, nil
+	case len(q.ran) > 0:
+		return nil, unanswered(v)
+	case v.result.Failure == health.Overloaded:
+		return nil, NotRun(http.StatusTooManyRequests, ReasonOverloaded, v.detail, retryRoom)
+	}
+	return nil, NotRun(http.StatusServiceUnavailable, ReasonNoEndpoint, "no endpoint took the request: "+v.detail, retryRoom)
+}
+
+// callerGone ends a request whose caller has left. The answer reaches nobody but a
+// door that keeps it.
+func (q *request) callerGone() *outcome.Refusal {
+	q.record(decision.Decision{
+		Kind: decision.Finish, Chosen: q.lastTarget.Replica, Reason: "the caller left",
+		Figures: map[string]float64{"sends": float64(q.sends), "events": float64(q.events), "took_ms": millis(q.s.Now().Sub(q.Arrived))},
+	})
+	r := NotRun(statusCallerGone, ReasonCallerGone, "the caller left", 0)
+	if len(q.ran) > 0 {
+		r.Outcome = outcome.Unknown
 	}
+	return r
 }
 
-// expire answers a request whose time is up.
-func (q *request) expire() {
+// expired is the answer to a request whose time is up.
+func (q *request) expired() *outcome.Refusal {
 	if q.started {
-		q.cut(reasonTimeout)
+		q.cut(ReasonTimeout)
 	}
 	if len(q.ran) == 0 && q.sends == 0 {
-		q.refuse(refusal(http.StatusServiceUnavailable, reasonTimeout, "no endpoint had room in time", retryRoom))
-		return
+		return NotRun(http.StatusServiceUnavailable, ReasonTimeout, "no endpoint had room in time", retryRoom)
 	}
-	q.refuse(unknown(http.StatusGatewayTimeout, reasonTimeout, "no answer in time"))
+	return unknown(http.StatusGatewayTimeout, ReasonTimeout, "no answer in time")
 }
 
-// giveUp answers a request for which there is no target.
-func (q *request) giveUp(err error) {
-	if q.in.Context().Err() != nil {
-		q.again(verdict{end: endCallerGone})
-		return
-	}
+// giveUp is the answer to a request for which there is no target.
+func (q *request) giveUp(err error) (*Answer, *outcome.Refusal) {
 	switch {
+	case q.caller.Err() != nil:
+		return nil, q.callerGone()
 	case q.started:
-		q.cut(reasonNoEndpoint)
+		q.cut(ReasonNoEndpoint)
 	case q.last.answer != nil:
-		q.last.answer.write(q)
+		return q.last.answer, nil
 	case len(q.ran) > 0:
-		q.refuse(unknown(http.StatusBadGateway, reasonUnknown, "the endpoint that was given the request did not answer it"))
+		return nil, unanswered(q.last)
 	case errors.Is(err, targets.ErrNoRoom):
-		q.refuse(refusal(http.StatusServiceUnavailable, reasonNoRoom, "all endpoints are full", retryRoom))
+		return nil, NotRun(http.StatusServiceUnavailable, ReasonNoRoom, "all endpoints are full", retryRoom)
 	case errors.Is(err, targets.ErrNoEndpoint):
-		q.refuse(refusal(http.StatusServiceUnavailable, reasonNoEndpoint, "no endpoint may be used now", retryRoom))
-	default:
-		q.expire()
+		return nil, NotRun(http.StatusServiceUnavailable, ReasonNoEndpoint, "no endpoint may be used now", retryRoom)
 	}
+	return nil, q.expired()
 }
 
-// unknown is an answer to a request that may have run.
-func unknown(status int, code, message string) *outcome.Refusal {
-	return &outcome.Refusal{Status: status, Code: code, Message: message, Outcome: outcome.Unknown}
-}
-
-func (q *request) teamName() string {
-	if q.team == nil {
-		return ""
-	}
-	return q.team.Name
+func unanswered(v verdict) *outcome.Refusal {
+	return unknown(http.StatusBadGateway, ReasonUnknown, "the endpoint that was given the request did not answer it: "+v.detail)
 }
 
 // answerPart of an answer's length is booked: requests underway are at all points of
--- a/route/relay/attempt_test.go
+++ b/route/relay/attempt_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/route/budget"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
@@ -35,8 +36,11 @@
 	} {
 		now := time.Now()
 		q := &request{
-			s: &Server{Now: func() time.Time { return now }}, route: &ruleset.Route{Kind: c.kind, MaxReplicas: 3},
-			budget: NewBudget(retry.Config{}), deadline: now.Add(time.Minute), sends: 1, ran: make([]string, c.ran),
+			Visit: &Visit{
+				Route:  &ruleset.Route{Kind: c.kind, MaxReplicas: 3},
+				Budget: budget.New(retry.Config{}, func() time.Time { return now }), Deadline: now.Add(time.Minute),
+			},
+			s: &Server{Now: func() time.Time { return now }}, sends: 1, ran: make([]string, c.ran),
 		}
 		if d := q.mayRetry(c.last); d.Retry != c.again {
 			t.Errorf("%s: %+v", c.name, d)
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -40,7 +40,7 @@
 		}
 		return a.wholeFrom(exchange)
 	}
-	if bad := a.bad(exchange); bad != "" {
+	if bad := a.bad(); bad != "" {
 		return verdict{end: endUnknown, detail: bad, result: targets.Result{Failure: health.Internal}}
 	}
 	return watch.judge(a.copyEvents(exchange, watch))
@@ -69,7 +69,7 @@
 	var split splitter
 	buffer := make([]byte, 2<<10)
 	for {
-		n, err := e.Read(buffer, min(silenceLimit, q.deadline.Sub(q.s.Now())))
+		n, err := e.Read(buffer, min(silenceLimit, q.Deadline.Sub(q.s.Now())))
 		split.add(buffer[:n])
 		if gone := a.passEvents(e, &split, watch); gone != nil {
 			return verdict{end: endCallerGone, detail: gone.Error(), result: targets.Result{Failure: health.Canceled}}
@@ -120,7 +120,7 @@
 func (q *request) noteProgress() {
 	now := q.s.Now()
 	if q.heard.IsZero() {
-		q.first = now.Sub(q.arrived)
+		q.first = now.Sub(q.Arrived)
 	} else if pause := now.Sub(q.heard); pause > q.longest {
 		q.longest, q.pausedAt = pause, q.events
 	}
@@ -145,11 +145,11 @@
 		return
 	}
 	q.started = true
-	if err := http.NewResponseController(q.w).SetWriteDeadline(q.deadline); err != nil {
+	if err := http.NewResponseController(q.w).SetWriteDeadline(q.Deadline); err != nil {
 		q.log.Debug("write deadline", "error", err)
 	}
 	q.writeHead(e.StatusCode, e.Header, -1)
-	q.s.Figures.FirstToken(q.service, q.s.Now().Sub(q.arrived))
+	q.s.Figures.FirstToken(q.Service, q.s.Now().Sub(q.Arrived))
 }
 
 // finish judges a stream that has ended as whole.
@@ -160,7 +160,9 @@
 	q := a.q
 	q.beginStream(e)
 	e.Keep(a.seen.KeepFor)
-	q.done("events", q.events, "parts", len(a.target.Path), "first_ms", q.first.Milliseconds(),
-		"longest_pause_ms", q.longest.Milliseconds(), "pause_after_event", q.pausedAt)
+	q.done(map[string]float64{
+		"events": float64(q.events), "parts": float64(len(a.target.Path)), "first_ms": millis(q.first),
+		"longest_pause_ms": millis(q.longest), "pause_after_event": float64(q.pausedAt),
+	})
 	return verdict{end: endWhole, result: targets.Result{Whole: true}}
 }
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
 
@@ -46,7 +47,7 @@
 	if a.target.Flight == nil {
 		return w
 	}
-	w.timer = time.AfterFunc(a.q.route.Objective/silenceParts, w.silent)
+	w.timer = time.AfterFunc(a.q.Route.Objective/silenceParts, w.silent)
 	a.target.Flight.Watch(
 		func(replica string) { w.lead("a part of the path is lost: "+replica, false) },
 		func(replica string) { w.lead("a part of the path leaves: "+replica, true) },
@@ -65,10 +66,10 @@
 
 // stallAfter is the pause between two events after which the path is looked at.
 func (q *request) stallAfter() time.Duration {
-	if q.route.MaxPause <= 0 {
+	if q.Route.MaxPause <= 0 {
 		return defaultPause / silenceParts
 	}
-	return q.route.MaxPause / silenceParts
+	return q.Route.MaxPause / silenceParts
 }
 
 // silentFor is how long no event has come in this attempt.
@@ -107,7 +108,7 @@
 		// This leads all requests that run through it around.
 		if w.a.target.Flight.Suspect(replicas[address]) {
 			fresh = true
-			w.a.q.log.Info("replica out of reach", "service", w.a.q.service, "replica", replicas[address], "address", address)
+			w.a.q.log.Info("replica out of reach", "service", w.a.q.Service, "replica", replicas[address], "address", address)
 		}
 	}
 	if !fresh {
@@ -162,18 +163,18 @@
 // on now. Without one the answer would be lost for certain; as it is, the replica may
 // yet go on.
 func (w *watch) mayEnd(flight *targets.Flight) bool {
-	return flight.FirstLost() && w.silentFor() >= deadAfter && w.a.q.budget.left(w.a.q.s.Now()) && flight.Elsewhere()
+	return flight.FirstLost() && w.silentFor() >= deadAfter && w.a.q.Budget.Left() && flight.Elsewhere()
 }
 
 // detour orders the first replica to go on along another path. It says whether the
 // order was taken.
 func (w *watch) detour(path paths.Path, why string) bool {
 	q := w.a.q
-	err := q.s.Engines.Detour(w.ctx, w.a.target.Address, q.call.ID, path)
-	q.log.Info("detour", "service", q.service, "why", why, "first", w.a.target.Replica, "parts", len(path), "error", err)
+	err := q.s.Engines.Detour(w.ctx, w.a.target.Address, q.Call.ID, path)
+	w.recordDetour(path, why, err)
 	if err == nil {
 		w.a.target.Flight.Moved(path)
-		q.s.Figures.Resumed(q.service, "detour")
+		q.s.Figures.Resumed(q.Service, "detour")
 		w.timer.Reset(stallAgain)
 		return true
 	}
@@ -184,6 +185,17 @@
 	return false
 }
 
+func (w *watch) recordDetour(path paths.Path, why string, err error) {
+	notes := []decision.Note{{Name: "path", Text: path.String()}}
+	if err != nil {
+		notes = append(notes, decision.Note{Name: "error", Text: err.Error()})
+	}
+	w.a.q.record(decision.Decision{
+		Kind: decision.Detour, Chosen: w.a.target.Replica, Reason: why, Notes: notes,
+		Figures: map[string]float64{"taken": flag(err == nil), "silent_ms": millis(w.silentFor())},
+	})
+}
+
 // lookAgain looks at a path that is silent although all of it can be reached.
 func (w *watch) lookAgain(path paths.Path) {
 	if w.looks.Add(1) < silenceParts {
@@ -204,7 +216,7 @@
 				return // another request has learned it, or there is nothing to learn
 			}
 			if w.a.target.Flight.SetPace(part.Replica, account.Pace) {
-				q.log.Info("replica's pace", "service", q.service, "replica", part.Replica, "domain", part.Domain, "pace", account.Pace)
+				q.log.Info("replica's pace", "service", q.Service, "replica", part.Replica, "domain", part.Domain, "pace", account.Pace)
 			}
 		}()
 	}
--- a/route/relay/whole.go
+++ b/route/relay/whole.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -8,15 +9,17 @@
 	"strconv"
 
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
 const (
-	// maxWhole is the longest answer that is held back until it is known to be
+	// DefaultHoldBytes is the longest answer that is held back until it is known to be
 	// whole. Longer ones are passed on as they come, and cut if they end early.
-	maxWhole = 1 << 20
+	DefaultHoldBytes = 1 << 20
 	// silenceFactor times the objective is how long an endpoint may leave a
 	// repeatable request unanswered before another one is asked. Below it the tail
 	// of usual work would be asked for twice.
@@ -24,23 +27,23 @@
 	headerLength  = "Content-Length"
 )
 
-// wholeAnswer is an endpoint's answer, read to its end.
-type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+// Answer is an endpoint's answer, read to its end.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
 }
 
 // write passes the answer on as it is.
-func (w *wholeAnswer) write(q *request) {
-	length := len(w.body)
-	if n, err := strconv.Atoi(w.header.Get(headerLength)); err == nil && q.in.Method == http.MethodHead {
+func (q *request) write(a *Answer) {
+	length := len(a.Body)
+	if n, err := strconv.Atoi(a.Header.Get(headerLength)); err == nil && q.Method == http.MethodHead {
 		length = n // of the body that was not asked for
 	}
-	q.writeHead(w.status, w.header, length)
+	q.writeHead(a.Status, a.Header, length)
 	// The caller may have gone; there is nobody left to tell.
-	_, _ = q.w.Write(w.body)
-	q.done("status", w.status)
+	_, _ = q.w.Write(a.Body)
+	q.done(map[string]float64{"status": float64(a.Status)})
 }
 
 // writeHead begins the caller's answer; a negative length is not told.
@@ -59,9 +62,9 @@
 
 // whole makes an attempt whose answer is passed on only once it is whole.
 func (a *attempt) whole() verdict {
-	within := a.q.deadline.Sub(a.q.s.Now())
-	if a.q.route.Idempotent() && a.q.route.MaxReplicas > 1 {
-		within = silenceFactor * a.q.route.Objective
+	within := a.q.Deadline.Sub(a.q.s.Now())
+	if a.q.Route.Idempotent() && a.q.Route.MaxReplicas > 1 {
+		within = silenceFactor * a.q.Route.Objective
 	}
 	exchange, failed := a.send(a.q.ctx, within)
 	if failed != nil {
@@ -78,41 +81,35 @@
 		return a.refused(e.StatusCode)
 	}
 	body, err := a.readAll(e)
-	if errors.Is(err, errLong) {
+	if errors.Is(err, upstream.ErrLong) && a.q.w != nil {
 		return a.passOn(e, body)
 	}
 	if err != nil {
 		return a.failed(err)
 	}
 	e.Keep(a.seen.KeepFor)
-	answer := &wholeAnswer{status: e.StatusCode, header: e.Header, body: body}
+	answer := &Answer{Status: e.StatusCode, Header: e.Header, Body: body}
 	switch {
-	case answer.status < http.StatusMultipleChoices:
-		if bad := a.bad(e); bad != "" {
+	case answer.Status < http.StatusMultipleChoices:
+		if bad := a.bad(); bad != "" {
 			return verdict{end: endUnknown, detail: bad, result: targets.Result{Failure: health.Internal}}
 		}
-	case answer.status >= http.StatusInternalServerError:
+	case answer.Status >= http.StatusInternalServerError:
 		return verdict{
-			end: endFailed, detail: fmt.Sprintf("the endpoint's own %d", answer.status),
+			end: endFailed, detail: fmt.Sprintf("the endpoint's own %d", answer.Status),
 			answer: answer, result: targets.Result{Failure: health.Internal},
 		}
 	}
-	answer.write(a.q)
-	return verdict{end: endWhole, result: targets.Result{Whole: true}}
+	return verdict{end: endWhole, answer: answer, result: targets.Result{Whole: true}}
 }
 
 // bad says what keeps a success from being one: it must be the endpoint's own, to
 // this request, and as it was made.
-func (a *attempt) bad(e *upstream.Exchange) string {
-	switch {
-	case a.seen.ID != a.q.call.ID:
+func (a *attempt) bad() string {
+	if a.q.Call.Echoed && a.seen.ID != a.q.Call.ID {
 		return "a success without the request's id"
-	case !a.seen.Proved:
-		return "a success without the endpoint's proof"
-	case e.Header.Get("Content-Encoding") != "":
-		return "a success in an encoding that nobody asked for"
 	}
-	return ""
+	return a.seen.Unsound
 }
 
 // drain reads the rest of a refusal so that its connection can be kept.
@@ -122,33 +119,15 @@
 	}
 }
 
-var errLong = errors.New("the answer is long")
-
-// readAll reads the body to its end, or up to maxWhole.
+// readAll reads the body to its end, or up to what is held back.
 func (a *attempt) readAll(e *upstream.Exchange) ([]byte, error) {
-	body := make([]byte, 0, max(512, min(int(e.ContentLength), maxWhole)))
-	for {
-		if len(body) >= maxWhole {
-			return body, errLong
-		}
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := e.Read(body[len(body):cap(body)], a.q.deadline.Sub(a.q.s.Now()))
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
+	return e.ReadAll(cmp.Or(a.q.s.HoldBytes, DefaultHoldBytes), a.q.Deadline.Sub(a.q.s.Now()))
 }
 
 // passOn gives a long answer to the caller as it comes.
 func (a *attempt) passOn(e *upstream.Exchange, first []byte) verdict {
 	q := a.q
-	if bad := a.bad(e); bad != "" && e.StatusCode < http.StatusMultipleChoices {
+	if bad := a.bad(); bad != "" && e.StatusCode < http.StatusMultipleChoices {
 		return verdict{end: endUnknown, detail: bad, result: targets.Result{Failure: health.Internal}}
 	}
 	q.writeHead(e.StatusCode, e.Header, int(e.ContentLength))
@@ -158,13 +137,13 @@
 	}
 	buffer := make([]byte, 32<<10)
 	for {
-		n, err := e.Read(buffer, q.deadline.Sub(q.s.Now()))
+		n, err := e.Read(buffer, q.Deadline.Sub(q.s.Now()))
 		if _, gone := q.w.Write(buffer[:n]); gone != nil {
 			return verdict{end: endCallerGone, detail: gone.Error()}
 		}
 		if errors.Is(err, io.EOF) {
 			e.Keep(a.seen.KeepFor)
-			q.done("status", e.StatusCode)
+			q.done(map[string]float64{"status": float64(e.StatusCode)})
 			return verdict{end: endWhole, result: targets.Result{Whole: true}}
 		}
 		if err != nil {
@@ -173,34 +152,36 @@
 	}
 }
 
-// done logs the end of a request that was answered.
-func (q *request) done(fields ...any) {
-	took := q.s.Now().Sub(q.arrived)
-	q.s.Figures.Request(q.service, q.teamName(), "done")
-	if q.sends == 1 && !q.late() && q.number%successSample != 0 {
-		return
-	}
-	q.log.Info("answered", append(fields, "service", q.service, "team", q.teamName(), "route", q.route.Name,
-		"configuration", q.rules.Version, "replica", q.lastTarget.Replica, "sends", q.sends, "took_ms", took.Milliseconds())...)
+// done records the end of a request that was answered.
+func (q *request) done(figures map[string]float64) {
+	q.s.Figures.Request(q.Service, q.Team, string(outcome.Done))
+	figures["sends"] = float64(q.sends)
+	figures["took_ms"] = millis(q.s.Now().Sub(q.Arrived))
+	q.record(decision.Decision{
+		Kind: decision.Finish, Chosen: q.lastTarget.Replica, Reason: string(outcome.Done),
+		Notes: q.notes(), Figures: figures,
+		Quiet: !q.sampled && q.sends == 1 && !q.late(),
+	})
 }
 
 // late says whether the answer missed its route's objectives.
 func (q *request) late() bool {
-	if q.route.Kind == ruleset.Stream {
-		return q.first > q.route.Objective || q.route.MaxPause > 0 && q.longest > q.route.MaxPause
+	if q.Route.Kind == ruleset.Stream {
+		return q.first > q.Route.Objective || q.Route.MaxPause > 0 && q.longest > q.Route.MaxPause
 	}
-	return q.s.Now().Sub(q.arrived) > q.route.Objective
+	return q.s.Now().Sub(q.Arrived) > q.Route.Objective
 }
 
-// successSample: of the requests that are answered on time at the first try one in so
-// many is logged. All others are.
-const successSample = 10
-
 // cut ends an answer that has begun and can't be completed. The connection ends
 // without the mark of a whole answer.
 func (q *request) cut(reason string) {
-	q.log.Info("answer cut", "service", q.service, "reason", reason, "sends", q.sends, "events", q.events,
-		"last_event", q.lastID, "last_try", q.last.detail, "took_ms", q.s.Now().Sub(q.arrived).Milliseconds())
-	q.s.Figures.Request(q.service, q.teamName(), "cut")
+	q.record(decision.Decision{
+		Kind: decision.Finish, Chosen: q.lastTarget.Replica, Reason: "answer cut: " + reason,
+		Notes: q.notes(decision.Note{Name: "last_event", Text: q.lastID}, decision.Note{Name: "last_try", Text: q.last.detail}),
+		Figures: map[string]float64{
+			"sends": float64(q.sends), "events": float64(q.events), "took_ms": millis(q.s.Now().Sub(q.Arrived)),
+		},
+	})
+	q.s.Figures.Request(q.Service, q.Team, "cut")
 	panic(http.ErrAbortHandler)
 }
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -15,6 +15,7 @@
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/keep/document"
+	"github.com/cicadatack/cicadatack/route/budget"
 	"github.com/cicadatack/cicadatack/route/directory"
 	"github.com/cicadatack/cicadatack/route/gate"
 	"github.com/cicadatack/cicadatack/route/picker"
@@ -29,7 +30,8 @@
 	Name   string
 	Gate   *gate.Gate
 	Picker *picker.Picker
-	Retry  *Retry
+	// Retry is the budget of further tries.
+	Retry *budget.Budget
 	// Prefixes are hints at what the engines have cached; empty for a plain
 	// service.
 	Prefixes *Prefixes
@@ -57,41 +59,6 @@
 	now     func() time.Time
 }
 
-// Retry is the service's retry budget behind a lock.
-type Retry struct {
-	now    func() time.Time
-	seed   uint64
-	mu     sync.Mutex
-	share  float64
-	budget *retry.Budget
-}
-
-// follow takes the document's share of successes that retries may cost; zero
-// means the default. A new share starts with a full budget.
-func (r *Retry) follow(share float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.budget != nil && share == r.share {
-		return
-	}
-	r.share = share
-	r.budget = retry.New(retry.Config{Share: share, Seed: r.seed})
-}
-
-// Success credits the budget for a complete answer.
-func (r *Retry) Success() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.budget.Success(r.now())
-}
-
-// Allow decides on a failed attempt.
-func (r *Retry) Allow(a retry.Attempt) retry.Decision {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.budget.Allow(r.now(), a)
-}
-
 // Config names the node that the services are on.
 type Config struct {
 	Node          string
@@ -148,7 +115,7 @@
 		if s == nil {
 			s = r.newService(spec.Name)
 		}
-		s.Retry.follow(d.Document.Policy.RetryBudget)
+		s.Retry.SetShare(d.Document.Policy.RetryBudget)
 		s.applyTeams(teams, r.teams)
 		s.applyReplicas(d, spec)
 		kept[spec.Name] = s
@@ -175,7 +142,7 @@
 	s := &Service{
 		Name:  name,
 		Gate:  gate.New(admission.New(admission.Config{}), r.cfg.Now),
-		Retry: &Retry{now: r.cfg.Now, seed: seed},
+		Retry: budget.New(retry.Config{Seed: seed}, r.cfg.Now),
 		marks: map[leavingMark]bool{},
 
 		Prefixes: newPrefixes(r.cfg.Now),
--- a/route/targets/plain.go
+++ b/route/targets/plain.go
@@ -68,7 +68,7 @@
 		p.picker.Finished(choice.Replica, balance.Result{Cost: 1, Failure: health.Canceled})
 		return Target{}, ErrNoEndpoint
 	}
-	return Target{Replica: r.ID, Address: r.Address, Domain: r.Domain, MostConns: conns}, nil
+	return Target{Replica: r.ID, Address: r.Address, Domain: r.Domain, MostConns: conns, Choice: &choice}, nil
 }
 
 // Ended implements Targets.
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -9,6 +9,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/paths"
 )
@@ -51,6 +52,8 @@
 	MostConns int
 	// Flight is set for paths.
 	Flight *Flight
+	// Choice is what a balancer weighed; nil for paths.
+	Choice *balance.Choice
 }
 
 // ReplicaAt is the replica of the target's path at an address, or "".
--- a/route/upstream/exchange.go
+++ b/route/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
 )
 
 // Request is one request to one endpoint.
@@ -68,6 +70,18 @@
 	return errors.As(err, &f) && f.NotSent
 }
 
+// RefusalFailure says what an endpoint's own refusal before work means. Only
+// 429 is a plea for less load, which must not be answered by sending the call
+// elsewhere at once. Any other refusal says that this endpoint can't serve, such
+// as an engine whose next stage is gone; others can, and a caller who were told
+// to come back later would wait for nothing.
+func RefusalFailure(status int) health.Failure {
+	if status == http.StatusTooManyRequests {
+		return health.Overloaded
+	}
+	return health.Unreachable
+}
+
 const (
 	// maxStrays bounds the answers to other requests that are passed over on one
 	// connection. An endpoint that answers twice sends one.
@@ -206,6 +220,32 @@
 	return n, &Failure{Address: e.address, Silent: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
 }
 
+// ErrLong is the error of ReadAll for a body that does not end within its bound.
+var ErrLong = errors.New("the answer is longer than is held")
+
+// ReadAll reads the body to its end. It fails if a part of it takes longer than the
+// time, and with ErrLong and what it has read if there are most bytes or more.
+func (e *Exchange) ReadAll(most int, within time.Duration) ([]byte, error) {
+	deadline := e.pool.now().Add(within)
+	body := make([]byte, 0, max(512, min(int(e.ContentLength), most)))
+	for {
+		if len(body) >= most {
+			return body, ErrLong
+		}
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := e.Read(body[len(body):cap(body)], deadline.Sub(e.pool.now()))
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // Keep ends the exchange; if the answer was read whole and nothing follows it, its
 // connection is kept for the given time. Close must still be called.
 func (e *Exchange) Keep(keepFor time.Duration) {
--- /dev/null
+++ b/route/upstream/main_test.go
@@ -0,0 +1,9 @@
+package upstream
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/route/upstream/once_test.go
@@ -0,0 +1,148 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+)
+
+// fickle is an endpoint that answers the first request, keeps the connection, and reads
+// every order without answering it: it closes the connection instead. dies makes the
+// first order its last request: its address refuses from then on.
+type fickle struct {
+	listener net.Listener
+	orders   atomic.Int64
+	dies     bool
+}
+
+func startFickle(t *testing.T, dies bool) *fickle {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fickle{listener: listener, dies: dies}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(conn)
+		}
+	}()
+	return f
+}
+
+func (f *fickle) serve(conn net.Conn) {
+	defer conn.Close()
+	requests := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		if r.Method == http.MethodPost {
+			f.orders.Add(1)
+			if f.dies {
+				f.listener.Close()
+			}
+			return
+		}
+		respond(conn, r.Header.Get("Id"), "")
+	}
+}
+
+// warm leaves a kept connection to the endpoint.
+func (f *fickle) warm(t *testing.T, pool *Pool) {
+	t.Helper()
+	e, err := pool.Send(context.Background(), request(f.listener.Addr().String(), "warm"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := body(e); err != nil {
+		t.Fatal(err)
+	}
+	e.Keep(time.Minute)
+	if pool.Open() != 1 {
+		t.Fatal("the connection was not kept")
+	}
+}
+
+// The caller sees "unknown" and a second bag of flour on its bill: the endpoint reads
+// an order on a kept connection and closes it without an answer, and the standard
+// transport, for which Idempotency-Key is leave to do so, sends the order again by
+// itself. Here it reaches the endpoint once, with a connection of its own or without.
+func TestOrderOnABrokenConnectionArrivesOnce(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		f := startFickle(t, false)
+		pool := New(time.Now)
+		f.warm(t, pool)
+		r := request(f.listener.Addr().String(), "a")
+		r.Method, r.Body, r.Fresh = http.MethodPost, []byte("flour"), fresh
+		r.Header.Set("Idempotency-Key", "tuesday")
+		if _, err := pool.Send(context.Background(), r); err == nil || NotSent(err) {
+			t.Errorf("fresh %t: got %v, want an error that does not claim not sent", fresh, err)
+		}
+		if n := f.orders.Load(); n != 1 {
+			t.Errorf("fresh %t: the order arrived %d times", fresh, n)
+		}
+		pool.Close()
+	}
+}
+
+// The caller must not be told "not run": an endpoint reads a request on a kept
+// connection, does its work and dies. Were the request sent again unseen, that second
+// try would end in a refused connection, which alone would prove that nothing ran.
+func TestDeathAfterReadingProvesNothing(t *testing.T) {
+	f := startFickle(t, true)
+	pool := New(time.Now)
+	defer pool.Close()
+	f.warm(t, pool)
+	r := request(f.listener.Addr().String(), "a")
+	r.Method, r.Body = http.MethodPost, []byte("flour")
+	if _, err := pool.Send(context.Background(), r); err == nil || NotSent(err) {
+		t.Errorf("after %d arrived: got %v, which must not claim not sent", f.orders.Load(), err)
+	}
+}
+
+// A caller who had gone before is found gone; nothing reaches the endpoint.
+func TestCallerWhoHadGone(t *testing.T) {
+	f := startFickle(t, false)
+	pool := New(time.Now)
+	defer pool.Close()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := request(f.listener.Addr().String(), "a")
+	r.Method, r.Fresh = http.MethodPost, true
+	if _, err := pool.Send(gone, r); !errors.Is(err, context.Canceled) || f.orders.Load() != 0 {
+		t.Errorf("got %v; %d arrived", err, f.orders.Load())
+	}
+}
+
+// Close leaves no connection behind, however long it was to be kept.
+func TestCloseEndsIdleConnections(t *testing.T) {
+	f := startFickle(t, false)
+	pool := New(time.Now)
+	f.warm(t, pool)
+	pool.Close()
+	if pool.Open() != 0 {
+		t.Errorf("%d connections left open", pool.Open())
+	}
+}
+
+func TestRefusalFailure(t *testing.T) {
+	for status, want := range map[int]health.Failure{429: health.Overloaded, 503: health.Unreachable, 421: health.Unreachable} {
+		if got := RefusalFailure(status); got != want {
+			t.Errorf("%d: %v, want %v", status, got, want)
+		}
+	}
+}
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -154,8 +154,20 @@
 // Prune closes idle connections that are past their time. It is called now and
 // then.
 func (p *Pool) Prune() {
-	now := p.now()
-	for address, c := range p.expired(now) {
+	p.closeIdle(p.now())
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.closeIdle(p.now().Add(forever))
+}
+
+// forever is longer than any connection is kept.
+const forever = 24 * time.Hour
+
+// closeIdle closes the idle connections whose time is past at a given one.
+func (p *Pool) closeIdle(at time.Time) {
+	for address, c := range p.expired(at) {
 		for _, each := range c {
 			p.discard(address, each)
 		}
