Streams that lose a part go on in another failure domain where the links are busy

Cause: a replica that alone holds some layers of its failure domain takes all streams of the domain with it, dozens. Excluded: detection (87 to 103 ms after the last event), orders (taken at once), room elsewhere (found for all). Change: decide/detour weighs the wait for the links against going on whole in another domain, for which a path is booked and a try paid before the attempt is ended; links are charged when a way is chosen. 0.8 of the allowance of tries may be saved up (0.5), since half of the streams found it spent. A first replica is replaced only by one that the route's number of replicas allows, and never for a stream that can't be resumed.

--- a/node/site/services.go
+++ b/node/site/services.go
@@ -69,13 +69,15 @@
 	for _, r := range list {
 		byService[r.Service] = append(byService[r.Service], r)
 	}
+	near, all := s.node.peers(s.node.settings.Domain)
 	for _, service := range rules.Services() {
 		replicas := byService[service.Name]
 		if service.Model != nil {
-			s.model(service.Name).Update(service.Model, replicas, s.node.share, s.node.conns(service))
+			s.model(service.Name).Update(service.Model, replicas, targets.Part{
+				Share: s.node.share, Conns: s.node.conns(service), Near: max(1, len(near)),
+			})
 			continue
 		}
-		near, all := s.node.peers(s.node.settings.Domain)
 		s.plainOf(service.Name).Update(replicas, s.node.conns(service), near, all)
 	}
 }
@@ -228,13 +230,18 @@
 	budgetPart = 0.8
 	// startNodes is how many nodes one that knows of no others reckons with.
 	startNodes = 12
+	// savedPart of a node's allowance may be saved up; the rest is earned over the
+	// window. Tries are needed many at once, when a replica is lost under all streams
+	// of a failure domain, and seldom else: with a half saved, half of those streams
+	// found the budget spent and waited for the links between domains.
+	savedPart = 0.8
 )
 
 // newBudget is this node's part of the tries beyond the first that all nodes may
 // send to a service in a window. In any window a budget gives what it held and what
-// it earned, so it holds one half and earns the other over the window; and a node
-// that starts holds little, or a fleet that is restarted one by one would have twice
-// the allowance.
+// it earned, so what it may hold and what it earns by time make up the allowance; and a
+// node that starts holds little, or a fleet that is restarted one by one would have
+// twice the allowance.
 func (n *Node) newBudget() *budget.Budget {
 	b := n.bounds()
 	_, all := n.peers("")
@@ -243,7 +250,7 @@
 	}
 	part := b.RetrySlack * budgetPart / float64(all)
 	return budget.New(retry.Config{
-		Share: b.RetryRatio * budgetPart, Burst: math.Max(2, part/2), Start: part / 8,
-		Floor: part / 2 / b.RetryWindow.Seconds(), Seed: n.seed,
+		Share: b.RetryRatio * budgetPart, Burst: math.Max(2, part*savedPart), Start: part / 8,
+		Floor: part * (1 - savedPart) / b.RetryWindow.Seconds(), Seed: n.seed,
 	}, time.Now)
 }
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -57,6 +57,8 @@
 	// answer is a whole answer, or the endpoint's own failure, to be passed on if
 	// nothing better comes.
 	answer *Answer
+	// next is where the request goes on, if that is booked and paid for.
+	next *targets.Target
 }
 
 // notRun says whether the try provably did not run.
@@ -75,12 +77,13 @@
 // serve tries until there is an answer or a reason to give up. It returns neither if
 // the answer was passed on as it came.
 func (q *request) serve() (*Answer, *outcome.Refusal) {
+	var v verdict
 	for {
-		target, err := q.choose()
+		target, err := q.choose(v.next)
 		if err != nil {
 			return q.giveUp(err)
 		}
-		v := q.try(target)
+		v = q.try(target)
 		if v.end == endWhole {
 			q.Budget.Success()
 			return v.answer, nil
@@ -126,9 +129,12 @@
 	q.record(d)
 }
 
-// choose asks for a target. A stream goes on at as many replicas as its route allows;
+// choose takes the target that is booked, or asks for one. A stream goes on at as many replicas as its route allows;
 // after that at those that it has been at.
-func (q *request) choose() (targets.Target, error) {
+func (q *request) choose(booked *targets.Target) (targets.Target, error) {
+	if booked != nil {
+		return *booked, nil
+	}
 	wait := q.s.Now()
 	query := targets.Query{
 		Tokens: q.tokens(), Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
@@ -361,6 +367,8 @@
 // mayRetry asks the budget. Tries that were not sent cost the endpoints nothing.
 func (q *request) mayRetry(v verdict) retry.Decision {
 	switch {
+	case v.next != nil:
+		return retry.Decision{Retry: true, Reason: retry.Allowed}
 	case q.sends >= maxSends, len(q.ran) >= q.Route.MaxReplicas && q.Route.Kind != ruleset.Stream:
 		return retry.Decision{Reason: retry.TooManyAttempts}
 	case v.end == endNotSent:
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/detour"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
@@ -36,10 +39,18 @@
 	// looks counts the looks at the path since.
 	looks atomic.Int32
 
+	// others are the replicas that may go on with the request in place of the first:
+	// mayReplace if that is lost, mayMove also if it is only slower.
+	others              targets.Others
+	mayReplace, mayMove bool
+
 	mu      sync.Mutex
 	busy    bool
 	stopped bool
-	why     string // why the attempt was ended from here
+	// next, if set, is booked for the try after this one, which was ended from here;
+	// why says for what reason.
+	next *targets.Target
+	why  string
 }
 
 func (a *attempt) watch(ctx context.Context, cancel context.CancelFunc) *watch {
@@ -47,6 +58,7 @@
 	if a.target.Flight == nil {
 		return w
 	}
+	w.permit(a.q)
 	w.timer = time.AfterFunc(a.q.Route.Objective/silenceParts, w.silent)
 	a.target.Flight.Watch(
 		func(replica string) { w.lead("a part of the path is lost: "+replica, false) },
@@ -55,6 +67,23 @@
 	return w
 }
 
+// permit says who may go on with the request after the attempt that is about to begin.
+// A stream that can't be resumed stays where it is. One that was handed to as many
+// replicas as its route allows may go back to one of those, if its present first replica
+// is lost; speed alone is no reason then.
+func (w *watch) permit(q *request) {
+	if !q.Route.Idempotent() {
+		return
+	}
+	if len(q.ran)+1 < q.Route.MaxReplicas {
+		w.others.Exclude = slices.Clone(q.tried)
+		w.mayReplace, w.mayMove = true, q.sends < maxSends
+		return
+	}
+	w.others.FirstOf = slices.Clone(q.ran)
+	w.mayReplace = len(q.ran) > 0
+}
+
 // heard notes that events have come.
 func (w *watch) heard() {
 	w.last.Store(int64(w.a.q.s.Now().Sub(w.a.begun)))
@@ -80,7 +109,12 @@
 func (w *watch) stop() {
 	w.mu.Lock()
 	w.stopped = true
+	next := w.next
+	w.next = nil
 	w.mu.Unlock()
+	if next != nil {
+		w.release(*next)
+	}
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -131,11 +165,11 @@
 	deadAfter = 700 * time.Millisecond
 )
 
-// lead sends the request around what is lost. While there is no way around, the
-// request stays where it is: the first replica still has it, and to end the answer
-// from here would lose what may yet go on. Only if the first replica itself is lost
-// is the attempt ended, so that another can go on with the request. A part that is
-// only about to leave is worth a way around in the same failure domains.
+// lead has the request go on although a part of its path is lost or leaves. While there
+// is no way, the request stays where it is: the first replica still has it, and to end
+// the answer from here would lose what may yet go on. The attempt is ended only where
+// another first replica has been booked to go on with it. A part that is only about to
+// leave is worth a way around in the same failure domains.
 func (w *watch) lead(why string, leaving bool) {
 	if !w.take() {
 		return
@@ -143,11 +177,11 @@
 	defer w.give()
 	flight := w.a.target.Flight
 	for try := 0; w.ctx.Err() == nil; try++ {
-		if !leaving && w.mayEnd(flight) {
-			w.end(why)
-			return
-		}
-		if path := flight.Detour(leaving); path != nil && w.detour(path, why) {
+		if leaving {
+			if path := flight.Near(); path != nil && w.detour(path, why) {
+				return
+			}
+		} else if w.replaceFirst(flight, why) || w.goOn(flight, why) {
 			return
 		}
 		if leaving && try >= maxDetours || try >= maxTries || !pause(w.ctx, detourPause) {
@@ -159,11 +193,65 @@
 	}
 }
 
-// mayEnd says whether to give up the first replica: it looks dead, and another can go
-// on now. Without one the answer would be lost for certain; as it is, the replica may
-// yet go on.
-func (w *watch) mayEnd(flight *targets.Flight) bool {
-	return flight.FirstLost() && w.silentFor() >= deadAfter && w.a.q.Budget.Left() && flight.Elsewhere()
+// replaceFirst has another replica go on if the first one looks dead and one can go on
+// now. Without one the answer would be lost for certain; as it is, the replica may yet
+// go on.
+func (w *watch) replaceFirst(flight *targets.Flight, why string) bool {
+	if !w.mayReplace || !flight.FirstLost() || w.silentFor() < deadAfter || !w.a.q.Budget.Left() {
+		return false
+	}
+	next, ok := flight.Elsewhere(w.others)
+	return ok && w.move(next, why)
+}
+
+// movedAfter is the silence after which a request is moved away from a first replica
+// that lives: above the usual pause between events, so that where the part was not lost
+// after all the request is left in peace.
+const movedAfter = 70 * time.Millisecond
+
+// goOn has the request go on around the lost part or, if that would take longer, at
+// another first replica.
+func (w *watch) goOn(flight *targets.Flight, why string) bool {
+	way, path, next := flight.GoOn(w.mayMove && w.a.q.Budget.Left(), w.others)
+	if way == detour.Elsewhere {
+		if w.quiet() && w.move(next, why+"; another failure domain goes on sooner") {
+			return true
+		}
+		w.release(next)
+		if w.ctx.Err() != nil {
+			return true
+		}
+		_, path, _ = flight.GoOn(false, w.others)
+	}
+	return path != nil && w.detour(path, why)
+}
+
+// quiet waits until the stream has been silent for movedAfter. It returns false if
+// events have come meanwhile, or the attempt has ended.
+func (w *watch) quiet() bool {
+	before := w.last.Load()
+	if left := movedAfter - w.silentFor(); left > 0 && !pause(w.ctx, left) {
+		return false
+	}
+	return w.last.Load() == before
+}
+
+// move pays for a further try and ends the attempt in favour of the next target. It
+// returns false if the budget is spent.
+func (w *watch) move(next targets.Target, why string) bool {
+	paid := w.a.q.Budget.Allow(retry.Attempt{
+		Made: 1, Failure: health.Broken, Repeatable: true, Deadline: w.a.q.Deadline, Alternatives: 1,
+	})
+	if !paid.Retry {
+		return false
+	}
+	w.end(why, next)
+	return true
+}
+
+// release gives back what was booked for a try that is not made.
+func (w *watch) release(next targets.Target) {
+	w.a.q.Targets.Ended(next, targets.Result{Failure: health.Canceled})
 }
 
 // detour orders the first replica to go on along another path. It says whether the
@@ -238,21 +326,30 @@
 	w.busy = false
 }
 
-// end ends the attempt from this side.
-func (w *watch) end(why string) {
+// end ends the attempt from this side in favour of the next target.
+func (w *watch) end(why string, next targets.Target) {
 	w.mu.Lock()
-	w.why = why
+	over := w.stopped
+	if !over {
+		w.why, w.next = why, &next
+	}
 	w.mu.Unlock()
+	if over {
+		w.release(next)
+		return
+	}
 	w.cancel()
 }
 
 // judge corrects the verdict of an attempt that was ended from here: neither its
-// caller nor its deadline ended it.
+// caller nor its deadline ended it, and the next target is booked and paid for.
 func (w *watch) judge(v verdict) verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.why == "" || v.end == endWhole || w.a.q.ctx.Err() != nil {
+	if w.next == nil || v.end == endWhole || w.a.q.ctx.Err() != nil {
 		return v
 	}
-	return verdict{end: endUnknown, detail: w.why, result: targets.Result{Failure: health.Broken}}
+	next := w.next
+	w.next = nil
+	return verdict{end: endUnknown, detail: w.why, result: targets.Result{Failure: health.Broken}, next: next}
 }
--- a/route/ruleset/ruleset.go
+++ b/route/ruleset/ruleset.go
@@ -90,6 +90,10 @@
 	LayerMB float64
 	// TokenLayerBytes is the memory of one token in one layer.
 	TokenLayerBytes float64
+	// CrossBytes is what one token passes on from a replica to the next, and
+	// LinkBytesPerSecond what the links between failure domains carry for all; zero for
+	// no bound.
+	CrossBytes, LinkBytesPerSecond float64
 	// StepMillis is the time of one step through all layers on a card of pace 1.
 	StepMillis float64
 	// LoadTime is the time to load all layers' weights onto one replica.
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -1,8 +1,10 @@
 package targets
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/detour"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
 )
@@ -107,15 +109,74 @@
 	return f.model.book.Suspected(f.path[0].Replica)
 }
 
-// Elsewhere says whether the request could go on now at another first replica.
-func (f *Flight) Elsewhere() bool {
+// Others says which replicas may be handed a request that is underway.
+type Others struct {
+	// Exclude names replicas that failed it.
+	Exclude []string
+	// FirstOf, if not empty, names the only ones that may.
+	FirstOf []string
+}
+
+// Elsewhere books a path for the request that begins at another first replica, if it
+// could go on there now. The target needs one Ended.
+func (f *Flight) Elsewhere(o Others) (Target, bool) {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	_, reason := m.book.Choose(m.now(), paths.Query{
-		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: f.tokens, Exclude: []string{f.path[0].Replica},
+	path := f.elsewhere(m.now(), o)
+	if path == nil {
+		return Target{}, false
+	}
+	return m.begin(path, f.tokens), true
+}
+
+// elsewhere is a path that begins at another first replica, or nil. The caller holds
+// the lock.
+func (f *Flight) elsewhere(now time.Time, o Others) paths.Path {
+	m := f.model
+	whole := layers.Span{To: m.layers}
+	path, reason := m.book.Choose(now, paths.Query{
+		Domain: m.domain, Run: whole, Tokens: f.tokens,
+		Exclude: append(slices.Clone(o.Exclude), f.path[0].Replica), FirstOf: o.FirstOf,
 	})
-	return reason == paths.Found
+	if reason != paths.Found || !path.Runs(whole) {
+		return nil
+	}
+	return path
+}
+
+// GoOn chooses how the request goes on after a part of its path was lost: around it,
+// along the path, or at another first replica, for which the target is booked and needs
+// one Ended. elsewhere says whether another may go on with it.
+func (f *Flight) GoOn(elsewhere bool, o Others) (detour.Way, paths.Path, Target) {
+	m := f.model
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	around := f.around(now)
+	load := f.load(around)
+	way := m.links.Decide(now, around != nil, load, elsewhere)
+	if way == detour.Elsewhere {
+		if path := f.elsewhere(now, o); path != nil && crossings(path) == 0 {
+			return way, nil, m.begin(path, f.tokens)
+		}
+		way = m.links.Decide(now, around != nil, load, false)
+	}
+	if way == detour.Around && load.Bytes > 0 {
+		// Not once the order is taken: those that lose their part together decide together.
+		m.links.Crossed(now, load)
+	}
+	return way, around, Target{}
+}
+
+// load is what a way around sends over the links between failure domains. The caller
+// holds the lock.
+func (f *Flight) load(around paths.Path) detour.Load {
+	m := f.model
+	added := max(0, crossings(around)-crossings(f.path))
+	return detour.Load{
+		Bytes: float64(added) * f.tokens * m.crossBytes, PerSecond: m.crossPerSecond, Nodes: m.part.Near,
+	}
 }
 
 // StillLeaving notes that no way was found around a part that leaves: the next list
@@ -133,15 +194,24 @@
 	return f.path
 }
 
-// Detour chooses a path that begins as the present one does and avoids what can't
-// be used. It returns nil if there is none. near asks for one that stays in the
-// failure domains of the present path.
-func (f *Flight) Detour(near bool) paths.Path {
+// Near chooses a path around a part that leaves, which crosses failure domains no more
+// often than the present one. It returns nil if there is none.
+func (f *Flight) Near() paths.Path {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	path := f.around(m.now())
+	if path == nil || crossings(path) > crossings(f.path) {
+		return nil
+	}
+	return path
+}
+
+// around is a path that begins as the present one does and avoids what can't be used,
+// or nil. The caller holds the lock.
+func (f *Flight) around(now time.Time) paths.Path {
+	m := f.model
 	first := f.path[0]
-	now := m.now()
 	if first.Run.To == m.layers {
 		return nil
 	}
@@ -153,7 +223,7 @@
 		return nil
 	}
 	path := append(paths.Path{first}, rest...)
-	if !path.Runs(layers.Span{To: m.layers}) || near && crossings(path) > crossings(f.path) {
+	if !path.Runs(layers.Span{To: m.layers}) {
 		return nil
 	}
 	return path
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/detour"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/route/roster"
@@ -23,12 +24,16 @@
 	domain string
 	now    func() time.Time
 
-	mu      sync.Mutex
-	layers  int
-	conns   int
-	book    *paths.Book
-	flights map[*Flight]struct{}
-	waiting []*waiter // by rank, then by arrival
+	mu     sync.Mutex
+	layers int
+	part   Part
+	book   *paths.Book
+	// links is what this node's detours have sent between failure domains; a token
+	// sends crossBytes each time, of crossPerSecond that all share.
+	links                      detour.Links
+	crossBytes, crossPerSecond float64
+	flights                    map[*Flight]struct{}
+	waiting                    []*waiter // by rank, then by arrival
 }
 
 type waiter struct {
@@ -56,18 +61,28 @@
 	}
 }
 
-// Update puts a new list in force. share says which part of a failure domain's room
-// is this node's; conns bounds its connections to each replica.
-func (m *Model) Update(model *ruleset.Model, list []*roster.Replica, share func(domain string) float64, conns int) {
+// Part is this node's part of what all nodes use.
+type Part struct {
+	// Share is of a failure domain's room.
+	Share func(domain string) float64
+	// Conns bounds this node's connections to each replica; zero for no bound.
+	Conns int
+	// Near is how many nodes there are in its failure domain.
+	Near int
+}
+
+// Update puts a new list in force.
+func (m *Model) Update(model *ruleset.Model, list []*roster.Replica, part Part) {
 	replicas := make([]paths.Replica, 0, len(list))
 	for _, r := range list {
 		replicas = append(replicas, pathReplica(model, r))
 	}
 	m.mu.Lock()
-	m.layers, m.conns = model.Layers, conns
+	m.layers, m.part = model.Layers, part
+	m.crossBytes, m.crossPerSecond = model.CrossBytes, model.LinkBytesPerSecond
 	m.book.Update(replicas)
 	for _, r := range list {
-		m.book.SetShare(r.Domain, share(r.Domain))
+		m.book.SetShare(r.Domain, part.Share(r.Domain))
 	}
 	m.wakeOne()
 	lost := m.stranded()
@@ -156,7 +171,7 @@
 	m.flights[f] = struct{}{}
 	return Target{
 		Replica: path[0].Replica, Address: path[0].Address, Domain: path[0].Domain,
-		Path: path, MostConns: m.conns, Flight: f,
+		Path: path, MostConns: m.part.Conns, Flight: f,
 	}
 }
 
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/detour"
+	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
@@ -21,12 +24,17 @@
 	return &roster.Replica{ID: id, Address: id, Domain: "d", Kind: "l4", Holds: layers.Span{From: from, To: to}}
 }
 
+// all is the part of a node that is alone.
+func all(conns int) Part {
+	return Part{Share: func(string) float64 { return 1 }, Conns: conns, Near: 1}
+}
+
 // halves is a model whose two halves are held twice each. A half has room for 25,000
 // tokens: 100 MB beside four layers, at 4,000 bytes a token.
 func halves() *Model {
 	m := NewModel("d", 1, time.Now)
 	m.Update(llm, []*roster.Replica{part("a1", 0, 4), part("a2", 0, 4), part("b1", 4, 8), part("b2", 4, 8)},
-		func(string) float64 { return 1 }, 10)
+		all(10))
 	return m
 }
 
@@ -145,7 +153,7 @@
 	target := take(t, m, 100)
 	lost := target.Path[1].Replica
 	m.Suspect(lost)
-	path := target.Flight.Detour(true)
+	path := target.Flight.Near()
 	if len(path) != 2 || path[0] != target.Path[0] || path[1].Replica == lost {
 		t.Fatalf("%v around %s", path, lost)
 	}
@@ -165,12 +173,20 @@
 func TestElsewhere(t *testing.T) {
 	m := halves()
 	target := take(t, m, 20000)
-	if !target.Flight.Elsewhere() {
-		t.Error("the other half is free")
+	next, ok := target.Flight.Elsewhere(Others{})
+	if !ok || next.Replica == target.Replica {
+		t.Fatalf("%v, %t: the other half is free", next, ok)
+	}
+	if _, ok := target.Flight.Elsewhere(Others{}); ok {
+		t.Error("the other half is booked, and given to two")
+	}
+	m.Ended(next, Result{Failure: health.Canceled})
+	if _, ok := target.Flight.Elsewhere(Others{Exclude: []string{next.Replica}}); ok {
+		t.Error("the other half has failed this request")
 	}
 	other := map[string]string{"a1": "a2", "a2": "a1"}[target.Replica]
 	m.Suspect(other)
-	if target.Flight.Elsewhere() {
+	if _, ok := target.Flight.Elsewhere(Others{}); ok {
 		t.Error("the only other first replica is out of reach")
 	}
 }
@@ -187,7 +203,7 @@
 	for _, r := range list {
 		r.Draining = r.ID == leaving
 	}
-	update := func() { m.Update(llm, list, func(string) float64 { return 1 }, 10) }
+	update := func() { m.Update(llm, list, all(10)) }
 	update()
 	if got := <-told; got != leaving {
 		t.Errorf("told of %s", got)
@@ -202,3 +218,46 @@
 		t.Error("told again without having come back")
 	}
 }
+
+// The only holder of some layers of a failure domain dies under six streams. Led around
+// through the other domain, each would send its prompt over the links, one behind the
+// other: the first two may, the others go on whole in the other domain.
+func TestStreamsGoOnElsewhereWhenLinksAreBusy(t *testing.T) {
+	far := func(id string, from, to int) *roster.Replica {
+		r := part(id, from, to)
+		r.Domain = "far"
+		return r
+	}
+	crossing := *llm
+	// A stream of 1,000 tokens takes 50 ms to cross.
+	crossing.CrossBytes, crossing.LinkBytesPerSecond = 1000, 2e7
+	m := NewModel("d", 1, time.Now)
+	list := []*roster.Replica{part("a", 0, 4), part("b", 4, 8), far("x", 0, 4), far("y", 4, 8)}
+	m.Update(&crossing, list, all(10))
+	var flights []Target
+	for range 6 {
+		flights = append(flights, take(t, m, 1000))
+	}
+	m.Suspect("b")
+	var ways []detour.Way
+	for _, target := range flights {
+		way, path, next := target.Flight.GoOn(true, Others{})
+		ways = append(ways, way)
+		if way == detour.Around {
+			if path == nil {
+				t.Error("no path")
+			}
+			continue
+		}
+		if next.Replica != "x" || next.Domain != "far" {
+			t.Errorf("it goes on at %+v", next)
+		}
+	}
+	want := []detour.Way{detour.Around, detour.Around, detour.Elsewhere, detour.Elsewhere, detour.Elsewhere, detour.Elsewhere}
+	if !slices.Equal(ways, want) {
+		t.Errorf("%v, want %v", ways, want)
+	}
+	if way, path, _ := flights[1].Flight.GoOn(false, Others{}); way != detour.Around || path == nil {
+		t.Errorf("one that may not be moved: %v %v", way, path)
+	}
+}
