--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -12,7 +12,7 @@
 	"os"
 	"slices"
 
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/front"
 )
@@ -37,30 +37,49 @@
 }
 
 func (c *statusCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
-	var s server.Status
-	if err := args.get(ctx, c.Node+"/v1/status", operators(args), &s); err != nil {
+	var s operators.Status
+	if err := args.get(ctx, c.Node+operators.PathStatus, asOperator(args), &s); err != nil {
 		return err
 	}
+	printStatus(out, s)
+	return nil
+}
+
+func printStatus(out io.Writer, s operators.Status) {
 	state := "ready"
 	if !s.Ready {
 		state = "not ready: " + s.Reason
 	}
-	fmt.Fprintf(out, "%s  %s/%s  %s  %s\n", s.Name, s.Environment, s.Slot, s.FailureDomain, state)
-	fmt.Fprintf(out, "revision %d  digest %s  underway %d  watching the store: %t\n", s.Revision, s.Digest, s.Underway, s.Watching)
+	fmt.Fprint(out, s.Name)
+	if s.Environment != "" {
+		fmt.Fprintf(out, "  %s/%s", s.Environment, s.Slot)
+	}
+	fmt.Fprintf(out, "  %s  %s\nrevision %d", s.FailureDomain, state, s.Revision)
+	if s.Digest != "" {
+		fmt.Fprintf(out, "  digest %s  watching the store: %t", s.Digest, s.Watching)
+	}
+	if s.ProofMillis > 0 {
+		fmt.Fprintf(out, "  proved %d ms ago", s.ProofMillis)
+	}
+	fmt.Fprintf(out, "  underway %d\n", s.Underway)
 	for _, m := range s.Members {
 		fmt.Fprintf(out, "member %-16s %-12s %-9s %s\n", m.Name, m.FailureDomain, m.State, m.Address)
 	}
-	for _, name := range sorted(s.Services) {
-		fmt.Fprintf(out, "service %-15s usable slots %d\n", name, s.Services[name])
+	for _, name := range sorted(s.Slots) {
+		fmt.Fprintf(out, "service %-15s usable slots %d\n", name, s.Slots[name])
+	}
+	for _, name := range sorted(s.Replicas) {
+		fmt.Fprintf(out, "service %-15s replicas", name)
+		for _, state := range sorted(s.Replicas[name]) {
+			fmt.Fprintf(out, " %s %d", state, s.Replicas[name][state])
+		}
+		fmt.Fprintln(out)
 	}
-	return nil
 }
 
 func (c *explainCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
-	var reply struct {
-		Decisions []decision.Decision `json:"decisions"`
-	}
-	if err := args.get(ctx, c.Node+"/v1/explain/"+url.PathEscape(c.Request), operators(args), &reply); err != nil {
+	var reply operators.Explanation
+	if err := args.get(ctx, c.Node+operators.PathExplain+url.PathEscape(c.Request), asOperator(args), &reply); err != nil {
 		return err
 	}
 	for _, d := range reply.Decisions {
@@ -78,6 +97,11 @@
 	for _, a := range d.Alternatives {
 		fmt.Fprintf(out, "; instead of %s (score %.3f)", a.Name, a.Score)
 	}
+	for _, n := range d.Notes {
+		if n.Text != "" {
+			fmt.Fprintf(out, "; %s %s", n.Name, n.Text)
+		}
+	}
 	for _, name := range sorted(d.Figures) {
 		fmt.Fprintf(out, "; %s %.4g", name, d.Figures[name])
 	}
@@ -85,7 +109,7 @@
 }
 
 func (c *drainCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
-	if _, err := args.call(ctx, http.MethodPost, c.Node+"/v1/drain", operators(args), http.StatusAccepted); err != nil {
+	if _, err := args.call(ctx, http.MethodPost, c.Node+"/v1/drain", asOperator(args), http.StatusAccepted); err != nil {
 		return err
 	}
 	fmt.Fprintln(out, "draining; the process ends when its last request has")
@@ -115,7 +139,7 @@
 	key, hint string
 }
 
-func operators(args *arguments) caller {
+func asOperator(args *arguments) caller {
 	return caller{key: args.OperatorKey, hint: "give the key with --operator-key or CICADATACK_OPERATOR_KEY"}
 }
 
--- /dev/null
+++ b/node/operators/operators.go
@@ -0,0 +1,77 @@
+// Package operators is what operators ask of a node, behind whichever doors it serves:
+// its state, and why it decided what it did about a request.
+package operators
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cicadatack/cicadatack/route/decision"
+)
+
+// Paths of the calls.
+const (
+	PathStatus  = "/v1/status"
+	PathExplain = "/v1/explain/"
+)
+
+// Status is a node's answer to GET /v1/status.
+type Status struct {
+	Name string `json:"name"`
+	// Environment, Slot and Digest are of the document in force; "" on the users'
+	// platform, whose operator writes one configuration.
+	Environment   string `json:"environment,omitempty"`
+	Slot          string `json:"slot,omitempty"`
+	FailureDomain string `json:"failure_domain"`
+	Ready         bool   `json:"ready"`
+	Reason        string `json:"reason,omitempty"`
+	Draining      bool   `json:"draining"`
+	// Revision is the version of the document or configuration in force.
+	Revision int64  `json:"revision"`
+	Digest   string `json:"digest,omitempty"`
+	// ProofMillis is the age of the proof that the configuration is the newest; left
+	// out where none is needed.
+	ProofMillis int64    `json:"proof_age_ms,omitempty"`
+	Underway    int64    `json:"underway"`
+	Watching    bool     `json:"watching"`
+	Members     []Member `json:"members"`
+	// Slots are those that this node may use of each service; Replicas how many of each
+	// service it knows in each state, where it does not reckon in slots.
+	Slots    map[string]int            `json:"usable_slots,omitempty"`
+	Replicas map[string]map[string]int `json:"replicas,omitempty"`
+}
+
+// Member is one entry VM as the node sees it.
+type Member struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	Incarnation   int64  `json:"incarnation,omitempty"`
+}
+
+// Explanation is a node's answer to GET /v1/explain/{request}.
+type Explanation struct {
+	Decisions []decision.Decision `json:"decisions"`
+}
+
+// Mount adds the calls to a router. status tells the node's state now.
+func Mount(r chi.Router, status func() Status, decisions *decision.Log) {
+	r.Get(PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, status()) })
+	r.Get(PathExplain+"{request}", func(w http.ResponseWriter, r *http.Request) {
+		found := decisions.Explain(chi.URLParam(r, "request"))
+		if found == nil {
+			http.Error(w, "this node remembers no decision about that request", http.StatusNotFound)
+			return
+		}
+		writeJSON(w, Explanation{found})
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The operator may have gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/platform/directory"
 )
 
@@ -37,14 +38,39 @@
 	directory.Answer(w, addresses, min(n.timing.EntryTTL, n.bounds().EntryTTL))
 }
 
-// operators serves metrics and the node's state.
-func (n *Node) operators() http.Handler {
+// operatorsDoor serves metrics, the node's state and its decisions.
+func (n *Node) operatorsDoor() http.Handler {
 	router := chi.NewRouter()
 	router.Method(http.MethodGet, "/metrics", n.metrics.Handler())
 	router.Get("/state", n.serveState)
+	operators.Mount(router, n.status, n.decisions)
 	return router
 }
 
+// status is the node's state for operators.
+func (n *Node) status() operators.Status {
+	s := operators.Status{
+		Name: n.settings.Node, FailureDomain: n.settings.Domain, Ready: n.ready() && n.Fresh(), Draining: n.leavingFor() > 0,
+		ProofMillis: n.Age().Milliseconds(), Underway: n.underway.Load(), Replicas: n.countReplicas(),
+	}
+	rules := n.rules.Load()
+	switch {
+	case rules == nil:
+		s.Reason = "no configuration is known yet"
+	case s.Draining:
+		s.Reason = "leaving"
+	case !s.Ready:
+		s.Reason = "the configuration is not proved: the store is out of reach"
+	}
+	if rules != nil {
+		s.Revision = rules.Version
+	}
+	for _, m := range n.members.get() {
+		s.Members = append(s.Members, operators.Member{Name: m.Name, Address: m.Callers, FailureDomain: m.Domain, State: "listed"})
+	}
+	return s
+}
+
 // serveState tells what this node believes.
 func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
 	state := map[string]any{
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 	"net/netip"
-
-	"github.com/cicadatack/cicadatack/route/roster"
 )
 
 // results of a store call, for metrics.
@@ -30,7 +28,7 @@
 	n.metrics.Underway(n.underway.Load())
 	n.metrics.Connections(n.pool.Open())
 	n.metrics.Members("live", len(n.members.get()))
-	n.gaugeReplicas(n.replicas())
+	n.gaugeReplicas()
 	for service, model := range n.services.allModels() {
 		waiting, underway := model.Waiting()
 		n.metrics.Queue(service, waiting, underway)
@@ -40,10 +38,16 @@
 	}
 }
 
-func (n *Node) gaugeReplicas(list []*roster.Replica) {
-	type kind struct{ service, state string }
-	counts := map[kind]int{}
-	for _, r := range list {
+// replicaStates are those that replicas are counted in.
+var replicaStates = []string{"ready", "draining", "empty"}
+
+// countReplicas counts the replicas of each service by state.
+func (n *Node) countReplicas() map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, service := range n.serviceNames() {
+		counts[service] = map[string]int{}
+	}
+	for _, r := range n.replicas() {
 		state := "ready"
 		switch {
 		case r.Draining:
@@ -51,11 +55,17 @@
 		case r.Kind != "" && r.Holds.Empty():
 			state = "empty"
 		}
-		counts[kind{r.Service, state}]++
+		if counts[r.Service] != nil {
+			counts[r.Service][state]++
+		}
 	}
-	for _, service := range n.serviceNames() {
-		for _, state := range []string{"ready", "draining", "empty"} {
-			n.metrics.Replicas(service, state, counts[kind{service, state}])
+	return counts
+}
+
+func (n *Node) gaugeReplicas() {
+	for service, counts := range n.countReplicas() {
+		for _, state := range replicaStates {
+			n.metrics.Replicas(service, state, counts[state])
 		}
 	}
 }
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -198,7 +198,7 @@
 	}{
 		{&n.settings.Ready, http.HandlerFunc(n.serveReady)},
 		{&n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
-		{&n.settings.Control, n.operators()},
+		{&n.settings.Control, n.operatorsDoor()},
 		{&n.settings.Callers, n.counted(n.door)},
 		{&figures, n.metricsDoor()},
 		{&n.peerDoor, n.copy.Handler()},
--- a/proof/bench/control.go
+++ b/proof/bench/control.go
@@ -10,7 +10,7 @@
 
 	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/keep/engineapi"
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
@@ -302,7 +302,7 @@
 		return 0, err
 	}
 	began := time.Now()
-	err := t.waitAll(ctx, func(s server.Status) bool { return s.Revision >= revision })
+	err := t.waitAll(ctx, func(s operators.Status) bool { return s.Revision >= revision })
 	return time.Since(began), err
 }
 
@@ -316,6 +316,6 @@
 		return 0, 0, err
 	}
 	serving = time.Since(n.started)
-	err = n.wait(ctx, func(s server.Status) bool { return s.Ready })
+	err = n.wait(ctx, func(s operators.Status) bool { return s.Ready })
 	return serving, time.Since(n.started), err
 }
--- a/proof/bench/node.go
+++ b/proof/bench/node.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/proof/harness"
 )
@@ -91,8 +91,8 @@
 	n.relay.close()
 }
 
-func (n *node) status(ctx context.Context) (server.Status, error) {
-	var status server.Status
+func (n *node) status(ctx context.Context) (operators.Status, error) {
+	var status operators.Status
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.addresses.Operators+"/v1/status", nil)
 	if err != nil {
 		return status, Error.Wrap(err)
@@ -106,7 +106,7 @@
 }
 
 // wait waits until the node's state fits.
-func (n *node) wait(ctx context.Context, fits func(server.Status) bool) error {
+func (n *node) wait(ctx context.Context, fits func(operators.Status) bool) error {
 	for {
 		status, err := n.status(ctx)
 		if err == nil && fits(status) {
@@ -120,7 +120,7 @@
 	}
 }
 
-func liveMembers(s server.Status) int {
+func liveMembers(s operators.Status) int {
 	live := 0
 	for _, m := range s.Members {
 		if m.State == "live" {
--- a/proof/bench/recovery_node.go
+++ b/proof/bench/recovery_node.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/standin/engine"
 )
 
@@ -120,5 +120,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	return t.waitAll(ctx, func(s server.Status) bool { return s.Ready && liveMembers(s) == len(t.nodes) })
+	return t.waitAll(ctx, func(s operators.Status) bool { return s.Ready && liveMembers(s) == len(t.nodes) })
 }
--- a/proof/bench/site.go
+++ b/proof/bench/site.go
@@ -15,7 +15,7 @@
 	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/keep/promotion"
 	"github.com/cicadatack/cicadatack/keep/store"
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/storefake"
@@ -302,12 +302,12 @@
 			return err
 		}
 	}
-	return t.waitAll(ctx, func(s server.Status) bool {
+	return t.waitAll(ctx, func(s operators.Status) bool {
 		return s.Ready && s.Revision >= 1 && liveMembers(s) == nodes
 	})
 }
 
-func (t *site) waitAll(ctx context.Context, fits func(server.Status) bool) error {
+func (t *site) waitAll(ctx context.Context, fits func(operators.Status) bool) error {
 	for _, n := range t.nodes {
 		if err := n.wait(ctx, fits); err != nil {
 			return err
--- a/proof/cmd/demo/main.go
+++ b/proof/cmd/demo/main.go
@@ -18,7 +18,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/cicadatack/cicadatack/keep/engineapi"
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/standin/engine"
 	"github.com/cicadatack/cicadatack/standin/plain"
@@ -109,7 +109,7 @@
 	}
 	started := time.Now()
 	for _, node := range d.site.Nodes {
-		_, err := harness.WaitStatus(d.ctx, node, func(s server.Status) bool {
+		_, err := harness.WaitStatus(d.ctx, node, func(s operators.Status) bool {
 			return s.Revision == 1 && s.Ready && live(s) == len(d.site.Nodes)
 		})
 		if err != nil {
@@ -120,7 +120,7 @@
 	return nil
 }
 
-func live(s server.Status) int {
+func live(s operators.Status) int {
 	n := 0
 	for _, m := range s.Members {
 		if m.State == "live" {
--- a/proof/harness/node.go
+++ b/proof/harness/node.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/keep/store"
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/node/settings"
 )
 
@@ -83,7 +83,7 @@
 const statusPause = 20 * time.Millisecond
 
 // WaitStatus waits until a node's state fits.
-func WaitStatus(ctx context.Context, node *Process, fits func(server.Status) bool) (server.Status, error) {
+func WaitStatus(ctx context.Context, node *Process, fits func(operators.Status) bool) (operators.Status, error) {
 	for {
 		status, err := nodeStatus(ctx, node)
 		if err == nil && fits(status) {
@@ -100,8 +100,8 @@
 	}
 }
 
-func nodeStatus(ctx context.Context, node *Process) (server.Status, error) {
-	var status server.Status
+func nodeStatus(ctx context.Context, node *Process) (operators.Status, error) {
+	var status operators.Status
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Addresses.Operators+"/v1/status", nil)
 	if err != nil {
 		return status, err
--- a/proof/matrix/promotion_test.go
+++ b/proof/matrix/promotion_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/keep/document"
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	"github.com/cicadatack/cicadatack/proof/rig"
 )
@@ -101,7 +101,7 @@
 	c.Heal()
 	final, err := c.Promoter.InForce(c.ctx, harness.Environment)
 	c.must(err)
-	c.must(c.WaitAll(c.ctx, func(s server.Status) bool {
+	c.must(c.WaitAll(c.ctx, func(s operators.Status) bool {
 		return s.Draining || (s.Revision == final.Revision && s.Digest == final.Digest)
 	}))
 	c.nodesSane()
--- a/proof/rig/rig.go
+++ b/proof/rig/rig.go
@@ -17,7 +17,7 @@
 
 	"github.com/cicadatack/cicadatack/keep/promotion"
 	"github.com/cicadatack/cicadatack/keep/store"
-	"github.com/cicadatack/cicadatack/node/server"
+	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/proof/harness"
 	engineclient "github.com/cicadatack/cicadatack/route/engine"
 	"github.com/cicadatack/cicadatack/standin/engine"
@@ -141,7 +141,7 @@
 			return err
 		}
 	}
-	return r.WaitAll(ctx, func(s server.Status) bool {
+	return r.WaitAll(ctx, func(s operators.Status) bool {
 		return s.Ready && s.Revision >= 1 && liveMembers(s) == len(r.Nodes)
 	})
 }
@@ -298,7 +298,7 @@
 }
 
 // WaitAll waits until the state of every node fits; one that ends is left out.
-func (r *Rig) WaitAll(ctx context.Context, fits func(server.Status) bool) error {
+func (r *Rig) WaitAll(ctx context.Context, fits func(operators.Status) bool) error {
 	for _, n := range r.Nodes {
 		if _, err := harness.WaitStatus(ctx, n, fits); err != nil && !errors.Is(err, harness.ErrEnded) {
 			return err
@@ -307,7 +307,7 @@
 	return nil
 }
 
-func liveMembers(s server.Status) int {
+func liveMembers(s operators.Status) int {
 	n := 0
 	for _, m := range s.Members {
 		if m.State == "live" {
