Those who wait for room are ordered in a module of their own (decide/waiting)

Cause: the order of those who wait stood in the driver (route/targets), where no test could show what it buys.

--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -1,15 +1,14 @@
 package targets
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/detour"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/waiting"
 	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 )
@@ -32,13 +31,12 @@
 	// sends crossBytes each time, of crossPerSecond that all share.
 	links                      detour.Links
 	crossBytes, crossPerSecond float64
-	flights                    map[*Flight]struct{}
-	waiting                    []*waiter // by rank, then by arrival
-}
 
-type waiter struct {
-	rank int
-	wake chan struct{}
+	flights map[*Flight]struct{}
+	waiting waiting.Queue
+	// wakes are the channels of those who wait, by the number of their request.
+	wakes  map[uint64]chan struct{}
+	number uint64
 }
 
 // Flight is a request underway along a path.
@@ -58,6 +56,7 @@
 		now:     now,
 		book:    paths.New(seed),
 		flights: map[*Flight]struct{}{},
+		wakes:   map[uint64]chan struct{}{},
 	}
 }
 
@@ -105,25 +104,33 @@
 
 // Choose implements Targets.
 func (m *Model) Choose(ctx context.Context, q Query) (Target, error) {
-	w := &waiter{rank: q.Rank, wake: make(chan struct{}, 1)}
+	w, wake := m.newcomer(q)
 	for first := true; ; first = false {
 		t, reason, ok := m.try(q, w, first)
 		if ok {
 			return t, nil
 		}
-		m.demote(q, w)
 		left := q.WaitUntil.Sub(m.now())
 		if left <= 0 {
 			m.leave(w)
 			return Target{}, errorOf(reason)
 		}
-		if err := pause(ctx, w.wake, min(left, retryRoom)); err != nil {
+		if err := pause(ctx, wake, min(left, retryRoom)); err != nil {
 			m.leave(w)
 			return Target{}, err
 		}
 	}
 }
 
+func (m *Model) newcomer(q Query) (waiting.Request, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.number++
+	wake := make(chan struct{}, 1)
+	m.wakes[m.number] = wake
+	return waiting.Request{ID: m.number, Rank: q.Rank, OnTimeUntil: q.OnTimeUntil}, wake
+}
+
 func errorOf(reason paths.Reason) error {
 	if reason == paths.NoRoom {
 		return ErrNoRoom
@@ -144,23 +151,24 @@
 }
 
 // try books a path, unless others wait who come first. One who finds none waits.
-func (m *Model) try(q Query, w *waiter, first bool) (Target, paths.Reason, bool) {
+func (m *Model) try(q Query, w waiting.Request, first bool) (Target, paths.Reason, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if first && m.ahead(w) {
-		m.enqueue(w)
+	now := m.now()
+	if first && m.waiting.Before(now, w) {
+		m.waiting.Add(now, w)
 		return Target{}, paths.NoRoom, false
 	}
-	path, reason := m.book.Choose(m.now(), paths.Query{
+	path, reason := m.book.Choose(now, paths.Query{
 		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstOf: q.FirstOf,
 	})
 	if reason != paths.Found || !path.Runs(layers.Span{To: m.layers}) {
 		if first {
-			m.enqueue(w)
+			m.waiting.Add(now, w)
 		}
 		return Target{}, reason, false
 	}
-	m.dequeue(w)
+	m.forget(w)
 	m.wakeOne() // there may be room for the next as well
 	return m.begin(path, q.Tokens), paths.Found, true
 }
@@ -175,53 +183,27 @@
 	}
 }
 
-func (m *Model) ahead(w *waiter) bool {
-	return len(m.waiting) > 0 && m.waiting[0].rank <= w.rank
-}
-
-func (m *Model) enqueue(w *waiter) {
-	at, _ := slices.BinarySearchFunc(m.waiting, w.rank+1, func(e *waiter, rank int) int { return cmp.Compare(e.rank, rank) })
-	m.waiting = slices.Insert(m.waiting, at, w)
-}
-
-// lateRank puts those who can't be on time any more behind all who can. Were they
-// served in order of arrival, in overload everybody would be late; as it is most are
-// on time, and the others get what room is left.
-const lateRank = 1000
-
-// demote puts a waiter that can't be on time any more behind the others.
-func (m *Model) demote(q Query, w *waiter) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if w.rank >= lateRank || q.OnTimeUntil.IsZero() || m.now().Before(q.OnTimeUntil) {
-		return
-	}
-	m.dequeue(w)
-	w.rank += lateRank
-	m.enqueue(w)
-	m.wakeOne()
-}
-
-func (m *Model) dequeue(w *waiter) {
-	if i := slices.Index(m.waiting, w); i >= 0 {
-		m.waiting = slices.Delete(m.waiting, i, i+1)
-	}
+// forget takes out one who waits no longer. The caller holds the lock.
+func (m *Model) forget(w waiting.Request) {
+	m.waiting.Remove(w.ID)
+	delete(m.wakes, w.ID)
 }
 
-func (m *Model) leave(w *waiter) {
+func (m *Model) leave(w waiting.Request) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.dequeue(w)
+	m.forget(w)
 	m.wakeOne()
 }
 
 // wakeOne lets the first who waits look again.
 func (m *Model) wakeOne() {
-	if len(m.waiting) == 0 {
+	id, ok := m.waiting.First(m.now())
+	if !ok {
 		return
 	}
 	select {
-	case m.waiting[0].wake <- struct{}{}:
+	case m.wakes[id] <- struct{}{}:
 	default: // it is about to look anyway
 	}
 }
@@ -342,5 +324,5 @@
 func (m *Model) Waiting() (waiting, underway int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.waiting), len(m.flights)
+	return m.waiting.Len(), len(m.flights)
 }
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -70,41 +70,33 @@
 	}
 }
 
-// Room comes back while several wait: the more urgent first, then in order of arrival;
-// those who can't be on time any more after all others.
-func TestOrderOfThoseWhoWait(t *testing.T) {
-	m := halves()
-	held := []Target{take(t, m, 25000), take(t, m, 25000)}
-	order := make(chan string, 4)
-	wait := func(name string, rank int, onTime time.Duration) {
-		before, _ := m.Waiting()
+// One waits for room, and a second comes for whom there would be some: it does not go
+// before the first if that is of its rank, and does if that is of a lower one.
+func TestNewcomersDoNotOvertake(t *testing.T) {
+	for _, c := range []struct {
+		rank  int
+		waits bool
+	}{{1, true}, {0, false}} {
+		m := halves()
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := make(chan struct{})
 		go func() {
-			target, err := m.Choose(context.Background(), Query{
-				Tokens: 50000, Rank: rank, OnTimeUntil: time.Now().Add(onTime), WaitUntil: time.Now().Add(time.Minute),
-			})
-			if err == nil || !errors.Is(err, context.Canceled) {
-				order <- name
-			}
-			if err == nil {
-				m.Ended(target, Result{Whole: true})
-			}
+			defer close(gone)
+			// 50,000 tokens never fit.
+			_, _ = m.Choose(ctx, Query{Tokens: 50000, Rank: 1, WaitUntil: time.Now().Add(time.Minute)})
 		}()
-		for waiting, _ := m.Waiting(); waiting == before; waiting, _ = m.Waiting() {
+		for waiting, _ := m.Waiting(); waiting == 0; waiting, _ = m.Waiting() {
 			time.Sleep(time.Millisecond)
 		}
-	}
-	// 50,000 tokens never fit, so the order is read from who is asked first.
-	wait("late", 0, -time.Second)
-	wait("usual", 1, time.Minute)
-	wait("urgent", 0, time.Minute)
-	m.mu.Lock()
-	ranks := fmt.Sprint(m.waiting[0].rank, m.waiting[1].rank, m.waiting[2].rank >= lateRank)
-	m.mu.Unlock()
-	if ranks != "0 1 true" {
-		t.Errorf("order %s", ranks)
-	}
-	for _, target := range held {
-		m.Ended(target, Result{})
+		_, err := m.Choose(context.Background(), Query{Tokens: 100, Rank: c.rank})
+		if errors.Is(err, ErrNoRoom) != c.waits {
+			t.Errorf("rank %d: %v", c.rank, err)
+		}
+		cancel()
+		<-gone
+		if waiting, _ := m.Waiting(); waiting != 0 || len(m.wakes) != 0 {
+			t.Errorf("%d wait, %d channels are left", waiting, len(m.wakes))
+		}
 	}
 }
 
