Nodes of a failure domain tell each other what they have booked

Cause: each node reckoned with an even part of its domain's room. Excluded: the choice of paths (refused parts are the fullest by the replicas' own word), learning from refusals alone (0.85 a refusal; in force before and after). Change: decide/bookings adds up what nodes tell; fleet/bookings exchanges it each 300 ms with the up to three hubs of the domain (those that read the store); decide/paths reckons with what is really left, of which a node takes at most two even parts before it hears again. Nodes that are not heard of are taken to use their even parts, as before. Tests: nine nodes of which one has half of the callers give it 55 of 110 requests (12 of 108 by parts); twenty nodes that find the same room free overbook by under a tenth.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// Booked is what this node has booked on each replica, in tokens times layers.
+func (b *Book) Booked() map[string]float64 {
+	booked := map[string]float64{}
+	for _, n := range b.order {
+		if n.booked > 0 {
+			booked[n.ID] = n.booked
+		}
+	}
+	return booked
+}
+
 // Suspect leaves a replica out after a sign that it is gone, until Alive. It says
 // whether that is new.
 func (b *Book) Suspect(now time.Time, id string) bool {
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -135,6 +135,9 @@
 	full    time.Time
 	// pace is over 1 for a replica that is slower than its kind.
 	pace float64
+	// others is what other nodes have booked as far as it is known, told when this node
+	// had booked then.
+	others, then float64
 }
 
 // Book keeps what is booked on each replica. Not safe for concurrent use.
@@ -142,6 +145,8 @@
 	nodes  map[string]*node
 	order  []*node // by id, so that walks are the same each time
 	shares map[string]float64
+	// heard is of how many other nodes in a failure domain the bookings are known.
+	heard  map[string]int
 	random *rand.Rand
 }
 
@@ -150,6 +155,7 @@
 	return &Book{
 		nodes:  map[string]*node{},
 		shares: map[string]float64{},
+		heard:  map[string]int{},
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -181,18 +187,64 @@
 	b.shares[domain] = share
 }
 
-// use is the part of a replica's room that would be booked with more added, by this
-// node and, as far as it knows, the others.
-func (b *Book) use(now time.Time, n *node, more float64) float64 {
-	share, ok := b.shares[n.Domain]
+// SetOthers notes what other nodes have booked on the replicas of a failure domain, and
+// of how many of them that is known; the others are taken to use their even parts.
+func (b *Book) SetOthers(domain string, heard int, amounts map[string]float64) {
+	b.heard[domain] = heard
+	for _, n := range b.order {
+		if n.Domain == domain {
+			n.others, n.then = amounts[n.ID], n.booked
+		}
+	}
+}
+
+// share is the even part of a failure domain's room for one node.
+func (b *Book) share(domain string) float64 {
+	share, ok := b.shares[domain]
 	if !ok || share <= 0 {
-		share = 1
+		return 1
 	}
-	room := n.Room * share * n.room.at(now)
+	return share
+}
+
+// room is what this node and those whose bookings are known have of a replica together.
+func (b *Book) room(now time.Time, n *node) float64 {
+	part := min(1, b.share(n.Domain)*float64(1+b.heard[n.Domain]))
+	return n.Room * part * n.room.at(now)
+}
+
+// use is the part of the replica's room that would be booked with more added, by this
+// node and, as far as it knows, the others.
+func (b *Book) use(now time.Time, n *node, more float64) float64 {
+	room := b.room(now, n)
 	if room <= 0 {
 		return math.Inf(1)
 	}
-	return (n.booked + more) / room
+	return (n.others + n.booked + more) / room
+}
+
+const (
+	// grabParts: of the room that was free when the others last told what they have
+	// booked, a node takes at most so many even parts until they tell again. With one,
+	// uneven callers find room unused; with the whole, all nodes fill the same room.
+	grabParts = 2
+	// firstPart is the part of that room which one request alone may take: a large one
+	// would else find no room beside many nodes while most of it is free.
+	firstPart = 0.5
+)
+
+// grabs says whether the node may book more on a replica before it hears from the
+// others again.
+func (b *Book) grabs(now time.Time, n *node, more, most float64) bool {
+	if b.heard[n.Domain] == 0 {
+		return true
+	}
+	free := max(0, most*b.room(now, n)-n.others-n.then)
+	grown := n.booked + more - n.then
+	if grown <= free*min(1, grabParts*b.share(n.Domain)) {
+		return true
+	}
+	return n.booked <= n.then && more <= free*firstPart
 }
 
 // way is the cheapest known way to a boundary between layers that ends in a
@@ -327,8 +379,9 @@
 
 // partCost is the cost of n layers on a replica, in milliseconds a step.
 func (b *Book) partCost(now time.Time, n *node, count int, tokens, most, weight float64) (float64, bool) {
-	use := b.use(now, n, tokens*float64(count))
-	if use > most {
+	more := tokens * float64(count)
+	use := b.use(now, n, more)
+	if use > most || !math.IsInf(most, 1) && !b.grabs(now, n, more, most) {
 		return 0, false
 	}
 	use = min(use, 0.99)
--- a/decide/paths/paths_test.go
+++ b/decide/paths/paths_test.go
@@ -254,3 +254,91 @@
 		}
 	})
 }
+
+// crowd is n nodes of one failure domain before one replica with room for 100 requests;
+// the first node has half of the callers. Each books what it may, a request at a time in
+// turn, and tells the others after each round if they exchange bookings.
+func crowd(n int, exchange bool) (booked float64, first float64) {
+	books := make([]*Book, n)
+	for i := range books {
+		books[i] = New(uint64(i + 1))
+		books[i].Update([]Replica{replica("r", "d", 0, 80)})
+		books[i].SetShare("d", 1/float64(n))
+	}
+	asks := func(i, round int) bool { return i == 0 || round%(n-1) == i-1 }
+	for round := range 40 * n {
+		for i, b := range books {
+			if !asks(i, round) {
+				continue
+			}
+			if path, reason := b.Choose(start, Query{Domain: "d", Run: whole, Tokens: 1000}); reason == Found {
+				b.Hold(path, 1000)
+			}
+		}
+		if !exchange {
+			continue
+		}
+		for i, b := range books {
+			others := 0.0
+			for j, other := range books {
+				if j != i {
+					others += other.Booked()["r"]
+				}
+			}
+			b.SetOthers("d", n-1, map[string]float64{"r": others})
+		}
+	}
+	for _, b := range books {
+		booked += b.Booked()["r"] / 80000
+	}
+	return booked, books[0].Booked()["r"] / 80000
+}
+
+// Nine nodes share a replica and one of them has half of the callers. By even parts its
+// callers are refused while the others' parts stand half empty, until those fill too;
+// where nodes tell each other what they have booked, the room goes to whoever asks, and
+// no more is booked than by the parts.
+func TestRoomGoesToWhoAsks(t *testing.T) {
+	parts, byParts := crowd(9, false)
+	told, byTold := crowd(9, true)
+	t.Logf("by parts %.0f requests, %.0f of the busy node; told %.0f and %.0f", parts, byParts, told, byTold)
+	if byTold < 3*byParts {
+		t.Errorf("the busy node has %.0f requests, %.0f by parts", byTold, byParts)
+	}
+	if told < 95 || told > 112 {
+		t.Errorf("%.0f requests in a room for 100 to 110", told)
+	}
+}
+
+// All nodes find the same room free at once. Until they have told each other what they
+// took, no more than a little is booked beyond what there is.
+func TestNodesDoNotFillTheSameRoom(t *testing.T) {
+	const n = 20
+	total := 0.0
+	for i := range n {
+		b := New(uint64(i + 1))
+		b.Update([]Replica{replica("r", "d", 0, 80)})
+		b.SetShare("d", 1.0/n)
+		b.SetOthers("d", n-1, map[string]float64{"r": 60000 * 80})
+		for range 100 {
+			if path, reason := b.Choose(start, Query{Domain: "d", Run: whole, Tokens: 1000}); reason == Found {
+				b.Hold(path, 1000)
+			}
+		}
+		total += b.Booked()["r"] / 80
+	}
+	if total > 110000 {
+		t.Errorf("%.0f tokens booked where 50,000 were free", total)
+	}
+	// A request that is larger than the node's parts is taken while half of the room is free.
+	b := New(1)
+	b.Update([]Replica{replica("r", "d", 0, 80)})
+	b.SetShare("d", 1.0/n)
+	b.SetOthers("d", n-1, map[string]float64{"r": 60000 * 80})
+	if _, reason := b.Choose(start, Query{Domain: "d", Run: whole, Tokens: 20000}); reason != Found {
+		t.Errorf("a large request: %v", reason)
+	}
+	if _, reason := b.Choose(start, Query{Domain: "d", Run: whole, Tokens: 60000}); reason != NoRoom {
+		t.Errorf("one larger than the room: %v", reason)
+	}
+}
--- /dev/null
+++ b/fleet/bookings/bookings.go
@@ -0,0 +1,150 @@
+// Package bookings lets the nodes of a failure domain tell each other what they have
+// booked on replicas. It is the driver of decide/bookings.
+package bookings
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/decide/bookings"
+	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
+)
+
+// Error is the class of this layer's errors.
+var Error = errs.Class("bookings")
+
+// timeout bounds an exchange: some hundred round trips inside a failure domain.
+const timeout = 150 * time.Millisecond
+
+// Peer is another node.
+type Peer struct{ Name, Address string }
+
+// Exchange tells and hears. Safe for concurrent use.
+type Exchange struct {
+	name   string
+	now    func() time.Time
+	own    func() map[string]float64
+	client *http.Client
+
+	mu    sync.Mutex
+	board bookings.Board
+}
+
+// New returns an Exchange of a node that knows nothing. own says what this node has
+// booked now.
+func New(name string, now func() time.Time, own func() map[string]float64) *Exchange {
+	return &Exchange{
+		name: name, now: now, own: own,
+		client: &http.Client{Timeout: timeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+	}
+}
+
+// Handler serves the calls of other nodes.
+func (e *Exchange) Handler() http.Handler { return bookingspb.NewBookingsServer(server{e}) }
+
+// Close ends the connections to other nodes.
+func (e *Exchange) Close() { e.client.CloseIdleConnections() }
+
+// Others is what other nodes have booked, as far as it is known.
+func (e *Exchange) Others() bookings.Held {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.board.Others(e.now())
+}
+
+// AsHub tells the other hubs of the failure domain what is known here, and hears what
+// they know. It fails with the first error; the other hubs are asked all the same.
+func (e *Exchange) AsHub(ctx context.Context, hubs []Peer) error {
+	var first error
+	for _, hub := range hubs {
+		own := e.held()
+		e.mu.Lock()
+		local := e.board.Local(e.now(), own)
+		e.mu.Unlock()
+		answer, err := e.call(ctx, hub, true, local)
+		if err != nil {
+			if first == nil {
+				first = err
+			}
+			continue
+		}
+		e.take(hub, answer, false)
+	}
+	return first
+}
+
+// AsLeaf tells one hub what this node has booked and hears what all others have. It
+// takes the first of the hubs that answers.
+func (e *Exchange) AsLeaf(ctx context.Context, hubs []Peer) error {
+	var last error
+	for _, hub := range hubs {
+		answer, err := e.call(ctx, hub, false, e.held())
+		if err == nil {
+			e.take(hub, answer, true)
+			return nil
+		}
+		last = err
+	}
+	return last
+}
+
+func (e *Exchange) held() bookings.Held { return bookings.Held{Nodes: 1, Amounts: e.own()} }
+
+func (e *Exchange) call(ctx context.Context, to Peer, hub bool, held bookings.Held) (bookings.Held, error) {
+	peer := bookingspb.NewBookingsProtobufClient("http://"+to.Address, e.client)
+	answer, err := peer.Exchange(ctx, &bookingspb.ExchangeRequest{Node: e.name, Hub: hub, Held: toWire(held)})
+	if err != nil {
+		return bookings.Held{}, Error.Wrap(err)
+	}
+	return fromWire(answer.GetHeld()), nil
+}
+
+func (e *Exchange) take(from Peer, held bookings.Held, alone bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if alone {
+		e.board.Follow(from.Name)
+	}
+	e.board.Tell(e.now(), from.Name, true, held)
+}
+
+// server answers other nodes.
+type server struct{ e *Exchange }
+
+// Exchange implements bookingspb.Bookings.
+func (s server) Exchange(_ context.Context, request *bookingspb.ExchangeRequest) (*bookingspb.ExchangeResponse, error) {
+	e := s.e
+	own := e.held()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	e.board.Tell(now, request.GetNode(), request.GetHub(), fromWire(request.GetHeld()))
+	answer := e.board.Answer(now, own, request.GetNode(), request.GetHub())
+	return &bookingspb.ExchangeResponse{Held: toWire(answer)}, nil
+}
+
+func toWire(held bookings.Held) *bookingspb.Held {
+	wire := &bookingspb.Held{Nodes: int32(held.Nodes)}
+	for replica, amount := range held.Amounts {
+		wire.Replicas = append(wire.Replicas, replica)
+		wire.Amounts = append(wire.Amounts, float32(amount))
+	}
+	return wire
+}
+
+// fromWire reads what another node told. Of lists of different lengths, which no node
+// writes, the part that both have counts.
+func fromWire(wire *bookingspb.Held) bookings.Held {
+	held := bookings.Held{Nodes: int(max(0, wire.GetNodes())), Amounts: map[string]float64{}}
+	amounts := wire.GetAmounts()
+	for i, replica := range wire.GetReplicas() {
+		if i < len(amounts) && amounts[i] > 0 {
+			held.Amounts[replica] += float64(amounts[i])
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/fleet/bookings/bookings_test.go
@@ -0,0 +1,76 @@
+package bookings
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
+)
+
+type node struct {
+	*Exchange
+	peer   Peer
+	server *httptest.Server
+}
+
+func start(t *testing.T, name string, booked float64) node {
+	t.Helper()
+	e := New(name, time.Now, func() map[string]float64 { return map[string]float64{"r": booked} })
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	t.Cleanup(e.Close)
+	return node{e, Peer{name, strings.TrimPrefix(server.URL, "http://")}, server}
+}
+
+// Two hubs and a node that asks the second: after their exchanges each knows what the
+// other two have booked. When the node's hub dies it asks the other one and goes on.
+func TestExchange(t *testing.T) {
+	ctx := context.Background()
+	a, b, c := start(t, "a", 1), start(t, "b", 10), start(t, "c", 100)
+	round := func() {
+		if err := c.AsLeaf(ctx, []Peer{b.peer, a.peer}); err != nil {
+			t.Fatal(err)
+		}
+		for _, hub := range [][2]node{{a, b}, {b, a}} {
+			// The other hub may be dead; the first round has no error.
+			_ = hub[0].AsHub(ctx, []Peer{hub[1].peer})
+		}
+	}
+	round()
+	round()
+	for _, n := range []struct {
+		node
+		want float64
+	}{{a, 110}, {b, 101}, {c, 11}} {
+		if got := n.Others(); got.Nodes != 2 || got.Amounts["r"] != n.want {
+			t.Errorf("%s: %+v, want %v of two", n.name, got, n.want)
+		}
+	}
+	b.server.Close()
+	round()
+	if got := c.Others(); got.Amounts["r"] < 1 {
+		t.Errorf("after its hub died c knows of %+v", got)
+	}
+	if err := c.AsLeaf(ctx, []Peer{b.peer}); !Error.Has(err) {
+		t.Errorf("%v", err)
+	}
+}
+
+// Another version, or a fault, writes what no node does: nothing comes of it that would
+// take all room away for good, or give some back that was taken.
+func TestOddMessages(t *testing.T) {
+	for name, wire := range map[string]*bookingspb.Held{
+		"nothing":          nil,
+		"lists differ":     {Nodes: 1, Replicas: []string{"r", "s"}, Amounts: []float32{5}},
+		"negative":         {Nodes: -3, Replicas: []string{"r"}, Amounts: []float32{-5}},
+		"the same replica": {Nodes: 1, Replicas: []string{"r", "r"}, Amounts: []float32{2, 3}},
+	} {
+		held := fromWire(wire)
+		if held.Nodes < 0 || held.Amounts["r"] < 0 || held.Amounts["r"] > 5 || held.Amounts["s"] != 0 {
+			t.Errorf("%s: %+v", name, held)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/bookings/bookingspb/doc.go
@@ -0,0 +1,2 @@
+// Package bookingspb is the generated code of bookings.proto.
+package bookingspb
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/decide/freshness"
+	"github.com/cicadatack/cicadatack/fleet/bookings"
 	"github.com/cicadatack/cicadatack/fleet/reads"
 	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/node/metrics"
@@ -81,6 +82,8 @@
 	copy     *reads.Copy
 	asker    *reads.Asker
 	peerDoor netip.AddrPort
+	// bookings are what the nodes of the failure domain tell each other.
+	bookings *bookings.Exchange
 
 	// leaving is when SIGTERM came, in nanoseconds after the start; zero before.
 	leaving  atomic.Int64
@@ -125,6 +128,7 @@
 	n.inForce.Store(&settings.Bounds)
 	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
+	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked)
 	n.decisions = decision.NewLog(log)
 	n.door = &door.Door{
 		Rules: n, Services: &n.services, Leaving: n.leavingFor,
@@ -159,6 +163,7 @@
 	go n.follow(background)
 	go n.recheck(background)
 	go n.repace(background)
+	go n.shareBookings(background)
 	go n.watchSettings(background, reload)
 	failed := doors.serve()
 	select {
@@ -168,6 +173,7 @@
 	}
 	n.leave(background)
 	doors.close()
+	n.bookings.Close()
 	n.log.Info("stopped", "underway", n.underway.Load())
 	return nil
 }
@@ -201,7 +207,7 @@
 		{&n.settings.Control, n.operatorsDoor()},
 		{&n.settings.Callers, n.counted(n.door)},
 		{&figures, n.metricsDoor()},
-		{&n.peerDoor, n.copy.Handler()},
+		{&n.peerDoor, n.peersDoor()},
 	} {
 		if !door.address.IsValid() {
 			continue
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/bookings"
 	"github.com/cicadatack/cicadatack/decide/detour"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
@@ -312,6 +313,22 @@
 	}
 }
 
+// Booked is what this node has booked on each replica, in tokens times layers.
+func (m *Model) Booked() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Booked()
+}
+
+// SetOthers notes what the other nodes of this one's failure domain have booked, as far
+// as it is known.
+func (m *Model) SetOthers(held bookings.Held) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.book.SetOthers(m.domain, held.Nodes, held.Amounts)
+	m.wakeOne()
+}
+
 // Used is the part of the room that is booked on the fullest replica of each failure
 // domain, for metrics.
 func (m *Model) Used() map[string]float64 {
