--- /dev/null
+++ b/route/decision/cost_test.go
@@ -0,0 +1,36 @@
+package decision
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// usual is the decision of where a request to a model is sent.
+func usual(quiet bool) Decision {
+	return Decision{
+		At: time.Now(), Request: "9c41d07be2a35f68", Kind: Route, Team: "bogor", Service: "pastry-llm", Chosen: "i-40e75c2659",
+		Reason: "cheapest path with room", Revision: 16, Quiet: quiet,
+		Notes: []Note{
+			{Name: "address", Text: "10.3.64.16:8066"},
+			{Name: "path", Text: "i-40e75c2659:0-14 i-d6abcb5c10:14-28 i-236a4d829b:28-36 i-62b11cb140:36-44 i-6be3e1e180:44-52 i-ddbcef27a2:52-60"},
+		},
+		Figures: map[string]float64{"try": 1, "proof_age_ms": 680.9},
+	}
+}
+
+// The cost of a decision, remembered only and logged as well. A request has two that go
+// well, of which one in ten is logged.
+func BenchmarkRecord(b *testing.B) {
+	log := NewLog(hclog.New(&hclog.LoggerOptions{Output: io.Discard, JSONFormat: true, Level: hclog.Info}))
+	for name, quiet := range map[string]bool{"remembered": true, "logged": false} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				log.Record(usual(quiet))
+			}
+		})
+	}
+}
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -399,6 +399,8 @@
 		return nil, unanswered(v)
 	case v.result.Failure == health.Overloaded:
 		return nil, NotRun(http.StatusTooManyRequests, ReasonOverloaded, v.detail, retryRoom)
+	case v.result.NoRoom:
+		return nil, NotRun(http.StatusServiceUnavailable, ReasonNoRoom, "an endpoint had no room, and no further try is left: "+v.detail, retryRoom)
 	}
 	return nil, NotRun(http.StatusServiceUnavailable, ReasonNoEndpoint, "no endpoint took the request: "+v.detail, retryRoom)
 }
