--- a/decide/layers/layers_test.go
+++ b/decide/layers/layers_test.go
@@ -178,26 +178,17 @@
 // small ones are full and the large ones idle.
 func TestRoomAgainstEqualCuts(t *testing.T) {
 	cards := domain()
-	planned := narrowest(obey(cards, Plan(model, cards)))
+	planned := leastRoom(model, obey(cards, Plan(model, cards)))
 	equal := append([]Card(nil), cards...)
 	per := (model.Layers + len(equal) - 1) / len(equal)
 	for i := range equal {
 		equal[i].Held = Span{i * per, min(model.Layers, (i+1)*per)}
 	}
-	if planned < 1.5*narrowest(equal) {
-		t.Errorf("narrowest layer: %.0f tokens, equal cuts %.0f", planned, narrowest(equal))
+	if planned < 1.5*leastRoom(model, equal) {
+		t.Errorf("narrowest layer: %.0f tokens, equal cuts %.0f", planned, leastRoom(model, equal))
 	}
 }
 
-func narrowest(cards []Card) float64 {
-	s := newState(model, cards)
-	least := s.room[0]
-	for _, room := range s.room {
-		least = min(least, room)
-	}
-	return least
-}
-
 // Layers stay without a holder for seconds longer than they need to: a plan orders a
 // replica twice, to move to the gap and, as it now stands beside what is left of it, to
 // take that too. Both orders go out at once and name the same count of orders, so the
