--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -182,15 +182,6 @@
 	return ""
 }
 
-// Use is the part of a replica's room that is booked here, for log lines.
-func (b *Book) Use(now time.Time, id string) float64 {
-	n, ok := b.nodes[id]
-	if !ok {
-		return 0
-	}
-	return b.use(now, n, 0)
-}
-
 // Used is the part of the room that is booked on the fullest replica of each failure
 // domain.
 func (b *Book) Used(now time.Time) map[string]float64 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/cicadatack/cicadatack/fleet/member"
 	"github.com/cicadatack/cicadatack/fleet/notice"
 	"github.com/cicadatack/cicadatack/fleet/spread"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -164,24 +165,12 @@
 	for {
 		f.stepView(member.Tick{})
 		jitter := 0.9 + 0.2*rand.Float64()
-		if !sleep(f.running, time.Duration(float64(f.cfg.Interval)*jitter)) {
+		if !wait.For(f.running, time.Duration(float64(f.cfg.Interval)*jitter)) {
 			return
 		}
 	}
 }
 
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Members returns the view in name order, this node and members that are gone
 // included. The slice must not be changed.
 func (f *Fleet) Members() []Member {
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadatack/cicadatack/fleet/member"
 	"github.com/cicadatack/cicadatack/fleet/spread"
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // watchCheck intervals pass between two looks at whether this node is to hold
@@ -54,7 +55,7 @@
 		if f.askStore() {
 			return
 		}
-		if !sleep(f.running, jittered(pause)) {
+		if !wait.For(f.running, jittered(pause)) {
 			return
 		}
 		if _, ready := f.Latest(); ready {
@@ -87,7 +88,7 @@
 // holders. A broken watch is taken up again with a jittered, growing pause.
 func (f *Fleet) watchLoop() {
 	pause := retryFloor
-	for sleep(f.running, watchCheck*f.cfg.Interval) {
+	for wait.For(f.running, watchCheck*f.cfg.Interval) {
 		if !f.isHolder() {
 			continue
 		}
@@ -101,7 +102,7 @@
 		}
 		if err != nil && f.isHolder() {
 			f.log.Warn("watch ended", "error", Error.Wrap(err), "pause", pause)
-			if !sleep(f.running, jittered(pause)) {
+			if !wait.For(f.running, jittered(pause)) {
 				return
 			}
 			pause = min(2*pause, retryCeiling)
@@ -126,7 +127,7 @@
 	ctx, cancel := context.WithCancel(f.running)
 	defer cancel()
 	f.start(func() {
-		for sleep(ctx, watchCheck*f.cfg.Interval) {
+		for wait.For(ctx, watchCheck*f.cfg.Interval) {
 			if !f.isHolder() {
 				cancel()
 			}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadatack/cicadatack/fleet/member"
 	"github.com/cicadatack/cicadatack/fleet/spread"
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // stepView gives the view an input and carries out what it asks for.
@@ -92,7 +93,7 @@
 		} else {
 			pause = max(listFloor*f.cfg.Interval, time.Duration(size)*listPerMember)
 		}
-		if !sleep(f.running, jittered(pause)) {
+		if !wait.For(f.running, jittered(pause)) {
 			return
 		}
 	}
--- a/keep/ledger/ledger.go
+++ b/keep/ledger/ledger.go
@@ -40,6 +40,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // Defaults of Config.
@@ -274,12 +275,5 @@
 
 // sleep pauses, jittered, and returns false if the ledger closes meanwhile.
 func (l *Ledger) sleep(pause time.Duration) bool {
-	timer := time.NewTimer(pause/2 + mathrand.N(pause))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-l.ctx.Done():
-		return false
-	}
+	return wait.For(l.ctx, pause/2+mathrand.N(pause))
 }
--- a/keep/store/client.go
+++ b/keep/store/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // Defaults of Config.
@@ -315,7 +317,7 @@
 		if err == nil || !mayRead(err) || attempt >= c.config.ReadAttempts {
 			return asRead(err)
 		}
-		if !sleep(ctx, jitter(pause)) {
+		if !wait.For(ctx, jitter(pause)) {
 			return asRead(err)
 		}
 		pause = min(2*pause, c.config.MaxBackoff)
@@ -379,14 +381,3 @@
 func jitter(pause time.Duration) time.Duration {
 	return pause/2 + rand.N(pause+1)
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/keep/store/swap.go
+++ b/keep/store/swap.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // Pauses of Settle between attempts.
@@ -47,7 +49,7 @@
 			// of them at most takes effect, and both carry the same id.
 			written, err = resend(ctx, s, key, revision, value, mine)
 		}
-		if errors.Is(err, ErrUnknown) && !sleep(ctx, jitter(pause)) {
+		if errors.Is(err, ErrUnknown) && !wait.For(ctx, jitter(pause)) {
 			return 0, err
 		}
 	}
--- a/node/documents/documents.go
+++ b/node/documents/documents.go
@@ -30,6 +30,7 @@
 	"github.com/cicadatack/cicadatack/keep/document"
 	"github.com/cicadatack/cicadatack/keep/parts"
 	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // Why a document was not taken, as the metric's label has it.
@@ -266,19 +267,10 @@
 // Get implements parts.Getter.
 func (r *partReader) Get(ctx context.Context, key string) (store.Entry, error) {
 	if r.reads++; r.reads > quickParts {
-		pause(ctx, rand.N(partPause))
+		wait.For(ctx, rand.N(partPause))
 	}
 	if _, held := r.source.heldFor(r.index); held {
 		return store.Entry{}, errHeld
 	}
 	return r.source.cfg.Store.Get(ctx, key)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/platform/directory"
 )
@@ -115,7 +116,7 @@
 		if n.leavingFor() >= min(leaveTTLs*n.timing.EntryTTL, last) && n.underway.Load() == 0 {
 			return
 		}
-		if !sleep(ctx, leaveLook) {
+		if !wait.For(ctx, leaveLook) {
 			return
 		}
 	}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -10,6 +10,7 @@
 	"github.com/cicadatack/cicadatack/decide/readers"
 	"github.com/cicadatack/cicadatack/fleet/reads"
 	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/platform/operator"
 	"github.com/cicadatack/cicadatack/platform/replicas"
 	"github.com/cicadatack/cicadatack/route/roster"
@@ -83,7 +84,7 @@
 	for ctx.Err() == nil {
 		pause := n.look(ctx)
 		jittered := time.Duration(float64(pause) * (1 + pollJitter*(rand.Float64()-0.5)))
-		if !sleep(ctx, jittered) {
+		if !wait.For(ctx, jittered) {
 			return
 		}
 	}
@@ -98,17 +99,6 @@
 	return time.Duration(float64(min(b.Apply, b.Drain)) * pollPart)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // look learns what the store holds, and returns after how long to look again. In a
 // large fleet a few nodes of each failure domain read it and the others ask those.
 func (n *Node) look(ctx context.Context) time.Duration {
--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cicadatack/cicadatack/decide/readers"
 	"github.com/cicadatack/cicadatack/fleet/bookings"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
+	"github.com/cicadatack/cicadatack/keep/wait"
 )
 
 // peersDoor serves the other nodes of the failure domain.
@@ -29,7 +30,7 @@
 	if !n.peerDoor.IsValid() {
 		return
 	}
-	for sleep(ctx, shareEvery) {
+	for wait.For(ctx, shareEvery) {
 		if err := n.exchangeBookings(ctx); err != nil && ctx.Err() == nil {
 			n.log.Debug("bookings not exchanged", "error", err)
 		}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/route/budget"
 	"github.com/cicadatack/cicadatack/route/layering"
 	"github.com/cicadatack/cicadatack/route/roster"
@@ -145,7 +146,7 @@
 
 // recheck tries the suspected replicas until the context ends.
 func (n *Node) recheck(ctx context.Context) {
-	for sleep(ctx, recheckEvery) {
+	for wait.For(ctx, recheckEvery) {
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Suspects() {
 				if n.prober.Reachable(ctx, r.Address) && model.Alive(r.ID) {
@@ -162,7 +163,7 @@
 
 // repace asks the slow replicas until the context ends.
 func (n *Node) repace(ctx context.Context) {
-	for sleep(ctx, repaceEvery) {
+	for wait.For(ctx, repaceEvery) {
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Slow() {
 				account, _, err := n.reports.Ask(ctx, r.Address, r.ID)
--- a/route/model/attempts.go
+++ b/route/model/attempts.go
@@ -9,7 +9,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
-	"github.com/cicadatack/cicadatack/route/service"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/route/stream"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -30,9 +30,9 @@
 		return fmt.Errorf("not tried again: %s", d.Reason)
 	}
 	if !c.patient() {
-		return service.Pause(ctx, d.After)
+		return pause(ctx, d.After)
 	}
-	return service.Pause(ctx, c.partwayPause())
+	return pause(ctx, c.partwayPause())
 }
 
 const (
@@ -128,3 +128,10 @@
 		return health.Broken
 	}
 }
+
+func pause(ctx context.Context, d time.Duration) error {
+	if !wait.For(ctx, d) {
+		return ctx.Err()
+	}
+	return nil
+}
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/dialect"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -298,7 +299,7 @@
 		return false
 	}
 	d := q.mayRetry(v)
-	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && pause(q.ctx, budgetPause) {
+	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && wait.For(q.ctx, budgetPause) {
 		d = q.mayRetry(v) // the budget is earned again with the time
 	}
 	q.record(decision.Decision{
@@ -326,18 +327,6 @@
 // budgetPause is between two questions to a budget that is spent.
 const budgetPause = 100 * time.Millisecond
 
-// pause waits; it returns false, early, if the context ends.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func lastOf(list []string) string {
 	if len(list) == 0 {
 		return ""
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -12,6 +12,7 @@
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
@@ -184,7 +185,7 @@
 		} else if w.replaceFirst(flight, why) || w.goOn(flight, why) {
 			return
 		}
-		if leaving && try >= maxDetours || try >= maxTries || !pause(w.ctx, detourPause) {
+		if leaving && try >= maxDetours || try >= maxTries || !wait.For(w.ctx, detourPause) {
 			break
 		}
 	}
@@ -230,7 +231,7 @@
 // events have come meanwhile, or the attempt has ended.
 func (w *watch) quiet() bool {
 	before := w.last.Load()
-	if left := movedAfter - w.silentFor(); left > 0 && !pause(w.ctx, left) {
+	if left := movedAfter - w.silentFor(); left > 0 && !wait.For(w.ctx, left) {
 		return false
 	}
 	return w.last.Load() == before
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -153,10 +153,8 @@
 	m.Ended(target, Result{Whole: true})
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, id := range []string{"a1", "a2", "b1", "b2"} {
-		if use := m.book.Use(time.Now(), id); use != 0 {
-			t.Errorf("%s: %v is still booked", id, use)
-		}
+	if booked := m.book.Booked(); len(booked) > 0 {
+		t.Errorf("still booked: %v", booked)
 	}
 }
 
--- a/route/upstream/doc.go
+++ b/route/upstream/doc.go
@@ -3,7 +3,7 @@
 // read the request.
 //
 //	exchange, err := pool.Send(ctx, upstream.Request{...})
-//	if upstream.NotSent(err) { ... } // may go elsewhere, whatever it is
+//	var failure *upstream.Failure // every error is one; it says what is proved
 //	defer exchange.Close()
 //	... exchange.Response, exchange.Read ...
 //
--- a/route/upstream/exchange.go
+++ b/route/upstream/exchange.go
@@ -64,12 +64,6 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Cause }
 
-// NotSent says whether err proves that the endpoint read nothing.
-func NotSent(err error) bool {
-	var f *Failure
-	return errors.As(err, &f) && f.NotSent
-}
-
 // RefusalFailure says what an endpoint's own refusal before work means. Only
 // 429 is a plea for less load, which must not be answered by sending the call
 // elsewhere at once. Any other refusal says that this endpoint can't serve, such
--- a/route/upstream/once_test.go
+++ b/route/upstream/once_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,12 @@
 	"github.com/cicadatack/cicadatack/decide/health"
 )
 
+// notSent says whether err proves that the endpoint read nothing.
+func notSent(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.NotSent
+}
+
 // fickle is an endpoint that answers the first request, keeps the connection, and reads
 // every order without answering it: it closes the connection instead. dies makes the
 // first order its last request: its address refuses from then on.
@@ -20,6 +27,8 @@
 	listener net.Listener
 	orders   atomic.Int64
 	dies     bool
+	open     sync.Map // its connections
+	work     sync.WaitGroup
 }
 
 func startFickle(t *testing.T, dies bool) *fickle {
@@ -29,16 +38,24 @@
 		t.Fatal(err)
 	}
 	f := &fickle{listener: listener, dies: dies}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
+	f.work.Go(func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go f.serve(conn)
+			f.open.Store(conn, nil)
+			f.work.Go(func() { f.serve(conn) })
 		}
-	}()
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		f.open.Range(func(conn, _ any) bool {
+			conn.(net.Conn).Close()
+			return true
+		})
+		f.work.Wait()
+	})
 	return f
 }
 
@@ -89,7 +106,7 @@
 		r := request(f.listener.Addr().String(), "a")
 		r.Method, r.Body, r.Fresh = http.MethodPost, []byte("flour"), fresh
 		r.Header.Set("Idempotency-Key", "tuesday")
-		if _, err := pool.Send(context.Background(), r); err == nil || NotSent(err) {
+		if _, err := pool.Send(context.Background(), r); err == nil || notSent(err) {
 			t.Errorf("fresh %t: got %v, want an error that does not claim not sent", fresh, err)
 		}
 		if n := f.orders.Load(); n != 1 {
@@ -109,7 +126,7 @@
 	f.warm(t, pool)
 	r := request(f.listener.Addr().String(), "a")
 	r.Method, r.Body = http.MethodPost, []byte("flour")
-	if _, err := pool.Send(context.Background(), r); err == nil || NotSent(err) {
+	if _, err := pool.Send(context.Background(), r); err == nil || notSent(err) {
 		t.Errorf("after %d arrived: got %v, which must not claim not sent", f.orders.Load(), err)
 	}
 }
--- a/route/upstream/upstream_test.go
+++ b/route/upstream/upstream_test.go
@@ -9,30 +9,42 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
 
 // endpoint is a listener whose connections a test serves by hand, one after the other.
+// They end with the test.
 func endpoint(t *testing.T, serve func(conn net.Conn, requests *bufio.Reader, number int)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
+	var work sync.WaitGroup
+	var open sync.Map
+	work.Go(func() {
 		for number := 1; ; number++ {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
+			open.Store(conn, nil)
+			work.Go(func() {
 				defer conn.Close()
 				serve(conn, bufio.NewReader(conn), number)
-			}()
+			})
 		}
-	}()
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		open.Range(func(conn, _ any) bool {
+			conn.(net.Conn).Close()
+			return true
+		})
+		work.Wait()
+	})
 	return listener.Addr().String()
 }
 
@@ -157,7 +169,7 @@
 		r.AnswerWithin = 100 * time.Millisecond
 		_, err := pool.Send(context.Background(), r)
 		var f *Failure
-		if !errors.As(err, &f) || f.NotSent != c.notSent || f.Silent != c.silent || f.Unreachable != c.unreached || NotSent(err) != c.notSent {
+		if !errors.As(err, &f) || f.NotSent != c.notSent || f.Silent != c.silent || f.Unreachable != c.unreached || notSent(err) != c.notSent {
 			t.Errorf("%s: %+v", c.name, err)
 		}
 	}
