--- /dev/null
+++ b/route/relay/goon.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/detour"
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/keep/wait"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/targets"
+)
+
+const (
+	// maxDetours bounds the orders for one part that leaves, and maxTries those for
+	// one that is lost: with the pauses they last a little longer than an engine
+	// waits for a part that is silent.
+	maxDetours = 2
+	maxTries   = 20
+	// detourPause is between two tries to find a way around: room is given back with
+	// each stream that ends.
+	detourPause = 150 * time.Millisecond
+	// deadAfter is the silence after which a first replica that takes no connections
+	// is taken for dead. One that leaves takes none either, and goes on with what it
+	// has, in its time: a part further on may be what holds it up.
+	deadAfter = 700 * time.Millisecond
+)
+
+// lead has the request go on although a part of its path is lost or leaves. While there
+// is no way, the request stays where it is: the first replica still has it, and to end
+// the answer from here would lose what may yet go on. The attempt is ended only where
+// another first replica has been booked to go on with it. A part that is only about to
+// leave is worth a way around in the same failure domains.
+func (w *watch) lead(why string, leaving bool) {
+	if !w.take() {
+		return
+	}
+	defer w.give()
+	flight := w.a.target.Flight
+	for try := 0; w.ctx.Err() == nil; try++ {
+		if leaving {
+			if path := flight.Near(); path != nil && w.detour(path, why) {
+				return
+			}
+		} else if w.replaceFirst(flight, why) || w.goOn(flight, why) {
+			return
+		}
+		if leaving && try >= maxDetours || try >= maxTries || !wait.For(w.ctx, detourPause) {
+			break
+		}
+	}
+	if leaving {
+		flight.StillLeaving()
+	}
+}
+
+// replaceFirst has another replica go on if the first one looks dead and one can go on
+// now. Without one the answer would be lost for certain; as it is, the replica may yet
+// go on.
+func (w *watch) replaceFirst(flight *targets.Flight, why string) bool {
+	if !w.mayReplace || !flight.FirstLost() || w.silentFor() < deadAfter || !w.a.q.Budget.Left() {
+		return false
+	}
+	next, ok := flight.Elsewhere(w.others)
+	return ok && w.move(next, why)
+}
+
+// movedAfter is the silence after which a request is moved away from a first replica
+// that lives: above the usual pause between events, so that where the part was not lost
+// after all the request is left in peace.
+const movedAfter = 70 * time.Millisecond
+
+// goOn has the request go on around the lost part or, if that would take longer, at
+// another first replica.
+func (w *watch) goOn(flight *targets.Flight, why string) bool {
+	way, path, next := flight.GoOn(w.mayMove && w.a.q.Budget.Left(), w.others)
+	if way == detour.Elsewhere {
+		if w.quiet() && w.move(next, why+"; another failure domain goes on sooner") {
+			return true
+		}
+		w.release(next)
+		if w.ctx.Err() != nil {
+			return true
+		}
+		_, path, _ = flight.GoOn(false, w.others)
+	}
+	return path != nil && w.detour(path, why)
+}
+
+// quiet waits until the stream has been silent for movedAfter. It returns false if
+// events have come meanwhile, or the attempt has ended.
+func (w *watch) quiet() bool {
+	before := w.last.Load()
+	if left := movedAfter - w.silentFor(); left > 0 && !wait.For(w.ctx, left) {
+		return false
+	}
+	return w.last.Load() == before
+}
+
+// move pays for a further try and ends the attempt in favour of the next target. It
+// returns false if the budget is spent.
+func (w *watch) move(next targets.Target, why string) bool {
+	paid := w.a.q.Budget.Allow(retry.Attempt{
+		Made: 1, Failure: health.Broken, Repeatable: true, Deadline: w.a.q.Deadline, Alternatives: 1,
+	})
+	if !paid.Retry {
+		return false
+	}
+	w.end(why, next)
+	return true
+}
+
+// release gives back what was booked for a try that is not made.
+func (w *watch) release(next targets.Target) {
+	w.a.q.Targets.Ended(next, targets.Result{Failure: health.Canceled})
+}
+
+// detour orders the first replica to go on along another path. It says whether the
+// order was taken.
+func (w *watch) detour(path paths.Path, why string) bool {
+	q := w.a.q
+	err := q.s.Engines.Detour(w.ctx, w.a.target.Address, q.Call.ID, path)
+	w.recordDetour(path, why, err)
+	if err == nil {
+		w.a.target.Flight.Moved(path)
+		q.s.Figures.Resumed(q.Service, "detour")
+		w.timer.Reset(stallAgain)
+		return true
+	}
+	var refused *DetourRefused
+	if errors.As(err, &refused) {
+		w.a.target.Flight.Refused(path, refused.Fault)
+	}
+	return false
+}
+
+func (w *watch) recordDetour(path paths.Path, why string, err error) {
+	notes := []decision.Note{{Name: "path", Text: path.String()}}
+	if err != nil {
+		notes = append(notes, decision.Note{Name: "error", Text: err.Error()})
+	}
+	w.a.q.record(decision.Decision{
+		Kind: decision.Detour, Chosen: w.a.target.Replica, Reason: why, Notes: notes,
+		Figures: map[string]float64{"taken": flag(err == nil), "silent_ms": millis(w.silentFor())},
+	})
+}
+
+func (w *watch) take() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy || w.stopped {
+		return false
+	}
+	w.busy = true
+	return true
+}
+
+func (w *watch) give() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy = false
+}
+
+// end ends the attempt from this side in favour of the next target.
+func (w *watch) end(why string, next targets.Target) {
+	w.mu.Lock()
+	over := w.stopped
+	if !over {
+		w.why, w.next = why, &next
+	}
+	w.mu.Unlock()
+	if over {
+		w.release(next)
+		return
+	}
+	w.cancel()
+}
+
+// judge corrects the verdict of an attempt that was ended from here: neither its
+// caller nor its deadline ended it, and the next target is booked and paid for.
+func (w *watch) judge(v verdict) verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next == nil || v.end == endWhole || w.a.q.ctx.Err() != nil {
+		return v
+	}
+	next := w.next
+	w.next = nil
+	return verdict{end: endUnknown, detail: w.why, result: targets.Result{Failure: health.Broken}, next: next}
+}
--- /dev/null
+++ b/route/relay/request.go
@@ -0,0 +1,218 @@
+package relay
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/keep/wait"
+	"github.com/cicadatack/cicadatack/route/decision"
+	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/route/ruleset"
+	"github.com/cicadatack/cicadatack/route/targets"
+)
+
+const (
+	// maxSends bounds the tries of one request, those that did not run included.
+	maxSends = 5
+	// defaultExpected is the answer's length in tokens where the caller gave no
+	// estimate and no bound.
+	defaultExpected = 200
+)
+
+// serve tries until there is an answer or a reason to give up. It returns neither if
+// the answer was passed on as it came.
+func (q *request) serve() (*Answer, *outcome.Refusal) {
+	var v verdict
+	for {
+		target, err := q.choose(v.next)
+		if err != nil {
+			return q.giveUp(err)
+		}
+		v = q.try(target)
+		if v.end == endWhole {
+			q.Budget.Success()
+			return v.answer, nil
+		}
+		if !q.again(v) {
+			return q.settle(v)
+		}
+	}
+}
+
+// try makes one attempt and tells the targets how it ended.
+func (q *request) try(t targets.Target) verdict {
+	a := &attempt{q: q, target: t, begun: q.s.Now()}
+	q.sends++
+	q.lastTarget = t
+	q.recordRoute(t)
+	var v verdict
+	if q.Route.Kind == ruleset.Stream {
+		v = a.stream()
+	} else {
+		v = a.whole()
+	}
+	v.result.Took = q.s.Now().Sub(a.begun)
+	if a.seen.Load != nil {
+		v.result.Load = &targets.Load{Running: a.seen.Load.Running, Waiting: a.seen.Load.Waiting}
+	}
+	q.Targets.Ended(a.target, v.result)
+	q.last = v
+	return v
+}
+
+// recordRoute records where the request is sent and why.
+func (q *request) recordRoute(t targets.Target) {
+	d := decision.Weighed(t.Choice)
+	d.Kind, d.Chosen = decision.Route, t.Replica
+	d.Figures["try"] = float64(q.sends)
+	d.Notes = []decision.Note{{Name: "address", Text: t.Address}}
+	if len(t.Path) > 0 {
+		d.Reason = "cheapest path with room"
+		d.Notes = append(d.Notes, decision.Note{Name: "path", Text: t.Path.String()})
+	}
+	d.Quiet = !q.sampled && q.sends == 1
+	q.record(d)
+}
+
+// choose takes the target that is booked, or asks for one. A stream goes on at as many replicas as its route allows;
+// after that at those that it has been at.
+func (q *request) choose(booked *targets.Target) (targets.Target, error) {
+	if booked != nil {
+		return *booked, nil
+	}
+	wait := q.s.Now()
+	query := targets.Query{
+		Tokens: q.tokens(), Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
+		OnTimeUntil: q.Arrived.Add(q.patience()), WaitUntil: q.Arrived.Add(latePatience * q.patience()),
+	}
+	if q.started {
+		query.WaitUntil = wait.Add(resumePatience)
+	}
+	if len(q.ran) >= q.Route.MaxReplicas {
+		query.FirstOf, query.Exclude = q.ran, nil
+	}
+	t, err := q.Targets.Choose(q.ctx, query)
+	if waited := q.s.Now().Sub(wait); waited > time.Millisecond {
+		q.s.Figures.Waited(q.Service, waited)
+	}
+	return t, err
+}
+
+// resumePatience is how long a stream that has begun waits for a path to go on: as
+// long as its caller does for the next event.
+const resumePatience = 1500 * time.Millisecond
+
+// patience is how long a request may wait for room and its answer still be on time.
+func (q *request) patience() time.Duration {
+	return q.Route.Objective * 6 / 10
+}
+
+// latePatience times its patience is how long a request waits for room at all. A late
+// answer is worth a part of one on time, a refusal nothing; callers leave a little
+// later.
+const latePatience = 2
+
+// tokens is the memory that the request is expected to need at its end.
+func (q *request) tokens() float64 {
+	answer := q.Call.Expected
+	if answer == 0 {
+		answer = q.Call.MaxAnswer
+	}
+	if answer == 0 {
+		answer = defaultExpected
+	}
+	if q.Call.MaxAnswer > 0 {
+		answer = min(answer, q.Call.MaxAnswer)
+	}
+	return float64(q.Call.Prompt) + answerPart*float64(answer)
+}
+
+// answerPart of an answer's length is booked: requests underway are at all points of
+// their answers and hold half of it on the mean; a little more allows for answers that
+// are longer than foreseen. Against the whole length, 0.8% and 3.4% more of the answers'
+// worth was measured at two sites (decisions/layers).
+const answerPart = 0.6
+
+// again says whether to try once more.
+func (q *request) again(v verdict) bool {
+	q.note(v)
+	if v.end == endCallerGone || v.end == endDeadline {
+		return false
+	}
+	d := q.mayRetry(v)
+	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && wait.For(q.ctx, budgetPause) {
+		d = q.mayRetry(v) // the budget is earned again with the time
+	}
+	q.record(decision.Decision{
+		Kind: decision.Retry, Chosen: lastOf(q.tried), Reason: d.Reason.String(),
+		Notes: []decision.Note{{Name: "end", Text: v.detail}},
+		Figures: map[string]float64{
+			"not_run": flag(v.notRun()), "sends": float64(q.sends), "again": flag(d.Retry), "budget_left": math.Floor(d.Left),
+		},
+	})
+	if d.Retry {
+		q.s.Figures.Retried(q.Service, v.result.Failure.String())
+	}
+	return d.Retry
+}
+
+// givesUp is up to when the request waits for the budget: what the caller has of a
+// stream is lost if it is given up, and one that has not begun waits as for room.
+func (q *request) givesUp() time.Time {
+	if q.started {
+		return q.heard.Add(resumePatience)
+	}
+	return q.Arrived.Add(q.patience())
+}
+
+// budgetPause is between two questions to a budget that is spent.
+const budgetPause = 100 * time.Millisecond
+
+func lastOf(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[len(list)-1]
+}
+
+// note remembers which replica failed, and which may have run the request. Where an
+// answer names the part of the path at fault, the first part did not fail.
+func (q *request) note(v verdict) {
+	first := q.lastTarget.Replica
+	if first == "" {
+		return
+	}
+	failed := first
+	if v.result.Fault != "" {
+		failed = q.lastTarget.ReplicaAt(v.result.Fault)
+	}
+	if failed != "" && !slices.Contains(q.tried, failed) {
+		q.tried = append(q.tried, failed)
+	}
+	if !v.notRun() && !slices.Contains(q.ran, first) {
+		q.ran = append(q.ran, first)
+	}
+}
+
+// mayRetry asks the budget. Tries that were not sent cost the endpoints nothing.
+func (q *request) mayRetry(v verdict) retry.Decision {
+	switch {
+	case v.next != nil:
+		return retry.Decision{Retry: true, Reason: retry.Allowed}
+	case q.sends >= maxSends, len(q.ran) >= q.Route.MaxReplicas && q.Route.Kind != ruleset.Stream:
+		return retry.Decision{Reason: retry.TooManyAttempts}
+	case v.end == endNotSent:
+		return retry.Decision{Retry: true, Reason: retry.Allowed}
+	}
+	failure := v.result.Failure
+	if failure == health.None || failure == health.Canceled {
+		failure = health.Internal
+	}
+	return q.Budget.Allow(retry.Attempt{
+		Made: 1, Failure: failure, Repeatable: q.Route.Idempotent(), NotRun: v.notRun(),
+		Deadline: q.Deadline, Alternatives: 1,
+	})
+}
