Room booked for a move that can't be paid is given back

Found by reading: replaceFirst booked a path for the next try and, where the budget was spent by the time it was asked, kept it. Such room would add up until the node refuses everyone. The test failed first (2 requests booked, want 1).

--- a/route/relay/goon.go
+++ b/route/relay/goon.go
@@ -64,7 +64,14 @@
 		return false
 	}
 	next, ok := flight.Elsewhere(w.others)
-	return ok && w.move(next, why)
+	if !ok {
+		return false
+	}
+	if w.move(next, why) {
+		return true
+	}
+	w.release(next)
+	return false
 }
 
 // movedAfter is the silence after which a request is moved away from a first replica
--- /dev/null
+++ b/route/relay/goon_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/route/budget"
+	"github.com/cicadatack/cicadatack/route/roster"
+	"github.com/cicadatack/cicadatack/route/ruleset"
+	"github.com/cicadatack/cicadatack/route/targets"
+)
+
+// twoChains is a model that two replicas hold whole.
+func twoChains() *targets.Model {
+	m := targets.NewModel("d", 1, time.Now)
+	model := &ruleset.Model{
+		Layers: 8, LayerMB: 100, TokenLayerBytes: 1000, StepMillis: 1,
+		Cards: map[string]ruleset.Card{"h100": {MemoryMB: 2000, Pace: 1}},
+	}
+	var list []*roster.Replica
+	for _, id := range []string{"a", "b"} {
+		list = append(list, &roster.Replica{ID: id, Address: id, Domain: "d", Kind: "h100", Holds: layers.Span{To: 8}})
+	}
+	m.Update(model, list, targets.Part{Share: func(string) float64 { return 1 }, Conns: 10, Near: 1})
+	return m
+}
+
+// The first replica of a stream dies, another could go on, and the budget of tries is
+// spent by the time that it is asked. The stream stays where it is, and the room that was
+// booked for it is given back: room that stays booked for nobody would add up until the
+// node refuses everyone.
+func TestRoomForAMoveThatIsNotMadeIsGivenBack(t *testing.T) {
+	m := twoChains()
+	target, err := m.Choose(context.Background(), targets.Query{Tokens: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	clock := func() time.Time { return now }
+	spent := budget.New(retry.Config{Burst: 1, Floor: 1e-9}, clock)
+	q := &request{
+		Visit: &Visit{
+			Route:   &ruleset.Route{Kind: ruleset.Stream, Resumable: true, MaxReplicas: 2},
+			Targets: m, Budget: spent, Deadline: now.Add(time.Minute),
+		},
+		s: &Server{Now: clock},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := &watch{a: &attempt{q: q, target: target, begun: now.Add(-time.Minute)}, ctx: ctx, cancel: cancel}
+	w.permit(q)
+	m.Suspect(target.Replica)
+
+	// Another request takes the last try between the look at the budget and the payment.
+	next, ok := target.Flight.Elsewhere(w.others)
+	if !ok {
+		t.Fatal("nobody could go on")
+	}
+	m.Ended(next, targets.Result{})
+	q.Deadline = now // too near for a further try: the payment fails, the look does not
+	if w.replaceFirst(target.Flight, "lost") {
+		t.Error("the stream was moved without a try")
+	}
+	if _, underway := m.Waiting(); underway != 1 {
+		t.Errorf("%d requests are booked, want the one that is underway", underway)
+	}
+}
