--- a/route/upstream/once_test.go
+++ b/route/upstream/once_test.go
@@ -27,8 +27,6 @@
 	listener net.Listener
 	orders   atomic.Int64
 	dies     bool
-	open     sync.Map // its connections
-	work     sync.WaitGroup
 }
 
 func startFickle(t *testing.T, dies bool) *fickle {
@@ -38,23 +36,25 @@
 		t.Fatal(err)
 	}
 	f := &fickle{listener: listener, dies: dies}
-	f.work.Go(func() {
+	var accepting, serving sync.WaitGroup
+	var open []net.Conn
+	accepting.Go(func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			f.open.Store(conn, nil)
-			f.work.Go(func() { f.serve(conn) })
+			open = append(open, conn)
+			serving.Go(func() { f.serve(conn) })
 		}
 	})
 	t.Cleanup(func() {
 		listener.Close()
-		f.open.Range(func(conn, _ any) bool {
-			conn.(net.Conn).Close()
-			return true
-		})
-		f.work.Wait()
+		accepting.Wait() // from here on no connection is added
+		for _, conn := range open {
+			conn.Close()
+		}
+		serving.Wait()
 	})
 	return f
 }
--- a/route/upstream/upstream_test.go
+++ b/route/upstream/upstream_test.go
@@ -22,16 +22,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var work sync.WaitGroup
-	var open sync.Map
-	work.Go(func() {
+	var accepting, serving sync.WaitGroup
+	var open []net.Conn
+	accepting.Go(func() {
 		for number := 1; ; number++ {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			open.Store(conn, nil)
-			work.Go(func() {
+			open = append(open, conn)
+			serving.Go(func() {
 				defer conn.Close()
 				serve(conn, bufio.NewReader(conn), number)
 			})
@@ -39,11 +39,11 @@
 	})
 	t.Cleanup(func() {
 		listener.Close()
-		open.Range(func(conn, _ any) bool {
-			conn.(net.Conn).Close()
-			return true
-		})
-		work.Wait()
+		accepting.Wait() // from here on no connection is added
+		for _, conn := range open {
+			conn.Close()
+		}
+		serving.Wait()
 	})
 	return listener.Addr().String()
 }
