cicadactl losses: which requests were late, refused or failed, and by what

Cause: an operator had to read each request's lines by eye. The logs grow: late answers say their objective and what they waited for, a way around how often it crosses, a caller that left how long its stream had been silent, a node that it stood still, and which format of lines it writes.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -130,6 +130,14 @@
 	return (was >= slowPace) != (n.pace >= slowPace)
 }
 
+// Pace is how much slower than its kind a replica is known to be, 1 for not at all.
+func (b *Book) Pace(id string) float64 {
+	if n, ok := b.nodes[id]; ok {
+		return n.pace
+	}
+	return 1
+}
+
 // slowPace is the pace from which a replica is asked again until it is well.
 const slowPace = 1.5
 
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -55,6 +55,17 @@
 	return at == span.To
 }
 
+// Crossings is how often the path goes from one failure domain to another.
+func (p Path) Crossings() int {
+	n := 0
+	for i := 1; i < len(p); i++ {
+		if p[i].Domain != p[i-1].Domain {
+			n++
+		}
+	}
+	return n
+}
+
 // String is the path for log lines: each replica with its layers.
 func (p Path) String() string {
 	var b strings.Builder
--- a/node/cmd/cicadactl/main.go
+++ b/node/cmd/cicadactl/main.go
@@ -26,6 +26,7 @@
 	Prune    *pruneCommand    `arg:"subcommand:prune" help:"remove old revisions, and parts of documents that nothing needs"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show a node's state and the fleet as it sees it"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show why a request was sent where it was, or refused"`
+	Losses   *lossesCommand   `arg:"subcommand:losses" help:"read nodes' logs and tell which requests were late, refused or failed, and by what"`
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"take a node out of service without cutting off a request"`
 	Entry    *entryCommand    `arg:"subcommand:entry" help:"ask a node which entry VMs a team should use"`
 
@@ -34,7 +35,7 @@
 	Operator    string        `arg:"--operator,env:USER" help:"who puts a document in force" default:"operator"`
 	OperatorKey string        `arg:"--operator-key,env:CICADATACK_OPERATOR_KEY" help:"key of the nodes' operators' calls"`
 	Authorities string        `arg:"--authorities" help:"PEM file of the authorities of the nodes' certificates; nodes are then called over TLS"`
-	Timeout     time.Duration `arg:"--timeout" help:"longest time for the whole command" default:"30s"`
+	Timeout     time.Duration `arg:"--timeout" help:"longest time for the calls of a command" default:"30s"`
 }
 
 func (arguments) Description() string {
@@ -51,7 +52,7 @@
 	parser := arg.MustParse(&args)
 	chosen, ok := parser.Subcommand().(command)
 	if !ok {
-		parser.Fail("a command is needed: check, trial, promote, rollback, diff, history, prune, status, explain, drain or entry")
+		parser.Fail("a command is needed: check, trial, promote, rollback, diff, history, prune, status, explain, losses, drain or entry")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), args.Timeout)
 	defer cancel()
--- a/node/logsink/logsink.go
+++ b/node/logsink/logsink.go
@@ -7,6 +7,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -86,10 +87,7 @@
 		if dropped > 0 {
 			lines = fmt.Appendf(lines, `{"@level":"warn","@message":"log lines dropped","count":%d}`+"\n", dropped)
 		}
-		if len(lines) > 0 {
-			// There is nowhere to report that the log can't be written.
-			_, _ = s.out.Write(lines)
-		}
+		s.write(lines)
 		if closed {
 			return
 		}
@@ -98,6 +96,34 @@
 	}
 }
 
+// blockBytes is the most that a pipe takes as one piece: the lines of processes that
+// share one are then not cut within each other's.
+const blockBytes = 4096
+
+// write writes whole lines, as many at a time as a block holds.
+func (s *Sink) write(lines []byte) {
+	for len(lines) > 0 {
+		block := firstBlock(lines)
+		// There is nowhere to report that the log can't be written.
+		_, _ = s.out.Write(block)
+		lines = lines[len(block):]
+	}
+}
+
+// firstBlock is the whole lines that a block holds, at least one.
+func firstBlock(lines []byte) []byte {
+	if len(lines) <= blockBytes {
+		return lines
+	}
+	if end := bytes.LastIndexByte(lines[:blockBytes], '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	return lines
+}
+
 func (s *Sink) take(spare []byte) (lines []byte, dropped int, closed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/logsink/logsink_test.go
+++ b/node/logsink/logsink_test.go
@@ -70,3 +70,29 @@
 		t.Errorf("%d bytes, want %d", out.Len(), want.Len())
 	}
 }
+
+// blocks keeps what each write brought.
+type blocks struct{ got [][]byte }
+
+func (b *blocks) Write(p []byte) (int, error) {
+	b.got = append(b.got, bytes.Clone(p))
+	return len(p), nil
+}
+
+// Several nodes write into one pipe. A write that is longer than the pipe takes at once
+// is cut within another's lines, and neither can be read.
+func TestWritesFitAPipe(t *testing.T) {
+	var out blocks
+	s := New(&out)
+	for i := range 2000 {
+		_, _ = s.Write([]byte(strings.Repeat("x", i%300) + "\n"))
+	}
+	long := strings.Repeat("y", 2*blockBytes) + "\n"
+	_, _ = s.Write([]byte(long))
+	s.Close()
+	for _, block := range out.got {
+		if block[len(block)-1] != '\n' || len(block) > blockBytes && string(block) != long {
+			t.Errorf("a write of %d bytes that ends in %q", len(block), block[len(block)-1])
+		}
+	}
+}
--- /dev/null
+++ b/node/losses/cause.go
@@ -0,0 +1,152 @@
+package losses
+
+// Cause is what a request was lost by.
+type Cause string
+
+// Causes, in the order of the tables.
+const (
+	LostPart       Cause = "lost part noticed late"
+	BusyLinks      Cause = "led around over busy links"
+	Rereading      Cause = "prompt read again after a lost part"
+	OthersReread   Cause = "replicas busy reading others' prompts again"
+	NoRoom         Cause = "no room"
+	NoCover        Cause = "no cover of some layer"
+	Stale          Cause = "stale configuration"
+	BudgetSpent    Cause = "try budget spent"
+	ReplicaRefused Cause = "replica refused"
+	ReplicaGone    Cause = "replica broke off or did not answer"
+	ReplicaSlow    Cause = "replica slow"
+	ReplicaError   Cause = "replica's own error"
+	NodeLost       Cause = "caller's node lost"
+	NodeLeaving    Cause = "caller's node leaving"
+	NodeStill      Cause = "node stood still"
+	CallerLeft     Cause = "caller left"
+	Limited        Cause = "team's limit or queue"
+	Unexplained    Cause = "unexplained"
+)
+
+// causes lists all of them in order.
+var causes = []Cause{
+	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, ReplicaRefused, ReplicaGone,
+	ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, CallerLeft, Limited, Unexplained,
+}
+
+// Outcome is what became of a lost request.
+type Outcome string
+
+// Outcomes.
+const (
+	Late    Outcome = "late"
+	Refused Outcome = "refused"
+	Failed  Outcome = "failed"
+	// Left is a request whose caller went before its answer was whole, without a
+	// silence that would be a reason.
+	Left Outcome = "left"
+)
+
+// Outcomes in the order of the tables.
+var outcomes = []Outcome{Late, Refused, Failed, Left}
+
+// refusals gives the cause that a reason of a refusal names by itself.
+var refusals = map[string]Cause{
+	"stale_configuration": Stale,
+	"no_configuration":    Stale,
+	"unknown_service":     NoCover,
+	"no_chain":            NoCover,
+	"no_adapter":          NoCover,
+	"no_endpoint":         NoCover,
+	"no_room":             NoRoom,
+	"timeout":             NoRoom,
+	"leaving":             NodeLeaving,
+	"not_ready":           NodeLeaving,
+	"overloaded":          Limited,
+	"team_limit":          Limited,
+	"unknown":             ReplicaGone,
+	"in_doubt":            ReplicaGone,
+	"deadline":            ReplicaGone,
+}
+
+// denials are refusals of what the configuration does not allow, and of what can't be
+// read: no losses.
+var denials = map[string]bool{
+	"malformed": true, "no_route": true, "unknown_key": true, "bad_key": true, "body_too_large": true,
+	"slow_body": true, "key_reused": true, "in_progress": true,
+}
+
+// ofRefusal is the cause of a refusal, by its reason and the tries before it.
+func (t *trace) ofRefusal(l line) Cause {
+	cause, known := refusals[l.Reason]
+	switch {
+	case !known:
+		return Unexplained
+	case t.spent:
+		return BudgetSpent
+	case cause != NoRoom && cause != NoCover && cause != ReplicaGone:
+		return cause
+	case t.tries > 0 && t.lastTry != "":
+		return ofTry(t.lastTry, t.notRun)
+	}
+	return cause
+}
+
+// ofCut is the cause of an answer that was cut, by what was done before.
+func (t *trace) ofCut(reason string) Cause {
+	switch {
+	case t.spent:
+		return BudgetSpent
+	case reason == "answer cut: no_endpoint":
+		return NoRoom
+	case t.lastTry != "":
+		return ofTry(t.lastTry, t.notRun)
+	}
+	return LostPart
+}
+
+// slowPace is the pace from which a replica counts as slow.
+const slowPace = 1.5
+
+// ofLate is the cause of an answer that came late; ok is false if its own lines don't
+// tell.
+func (t *trace) ofLate(l line) (cause Cause, ok bool) {
+	lateness := l.lateness()
+	if l.paused() {
+		if c, led := t.ofPause(l.LongestMillis); led {
+			return c, true
+		}
+	}
+	switch {
+	case l.WaitedBudgetMillis > 0 && l.WaitedBudgetMillis >= lateness/2:
+		return BudgetSpent, true
+	case t.tries > 0:
+		return ofTry(t.lastTry, t.notRun), true
+	case l.WaitedRoomMillis > 0 && l.WaitedRoomMillis >= lateness/2:
+		return NoRoom, true
+	case len(t.detours) > 0:
+		return LostPart, true
+	case l.SlowestPace >= slowPace:
+		return ReplicaSlow, true
+	case !l.stream():
+		// Sent at once and once, it was with the replica all the time.
+		return ReplicaSlow, true
+	}
+	return Unexplained, false
+}
+
+// ofPause is the cause of a pause in which the stream was led around.
+func (t *trace) ofPause(pauseMillis float64) (cause Cause, led bool) {
+	var longest detour
+	for _, d := range t.detours {
+		if d.taken && d.silentMillis > longest.silentMillis && d.silentMillis <= pauseMillis {
+			longest = d
+		}
+	}
+	switch {
+	case !longest.taken:
+		return "", false
+	case longest.silentMillis >= pauseMillis/2:
+		return LostPart, true
+	case longest.crossings > 0:
+		return BusyLinks, true
+	}
+	return Rereading, true
+}
--- /dev/null
+++ b/node/losses/doc.go
@@ -0,0 +1,35 @@
+// Package losses reads the nodes' structured logs and tells, for each request that was
+// late, refused or failed, what did that: one cause each, by stated rules.
+//
+// Use: give every log file to Read, in any order, and take the Report. A request's
+// lines all stand in one node's log, so a file may hold one node's lines or many
+// nodes' mixed, with any text before each line's first brace.
+//
+//	r := losses.NewReader()
+//	err := r.Read("vm1.log", file)
+//	report := r.Report()
+//
+// A log is read as a stream. What is kept is the requests underway, the losses, and
+// some seconds of what replicas did; it does not grow with the lines that went well.
+//
+// # Rules
+//
+// The first that holds gives the cause:
+//
+//  1. The request's end names it: the configuration was not proved or not known, the
+//     node was leaving, no endpoint had room, some layer had no holder, the budget of
+//     tries was spent, the endpoint itself failed, its caller left.
+//  2. A stream that paused: the longest pause contains a way around a lost part. If more
+//     of it went by before the order was taken than after, the part was noticed late;
+//     else the links were busy if the way crosses failure domains, and the rest was
+//     spent on reading again.
+//  3. The request was tried more than once: what ended the try before.
+//  4. It waited for room, or for the budget of tries, for most of what it was late by.
+//  5. A replica of its path says that it is slower than its kind.
+//  6. The node itself stood still meanwhile.
+//  7. Streams were led around in the same seconds: replicas read their prompts again
+//     between the steps of all others.
+//  8. Else it is unexplained.
+//
+// A request that was underway on a node when that started anew was lost with the node.
+package losses
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -144,9 +144,21 @@
 // next to nothing, a request that meets a dead part seconds.
 const recheckEvery = 400 * time.Millisecond
 
+// stillLimit is how much longer than it should a pause may last before the process, or
+// its machine, is taken to have stood still.
+const stillLimit = 100 * time.Millisecond
+
+// noteStill logs that the process stood still, if a pause that has just ended shows it.
+func (n *Node) noteStill(begun, pause time.Duration) {
+	if still := sinceBoot() - begun - pause; still > stillLimit {
+		n.log.Warn("stood still", "still_ms", still.Milliseconds())
+	}
+}
+
 // recheck tries the suspected replicas until the context ends.
 func (n *Node) recheck(ctx context.Context) {
-	for wait.For(ctx, recheckEvery) {
+	for begun := sinceBoot(); wait.For(ctx, recheckEvery); begun = sinceBoot() {
+		n.noteStill(begun, recheckEvery)
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Suspects() {
 				if n.prober.Reachable(ctx, r.Address) && model.Alive(r.ID) {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info("started", "domain", n.settings.Domain, "callers", n.settings.Callers, "directory", n.settings.Directory,
+	n.log.Info("started", "log_format", decision.LogFormat, "domain", n.settings.Domain, "callers", n.settings.Callers, "directory", n.settings.Directory,
 		"ready", n.settings.Ready, "control", n.settings.Control, "store", n.settings.Store)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/route/decision/decision.go
+++ b/route/decision/decision.go
@@ -13,6 +13,10 @@
 	"github.com/cicadatack/cicadatack/decide/balance"
 )
 
+// LogFormat is the version of the lines that a node writes; it tells it as it starts.
+// Readers of lines need it: since 2, late answers say what they were late by.
+const LogFormat = 2
+
 // Kind is what was decided.
 type Kind string
 
--- a/route/relay/goon.go
+++ b/route/relay/goon.go
@@ -150,7 +150,9 @@
 	}
 	w.a.q.record(decision.Decision{
 		Kind: decision.Detour, Chosen: w.a.target.Replica, Reason: why, Notes: notes,
-		Figures: map[string]float64{"taken": flag(err == nil), "silent_ms": millis(w.silentFor())},
+		Figures: map[string]float64{
+			"taken": flag(err == nil), "silent_ms": millis(w.silentFor()), "crossings": float64(path.Crossings()),
+		},
 	})
 }
 
--- a/route/relay/path.go
+++ b/route/relay/path.go
@@ -153,6 +153,8 @@
 	longest  time.Duration
 	pausedAt int
 	heard    time.Time
+	// waitedRoom is how long it waited for room, waitedBudget for the budget of tries.
+	waitedRoom, waitedBudget time.Duration
 }
 
 // Serve answers one request. ctx ends when its caller leaves.
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -96,6 +96,7 @@
 	}
 	t, err := q.Targets.Choose(q.ctx, query)
 	if waited := q.s.Now().Sub(wait); waited > time.Millisecond {
+		q.waitedRoom += waited
 		q.s.Figures.Waited(q.Service, waited)
 	}
 	return t, err
@@ -143,9 +144,11 @@
 		return false
 	}
 	d := q.mayRetry(v)
+	asked := q.s.Now()
 	for d.Reason == retry.BudgetSpent && q.s.Now().Before(q.givesUp()) && wait.For(q.ctx, budgetPause) {
 		d = q.mayRetry(v) // the budget is earned again with the time
 	}
+	q.waitedBudget += q.s.Now().Sub(asked)
 	q.record(decision.Decision{
 		Kind: decision.Retry, Chosen: lastOf(q.tried), Reason: d.Reason.String(),
 		Notes: []decision.Note{{Name: "end", Text: v.detail}},
--- a/route/relay/settle.go
+++ b/route/relay/settle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/route/decision"
@@ -36,7 +37,10 @@
 func (q *request) callerGone() *outcome.Refusal {
 	q.record(decision.Decision{
 		Kind: decision.Finish, Chosen: q.lastTarget.Replica, Reason: "the caller left",
-		Figures: map[string]float64{"sends": float64(q.sends), "events": float64(q.events), "took_ms": millis(q.s.Now().Sub(q.Arrived))},
+		Figures: map[string]float64{
+			"sends": float64(q.sends), "events": float64(q.events), "took_ms": millis(q.s.Now().Sub(q.Arrived)),
+			"silent_ms": millis(q.silentFor()), "waited_room_ms": millis(q.waitedRoom),
+		},
 	})
 	r := NotRun(statusCallerGone, ReasonCallerGone, "the caller left", 0)
 	if len(q.ran) > 0 {
@@ -45,6 +49,14 @@
 	return r
 }
 
+// silentFor is how long the caller has been without anything new.
+func (q *request) silentFor() time.Duration {
+	if q.heard.IsZero() {
+		return q.s.Now().Sub(q.Arrived)
+	}
+	return q.s.Now().Sub(q.heard)
+}
+
 // expired is the answer to a request whose time is up.
 func (q *request) expired() *outcome.Refusal {
 	if q.started {
--- a/route/relay/whole.go
+++ b/route/relay/whole.go
@@ -157,6 +157,9 @@
 	q.s.Figures.Request(q.Service, q.Team, string(outcome.Done))
 	figures["sends"] = float64(q.sends)
 	figures["took_ms"] = millis(q.s.Now().Sub(q.Arrived))
+	if q.late() {
+		q.addLateness(figures)
+	}
 	q.record(decision.Decision{
 		Kind: decision.Finish, Chosen: q.lastTarget.Replica, Reason: string(outcome.Done),
 		Notes: q.notes(), Figures: figures,
@@ -164,6 +167,20 @@
 	})
 }
 
+// addLateness adds what an answer was late by, and what it waited for.
+func (q *request) addLateness(figures map[string]float64) {
+	figures["late"] = 1
+	figures["objective_ms"] = millis(q.Route.Objective)
+	figures["waited_room_ms"] = millis(q.waitedRoom)
+	figures["waited_budget_ms"] = millis(q.waitedBudget)
+	if q.Route.Kind == ruleset.Stream {
+		figures["pause_limit_ms"] = millis(q.Route.MaxPause)
+	}
+	if flight := q.lastTarget.Flight; flight != nil {
+		figures["slowest_pace"] = flight.SlowestPace()
+	}
+}
+
 // late says whether the answer missed its route's objectives.
 func (q *request) late() bool {
 	if q.Route.Kind == ruleset.Stream {
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -157,7 +157,7 @@
 	load := f.load(around)
 	way := m.links.Decide(now, around != nil, load, elsewhere)
 	if way == detour.Elsewhere {
-		if path := f.elsewhere(now, o); path != nil && crossings(path) == 0 {
+		if path := f.elsewhere(now, o); path != nil && path.Crossings() == 0 {
 			return way, nil, m.begin(path, f.tokens)
 		}
 		way = m.links.Decide(now, around != nil, load, false)
@@ -173,7 +173,7 @@
 // holds the lock.
 func (f *Flight) load(around paths.Path) detour.Load {
 	m := f.model
-	added := max(0, crossings(around)-crossings(f.path))
+	added := max(0, around.Crossings()-f.path.Crossings())
 	return detour.Load{
 		Bytes: float64(added) * f.tokens * m.crossBytes, PerSecond: m.crossPerSecond, Nodes: m.part.Near,
 	}
@@ -201,7 +201,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	path := f.around(m.now())
-	if path == nil || crossings(path) > crossings(f.path) {
+	if path == nil || path.Crossings() > f.path.Crossings() {
 		return nil
 	}
 	return path
@@ -229,16 +229,6 @@
 	return path
 }
 
-func crossings(path paths.Path) int {
-	n := 0
-	for i := 1; i < len(path); i++ {
-		if path[i].Domain != path[i-1].Domain {
-			n++
-		}
-	}
-	return n
-}
-
 // Moved notes that the request now runs along another path.
 func (f *Flight) Moved(path paths.Path) {
 	m := f.model
@@ -255,6 +245,18 @@
 // Suspect notes that a replica looks dead. It says whether that is new.
 func (f *Flight) Suspect(replica string) bool { return f.model.Suspect(replica) }
 
+// SlowestPace is the pace of the path's slowest replica, 1 for one as fast as its kind.
+func (f *Flight) SlowestPace() float64 {
+	m := f.model
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slowest := 1.0
+	for _, part := range f.path {
+		slowest = max(slowest, m.book.Pace(part.Replica))
+	}
+	return slowest
+}
+
 // SetPace notes a replica's pace. It says whether that is news.
 func (f *Flight) SetPace(replica string, pace float64) bool { return f.model.SetPace(replica, pace) }
 
