A plot of a long time has as many bars as fit

Cause: a plot of logs from several months had a bar a second, twenty million for each cause, and took all memory of the machine (ended by the kernel). Now at most 240 bars; test.

--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -44,9 +44,6 @@
 	Left Outcome = "left"
 )
 
-// Outcomes in the order of the tables.
-var outcomes = []Outcome{Late, Refused, Failed, Left}
-
 // refusals gives the cause that a reason of a refusal names by itself.
 var refusals = map[string]Cause{
 	"stale_configuration": Stale,
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -227,3 +227,20 @@
 		t.Error(text.String())
 	}
 }
+
+// The logs of a whole year are read at once: the plot has as many bars as fit, not one a
+// second.
+func TestPlotOfALongTime(t *testing.T) {
+	last := strings.Replace(about(5, "refuse", "no_room", `"status":503`), "2026-01-01", "2026-12-31", 1)
+	rep := read(t, started+about(5, "refuse", "no_room", `"status":503`)+last)
+	if bars := rep.lastSecond()/rep.barSeconds() + 1; bars > mostBars {
+		t.Errorf("%d bars", bars)
+	}
+	var svg bytes.Buffer
+	if err := rep.SVG(&svg); err != nil {
+		t.Fatal(err)
+	}
+	if svg.Len() > 1<<20 {
+		t.Errorf("a plot of %d bytes", svg.Len())
+	}
+}
--- a/node/losses/plot.go
+++ b/node/losses/plot.go
@@ -1,6 +1,7 @@
 package losses
 
 import (
+	"fmt"
 	"image/color"
 	"io"
 
@@ -17,16 +18,22 @@
 	plotHeight = 14 * vg.Centimeter
 	// legendRoom is the part of the plot above the highest bar that is left to the legend.
 	legendRoom = 0.6
+	// mostBars is how many bars the plot holds; logs of a longer time have more seconds to
+	// a bar.
+	mostBars = 240
+	// barMargin is the room at both ends, in bars.
+	barMargin = 10
 )
 
-// SVG writes a plot of the losses: a bar a second, stacked by cause.
+// SVG writes a plot of the losses by time, stacked by cause.
 func (r *Report) SVG(out io.Writer) error {
 	p := plot.New()
 	p.Title.Text = "Requests late, refused or failed, by cause"
-	p.X.Label.Text = "seconds from the first line"
+	barSeconds := r.barSeconds()
+	p.X.Label.Text = fmt.Sprintf("time from the first line, %d s a bar", barSeconds)
 	p.Y.Label.Text = "requests"
 	p.Legend.Top = true
-	if err := r.addBars(p); err != nil {
+	if err := r.addBars(p, barSeconds); err != nil {
 		return err
 	}
 	p.Y.Max *= 1 + legendRoom
@@ -38,34 +45,41 @@
 	return Error.Wrap(err)
 }
 
-func (r *Report) addBars(p *plot.Plot) error {
+// lastSecond is that of the last loss.
+func (r *Report) lastSecond() int {
 	last := 0
 	for _, s := range r.Seconds {
 		last = max(last, s.At)
 	}
-	width := plotWidth / vg.Length(last+10)
+	return last
+}
+
+// barSeconds is how many seconds a bar stands for.
+func (r *Report) barSeconds() int { return r.lastSecond()/mostBars + 1 }
+
+func (r *Report) addBars(p *plot.Plot, barSeconds int) error {
+	bars := r.lastSecond()/barSeconds + 1
+	width := plotWidth / vg.Length(bars+barMargin)
 	var below *plotter.BarChart
 	for i, cause := range causes {
-		values := make(plotter.Values, last+1)
+		values := make(plotter.Values, bars)
 		for _, s := range r.Seconds {
-			if s.At >= 0 {
-				values[s.At] = float64(s.Causes[cause])
-			}
+			values[s.At/barSeconds] += float64(s.Causes[cause])
 		}
 		if !some(values) {
 			continue
 		}
-		bars, err := plotter.NewBarChart(values, width)
+		chart, err := plotter.NewBarChart(values, width)
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		bars.Color, bars.LineStyle.Color = colorOf(i), color.Transparent
+		chart.Color, chart.LineStyle.Color = colorOf(i), color.Transparent
 		if below != nil {
-			bars.StackOn(below)
+			chart.StackOn(below)
 		}
-		below = bars
-		p.Add(bars)
-		p.Legend.Add(string(cause), bars)
+		below = chart
+		p.Add(chart)
+		p.Legend.Add(string(cause), chart)
 	}
 	return nil
 }
