--- a/decide/detour/detour.go
+++ b/decide/detour/detour.go
@@ -23,6 +23,8 @@
 //     all replicas read it, some ten milliseconds each, one behind the other.
 //   - Where neither another first replica nor a free link is to be had, it crosses and
 //     waits its turn.
+//   - A part that only leaves serves on for seconds: what must cross does so one at a
+//     time (Idle), while the others stay.
 //
 // A node sees only its own transfers. What strikes one node's streams strikes those of
 // all nodes of the domain alike, so it reckons with as many times its own.
@@ -75,18 +77,25 @@
 	if load.PerSecond <= 0 {
 		return 0
 	}
-	all := (l.left(now, load.PerSecond) + load.Bytes) * float64(max(1, load.Nodes))
+	all := (l.left(now, load) + load.Bytes) * float64(max(1, load.Nodes))
 	return time.Duration(all / load.PerSecond * float64(time.Second))
 }
 
+// Idle says whether a request that has time may cross now: nothing of this node is under
+// way over the links, so that its own transfer is all that it waits for.
+func (l *Links) Idle(now time.Time, load Load) bool {
+	return load.Bytes == 0 || l.left(now, load) == 0
+}
+
 // Crossed notes that the request was sent across.
 func (l *Links) Crossed(now time.Time, load Load) {
-	l.backlog, l.at = l.left(now, load.PerSecond)+load.Bytes, now
+	l.backlog, l.at = l.left(now, load)+load.Bytes, now
 }
 
 // left is this node's backlog now: of what the links carry it has an even part.
-func (l *Links) left(now time.Time, perSecond float64) float64 {
-	return max(0, l.backlog-perSecond*now.Sub(l.at).Seconds())
+func (l *Links) left(now time.Time, load Load) float64 {
+	part := load.PerSecond / float64(max(1, load.Nodes))
+	return max(0, l.backlog-part*now.Sub(l.at).Seconds())
 }
 
 // Decide chooses between a way around, if there is one, and another first replica, if
--- a/decide/detour/detour_test.go
+++ b/decide/detour/detour_test.go
@@ -79,3 +79,28 @@
 		t.Errorf("%v a second later", wait)
 	}
 }
+
+// Forty streams of two nodes run through a replica that leaves, and nobody near holds its
+// layers. Sent over the links at once all of them would pause for a second; one at a time
+// each waits for its own transfer, and all are through before the replica ends.
+func TestThoseThatHaveTimeCrossOneAtATime(t *testing.T) {
+	var links Links
+	crossed := 0
+	for at := time.Duration(0); at < 2*time.Second; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		if !links.Idle(now, usual(2)) {
+			continue
+		}
+		if wait := links.Wait(now, usual(2)); wait > 80*time.Millisecond {
+			t.Errorf("at %v it would wait %v", at, wait)
+		}
+		links.Crossed(now, usual(2))
+		crossed++
+	}
+	if crossed < 20 {
+		t.Errorf("%d of 20 streams were led away in two seconds", crossed)
+	}
+	if !links.Idle(start, Load{}) {
+		t.Error("one that crosses no more often than before waits")
+	}
+}
--- a/route/relay/goon.go
+++ b/route/relay/goon.go
@@ -14,11 +14,9 @@
 )
 
 const (
-	// maxDetours bounds the orders for one part that leaves, and maxTries those for
-	// one that is lost: with the pauses they last a little longer than an engine
-	// waits for a part that is silent.
-	maxDetours = 2
-	maxTries   = 20
+	// maxTries bounds the orders for one part: with the pauses they last a little longer
+	// than an engine waits for a part that is silent, or serves on when it leaves.
+	maxTries = 20
 	// detourPause is between two tries to find a way around: room is given back with
 	// each stream that ends.
 	detourPause = 150 * time.Millisecond
@@ -34,21 +32,17 @@
 // another first replica has been booked to go on with it. A part that is only about to
 // leave is worth a way around in the same failure domains.
 func (w *watch) lead(why string, leaving bool) {
-	if !w.take() {
+	if !w.take(why, leaving) {
 		return
 	}
 	defer w.give()
 	flight := w.a.target.Flight
-	for try := 0; w.ctx.Err() == nil; try++ {
-		if leaving {
-			if path := flight.Near(); path != nil && w.detour(path, why) {
-				return
-			}
-		} else if w.replaceFirst(flight, why) || w.goOn(flight, why) {
-			return
+	for try := 0; try < maxTries && w.ctx.Err() == nil; try++ {
+		if lost := w.lostMeanwhile(); lost != "" {
+			why, leaving, try = lost, false, 0
 		}
-		if leaving && try >= maxDetours || try >= maxTries || !wait.For(w.ctx, detourPause) {
-			break
+		if w.ledOnce(flight, why, leaving) || !w.pause() {
+			return
 		}
 	}
 	if leaving {
@@ -56,6 +50,29 @@
 	}
 }
 
+// pause waits before the next try, until something is lost at the longest. It returns
+// false if the attempt has ended.
+func (w *watch) pause() bool {
+	timer := time.NewTimer(detourPause)
+	defer timer.Stop()
+	select {
+	case <-w.wake:
+	case <-timer.C:
+	case <-w.ctx.Done():
+		return false
+	}
+	return true
+}
+
+// ledOnce tries once to have the request go on.
+func (w *watch) ledOnce(flight *targets.Flight, why string, leaving bool) bool {
+	if leaving {
+		path := flight.Away()
+		return path != nil && w.detour(path, why)
+	}
+	return w.replaceFirst(flight, why) || w.goOn(flight, why)
+}
+
 // replaceFirst has another replica go on if the first one looks dead and one can go on
 // now. Without one the answer would be lost for certain; as it is, the replica may yet
 // go on.
@@ -156,16 +173,40 @@
 	})
 }
 
-func (w *watch) take() bool {
+// take begins to lead the request. While it is led away from a part that leaves, one that
+// is lost is remembered for lostMeanwhile.
+func (w *watch) take(why string, leaving bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.busy || w.stopped {
+	if w.stopped {
+		return false
+	}
+	if w.busy {
+		if !leaving && w.leaving {
+			w.lost = why
+			select {
+			case w.wake <- struct{}{}:
+			default: // it is about to look
+			}
+		}
 		return false
 	}
-	w.busy = true
+	w.busy, w.leaving, w.lost = true, leaving, ""
 	return true
 }
 
+// lostMeanwhile says why the request must go on at once although it was led away from a
+// part that leaves, "" if nothing was lost.
+func (w *watch) lostMeanwhile() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lost := w.lost
+	if lost != "" {
+		w.lost, w.leaving = "", false
+	}
+	return lost
+}
+
 func (w *watch) give() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/route/relay/goon_test.go
+++ b/route/relay/goon_test.go
@@ -68,3 +68,29 @@
 		t.Errorf("%d requests are booked, want the one that is underway", underway)
 	}
 }
+
+// A stream is led away from a part that leaves, and another part dies meanwhile. That is
+// not to wait until the first is done with: the stream would pause for seconds.
+func TestLossWhileLedAwayIsNotForgotten(t *testing.T) {
+	w := &watch{wake: make(chan struct{}, 1)}
+	if !w.take("leaves", true) {
+		t.Fatal("a request that nobody leads can't be led")
+	}
+	if w.take("leaves too", true) || w.lostMeanwhile() != "" {
+		t.Error("a second part that leaves is no loss")
+	}
+	if w.take("lost", false) {
+		t.Error("led twice at once")
+	}
+	select {
+	case <-w.wake:
+	default:
+		t.Error("the pause between two tries goes on")
+	}
+	if why := w.lostMeanwhile(); why != "lost" {
+		t.Errorf("%q", why)
+	}
+	if w.lostMeanwhile() != "" {
+		t.Error("told twice")
+	}
+}
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -40,8 +40,13 @@
 	mayReplace, mayMove bool
 
 	mu      sync.Mutex
-	busy    bool
 	stopped bool
+	// busy is set while the request is led, leaving while that is away from a part that
+	// leaves; lost is why it must go on at once all the same.
+	busy, leaving bool
+	lost          string
+	// wake ends a pause between two tries to lead it.
+	wake chan struct{}
 	// next, if set, is booked for the try after this one, which was ended from here;
 	// why says for what reason.
 	next *targets.Target
@@ -49,7 +54,7 @@
 }
 
 func (a *attempt) watch(ctx context.Context, cancel context.CancelFunc) *watch {
-	w := &watch{a: a, ctx: ctx, cancel: cancel}
+	w := &watch{a: a, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
 	if a.target.Flight == nil {
 		return w
 	}
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -38,9 +38,11 @@
 	}()
 }
 
-// leaving lists the requests that run through a replica which will end, or give up
-// the layers, before they do, each once. The first part can't be replaced. The caller
-// holds the lock.
+// leaving lists the requests that run through a replica which may end, or give up the
+// layers, before they do, each once. One that the list no longer holds has left without
+// a word and serves on for a while, as one that says so does; if it died instead, the
+// silence of its streams tells sooner. The first part can't be replaced. The caller holds
+// the lock.
 func (m *Model) leaving() []notice {
 	var list []notice
 	for f := range m.flights {
@@ -48,7 +50,7 @@
 			continue
 		}
 		for _, part := range f.path[1:] {
-			if m.book.Leaving(part.Replica, part.Run) {
+			if !m.book.Known(part.Replica) || m.book.Leaving(part.Replica, part.Run) {
 				f.told = true
 				list = append(list, notice{f.leave, part.Replica})
 				break
@@ -69,21 +71,6 @@
 	return list
 }
 
-// stranded lists the requests that run through a replica which the list no longer
-// holds. The caller holds the lock.
-func (m *Model) stranded() []notice {
-	var list []notice
-	for f := range m.flights {
-		for _, part := range f.path {
-			if f.lost != nil && !m.book.Known(part.Replica) {
-				list = append(list, notice{f.lost, part.Replica})
-				break
-			}
-		}
-	}
-	return list
-}
-
 func (f *Flight) passes(replica string) bool {
 	for _, part := range f.path {
 		if part.Replica == replica {
@@ -194,16 +181,19 @@
 	return f.path
 }
 
-// Near chooses a path around a part that leaves, which crosses failure domains no more
-// often than the present one. It returns nil if there is none.
-func (f *Flight) Near() paths.Path {
+// Away chooses a path around a part that leaves, which has time: one that crosses
+// failure domains more often than the present one only while the links are idle. It
+// returns nil if there is none now.
+func (f *Flight) Away() paths.Path {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	path := f.around(m.now())
-	if path == nil || path.Crossings() > f.path.Crossings() {
+	now := m.now()
+	path := f.around(now)
+	if path == nil || !m.links.Idle(now, f.load(path)) {
 		return nil
 	}
+	m.links.Crossed(now, f.load(path))
 	return path
 }
 
