--- /dev/null
+++ b/decide/silence/silence.go
@@ -0,0 +1,76 @@
+// Package silence decides when a stream that has gone silent is a sign that a part of
+// its path is lost.
+//
+// # Load pattern
+//
+// Dozens of streams of a node run through the same replicas, each with an event every
+// some ten milliseconds. One of the replicas dies without a word, and all of them go
+// silent within the time of one event.
+//
+// # Without it
+//
+// With one bound for all streams, half of the pause that is on time, the pause is half
+// over when the path is looked at, and the way around comes too late for most. A shorter
+// bound for all has paths looked at in vain whenever replicas read long prompts.
+//
+// # Rules
+//
+//   - Each stream's own pace is the measure: its usual gap between two events and how
+//     much that varies. When replicas are busy both grow, and with them the patience.
+//   - A silence that is unusual has the path looked at, at the latest after half of the
+//     pause that is on time, so that what is found out can still help.
+//
+// That several streams are silent at once adds nothing: of those that run through a lost
+// part the one whose event was due first asks, and all are told what it finds.
+package silence
+
+import "time"
+
+const (
+	// weight of a new gap in the mean, and of its distance from it in the deviation: as
+	// in the round trip times of TCP (RFC 6298).
+	meanWeight = 1.0 / 8
+	devWeight  = 1.0 / 4
+	// unusualDevs is by how many deviations an unusual gap is over the mean.
+	unusualDevs = 4
+	// least is the shortest silence that is looked at, and settled the number of gaps
+	// after which a stream's pace is known.
+	least   = 45 * time.Millisecond
+	settled = 4
+	// limitParts: no silence of more than this part of the pause that is on time is
+	// taken for usual.
+	limitParts = 2
+)
+
+// Pace is how a stream's events come. The zero value knows nothing yet. It is not safe
+// for concurrent use.
+type Pace struct {
+	gaps      int
+	mean, dev float64 // nanoseconds
+}
+
+// Heard notes the gap before an event.
+func (p *Pace) Heard(gap time.Duration) {
+	p.gaps++
+	g := float64(gap)
+	if p.gaps == 1 {
+		p.mean, p.dev = g, g/2
+		return
+	}
+	off := g - p.mean
+	if off < 0 {
+		off = -off
+	}
+	p.dev += devWeight * (off - p.dev)
+	p.mean += meanWeight * (g - p.mean)
+}
+
+// Patience is the silence after which the path of a stream is looked at whose pauses are
+// on time up to a limit.
+func (p *Pace) Patience(limit time.Duration) time.Duration {
+	most := limit / limitParts
+	if p.gaps < settled {
+		return most
+	}
+	return min(most, max(least, time.Duration(p.mean+unusualDevs*p.dev)))
+}
--- /dev/null
+++ b/decide/silence/silence_test.go
@@ -0,0 +1,78 @@
+package silence
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const limit = 200 * time.Millisecond
+
+func steady(gap, jitter time.Duration, n int) *Pace {
+	p := &Pace{}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range n {
+		p.Heard(gap + time.Duration((random.Float64()*2-1)*float64(jitter)))
+	}
+	return p
+}
+
+// A replica dies under streams with an event each 40 ms. Their paths are looked at well
+// before half of the pause that is on time is over.
+func TestSteadyStreamsAreLookedAtSoon(t *testing.T) {
+	p := steady(40*time.Millisecond, 8*time.Millisecond, 50).Patience(limit)
+	if p > 70*time.Millisecond {
+		t.Errorf("after %v", p)
+	}
+}
+
+// Replicas read long prompts between the steps of all streams, and gaps vary from 20 to
+// 120 ms. Looked at after a fixed 60 ms, each stream would be suspected every second.
+func TestBusyReplicasAreNotSuspected(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	p := &Pace{}
+	suspected := 0
+	for range 10000 {
+		gap := time.Duration(20+random.IntN(100)) * time.Millisecond
+		if gap > p.Patience(400*time.Millisecond) {
+			suspected++
+		}
+		p.Heard(gap)
+	}
+	if suspected > 20 {
+		t.Errorf("%d of 10,000 usual gaps are taken for a loss", suspected)
+	}
+}
+
+func TestBoundsOfPatience(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		pace *Pace
+		want time.Duration
+	}{
+		{"nothing known", &Pace{}, 100 * time.Millisecond},
+		{"little known", steady(10*time.Millisecond, 0, settled-1), 100 * time.Millisecond},
+		{"fast and steady", steady(5*time.Millisecond, 0, 100), least},
+		{"slow", steady(150*time.Millisecond, 0, 100), 100 * time.Millisecond},
+	} {
+		if got := c.pace.Patience(limit); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Streams come in bursts of several events at once; the gap of none between them does not
+// make the usual one look like a loss.
+func TestEventsThatComeTogether(t *testing.T) {
+	p := &Pace{}
+	for i := range 100 {
+		gap := 80 * time.Millisecond
+		if i%2 == 0 {
+			gap = 0
+		}
+		p.Heard(gap)
+	}
+	if got := p.Patience(limit); got < 80*time.Millisecond {
+		t.Errorf("%v", got)
+	}
+}
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -13,11 +13,15 @@
 	// within is how long an endpoint has to accept a connection: some ten times what it
 	// takes between failure domains of a region.
 	within = 25 * time.Millisecond
-	// tries in a row must fail: one packet may be lost on the way.
+	// tries must all fail: one packet may be lost on the way. The next one begins when the
+	// one before has failed, or after again.
 	tries = 2
+	again = 8 * time.Millisecond
 	// validFor is how long an answer is shared among the requests that ask: when an
-	// endpoint dies, all that run through it ask at once.
+	// endpoint dies, all that run through it ask at once. One that was reached may have
+	// died since, so that is good for aliveFor only.
 	validFor = 250 * time.Millisecond
+	aliveFor = 60 * time.Millisecond
 	// maxKnown bounds what is remembered.
 	maxKnown = 4096
 )
@@ -47,8 +51,7 @@
 	return &Prober{dialer: dialer, now: now, known: map[string]*probe{}}
 }
 
-// Lost returns those of the addresses that accept no connection, twice in a row: one
-// packet may be lost on the way.
+// Lost returns those of the addresses that accept no connection at any of the tries.
 func (p *Prober) Lost(ctx context.Context, addresses []string) []string {
 	probes := make([]*probe, len(addresses))
 	for i, address := range addresses {
@@ -78,7 +81,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	if known, ok := p.known[address]; ok && now.Sub(known.begun) < validFor {
+	if known, ok := p.known[address]; ok && known.valid(now) {
 		return known
 	}
 	if len(p.known) >= maxKnown {
@@ -91,12 +94,43 @@
 	return fresh
 }
 
+// valid says whether what the probe found, or is about to, still counts.
+func (p *probe) valid(now time.Time) bool {
+	age := now.Sub(p.begun)
+	select {
+	case <-p.done:
+		return age < aliveFor || !p.reachable && age < validFor
+	default:
+		return age < validFor
+	}
+}
+
+// run tries an address until it is reached or all tries have failed.
 func (p *Prober) run(ctx context.Context, address string, fresh *probe) {
 	defer close(fresh.done)
-	for range tries {
-		if p.dialer.Reachable(ctx, address, within) {
-			fresh.reachable = true
-			return
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan bool, tries)
+	try := func() { ended <- p.dialer.Reachable(ctx, address, within) }
+	go try()
+	next := time.NewTimer(again)
+	defer next.Stop()
+	for begun, failed := 1, 0; failed < tries; {
+		begin := false
+		select {
+		case reached := <-ended:
+			if reached {
+				fresh.reachable = true
+				return
+			}
+			failed++
+			begin = begun < tries
+		case <-next.C:
+			begin = begun < tries
+		}
+		if begin {
+			begun++
+			go try()
 		}
 	}
 }
--- a/route/reach/reach_test.go
+++ b/route/reach/reach_test.go
@@ -35,9 +35,52 @@
 	if d.calls != 4 {
 		t.Errorf("%d connections for 50 questions, want 4", d.calls)
 	}
+	now = now.Add(aliveFor)
+	p.Lost(context.Background(), []string{"a", "b"})
+	if d.calls != 5 {
+		t.Errorf("%d connections, want one more to the one that lived", d.calls)
+	}
 	d.dead = nil
 	now = now.Add(validFor)
 	if !p.Reachable(context.Background(), "b") {
 		t.Error("the old answer outlives its time")
 	}
 }
+
+// silent is an address that neither accepts nor refuses; the first try to reach lossy is
+// lost on the way.
+type silent struct {
+	mu    sync.Mutex
+	tried map[string]int
+}
+
+func (s *silent) Reachable(ctx context.Context, address string, within time.Duration) bool {
+	s.mu.Lock()
+	s.tried[address]++
+	first := s.tried[address] == 1
+	s.mu.Unlock()
+	if address == "lossy" && !first {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	<-ctx.Done()
+	return false
+}
+
+// A replica's machine loses power, and connections to it hang. The second try does not
+// wait for the end of the first: streams that could still be on time would be late. One
+// packet that was lost is no loss of the replica.
+func TestTriesOverlap(t *testing.T) {
+	p := New(&silent{tried: map[string]int{}}, time.Now)
+	begun := time.Now()
+	lost := p.Lost(context.Background(), []string{"dark", "lossy"})
+	took := time.Since(begun)
+	if len(lost) != 1 || lost[0] != "dark" {
+		t.Errorf("lost %v", lost)
+	}
+	if took < within {
+		t.Errorf("given up after %v", took)
+	}
+	t.Logf("found in %v", took)
+}
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -8,14 +9,14 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/silence"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
 
 const (
-	// silenceParts: a path is looked at when a stream has been silent for half of what
-	// is on time, so that what is found out can still help; and its replicas are asked
-	// for their pace, which is paid for, when it is late.
-	silenceParts = 2
+	// firstParts: a path is looked at when half of the time has passed in which the first
+	// event is on time.
+	firstParts = 2
 	// defaultPause is the pause that is on time where the route does not say.
 	defaultPause = 200 * time.Millisecond
 	// stallAgain is between two looks at a path that stays silent.
@@ -29,10 +30,11 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	timer  *time.Timer
-	// last is when events last came, counted from the attempt's beginning.
-	last atomic.Int64
-	// looks counts the looks at the path since.
-	looks atomic.Int32
+	// last is when events last came, counted from the attempt's beginning; pace how they
+	// usually do, and patience the silence after which the path is looked at.
+	last     atomic.Int64
+	pace     silence.Pace
+	patience atomic.Int64
 
 	// others are the replicas that may go on with the request in place of the first:
 	// mayReplace if that is lost, mayMove also if it is only slower.
@@ -54,7 +56,7 @@
 		return w
 	}
 	w.permit(a.q)
-	w.timer = time.AfterFunc(a.q.Route.Objective/silenceParts, w.silent)
+	w.timer = time.AfterFunc(a.q.Route.Objective/firstParts, w.silent)
 	a.target.Flight.Watch(
 		func(replica string) { w.lead("a part of the path is lost: "+replica, false) },
 		func(replica string) { w.lead("a part of the path leaves: "+replica, true) },
@@ -81,19 +83,21 @@
 
 // heard notes that events have come.
 func (w *watch) heard() {
-	w.last.Store(int64(w.a.q.s.Now().Sub(w.a.begun)))
-	w.looks.Store(0)
-	if w.timer != nil {
-		w.timer.Reset(w.a.q.stallAfter())
+	now := w.a.q.s.Now().Sub(w.a.begun)
+	if last := w.last.Swap(int64(now)); last > 0 {
+		w.pace.Heard(now - time.Duration(last))
+	}
+	if w.timer == nil {
+		return
 	}
+	patience := w.pace.Patience(w.a.q.maxPause())
+	w.patience.Store(int64(patience))
+	w.timer.Reset(patience)
 }
 
-// stallAfter is the pause between two events after which the path is looked at.
-func (q *request) stallAfter() time.Duration {
-	if q.Route.MaxPause <= 0 {
-		return defaultPause / silenceParts
-	}
-	return q.Route.MaxPause / silenceParts
+// maxPause is the longest pause between two events that is on time.
+func (q *request) maxPause() time.Duration {
+	return cmp.Or(q.Route.MaxPause, defaultPause)
 }
 
 // silentFor is how long no event has come in this attempt.
@@ -145,10 +149,12 @@
 	}
 }
 
-// lookAgain looks at a path that is silent although all of it can be reached.
+// lookAgain looks at a path that is silent although all of it can be reached: again
+// after as long, and once the pause is late its replicas are asked for their pace, which
+// is paid for.
 func (w *watch) lookAgain(path paths.Path) {
-	if w.looks.Add(1) < silenceParts {
-		w.timer.Reset(w.a.q.stallAfter())
+	if w.silentFor() < w.a.q.maxPause() {
+		w.timer.Reset(cmp.Or(time.Duration(w.patience.Load()), w.a.q.maxPause()/firstParts))
 		return
 	}
 	w.timer.Reset(stallAgain)
