--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -60,9 +60,25 @@
 	}
 	q.Targets.Ended(a.target, v.result)
 	q.last = v
+	if v.result.NoRoom && v.result.Fault != "" {
+		q.lookAtFault(t, v.result.Fault)
+	}
 	return v
 }
 
+// lookAtFault finds out whether the part that a refusal names accepts connections: the
+// first replica can't tell one that has no room from one that is gone, and a node that
+// has just started has not met it yet.
+func (q *request) lookAtFault(t targets.Target, address string) {
+	replica := t.ReplicaAt(address)
+	if replica == "" || q.s.Prober.Reachable(q.ctx, address) || q.ctx.Err() != nil {
+		return
+	}
+	if t.Flight.Suspect(replica) {
+		q.log.Info("replica out of reach", "service", q.Service, "replica", replica, "address", address)
+	}
+}
+
 // recordRoute records where the request is sent and why.
 func (q *request) recordRoute(t targets.Target) {
 	d := decision.Weighed(t.Choice)
@@ -168,7 +184,7 @@
 	if q.started {
 		return q.heard.Add(resumePatience)
 	}
-	return q.Arrived.Add(q.patience())
+	return q.Arrived.Add(latePatience * q.patience())
 }
 
 // budgetPause is between two questions to a budget that is spent.
