--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -207,6 +207,9 @@
 	n.poll.mu.Unlock()
 	n.members.set(members)
 	n.services.update(list)
+	if n.rules.Load() != nil {
+		n.tookFirst.Do(func() { close(n.first) })
+	}
 }
 
 // takeRules puts a newer configuration in force. It says whether the one in force is
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -68,7 +68,11 @@
 	decisions *decision.Log
 
 	rules atomic.Pointer[ruleset.Ruleset]
-	lease struct {
+	// first is closed when the first configuration is in force, with the replicas of its
+	// services.
+	first     chan struct{}
+	tookFirst sync.Once
+	lease     struct {
 		sync.Mutex
 		freshness.Lease
 	}
@@ -115,6 +119,7 @@
 		started:  time.Now(),
 		seed:     name.Sum64(),
 		store:    client,
+		first:    make(chan struct{}),
 		pool:     upstream.New(time.Now),
 	}
 	n.copy, n.asker = reads.NewCopy(sinceBoot), reads.NewAsker(sinceBoot)
@@ -265,6 +270,9 @@
 // Current implements door.Rules.
 func (n *Node) Current() *ruleset.Ruleset { return n.rules.Load() }
 
+// First implements door.Rules.
+func (n *Node) First() <-chan struct{} { return n.first }
+
 // Fresh implements relay.Proof.
 func (n *Node) Fresh() bool {
 	n.lease.Lock()
--- a/route/door/door.go
+++ b/route/door/door.go
@@ -25,6 +25,8 @@
 	relay.Proof
 	// Current returns the newest configuration, or nil if none is known yet.
 	Current() *ruleset.Ruleset
+	// First is closed once one is in force, with the endpoints of its services.
+	First() <-chan struct{}
 }
 
 // Services gives what is needed to send to a service.
@@ -96,7 +98,7 @@
 	if v.Call, err = e.Path.Dialect.Read(e.r.Header); err != nil {
 		return relay.NotRun(http.StatusBadRequest, reasonMalformed, err.Error(), 0)
 	}
-	if e.rules = e.Rules.Current(); e.rules == nil {
+	if e.rules = e.current(); e.rules == nil {
 		return relay.NotRun(http.StatusServiceUnavailable, reasonNoRules, "no configuration is known yet", retryRules)
 	}
 	v.Revision = e.rules.Version
@@ -118,6 +120,28 @@
 	return e.leaving()
 }
 
+// firstRules is how long a request waits for the first configuration: a node that starts
+// reads the store within some milliseconds, and all nodes of a fleet may start at once,
+// with all callers before them.
+const firstRules = 150 * time.Millisecond
+
+// current is the configuration in force. A request that finds none yet waits a little.
+func (e *entry) current() *ruleset.Ruleset {
+	select {
+	case <-e.Rules.First():
+		return e.Rules.Current()
+	default:
+	}
+	timer := time.NewTimer(firstRules)
+	defer timer.Stop()
+	select {
+	case <-e.Rules.First():
+	case <-timer.C:
+	case <-e.r.Context().Done():
+	}
+	return e.Rules.Current()
+}
+
 // authorize finds the caller's team. A key is judged only by a configuration that is
 // proved to be young: one that was taken away must not run a request on a node that
 // was cut off meanwhile.
