--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -28,6 +28,10 @@
 	Start float64
 	// Floor is the retries earned per second whatever succeeds.
 	Floor float64
+	// Window, if set, bounds the retries of any span of this length instead of saving
+	// them up: Burst, and Share for each success in it. Floor is not used then, and of
+	// Start the rest of Burst counts as spent when the Budget is made.
+	Window time.Duration
 	// MaxAttempts bounds the attempts of one request, the first included.
 	MaxAttempts int
 	// BaseDelay is the longest wait before the second attempt; it doubles with
@@ -103,19 +107,22 @@
 // Budget holds the retries that a service has earned.
 type Budget struct {
 	cfg    Config
-	tokens float64
-	earned time.Time // up to when the floor has been credited
+	purse  purse
 	random *rand.Rand
 }
 
 // New returns a Budget that holds Config.Start.
 func New(cfg Config) *Budget {
 	cfg = withDefaults(cfg)
-	return &Budget{
-		cfg:    cfg,
-		tokens: cmp.Or(cfg.Start, cfg.Burst),
-		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	return &Budget{cfg: cfg, purse: newPurse(cfg), random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))}
+}
+
+func newPurse(cfg Config) purse {
+	start := cmp.Or(cfg.Start, cfg.Burst)
+	if cfg.Window > 0 {
+		return newWindow(cfg, cfg.Burst-start)
 	}
+	return &bucket{share: cfg.Share, burst: cfg.Burst, floor: cfg.Floor, tokens: start}
 }
 
 func withDefaults(cfg Config) Config {
@@ -129,34 +136,36 @@
 }
 
 // Success credits the budget for a complete answer.
-func (b *Budget) Success(now time.Time) {
-	b.earnFloor(now)
-	b.credit(b.cfg.Share)
-}
+func (b *Budget) Success(now time.Time) { b.purse.success(now) }
 
-// Left is how many retries the budget holds.
-func (b *Budget) Left(now time.Time) float64 {
-	b.earnFloor(now)
-	return b.tokens
+// Left is how many retries may be made now.
+func (b *Budget) Left(now time.Time) float64 { return b.purse.left(now) }
+
+// SetBurst changes the most retries that a Budget with a Window allows besides the share
+// of the successes. A larger one counts after a window.
+func (b *Budget) SetBurst(now time.Time, burst float64) {
+	if w, ok := b.purse.(*window); ok {
+		w.setBurst(now, burst)
+	}
 }
 
 // Allow decides on a failed attempt and, if it may be tried again, charges the
 // budget for the retry.
 func (b *Budget) Allow(now time.Time, a Attempt) Decision {
-	b.earnFloor(now)
+	left := b.purse.left(now)
 	after := b.delay(a.Made)
-	reason := b.refusal(now.Add(after), a)
+	reason := b.refusal(now.Add(after), left, a)
 	if reason != Allowed {
-		return Decision{Reason: reason, Left: b.tokens}
+		return Decision{Reason: reason, Left: left}
 	}
-	b.tokens--
-	return Decision{Retry: true, After: after, Reason: Allowed, Left: b.tokens}
+	b.purse.spend(now)
+	return Decision{Retry: true, After: after, Reason: Allowed, Left: left - 1}
 }
 
 // refusal returns why an attempt that would start at the given time may not be
 // made, or Allowed. The budget comes last, so that it is charged only for
 // retries that are made.
-func (b *Budget) refusal(start time.Time, a Attempt) Reason {
+func (b *Budget) refusal(start time.Time, left float64, a Attempt) Reason {
 	switch {
 	case a.Failure == health.None || a.Failure == health.Canceled:
 		return NotAFailure
@@ -170,7 +179,7 @@
 		return NoAlternative
 	case !a.Deadline.IsZero() && start.Add(a.Need).After(a.Deadline):
 		return DeadlineTooNear
-	case b.tokens < 1:
+	case left < 1:
 		return BudgetSpent
 	}
 	return Allowed
@@ -186,19 +195,3 @@
 	d = min(d, b.cfg.MaxDelay)
 	return d/2 + time.Duration(b.random.Float64()*float64(d/2))
 }
-
-func (b *Budget) earnFloor(now time.Time) {
-	if b.earned.IsZero() {
-		b.earned = now
-	}
-	passed := now.Sub(b.earned)
-	if passed <= 0 {
-		return
-	}
-	b.earned = now
-	b.credit(b.cfg.Floor * passed.Seconds())
-}
-
-func (b *Budget) credit(tokens float64) {
-	b.tokens = min(b.cfg.Burst, b.tokens+tokens)
-}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"sync"
 	"time"
 
@@ -71,6 +70,7 @@
 		byService[r.Service] = append(byService[r.Service], r)
 	}
 	near, all := s.node.peers(s.node.settings.Domain)
+	s.shareTries()
 	for _, service := range rules.Services() {
 		replicas := byService[service.Name]
 		if service.Model != nil {
@@ -83,6 +83,16 @@
 	}
 }
 
+// shareTries gives each budget this node's part as of now.
+func (s *services) shareTries() {
+	part := s.node.tries()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.budgets {
+		b.SetBurst(part)
+	}
+}
+
 func (s *services) model(name string) *targets.Model {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,31 +249,36 @@
 
 const (
 	// budgetPart of the allowed further tries is used: nodes differ for a moment on
-	// how many they are.
+	// how many they are, and what one spends arrives a little later.
 	budgetPart = 0.8
 	// startNodes is how many nodes one that knows of no others reckons with.
 	startNodes = 12
-	// savedPart of a node's allowance may be saved up; the rest is earned over the
-	// window. Tries are needed many at once, when a replica is lost under all streams
-	// of a failure domain, and seldom else: with a half saved, half of those streams
-	// found the budget spent and waited for the links between domains.
-	savedPart = 0.8
+	// restartPart of a node's allowance is there when it starts: what its last process
+	// spent is not known, and a fleet that is restarted one by one would have twice the
+	// allowance.
+	restartPart = 1.0 / 8
 )
 
 // newBudget is this node's part of the tries beyond the first that all nodes may
-// send to a service in a window. In any window a budget gives what it held and what
-// it earned, so what it may hold and what it earns by time make up the allowance; and a
-// node that starts holds little, or a fleet that is restarted one by one would have
-// twice the allowance.
+// send to a service in a window.
 func (n *Node) newBudget() *budget.Budget {
 	b := n.bounds()
+	part := n.tries()
+	start := part * restartPart
+	if n.settings.FirstStart {
+		start = part
+	}
+	return budget.New(retry.Config{
+		Share: b.RetryRatio * budgetPart, Burst: part, Start: start, Window: b.RetryWindow, Seed: n.seed,
+	}, time.Now)
+}
+
+// tries is this node's part of the tries that all nodes may make besides the share of
+// their requests.
+func (n *Node) tries() float64 {
 	_, all := n.peers("")
 	if all < 2 && time.Since(n.started) < meetAfter {
 		all = startNodes
 	}
-	part := b.RetrySlack * budgetPart / float64(all)
-	return budget.New(retry.Config{
-		Share: b.RetryRatio * budgetPart, Burst: math.Max(2, part*savedPart), Start: part / 8,
-		Floor: part * (1 - savedPart) / b.RetryWindow.Seconds(), Seed: n.seed,
-	}, time.Now)
+	return n.bounds().RetrySlack * budgetPart / float64(all)
 }
--- a/route/budget/budget.go
+++ b/route/budget/budget.go
@@ -35,6 +35,13 @@
 	b.budget = retry.New(b.cfg)
 }
 
+// SetBurst changes this node's part of the tries that all nodes may make in a window.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.SetBurst(b.now(), burst)
+}
+
 // Allow decides on a failed attempt, and charges the budget if it may be tried again.
 func (b *Budget) Allow(a retry.Attempt) retry.Decision {
 	b.mu.Lock()
