--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -71,11 +71,15 @@
 	return booked
 }
 
-// Suspect leaves a replica out after a sign that it is gone, until Alive. It says
-// whether that is new.
-func (b *Book) Suspect(now time.Time, id string) bool {
+// Suspect leaves a replica out after a sign that it is gone, until Alive. silent says
+// that its machine does not answer either. It says whether the suspicion is new.
+func (b *Book) Suspect(now time.Time, id string, silent bool) bool {
 	n, ok := b.nodes[id]
-	if !ok || n.suspected {
+	if !ok {
+		return false
+	}
+	n.silent = n.silent || silent
+	if n.suspected {
 		return false
 	}
 	n.suspected, n.since = true, now
@@ -97,7 +101,7 @@
 	if !ok || !n.suspected {
 		return false
 	}
-	n.suspected = false
+	n.suspected, n.silent = false, false
 	return true
 }
 
@@ -107,6 +111,12 @@
 	return ok && n.suspected
 }
 
+// Silent says whether a replica is left out because its machine does not answer.
+func (b *Book) Silent(id string) bool {
+	n, ok := b.nodes[id]
+	return ok && n.silent
+}
+
 // Suspects returns the replicas that are suspected.
 func (b *Book) Suspects() []Replica {
 	var list []Replica
--- a/decide/paths/paths_test.go
+++ b/decide/paths/paths_test.go
@@ -68,7 +68,7 @@
 // run wholly in another domain, not through it and back at every token.
 func TestLostLayersSendWholePathsElsewhere(t *testing.T) {
 	b := twoDomains()
-	b.Suspect(start, "n3")
+	b.Suspect(start, "n3", false)
 	path := choose(t, b, Query{Domain: "near", Tokens: 1000})
 	if in := domains(path); len(in) != 1 || !in["far"] {
 		t.Errorf("path %v, want one in the far domain", path)
@@ -78,8 +78,8 @@
 // Where no domain is whole any more, a path crosses: slow is better than refused.
 func TestPathCrossesWhenNoDomainIsWhole(t *testing.T) {
 	b := twoDomains()
-	b.Suspect(start, "n3")
-	b.Suspect(start, "f1")
+	b.Suspect(start, "n3", false)
+	b.Suspect(start, "f1", false)
 	path := choose(t, b, Query{Domain: "near", Tokens: 1000})
 	if len(domains(path)) != 2 {
 		t.Errorf("path %v", path)
@@ -184,7 +184,7 @@
 	b := New(1)
 	r := replica("r", "d", 0, 80)
 	b.Update([]Replica{r})
-	if !b.Suspect(start, "r") || b.Suspect(start, "r") {
+	if !b.Suspect(start, "r", false) || b.Suspect(start, "r", false) {
 		t.Error("a second sign is no news")
 	}
 	if !b.Lost(start.Add(time.Second), "r", 600*time.Millisecond) || b.Lost(start, "r", 600*time.Millisecond) {
@@ -195,7 +195,7 @@
 	}
 	b.Alive("r")
 	choose(t, b, Query{Domain: "d", Tokens: 1})
-	b.Suspect(start, "r")
+	b.Suspect(start, "r", false)
 	r.Born++
 	b.Update([]Replica{r})
 	choose(t, b, Query{Domain: "d", Tokens: 1})
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -28,7 +28,17 @@
 
 // Dialer opens a connection to an endpoint; upstream.Pool is one.
 type Dialer interface {
-	Reachable(ctx context.Context, address string, within time.Duration) bool
+	// Reachable says whether the endpoint accepts a connection, and whether its machine
+	// answers at all: one that refuses does.
+	Reachable(ctx context.Context, address string, within time.Duration) (accepts, answers bool)
+}
+
+// Loss is an endpoint that accepts no connection.
+type Loss struct {
+	Address string
+	// Silent says that nothing answered: no process there goes on with anything. One that
+	// refuses may only be leaving.
+	Silent bool
 }
 
 // Prober asks endpoints. Safe for concurrent use.
@@ -43,7 +53,8 @@
 type probe struct {
 	begun     time.Time
 	done      chan struct{}
-	reachable bool // once done is closed
+	// reachable and answers are set once done is closed.
+	reachable, answers bool
 }
 
 // New returns a Prober.
@@ -52,17 +63,17 @@
 }
 
 // Lost returns those of the addresses that accept no connection at any of the tries.
-func (p *Prober) Lost(ctx context.Context, addresses []string) []string {
+func (p *Prober) Lost(ctx context.Context, addresses []string) []Loss {
 	probes := make([]*probe, len(addresses))
 	for i, address := range addresses {
 		probes[i] = p.probe(ctx, address)
 	}
-	var lost []string
+	var lost []Loss
 	for i, each := range probes {
 		select {
 		case <-each.done:
 			if !each.reachable {
-				lost = append(lost, addresses[i])
+				lost = append(lost, Loss{Address: addresses[i], Silent: !each.answers})
 			}
 		case <-ctx.Done():
 			return lost
@@ -110,17 +121,21 @@
 	defer close(fresh.done)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ended := make(chan bool, tries)
-	try := func() { ended <- p.dialer.Reachable(ctx, address, within) }
+	type end struct{ accepts, answers bool }
+	ended := make(chan end, tries)
+	try := func() {
+		accepts, answers := p.dialer.Reachable(ctx, address, within)
+		ended <- end{accepts, answers}
+	}
 	go try()
 	next := time.NewTimer(again)
 	defer next.Stop()
 	for begun, failed := 1, 0; failed < tries; {
 		begin := false
 		select {
-		case reached := <-ended:
-			if reached {
-				fresh.reachable = true
+		case e := <-ended:
+			fresh.reachable, fresh.answers = e.accepts, fresh.answers || e.answers
+			if e.accepts {
 				return
 			}
 			failed++
--- a/route/reach/reach_test.go
+++ b/route/reach/reach_test.go
@@ -14,11 +14,11 @@
 	calls int
 }
 
-func (d *dialer) Reachable(_ context.Context, address string, _ time.Duration) bool {
+func (d *dialer) Reachable(_ context.Context, address string, _ time.Duration) (accepts, answers bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.calls++
-	return !slices.Contains(d.dead, address)
+	return !slices.Contains(d.dead, address), true
 }
 
 // All requests through a dead replica ask at once: it is tried twice, not twice for
@@ -28,7 +28,7 @@
 	now := time.Unix(0, 0)
 	p := New(d, func() time.Time { return now })
 	for range 50 {
-		if lost := p.Lost(context.Background(), []string{"a", "b", "c"}); len(lost) != 1 || lost[0] != "b" {
+		if lost := p.Lost(context.Background(), []string{"a", "b", "c"}); len(lost) != 1 || lost[0] != (Loss{Address: "b"}) {
 			t.Fatalf("lost %v", lost)
 		}
 	}
@@ -54,18 +54,18 @@
 	tried map[string]int
 }
 
-func (s *silent) Reachable(ctx context.Context, address string, within time.Duration) bool {
+func (s *silent) Reachable(ctx context.Context, address string, within time.Duration) (accepts, answers bool) {
 	s.mu.Lock()
 	s.tried[address]++
 	first := s.tried[address] == 1
 	s.mu.Unlock()
 	if address == "lossy" && !first {
-		return true
+		return true, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	<-ctx.Done()
-	return false
+	return false, false
 }
 
 // A replica's machine loses power, and connections to it hang. The second try does not
@@ -76,7 +76,7 @@
 	begun := time.Now()
 	lost := p.Lost(context.Background(), []string{"dark", "lossy"})
 	took := time.Since(begun)
-	if len(lost) != 1 || lost[0] != "dark" {
+	if len(lost) != 1 || lost[0] != (Loss{Address: "dark", Silent: true}) {
 		t.Errorf("lost %v", lost)
 	}
 	if took < within {
--- a/route/relay/goon.go
+++ b/route/relay/goon.go
@@ -20,9 +20,10 @@
 	// detourPause is between two tries to find a way around: room is given back with
 	// each stream that ends.
 	detourPause = 150 * time.Millisecond
-	// deadAfter is the silence after which a first replica that takes no connections
-	// is taken for dead. One that leaves takes none either, and goes on with what it
-	// has, in its time: a part further on may be what holds it up.
+	// deadAfter is the silence after which a first replica that refuses connections is
+	// taken for dead. One that leaves refuses them too, and goes on with what it has, in
+	// its time: a part further on may be what holds it up. Where nothing answers at all,
+	// nothing goes on, and movedAfter is enough.
 	deadAfter = 700 * time.Millisecond
 )
 
@@ -70,14 +71,19 @@
 		path := flight.Away()
 		return path != nil && w.detour(path, why)
 	}
-	return w.replaceFirst(flight, why) || w.goOn(flight, why)
+	if w.replaceFirst(flight, why) {
+		return true
+	}
+	// One that does not answer takes no order either.
+	_, silent := flight.FirstLost()
+	return !silent && w.goOn(flight, why)
 }
 
 // replaceFirst has another replica go on if the first one looks dead and one can go on
 // now. Without one the answer would be lost for certain; as it is, the replica may yet
 // go on.
 func (w *watch) replaceFirst(flight *targets.Flight, why string) bool {
-	if !w.mayReplace || !flight.FirstLost() || w.silentFor() < deadAfter || !w.a.q.Budget.Left() {
+	if !w.mayReplace || !w.firstDead(flight) || !w.a.q.Budget.Left() {
 		return false
 	}
 	next, ok := flight.Elsewhere(w.others)
@@ -91,6 +97,15 @@
 	return false
 }
 
+// firstDead says whether the first replica has gone, as far as can be told by now.
+func (w *watch) firstDead(flight *targets.Flight) bool {
+	suspected, silent := flight.FirstLost()
+	if silent {
+		return w.quiet()
+	}
+	return suspected && w.silentFor() >= deadAfter
+}
+
 // movedAfter is the silence after which a request is moved away from a first replica
 // that lives: above the usual pause between events, so that where the part was not lost
 // after all the request is left in peace.
--- a/route/relay/goon_test.go
+++ b/route/relay/goon_test.go
@@ -28,31 +28,55 @@
 	return m
 }
 
-// The first replica of a stream dies, another could go on, and the budget of tries is
-// spent by the time that it is asked. The stream stays where it is, and the room that was
-// booked for it is given back: room that stays booked for nobody would add up until the
-// node refuses everyone.
-func TestRoomForAMoveThatIsNotMadeIsGivenBack(t *testing.T) {
-	m := twoChains()
+// silentStream is a stream through a model that has been silent for some time.
+func silentStream(t *testing.T, m *targets.Model, tries *budget.Budget, silent time.Duration) (*watch, func()) {
+	t.Helper()
 	target, err := m.Choose(context.Background(), targets.Query{Tokens: 100})
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := time.Now()
-	clock := func() time.Time { return now }
-	spent := budget.New(retry.Config{Burst: 1, Floor: 1e-9}, clock)
 	q := &request{
 		Visit: &Visit{
 			Route:   &ruleset.Route{Kind: ruleset.Stream, Resumable: true, MaxReplicas: 2},
-			Targets: m, Budget: spent, Deadline: now.Add(time.Minute),
+			Targets: m, Budget: tries, Deadline: time.Now().Add(time.Minute),
 		},
-		s: &Server{Now: clock},
+		s: &Server{Now: time.Now},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	w := &watch{a: &attempt{q: q, target: target, begun: time.Now().Add(-silent)}, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
+	return w, cancel
+}
+
+// The machine of a stream's first replica loses power. Nothing there goes on with the
+// stream, so another replica does at once; after the time for which one that refuses
+// connections is let alone, the caller has been without an event for most of a second.
+// One that refuses may only be leaving, with its streams still underway.
+func TestFirstReplicaWithoutPowerIsReplacedAtOnce(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		m := twoChains()
+		w, cancel := silentStream(t, m, budget.New(retry.Config{Burst: 10}, time.Now), 100*time.Millisecond)
+		defer cancel()
+		w.permit(w.a.q)
+		m.Suspect(w.a.target.Replica, silent)
+		if moved := w.replaceFirst(w.a.target.Flight, "lost"); moved != silent {
+			t.Errorf("silent %t: moved %t", silent, moved)
+		}
+		w.stop()
+	}
+}
+
+// The first replica of a stream dies, another could go on, and the budget of tries is
+// spent by the time that it is asked. The stream stays where it is, and the room that was
+// booked for it is given back: room that stays booked for nobody would add up until the
+// node refuses everyone.
+func TestRoomForAMoveThatIsNotMadeIsGivenBack(t *testing.T) {
+	m := twoChains()
+	spent := budget.New(retry.Config{Burst: 1, Floor: 1e-9}, time.Now)
+	w, cancel := silentStream(t, m, spent, time.Minute)
 	defer cancel()
-	w := &watch{a: &attempt{q: q, target: target, begun: now.Add(-time.Minute)}, ctx: ctx, cancel: cancel}
+	q, target, now := w.a.q, w.a.target, time.Now()
 	w.permit(q)
-	m.Suspect(target.Replica)
+	m.Suspect(target.Replica, false)
 
 	// Another request takes the last try between the look at the budget and the payment.
 	next, ok := target.Flight.Elsewhere(w.others)
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -71,10 +71,11 @@
 // has just started has not met it yet.
 func (q *request) lookAtFault(t targets.Target, address string) {
 	replica := t.ReplicaAt(address)
-	if replica == "" || q.s.Prober.Reachable(q.ctx, address) || q.ctx.Err() != nil {
+	if replica == "" {
 		return
 	}
-	if t.Flight.Suspect(replica) {
+	lost := q.s.Prober.Lost(q.ctx, []string{address})
+	if len(lost) > 0 && t.Flight.Suspect(replica, lost[0].Silent) {
 		q.log.Info("replica out of reach", "service", q.Service, "replica", replica, "address", address)
 	}
 }
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -142,11 +142,12 @@
 		return
 	}
 	fresh := false
-	for _, address := range lost {
+	for _, loss := range lost {
+		replica := replicas[loss.Address]
 		// This leads all requests that run through it around.
-		if w.a.target.Flight.Suspect(replicas[address]) {
+		if w.a.target.Flight.Suspect(replica, loss.Silent) {
 			fresh = true
-			w.a.q.log.Info("replica out of reach", "service", w.a.q.Service, "replica", replicas[address], "address", address)
+			w.a.q.log.Info("replica out of reach", "service", w.a.q.Service, "replica", replica, "address", loss.Address, "silent", loss.Silent)
 		}
 	}
 	if !fresh {
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -89,11 +89,13 @@
 	f.lost, f.leave = lost, leave
 }
 
-// FirstLost says whether the replica that was handed the request is suspected.
-func (f *Flight) FirstLost() bool {
+// FirstLost says whether the replica that was handed the request is suspected, and
+// whether its machine does not answer either.
+func (f *Flight) FirstLost() (suspected, silent bool) {
 	f.model.mu.Lock()
 	defer f.model.mu.Unlock()
-	return f.model.book.Suspected(f.path[0].Replica)
+	first := f.path[0].Replica
+	return f.model.book.Suspected(first), f.model.book.Silent(first)
 }
 
 // Others says which replicas may be handed a request that is underway.
@@ -232,8 +234,9 @@
 	f.path, f.told = path, false
 }
 
-// Suspect notes that a replica looks dead. It says whether that is new.
-func (f *Flight) Suspect(replica string) bool { return f.model.Suspect(replica) }
+// Suspect notes that a replica looks dead, silent that its machine does not answer
+// either. It says whether that is new.
+func (f *Flight) Suspect(replica string, silent bool) bool { return f.model.Suspect(replica, silent) }
 
 // SlowestPace is the pace of the path's slowest replica, 1 for one as fast as its kind.
 func (f *Flight) SlowestPace() float64 {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -230,7 +230,7 @@
 	case r.Misheld:
 		m.book.Misheld(fault)
 	case r.Gone:
-		if m.book.Suspect(m.now(), fault) {
+		if m.book.Suspect(m.now(), fault, false) {
 			return m.through(fault)
 		}
 	case r.NoRoom:
@@ -239,11 +239,11 @@
 	return nil
 }
 
-// Suspect notes that a replica looks dead; the requests that run through it are
-// told. It says whether that is new.
-func (m *Model) Suspect(replica string) bool {
+// Suspect notes that a replica looks dead, silent that its machine does not answer
+// either; the requests that run through it are told. It says whether that is new.
+func (m *Model) Suspect(replica string, silent bool) bool {
 	m.mu.Lock()
-	fresh := m.book.Suspect(m.now(), replica)
+	fresh := m.book.Suspect(m.now(), replica, silent)
 	var lost []notice
 	if fresh {
 		lost = m.through(replica)
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -115,7 +115,7 @@
 		}
 		target.Flight.Watch(func(replica string) { told <- fmt.Sprint(i, replica) }, func(string) {})
 	}
-	if !m.Suspect("b1") || m.Suspect("b1") {
+	if !m.Suspect("b1", false) || m.Suspect("b1", false) {
 		t.Error("only the first sign is news")
 	}
 	for range through {
@@ -144,7 +144,7 @@
 	m := halves()
 	target := take(t, m, 100)
 	lost := target.Path[1].Replica
-	m.Suspect(lost)
+	m.Suspect(lost, false)
 	path := target.Flight.Away()
 	if len(path) != 2 || path[0] != target.Path[0] || path[1].Replica == lost {
 		t.Fatalf("%v around %s", path, lost)
@@ -175,7 +175,7 @@
 		t.Error("the other half has failed this request")
 	}
 	other := map[string]string{"a1": "a2", "a2": "a1"}[target.Replica]
-	m.Suspect(other)
+	m.Suspect(other, false)
 	if _, ok := target.Flight.Elsewhere(Others{}); ok {
 		t.Error("the only other first replica is out of reach")
 	}
@@ -249,7 +249,7 @@
 	for range 6 {
 		flights = append(flights, take(t, m, 1000))
 	}
-	m.Suspect("b")
+	m.Suspect("b", false)
 	var ways []detour.Way
 	for _, target := range flights {
 		way, path, next := target.Flight.GoOn(true, Others{})
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -192,17 +192,18 @@
 	return old
 }
 
-// Reachable opens a connection to an endpoint and keeps it idle. It says whether
-// the endpoint's machine answers, without asking the endpoint for anything.
-func (p *Pool) Reachable(ctx context.Context, address string, within time.Duration) bool {
+// Reachable opens a connection to an endpoint and keeps it idle. It says whether the
+// endpoint accepts it, and whether its machine answers at all, without asking the
+// endpoint for anything.
+func (p *Pool) Reachable(ctx context.Context, address string, within time.Duration) (accepts, answers bool) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	c, err := p.get(ctx, address, true, 0)
 	if err != nil {
-		return false
+		return false, ctx.Err() == nil
 	}
 	p.keep(address, c, 0)
-	return true
+	return true, true
 }
 
 // Open is the number of connections, for metrics.
