--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -17,6 +17,8 @@
 //
 //   - Each stream's own pace is the measure: its usual gap between two events and how
 //     much that varies. When replicas are busy both grow, and with them the patience.
+//   - A look that finds nothing teaches patience: a fleet that is busy must not be asked
+//     by all its streams again and again.
 //   - A silence that is unusual has the path looked at, at the latest after half of the
 //     pause that is on time, so that what is found out can still help.
 //
@@ -65,6 +67,15 @@
 	p.mean += meanWeight * (g - p.mean)
 }
 
+// Vain notes that a path was looked at and nothing was lost: the stream is as slow as
+// that now, and is looked at later until its gaps are usual again.
+func (p *Pace) Vain(silent time.Duration) {
+	p.dev = max(p.dev, (float64(silent)*vainFactor-p.mean)/unusualDevs)
+}
+
+// vainFactor times the silence that was looked at in vain is what is looked at next.
+const vainFactor = 1.5
+
 // Patience is the silence after which the path of a stream is looked at whose pauses are
 // on time up to a limit.
 func (p *Pace) Patience(limit time.Duration) time.Duration {
--- a/decide/silence/silence_test.go
+++ b/decide/silence/silence_test.go
@@ -76,3 +76,22 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// Replicas are slow for a second, and paths are looked at in vain. Each look makes the
+// next one later; when the stream is quick again it is soon looked at as before.
+func TestLooksInVainTeachPatience(t *testing.T) {
+	p := steady(40*time.Millisecond, 4*time.Millisecond, 50)
+	before := p.Patience(time.Second)
+	for range 3 {
+		p.Vain(p.Patience(time.Second))
+	}
+	if got := p.Patience(time.Second); got < 3*before {
+		t.Errorf("%v after three looks in vain, %v before", got, before)
+	}
+	for range 20 {
+		p.Heard(40 * time.Millisecond)
+	}
+	if got := p.Patience(time.Second); got > 2*before {
+		t.Errorf("%v after a second of usual gaps, %v before", got, before)
+	}
+}
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -35,6 +35,8 @@
 	last     atomic.Int64
 	pace     silence.Pace
 	patience atomic.Int64
+	// vain is the silence of the last look that found nothing, until the next event.
+	vain atomic.Int64
 
 	// others are the replicas that may go on with the request in place of the first:
 	// mayReplace if that is lost, mayMove also if it is only slower.
@@ -89,6 +91,9 @@
 // heard notes that events have come.
 func (w *watch) heard() {
 	now := w.a.q.s.Now().Sub(w.a.begun)
+	if vain := w.vain.Swap(0); vain > 0 {
+		w.pace.Vain(time.Duration(vain))
+	}
 	if last := w.last.Swap(int64(now)); last > 0 {
 		w.pace.Heard(now - time.Duration(last))
 	}
@@ -159,6 +164,7 @@
 // after as long, and once the pause is late its replicas are asked for their pace, which
 // is paid for.
 func (w *watch) lookAgain(path paths.Path) {
+	w.vain.Store(int64(w.silentFor()))
 	if w.silentFor() < w.a.q.maxPause() {
 		w.timer.Reset(cmp.Or(time.Duration(w.patience.Load()), w.a.q.maxPause()/firstParts))
 		return
