--- a/decide/readers/readers.go
+++ b/decide/readers/readers.go
@@ -14,10 +14,11 @@
 //
 // # Grounds
 //
-// PerDomain 3 of each failure domain read: two may be lost or cut off at the same
-// moment. Small fleets, of up to three nodes a domain, all read for themselves.
-// Everything a node is told is a hint with an age; a node that is told nothing young
-// reads for itself, so a wrong choice costs calls only.
+// PerDomain 3 of each failure domain may read: two may be lost or cut off at the same
+// moment. They are in an order, and each asks those before it first, so that one reads
+// while all is well; the next does as soon as what the ones before it tell is no longer
+// young. Everything a node is told is a hint with an age; a node that is told nothing
+// young reads for itself, so a wrong choice costs calls only.
 package readers
 
 import (
@@ -47,17 +48,35 @@
 	return list[:min(len(list), PerDomain)]
 }
 
-// Reads says whether a node reads for itself: it is one of its domain's readers, or
-// nobody knows it yet.
+// Reads says whether a node is one of its domain's readers. One that nobody knows yet
+// is.
 func Reads(name, domain string, members []Member) bool {
 	known := slices.ContainsFunc(members, func(m Member) bool { return m.Name == name })
-	return !known || slices.ContainsFunc(Of(domain, members), func(m Member) bool { return m.Name == name })
+	return !known || rank(name, Of(domain, members)) >= 0
 }
 
-// Ask returns whom a node asks, in order. It begins with one drawn for it, so that the
-// readers share the questions.
+func rank(name string, list []Member) int {
+	return slices.IndexFunc(list, func(m Member) bool { return m.Name == name })
+}
+
+// Ask returns whom a node asks before it reads for itself, in order: a reader those
+// before it, any other node all readers, beginning with one drawn for it so that they
+// share the questions. One that nobody knows yet asks nobody.
 func Ask(name, domain string, draw int, members []Member) []Member {
-	list := slices.DeleteFunc(slices.Clone(Of(domain, members)), func(m Member) bool { return m.Name == name || m.Address == "" })
+	list := Of(domain, members)
+	own := rank(name, list)
+	switch {
+	case !slices.ContainsFunc(members, func(m Member) bool { return m.Name == name }):
+		return nil
+	case own >= 0:
+		list = list[:own]
+	}
+	return Peers(name, draw, list)
+}
+
+// Peers returns those of a list that a node can call, beginning with one drawn for it.
+func Peers(name string, draw int, list []Member) []Member {
+	list = slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.Name == name || m.Address == "" })
 	if len(list) == 0 {
 		return nil
 	}
--- a/decide/readers/readers_test.go
+++ b/decide/readers/readers_test.go
@@ -15,7 +15,7 @@
 	return list
 }
 
-// In a small fleet every node reads for itself; in a large one three of each domain.
+// Three of each domain may read, in a small fleet every node.
 func TestWhoReads(t *testing.T) {
 	for _, c := range []struct{ each, want int }{{2, 2}, {3, 3}, {28, 3}, {700, 3}} {
 		members := fleet(3, c.each)
@@ -51,7 +51,30 @@
 			t.Errorf("%s is asked first %d times of 300", name, n)
 		}
 	}
-	if asked := Ask("n0-01", "d0", 7, members); len(asked) != 2 {
-		t.Errorf("a reader asks the others only: %v", asked)
+	if asked := Ask("new", "d0", 7, members); len(asked) != 0 {
+		t.Errorf("a node that nobody knows asks %v", asked)
+	}
+}
+
+// While all is well one node of a domain reads; if it is lost, or loses the store, the
+// next does. Were all to read that may, a fleet would pay three times for the same.
+func TestOneReadsWhileAllIsWell(t *testing.T) {
+	for _, each := range []int{1, 2, 3, 28} {
+		members := fleet(3, each)
+		for lost := range min(each, PerDomain) {
+			reading := 0
+			for _, m := range members {
+				answered := false
+				for _, asked := range Ask(m.Name, m.Domain, 5, members) {
+					answered = answered || rank(asked.Name, Of(m.Domain, members)) >= lost
+				}
+				if rank(m.Name, Of(m.Domain, members)) >= lost && !answered {
+					reading++
+				}
+			}
+			if want := 3; reading != want && each > lost {
+				t.Errorf("%d nodes a domain, %d lost: %d read, want %d", each, lost, reading, want)
+			}
+		}
 	}
 }
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -99,14 +99,15 @@
 	return time.Duration(float64(min(b.Apply, b.Drain)) * pollPart)
 }
 
-// look learns what the store holds, and returns after how long to look again. In a
-// large fleet a few nodes of each failure domain read it and the others ask those.
+// look learns what the store holds, and returns after how long to look again. One node
+// of each failure domain reads it and the others ask; those who may read next look again
+// soon after a read that failed.
 func (n *Node) look(ctx context.Context) time.Duration {
 	defer n.gauge()
-	if n.rules.Load() != nil && !n.reads() && n.ask(ctx) {
+	if n.rules.Load() != nil && n.ask(ctx) {
 		return time.Duration(float64(n.pollEvery()) * askPart)
 	}
-	if n.readStore(ctx) && n.rules.Load() != nil {
+	if n.readStore(ctx) && n.rules.Load() != nil || !n.reads() {
 		return n.pollEvery()
 	}
 	return n.timing.PollSoon
--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -43,7 +43,8 @@
 
 func (n *Node) exchangeBookings(ctx context.Context) error {
 	var hubs []bookings.Peer
-	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, int(n.seed%readers.PerDomain), n.members.readers()) {
+	may := readers.Of(n.settings.Domain, n.members.readers())
+	for _, m := range readers.Peers(n.settings.Node, int(n.seed%readers.PerDomain), may) {
 		hubs = append(hubs, bookings.Peer{Name: m.Name, Address: m.Address})
 	}
 	if n.reads() {
