--- a/decide/detour/detour.go
+++ b/decide/detour/detour.go
@@ -16,17 +16,17 @@
 //
 // # Rules
 //
-//   - A way around that stays in the failure domains of the path is taken: one replica
-//     reads again what the lost one had read.
-//   - A way that crosses is taken while the links are free enough (Free); otherwise the
-//     request goes on whole in another failure domain, where only its text is sent and
-//     all replicas read it, some ten milliseconds each, one behind the other.
+//   - A way around is taken while the request can be on time on it: while the links that
+//     it crosses are free enough, and the replica that takes over has not too much to read
+//     of others that lost the same part.
+//   - Otherwise the request goes on whole in another failure domain, where only its text is
+//     sent and many replicas share the reading, if that is sooner.
 //   - Where neither another first replica nor a free link is to be had, it crosses and
 //     waits its turn.
 //   - A part that only leaves serves on for seconds: what must cross does so one at a
 //     time (Idle), while the others stay.
 //
-// A node sees only its own transfers. What strikes one node's streams strikes those of
+// A node sees only what it has sent itself. What strikes one node's streams strikes those of
 // all nodes of the domain alike, so it reckons with as many times its own.
 package detour
 
@@ -49,11 +49,6 @@
 	return [...]string{"stay", "around", "elsewhere"}[w]
 }
 
-// Free is the wait for the links between failure domains up to which crossing them is
-// no slower than going on elsewhere: there a usual prompt is read in about 0.1 s, and
-// the first event comes after that.
-const Free = 120 * time.Millisecond
-
 // Links is what this node has sent over the links between failure domains. Not safe for
 // concurrent use.
 type Links struct {
@@ -70,6 +65,12 @@
 	PerSecond float64
 	// Nodes is how many nodes are in the same case.
 	Nodes int
+	// Reading is how long the slowest of the replicas that take over will read, and
+	// Elsewhere the same of the way that begins at another first replica.
+	Reading, Elsewhere time.Duration
+	// Free is the wait up to which the request goes around without further ado: what is
+	// left of the pause that is on time once the loss is known.
+	Free time.Duration
 }
 
 // Wait is how long the transfer would take, with what all nodes have under way.
@@ -81,6 +82,14 @@
 	return time.Duration(all / load.PerSecond * float64(time.Second))
 }
 
+// around is how long a way around takes until its next event can come.
+func (l *Links) around(now time.Time, load Load) time.Duration {
+	if load.Bytes == 0 {
+		return load.Reading
+	}
+	return l.Wait(now, load) + load.Reading
+}
+
 // Idle says whether a request that has time may cross now: nothing of this node is under
 // way over the links, so that its own transfer is all that it waits for.
 func (l *Links) Idle(now time.Time, load Load) bool {
@@ -99,12 +108,12 @@
 }
 
 // Decide chooses between a way around, if there is one, and another first replica, if
-// one may go on.
+// one may go on and has read the request no later.
 func (l *Links) Decide(now time.Time, around bool, load Load, elsewhere bool) Way {
 	switch {
-	case around && (load.Bytes == 0 || l.Wait(now, load) <= Free):
+	case around && l.around(now, load) <= load.Free:
 		return Around
-	case elsewhere:
+	case elsewhere && (!around || load.Elsewhere < l.around(now, load)):
 		return Elsewhere
 	case around:
 		return Around
--- a/decide/detour/detour_test.go
+++ b/decide/detour/detour_test.go
@@ -8,11 +8,14 @@
 var start = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
 
 // usual is a prompt of 900 tokens that crosses twice: 53 MB over 1.4 GB a second.
-func usual(nodes int) Load { return Load{Bytes: 53e6, PerSecond: 1.4e9, Nodes: nodes} }
+func usual(nodes int) Load { return Load{Bytes: 53e6, PerSecond: 1.4e9, Nodes: nodes, Free: free} }
+
+// free is what is left of a pause of 0.3 s.
+const free = 120 * time.Millisecond
 
 // Forty streams of a failure domain lose a part at once, at two nodes that see twenty
 // each. Led around one behind the other, the last would wait for three seconds. Those
-// that go first fit; the others go on elsewhere, and nobody waits longer than Free.
+// that go first fit; the others go on elsewhere, and nobody waits longer than is on time.
 func TestStormOfDetours(t *testing.T) {
 	var links Links
 	ways := map[Way]int{}
@@ -26,7 +29,7 @@
 			links.Crossed(start, load)
 		}
 	}
-	if ways[Around] < 1 || ways[Around] > 2 || ways[Stay] > 0 || longest > Free {
+	if ways[Around] < 1 || ways[Around] > 2 || ways[Stay] > 0 || longest > free {
 		t.Errorf("%v, the longest wait %v", ways, longest)
 	}
 	// Without another first replica all cross and wait their turn.
@@ -54,6 +57,9 @@
 		{"in the same domains, links busy or not", true, near, true, Around},
 		{"a single crossing of one node", true, usual(1), true, Around},
 		{"nine nodes in the same case", true, usual(9), true, Elsewhere},
+		{"the replica near has much to read", true, Load{Reading: 300 * time.Millisecond, Elsewhere: 90 * time.Millisecond, Free: free}, true, Elsewhere},
+		{"those elsewhere have more", true, Load{Reading: 300 * time.Millisecond, Elsewhere: 400 * time.Millisecond, Free: free}, true, Around},
+		{"it has read in time", true, Load{Reading: 100 * time.Millisecond, Elsewhere: 10 * time.Millisecond, Free: free}, true, Around},
 		{"no other first replica", true, usual(9), false, Around},
 		{"no way around", false, Load{}, true, Elsewhere},
 		{"no way at all", false, Load{}, false, Stay},
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -23,6 +23,8 @@
 	Room float64
 	// LayerMillis is the time of one step through one layer.
 	LayerMillis float64
+	// ReadMillis is the time in which one token of a prompt is read with one layer.
+	ReadMillis float64
 	// Leaving replicas take no new requests.
 	Leaving bool
 	// Revision rises with each account that the replica gives of itself.
@@ -107,6 +109,9 @@
 	Exclude []string
 	// FirstOf, if not empty, names the replicas that the path may begin with.
 	FirstOf []string
+	// Again is set for a request that is underway: the replicas read all that it holds
+	// again, and those that have least to read are chosen.
+	Again bool
 }
 
 const (
@@ -145,6 +150,7 @@
 	// it has given a newer account of itself.
 	misheld bool
 	full    time.Time
+	reading reading
 	// pace is over 1 for a replica that is slower than its kind.
 	pace float64
 	// others is what other nodes have booked as far as it is known, told when this node
@@ -318,6 +324,9 @@
 				if !ok {
 					continue
 				}
+				if q.Again {
+					part += readPrice * n.reading.left(now)
+				}
 				for last := range domains {
 					cost := at(from, last).cost + part + crossing(from == 0 && q.Run.From == 0, last, domain)
 					if cost < at(to, domain).cost {
--- /dev/null
+++ b/decide/paths/reading_test.go
@@ -0,0 +1,65 @@
+package paths
+
+import (
+	"testing"
+	"time"
+)
+
+// readers is a domain whose middle layers three replicas hold; a token is read there in
+// a thousandth of a millisecond a layer.
+func readers() *Book {
+	b := New(1)
+	list := []Replica{replica("first", "d", 0, 30), replica("last", "d", 50, 80)}
+	for _, id := range []string{"lost", "m1", "m2"} {
+		list = append(list, replica(id, "d", 30, 50))
+	}
+	for i := range list {
+		list[i].ReadMillis = 0.001
+	}
+	b.Update(list)
+	return b
+}
+
+// A replica dies under forty streams, and two others hold its layers. Chosen by room alone
+// either may be given more than it reads in time; both share the reading evenly, and how
+// long it takes is known before it is ordered.
+func TestReadingIsShared(t *testing.T) {
+	b := readers()
+	before := Path{{Replica: "first", Run: whole}, {Replica: "lost", Run: whole}}
+	before[0].Run.To, before[1].Run.From = 30, 30
+	b.Suspect(start, "lost", false)
+	given := map[string]int{}
+	var waits []time.Duration
+	for range 40 {
+		path := choose(t, b, Query{Domain: "d", Tokens: 1000, Again: true})
+		waits = append(waits, b.ReadWait(start, path, before, 1000, 1))
+		b.Reads(start, path, before, 1000, 1)
+		for _, part := range path {
+			given[part.Replica]++
+		}
+	}
+	if given["m1"] < 15 || given["m2"] < 15 {
+		t.Errorf("%v", given)
+	}
+	// The last replica reads too, as the path before ended elsewhere: 30 ms a request.
+	if waits[0] != 30*time.Millisecond || waits[39] != 40*30*time.Millisecond {
+		t.Errorf("the first waits %v, the last %v", waits[0], waits[39])
+	}
+	path := choose(t, b, Query{Domain: "d", Tokens: 1000})
+	if wait := b.ReadWait(start.Add(2*time.Second), path, before, 1000, 1); wait != waits[0] {
+		t.Errorf("%v when all is read", wait)
+	}
+}
+
+// What keeps its replica and layers reads nothing again, and what is not told costs
+// nothing.
+func TestPartsThatStayReadNothing(t *testing.T) {
+	b := readers()
+	path := choose(t, b, Query{Domain: "d", Tokens: 1000})
+	if wait := b.ReadWait(start, path, path, 1000, 9); wait != 0 {
+		t.Errorf("%v for the same path", wait)
+	}
+	if wait := twoDomains().ReadWait(start, path, nil, 1000, 9); wait != 0 {
+		t.Errorf("%v where no replica's speed is known", wait)
+	}
+}
--- a/route/relay/goon.go
+++ b/route/relay/goon.go
@@ -111,10 +111,15 @@
 // after all the request is left in peace.
 const movedAfter = 70 * time.Millisecond
 
+// freePart of the pause that is on time is left once a lost part is known and the order
+// to go around is given.
+const freePart = 0.4
+
 // goOn has the request go on around the lost part or, if that would take longer, at
 // another first replica.
 func (w *watch) goOn(flight *targets.Flight, why string) bool {
-	way, path, next := flight.GoOn(w.mayMove && w.a.q.Budget.Left(), w.others)
+	free := time.Duration(float64(w.a.q.maxPause()) * freePart)
+	way, path, next := flight.GoOn(w.mayMove && w.a.q.Budget.Left(), free, w.others)
 	if way == detour.Elsewhere {
 		if w.quiet() && w.move(next, why+"; another failure domain goes on sooner") {
 			return true
@@ -123,7 +128,7 @@
 		if w.ctx.Err() != nil {
 			return true
 		}
-		_, path, _ = flight.GoOn(false, w.others)
+		_, path, _ = flight.GoOn(false, free, w.others)
 	}
 	return path != nil && w.detour(path, why)
 }
--- a/route/ruleset/ruleset.go
+++ b/route/ruleset/ruleset.go
@@ -96,6 +96,9 @@
 	CrossBytes, LinkBytesPerSecond float64
 	// StepMillis is the time of one step through all layers on a card of pace 1.
 	StepMillis float64
+	// ReadPerSecond is how many prompt tokens a card of ReadFactor 1 reads a second with all
+	// layers; zero if it is not told.
+	ReadPerSecond float64
 	// LoadTime is the time to load all layers' weights onto one replica.
 	LoadTime time.Duration
 	// Cards are the kinds of accelerators by name.
@@ -108,12 +111,21 @@
 // TokenLayerMB is the memory of one token in one layer, in megabytes.
 func (m *Model) TokenLayerMB() float64 { return m.TokenLayerBytes / bytesPerMB }
 
+// ReadMillis is the time in which a card reads one token of a prompt with one layer; zero
+// if it is not told.
+func (m *Model) ReadMillis(card Card) float64 {
+	if m.ReadPerSecond <= 0 || m.Layers <= 0 {
+		return 0
+	}
+	return 1000 / m.ReadPerSecond / float64(m.Layers) * card.ReadFactor
+}
+
 // Card is a kind of accelerator.
 type Card struct {
 	// MemoryMB holds weights and requests, in megabytes.
 	MemoryMB float64
-	// Pace multiplies the time of a step.
-	Pace float64
+	// Pace multiplies the time of a step, ReadFactor that of reading a prompt.
+	Pace, ReadFactor float64
 }
 
 // Limits bound what a caller may send.
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -125,7 +125,7 @@
 	m := f.model
 	whole := layers.Span{To: m.layers}
 	path, reason := m.book.Choose(now, paths.Query{
-		Domain: m.domain, Run: whole, Tokens: f.tokens,
+		Domain: m.domain, Run: whole, Tokens: f.tokens, Again: true,
 		Exclude: append(slices.Clone(o.Exclude), f.path[0].Replica), FirstOf: o.FirstOf,
 	})
 	if reason != paths.Found || !path.Runs(whole) {
@@ -136,24 +136,33 @@
 
 // GoOn chooses how the request goes on after a part of its path was lost: around it,
 // along the path, or at another first replica, for which the target is booked and needs
-// one Ended. elsewhere says whether another may go on with it.
-func (f *Flight) GoOn(elsewhere bool, o Others) (detour.Way, paths.Path, Target) {
+// one Ended. elsewhere says whether another may go on with it, free up to which wait it
+// is on time.
+func (f *Flight) GoOn(elsewhere bool, free time.Duration, o Others) (detour.Way, paths.Path, Target) {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	around := f.around(now)
 	load := f.load(around)
-	way := m.links.Decide(now, around != nil, load, elsewhere)
-	if way == detour.Elsewhere {
-		if path := f.elsewhere(now, o); path != nil && path.Crossings() == 0 {
-			return way, nil, m.begin(path, f.tokens)
-		}
-		way = m.links.Decide(now, around != nil, load, false)
+	load.Free, load.Reading = free, m.book.ReadWait(now, around, f.path, f.tokens, m.part.Near)
+	var other paths.Path
+	if elsewhere {
+		other = f.elsewhere(now, o)
+		load.Elsewhere = m.book.ReadWait(now, other, nil, f.tokens, m.part.Near)
 	}
-	if way == detour.Around && load.Bytes > 0 {
-		// Not once the order is taken: those that lose their part together decide together.
-		m.links.Crossed(now, load)
+	way := m.links.Decide(now, around != nil, load, other != nil && other.Crossings() == 0)
+	// Noted now and not once the order is taken: those that lose their part together decide
+	// together.
+	switch way {
+	case detour.Elsewhere:
+		m.book.Reads(now, other, nil, f.tokens, m.part.Near)
+		return way, nil, m.begin(other, f.tokens)
+	case detour.Around:
+		m.book.Reads(now, around, f.path, f.tokens, m.part.Near)
+		if load.Bytes > 0 {
+			m.links.Crossed(now, load)
+		}
 	}
 	return way, around, Target{}
 }
@@ -209,7 +218,7 @@
 	}
 	rest, reason := m.book.Choose(now, paths.Query{
 		Domain: first.Domain, Run: layers.Span{From: first.Run.To, To: m.layers},
-		Tokens: f.tokens, Exclude: []string{first.Replica},
+		Tokens: f.tokens, Exclude: []string{first.Replica}, Again: true,
 	})
 	if reason != paths.Found {
 		return nil
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -97,6 +97,7 @@
 		ID: r.ID, Born: r.Born, Address: r.Address, Domain: r.Domain, Holds: r.Holds,
 		Room:        room,
 		LayerMillis: model.StepMillis * card.Pace / float64(model.Layers),
+		ReadMillis:  model.ReadMillis(card),
 		Leaving:     r.Draining, Revision: r.Revision,
 	}
 }
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -252,7 +252,7 @@
 	m.Suspect("b", false)
 	var ways []detour.Way
 	for _, target := range flights {
-		way, path, next := target.Flight.GoOn(true, Others{})
+		way, path, next := target.Flight.GoOn(true, 120*time.Millisecond, Others{})
 		ways = append(ways, way)
 		if way == detour.Around {
 			if path == nil {
@@ -268,7 +268,7 @@
 	if !slices.Equal(ways, want) {
 		t.Errorf("%v, want %v", ways, want)
 	}
-	if way, path, _ := flights[1].Flight.GoOn(false, Others{}); way != detour.Around || path == nil {
+	if way, path, _ := flights[1].Flight.GoOn(false, 120*time.Millisecond, Others{}); way != detour.Around || path == nil {
 		t.Errorf("one that may not be moved: %v %v", way, path)
 	}
 }
