--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -38,9 +38,11 @@
 	}()
 }
 
-// leaving lists the requests that run through a replica which will end, or give up
-// the layers, before they do, each once. The first part can't be replaced. The caller
-// holds the lock.
+// leaving lists the requests that run through a replica which may end, or give up the
+// layers, before they do, each once. One that the list no longer holds has left without
+// a word and serves on for a while, as one that says so does; if it died instead, the
+// silence of its streams tells sooner. The first part can't be replaced. The caller holds
+// the lock.
 func (m *Model) leaving() []notice {
 	var list []notice
 	for f := range m.flights {
@@ -48,7 +50,7 @@
 			continue
 		}
 		for _, part := range f.path[1:] {
-			if m.book.Leaving(part.Replica, part.Run) {
+			if !m.book.Known(part.Replica) || m.book.Leaving(part.Replica, part.Run) {
 				f.told = true
 				list = append(list, notice{f.leave, part.Replica})
 				break
@@ -69,21 +71,6 @@
 	return list
 }
 
-// stranded lists the requests that run through a replica which the list no longer
-// holds. The caller holds the lock.
-func (m *Model) stranded() []notice {
-	var list []notice
-	for f := range m.flights {
-		for _, part := range f.path {
-			if f.lost != nil && !m.book.Known(part.Replica) {
-				list = append(list, notice{f.lost, part.Replica})
-				break
-			}
-		}
-	}
-	return list
-}
-
 func (f *Flight) passes(replica string) bool {
 	for _, part := range f.path {
 		if part.Replica == replica {
@@ -102,11 +89,13 @@
 	f.lost, f.leave = lost, leave
 }
 
-// FirstLost says whether the replica that was handed the request is suspected.
-func (f *Flight) FirstLost() bool {
+// FirstLost says whether the replica that was handed the request is suspected, and
+// whether its machine does not answer either.
+func (f *Flight) FirstLost() (suspected, silent bool) {
 	f.model.mu.Lock()
 	defer f.model.mu.Unlock()
-	return f.model.book.Suspected(f.path[0].Replica)
+	first := f.path[0].Replica
+	return f.model.book.Suspected(first), f.model.book.Silent(first)
 }
 
 // Others says which replicas may be handed a request that is underway.
@@ -136,7 +125,7 @@
 	m := f.model
 	whole := layers.Span{To: m.layers}
 	path, reason := m.book.Choose(now, paths.Query{
-		Domain: m.domain, Run: whole, Tokens: f.tokens,
+		Domain: m.domain, Run: whole, Tokens: f.tokens, Again: true,
 		Exclude: append(slices.Clone(o.Exclude), f.path[0].Replica), FirstOf: o.FirstOf,
 	})
 	if reason != paths.Found || !path.Runs(whole) {
@@ -147,24 +136,33 @@
 
 // GoOn chooses how the request goes on after a part of its path was lost: around it,
 // along the path, or at another first replica, for which the target is booked and needs
-// one Ended. elsewhere says whether another may go on with it.
-func (f *Flight) GoOn(elsewhere bool, o Others) (detour.Way, paths.Path, Target) {
+// one Ended. elsewhere says whether another may go on with it, free up to which wait it
+// is on time.
+func (f *Flight) GoOn(elsewhere bool, free time.Duration, o Others) (detour.Way, paths.Path, Target) {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	around := f.around(now)
 	load := f.load(around)
-	way := m.links.Decide(now, around != nil, load, elsewhere)
-	if way == detour.Elsewhere {
-		if path := f.elsewhere(now, o); path != nil && path.Crossings() == 0 {
-			return way, nil, m.begin(path, f.tokens)
-		}
-		way = m.links.Decide(now, around != nil, load, false)
+	load.Free, load.Reading = free, m.book.ReadWait(now, around, f.path, f.tokens, m.part.Near)
+	var other paths.Path
+	if elsewhere {
+		other = f.elsewhere(now, o)
+		load.Elsewhere = m.book.ReadWait(now, other, nil, f.tokens, m.part.Near)
 	}
-	if way == detour.Around && load.Bytes > 0 {
-		// Not once the order is taken: those that lose their part together decide together.
-		m.links.Crossed(now, load)
+	way := m.links.Decide(now, around != nil, load, other != nil && other.Crossings() == 0)
+	// Noted now and not once the order is taken: those that lose their part together decide
+	// together.
+	switch way {
+	case detour.Elsewhere:
+		m.book.Reads(now, other, nil, f.tokens, m.part.Near)
+		return way, nil, m.begin(other, f.tokens)
+	case detour.Around:
+		m.book.Reads(now, around, f.path, f.tokens, m.part.Near)
+		if load.Bytes > 0 {
+			m.links.Crossed(now, load)
+		}
 	}
 	return way, around, Target{}
 }
@@ -194,16 +192,19 @@
 	return f.path
 }
 
-// Near chooses a path around a part that leaves, which crosses failure domains no more
-// often than the present one. It returns nil if there is none.
-func (f *Flight) Near() paths.Path {
+// Away chooses a path around a part that leaves, which has time: one that crosses
+// failure domains more often than the present one only while the links are idle. It
+// returns nil if there is none now.
+func (f *Flight) Away() paths.Path {
 	m := f.model
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	path := f.around(m.now())
-	if path == nil || path.Crossings() > f.path.Crossings() {
+	now := m.now()
+	path := f.around(now)
+	if path == nil || !m.links.Idle(now, f.load(path)) {
 		return nil
 	}
+	m.links.Crossed(now, f.load(path))
 	return path
 }
 
@@ -217,7 +218,7 @@
 	}
 	rest, reason := m.book.Choose(now, paths.Query{
 		Domain: first.Domain, Run: layers.Span{From: first.Run.To, To: m.layers},
-		Tokens: f.tokens, Exclude: []string{first.Replica},
+		Tokens: f.tokens, Exclude: []string{first.Replica}, Again: true,
 	})
 	if reason != paths.Found {
 		return nil
@@ -242,8 +243,9 @@
 	f.path, f.told = path, false
 }
 
-// Suspect notes that a replica looks dead. It says whether that is new.
-func (f *Flight) Suspect(replica string) bool { return f.model.Suspect(replica) }
+// Suspect notes that a replica looks dead, silent that its machine does not answer
+// either. It says whether that is new.
+func (f *Flight) Suspect(replica string, silent bool) bool { return f.model.Suspect(replica, silent) }
 
 // SlowestPace is the pace of the path's slowest replica, 1 for one as fast as its kind.
 func (f *Flight) SlowestPace() float64 {
