--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -71,6 +71,8 @@
 	ruleRev int64
 	lost    bool // the last read failed
 	asked   bool // what is known was heard from another node
+	// tried is when this node last began to read the store itself.
+	tried time.Time
 	member  membership
 
 	mu   sync.Mutex
@@ -100,19 +102,30 @@
 }
 
 // look learns what the store holds, and returns after how long to look again. One node
-// of each failure domain reads it and the others ask; those who may read next look again
-// soon after a read that failed.
+// of each failure domain reads it and the others ask.
 func (n *Node) look(ctx context.Context) time.Duration {
 	defer n.gauge()
 	if n.rules.Load() != nil && n.ask(ctx) {
 		return time.Duration(float64(n.pollEvery()) * askPart)
 	}
-	if n.readStore(ctx) && n.rules.Load() != nil || !n.reads() {
+	if n.mayRead() && n.readStore(ctx) && n.rules.Load() != nil {
 		return n.pollEvery()
 	}
 	return n.timing.PollSoon
 }
 
+// mayRead says whether this node reads the store now. Where a fleet has lost it, those
+// that others ask try again soon; the others go on asking as often, and try themselves
+// at the usual pause only.
+func (n *Node) mayRead() bool {
+	now := time.Now()
+	if n.rules.Load() != nil && !n.reads() && now.Sub(n.poll.tried) < n.pollEvery() {
+		return false
+	}
+	n.poll.tried = now
+	return true
+}
+
 // readStore reads all that the store holds: configuration, replicas and nodes come with
 // one call, so that one call proves all three.
 func (n *Node) readStore(ctx context.Context) bool {
