--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -72,8 +72,8 @@
 	lost    bool // the last read failed
 	asked   bool // what is known was heard from another node
 	// tried is when this node last began to read the store itself.
-	tried time.Time
-	member  membership
+	tried  time.Time
+	member membership
 
 	mu   sync.Mutex
 	list []*roster.Replica
