--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -115,7 +115,7 @@
 		}
 		target.Flight.Watch(func(replica string) { told <- fmt.Sprint(i, replica) }, func(string) {})
 	}
-	if !m.Suspect("b1") || m.Suspect("b1") {
+	if !m.Suspect("b1", false) || m.Suspect("b1", false) {
 		t.Error("only the first sign is news")
 	}
 	for range through {
@@ -144,8 +144,8 @@
 	m := halves()
 	target := take(t, m, 100)
 	lost := target.Path[1].Replica
-	m.Suspect(lost)
-	path := target.Flight.Near()
+	m.Suspect(lost, false)
+	path := target.Flight.Away()
 	if len(path) != 2 || path[0] != target.Path[0] || path[1].Replica == lost {
 		t.Fatalf("%v around %s", path, lost)
 	}
@@ -175,7 +175,7 @@
 		t.Error("the other half has failed this request")
 	}
 	other := map[string]string{"a1": "a2", "a2": "a1"}[target.Replica]
-	m.Suspect(other)
+	m.Suspect(other, false)
 	if _, ok := target.Flight.Elsewhere(Others{}); ok {
 		t.Error("the only other first replica is out of reach")
 	}
@@ -209,6 +209,27 @@
 	}
 }
 
+// A replica leaves without saying so: its entry is gone from the list, and it serves on.
+// Its streams are led away in time; told that it is lost, all would cross the links at
+// once and pause for a second.
+func TestReplicaThatIsNoLongerListedLeaves(t *testing.T) {
+	m := halves()
+	target := take(t, m, 100)
+	told := make(chan string, 4)
+	target.Flight.Watch(func(replica string) { t.Errorf("%s counts as lost", replica) }, func(replica string) { told <- replica })
+	left := target.Path[1].Replica
+	var list []*roster.Replica
+	for _, r := range []*roster.Replica{part("a1", 0, 4), part("a2", 0, 4), part("b1", 4, 8), part("b2", 4, 8)} {
+		if r.ID != left {
+			list = append(list, r)
+		}
+	}
+	m.Update(llm, list, all(10))
+	if got := <-told; got != left {
+		t.Errorf("told of %s", got)
+	}
+}
+
 // The only holder of some layers of a failure domain dies under six streams. Led around
 // through the other domain, each would send its prompt over the links, one behind the
 // other: the first two may, the others go on whole in the other domain.
@@ -228,7 +249,7 @@
 	for range 6 {
 		flights = append(flights, take(t, m, 1000))
 	}
-	m.Suspect("b")
+	m.Suspect("b", false)
 	var ways []detour.Way
 	for _, target := range flights {
 		way, path, next := target.Flight.GoOn(true, Others{})
