--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -140,7 +140,7 @@
 	// suspected is set from a sign that the replica is gone until one that it lives;
 	// silent if its machine does not answer.
 	suspected, silent bool
-	since     time.Time // of the suspicion
+	since             time.Time // of the suspicion
 	// misheld is set if the replica has refused layers that it is listed with, until
 	// it has given a newer account of itself.
 	misheld bool
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -51,8 +51,8 @@
 }
 
 type probe struct {
-	begun     time.Time
-	done      chan struct{}
+	begun time.Time
+	done  chan struct{}
 	// reachable and answers are set once done is closed.
 	reachable, answers bool
 }
