--- /dev/null
+++ b/route/relay/request_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadatack/cicadatack/decide/retry"
+	"github.com/cicadatack/cicadatack/route/budget"
+	"github.com/cicadatack/cicadatack/route/reach"
+)
+
+// reachable is what a dialer finds at every address.
+type reachable bool
+
+func (r reachable) Reachable(context.Context, string, time.Duration) (accepts, answers bool) {
+	return bool(r), bool(r)
+}
+
+// A node starts while a replica is dead, and the first replica of its paths refuses for
+// that. Taken for want of room, each request of the node would spend a try on the dead
+// one until its budget is gone.
+func TestDeadPartThatARefusalNamesIsLeftOut(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		m := twoChains()
+		w, cancel := silentStream(t, m, budget.New(retry.Config{Burst: 10}, time.Now), 0)
+		defer cancel()
+		q, target := w.a.q, w.a.target
+		q.ctx, q.log = w.ctx, hclog.NewNullLogger()
+		q.s.Prober = reach.New(reachable(alive), time.Now)
+		q.lookAtFault(target, target.Address)
+		if left := len(m.Suspects()) == 0; left != alive {
+			t.Errorf("alive %t: %d are left out", alive, len(m.Suspects()))
+		}
+		q.lookAtFault(target, "another's address")
+	}
+}
