--- a/node/site/members.go
+++ b/node/site/members.go
@@ -17,6 +17,9 @@
 const (
 	// memberPrefix holds an entry for each node, under a lease of its own.
 	memberPrefix = "cicadatack/node/"
+	// memberLease is how long a node that has died is still named to callers by the
+	// others; callers who meet it take another of the addresses.
+	memberLease = 3 * time.Second
 	// renewals of a lease are made in its time: two may be lost.
 	renewals = 4
 )
@@ -45,8 +48,6 @@
 type membership struct {
 	lease   store.LeaseID
 	renewed time.Time
-	// lasts is how long the lease lives.
-	lasts time.Duration
 }
 
 // members are the nodes of the last read. While the store is away they stay: a node
@@ -113,10 +114,8 @@
 		return
 	}
 	m := &n.poll.member
-	near, _ := n.peers(n.settings.Domain)
-	lasts := max(entry.Lease(len(near)), n.settings.LeaseMin)
-	if m.lease != 0 && m.lasts <= entry.MuchLonger*lasts {
-		if time.Since(m.renewed) < m.lasts/renewals {
+	if m.lease != 0 {
+		if time.Since(m.renewed) < memberLease/renewals {
 			return
 		}
 		_, err := n.store.KeepAlive(ctx, m.lease)
@@ -132,15 +131,15 @@
 		n.log.Warn("lease lapsed")
 		n.setMembership(membership{})
 	}
-	err := n.enter(ctx, lasts)
+	err := n.enter(ctx)
 	n.metrics.StoreCall("entry", resultOf(err))
 	if err != nil {
 		n.log.Warn("not entered in the store", "error", err)
 	}
 }
 
-func (n *Node) enter(ctx context.Context, lasts time.Duration) error {
-	lease, err := n.store.Grant(ctx, lasts)
+func (n *Node) enter(ctx context.Context) error {
+	lease, err := n.store.Grant(ctx, max(memberLease, n.settings.LeaseMin))
 	if err != nil {
 		return err
 	}
@@ -153,7 +152,7 @@
 	if err := n.store.PutLeased(ctx, memberPrefix+n.settings.Node, value, lease); err != nil {
 		return err
 	}
-	n.setMembership(membership{lease: lease, renewed: time.Now(), lasts: lasts})
+	n.setMembership(membership{lease: lease, renewed: time.Now()})
 	return nil
 }
 
