--- a/route/relay/goon.go
+++ b/route/relay/goon.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -107,8 +108,8 @@
 }
 
 // movedAfter is the silence after which a request is moved away from a first replica
-// that lives: above the usual pause between events, so that where the part was not lost
-// after all the request is left in peace.
+// that lives, where its own pace is not known yet: above the usual pause between events,
+// so that where the part was not lost after all the request is left in peace.
 const movedAfter = 70 * time.Millisecond
 
 // goOn has the request go on around the lost part or, if that would take longer, at
@@ -132,7 +133,8 @@
 // events have come meanwhile, or the attempt has ended.
 func (w *watch) quiet() bool {
 	before := w.last.Load()
-	if left := movedAfter - w.silentFor(); left > 0 && !wait.For(w.ctx, left) {
+	after := min(movedAfter, cmp.Or(time.Duration(w.patience.Load()), movedAfter))
+	if left := after - w.silentFor(); left > 0 && !wait.For(w.ctx, left) {
 		return false
 	}
 	return w.last.Load() == before
