--- a/decide/retry/doc.go
+++ b/decide/retry/doc.go
@@ -23,6 +23,10 @@
 //     another endpoint, so it need not wait for a recovery; the jitter keeps
 //     callers that failed together from returning together.
 //
+// Where the endpoints bound the tries of all nodes in a window, a Budget with a Window
+// keeps this node's part of them: nothing needs to be saved up, since many are needed at
+// once, when a replica is lost under all streams of a failure domain, and seldom else.
+//
 // Overload is never retried: a refusal for want of room is the endpoint's own
 // plea for less load, and the answer is given to the caller with Retry-After.
 package retry
