Cards are filled to 0.74 (0.68)

Cause: a lost part without a second holder in its failure domain costs all its streams, and with 0.68 that was nearly each part: two of the twelve cards of a usual domain could be lost without a gap; with 0.74 five can, at 88,000 tokens of room instead of 111,000. Excluded: 0.78 and 0.80.

Changed check: the plan beside all plans of small cases keeps its bound (half of the most room) and draws three times as many cases, since the mean of 70 differs by a tenth from draw to draw (0.48 seen once, 0.52 to 0.61 else).

--- a/decide/layers/compare_test.go
+++ b/decide/layers/compare_test.go
@@ -45,7 +45,7 @@
 func TestPlanAgainstAllPlans(t *testing.T) {
 	small := Model{Layers: 5, LayerMB: 100, TokenLayerMB: 0.01}
 	sum, cases := 0.0, 0
-	rapid.Check(t, func(t *rapid.T) {
+	compare := func(t *rapid.T) {
 		var cards []Card
 		for i := range rapid.IntRange(1, 4).Draw(t, "cards") {
 			cards = append(cards, Card{ID: fmt.Sprint("r", i), MemoryMB: float64(rapid.IntRange(2, 7).Draw(t, "memory")) * 50 * 2})
@@ -60,6 +60,13 @@
 			return
 		}
 		sum, cases = sum+got/most, cases+1
+	}
+	// Of 70 cases the mean still differs by a tenth from draw to draw.
+	const perDraw = 3
+	rapid.Check(t, func(t *rapid.T) {
+		for range perDraw {
+			compare(t)
+		}
 	})
 	t.Logf("%d cases that can be whole with room: the plan has %.2f of the most room on the mean", cases, sum/float64(cases))
 	if sum < float64(cases)/2 {
--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -94,11 +94,11 @@
 )
 
 const (
-	// Fill is the part of a card's most layers that it is given. Chosen by the
-	// room that is left: 0.68 leaves 111,000 tokens a holder whatever the card, so
-	// that two of three domains carry the load of all, and 1.2 to 1.5 copies in the
-	// domains of today's sites.
-	Fill = 0.68
+	// Fill is the part of a card's most layers that it is given. What is left holds some
+	// hundred requests of usual size whatever the card, so that two of three domains carry
+	// the load of all; a domain's cards hold more than one copy, and half of them may be
+	// lost, one at a time, without a gap.
+	Fill = 0.74
 	// MaxFill bounds what a neighbour takes over: 26,000 tokens stay, about 30
 	// requests of usual size.
 	MaxFill = 0.9
