--- a/decide/retry/purse.go
+++ b/decide/retry/purse.go
@@ -56,9 +56,12 @@
 	// larger is a larger burst that comes into force, since when it was told.
 	larger float64
 	since  time.Time
+	// first is the time of the first use. What has passed since then is measured on the
+	// steady clock that it bears: the time of day may jump.
+	first time.Time
 }
 
-// slot is one part of a window, by its number since the zero time.
+// slot is one part of a window, by its number since the first use.
 type slot struct {
 	number           int64
 	spent, successes float64
@@ -70,7 +73,11 @@
 }
 
 func (w *window) number(now time.Time) int64 {
-	return now.UnixNano() / int64(w.width/slots)
+	if w.first.IsZero() {
+		w.first = now
+	}
+	// From one on, so that no slot of the ring is taken for the first.
+	return max(0, int64(now.Sub(w.first)/(w.width/slots))) + 1
 }
 
 // at is the slot of now, emptied if it was another's.
--- a/decide/retry/purse_test.go
+++ b/decide/retry/purse_test.go
@@ -108,3 +108,20 @@
 		}
 	})
 }
+
+// Slots are counted from the first use by the steady clock. Counted by the time of day, a
+// jump of that would end the window, and the fleet would exceed its allowance.
+func TestWindowGoesBySteadyClock(t *testing.T) {
+	b := New(Config{Burst: 5, Window: span})
+	now := time.Now() // bears a steady clock's reading
+	if n := spendAll(b, now); n != 5 {
+		t.Fatalf("%d retries", n)
+	}
+	later := now.Add(time.Millisecond)
+	if n := spendAll(b, later); n != 0 {
+		t.Errorf("%d more a millisecond later", n)
+	}
+	if got := b.purse.(*window).number(later); got != 1 {
+		t.Errorf("slot %d: counted from elsewhere than the first use", got)
+	}
+}
