--- a/decide/paths/reading_test.go
+++ b/decide/paths/reading_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
 )
 
 // readers is a domain whose middle layers three replicas hold; a token is read there in
@@ -51,6 +53,21 @@
 	}
 }
 
+// One of two replicas that hold the lost layers has much to read already. Those that go on
+// take the other one.
+func TestBusyReaderIsLeftAlone(t *testing.T) {
+	b := readers()
+	b.Suspect(start, "lost", false)
+	b.Reads(start, Path{{Replica: "m1", Run: layers.Span{From: 30, To: 50}}}, nil, 50000, 1)
+	for range 10 {
+		for _, part := range choose(t, b, Query{Domain: "d", Tokens: 1000, Again: true}) {
+			if part.Replica == "m1" {
+				t.Fatal("it goes to the replica that reads for a second")
+			}
+		}
+	}
+}
+
 // What keeps its replica and layers reads nothing again, and what is not told costs
 // nothing.
 func TestPartsThatStayReadNothing(t *testing.T) {
--- a/route/door/door_test.go
+++ b/route/door/door_test.go
@@ -14,9 +14,17 @@
 	Rules
 	rules *ruleset.Ruleset
 	first chan struct{}
+	// asked is told when a request asks for the first one.
+	asked chan struct{}
 }
 
-func (l *late) First() <-chan struct{} { return l.first }
+func (l *late) First() <-chan struct{} {
+	select {
+	case l.asked <- struct{}{}:
+	default: // nobody listens any more
+	}
+	return l.first
+}
 
 func (l *late) Current() *ruleset.Ruleset {
 	select {
@@ -31,10 +39,11 @@
 // milliseconds before the configuration has been read are not sent away: with nobody else
 // to go to they would all come back late.
 func TestFirstConfigurationIsWaitedFor(t *testing.T) {
-	l := &late{rules: &ruleset.Ruleset{}, first: make(chan struct{})}
+	l := &late{rules: &ruleset.Ruleset{}, first: make(chan struct{}), asked: make(chan struct{})}
 	e := &entry{Door: &Door{Rules: l}, r: httptest.NewRequest("GET", "/", nil)}
 	got := make(chan *ruleset.Ruleset)
 	go func() { got <- e.current() }()
+	<-l.asked // it has looked once, and found none
 	close(l.first)
 	if <-got != l.rules {
 		t.Error("a request was let in by no configuration")
--- a/route/reach/reach_test.go
+++ b/route/reach/reach_test.go
@@ -82,5 +82,24 @@
 	if took < within {
 		t.Errorf("given up after %v", took)
 	}
-	t.Logf("found in %v", took)
+}
+
+// patient holds its first try up until a second one has begun.
+type patient struct{ second chan struct{} }
+
+func (p *patient) Reachable(ctx context.Context, _ string, _ time.Duration) (accepts, answers bool) {
+	select {
+	case p.second <- struct{}{}: // the first try is there to take it
+	case <-p.second:
+	case <-ctx.Done():
+	}
+	return false, false
+}
+
+// Neither of two tries ends before both are underway: one after the other would never end.
+func TestSecondTryDoesNotWaitForTheFirst(t *testing.T) {
+	p := New(&patient{second: make(chan struct{})}, time.Now)
+	if lost := p.Lost(context.Background(), []string{"dark"}); len(lost) != 1 {
+		t.Errorf("lost %v", lost)
+	}
 }
