--- a/decide/detour/detour.go
+++ b/decide/detour/detour.go
@@ -11,8 +11,8 @@
 //
 // All of them are led around through another failure domain. What passes between two
 // layers is many times the text, and crosses twice, over links that all domains share,
-// one transfer after another: 25 MB each way for a usual request, over 1.4 GB a second.
-// Measured: pauses of 0.6 to 1.6 s for every stream of the domain.
+// one transfer after another: 25 MB each way for a usual request, over 1.4 GB a second,
+// and every stream of the domain pauses for up to a second and more.
 //
 // # Rules
 //
--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -129,8 +129,7 @@
 	slowLayer = 0.17
 	// maxUse is the part of this node's share of a replica's room that is booked. It is
 	// over 1 since nodes are seldom all full at the same moment; where they are, the
-	// replica refuses, and the share that is reckoned with shrinks. Against 1, 0.3%
-	// and 1.9% more of the answers' worth was measured at two sites (decisions/layers).
+	// replica refuses, and the share that is reckoned with shrinks.
 	maxUse = 1.1
 	// jitter is the part by which costs vary by chance, so that nodes which see the
 	// same replicas do not all choose the same one.
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -150,8 +150,7 @@
 
 // answerPart of an answer's length is booked: requests underway are at all points of
 // their answers and hold half of it on the mean; a little more allows for answers that
-// are longer than foreseen. Against the whole length, 0.8% and 3.4% more of the answers'
-// worth was measured at two sites (decisions/layers).
+// are longer than foreseen.
 const answerPart = 0.6
 
 // again says whether to try once more.
