Log: replicas that a node does not use are counted, not named

At 2,200 nodes and 10,000 replicas that is 22 million lines at a start.

Change: one line a read with counts and revision; a line of its own, eight a read at most, for replicas that the node has work on or a connection to.

--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -212,10 +212,7 @@
 	}
 	n.poll.tracker.AwayAfter = n.pollEvery() + storeTimeout
 	list, changes := n.poll.tracker.Update(begun, found)
-	for _, c := range changes {
-		n.log.Info("replica "+c.What, "replica", c.Replica.ID, "service", c.Replica.Service, "domain", c.Replica.Domain,
-			"kind", c.Replica.Kind, "holds", c.Replica.Holds, "address", c.Replica.Address, "revision", c.Replica.Revision)
-	}
+	n.tellChanges(changes, len(list))
 	n.poll.mu.Lock()
 	n.poll.list = list
 	n.poll.mu.Unlock()
--- a/route/roster/tracker.go
+++ b/route/roster/tracker.go
@@ -13,10 +13,22 @@
 // Change is a difference between two lists, for the log.
 type Change struct {
 	Replica *Replica
-	// What is "listed", "changed", "draining", "gone" or "lapsed".
+	// What is one of the constants below.
 	What string
 }
 
+// What a change may be.
+const (
+	// WhatListed is a replica that is new, or has started again.
+	WhatListed = "listed"
+	// WhatChanged is another address, other layers, or a replica that drains no more.
+	WhatChanged  = "changed"
+	WhatDraining = "draining"
+	// WhatLapsed is an entry that vanished over an absence of the store, and holds.
+	WhatLapsed = "lapsed"
+	WhatGone   = "gone"
+)
+
 // Tracker makes lists of replicas from reads of the store.
 //
 // The failure that it answers: while the store is away replicas can't renew their
@@ -60,10 +72,10 @@
 		}
 		if read.Before(t.until) && !r.Draining {
 			now[id] = r
-			changes = append(changes, Change{Replica: r, What: "lapsed"})
+			changes = append(changes, Change{Replica: r, What: WhatLapsed})
 			continue
 		}
-		changes = append(changes, Change{Replica: r, What: "gone"})
+		changes = append(changes, Change{Replica: r, What: WhatGone})
 	}
 	t.known = now
 	return sorted(now), changes
@@ -72,11 +84,11 @@
 func difference(old, now *Replica) string {
 	switch {
 	case old == nil || old.Born != now.Born:
-		return "listed"
+		return WhatListed
 	case now.Draining && !old.Draining:
-		return "draining"
+		return WhatDraining
 	case old.Holds != now.Holds || old.Address != now.Address || old.Draining != now.Draining:
-		return "changed"
+		return WhatChanged
 	}
 	return ""
 }
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -206,6 +206,13 @@
 	return true, true
 }
 
+// Connected says whether a connection to an endpoint is open.
+func (p *Pool) Connected(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts[address] != nil
+}
+
 // Open is the number of connections, for metrics.
 func (p *Pool) Open() int {
 	p.mu.Lock()
