--- a/decide/readers/readers_test.go
+++ b/decide/readers/readers_test.go
@@ -3,13 +3,19 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
-func fleet(domains, each int) []Member {
+// fleet is one in which the first nodes of each domain have entries of their own.
+func fleet(domains, each, entered int) []Member {
 	var list []Member
 	for d := range domains {
 		for i := range each {
-			list = append(list, Member{Name: fmt.Sprintf("n%d-%02d", d, i), Domain: fmt.Sprint("d", d), Address: "a"})
+			m := Member{Name: fmt.Sprintf("n%d-%02d", d, i), Domain: fmt.Sprint("d", d)}
+			if i < entered {
+				m.Address, m.Entered = "a", true
+			}
+			list = append(list, m)
 		}
 	}
 	return list
@@ -18,7 +24,7 @@
 // Three of each domain may read, in a small fleet every node.
 func TestWhoReads(t *testing.T) {
 	for _, c := range []struct{ each, want int }{{2, 2}, {3, 3}, {28, 3}, {700, 3}} {
-		members := fleet(3, c.each)
+		members := fleet(3, c.each, 3)
 		reading := 0
 		for _, m := range members {
 			if Reads(m.Name, m.Domain, members) {
@@ -29,30 +35,30 @@
 			t.Errorf("%d nodes a domain: %d read, want %d", c.each, reading, 3*c.want)
 		}
 	}
-	if !Reads("new", "d0", fleet(1, 50)) {
-		t.Error("a node that nobody knows has nobody to ask")
+	if Reads("new", "d0", fleet(1, 50, 3)) {
+		t.Error("a node that is not listed yet has readers to ask")
+	}
+	if !Reads("new", "d1", fleet(1, 50, 3)) {
+		t.Error("a node whose domain has no reader has nobody to ask")
 	}
 }
 
-// The readers share the questions evenly, and each node has all of them to fall back
-// on.
-func TestQuestionsAreShared(t *testing.T) {
-	members := fleet(1, 50)
-	first := map[string]int{}
-	for draw := range 300 {
-		asked := Ask("n0-40", "d0", draw, members)
-		if len(asked) != PerDomain {
-			t.Fatalf("%v", asked)
+// A node that is not listed yet asks the readers, so that it gets listed without a call
+// to the store; one that can't be asked is nobody's reader.
+func TestWhoIsAsked(t *testing.T) {
+	members := fleet(2, 50, 3)
+	members[0].Address = "" // entered, as no reader heard it
+	for _, name := range []string{"n0-40", "new"} {
+		got := ""
+		for _, m := range Ask(name, "d0", members) {
+			got += m.Name + " "
 		}
-		first[asked[0].Name]++
-	}
-	for name, n := range first {
-		if n != 100 {
-			t.Errorf("%s is asked first %d times of 300", name, n)
+		if got != "n0-01 n0-02 " {
+			t.Errorf("%s asks %s", name, got)
 		}
 	}
-	if asked := Ask("new", "d0", 7, members); len(asked) != 0 {
-		t.Errorf("a node that nobody knows asks %v", asked)
+	if asked := Ask("n0-01", "d0", members); len(asked) != 0 {
+		t.Errorf("the first reader asks %v", asked)
 	}
 }
 
@@ -60,12 +66,12 @@
 // next does. Were all to read that may, a fleet would pay three times for the same.
 func TestOneReadsWhileAllIsWell(t *testing.T) {
 	for _, each := range []int{1, 2, 3, 28} {
-		members := fleet(3, each)
+		members := fleet(3, each, 3)
 		for lost := range min(each, PerDomain) {
 			reading := 0
 			for _, m := range members {
 				answered := false
-				for _, asked := range Ask(m.Name, m.Domain, 5, members) {
+				for _, asked := range Ask(m.Name, m.Domain, members) {
 					answered = answered || rank(asked.Name, Of(m.Domain, members)) >= lost
 				}
 				if rank(m.Name, Of(m.Domain, members)) >= lost && !answered {
@@ -78,3 +84,68 @@
 		}
 	}
 }
+
+// Guards against a lease for each node: whatever the size, three of a domain have entries,
+// those that are missing are replaced, and a new node displaces none.
+func TestWhoHasAnEntry(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		each, entered, want int
+	}{
+		{"nobody is known", 0, 0, 0},
+		{"small", 2, 2, 2},
+		{"all is well", 42, 3, 3},
+		{"one was lost", 42, 2, 3},
+		{"two were lost", 42, 1, 3},
+		{"all were lost: whoever comes enters", 42, 0, 42},
+		{"all started at once and entered", 42, 42, 3},
+	} {
+		members := fleet(1, c.each, c.entered)
+		entering := 0
+		for _, m := range members {
+			if Enters(m.Name, m.Domain, members) {
+				entering++
+			}
+		}
+		if entering != c.want {
+			t.Errorf("%s: %d of %d nodes have entries, want %d", c.name, entering, c.each, c.want)
+		}
+		first := len(members) == 0 || c.entered == 0
+		if Enters("a-new-one", "d0", members) != first {
+			t.Errorf("%s: a new node enters: %v", c.name, !first)
+		}
+	}
+}
+
+// Guards against a fleet that calls a lost store without end. Eight seconds without the
+// store cost about as many calls with 42 nodes a domain as with three, and the first
+// reader finds out within a third of a second that it is back.
+func TestTriesWhileTheStoreIsLost(t *testing.T) {
+	const away, soon = 8 * time.Second, 300 * time.Millisecond
+	tries := func(near int) int {
+		members, made := fleet(1, near, 3), 0
+		for _, m := range members {
+			l := Lost{Soon: soon, Near: near, Reader: Reads(m.Name, m.Domain, members), Told: len(Ask(m.Name, m.Domain, members)) > 0}
+			for at := time.Duration(0); at < away; at += Retry(l) {
+				made++
+				l.Failed++
+			}
+		}
+		return made
+	}
+	small, large := tries(3), tries(42)
+	if alone := tries(1); alone < int(away/soon) {
+		t.Errorf("the first reader tries %d times", alone)
+	}
+	if large > 2*small {
+		t.Errorf("%d calls with 3 nodes, %d with 42", small, large)
+	}
+	unknown := Lost{Soon: soon, Reader: true}
+	for at, made := time.Duration(0), 0; at < away; at += Retry(unknown) {
+		made++
+		unknown.Failed++
+		if made > 10 {
+			t.Fatal("a node that knows of no other tries as often as the first reader of a domain")
+		}
+	}
+}
--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -34,16 +35,39 @@
 	Proof time.Duration
 }
 
+// Peer is what a node says of itself when it asks.
+type Peer struct {
+	// Name and Callers, the address where callers reach it, are empty if it is not to be
+	// listed.
+	Name, Callers string
+	// Address is where it is asked in turn, "" if it can't be.
+	Address string
+	// Age is how long ago the read began that it has made itself; 0 if there is none.
+	Age time.Duration
+}
+
+// Listener hears of nodes that ask.
+type Listener interface {
+	// Heard notes that a node is there. It says whether it is listed in the store.
+	Heard(Peer) bool
+	// Left notes that a node leaves.
+	Left(name string)
+}
+
 // Copy is a node's last read, which it tells to others. Safe for concurrent use.
 type Copy struct {
-	clock func() time.Duration
+	clock    func() time.Duration
+	listener Listener
 
 	mu   sync.Mutex
 	last Read
 }
 
-// NewCopy returns an empty Copy. clock goes on while the machine is suspended.
-func NewCopy(clock func() time.Duration) *Copy { return &Copy{clock: clock} }
+// NewCopy returns an empty Copy. clock goes on while the machine is suspended; listener
+// may be nil.
+func NewCopy(clock func() time.Duration, listener Listener) *Copy {
+	return &Copy{clock: clock, listener: listener}
+}
 
 // Set replaces the read.
 func (c *Copy) Set(r Read) {
@@ -52,6 +76,9 @@
 	c.last = r
 }
 
+// Revision is the store's at the last read, 0 if there was none.
+func (c *Copy) Revision() int64 { return c.get().Revision }
+
 func (c *Copy) get() Read {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -63,11 +90,12 @@
 
 // Since implements readspb.Reads.
 func (c *Copy) Since(_ context.Context, request *readspb.SinceRequest) (*readspb.SinceResponse, error) {
+	listed := c.heard(request)
 	last := c.get()
 	if last.Revision == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing has been read yet")
 	}
-	answer := &readspb.SinceResponse{Revision: last.Revision}
+	answer := &readspb.SinceResponse{Revision: last.Revision, Listed: listed}
 	for _, e := range last.Entries {
 		answer.Keys = append(answer.Keys, &readspb.Key{Key: e.Key, Revision: e.Revision})
 		if e.Revision > request.Revision {
@@ -79,12 +107,31 @@
 	return answer, nil
 }
 
+func (c *Copy) heard(request *readspb.SinceRequest) bool {
+	if c.listener == nil || request.GetNode() == "" {
+		return false // it has an entry of its own
+	}
+	return c.listener.Heard(Peer{
+		Name: request.GetNode(), Callers: request.GetCallers(), Address: request.GetAddress(),
+		Age: max(0, time.Duration(request.GetAgeMicros())*time.Microsecond),
+	})
+}
+
+// Leave implements readspb.Reads.
+func (c *Copy) Leave(_ context.Context, request *readspb.LeaveRequest) (*readspb.LeaveResponse, error) {
+	if c.listener != nil {
+		c.listener.Left(request.GetNode())
+	}
+	return &readspb.LeaveResponse{}, nil
+}
+
 // askTimeout bounds a question: some hundred round trips inside a failure domain.
 const askTimeout = 150 * time.Millisecond
 
-// Asker asks other nodes. It is used by one goroutine.
+// Asker asks other nodes. Ask and Took are for one goroutine.
 type Asker struct {
 	clock  func() time.Duration
+	self   func() Peer
 	client *http.Client
 	known  map[string]store.Entry
 	// since is the revision up to which known is whole, 0 if it is not.
@@ -93,10 +140,11 @@
 	floor int64
 }
 
-// NewAsker returns an Asker that knows nothing.
-func NewAsker(clock func() time.Duration) *Asker {
+// NewAsker returns an Asker that knows nothing. self is what it says of itself.
+func NewAsker(clock func() time.Duration, self func() Peer) *Asker {
 	return &Asker{
 		clock:  clock,
+		self:   self,
 		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
 		known:  map[string]store.Entry{},
 	}
@@ -112,35 +160,66 @@
 	}
 }
 
-// Ask returns what the node at an address read last. It fails if that read began
-// longer ago than young: a node that has lost the store goes on telling what it read
-// before, and whoever took it would go on asking while others can read. It also fails
-// if the read is older than what is known here, or not whole.
-func (a *Asker) Ask(ctx context.Context, address string, young time.Duration) (Read, error) {
+// Answer is what came of a question.
+type Answer struct {
+	// Read is what the other node has read; it is empty if that is not taken.
+	Read Read
+	// Reached says that the other node answered, Listed that it lists the asker.
+	Reached, Listed bool
+}
+
+// Ask asks the node at an address what it read last. It fails if that read began longer
+// ago than young: a node that has lost the store goes on telling what it read before, and
+// whoever took it would go on asking while others can read. It also fails if the read is
+// older than what is known here, or not whole. What is known of the other node is told in
+// any case.
+func (a *Asker) Ask(ctx context.Context, address string, young time.Duration) (Answer, error) {
 	asked := a.clock()
+	own := a.self()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
-	answer, err := peer.Since(ctx, &readspb.SinceRequest{Revision: a.since})
+	response, err := peer.Since(ctx, &readspb.SinceRequest{
+		Revision: a.since, Node: own.Name, Callers: own.Callers, Address: own.Address, AgeMicros: own.Age.Microseconds(),
+	})
 	if err != nil {
-		return Read{}, Error.Wrap(err)
+		var answered twirp.Error
+		reached := errors.As(err, &answered) && answered.Code() == twirp.Unavailable
+		return Answer{Reached: reached}, Error.Wrap(err)
 	}
-	if answer.Revision < a.floor {
-		return Read{}, Error.New("%s has read revision %d, this node %d", address, answer.Revision, a.floor)
+	answer := Answer{Reached: true, Listed: response.Listed}
+	answer.Read, err = a.judge(address, response, asked, young)
+	return answer, err
+}
+
+// judge takes an answer if it is young, new and whole.
+func (a *Asker) judge(address string, response *readspb.SinceResponse, asked, young time.Duration) (Read, error) {
+	if response.Revision < a.floor {
+		return Read{}, Error.New("%s has read revision %d, this node %d", address, response.Revision, a.floor)
 	}
 	// The read began at least its age before the answer, which is not before the
 	// question.
-	age := time.Duration(answer.AgeMicros) * time.Microsecond
+	age := time.Duration(response.AgeMicros) * time.Microsecond
+	if age <= 0 {
+		return Read{}, Error.New("%s dates its read ahead, by %v", address, -age)
+	}
 	if age > young {
 		return Read{}, Error.New("%s has read %v ago", address, age)
 	}
-	entries, err := a.join(answer)
+	entries, err := a.join(response)
 	if err != nil {
 		return Read{}, err
 	}
-	r := Read{Entries: entries, Revision: answer.Revision, Proof: asked - max(0, age)}
+	r := Read{Entries: entries, Revision: response.Revision, Proof: asked - age}
 	a.Took(r)
 	return r, nil
 }
 
+// Leave tells the node at an address that this one, whose name is given, leaves.
+func (a *Asker) Leave(ctx context.Context, address, name string) error {
+	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
+	_, err := peer.Leave(ctx, &readspb.LeaveRequest{Node: name})
+	return Error.Wrap(err)
+}
+
 // join puts an answer together with what is known.
 func (a *Asker) join(answer *readspb.SinceResponse) ([]store.Entry, error) {
 	changed := make(map[string]store.Entry, len(answer.Changed))
--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/cicadatack/cicadatack/fleet/reads/readspb"
 	"github.com/cicadatack/cicadatack/keep/store"
 )
 
@@ -18,6 +19,8 @@
 
 func (c *clock) read() time.Duration { return c.now }
 
+func nobody() Peer { return Peer{} }
+
 func served(t interface{ Cleanup(func()) }, c *Copy) string {
 	server := httptest.NewServer(c.Handler())
 	t.Cleanup(server.Close)
@@ -45,14 +48,14 @@
 // time that the answer was on its way, or the asker stood still, only adds to its age.
 func TestProofIsNeverTooYoung(t *testing.T) {
 	reader, asker := &clock{now: 100 * time.Second}, &clock{now: 500 * time.Second}
-	c := NewCopy(reader.read)
+	c := NewCopy(reader.read, nil)
 	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: 97 * time.Second})
-	a := NewAsker(asker.read)
-	r, err := a.Ask(context.Background(), served(t, c), time.Minute)
+	a := NewAsker(asker.read, nobody)
+	got, err := a.Ask(context.Background(), served(t, c), time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if age := 500*time.Second - r.Proof; age < 3*time.Second || age > 3*time.Second+time.Millisecond {
+	if age := 500*time.Second - got.Read.Proof; age < 3*time.Second || age > 3*time.Second+time.Millisecond {
 		t.Errorf("the proof is %v old, want 3 s", age)
 	}
 }
@@ -60,17 +63,17 @@
 // A node hears from one reader what another has not read yet. It does not go back.
 func TestOlderReadsAreNotTaken(t *testing.T) {
 	now := &clock{}
-	young, old := NewCopy(now.read), NewCopy(now.read)
+	young, old := NewCopy(now.read, nil), NewCopy(now.read, nil)
 	young.Set(Read{Entries: entries("a", 5, "b", 8), Revision: 8})
 	old.Set(Read{Entries: entries("a", 5), Revision: 5})
-	a := NewAsker(now.read)
+	a := NewAsker(now.read, nobody)
 	if _, err := a.Ask(context.Background(), served(t, young), time.Minute); err != nil {
 		t.Fatal(err)
 	}
 	if r, err := a.Ask(context.Background(), served(t, old), time.Minute); !Error.Has(err) {
 		t.Errorf("took %v", r)
 	}
-	if _, err := NewAsker(now.read).Ask(context.Background(), served(t, NewCopy(now.read)), time.Minute); !Error.Has(err) {
+	if _, err := NewAsker(now.read, nobody).Ask(context.Background(), served(t, NewCopy(now.read, nil)), time.Minute); !Error.Has(err) {
 		t.Error("took the word of a node that has read nothing")
 	}
 }
@@ -81,15 +84,15 @@
 // itself.
 func TestReadsThatAreNotYoungAreNotTaken(t *testing.T) {
 	now := &clock{now: time.Minute}
-	c := NewCopy(now.read)
+	c := NewCopy(now.read, nil)
 	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: now.now})
-	a, address := NewAsker(now.read), served(t, c)
+	a, address := NewAsker(now.read, nobody), served(t, c)
 	if _, err := a.Ask(context.Background(), address, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	now.now += 1100 * time.Millisecond
 	if r, err := a.Ask(context.Background(), address, time.Second); !Error.Has(err) {
-		t.Errorf("took a read of %v ago", now.now-r.Proof)
+		t.Errorf("took a read of %v ago", now.now-r.Read.Proof)
 	}
 }
 
@@ -97,7 +100,7 @@
 // ends up with what that reader has read, or takes nothing.
 func TestAskersHaveWhatReadersRead(t *testing.T) {
 	now := &clock{}
-	readers := []*Copy{NewCopy(now.read), NewCopy(now.read)}
+	readers := []*Copy{NewCopy(now.read, nil), NewCopy(now.read, nil)}
 	addresses := []string{served(t, readers[0]), served(t, readers[1])}
 	rapid.Check(t, func(t *rapid.T) {
 		held, revision := map[string]int{}, 1
@@ -106,7 +109,7 @@
 			last[i] = Read{}
 			readers[i].Set(last[i])
 		}
-		a := NewAsker(now.read)
+		a := NewAsker(now.read, nobody)
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			switch reader := rapid.IntRange(0, 1).Draw(t, "reader"); rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
@@ -128,8 +131,8 @@
 				readers[reader].Set(last[reader])
 			case 2:
 				got, err := a.Ask(context.Background(), addresses[reader], time.Minute)
-				if err == nil && text(got.Entries) != text(last[reader].Entries) {
-					t.Fatalf("got %q, the reader has %q", text(got.Entries), text(last[reader].Entries))
+				if err == nil && text(got.Read.Entries) != text(last[reader].Entries) {
+					t.Fatalf("got %q, the reader has %q", text(got.Read.Entries), text(last[reader].Entries))
 				}
 				if err != nil && last[reader].Revision > 0 && last[reader].Revision >= a.floor {
 					t.Fatalf("a newer read was not taken: %v", err)
@@ -138,3 +141,60 @@
 		}
 	})
 }
+
+// recorder notes what a node is told of others.
+type recorder struct {
+	heard []Peer
+	left  []string
+	lists bool
+}
+
+func (r *recorder) Heard(p Peer) bool { r.heard = append(r.heard, p); return r.lists }
+func (r *recorder) Left(name string)  { r.left = append(r.left, name) }
+
+// A node that asks is known to be there, also if it learns nothing, and is told whether it
+// is listed; so it needs no call to the store for that.
+func TestWhoAsksIsThere(t *testing.T) {
+	now := &clock{now: time.Minute}
+	listener := &recorder{}
+	c := NewCopy(now.read, listener)
+	address := served(t, c)
+	self := Peer{Name: "n-7", Callers: "10.1.0.7:80", Address: "10.1.0.7:81", Age: 3 * time.Second}
+	a := NewAsker(now.read, func() Peer { return self })
+	if got, err := a.Ask(context.Background(), address, time.Minute); !Error.Has(err) || !got.Reached || got.Listed {
+		t.Errorf("%+v, %v", got, err)
+	}
+	c.Set(Read{Entries: entries("op", 7), Revision: 9})
+	listener.lists = true
+	if got, err := a.Ask(context.Background(), address, time.Second); !Error.Has(err) || !got.Reached || !got.Listed {
+		t.Errorf("an old read: %+v, %v", got, err)
+	}
+	if err := a.Leave(context.Background(), address, "n-7"); err != nil {
+		t.Error(err)
+	}
+	if len(listener.heard) != 2 || listener.heard[0] != self || len(listener.left) != 1 || listener.left[0] != "n-7" {
+		t.Errorf("%+v", listener)
+	}
+	if got, err := a.Ask(context.Background(), "127.0.0.1:1", time.Minute); err == nil || got.Reached {
+		t.Errorf("nobody there: %+v", got)
+	}
+}
+
+// ahead answers with a read of the future.
+type ahead struct{ readspb.Reads }
+
+func (ahead) Since(context.Context, *readspb.SinceRequest) (*readspb.SinceResponse, error) {
+	return &readspb.SinceResponse{Revision: 12, AgeMicros: -5_000_000}, nil
+}
+
+// Guards against a proof that is too young: a node whose clock is wrong dates its read
+// ahead, and its askers would go on serving keys that are dead.
+func TestReadsDatedAheadAreNotTaken(t *testing.T) {
+	now := &clock{now: time.Minute}
+	server := httptest.NewServer(readspb.NewReadsServer(ahead{}))
+	defer server.Close()
+	a := NewAsker(now.read, nobody)
+	if got, err := a.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"), time.Minute); !Error.Has(err) {
+		t.Errorf("took %+v", got)
+	}
+}
--- a/fleet/reads/readspb/reads.twirp.go
+++ b/fleet/reads/readspb/reads.twirp.go
@@ -34,8 +34,12 @@
 // Reads is served by every node on the users' platform to the nodes of its failure
 // domain.
 type Reads interface {
-	// Since answers with what the store held at this node's last read.
+	// Since answers with what the store held at this node's last read, and notes that the
+	// asker is there.
 	Since(context.Context, *SinceRequest) (*SinceResponse, error)
+
+	// Leave notes that a node leaves.
+	Leave(context.Context, *LeaveRequest) (*LeaveResponse, error)
 }
 
 // =====================
@@ -44,7 +48,7 @@
 
 type readsProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,8 +76,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cicadatack.reads", "Reads")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Since",
+		serviceURL + "Leave",
 	}
 
 	return &readsProtobufClient{
@@ -130,13 +135,59 @@
 	return out, nil
 }
 
+func (c *readsProtobufClient) Leave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
+	ctx = ctxsetters.WithServiceName(ctx, "Reads")
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
+	caller := c.callLeave
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeaveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
+					}
+					return c.callLeave(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *readsProtobufClient) callLeave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	out := new(LeaveResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =================
 // Reads JSON Client
 // =================
 
 type readsJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -164,8 +215,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cicadatack.reads", "Reads")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Since",
+		serviceURL + "Leave",
 	}
 
 	return &readsJSONClient{
@@ -222,6 +274,52 @@
 	return out, nil
 }
 
+func (c *readsJSONClient) Leave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
+	ctx = ctxsetters.WithServiceName(ctx, "Reads")
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
+	caller := c.callLeave
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeaveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
+					}
+					return c.callLeave(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *readsJSONClient) callLeave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	out := new(LeaveResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Reads Server Handler
 // ====================
@@ -322,6 +420,9 @@
 	case "Since":
 		s.serveSince(ctx, resp, req)
 		return
+	case "Leave":
+		s.serveLeave(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -509,6 +610,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *readsServer) serveLeave(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLeaveJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLeaveProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *readsServer) serveLeaveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LeaveRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Reads.Leave
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeaveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
+					}
+					return s.Reads.Leave(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeaveResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaveResponse and nil error while calling Leave. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *readsServer) serveLeaveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LeaveRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Reads.Leave
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeaveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
+					}
+					return s.Reads.Leave(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeaveResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaveResponse and nil error while calling Leave. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *readsServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1090,24 +1371,29 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 291 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x4f, 0x4b, 0xf3, 0x40,
-	0x10, 0xc6, 0x69, 0xb7, 0x79, 0x5f, 0x3b, 0xad, 0x50, 0x16, 0xc5, 0x50, 0x50, 0x4b, 0x4e, 0xd5,
-	0x43, 0x8a, 0xad, 0xf8, 0x01, 0x3c, 0x09, 0xc1, 0x83, 0x2b, 0x78, 0xf0, 0x22, 0x9b, 0xcd, 0x98,
-	0x2e, 0x69, 0xb3, 0x31, 0x9b, 0x14, 0xf2, 0x8d, 0xfc, 0x98, 0x92, 0x89, 0xad, 0xb5, 0xc5, 0x5e,
-	0xc2, 0xfc, 0xf9, 0x4d, 0xe6, 0x99, 0x67, 0xa1, 0x97, 0xa3, 0x8c, 0xac, 0x9f, 0xe5, 0xa6, 0x30,
-	0x7c, 0xa0, 0xb4, 0x92, 0x91, 0x2c, 0xa4, 0x4a, 0x7c, 0xaa, 0x7b, 0xd7, 0xd0, 0x7f, 0xd6, 0xa9,
-	0x42, 0x81, 0x1f, 0x25, 0xda, 0x82, 0x0f, 0xe1, 0x28, 0xc7, 0x95, 0xb6, 0xda, 0xa4, 0x6e, 0x6b,
-	0xd4, 0x1a, 0x33, 0xb1, 0xc9, 0xbd, 0xcf, 0x16, 0x1c, 0x7f, 0xc3, 0x36, 0x33, 0xa9, 0xc5, 0x43,
-	0x34, 0x3f, 0x07, 0x90, 0x31, 0xbe, 0x2d, 0xb5, 0xca, 0x8d, 0x75, 0xdb, 0xd4, 0xed, 0xca, 0x18,
-	0x1f, 0xa9, 0xc0, 0xaf, 0xa0, 0x93, 0x60, 0x65, 0x5d, 0x36, 0x62, 0xe3, 0xde, 0xf4, 0xd4, 0xdf,
-	0x55, 0xe6, 0x07, 0x58, 0x09, 0x42, 0xf8, 0x0d, 0xfc, 0x57, 0x73, 0x99, 0xc6, 0x18, 0xb9, 0x1d,
-	0xa2, 0xcf, 0xf6, 0xe9, 0x17, 0xb9, 0x28, 0x51, 0xac, 0x39, 0x6f, 0x06, 0x2c, 0xc0, 0x8a, 0x0f,
-	0x80, 0x25, 0x58, 0x91, 0xb4, 0xae, 0xa8, 0xc3, 0x5f, 0x8a, 0xdb, 0x3b, 0xf7, 0x05, 0xe0, 0xd0,
-	0x6f, 0x0e, 0x9e, 0x75, 0x02, 0xce, 0xaa, 0x86, 0x68, 0xba, 0x2f, 0x9a, 0x64, 0xbd, 0x88, 0x6d,
-	0x16, 0x4d, 0x9f, 0xc0, 0x11, 0xb5, 0x32, 0xfe, 0x00, 0x0e, 0x99, 0xc6, 0x2f, 0xf6, 0x55, 0x6f,
-	0x5b, 0x3f, 0xbc, 0xfc, 0xb3, 0xdf, 0xb8, 0x7d, 0x7f, 0xf7, 0x7a, 0x1b, 0xeb, 0x62, 0x5e, 0x86,
-	0xbe, 0x32, 0xcb, 0xc9, 0x0f, 0xbc, 0x1d, 0xbe, 0x2f, 0x10, 0x8b, 0x09, 0x4d, 0x37, 0xdf, 0x2c,
-	0x0c, 0xff, 0xd1, 0xe3, 0xcf, 0xbe, 0x02, 0x00, 0x00, 0xff, 0xff, 0x7c, 0x6d, 0x81, 0x67, 0x0b,
-	0x02, 0x00, 0x00,
+	// 380 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x52, 0xcd, 0x4e, 0xc2, 0x40,
+	0x10, 0x4e, 0x69, 0xcb, 0xcf, 0x00, 0x91, 0x6c, 0xfc, 0x69, 0x48, 0x54, 0xd2, 0x13, 0x5e, 0x4a,
+	0x04, 0xe3, 0x03, 0x78, 0x22, 0x41, 0x2f, 0x6b, 0xe2, 0xc1, 0x8b, 0x59, 0xb6, 0x63, 0x69, 0x28,
+	0x5d, 0xec, 0x16, 0x92, 0x3e, 0x86, 0x67, 0x5f, 0xc6, 0x47, 0x33, 0xdd, 0xb6, 0x40, 0x01, 0xb9,
+	0x6c, 0xe6, 0x9b, 0xf9, 0x76, 0xbe, 0xf9, 0x76, 0x16, 0x9a, 0x11, 0x32, 0x57, 0x3a, 0xcb, 0x48,
+	0xc4, 0x82, 0x74, 0xb8, 0xcf, 0x99, 0xcb, 0x62, 0xc6, 0xe7, 0x8e, 0xca, 0xdb, 0xdf, 0x1a, 0xb4,
+	0x5e, 0xfd, 0x90, 0x23, 0xc5, 0xaf, 0x15, 0xca, 0x98, 0x74, 0xa1, 0x1e, 0xe1, 0xda, 0x97, 0xbe,
+	0x08, 0x2d, 0xad, 0xa7, 0xf5, 0x75, 0xba, 0xc1, 0x84, 0x80, 0x11, 0x0a, 0x17, 0xad, 0x4a, 0x4f,
+	0xeb, 0x37, 0xa8, 0x8a, 0x89, 0x05, 0x35, 0xce, 0x82, 0x00, 0x23, 0x69, 0xe9, 0x2a, 0x5d, 0xc0,
+	0xb4, 0xc2, 0x5c, 0x37, 0x42, 0x29, 0x2d, 0x23, 0xab, 0xe4, 0x90, 0x5c, 0x03, 0x30, 0x0f, 0x3f,
+	0x16, 0x3e, 0x8f, 0x84, 0xb4, 0x4c, 0xa5, 0xd2, 0x60, 0x1e, 0xbe, 0xa8, 0x84, 0x6d, 0x43, 0xeb,
+	0x19, 0xd9, 0x7a, 0x33, 0x52, 0x21, 0xab, 0x6d, 0x65, 0xed, 0x33, 0x68, 0xe7, 0x1c, 0xb9, 0x14,
+	0xa1, 0x44, 0xfb, 0x57, 0x83, 0x76, 0x6e, 0x24, 0xcb, 0x9c, 0x74, 0x52, 0x9e, 0xa0, 0xb2, 0x37,
+	0x01, 0xb9, 0x03, 0x63, 0x8e, 0x49, 0xea, 0x48, 0xef, 0x37, 0x87, 0x17, 0xce, 0xfe, 0xb3, 0x39,
+	0x13, 0x4c, 0xa8, 0xa2, 0x90, 0x7b, 0xa8, 0xf1, 0x19, 0x0b, 0x3d, 0x74, 0x2d, 0x43, 0xb1, 0xaf,
+	0x0e, 0xd9, 0x6f, 0x2c, 0x58, 0x21, 0x2d, 0x78, 0xe4, 0x12, 0xaa, 0x81, 0x2f, 0x63, 0x74, 0x95,
+	0xf5, 0x3a, 0xcd, 0x91, 0x3d, 0x02, 0x7d, 0x82, 0x09, 0xe9, 0x80, 0x3e, 0xc7, 0x24, 0x77, 0x9b,
+	0x86, 0x25, 0x27, 0x95, 0xb2, 0x13, 0x7b, 0x02, 0xa6, 0x6a, 0x7f, 0xd2, 0xee, 0x39, 0x98, 0xeb,
+	0x94, 0xa4, 0x6e, 0xb7, 0x68, 0x06, 0x0a, 0x21, 0x7d, 0x23, 0x34, 0xfc, 0xd1, 0xc0, 0xa4, 0xe9,
+	0xc8, 0x64, 0x0c, 0xa6, 0x7a, 0x4d, 0x72, 0x73, 0x68, 0x67, 0xf7, 0xbf, 0x74, 0x6f, 0xff, 0xad,
+	0xe7, 0x6b, 0x18, 0x83, 0xa9, 0x36, 0x75, 0xac, 0xd3, 0xee, 0x9a, 0x8f, 0x75, 0x2a, 0xad, 0xf8,
+	0xe9, 0xf1, 0xfd, 0xc1, 0xf3, 0xe3, 0xd9, 0x6a, 0xea, 0x70, 0xb1, 0x18, 0x6c, 0xc9, 0xbb, 0xe1,
+	0x67, 0x80, 0x18, 0x0f, 0xd4, 0xed, 0xec, 0x5c, 0x4e, 0xa7, 0x55, 0xf5, 0xf9, 0x47, 0x7f, 0x01,
+	0x00, 0x00, 0xff, 0xff, 0x54, 0x6f, 0x2e, 0x1d, 0x0b, 0x03, 0x00, 0x00,
 }
--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -9,7 +9,6 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cicadatack/cicadatack/decide/entry"
-	"github.com/cicadatack/cicadatack/keep/store"
 	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/platform/directory"
@@ -67,11 +66,19 @@
 		s.Revision = rules.Version
 	}
 	for _, m := range n.members.get() {
-		s.Members = append(s.Members, operators.Member{Name: m.Name, Address: m.Callers, FailureDomain: m.Domain, State: "listed"})
+		s.Members = append(s.Members, operators.Member{Name: m.Name, Address: m.Callers, FailureDomain: m.Domain, State: stateOf(m)})
 	}
 	return s
 }
 
+// stateOf says how a node is known: by an entry of its own, or as one that a reader lists.
+func stateOf(m node) string {
+	if m.Entered {
+		return "entered"
+	}
+	return "listed"
+}
+
 // serveState tells what this node believes.
 func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
 	state := map[string]any{
@@ -110,7 +117,7 @@
 func (n *Node) leave(ctx context.Context) {
 	n.leaving.Store(int64(time.Since(n.started)))
 	n.log.Info("leaving", "underway", n.underway.Load())
-	go n.deregister(ctx)
+	go n.unlist(ctx)
 	last := n.bounds().Grace - leaveMargin
 	for n.leavingFor() < last {
 		if n.leavingFor() >= min(leaveTTLs*n.timing.EntryTTL, last) && n.underway.Load() == 0 {
@@ -121,14 +128,3 @@
 		}
 	}
 }
-
-// deregister removes this node's entry by ending its lease.
-func (n *Node) deregister(ctx context.Context) {
-	lease := store.LeaseID(n.leaseID.Load())
-	if lease == 0 {
-		return
-	}
-	if err := n.store.Revoke(ctx, lease); err != nil {
-		n.log.Warn("entry not removed, it lapses", "error", err)
-	}
-}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -22,6 +22,9 @@
 	// PollSoon is the same until the configuration is known, and after a read that
 	// failed.
 	Poll, PollSoon time.Duration
+	// Spread is the time over which the nodes of a fleet that starts for the first time
+	// make their first read: those that come later find readers to ask.
+	Spread time.Duration
 	// PlanAfter is how long a node that starts leaves the planning of layers to
 	// others, and Settle how long the first plan of a domain waits for replicas after
 	// the last one was listed.
@@ -41,6 +44,7 @@
 //   - EntryTTL 2 s: three times that are over before a leaving node is killed (8 s).
 var DefaultTiming = Timing{
 	PollSoon:  300 * time.Millisecond,
+	Spread:    time.Second,
 	PlanAfter: 1500 * time.Millisecond, Settle: 1200 * time.Millisecond,
 	EntryTTL: 2 * time.Second,
 }
@@ -55,6 +59,9 @@
 	// askPart of that is between two questions to other nodes, which cost the store
 	// nothing: what is heard is as old as their read and this pause together.
 	askPart = 0.5
+	// latePart of that is the age beyond which a node that others read for tries itself:
+	// the greatest that it has while all is well.
+	latePart = youngPart + askPart
 	// youngPart of that is the greatest age of what another node is believed: its own
 	// pause, with some for the read itself. Beyond it that node has lost the store.
 	youngPart = 1.25
@@ -71,9 +78,10 @@
 	ruleRev int64
 	lost    bool // the last read failed
 	asked   bool // what is known was heard from another node
-	// tried is when this node last began to read the store itself.
-	tried  time.Time
-	member membership
+	// next is when this node may try the store again, failed how often it has tried in
+	// vain since it reached it.
+	next   time.Time
+	failed int
 
 	mu   sync.Mutex
 	list []*roster.Replica
@@ -83,10 +91,13 @@
 func (n *Node) follow(ctx context.Context) {
 	n.poll.decoded = map[string]*roster.Replica{}
 	n.poll.faulty = map[string]int64{}
+	if n.settings.FirstStart && !wait.For(ctx, rand.N(n.timing.Spread+1)) {
+		return
+	}
 	for ctx.Err() == nil {
 		pause := n.look(ctx)
 		jittered := time.Duration(float64(pause) * (1 + pollJitter*(rand.Float64()-0.5)))
-		if !wait.For(ctx, jittered) {
+		if !n.listFor(ctx, jittered) {
 			return
 		}
 	}
@@ -105,25 +116,42 @@
 // of each failure domain reads it and the others ask.
 func (n *Node) look(ctx context.Context) time.Duration {
 	defer n.gauge()
-	if n.rules.Load() != nil && n.ask(ctx) {
-		return time.Duration(float64(n.pollEvery()) * askPart)
-	}
-	if n.mayRead() && n.readStore(ctx) && n.rules.Load() != nil {
+	told, reached := n.ask(ctx)
+	n.poll.asked = told
+	read := !told && n.mayRead(reached) && n.tryStore(ctx, reached)
+	switch known := n.rules.Load() != nil; {
+	case read && known && n.reads():
 		return n.pollEvery()
+	case told && known, read && !known:
+		return time.Duration(float64(n.pollEvery()) * askPart)
 	}
 	return n.timing.PollSoon
 }
 
-// mayRead says whether this node reads the store now. Where a fleet has lost it, those
-// that others ask try again soon; the others go on asking as often, and try themselves
-// at the usual pause only.
-func (n *Node) mayRead() bool {
-	now := time.Now()
-	if n.rules.Load() != nil && !n.reads() && now.Sub(n.poll.tried) < n.pollEvery() {
+// mayRead says whether this node reads the store now, as nobody tells it anything young.
+// One that others read for does so once its own proof is older than it ever is while all
+// is well: it may reach the store although they don't.
+func (n *Node) mayRead(reached bool) bool {
+	if time.Now().Before(n.poll.next) {
 		return false
 	}
-	n.poll.tried = now
-	return true
+	late := time.Duration(float64(n.pollEvery()) * latePart)
+	return n.rules.Load() == nil || n.reads() || n.Age() >= late
+}
+
+// tryStore reads the store and, if that fails, says when to try again.
+func (n *Node) tryStore(ctx context.Context, reached bool) bool {
+	if n.readStore(ctx) {
+		n.poll.next, n.poll.failed = time.Time{}, 0
+		return true
+	}
+	n.poll.failed++
+	near, _ := n.peers(n.settings.Domain)
+	pause := readers.Retry(readers.Lost{
+		Soon: n.timing.PollSoon, Failed: n.poll.failed, Near: len(near), Reader: n.reads(), Told: reached,
+	})
+	n.poll.next = time.Now().Add(pause/2 + rand.N(pause+1))
+	return false
 }
 
 // readStore reads all that the store holds: configuration, replicas and nodes come with
@@ -139,40 +167,61 @@
 		n.poll.lost = true
 		return false
 	}
-	if n.poll.lost || n.poll.asked {
+	if n.poll.lost {
 		n.log.Info("store regained", "revision", revision, "proof_age_ms", n.Age().Milliseconds())
 	}
-	n.poll.lost, n.poll.asked = false, false
+	n.poll.lost, n.listing.notBefore = false, time.Time{}
 	r := reads.Read{Entries: entries, Revision: revision, Proof: proof}
+	n.readBegun.Store(int64(proof))
 	n.copy.Set(r)
 	n.asker.Took(r)
 	n.use(ctx, begun, r)
-	n.register(ctx)
+	n.keepListed(ctx)
 	return true
 }
 
-// ask takes what another node of the failure domain has read. It says whether one had
-// anything new enough.
-func (n *Node) ask(ctx context.Context) bool {
+// ask takes what another node of the failure domain has read: of the readers that come
+// before this one, or, where this one has lost the store, of a node that reaches it. It
+// says whether one had anything young enough, and whether any was reached.
+func (n *Node) ask(ctx context.Context) (told, reached bool) {
 	young := time.Duration(float64(n.pollEvery()) * youngPart)
-	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, rand.IntN(readers.PerDomain), n.members.readers()) {
-		begun := time.Now()
-		r, err := n.asker.Ask(ctx, m.Address, young)
-		if err != nil {
-			n.log.Debug("not told", "node", m.Name, "error", err)
-			continue
+	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, n.members.readers()) {
+		answer, ok := n.askOne(ctx, m.Address, young)
+		reached = reached || answer.Reached
+		if ok {
+			return true, true
 		}
-		if !n.poll.asked {
-			n.log.Info("store read by another node", "node", m.Name, "revision", r.Revision, "age_ms", (sinceBoot() - r.Proof).Milliseconds())
-		}
-		n.poll.asked = true
-		n.use(ctx, begun, r)
-		if !n.poll.lost {
-			n.register(ctx)
+	}
+	if address := n.listing.youngerNode(time.Now(), young); address != "" && n.poll.lost && n.reads() {
+		answer, ok := n.askOne(ctx, address, young)
+		if ok {
+			n.copy.Set(answer.Read)
 		}
-		return true
+		return ok, reached
 	}
-	return false
+	return false, reached
+}
+
+// askOne asks one node, and takes what it tells if that is young enough.
+func (n *Node) askOne(ctx context.Context, address string, young time.Duration) (reads.Answer, bool) {
+	begun := time.Now()
+	answer, err := n.asker.Ask(ctx, address, young)
+	if answer.Listed {
+		n.listing.heard = begun
+	}
+	if err != nil {
+		n.log.Debug("not told", "address", address, "error", err)
+		return answer, false
+	}
+	if !n.poll.asked {
+		n.listing.notBefore = time.Time{}
+		n.log.Info("store read by another node", "address", address, "revision", answer.Read.Revision,
+			"age_ms", (sinceBoot() - answer.Read.Proof).Milliseconds())
+	}
+	n.poll.asked = true
+	n.use(ctx, begun, answer.Read)
+	n.keepListed(ctx)
+	return answer, true
 }
 
 // reads says whether this node reads the store itself.
@@ -216,7 +265,7 @@
 	n.poll.mu.Lock()
 	n.poll.list = list
 	n.poll.mu.Unlock()
-	n.members.set(members)
+	n.members.set(members, n.poll.tracker.Returned(begun, returnWithin))
 	n.services.update(list)
 	if n.rules.Load() != nil {
 		n.tookFirst.Do(func() { close(n.first) })
--- a/node/site/harness_test.go
+++ b/node/site/harness_test.go
@@ -81,14 +81,22 @@
 	}
 }
 
-// node starts a node and waits until it serves.
+// node starts a node that no other can ask, and waits until it serves.
 func (p *platform) node(settings *boot.Settings) *running {
+	p.t.Helper()
+	return p.start(settings, quick, netip.AddrPort{})
+}
+
+// start starts a node whose door for other nodes is at an address, and waits until it
+// serves.
+func (p *platform) start(settings *boot.Settings, timing Timing, peers netip.AddrPort) *running {
 	p.t.Helper()
 	log := hclog.New(&hclog.LoggerOptions{Output: &lockedBuffer{p: p}, JSONFormat: true})
-	n, err := New(settings, func() (*boot.Settings, error) { return settings, nil }, quick, log)
+	n, err := New(settings, func() (*boot.Settings, error) { return settings, nil }, timing, log)
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	n.peerDoor = peers
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Node: n, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- n.Run(ctx, nil) }()
--- /dev/null
+++ b/node/site/listing.go
@@ -0,0 +1,280 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/readers"
+	"github.com/cicadatack/cicadatack/decide/roll"
+	"github.com/cicadatack/cicadatack/fleet/reads"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/keep/wait"
+)
+
+// listEvery is how often a node with an entry looks whether that must be written again:
+// nodes that start or leave one after the other share a write.
+const listEvery = 300 * time.Millisecond
+
+// listing is how this node is named to others, and which nodes it lists itself. Its
+// fields beside those under the lock are the follow loop's.
+type listing struct {
+	lease   store.LeaseID
+	renewed time.Time
+	// written is the entry as it was last written.
+	written member
+	// notBefore is when the store may be called about the entry again, after a call that
+	// failed.
+	notBefore time.Time
+	// heard is when a reader last said that it lists this node.
+	heard time.Time
+
+	mu   sync.Mutex
+	roll roll.Roll
+	// lists is set while this node has an entry and reaches the store: only then may it
+	// say that it lists others.
+	lists bool
+	// younger is a node that has read the store although this one could not, and when it
+	// said so.
+	younger   string
+	youngerAt time.Time
+	full      bool // that the list was full has been told
+}
+
+// entered says whether this node has an entry of its own.
+func (l *listing) entered() bool { return l.lease != 0 }
+
+func (l *listing) setLists(lists bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lists = lists
+}
+
+func (l *listing) near(now time.Time) []roll.Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.roll.List(now)
+}
+
+func (l *listing) adopt(now time.Time, list []roll.Node) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.roll.Adopt(now, list)
+}
+
+// Heard implements reads.Listener.
+func (n *Node) Heard(p reads.Peer) bool {
+	l := &n.listing
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if p.Address != "" && p.Age > 0 && p.Age < n.Age() {
+		l.younger, l.youngerAt = p.Address, now
+	}
+	listed := l.roll.Tell(now, roll.Node{Name: p.Name, Callers: p.Callers})
+	if !listed && !l.full {
+		l.full = true
+		n.log.Warn("node not listed", "node", p.Name, "most", roll.Most)
+	}
+	return listed && l.lists && n.leavingFor() == 0
+}
+
+// Left implements reads.Listener.
+func (n *Node) Left(name string) {
+	n.listing.mu.Lock()
+	defer n.listing.mu.Unlock()
+	n.listing.roll.Leaves(name)
+}
+
+// self is what this node says of itself when it asks.
+func (n *Node) self() reads.Peer {
+	p := reads.Peer{Name: n.settings.Node, Callers: n.settings.Callers.String(), Address: n.peersAddress()}
+	if n.leaseID.Load() != 0 || n.leavingFor() > 0 {
+		p.Name, p.Callers = "", "" // its own entry names it, or nobody is to
+	}
+	if begun := time.Duration(n.readBegun.Load()); begun > 0 {
+		p.Age = sinceBoot() - begun
+	}
+	return p
+}
+
+// youngerNode is a node that can tell what this one could not read, "" if none has said
+// so of late.
+func (l *listing) youngerNode(now time.Time, within time.Duration) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.youngerAt) > within {
+		return ""
+	}
+	return l.younger
+}
+
+// listFor keeps this node listed for a pause, which it ends early if the context ends.
+func (n *Node) listFor(ctx context.Context, pause time.Duration) bool {
+	for end := time.Now().Add(pause); ; {
+		left := time.Until(end)
+		if !n.listing.entered() || left <= listEvery {
+			return wait.For(ctx, max(0, left))
+		}
+		if !wait.For(ctx, listEvery) {
+			return false
+		}
+		n.keepListed(ctx)
+	}
+}
+
+// keepListed keeps this node's entry in the store, where it needs one.
+func (n *Node) keepListed(ctx context.Context) {
+	l := &n.listing
+	if time.Now().Before(l.notBefore) || n.poll.lost && !n.poll.asked {
+		return
+	}
+	leaving := n.leavingFor() > 0
+	switch {
+	case l.entered() && !leaving && !n.needsEntry(), !l.entered() && (leaving || !n.needsEntry()):
+		// An entry that is not needed lapses by itself.
+		n.setLease(0)
+		return
+	case !l.entered():
+		n.enter(ctx)
+		return
+	}
+	l.notBefore = time.Time{}
+	n.renew(ctx)
+	if l.entered() && l.notBefore.IsZero() && !n.entry().same(l.written) {
+		n.write(ctx, l.lease)
+	}
+}
+
+// needsEntry says whether this node needs an entry of its own: as a reader, or as no
+// reader has heard it for as long as it would have been listed.
+func (n *Node) needsEntry() bool {
+	if readers.Enters(n.settings.Node, n.settings.Domain, n.members.readers()) {
+		return true
+	}
+	heard := n.listing.heard
+	if heard.IsZero() {
+		heard = n.started
+	}
+	return time.Since(heard) >= roll.Lives
+}
+
+// entry is this node's as of now. A node that is no reader can't be asked: the others
+// would take it for one.
+func (n *Node) entry() member {
+	m := member{
+		Name: n.settings.Node, Domain: n.settings.Domain, Callers: n.settings.Callers.String(),
+		Leaving: n.leavingFor() > 0, Near: n.listing.near(time.Now()),
+	}
+	if readers.Enters(n.settings.Node, n.settings.Domain, n.members.readers()) {
+		m.Peers = n.peersAddress()
+	}
+	return m
+}
+
+// same says whether two entries of a node say the same.
+func (m member) same(other member) bool {
+	return m.Callers == other.Callers && m.Peers == other.Peers && m.Leaving == other.Leaving && slices.Equal(m.Near, other.Near)
+}
+
+// enter gives this node an entry, which goes on with what its last process had listed.
+func (n *Node) enter(ctx context.Context) {
+	n.listing.adopt(time.Now(), n.members.entry(n.settings.Node).Near)
+	lease, err := n.store.Grant(ctx, max(memberLease, n.settings.LeaseMin))
+	n.metrics.StoreCall("lease", resultOf(err))
+	if err != nil {
+		n.notListed("not entered in the store", err)
+		return
+	}
+	n.write(ctx, lease)
+}
+
+func (n *Node) write(ctx context.Context, lease store.LeaseID) {
+	m := n.entry()
+	value, err := json.Marshal(m)
+	if err != nil {
+		n.notListed("entry not written", err)
+		return
+	}
+	err = n.store.PutLeased(ctx, memberPrefix+n.settings.Node, value, lease)
+	n.metrics.StoreCall("entry", resultOf(err))
+	switch {
+	case errors.Is(err, store.ErrLeaseGone):
+		n.lapsed()
+	case err != nil:
+		n.notListed("entry not written", err)
+	default:
+		if !n.listing.entered() {
+			n.listing.renewed = time.Now()
+			n.setLease(lease)
+		}
+		n.listing.written = m
+		n.log.Info("entry written", "reader", m.Peers != "", "leaving", m.Leaving, "lists", len(m.Near))
+	}
+}
+
+func (n *Node) renew(ctx context.Context) {
+	l := &n.listing
+	if time.Since(l.renewed) < memberLease/renewals {
+		return
+	}
+	_, err := n.store.KeepAlive(ctx, l.lease)
+	n.metrics.StoreCall("renewal", resultOf(err))
+	switch {
+	case err == nil:
+		l.renewed = time.Now()
+	case errors.Is(err, store.ErrLeaseGone):
+		n.lapsed()
+	default:
+		n.notListed("lease not renewed", err)
+	}
+}
+
+// lapsed gives up an entry that the store no longer holds; the next look enters anew.
+func (n *Node) lapsed() {
+	n.log.Warn("lease lapsed")
+	n.setLease(0)
+}
+
+// listAgain is the mean pause after a call about the entry that failed, unless the store
+// is read meanwhile.
+const listAgain = time.Second
+
+// notListed notes a call that failed.
+func (n *Node) notListed(what string, err error) {
+	n.listing.notBefore = time.Now().Add(listAgain/2 + rand.N(listAgain+1))
+	n.log.Warn(what, "error", err)
+}
+
+// setLease also tells the goroutine that ends the lease when the node leaves.
+func (n *Node) setLease(lease store.LeaseID) {
+	n.listing.lease = lease
+	n.listing.setLists(lease != 0)
+	n.leaseID.Store(int64(lease))
+}
+
+// unlist takes this node off the list when it leaves: at once at the readers that list
+// it, or by the end of its own entry. A node that lists others keeps its entry, marked,
+// until they are listed elsewhere.
+func (n *Node) unlist(ctx context.Context) {
+	if lease := store.LeaseID(n.leaseID.Load()); lease != 0 {
+		if len(n.listing.near(time.Now())) > 0 {
+			return // the follow loop writes the mark
+		}
+		err := n.store.Revoke(ctx, lease)
+		n.metrics.StoreCall("end", resultOf(err))
+		if err != nil {
+			n.log.Warn("entry not removed, it lapses", "error", err)
+		}
+		return
+	}
+	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, n.members.readers()) {
+		if err := n.asker.Leave(ctx, m.Address, n.settings.Node); err != nil {
+			n.log.Debug("reader not told", "node", m.Name, "error", err)
+		}
+	}
+}
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -1,9 +1,8 @@
 package site
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,26 +10,34 @@
 
 	"github.com/cicadatack/cicadatack/decide/entry"
 	"github.com/cicadatack/cicadatack/decide/readers"
+	"github.com/cicadatack/cicadatack/decide/roll"
 	"github.com/cicadatack/cicadatack/keep/store"
 )
 
 const (
-	// memberPrefix holds an entry for each node, under a lease of its own.
+	// memberPrefix holds the entries of nodes, each under a lease of its own.
 	memberPrefix = "cicadatack/node/"
-	// memberLease is how long a node that has died is still named to callers by the
-	// others; callers who meet it take another of the addresses.
+	// memberLease is how long an entry holds whose node has died. Callers who meet a
+	// dead node take another of the addresses.
 	memberLease = 3 * time.Second
+	// returnWithin is how long nodes have to enter themselves again once the store is
+	// back, and to be read by all: a pause after a call that failed, and two reads.
+	returnWithin = 4 * time.Second
 	// renewals of a lease are made in its time: two may be lost.
 	renewals = 4
 )
 
-// member is a node as it enters itself in the store.
+// member is a node's own entry in the store.
 type member struct {
 	Name    string `json:"name"`
 	Domain  string `json:"domain"`
 	Callers string `json:"callers"`
 	// Peers is where other nodes ask what this one has read; "" if they can't.
 	Peers string `json:"peers,omitempty"`
+	// Leaving nodes are not named to callers; what they list is.
+	Leaving bool `json:"leaving,omitempty"`
+	// Near are the nodes of its failure domain that it lists.
+	Near []roll.Node `json:"near,omitempty"`
 }
 
 func decodeMember(e store.Entry) (member, bool) {
@@ -44,38 +51,79 @@
 	return m, true
 }
 
-// membership is this node's own entry; the zero value is none.
-type membership struct {
-	lease   store.LeaseID
-	renewed time.Time
+// node is a node that callers may be sent to.
+type node struct {
+	readers.Member
+	// Callers is where callers reach it.
+	Callers string
 }
 
 // members are the nodes of the last read. While the store is away they stay: a node
 // that has died is met by callers, who take another.
 type members struct {
-	mu   sync.Mutex
-	list []member
+	mu      sync.Mutex
+	entries map[string]member
+	list    []node
 }
 
-func (m *members) set(list []member) {
+// set takes the entries of a read. keep says that those which are missing hold for now:
+// after an absence of the store their owners need time to enter themselves again.
+func (m *members) set(entries []member, keep bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.list = list
+	old := m.entries
+	m.entries = make(map[string]member, len(entries))
+	if keep {
+		maps.Copy(m.entries, old)
+	}
+	for _, e := range entries {
+		m.entries[e.Name] = e
+	}
+	m.list = flatten(m.entries)
+}
+
+// flatten lists the nodes of some entries, each once: what a node says of itself goes
+// before what others list.
+func flatten(entries map[string]member) []node {
+	known := map[string]node{}
+	for _, e := range entries {
+		for _, near := range e.Near {
+			if near.Valid() && !entries[near.Name].Leaving {
+				known[near.Name] = node{Member: readers.Member{Name: near.Name, Domain: e.Domain}, Callers: near.Callers}
+			}
+		}
+	}
+	for _, e := range entries {
+		if !e.Leaving {
+			known[e.Name] = node{
+				Member: readers.Member{Name: e.Name, Domain: e.Domain, Address: e.Peers, Entered: true}, Callers: e.Callers,
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(known), func(a, b node) int { return strings.Compare(a.Name, b.Name) })
 }
 
-func (m *members) get() []member {
+func (m *members) get() []node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.list
 }
 
+// entry is the entry of a node; empty if it has none.
+func (m *members) entry(name string) member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries[name]
+}
+
 // readers are the nodes as decide/readers knows them.
 func (m *members) readers() []readers.Member {
-	var list []readers.Member
-	for _, each := range m.get() {
-		list = append(list, readers.Member{Name: each.Name, Domain: each.Domain, Address: each.Peers})
+	list := m.get()
+	all := make([]readers.Member, 0, len(list))
+	for _, each := range list {
+		all = append(all, each.Member)
 	}
-	return list
+	return all
 }
 
 // peersAddress is where other nodes ask this one, "" if the settings give no port.
@@ -108,73 +156,19 @@
 	return n.rules.Load() != nil && n.Fresh() && n.leavingFor() == 0
 }
 
-// register enters this node in the store and renews its lease.
-func (n *Node) register(ctx context.Context) {
-	if n.leavingFor() > 0 {
-		return
-	}
-	m := &n.poll.member
-	if m.lease != 0 {
-		if time.Since(m.renewed) < memberLease/renewals {
-			return
-		}
-		_, err := n.store.KeepAlive(ctx, m.lease)
-		n.metrics.StoreCall("renewal", resultOf(err))
-		if err == nil {
-			m.renewed = time.Now()
-			return
-		}
-		if !errors.Is(err, store.ErrLeaseGone) {
-			n.log.Warn("lease not renewed", "error", err)
-			return
-		}
-		n.log.Warn("lease lapsed")
-		n.setMembership(membership{})
-	}
-	err := n.enter(ctx)
-	n.metrics.StoreCall("entry", resultOf(err))
-	if err != nil {
-		n.log.Warn("not entered in the store", "error", err)
-	}
-}
-
-func (n *Node) enter(ctx context.Context) error {
-	lease, err := n.store.Grant(ctx, max(memberLease, n.settings.LeaseMin))
-	if err != nil {
-		return err
-	}
-	value, err := json.Marshal(member{
-		Name: n.settings.Node, Domain: n.settings.Domain, Callers: n.settings.Callers.String(), Peers: n.peersAddress(),
-	})
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if err := n.store.PutLeased(ctx, memberPrefix+n.settings.Node, value, lease); err != nil {
-		return err
-	}
-	n.setMembership(membership{lease: lease, renewed: time.Now()})
-	return nil
-}
-
-// setMembership also tells the goroutine that ends the lease when the node leaves.
-func (n *Node) setMembership(m membership) {
-	n.poll.member = m
-	n.leaseID.Store(int64(m.lease))
-}
-
-// keeps says whether it is this node's turn to order the replicas of a failure
-// domain: the first by name of the domain's own nodes, or of all where it has none.
+// keeps says whether it is this node's turn to order the replicas of a failure domain:
+// the first of the domain's readers, or, where it has none, of all nodes with an entry.
 func (n *Node) keeps(domain string) bool {
-	list := n.members.get()
-	own := slices.DeleteFunc(slices.Clone(list), func(m member) bool { return m.Domain != domain })
-	if len(own) == 0 {
-		own = list
+	list := n.members.readers()
+	if own := readers.Of(domain, list); len(own) > 0 {
+		return own[0].Name == n.settings.Node
 	}
+	entered := slices.DeleteFunc(list, func(m readers.Member) bool { return !m.Entered })
+	own := slices.DeleteFunc(slices.Clone(entered), func(m readers.Member) bool { return m.Domain != domain })
 	if len(own) == 0 {
-		return false
+		own = entered
 	}
-	first := slices.MinFunc(own, func(a, b member) int { return strings.Compare(a.Name, b.Name) })
-	return first.Name == n.settings.Node
+	return len(own) > 0 && own[0].Name == n.settings.Node
 }
 
 // peers returns the names of the nodes of a domain, and how many nodes there are.
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -79,8 +79,12 @@
 	services services
 	members  members
 	poll     poller
+	listing  listing
 	// leaseID is the lease of this node's entry in the store, 0 if it has none.
 	leaseID atomic.Int64
+	// readBegun is when this node's last read of the store began, on the clock of the
+	// proofs; 0 if there was none.
+	readBegun atomic.Int64
 	// copy is what this node has read, asker what it hears from others; peerDoor is
 	// where they ask it.
 	copy     *reads.Copy
@@ -122,7 +126,7 @@
 		first:    make(chan struct{}),
 		pool:     upstream.New(time.Now),
 	}
-	n.copy, n.asker = reads.NewCopy(sinceBoot), reads.NewAsker(sinceBoot)
+	n.copy, n.asker = reads.NewCopy(sinceBoot, n), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
 	}
--- a/route/roster/tracker.go
+++ b/route/roster/tracker.go
@@ -47,15 +47,15 @@
 
 	known    map[string]*Replica
 	lastRead time.Time
-	// until is up to when vanished entries hold, after an absence of the store.
-	until time.Time
+	// back is when the store was last found back after an absence.
+	back time.Time
 }
 
 // Update takes what one read has found and returns the replicas to use, by id, and
 // what has changed. read is when the read began.
 func (t *Tracker) Update(read time.Time, found []*Replica) ([]*Replica, []Change) {
 	if !t.lastRead.IsZero() && read.Sub(t.lastRead) > t.AwayAfter {
-		t.until = read.Add(ReturnWithin)
+		t.back = read
 	}
 	t.lastRead = read
 	now := make(map[string]*Replica, len(found))
@@ -70,7 +70,7 @@
 		if now[id] != nil {
 			continue
 		}
-		if read.Before(t.until) && !r.Draining {
+		if t.Returned(read, ReturnWithin) && !r.Draining {
 			now[id] = r
 			changes = append(changes, Change{Replica: r, What: WhatLapsed})
 			continue
@@ -81,6 +81,12 @@
 	return sorted(now), changes
 }
 
+// Returned says whether the store was found back, after an absence, less than some time
+// before a read.
+func (t *Tracker) Returned(read time.Time, within time.Duration) bool {
+	return !t.back.IsZero() && read.Sub(t.back) < within
+}
+
 func difference(old, now *Replica) string {
 	switch {
 	case old == nil || old.Born != now.Born:
