--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -75,6 +75,13 @@
 		}
 		fmt.Fprintln(out)
 	}
+	if len(s.StoreCalls) > 0 {
+		fmt.Fprint(out, "store calls")
+		for _, name := range sorted(s.StoreCalls) {
+			fmt.Fprintf(out, " %s %d", name, s.StoreCalls[name])
+		}
+		fmt.Fprintln(out)
+	}
 }
 
 func (c *explainCommand) run(ctx context.Context, args *arguments, out io.Writer) error {
--- a/node/operators/operators.go
+++ b/node/operators/operators.go
@@ -41,6 +41,9 @@
 	// service it knows in each state, where it does not reckon in slots.
 	Slots    map[string]int            `json:"usable_slots,omitempty"`
 	Replicas map[string]map[string]int `json:"replicas,omitempty"`
+	// StoreCalls are this node's calls to the store since its start, by kind and result,
+	// on the users' platform.
+	StoreCalls map[string]int64 `json:"store_calls,omitempty"`
 }
 
 // Member is one entry VM as the node sees it.
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -1,8 +1,12 @@
 package site
 
 import (
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
+	"time"
 )
 
 // results of a store call, for metrics.
@@ -11,16 +15,95 @@
 	callFailed = "failed"
 )
 
-func resultOf(err error) string {
+// counts are what this node has done since its start, by name. Safe for concurrent use.
+type counts struct {
+	mu    sync.Mutex
+	total map[string]int64
+	// told are the counts at the last line of the log, at when it was written.
+	told map[string]int64
+	at   time.Time
+}
+
+// countsEvery is between two lines of the log with counts.
+const countsEvery = 5 * time.Second
+
+func (c *counts) set(name string, to int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.total == nil {
+		c.total = map[string]int64{}
+	}
+	c.total[name] = to
+}
+
+func (c *counts) add(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.total == nil {
+		c.total = map[string]int64{}
+	}
+	c.total[name]++
+}
+
+func (c *counts) all() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.total)
+}
+
+// since returns the counts since the last line, or none before the next one is due.
+func (c *counts) since(now time.Time, every time.Duration) (grown map[string]int64, over time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if over = now.Sub(c.at); over < every {
+		return nil, over
+	}
+	grown = map[string]int64{}
+	for name, n := range c.total {
+		if more := n - c.told[name]; more > 0 {
+			grown[name] = more
+		}
+	}
+	c.told, c.at = maps.Clone(c.total), now
+	return grown, over
+}
+
+// storeCalled counts a call to the store.
+func (n *Node) storeCalled(kind string, err error) {
+	result := callDone
 	if err != nil {
-		return callFailed
+		result = callFailed
+	}
+	n.metrics.StoreCall(kind, result)
+	n.storeCalls.add(kind + "_" + result)
+}
+
+// tellCounts logs what was done since the last lines, if there was anything.
+func (n *Node) tellCounts(every time.Duration) {
+	for why, made := range n.prober.Made() {
+		n.connections.set("probe_"+string(why), made)
+	}
+	n.connections.set("all", n.pool.Opened())
+	n.tellGrown("store calls", &n.storeCalls, every)
+	n.tellGrown("connections opened to endpoints", &n.connections, every)
+}
+
+func (n *Node) tellGrown(what string, c *counts, every time.Duration) {
+	grown, over := c.since(time.Now(), every)
+	if len(grown) == 0 {
+		return
+	}
+	line := []any{"over_ms", over.Milliseconds()}
+	for _, name := range slices.Sorted(maps.Keys(grown)) {
+		line = append(line, name, grown[name])
 	}
-	return callDone
+	n.log.Info(what, line...)
 }
 
 // gauge brings the figures of state up to date; it is called after each read of the
 // store.
 func (n *Node) gauge() {
+	n.tellCounts(countsEvery)
 	n.metrics.ProofAge(n.Age())
 	if rules := n.rules.Load(); rules != nil {
 		n.metrics.Version(rules.Version)
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -159,7 +159,7 @@
 func (n *Node) readStore(ctx context.Context) bool {
 	proof, begun := sinceBoot(), time.Now()
 	entries, revision, err := n.store.Changed(ctx, "", 0)
-	n.metrics.StoreCall("read", resultOf(err))
+	n.storeCalled("read", err)
 	if err != nil {
 		if !n.poll.lost && ctx.Err() == nil {
 			n.log.Warn("store lost", "error", err, "proof_age_ms", n.Age().Milliseconds())
--- a/node/site/listing.go
+++ b/node/site/listing.go
@@ -185,7 +185,7 @@
 func (n *Node) enter(ctx context.Context) {
 	n.listing.adopt(time.Now(), n.members.entry(n.settings.Node).Near)
 	lease, err := n.store.Grant(ctx, max(memberLease, n.settings.LeaseMin))
-	n.metrics.StoreCall("lease", resultOf(err))
+	n.storeCalled("lease", err)
 	if err != nil {
 		n.notListed("not entered in the store", err)
 		return
@@ -201,7 +201,7 @@
 		return
 	}
 	err = n.store.PutLeased(ctx, memberPrefix+n.settings.Node, value, lease)
-	n.metrics.StoreCall("entry", resultOf(err))
+	n.storeCalled("entry", err)
 	switch {
 	case errors.Is(err, store.ErrLeaseGone):
 		n.lapsed()
@@ -223,7 +223,7 @@
 		return
 	}
 	_, err := n.store.KeepAlive(ctx, l.lease)
-	n.metrics.StoreCall("renewal", resultOf(err))
+	n.storeCalled("renewal", err)
 	switch {
 	case err == nil:
 		l.renewed = time.Now()
@@ -266,7 +266,7 @@
 			return // the follow loop writes the mark
 		}
 		err := n.store.Revoke(ctx, lease)
-		n.metrics.StoreCall("end", resultOf(err))
+		n.storeCalled("end", err)
 		if err != nil {
 			n.log.Warn("entry not removed, it lapses", "error", err)
 		}
--- a/node/site/operators_test.go
+++ b/node/site/operators_test.go
@@ -41,7 +41,7 @@
 	}
 	var status operators.Status
 	node.operator(t, operators.PathStatus, &status)
-	if !status.Ready || status.Revision == 0 || status.Replicas[site.ModelService]["ready"] != 4 || len(status.Members) == 0 {
+	if !status.Ready || status.Revision == 0 || status.Replicas[site.ModelService]["ready"] != 4 || len(status.Members) == 0 || status.StoreCalls["read_done"] == 0 {
 		t.Errorf("%+v", status)
 	}
 	for id, want := range map[string]string{"s1": "route finish", "o1": "route retry route retry refuse"} {
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -10,6 +10,7 @@
 	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/route/budget"
 	"github.com/cicadatack/cicadatack/route/layering"
+	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/roster"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
@@ -171,7 +172,7 @@
 		n.noteStill(begun, recheckEvery)
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Suspects() {
-				if n.prober.Reachable(ctx, r.Address) && model.Alive(r.ID) {
+				if n.prober.Reachable(ctx, reach.Again, r.Address) && model.Alive(r.ID) {
 					n.log.Info("replica reached again", "replica", r.ID, "service", service, "address", r.Address)
 				}
 			}
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -80,6 +80,8 @@
 	members  members
 	poll     poller
 	listing  listing
+	// storeCalls and connections to endpoints are counted since the start.
+	storeCalls, connections counts
 	// leaseID is the lease of this node's entry in the store, 0 if it has none.
 	leaseID atomic.Int64
 	// readBegun is when this node's last read of the store began, on the clock of the
@@ -126,6 +128,7 @@
 		first:    make(chan struct{}),
 		pool:     upstream.New(time.Now),
 	}
+	n.storeCalls.at, n.connections.at = n.started, n.started
 	n.copy, n.asker = reads.NewCopy(sinceBoot, n), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
@@ -183,6 +186,7 @@
 	n.leave(background)
 	doors.close()
 	n.bookings.Close()
+	n.tellCounts(0)
 	n.log.Info("stopped", "underway", n.underway.Load())
 	return nil
 }
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 )
@@ -48,8 +49,22 @@
 
 	mu    sync.Mutex
 	known map[string]*probe
+	made  map[Reason]int64
 }
 
+// Reason is why an endpoint was probed.
+type Reason string
+
+// Reasons.
+const (
+	// Silence is a stream that has gone silent.
+	Silence Reason = "silence"
+	// Named is an endpoint that another one named as at fault.
+	Named Reason = "named"
+	// Again is one that is suspected.
+	Again Reason = "again"
+)
+
 type probe struct {
 	begun time.Time
 	done  chan struct{}
@@ -59,14 +74,14 @@
 
 // New returns a Prober.
 func New(dialer Dialer, now func() time.Time) *Prober {
-	return &Prober{dialer: dialer, now: now, known: map[string]*probe{}}
+	return &Prober{dialer: dialer, now: now, known: map[string]*probe{}, made: map[Reason]int64{}}
 }
 
 // Lost returns those of the addresses that accept no connection at any of the tries.
-func (p *Prober) Lost(ctx context.Context, addresses []string) []Loss {
+func (p *Prober) Lost(ctx context.Context, why Reason, addresses []string) []Loss {
 	probes := make([]*probe, len(addresses))
 	for i, address := range addresses {
-		probes[i] = p.probe(ctx, address)
+		probes[i] = p.probe(ctx, why, address)
 	}
 	var lost []Loss
 	for i, each := range probes {
@@ -83,12 +98,19 @@
 }
 
 // Reachable says whether an address accepts connections.
-func (p *Prober) Reachable(ctx context.Context, address string) bool {
-	return len(p.Lost(ctx, []string{address})) == 0
+func (p *Prober) Reachable(ctx context.Context, why Reason, address string) bool {
+	return len(p.Lost(ctx, why, []string{address})) == 0
+}
+
+// Made is how many probes were begun, by reason.
+func (p *Prober) Made() map[Reason]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.made)
 }
 
 // probe returns a young probe of an address, or begins one.
-func (p *Prober) probe(ctx context.Context, address string) *probe {
+func (p *Prober) probe(ctx context.Context, why Reason, address string) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -98,6 +120,7 @@
 	if len(p.known) >= maxKnown {
 		clear(p.known)
 	}
+	p.made[why]++
 	fresh := &probe{begun: now, done: make(chan struct{})}
 	p.known[address] = fresh
 	// The answer is for all who ask, so one of them who leaves must not end it.
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/cicadatack/cicadatack/keep/wait"
 	"github.com/cicadatack/cicadatack/route/decision"
 	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
@@ -74,7 +75,7 @@
 	if replica == "" {
 		return
 	}
-	lost := q.s.Prober.Lost(q.ctx, []string{address})
+	lost := q.s.Prober.Lost(q.ctx, reach.Named, []string{address})
 	if len(lost) > 0 && t.Flight.Suspect(replica, lost[0].Silent) {
 		q.log.Info("replica out of reach", "service", q.Service, "replica", replica, "address", address)
 	}
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/silence"
+	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
 
@@ -141,7 +142,7 @@
 		addresses[i] = part.Address
 		replicas[part.Address] = part.Replica
 	}
-	lost := w.a.q.s.Prober.Lost(w.ctx, addresses)
+	lost := w.a.q.s.Prober.Lost(w.ctx, reach.Silence, addresses)
 	if len(lost) == 0 {
 		w.lookAgain(path)
 		return
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -28,8 +28,9 @@
 	now  func() time.Time
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	hosts map[string]*host
+	mu     sync.Mutex
+	hosts  map[string]*host
+	opened int64
 }
 
 // host is one endpoint's connections.
@@ -110,6 +111,7 @@
 		h.open--
 	}
 	h.open++
+	p.opened++
 	p.mu.Unlock()
 	if spare != nil {
 		spare.Close()
@@ -213,6 +215,13 @@
 	return p.hosts[address] != nil
 }
 
+// Opened is how many connections were begun in all, for metrics.
+func (p *Pool) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
 // Open is the number of connections, for metrics.
 func (p *Pool) Open() int {
 	p.mu.Lock()
