--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -85,3 +85,11 @@
 	}
 	return min(most, max(least, time.Duration(p.mean+unusualDevs*p.dev)))
 }
+
+// Again is how long after a look in vain the path of a stream is looked at again that has
+// been silent for a while: when that has doubled, or the pause is late. What ended its
+// parts after the silence began is rare, and a fleet whose replicas are slow would be
+// looked at by all its streams again and again.
+func Again(silent, limit time.Duration) time.Duration {
+	return max(least/2, min(silent, limit-silent))
+}
--- a/decide/silence/silence_test.go
+++ b/decide/silence/silence_test.go
@@ -95,3 +95,22 @@
 		t.Errorf("%v after a second of usual gaps, %v before", got, before)
 	}
 }
+
+// Replicas are slow, and a stream pauses for half a second. Its path is looked at a few
+// times and not at each bound of its patience, and once more as soon as the pause is late,
+// since only then are the replicas asked how slow they are.
+func TestLooksInOneSilence(t *testing.T) {
+	const late = 300 * time.Millisecond
+	looks := 0
+	silent := least
+	for silent < late {
+		looks++
+		silent += Again(silent, late)
+	}
+	if looks > 4 {
+		t.Errorf("%d looks before the pause is late", looks)
+	}
+	if silent > late+least/2 {
+		t.Errorf("the next look is %v after the pause is late", silent-late)
+	}
+}
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -161,13 +161,14 @@
 	}
 }
 
-// lookAgain looks at a path that is silent although all of it can be reached: again
-// after as long, and once the pause is late its replicas are asked for their pace, which
-// is paid for.
+// lookAgain looks at a path that is silent although all of it can be reached: again when
+// it has been silent for twice as long, and once the pause is late its replicas are asked
+// for their pace, which is paid for.
 func (w *watch) lookAgain(path paths.Path) {
-	w.vain.Store(int64(w.silentFor()))
-	if w.silentFor() < w.a.q.maxPause() {
-		w.timer.Reset(cmp.Or(time.Duration(w.patience.Load()), w.a.q.maxPause()/firstParts))
+	silent, late := w.silentFor(), w.a.q.maxPause()
+	w.vain.Store(int64(silent))
+	if silent < late {
+		w.timer.Reset(silence.Again(silent, late))
 		return
 	}
 	w.timer.Reset(stallAgain)
