Parts that another stream has just had an event through are not probed

Change: parts through which another request had an event in the last 30 ms count as living. What that misses, a part that died within that time, the next look finds.

--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -20,6 +20,9 @@
 	firstParts = 2
 	// defaultPause is the pause that is on time where the route does not say.
 	defaultPause = 200 * time.Millisecond
+	// livesFor is how long a part counts as living through which another request has had an
+	// event: about the time of one event, less than the shortest silence that is looked at.
+	livesFor = 30 * time.Millisecond
 	// stallAgain is between two looks at a path that stays silent.
 	stallAgain = 400 * time.Millisecond
 )
@@ -101,6 +104,7 @@
 	if w.timer == nil {
 		return
 	}
+	w.a.target.Flight.Heard()
 	patience := w.pace.Patience(w.a.q.maxPause())
 	w.patience.Store(int64(patience))
 	w.timer.Reset(patience)
@@ -136,9 +140,10 @@
 		return
 	}
 	path := w.a.target.Flight.Path()
-	addresses := make([]string, len(path))
-	replicas := make(map[string]string, len(path))
-	for i, part := range path {
+	doubted := w.a.target.Flight.Unheard(livesFor)
+	addresses := make([]string, len(doubted))
+	replicas := make(map[string]string, len(doubted))
+	for i, part := range doubted {
 		addresses[i] = part.Address
 		replicas[part.Address] = part.Replica
 	}
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -185,6 +185,28 @@
 	f.told = false
 }
 
+// Heard notes that an event of the request has come: all parts of its path live.
+func (f *Flight) Heard() { f.heard.Store(max(1, int64(f.model.now().Sub(f.model.begun)))) }
+
+// Unheard returns the parts of the path through which no other request has had an event
+// within some time.
+func (f *Flight) Unheard(within time.Duration) paths.Path {
+	m := f.model
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since := m.now().Sub(m.begun) - within
+	living := map[string]bool{}
+	for other := range m.flights {
+		if at := time.Duration(other.heard.Load()); at == 0 || at < since || other == f {
+			continue
+		}
+		for _, part := range other.path {
+			living[part.Replica] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(f.path), func(p paths.Part) bool { return living[p.Replica] })
+}
+
 // Path is the path that the request runs along now.
 func (f *Flight) Path() paths.Path {
 	f.model.mu.Lock()
@@ -241,6 +263,7 @@
 	m.book.Release(f.path, f.tokens)
 	m.book.Hold(path, f.tokens)
 	f.path, f.told = path, false
+	f.heard.Store(0)
 }
 
 // Suspect notes that a replica looks dead, silent that its machine does not answer
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/bookings"
@@ -23,6 +24,7 @@
 type Model struct {
 	domain string
 	now    func() time.Time
+	begun  time.Time
 
 	mu     sync.Mutex
 	layers int
@@ -48,6 +50,8 @@
 	lost   func(replica string)
 	leave  func(replica string)
 	told   bool // that a part of the path leaves
+	// heard is when an event came last, counted from the model's beginning; 0 for never.
+	heard atomic.Int64
 }
 
 // NewModel returns a Model without replicas for a node in a failure domain.
@@ -55,6 +59,7 @@
 	return &Model{
 		domain:  domain,
 		now:     now,
+		begun:   now(),
 		book:    paths.New(seed),
 		flights: map[*Flight]struct{}{},
 		wakes:   map[uint64]chan struct{}{},
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -272,3 +272,42 @@
 		t.Errorf("one that may not be moved: %v %v", way, path)
 	}
 }
+
+// Guards against a connection to each part of a path whenever one of many streams goes
+// silent: the parts through which another stream has just had an event live. One that was
+// led elsewhere since says nothing of its new parts.
+func TestPartsThatOthersHear(t *testing.T) {
+	now := time.Now()
+	m := NewModel("d", 1, func() time.Time { return now })
+	m.Update(llm, []*roster.Replica{part("a1", 0, 4), part("b1", 4, 8), part("b2", 4, 8)}, all(10))
+	silent, other := take(t, m, 10), take(t, m, 10)
+	ids := func(within time.Duration) string {
+		text := ""
+		for _, p := range silent.Flight.Unheard(within) {
+			text += p.Replica + " "
+		}
+		return text
+	}
+	if got := ids(time.Hour); len(got) != len("a1 b1 ") {
+		t.Fatalf("before any event: %s", got)
+	}
+	now = now.Add(time.Second)
+	silent.Flight.Heard()
+	if got := ids(time.Hour); len(got) != len("a1 b1 ") {
+		t.Errorf("its own events count: %s", got)
+	}
+	other.Flight.Heard()
+	now = now.Add(20 * time.Millisecond)
+	got := ids(30 * time.Millisecond)
+	shared := other.Path[1].Replica == silent.Path[1].Replica
+	if shared && got != "" || !shared && got != silent.Path[1].Replica+" " {
+		t.Errorf("the other runs along %v, this one along %v, doubted: %s", other.Path, silent.Path, got)
+	}
+	if got := ids(10 * time.Millisecond); len(got) != len("a1 b1 ") {
+		t.Errorf("what was heard long ago counts: %s", got)
+	}
+	other.Flight.Moved(other.Path)
+	if got := ids(time.Hour); len(got) != len("a1 b1 ") {
+		t.Errorf("what was heard along another path counts: %s", got)
+	}
+}
