What nodes tell each other of the store is compressed, and nothing if nothing was written

Each of 195 nodes gets some 250 KB over a link of 2.5 MB/s; probes give up after 25 ms. (Probable, not shown: that it is the link and not the replicas.) At a start of all nodes the same answers take 0.2 s each. Change: an answer's content is one gzip, kept for the askers who have the same revision; no content where the asker has the revision already. Calls have new names, so that a node of the former version is answered with an error and reads for itself.

--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -61,8 +62,14 @@
 
 	mu   sync.Mutex
 	last Read
+	// packed are contents of answers about the last read, by the asker's revision: most
+	// askers have one of the reads before it.
+	packed map[int64][]byte
 }
 
+// mostPacked bounds the contents that are kept.
+const mostPacked = 8
+
 // NewCopy returns an empty Copy. clock goes on while the machine is suspended; listener
 // may be nil.
 func NewCopy(clock func() time.Duration, listener Listener) *Copy {
@@ -73,7 +80,7 @@
 func (c *Copy) Set(r Read) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last = r
+	c.last, c.packed = r, map[int64][]byte{}
 }
 
 // Revision is the store's at the last read, 0 if there was none.
@@ -88,26 +95,54 @@
 // Handler serves the calls of other nodes.
 func (c *Copy) Handler() http.Handler { return readspb.NewReadsServer(c) }
 
-// Since implements readspb.Reads.
-func (c *Copy) Since(_ context.Context, request *readspb.SinceRequest) (*readspb.SinceResponse, error) {
+// Held implements readspb.Reads.
+func (c *Copy) Held(_ context.Context, request *readspb.HeldRequest) (*readspb.HeldResponse, error) {
 	listed := c.heard(request)
 	last := c.get()
 	if last.Revision == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing has been read yet")
 	}
-	answer := &readspb.SinceResponse{Revision: last.Revision, Listed: listed}
-	for _, e := range last.Entries {
-		answer.Keys = append(answer.Keys, &readspb.Key{Key: e.Key, Revision: e.Revision})
-		if e.Revision > request.Revision {
-			answer.Changed = append(answer.Changed, &readspb.Value{Key: e.Key, Revision: e.Revision, Value: e.Value})
+	answer := &readspb.HeldResponse{Revision: last.Revision, Listed: listed}
+	if request.Revision != last.Revision {
+		content, err := c.content(last, request.Revision)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
 		}
+		answer.Content = content
 	}
 	// The age is taken last: what comes before it makes the answer older.
 	answer.AgeMicros = (c.clock() - last.Proof).Microseconds() + 1
 	return answer, nil
 }
 
-func (c *Copy) heard(request *readspb.SinceRequest) bool {
+// content is what an asker is told that has what the store held at a revision.
+func (c *Copy) content(last Read, since int64) ([]byte, error) {
+	c.mu.Lock()
+	packed, ok := c.packed[since]
+	c.mu.Unlock()
+	if ok {
+		return packed, nil
+	}
+	content := &readspb.Content{}
+	for _, e := range last.Entries {
+		content.Keys = append(content.Keys, &readspb.Key{Key: e.Key, Revision: e.Revision})
+		if e.Revision > since {
+			content.Changed = append(content.Changed, &readspb.Value{Key: e.Key, Revision: e.Revision, Value: e.Value})
+		}
+	}
+	packed, err := pack(content)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.Revision == last.Revision && len(c.packed) < mostPacked {
+		c.packed[since] = packed
+	}
+	return packed, nil
+}
+
+func (c *Copy) heard(request *readspb.HeldRequest) bool {
 	if c.listener == nil || request.GetNode() == "" {
 		return false // it has an entry of its own
 	}
@@ -177,7 +212,7 @@
 	asked := a.clock()
 	own := a.self()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
-	response, err := peer.Since(ctx, &readspb.SinceRequest{
+	response, err := peer.Held(ctx, &readspb.HeldRequest{
 		Revision: a.since, Node: own.Name, Callers: own.Callers, Address: own.Address, AgeMicros: own.Age.Microseconds(),
 	})
 	if err != nil {
@@ -191,7 +226,7 @@
 }
 
 // judge takes an answer if it is young, new and whole.
-func (a *Asker) judge(address string, response *readspb.SinceResponse, asked, young time.Duration) (Read, error) {
+func (a *Asker) judge(address string, response *readspb.HeldResponse, asked, young time.Duration) (Read, error) {
 	if response.Revision < a.floor {
 		return Read{}, Error.New("%s has read revision %d, this node %d", address, response.Revision, a.floor)
 	}
@@ -221,13 +256,23 @@
 }
 
 // join puts an answer together with what is known.
-func (a *Asker) join(answer *readspb.SinceResponse) ([]store.Entry, error) {
-	changed := make(map[string]store.Entry, len(answer.Changed))
-	for _, v := range answer.Changed {
+func (a *Asker) join(answer *readspb.HeldResponse) ([]store.Entry, error) {
+	if len(answer.Content) == 0 {
+		if a.since == 0 || answer.Revision != a.since {
+			return nil, Error.New("the answer for revision %d is empty, this node has %d", answer.Revision, a.since)
+		}
+		return sorted(slices.Collect(maps.Values(a.known))), nil
+	}
+	content, err := unpack(answer.Content)
+	if err != nil {
+		return nil, err
+	}
+	changed := make(map[string]store.Entry, len(content.Changed))
+	for _, v := range content.Changed {
 		changed[v.Key] = store.Entry{Key: v.Key, Value: v.Value, Revision: v.Revision}
 	}
-	entries := make([]store.Entry, 0, len(answer.Keys))
-	for _, k := range answer.Keys {
+	entries := make([]store.Entry, 0, len(content.Keys))
+	for _, k := range content.Keys {
 		e, ok := changed[k.Key]
 		if !ok {
 			e, ok = a.known[k.Key]
@@ -240,6 +285,10 @@
 		}
 		entries = append(entries, e)
 	}
+	return sorted(entries), nil
+}
+
+func sorted(entries []store.Entry) []store.Entry {
 	slices.SortFunc(entries, func(x, y store.Entry) int { return cmp.Compare(x.Key, y.Key) })
-	return entries, nil
+	return entries
 }
--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/cicadatack/cicadatack/fleet/reads/readspb"
@@ -183,8 +184,8 @@
 // ahead answers with a read of the future.
 type ahead struct{ readspb.Reads }
 
-func (ahead) Since(context.Context, *readspb.SinceRequest) (*readspb.SinceResponse, error) {
-	return &readspb.SinceResponse{Revision: 12, AgeMicros: -5_000_000}, nil
+func (ahead) Held(context.Context, *readspb.HeldRequest) (*readspb.HeldResponse, error) {
+	return &readspb.HeldResponse{Revision: 12, AgeMicros: -5_000_000}, nil
 }
 
 // Guards against a proof that is too young: a node whose clock is wrong dates its read
@@ -198,3 +199,74 @@
 		t.Errorf("took %+v", got)
 	}
 }
+
+// torn answers with content that is damaged, or of another version.
+type torn struct {
+	readspb.Reads
+	content []byte
+}
+
+func (r torn) Held(context.Context, *readspb.HeldRequest) (*readspb.HeldResponse, error) {
+	return &readspb.HeldResponse{Revision: 12, AgeMicros: 1, Content: r.content}, nil
+}
+
+// Guards against a list that is emptied by a damaged answer: a node that can't read one
+// keeps what it knew.
+func TestDamagedAnswersAreNotTaken(t *testing.T) {
+	now := &clock{now: time.Minute}
+	whole, err := pack(&readspb.Content{Keys: []*readspb.Key{{Key: "a", Revision: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	huge, err := pack(&readspb.Content{Changed: []*readspb.Value{{Key: "a", Revision: 3, Value: make([]byte, maxContentBytes)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, content := range map[string][]byte{
+		"empty": nil, "no gzip": []byte("text"), "cut": whole[:len(whole)-5], "lacks a value": whole, "too large": huge,
+	} {
+		server := httptest.NewServer(readspb.NewReadsServer(torn{content: content}))
+		a := NewAsker(now.read, nobody)
+		if got, err := a.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"), time.Minute); !Error.Has(err) {
+			t.Errorf("%s: took %+v", name, got.Read)
+		}
+		server.Close()
+	}
+}
+
+// Guards against answers that grow with the number of replicas: of 2,000 entries that are
+// alike little goes over the link, and nothing if nothing was written since.
+func TestAnswersAreSmall(t *testing.T) {
+	now := &clock{now: time.Minute}
+	var list []store.Entry
+	plain := 0
+	for i := range 2000 {
+		e := store.Entry{Key: fmt.Sprintf("servers/i-%08x", i*7919), Revision: int64(i + 1),
+			Value: fmt.Appendf(nil, `{"service":"llm","addr":"10.1.64.%d:8242","zone":"bogor","state":"ready","seq":%d}`, i, i%7)}
+		list = append(list, e)
+		plain += len(e.Key) + len(e.Value)
+	}
+	c := NewCopy(now.read, nil)
+	c.Set(Read{Entries: list, Revision: 2000, Proof: now.now})
+	first, err := c.Held(context.Background(), &readspb.HeldRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size := proto.Size(first); size > plain/3 {
+		t.Errorf("%d bytes for %d of entries", size, plain)
+	}
+	again, err := c.Held(context.Background(), &readspb.HeldRequest{Revision: 2000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size := proto.Size(again); size > 32 {
+		t.Errorf("%d bytes although nothing was written", size)
+	}
+	a := NewAsker(now.read, nobody)
+	for range 2 {
+		got, err := a.Ask(context.Background(), served(t, c), time.Minute)
+		if err != nil || len(got.Read.Entries) != len(list) {
+			t.Errorf("%d entries, %v", len(got.Read.Entries), err)
+		}
+	}
+}
--- a/fleet/reads/readspb/reads.twirp.go
+++ b/fleet/reads/readspb/reads.twirp.go
@@ -34,9 +34,9 @@
 // Reads is served by every node on the users' platform to the nodes of its failure
 // domain.
 type Reads interface {
-	// Since answers with what the store held at this node's last read, and notes that the
+	// Held answers with what the store held at this node's last read, and notes that the
 	// asker is there.
-	Since(context.Context, *SinceRequest) (*SinceResponse, error)
+	Held(context.Context, *HeldRequest) (*HeldResponse, error)
 
 	// Leave notes that a node leaves.
 	Leave(context.Context, *LeaveRequest) (*LeaveResponse, error)
@@ -77,7 +77,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cicadatack.reads", "Reads")
 	urls := [2]string{
-		serviceURL + "Since",
+		serviceURL + "Held",
 		serviceURL + "Leave",
 	}
 
@@ -89,26 +89,26 @@
 	}
 }
 
-func (c *readsProtobufClient) Since(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
+func (c *readsProtobufClient) Held(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
 	ctx = ctxsetters.WithServiceName(ctx, "Reads")
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
-	caller := c.callSince
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
+	caller := c.callHeld
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		caller = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*HeldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
 					}
-					return c.callSince(ctx, typedReq)
+					return c.callHeld(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*HeldResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -118,8 +118,8 @@
 	return caller(ctx, in)
 }
 
-func (c *readsProtobufClient) callSince(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
-	out := new(SinceResponse)
+func (c *readsProtobufClient) callHeld(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
+	out := new(HeldResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -216,7 +216,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cicadatack.reads", "Reads")
 	urls := [2]string{
-		serviceURL + "Since",
+		serviceURL + "Held",
 		serviceURL + "Leave",
 	}
 
@@ -228,26 +228,26 @@
 	}
 }
 
-func (c *readsJSONClient) Since(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
+func (c *readsJSONClient) Held(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
 	ctx = ctxsetters.WithServiceName(ctx, "Reads")
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
-	caller := c.callSince
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
+	caller := c.callHeld
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		caller = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*HeldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
 					}
-					return c.callSince(ctx, typedReq)
+					return c.callHeld(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*HeldResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -257,8 +257,8 @@
 	return caller(ctx, in)
 }
 
-func (c *readsJSONClient) callSince(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
-	out := new(SinceResponse)
+func (c *readsJSONClient) callHeld(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
+	out := new(HeldResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -417,8 +417,8 @@
 	}
 
 	switch method {
-	case "Since":
-		s.serveSince(ctx, resp, req)
+	case "Held":
+		s.serveHeld(ctx, resp, req)
 		return
 	case "Leave":
 		s.serveLeave(ctx, resp, req)
@@ -430,7 +430,7 @@
 	}
 }
 
-func (s *readsServer) serveSince(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *readsServer) serveHeld(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -438,9 +438,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSinceJSON(ctx, resp, req)
+		s.serveHeldJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSinceProtobuf(ctx, resp, req)
+		s.serveHeldProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -448,9 +448,9 @@
 	}
 }
 
-func (s *readsServer) serveSinceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *readsServer) serveHeldJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -463,29 +463,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SinceRequest)
+	reqContent := new(HeldRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Reads.Since
+	handler := s.Reads.Held
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		handler = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*HeldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
 					}
-					return s.Reads.Since(ctx, typedReq)
+					return s.Reads.Held(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*HeldResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -494,7 +494,7 @@
 	}
 
 	// Call service method
-	var respContent *SinceResponse
+	var respContent *HeldResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -505,7 +505,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SinceResponse and nil error while calling Since. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HeldResponse and nil error while calling Held. nil responses are not supported"))
 		return
 	}
 
@@ -531,9 +531,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *readsServer) serveSinceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *readsServer) serveHeldProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -545,28 +545,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SinceRequest)
+	reqContent := new(HeldRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Reads.Since
+	handler := s.Reads.Held
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		handler = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*HeldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
 					}
-					return s.Reads.Since(ctx, typedReq)
+					return s.Reads.Held(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*HeldResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -575,7 +575,7 @@
 	}
 
 	// Call service method
-	var respContent *SinceResponse
+	var respContent *HeldResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -586,7 +586,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SinceResponse and nil error while calling Since. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HeldResponse and nil error while calling Held. nil responses are not supported"))
 		return
 	}
 
@@ -1371,29 +1371,31 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 380 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x52, 0xcd, 0x4e, 0xc2, 0x40,
-	0x10, 0x4e, 0x69, 0xcb, 0xcf, 0x00, 0x91, 0x6c, 0xfc, 0x69, 0x48, 0x54, 0xd2, 0x13, 0x5e, 0x4a,
-	0x04, 0xe3, 0x03, 0x78, 0x22, 0x41, 0x2f, 0x6b, 0xe2, 0xc1, 0x8b, 0x59, 0xb6, 0x63, 0x69, 0x28,
-	0x5d, 0xec, 0x16, 0x92, 0x3e, 0x86, 0x67, 0x5f, 0xc6, 0x47, 0x33, 0xdd, 0xb6, 0x40, 0x01, 0xb9,
-	0x6c, 0xe6, 0x9b, 0xf9, 0x76, 0xbe, 0xf9, 0x76, 0x16, 0x9a, 0x11, 0x32, 0x57, 0x3a, 0xcb, 0x48,
-	0xc4, 0x82, 0x74, 0xb8, 0xcf, 0x99, 0xcb, 0x62, 0xc6, 0xe7, 0x8e, 0xca, 0xdb, 0xdf, 0x1a, 0xb4,
-	0x5e, 0xfd, 0x90, 0x23, 0xc5, 0xaf, 0x15, 0xca, 0x98, 0x74, 0xa1, 0x1e, 0xe1, 0xda, 0x97, 0xbe,
-	0x08, 0x2d, 0xad, 0xa7, 0xf5, 0x75, 0xba, 0xc1, 0x84, 0x80, 0x11, 0x0a, 0x17, 0xad, 0x4a, 0x4f,
-	0xeb, 0x37, 0xa8, 0x8a, 0x89, 0x05, 0x35, 0xce, 0x82, 0x00, 0x23, 0x69, 0xe9, 0x2a, 0x5d, 0xc0,
-	0xb4, 0xc2, 0x5c, 0x37, 0x42, 0x29, 0x2d, 0x23, 0xab, 0xe4, 0x90, 0x5c, 0x03, 0x30, 0x0f, 0x3f,
-	0x16, 0x3e, 0x8f, 0x84, 0xb4, 0x4c, 0xa5, 0xd2, 0x60, 0x1e, 0xbe, 0xa8, 0x84, 0x6d, 0x43, 0xeb,
-	0x19, 0xd9, 0x7a, 0x33, 0x52, 0x21, 0xab, 0x6d, 0x65, 0xed, 0x33, 0x68, 0xe7, 0x1c, 0xb9, 0x14,
-	0xa1, 0x44, 0xfb, 0x57, 0x83, 0x76, 0x6e, 0x24, 0xcb, 0x9c, 0x74, 0x52, 0x9e, 0xa0, 0xb2, 0x37,
-	0x01, 0xb9, 0x03, 0x63, 0x8e, 0x49, 0xea, 0x48, 0xef, 0x37, 0x87, 0x17, 0xce, 0xfe, 0xb3, 0x39,
-	0x13, 0x4c, 0xa8, 0xa2, 0x90, 0x7b, 0xa8, 0xf1, 0x19, 0x0b, 0x3d, 0x74, 0x2d, 0x43, 0xb1, 0xaf,
-	0x0e, 0xd9, 0x6f, 0x2c, 0x58, 0x21, 0x2d, 0x78, 0xe4, 0x12, 0xaa, 0x81, 0x2f, 0x63, 0x74, 0x95,
-	0xf5, 0x3a, 0xcd, 0x91, 0x3d, 0x02, 0x7d, 0x82, 0x09, 0xe9, 0x80, 0x3e, 0xc7, 0x24, 0x77, 0x9b,
-	0x86, 0x25, 0x27, 0x95, 0xb2, 0x13, 0x7b, 0x02, 0xa6, 0x6a, 0x7f, 0xd2, 0xee, 0x39, 0x98, 0xeb,
-	0x94, 0xa4, 0x6e, 0xb7, 0x68, 0x06, 0x0a, 0x21, 0x7d, 0x23, 0x34, 0xfc, 0xd1, 0xc0, 0xa4, 0xe9,
-	0xc8, 0x64, 0x0c, 0xa6, 0x7a, 0x4d, 0x72, 0x73, 0x68, 0x67, 0xf7, 0xbf, 0x74, 0x6f, 0xff, 0xad,
-	0xe7, 0x6b, 0x18, 0x83, 0xa9, 0x36, 0x75, 0xac, 0xd3, 0xee, 0x9a, 0x8f, 0x75, 0x2a, 0xad, 0xf8,
-	0xe9, 0xf1, 0xfd, 0xc1, 0xf3, 0xe3, 0xd9, 0x6a, 0xea, 0x70, 0xb1, 0x18, 0x6c, 0xc9, 0xbb, 0xe1,
-	0x67, 0x80, 0x18, 0x0f, 0xd4, 0xed, 0xec, 0x5c, 0x4e, 0xa7, 0x55, 0xf5, 0xf9, 0x47, 0x7f, 0x01,
-	0x00, 0x00, 0xff, 0xff, 0x54, 0x6f, 0x2e, 0x1d, 0x0b, 0x03, 0x00, 0x00,
+	// 402 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x53, 0x4d, 0x8f, 0xd3, 0x30,
+	0x10, 0x55, 0xbe, 0xb6, 0xdb, 0x69, 0x10, 0x2b, 0x8b, 0x0f, 0xab, 0xd2, 0x42, 0xe5, 0x53, 0xb9,
+	0x64, 0xc5, 0x2e, 0xe2, 0x07, 0x80, 0x90, 0x56, 0x2a, 0x5c, 0x7c, 0xe0, 0xc0, 0x05, 0xb9, 0xf1,
+	0x90, 0x8d, 0x9a, 0x8d, 0x4b, 0xec, 0x56, 0x8a, 0xf8, 0x13, 0x1c, 0xf9, 0xb9, 0x28, 0x93, 0xa4,
+	0x9f, 0xdb, 0x5e, 0xa2, 0x79, 0x33, 0xcf, 0x33, 0x6f, 0xfc, 0x62, 0x18, 0x55, 0xa8, 0xb4, 0x4d,
+	0x96, 0x95, 0x71, 0x86, 0x5d, 0xa5, 0x79, 0xaa, 0xb4, 0x72, 0x2a, 0x5d, 0x24, 0x94, 0x17, 0x7f,
+	0x3d, 0x18, 0xdd, 0x63, 0xa1, 0x25, 0xfe, 0x5e, 0xa1, 0x75, 0x6c, 0x0c, 0x97, 0x15, 0xae, 0x73,
+	0x9b, 0x9b, 0x92, 0x7b, 0x13, 0x6f, 0x1a, 0xc8, 0x0d, 0x66, 0x0c, 0xc2, 0xd2, 0x68, 0xe4, 0xfe,
+	0xc4, 0x9b, 0x0e, 0x25, 0xc5, 0x8c, 0xc3, 0x20, 0x55, 0x45, 0x81, 0x95, 0xe5, 0x01, 0xa5, 0x7b,
+	0xd8, 0x54, 0x94, 0xd6, 0x15, 0x5a, 0xcb, 0xc3, 0xb6, 0xd2, 0x41, 0x76, 0x0d, 0xa0, 0x32, 0xfc,
+	0xf9, 0x98, 0xa7, 0x95, 0xb1, 0x3c, 0xa2, 0x29, 0x43, 0x95, 0xe1, 0x37, 0x4a, 0x88, 0x3f, 0x10,
+	0xb7, 0x8a, 0xec, 0xd2, 0x94, 0x16, 0xcf, 0x4a, 0xda, 0x6f, 0xe5, 0x1f, 0xb4, 0x62, 0xaf, 0xe0,
+	0xa2, 0xc8, 0xad, 0x43, 0x4d, 0xe2, 0x2e, 0x65, 0x87, 0x48, 0xb5, 0x29, 0x1d, 0x96, 0x8e, 0xb4,
+	0xc5, 0xb2, 0x87, 0x22, 0x83, 0xc1, 0xe7, 0x36, 0x64, 0xef, 0x20, 0x5c, 0x60, 0x6d, 0xb9, 0x37,
+	0x09, 0xa6, 0xa3, 0xdb, 0x97, 0xc9, 0xe1, 0xdd, 0x25, 0x33, 0xac, 0x25, 0x51, 0xd8, 0x7b, 0x18,
+	0xa4, 0x0f, 0xaa, 0xcc, 0x50, 0x73, 0x9f, 0xd8, 0xaf, 0x8f, 0xd9, 0xdf, 0x55, 0xb1, 0x42, 0xd9,
+	0xf3, 0xc4, 0x1d, 0x04, 0x33, 0xac, 0xd9, 0x15, 0x04, 0x0b, 0xac, 0x69, 0xaf, 0xa1, 0x6c, 0xc2,
+	0xbd, 0x75, 0xfd, 0xfd, 0x75, 0xc5, 0x0c, 0x22, 0x6a, 0x73, 0xf6, 0x4e, 0x5e, 0x40, 0xb4, 0x6e,
+	0x48, 0x74, 0x3a, 0x96, 0x2d, 0xe8, 0x07, 0x05, 0x9b, 0x41, 0x42, 0x40, 0xfc, 0x15, 0xd5, 0x1a,
+	0x7b, 0xeb, 0x7b, 0x7b, 0xbd, 0xad, 0xbd, 0xe2, 0x39, 0x3c, 0xeb, 0x38, 0xad, 0x19, 0xb7, 0xff,
+	0x3c, 0x88, 0x64, 0xb3, 0x0f, 0xfb, 0x02, 0x61, 0x63, 0x13, 0xbb, 0x3e, 0x5e, 0x75, 0xe7, 0x87,
+	0x1a, 0xbf, 0x39, 0x55, 0xee, 0xdc, 0xbd, 0x87, 0x88, 0x26, 0xb0, 0x27, 0x88, 0xbb, 0xf2, 0xc6,
+	0x6f, 0x4f, 0xd6, 0xdb, 0x4e, 0x9f, 0x3e, 0xfe, 0xf8, 0x90, 0xe5, 0xee, 0x61, 0x35, 0x4f, 0x52,
+	0xf3, 0x78, 0xb3, 0x25, 0xef, 0x86, 0xbf, 0x0a, 0x44, 0x77, 0x43, 0xa7, 0xdb, 0xef, 0x72, 0x3e,
+	0xbf, 0xa0, 0xb7, 0x71, 0xf7, 0x3f, 0x00, 0x00, 0xff, 0xff, 0xfa, 0xc5, 0x35, 0xf2, 0x2a, 0x03,
+	0x00, 0x00,
 }
