A node that starts asks the readers of its domain; first callers wait a part of their time

Change: a node that starts reads the entries of nodes only and asks its domain's readers for the rest, for half a second; readers read in full. First callers wait for a quarter of the time that they have, a second at most (150 ms).

--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -94,6 +94,7 @@
 	if n.settings.FirstStart && !wait.For(ctx, rand.N(n.timing.Spread+1)) {
 		return
 	}
+	n.meet(ctx)
 	for ctx.Err() == nil {
 		pause := n.look(ctx)
 		jittered := time.Duration(float64(pause) * (1 + pollJitter*(rand.Float64()-0.5)))
@@ -103,6 +104,41 @@
 	}
 }
 
+const (
+	// meetFor is how long a node that starts waits for the readers of its domain, which may
+	// start together with it, before it reads the store itself; meetEvery is between two
+	// questions to them.
+	meetFor   = 500 * time.Millisecond
+	meetEvery = 50 * time.Millisecond
+)
+
+// meet learns of the readers of the failure domain from the entries of nodes alone, and
+// takes what one of them has read. Were all nodes of a fleet that starts to read all that
+// the store holds, they would wait for its link.
+func (n *Node) meet(ctx context.Context) {
+	entries, err := n.store.List(ctx, memberPrefix)
+	n.storeCalled("nodes", err)
+	if err != nil {
+		return // the first look tries again, and tells
+	}
+	var found []member
+	for _, e := range entries {
+		if m, ok := decodeMember(e); ok {
+			found = append(found, m)
+		}
+	}
+	n.members.set(found, false)
+	for begun := time.Now(); !n.reads() && time.Since(begun) < meetFor; {
+		if told, _ := n.ask(ctx); told && n.rules.Load() != nil {
+			n.poll.asked = true
+			return
+		}
+		if !wait.For(ctx, meetEvery) {
+			return
+		}
+	}
+}
+
 // pollEvery is between two reads of the store.
 func (n *Node) pollEvery() time.Duration {
 	if n.timing.Poll > 0 {
--- a/route/door/door.go
+++ b/route/door/door.go
@@ -98,7 +98,7 @@
 	if v.Call, err = e.Path.Dialect.Read(e.r.Header); err != nil {
 		return relay.NotRun(http.StatusBadRequest, reasonMalformed, err.Error(), 0)
 	}
-	if e.rules = e.current(); e.rules == nil {
+	if e.rules = e.current(v.Call.Patience); e.rules == nil {
 		return relay.NotRun(http.StatusServiceUnavailable, reasonNoRules, "no configuration is known yet", retryRules)
 	}
 	v.Revision = e.rules.Version
@@ -120,19 +120,25 @@
 	return e.leaving()
 }
 
-// firstRules is how long a request waits for the first configuration: a node that starts
-// reads the store within some milliseconds, and all nodes of a fleet may start at once,
-// with all callers before them.
-const firstRules = 150 * time.Millisecond
+const (
+	// firstRulesLeast and firstRulesMost bound how long a request waits for the first
+	// configuration, firstRulesParts is the part of the caller's time: a node that starts
+	// reads the store within some tenths of a second, and all nodes of a fleet may start
+	// at once, with all callers before them. If the store is away, callers are told so.
+	firstRulesLeast = 150 * time.Millisecond
+	firstRulesMost  = time.Second
+	firstRulesParts = 4
+)
 
-// current is the configuration in force. A request that finds none yet waits a little.
-func (e *entry) current() *ruleset.Ruleset {
+// current is the configuration in force. A request that finds none yet waits for a part
+// of the time that its caller has.
+func (e *entry) current(patience time.Duration) *ruleset.Ruleset {
 	select {
 	case <-e.Rules.First():
 		return e.Rules.Current()
 	default:
 	}
-	timer := time.NewTimer(firstRules)
+	timer := time.NewTimer(min(max(patience/firstRulesParts, firstRulesLeast), firstRulesMost))
 	defer timer.Stop()
 	select {
 	case <-e.Rules.First():
--- a/route/door/door_test.go
+++ b/route/door/door_test.go
@@ -42,25 +42,33 @@
 	l := &late{rules: &ruleset.Ruleset{}, first: make(chan struct{}), asked: make(chan struct{})}
 	e := &entry{Door: &Door{Rules: l}, r: httptest.NewRequest("GET", "/", nil)}
 	got := make(chan *ruleset.Ruleset)
-	go func() { got <- e.current() }()
+	go func() { got <- e.current(20 * time.Second) }()
 	<-l.asked // it has looked once, and found none
+	select {
+	case <-got:
+		t.Error("a caller with time to wait was sent away")
+	case <-time.After(2 * firstRulesLeast):
+	}
 	close(l.first)
 	if <-got != l.rules {
 		t.Error("a request was let in by no configuration")
 	}
-	if e.current() != l.rules {
+	if e.current(0) != l.rules {
 		t.Error("the one in force is not used")
 	}
 }
 
-// The store is away while a node starts. Its callers are told so soon, and not held.
+// The store is away while a node starts. Its callers are told so soon, however much time
+// they have, and not held.
 func TestNoConfigurationIsToldSoon(t *testing.T) {
 	l := &late{first: make(chan struct{})}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	e := &entry{Door: &Door{Rules: l}, r: httptest.NewRequestWithContext(ctx, "GET", "/", nil)}
-	if e.current() != nil {
-		t.Error("a configuration out of nowhere")
+	for _, patience := range []time.Duration{0, time.Second, 10 * time.Minute} {
+		if e.current(patience) != nil {
+			t.Error("a configuration out of nowhere")
+		}
 	}
 	if ctx.Err() != nil {
 		t.Error("the caller was held")
