Streams that are late anyway are looked at by their own pace

Change: the cap of a stream that has paused for longer than is on time is twice that pause; within it its own gaps decide.

--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -20,7 +20,9 @@
 //   - A look that finds nothing teaches patience: a fleet that is busy must not be asked
 //     by all its streams again and again.
 //   - A silence that is unusual has the path looked at, at the latest after half of the
-//     pause that is on time, so that what is found out can still help.
+//     pause that is on time, so that what is found out can still help. A stream that has
+//     paused for longer than that before is late whatever is done: its own pace alone
+//     says what is unusual, up to twice the pause that is on time.
 //
 // That several streams are silent at once adds nothing: of those that run through a lost
 // part the one whose event was due first asks, and all are told what it finds.
@@ -40,8 +42,9 @@
 	least   = 45 * time.Millisecond
 	settled = 4
 	// limitParts: no silence of more than this part of the pause that is on time is
-	// taken for usual.
+	// taken for usual; of a stream that is late no silence of more than lateTimes it.
 	limitParts = 2
+	lateTimes  = 2
 )
 
 // Pace is how a stream's events come. The zero value knows nothing yet. It is not safe
@@ -49,11 +52,13 @@
 type Pace struct {
 	gaps      int
 	mean, dev float64 // nanoseconds
+	longest   time.Duration
 }
 
 // Heard notes the gap before an event.
 func (p *Pace) Heard(gap time.Duration) {
 	p.gaps++
+	p.longest = max(p.longest, gap)
 	g := float64(gap)
 	if p.gaps == 1 {
 		p.mean, p.dev = g, g/2
@@ -80,6 +85,9 @@
 // on time up to a limit.
 func (p *Pace) Patience(limit time.Duration) time.Duration {
 	most := limit / limitParts
+	if p.longest > limit {
+		most = limit * lateTimes
+	}
 	if p.gaps < settled {
 		return most
 	}
--- a/decide/silence/silence_test.go
+++ b/decide/silence/silence_test.go
@@ -114,3 +114,32 @@
 		t.Errorf("the next look is %v after the pause is late", silent-late)
 	}
 }
+
+// Replicas have turned slow, and a stream has an event each 400 ms where 300 ms are on
+// time. Looked at in each of its gaps it would cost connections to all of its path for
+// nothing; after the first few it is left in peace. When a part of it dies after all, that
+// is still found.
+func TestSlowStreamsAreLeftInPeace(t *testing.T) {
+	const late, gap = 300 * time.Millisecond, 400 * time.Millisecond
+	p := steady(40*time.Millisecond, 8*time.Millisecond, 20)
+	looked := 0
+	for range 20 {
+		if silent := p.Patience(late); silent < gap {
+			looked++
+			p.Vain(gap - gap/10)
+		}
+		p.Heard(gap)
+	}
+	if looked > 3 {
+		t.Errorf("looked at in %d of 20 gaps", looked)
+	}
+	if patience := p.Patience(late); patience > lateTimes*late {
+		t.Errorf("a silence of %v is taken for usual", patience)
+	}
+	for range 40 {
+		p.Heard(40 * time.Millisecond)
+	}
+	if patience := p.Patience(late); patience > late/limitParts {
+		t.Errorf("it is fast again, and a silence of %v is taken for usual", patience)
+	}
+}
