Readers are the nodes with the best links

Cause: readers were whoever entered first. Change: nodes tell the capacity of their link (settings); those with most of it come first, and one with twice that of a reader takes its place.

--- a/decide/readers/readers.go
+++ b/decide/readers/readers.go
@@ -21,8 +21,8 @@
 //   - They are in an order, and each asks those before it first, so that one reads while
 //     all is well; the next does as soon as what the ones before it tell is no longer
 //     young.
-//   - Who is a reader stays one; where one is missing, the first of those listed takes
-//     its place.
+//   - Who is a reader stays one, unless a node with a much better link takes its place;
+//     where one is missing, the best of those listed does.
 //   - A node that no reader has heard enters itself, and is named to callers, but is no
 //     reader.
 //
@@ -46,18 +46,21 @@
 	Address string
 	// Entered is set if it has an entry of its own; the others are listed by one that has.
 	Entered bool
+	// Link is what its VM may send, in Mbit/s; 0 if that is not known.
+	Link float64
 }
 
 // reader says whether a member may be one of its domain's readers.
 func (m Member) reader() bool { return m.Entered && m.Address != "" }
 
-// Of returns the nodes that read for a failure domain, in order of name.
+// Of returns the nodes that read for a failure domain, in order.
 func Of(domain string, members []Member) []Member {
 	list := filter(members, func(m Member) bool { return m.Domain == domain && m.reader() })
 	return list[:min(len(list), PerDomain)]
 }
 
-// filter returns some of the members, each once, in order of name.
+// filter returns some of the members, each once, those with more of a link first, and by
+// name.
 func filter(members []Member, keep func(Member) bool) []Member {
 	var list []Member
 	for _, m := range members {
@@ -65,7 +68,9 @@
 			list = append(list, m)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(a.Name, b.Name))
+	})
 	return slices.CompactFunc(list, func(a, b Member) bool { return a.Name == b.Name })
 }
 
@@ -85,9 +90,17 @@
 	}
 	others := filter(members, func(m Member) bool { return m.Domain == domain && rank(m.Name, list) < 0 })
 	place := rank(name, others)
-	return place >= 0 && place < PerDomain-len(list)
+	if place < 0 || place >= PerDomain {
+		return false
+	}
+	least := list[len(list)-1].Link
+	return place < PerDomain-len(list) || least > 0 && others[place].Link >= betterTimes*least
 }
 
+// betterTimes: a node with so many times the link of a reader takes its place. All nodes
+// of the domain ask the first reader.
+const betterTimes = 2
+
 // Lost is how a node stands that could not read the store.
 type Lost struct {
 	// Soon is between two tries of one that nobody reads for.
--- a/decide/readers/readers_test.go
+++ b/decide/readers/readers_test.go
@@ -117,6 +117,36 @@
 	}
 }
 
+// A fleet of few large VMs and many small ones starts, and small ones enter first. Guards
+// against readers whose link is full of the others' questions: the large ones take their
+// places, and then nobody changes any more.
+func TestLargeNodesBecomeReaders(t *testing.T) {
+	members := fleet(1, 40, 3)
+	for i := range members {
+		members[i].Link = 20
+		if i >= 35 {
+			members[i].Link = 200
+		}
+	}
+	for range 3 {
+		for i, m := range members {
+			members[i].Entered = Enters(m.Name, m.Domain, members)
+			members[i].Address = ""
+			if members[i].Entered {
+				members[i].Address = "a"
+			}
+		}
+	}
+	got := ""
+	for _, m := range Of("d0", members) {
+		got += m.Name + " "
+	}
+	entered := filter(members, func(m Member) bool { return m.Entered })
+	if got != "n0-35 n0-36 n0-37 " || len(entered) != PerDomain {
+		t.Errorf("%s read, %d have entries", got, len(entered))
+	}
+}
+
 // Guards against a fleet that calls a lost store without end. Eight seconds without the
 // store cost about as many calls with 42 nodes a domain as with three, and the first
 // reader finds out within a third of a second that it is back.
--- a/decide/roll/roll.go
+++ b/decide/roll/roll.go
@@ -25,6 +25,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -43,11 +44,14 @@
 	Name string `json:"name"`
 	// Callers is where callers reach it.
 	Callers string `json:"callers"`
+	// Link is what its VM may send, in Mbit/s; 0 if that is not known.
+	Link float64 `json:"link,omitempty"`
 }
 
 // Valid says whether a node may be listed.
 func (n Node) Valid() bool {
-	return n.Name != "" && n.Callers != "" && len(n.Name) <= mostBytes && len(n.Callers) <= mostBytes
+	named := n.Name != "" && n.Callers != "" && len(n.Name) <= mostBytes && len(n.Callers) <= mostBytes
+	return named && n.Link >= 0 && !math.IsInf(n.Link, 0)
 }
 
 // Roll is the list of one node. The zero value is empty. It is not safe for concurrent
--- a/decide/roll/roll_test.go
+++ b/decide/roll/roll_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -74,7 +75,7 @@
 	if !r.Tell(start.Add(Lives), node(2*Most)) {
 		t.Error("no room although all others are silent")
 	}
-	for _, bad := range []Node{{}, {Name: "a"}, {Callers: "b"}, {Name: strings.Repeat("x", 200), Callers: "b"}, {Name: "a", Callers: strings.Repeat("x", 200)}} {
+	for _, bad := range []Node{{}, {Name: "a"}, {Callers: "b"}, {Name: "a", Callers: "b", Link: math.NaN()}, {Name: "a", Callers: "b", Link: math.Inf(1)}, {Name: strings.Repeat("x", 200), Callers: "b"}, {Name: "a", Callers: strings.Repeat("x", 200)}} {
 		if r.Tell(start, bad) {
 			t.Errorf("%.20v is listed", bad)
 		}
--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -45,6 +45,8 @@
 	Address string
 	// Age is how long ago the read began that it has made itself; 0 if there is none.
 	Age time.Duration
+	// Link is what its VM may send, in Mbit/s; 0 if that is not known.
+	Link float64
 }
 
 // Listener hears of nodes that ask.
@@ -148,7 +150,7 @@
 	}
 	return c.listener.Heard(Peer{
 		Name: request.GetNode(), Callers: request.GetCallers(), Address: request.GetAddress(),
-		Age: max(0, time.Duration(request.GetAgeMicros())*time.Microsecond),
+		Age: max(0, time.Duration(request.GetAgeMicros())*time.Microsecond), Link: request.GetLinkMbps(),
 	})
 }
 
@@ -214,6 +216,7 @@
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
 	response, err := peer.Held(ctx, &readspb.HeldRequest{
 		Revision: a.since, Node: own.Name, Callers: own.Callers, Address: own.Address, AgeMicros: own.Age.Microseconds(),
+		LinkMbps: own.Link,
 	})
 	if err != nil {
 		var answered twirp.Error
--- a/node/site/listing.go
+++ b/node/site/listing.go
@@ -75,7 +75,7 @@
 	if p.Address != "" && p.Age > 0 && p.Age < n.Age() {
 		l.younger, l.youngerAt = p.Address, now
 	}
-	listed := l.roll.Tell(now, roll.Node{Name: p.Name, Callers: p.Callers})
+	listed := l.roll.Tell(now, roll.Node{Name: p.Name, Callers: p.Callers, Link: p.Link})
 	if !listed && !l.full {
 		l.full = true
 		n.log.Warn("node not listed", "node", p.Name, "most", roll.Most)
@@ -92,7 +92,7 @@
 
 // self is what this node says of itself when it asks.
 func (n *Node) self() reads.Peer {
-	p := reads.Peer{Name: n.settings.Node, Callers: n.settings.Callers.String(), Address: n.peersAddress()}
+	p := reads.Peer{Name: n.settings.Node, Callers: n.settings.Callers.String(), Address: n.peersAddress(), Link: n.settings.LinkMbps}
 	if n.leaseID.Load() != 0 || n.leavingFor() > 0 {
 		p.Name, p.Callers = "", "" // its own entry names it, or nobody is to
 	}
@@ -168,7 +168,7 @@
 func (n *Node) entry() member {
 	m := member{
 		Name: n.settings.Node, Domain: n.settings.Domain, Callers: n.settings.Callers.String(),
-		Leaving: n.leavingFor() > 0, Near: n.listing.near(time.Now()),
+		Link: n.settings.LinkMbps, Leaving: n.leavingFor() > 0, Near: n.listing.near(time.Now()),
 	}
 	if readers.Enters(n.settings.Node, n.settings.Domain, n.members.readers()) {
 		m.Peers = n.peersAddress()
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -34,6 +34,8 @@
 	Callers string `json:"callers"`
 	// Peers is where other nodes ask what this one has read; "" if they can't.
 	Peers string `json:"peers,omitempty"`
+	// Link is what its VM may send, in Mbit/s; 0 if that is not known.
+	Link float64 `json:"link,omitempty"`
 	// Leaving nodes are not named to callers; what they list is.
 	Leaving bool `json:"leaving,omitempty"`
 	// Near are the nodes of its failure domain that it lists.
@@ -89,14 +91,14 @@
 	for _, e := range entries {
 		for _, near := range e.Near {
 			if near.Valid() && !entries[near.Name].Leaving {
-				known[near.Name] = node{Member: readers.Member{Name: near.Name, Domain: e.Domain}, Callers: near.Callers}
+				known[near.Name] = node{Member: readers.Member{Name: near.Name, Domain: e.Domain, Link: near.Link}, Callers: near.Callers}
 			}
 		}
 	}
 	for _, e := range entries {
 		if !e.Leaving {
 			known[e.Name] = node{
-				Member: readers.Member{Name: e.Name, Domain: e.Domain, Address: e.Peers, Entered: true}, Callers: e.Callers,
+				Member: readers.Member{Name: e.Name, Domain: e.Domain, Address: e.Peers, Entered: true, Link: e.Link}, Callers: e.Callers,
 			}
 		}
 	}
