What nodes see of replicas is shared: lost ones and slow ones

Change: claims travel with the bookings, with age and the number of nodes that have seen it (decide/evidence). Three nodes are believed; what fewer have seen, three nodes that all agree on look at; at most a quarter of a service is taken for lost on the word of others. Requests underway are not led away by it.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -117,6 +117,18 @@
 	return ok && n.silent
 }
 
+// Len is how many replicas are listed.
+func (b *Book) Len() int { return len(b.nodes) }
+
+// Replica returns a replica that is listed.
+func (b *Book) Replica(id string) (Replica, bool) {
+	n, ok := b.nodes[id]
+	if !ok {
+		return Replica{}, false
+	}
+	return n.Replica, true
+}
+
 // Suspects returns the replicas that are suspected.
 func (b *Book) Suspects() []Replica {
 	var list []Replica
--- a/fleet/bookings/bookings.go
+++ b/fleet/bookings/bookings.go
@@ -1,5 +1,6 @@
 // Package bookings lets the nodes of a failure domain tell each other what they have
-// booked on replicas. It is the driver of decide/bookings.
+// booked on replicas, and which of these they have seen lost or slow. It is the driver of
+// decide/bookings and decide/evidence.
 package bookings
 
 import (
@@ -11,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/decide/bookings"
+	"github.com/cicadatack/cicadatack/decide/evidence"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
 )
 
@@ -28,17 +30,20 @@
 	name   string
 	now    func() time.Time
 	own    func() map[string]float64
+	seen   func() []evidence.Claim
 	client *http.Client
 
-	mu    sync.Mutex
-	board bookings.Board
+	mu       sync.Mutex
+	board    bookings.Board
+	evidence evidence.Board
+	dropped  int
 }
 
 // New returns an Exchange of a node that knows nothing. own says what this node has
-// booked now.
-func New(name string, now func() time.Time, own func() map[string]float64) *Exchange {
+// booked now, seen which replicas it has seen lost or slow.
+func New(name string, now func() time.Time, own func() map[string]float64, seen func() []evidence.Claim) *Exchange {
 	return &Exchange{
-		name: name, now: now, own: own,
+		name: name, now: now, own: own, seen: seen,
 		client: &http.Client{Timeout: timeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
 	}
 }
@@ -56,16 +61,26 @@
 	return e.board.Others(e.now())
 }
 
+// Claims are what other nodes have seen of replicas, and how many claims were passed over
+// since the last call as no node would make them.
+func (e *Exchange) Claims() (claims []evidence.Claim, dropped int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	dropped, e.dropped = e.dropped, 0
+	return e.evidence.Others(e.now()), dropped
+}
+
 // AsHub tells the other hubs of the failure domain what is known here, and hears what
 // they know. It fails with the first error; the other hubs are asked all the same.
 func (e *Exchange) AsHub(ctx context.Context, hubs []Peer) error {
 	var first error
 	for _, hub := range hubs {
-		own := e.held()
+		own, seen := e.held(), e.seen()
 		e.mu.Lock()
 		local := e.board.Local(e.now(), own)
+		claims := e.evidence.Answer(e.now(), seen, hub.Name, true)
 		e.mu.Unlock()
-		answer, err := e.call(ctx, hub, true, local)
+		answer, err := e.call(ctx, hub, true, local, claims)
 		if err != nil {
 			if first == nil {
 				first = err
@@ -82,7 +97,7 @@
 func (e *Exchange) AsLeaf(ctx context.Context, hubs []Peer) error {
 	var last error
 	for _, hub := range hubs {
-		answer, err := e.call(ctx, hub, false, e.held())
+		answer, err := e.call(ctx, hub, false, e.held(), e.seen())
 		if err == nil {
 			e.take(hub, answer, true)
 			return nil
@@ -94,22 +109,21 @@
 
 func (e *Exchange) held() bookings.Held { return bookings.Held{Nodes: 1, Amounts: e.own()} }
 
-func (e *Exchange) call(ctx context.Context, to Peer, hub bool, held bookings.Held) (bookings.Held, error) {
+func (e *Exchange) call(ctx context.Context, to Peer, hub bool, held bookings.Held, claims []evidence.Claim) (*bookingspb.ExchangeResponse, error) {
 	peer := bookingspb.NewBookingsProtobufClient("http://"+to.Address, e.client)
-	answer, err := peer.Exchange(ctx, &bookingspb.ExchangeRequest{Node: e.name, Hub: hub, Held: toWire(held)})
-	if err != nil {
-		return bookings.Held{}, Error.Wrap(err)
-	}
-	return fromWire(answer.GetHeld()), nil
+	answer, err := peer.Exchange(ctx, &bookingspb.ExchangeRequest{Node: e.name, Hub: hub, Held: toWire(held), Claims: claimsToWire(claims)})
+	return answer, Error.Wrap(err)
 }
 
-func (e *Exchange) take(from Peer, held bookings.Held, alone bool) {
+func (e *Exchange) take(from Peer, answer *bookingspb.ExchangeResponse, alone bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if alone {
 		e.board.Follow(from.Name)
+		e.evidence.Follow(from.Name)
 	}
-	e.board.Tell(e.now(), from.Name, true, held)
+	e.board.Tell(e.now(), from.Name, true, fromWire(answer.GetHeld()))
+	e.dropped += e.evidence.Tell(e.now(), from.Name, true, claimsFromWire(answer.GetClaims()))
 }
 
 // server answers other nodes.
@@ -118,13 +132,36 @@
 // Exchange implements bookingspb.Bookings.
 func (s server) Exchange(_ context.Context, request *bookingspb.ExchangeRequest) (*bookingspb.ExchangeResponse, error) {
 	e := s.e
-	own := e.held()
+	own, seen := e.held(), e.seen()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
+	e.dropped += e.evidence.Tell(now, request.GetNode(), request.GetHub(), claimsFromWire(request.GetClaims()))
 	e.board.Tell(now, request.GetNode(), request.GetHub(), fromWire(request.GetHeld()))
 	answer := e.board.Answer(now, own, request.GetNode(), request.GetHub())
-	return &bookingspb.ExchangeResponse{Held: toWire(answer)}, nil
+	claims := e.evidence.Answer(now, seen, request.GetNode(), request.GetHub())
+	return &bookingspb.ExchangeResponse{Held: toWire(answer), Claims: claimsToWire(claims)}, nil
+}
+
+func claimsToWire(claims []evidence.Claim) []*bookingspb.Claim {
+	wire := make([]*bookingspb.Claim, 0, len(claims))
+	for _, c := range claims {
+		wire = append(wire, &bookingspb.Claim{
+			Replica: c.Replica, Lost: c.Lost, Pace: float32(c.Pace), AgeMillis: int32(c.Age.Milliseconds()), Nodes: int32(c.Nodes),
+		})
+	}
+	return wire
+}
+
+func claimsFromWire(wire []*bookingspb.Claim) []evidence.Claim {
+	claims := make([]evidence.Claim, 0, len(wire))
+	for _, c := range wire {
+		claims = append(claims, evidence.Claim{
+			Replica: c.GetReplica(), Lost: c.GetLost(), Pace: float64(c.GetPace()),
+			Age: time.Duration(c.GetAgeMillis()) * time.Millisecond, Nodes: int(c.GetNodes()),
+		})
+	}
+	return claims
 }
 
 func toWire(held bookings.Held) *bookingspb.Held {
--- a/fleet/bookings/bookings_test.go
+++ b/fleet/bookings/bookings_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/evidence"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
 )
 
@@ -16,9 +17,9 @@
 	server *httptest.Server
 }
 
-func start(t *testing.T, name string, booked float64) node {
+func start(t *testing.T, name string, booked float64, seen ...evidence.Claim) node {
 	t.Helper()
-	e := New(name, time.Now, func() map[string]float64 { return map[string]float64{"r": booked} })
+	e := New(name, time.Now, func() map[string]float64 { return map[string]float64{"r": booked} }, func() []evidence.Claim { return seen })
 	server := httptest.NewServer(e.Handler())
 	t.Cleanup(server.Close)
 	t.Cleanup(e.Close)
@@ -74,3 +75,30 @@
 		}
 	}
 }
+
+// Two nodes that ask one hub have seen a replica lost, the hub another one slow: a third
+// node hears of both, with how many have seen them, and none hears its own word.
+func TestClaimsAreTold(t *testing.T) {
+	ctx := context.Background()
+	lost := evidence.Claim{Replica: "r", Lost: true, Nodes: 1}
+	hub := start(t, "hub", 1, evidence.Claim{Replica: "s", Pace: 4, Nodes: 1})
+	a, b, c := start(t, "a", 1, lost), start(t, "b", 1, lost), start(t, "c", 1)
+	for _, leaf := range []node{a, b, c} {
+		if err := leaf.AsLeaf(ctx, []Peer{hub.peer}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range []struct {
+		node
+		lost, slow int
+	}{{c, 2, 1}, {hub, 2, 0}, {a, 0, 1}} {
+		claims, dropped := n.Claims()
+		got := map[string]int{}
+		for _, claim := range claims {
+			got[claim.Replica] = claim.Nodes
+		}
+		if got["r"] != n.lost || got["s"] != n.slow || dropped != 0 {
+			t.Errorf("%s: %+v, %d dropped", n.name, claims, dropped)
+		}
+	}
+}
--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/evidence"
 	"github.com/cicadatack/cicadatack/decide/readers"
 	"github.com/cicadatack/cicadatack/fleet/bookings"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
 	"github.com/cicadatack/cicadatack/keep/wait"
+	"github.com/cicadatack/cicadatack/route/reach"
+	"github.com/cicadatack/cicadatack/route/targets"
 )
 
 // peersDoor serves the other nodes of the failure domain.
@@ -35,8 +38,13 @@
 			n.log.Debug("bookings not exchanged", "error", err)
 		}
 		held := n.bookings.Others()
-		for _, model := range n.services.allModels() {
+		claims, dropped := n.bookings.Claims()
+		if dropped > 0 {
+			n.log.Warn("claims on replicas passed over", "claims", dropped)
+		}
+		for service, model := range n.services.allModels() {
 			model.SetOthers(held)
+			n.heed(ctx, service, model, claims)
 		}
 	}
 }
@@ -53,6 +61,52 @@
 	return n.bookings.AsLeaf(ctx, hubs)
 }
 
+// heed does what is to be done about what other nodes have seen of a model's replicas.
+func (n *Node) heed(ctx context.Context, service string, model *targets.Model, claims []evidence.Claim) {
+	near, _ := n.peers(n.settings.Domain)
+	verdict := model.Judge(n.settings.Node, near, claims)
+	for _, c := range verdict.Believe {
+		if c.Lost {
+			n.log.Info("replica out of reach of other nodes", "service", service, "replica", c.Replica, "nodes", c.Nodes, "age_ms", c.Age.Milliseconds())
+		}
+	}
+	for _, c := range verdict.Look {
+		go n.lookAt(ctx, service, model, c)
+	}
+}
+
+// lookAt finds out for itself what another node has seen.
+func (n *Node) lookAt(ctx context.Context, service string, model *targets.Model, c evidence.Claim) {
+	r, ok := model.Replica(c.Replica)
+	if !ok {
+		return // it is no longer listed
+	}
+	if c.Lost {
+		for _, loss := range n.prober.Lost(ctx, reach.Told, []string{r.Address}) {
+			if model.Suspect(r.ID, loss.Silent) {
+				n.log.Info("replica out of reach", "service", service, "replica", r.ID, "address", r.Address, "silent", loss.Silent, "told_by", c.Nodes)
+			}
+		}
+		return
+	}
+	account, _, err := n.reports.Ask(ctx, r.Address, r.ID)
+	if err != nil {
+		return // the next claim, or a request that meets it, tells
+	}
+	if model.SetPace(r.ID, account.Pace) {
+		n.log.Info("replica's pace", "service", service, "replica", r.ID, "domain", r.Domain, "pace", account.Pace, "told_by", c.Nodes)
+	}
+}
+
+// seen is what this node has seen of all models' replicas.
+func (s *services) seen() []evidence.Claim {
+	var all []evidence.Claim
+	for _, model := range s.allModels() {
+		all = append(all, model.Seen()...)
+	}
+	return all
+}
+
 // booked is what this node has booked on all models' replicas.
 func (s *services) booked() map[string]float64 {
 	all := map[string]float64{}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -172,7 +172,9 @@
 		n.noteStill(begun, recheckEvery)
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Suspects() {
-				if n.prober.Reachable(ctx, reach.Again, r.Address) && model.Alive(r.ID) {
+				if !n.prober.Reachable(ctx, reach.Again, r.Address) {
+					model.StillLost(r.ID)
+				} else if model.Alive(r.ID) {
 					n.log.Info("replica reached again", "replica", r.ID, "service", service, "address", r.Address)
 				}
 			}
@@ -189,6 +191,9 @@
 	for wait.For(ctx, repaceEvery) {
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Slow() {
+				if model.Followed(r.ID) {
+					continue
+				}
 				account, _, err := n.reports.Ask(ctx, r.Address, r.ID)
 				if err != nil {
 					continue // the next request that meets it, or the list, tells
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -140,7 +140,7 @@
 	n.inForce.Store(&settings.Bounds)
 	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
-	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked)
+	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked, n.services.seen)
 	n.decisions = decision.NewLog(log)
 	n.door = &door.Door{
 		Rules: n, Services: &n.services, Leaving: n.leavingFor,
--- a/route/reach/reach.go
+++ b/route/reach/reach.go
@@ -61,6 +61,8 @@
 	Silence Reason = "silence"
 	// Named is an endpoint that another one named as at fault.
 	Named Reason = "named"
+	// Told is one that other nodes have seen lost.
+	Told Reason = "told"
 	// Again is one that is suspected.
 	Again Reason = "again"
 )
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -35,6 +35,8 @@
 	links                      detour.Links
 	crossBytes, crossPerSecond float64
 
+	knowledge knowledge
+
 	flights map[*Flight]struct{}
 	waiting waiting.Queue
 	// wakes are the channels of those who wait, by the number of their request.
@@ -57,12 +59,13 @@
 // NewModel returns a Model without replicas for a node in a failure domain.
 func NewModel(domain string, seed uint64, now func() time.Time) *Model {
 	return &Model{
-		domain:  domain,
-		now:     now,
-		begun:   now(),
-		book:    paths.New(seed),
-		flights: map[*Flight]struct{}{},
-		wakes:   map[uint64]chan struct{}{},
+		domain:    domain,
+		now:       now,
+		begun:     now(),
+		book:      paths.New(seed),
+		knowledge: newKnowledge(),
+		flights:   map[*Flight]struct{}{},
+		wakes:     map[uint64]chan struct{}{},
 	}
 }
 
@@ -236,6 +239,7 @@
 	case r.Misheld:
 		m.book.Misheld(fault)
 	case r.Gone:
+		m.knowledge.seen[fault] = sight{at: m.now(), lost: true}
 		if m.book.Suspect(m.now(), fault, false) {
 			return m.through(fault)
 		}
@@ -249,6 +253,7 @@
 // either; the requests that run through it are told. It says whether that is new.
 func (m *Model) Suspect(replica string, silent bool) bool {
 	m.mu.Lock()
+	m.knowledge.seen[replica] = sight{at: m.now(), lost: true}
 	fresh := m.book.Suspect(m.now(), replica, silent)
 	var lost []notice
 	if fresh {
@@ -263,11 +268,19 @@
 func (m *Model) Alive(replica string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.knowledge.seen, replica)
 	was := m.book.Alive(replica)
 	m.wakeOne()
 	return was
 }
 
+// Replica returns a replica that is listed.
+func (m *Model) Replica(id string) (paths.Replica, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Replica(id)
+}
+
 // Suspects returns the replicas that are suspected.
 func (m *Model) Suspects() []paths.Replica {
 	m.mu.Lock()
@@ -280,6 +293,7 @@
 func (m *Model) SetPace(replica string, pace float64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.knowledge.seen[replica] = sight{at: m.now(), pace: max(1, pace)}
 	return m.book.SetPace(replica, pace)
 }
 
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/detour"
+	"github.com/cicadatack/cicadatack/decide/evidence"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/route/roster"
@@ -311,3 +312,46 @@
 		t.Errorf("what was heard along another path counts: %s", got)
 	}
 }
+
+// Three nodes have lost a replica. A fourth takes their word and sends it nothing new, but
+// does not pass that on as its own view until it has tried for itself: a rumor that is
+// passed on would keep itself alive.
+func TestWordOfOthersIsNotPassedOn(t *testing.T) {
+	m := halves()
+	claims := []evidence.Claim{{Replica: "a1", Lost: true, Nodes: evidence.Enough}, {Replica: "b1", Pace: 5, Nodes: evidence.Enough}}
+	near := []string{"n1", "n2", "n3", "n4", "n5"}
+	verdict := m.Judge("n4", near, claims)
+	if len(verdict.Believe) != 2 || len(m.Suspects()) != 1 || !m.Followed("b1") || len(m.Slow()) != 1 {
+		t.Fatalf("%+v", verdict)
+	}
+	if seen := m.Seen(); len(seen) != 0 {
+		t.Errorf("passed on: %+v", seen)
+	}
+	if target := take(t, m, 10); target.Replica != "a2" {
+		t.Errorf("sent to %s", target.Replica)
+	}
+	m.StillLost("a1")
+	if seen := m.Seen(); len(seen) != 1 || seen[0].Replica != "a1" || seen[0].Nodes != 1 {
+		t.Errorf("tried in vain: %+v", seen)
+	}
+	m.Alive("a1")
+	if seen := m.Seen(); len(seen) != 0 || len(m.Suspects()) != 0 {
+		t.Errorf("reached again: %+v", seen)
+	}
+}
+
+// Guards against a node that asks the same replica at each exchange while one other node
+// goes on claiming that it is lost.
+func TestLooksOnTheWordOfOthersAreBounded(t *testing.T) {
+	now := time.Now()
+	m := NewModel("d", 1, func() time.Time { return now })
+	m.Update(llm, []*roster.Replica{part("a1", 0, 4), part("b1", 4, 8)}, all(10))
+	looks := 0
+	for range 20 {
+		looks += len(m.Judge("n1", []string{"n1"}, []evidence.Claim{{Replica: "a1", Lost: true, Nodes: 1}}).Look)
+		now = now.Add(lookAgain / 10)
+	}
+	if looks != 2 {
+		t.Errorf("%d looks in two seconds", looks)
+	}
+}
