--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -268,7 +268,7 @@
 func (m *Model) Alive(replica string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.knowledge.seen, replica)
+	m.knowledge.seen[replica] = sight{at: m.now()}
 	was := m.book.Alive(replica)
 	m.wakeOne()
 	return was
--- a/route/targets/seen.go
+++ b/route/targets/seen.go
@@ -13,6 +13,7 @@
 type sight struct {
 	at   time.Time
 	lost bool
+	// pace is of one that is not lost; 0 if it was only reached.
 	pace float64
 }
 
@@ -53,6 +54,9 @@
 	m.knowledge.forget(now)
 	var claims []evidence.Claim
 	for id, s := range m.knowledge.seen {
+		if !s.lost && s.pace == 0 {
+			continue
+		}
 		claims = append(claims, evidence.Claim{Replica: id, Lost: s.lost, Pace: s.pace, Age: now.Sub(s.at), Nodes: 1})
 	}
 	return claims
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -338,6 +338,10 @@
 	if seen := m.Seen(); len(seen) != 0 || len(m.Suspects()) != 0 {
 		t.Errorf("reached again: %+v", seen)
 	}
+	claims[0].Age = 400 * time.Millisecond
+	if m.Judge("n4", near, claims[:1]); len(m.Suspects()) != 0 {
+		t.Error("an older word of others goes before what was seen since")
+	}
 }
 
 // Guards against a node that asks the same replica at each exchange while one other node
