--- a/decide/silence/silence_test.go
+++ b/decide/silence/silence_test.go
@@ -95,3 +95,51 @@
 		t.Errorf("%v after a second of usual gaps, %v before", got, before)
 	}
 }
+
+// Replicas are slow, and a stream pauses for half a second. Its path is looked at a few
+// times and not at each bound of its patience, and once more as soon as the pause is late,
+// since only then are the replicas asked how slow they are.
+func TestLooksInOneSilence(t *testing.T) {
+	const late = 300 * time.Millisecond
+	looks := 0
+	silent := least
+	for silent < late {
+		looks++
+		silent += Again(silent, late)
+	}
+	if looks > 4 {
+		t.Errorf("%d looks before the pause is late", looks)
+	}
+	if silent > late+least/2 {
+		t.Errorf("the next look is %v after the pause is late", silent-late)
+	}
+}
+
+// Replicas have turned slow, and a stream has an event each 400 ms where 300 ms are on
+// time. Looked at in each of its gaps it would cost connections to all of its path for
+// nothing; after the first few it is left in peace. When a part of it dies after all, that
+// is still found.
+func TestSlowStreamsAreLeftInPeace(t *testing.T) {
+	const late, gap = 300 * time.Millisecond, 400 * time.Millisecond
+	p := steady(40*time.Millisecond, 8*time.Millisecond, 20)
+	looked := 0
+	for range 20 {
+		if silent := p.Patience(late); silent < gap {
+			looked++
+			p.Vain(gap - gap/10)
+		}
+		p.Heard(gap)
+	}
+	if looked > 3 {
+		t.Errorf("looked at in %d of 20 gaps", looked)
+	}
+	if patience := p.Patience(late); patience > lateTimes*late {
+		t.Errorf("a silence of %v is taken for usual", patience)
+	}
+	for range 40 {
+		p.Heard(40 * time.Millisecond)
+	}
+	if patience := p.Patience(late); patience > late/limitParts {
+		t.Errorf("it is fast again, and a silence of %v is taken for usual", patience)
+	}
+}
--- a/fleet/reads/readspb/reads.twirp.go
+++ b/fleet/reads/readspb/reads.twirp.go
@@ -34,8 +34,12 @@
 // Reads is served by every node on the users' platform to the nodes of its failure
 // domain.
 type Reads interface {
-	// Since answers with what the store held at this node's last read.
-	Since(context.Context, *SinceRequest) (*SinceResponse, error)
+	// Held answers with what the store held at this node's last read, and notes that the
+	// asker is there.
+	Held(context.Context, *HeldRequest) (*HeldResponse, error)
+
+	// Leave notes that a node leaves.
+	Leave(context.Context, *LeaveRequest) (*LeaveResponse, error)
 }
 
 // =====================
@@ -44,7 +48,7 @@
 
 type readsProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,8 +76,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cicadatack.reads", "Reads")
-	urls := [1]string{
-		serviceURL + "Since",
+	urls := [2]string{
+		serviceURL + "Held",
+		serviceURL + "Leave",
 	}
 
 	return &readsProtobufClient{
@@ -84,26 +89,26 @@
 	}
 }
 
-func (c *readsProtobufClient) Since(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
+func (c *readsProtobufClient) Held(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
 	ctx = ctxsetters.WithServiceName(ctx, "Reads")
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
-	caller := c.callSince
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
+	caller := c.callHeld
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		caller = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*HeldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
 					}
-					return c.callSince(ctx, typedReq)
+					return c.callHeld(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*HeldResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -113,8 +118,8 @@
 	return caller(ctx, in)
 }
 
-func (c *readsProtobufClient) callSince(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
-	out := new(SinceResponse)
+func (c *readsProtobufClient) callHeld(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
+	out := new(HeldResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -130,13 +135,59 @@
 	return out, nil
 }
 
+func (c *readsProtobufClient) Leave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
+	ctx = ctxsetters.WithServiceName(ctx, "Reads")
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
+	caller := c.callLeave
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeaveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
+					}
+					return c.callLeave(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *readsProtobufClient) callLeave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	out := new(LeaveResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =================
 // Reads JSON Client
 // =================
 
 type readsJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -164,8 +215,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cicadatack.reads", "Reads")
-	urls := [1]string{
-		serviceURL + "Since",
+	urls := [2]string{
+		serviceURL + "Held",
+		serviceURL + "Leave",
 	}
 
 	return &readsJSONClient{
@@ -176,26 +228,26 @@
 	}
 }
 
-func (c *readsJSONClient) Since(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
+func (c *readsJSONClient) Held(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
 	ctx = ctxsetters.WithServiceName(ctx, "Reads")
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
-	caller := c.callSince
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
+	caller := c.callHeld
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		caller = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*HeldRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
 					}
-					return c.callSince(ctx, typedReq)
+					return c.callHeld(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*HeldResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -205,8 +257,8 @@
 	return caller(ctx, in)
 }
 
-func (c *readsJSONClient) callSince(ctx context.Context, in *SinceRequest) (*SinceResponse, error) {
-	out := new(SinceResponse)
+func (c *readsJSONClient) callHeld(ctx context.Context, in *HeldRequest) (*HeldResponse, error) {
+	out := new(HeldResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -222,6 +274,52 @@
 	return out, nil
 }
 
+func (c *readsJSONClient) Leave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cicadatack.reads")
+	ctx = ctxsetters.WithServiceName(ctx, "Reads")
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
+	caller := c.callLeave
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeaveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
+					}
+					return c.callLeave(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *readsJSONClient) callLeave(ctx context.Context, in *LeaveRequest) (*LeaveResponse, error) {
+	out := new(LeaveResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Reads Server Handler
 // ====================
@@ -319,8 +417,11 @@
 	}
 
 	switch method {
-	case "Since":
-		s.serveSince(ctx, resp, req)
+	case "Held":
+		s.serveHeld(ctx, resp, req)
+		return
+	case "Leave":
+		s.serveLeave(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -329,7 +430,187 @@
 	}
 }
 
-func (s *readsServer) serveSince(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *readsServer) serveHeld(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveHeldJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveHeldProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *readsServer) serveHeldJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(HeldRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Reads.Held
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HeldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
+					}
+					return s.Reads.Held(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HeldResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HeldResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HeldResponse and nil error while calling Held. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *readsServer) serveHeldProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Held")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(HeldRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Reads.Held
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HeldRequest) (*HeldResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HeldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HeldRequest) when calling interceptor")
+					}
+					return s.Reads.Held(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HeldResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HeldResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HeldResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HeldResponse and nil error while calling Held. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *readsServer) serveLeave(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -337,9 +618,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSinceJSON(ctx, resp, req)
+		s.serveLeaveJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSinceProtobuf(ctx, resp, req)
+		s.serveLeaveProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -347,9 +628,9 @@
 	}
 }
 
-func (s *readsServer) serveSinceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *readsServer) serveLeaveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -362,29 +643,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SinceRequest)
+	reqContent := new(LeaveRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Reads.Since
+	handler := s.Reads.Leave
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		handler = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*LeaveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
 					}
-					return s.Reads.Since(ctx, typedReq)
+					return s.Reads.Leave(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*LeaveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -393,7 +674,7 @@
 	}
 
 	// Call service method
-	var respContent *SinceResponse
+	var respContent *LeaveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -404,7 +685,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SinceResponse and nil error while calling Since. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaveResponse and nil error while calling Leave. nil responses are not supported"))
 		return
 	}
 
@@ -430,9 +711,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *readsServer) serveSinceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *readsServer) serveLeaveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Since")
+	ctx = ctxsetters.WithMethodName(ctx, "Leave")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -444,28 +725,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SinceRequest)
+	reqContent := new(LeaveRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Reads.Since
+	handler := s.Reads.Leave
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SinceRequest) (*SinceResponse, error) {
+		handler = func(ctx context.Context, req *LeaveRequest) (*LeaveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SinceRequest)
+					typedReq, ok := req.(*LeaveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SinceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*LeaveRequest) when calling interceptor")
 					}
-					return s.Reads.Since(ctx, typedReq)
+					return s.Reads.Leave(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SinceResponse)
+				typedResp, ok := resp.(*LeaveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SinceResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -474,7 +755,7 @@
 	}
 
 	// Call service method
-	var respContent *SinceResponse
+	var respContent *LeaveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -485,7 +766,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SinceResponse and nil error while calling Since. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaveResponse and nil error while calling Leave. nil responses are not supported"))
 		return
 	}
 
@@ -1090,24 +1371,32 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 291 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x4f, 0x4b, 0xf3, 0x40,
-	0x10, 0xc6, 0x69, 0xb7, 0x79, 0x5f, 0x3b, 0xad, 0x50, 0x16, 0xc5, 0x50, 0x50, 0x4b, 0x4e, 0xd5,
-	0x43, 0x8a, 0xad, 0xf8, 0x01, 0x3c, 0x09, 0xc1, 0x83, 0x2b, 0x78, 0xf0, 0x22, 0x9b, 0xcd, 0x98,
-	0x2e, 0x69, 0xb3, 0x31, 0x9b, 0x14, 0xf2, 0x8d, 0xfc, 0x98, 0x92, 0x89, 0xad, 0xb5, 0xc5, 0x5e,
-	0xc2, 0xfc, 0xf9, 0x4d, 0xe6, 0x99, 0x67, 0xa1, 0x97, 0xa3, 0x8c, 0xac, 0x9f, 0xe5, 0xa6, 0x30,
-	0x7c, 0xa0, 0xb4, 0x92, 0x91, 0x2c, 0xa4, 0x4a, 0x7c, 0xaa, 0x7b, 0xd7, 0xd0, 0x7f, 0xd6, 0xa9,
-	0x42, 0x81, 0x1f, 0x25, 0xda, 0x82, 0x0f, 0xe1, 0x28, 0xc7, 0x95, 0xb6, 0xda, 0xa4, 0x6e, 0x6b,
-	0xd4, 0x1a, 0x33, 0xb1, 0xc9, 0xbd, 0xcf, 0x16, 0x1c, 0x7f, 0xc3, 0x36, 0x33, 0xa9, 0xc5, 0x43,
-	0x34, 0x3f, 0x07, 0x90, 0x31, 0xbe, 0x2d, 0xb5, 0xca, 0x8d, 0x75, 0xdb, 0xd4, 0xed, 0xca, 0x18,
-	0x1f, 0xa9, 0xc0, 0xaf, 0xa0, 0x93, 0x60, 0x65, 0x5d, 0x36, 0x62, 0xe3, 0xde, 0xf4, 0xd4, 0xdf,
-	0x55, 0xe6, 0x07, 0x58, 0x09, 0x42, 0xf8, 0x0d, 0xfc, 0x57, 0x73, 0x99, 0xc6, 0x18, 0xb9, 0x1d,
-	0xa2, 0xcf, 0xf6, 0xe9, 0x17, 0xb9, 0x28, 0x51, 0xac, 0x39, 0x6f, 0x06, 0x2c, 0xc0, 0x8a, 0x0f,
-	0x80, 0x25, 0x58, 0x91, 0xb4, 0xae, 0xa8, 0xc3, 0x5f, 0x8a, 0xdb, 0x3b, 0xf7, 0x05, 0xe0, 0xd0,
-	0x6f, 0x0e, 0x9e, 0x75, 0x02, 0xce, 0xaa, 0x86, 0x68, 0xba, 0x2f, 0x9a, 0x64, 0xbd, 0x88, 0x6d,
-	0x16, 0x4d, 0x9f, 0xc0, 0x11, 0xb5, 0x32, 0xfe, 0x00, 0x0e, 0x99, 0xc6, 0x2f, 0xf6, 0x55, 0x6f,
-	0x5b, 0x3f, 0xbc, 0xfc, 0xb3, 0xdf, 0xb8, 0x7d, 0x7f, 0xf7, 0x7a, 0x1b, 0xeb, 0x62, 0x5e, 0x86,
-	0xbe, 0x32, 0xcb, 0xc9, 0x0f, 0xbc, 0x1d, 0xbe, 0x2f, 0x10, 0x8b, 0x09, 0x4d, 0x37, 0xdf, 0x2c,
-	0x0c, 0xff, 0xd1, 0xe3, 0xcf, 0xbe, 0x02, 0x00, 0x00, 0xff, 0xff, 0x7c, 0x6d, 0x81, 0x67, 0x0b,
-	0x02, 0x00, 0x00,
+	// 426 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x53, 0xcd, 0x6e, 0xd3, 0x40,
+	0x10, 0xd6, 0xc6, 0x71, 0x7e, 0x26, 0x41, 0x54, 0x2b, 0x7e, 0x56, 0x41, 0x85, 0x68, 0x4f, 0xe1,
+	0xe2, 0x8a, 0x16, 0xf1, 0x00, 0x20, 0xa4, 0x4a, 0xa1, 0x97, 0x3d, 0x70, 0xe0, 0x52, 0xad, 0xbd,
+	0x83, 0x6b, 0xc5, 0xf1, 0x1a, 0xef, 0x26, 0x92, 0xc5, 0x8b, 0xf0, 0x12, 0xbc, 0x23, 0xf2, 0xd8,
+	0x6e, 0x93, 0x96, 0xf6, 0x62, 0xcd, 0x37, 0xf3, 0xed, 0x7e, 0xf3, 0xed, 0x8c, 0x61, 0x56, 0xa1,
+	0x36, 0x2e, 0x2a, 0x2b, 0xeb, 0x2d, 0x3f, 0x49, 0xb2, 0x44, 0x1b, 0xed, 0x75, 0xb2, 0x89, 0x28,
+	0x2f, 0xff, 0x32, 0x98, 0x5d, 0x62, 0x6e, 0x14, 0xfe, 0xda, 0xa1, 0xf3, 0x7c, 0x01, 0x93, 0x0a,
+	0xf7, 0x99, 0xcb, 0x6c, 0x21, 0xd8, 0x92, 0xad, 0x02, 0x75, 0x8b, 0x39, 0x87, 0x61, 0x61, 0x0d,
+	0x8a, 0xc1, 0x92, 0xad, 0xa6, 0x8a, 0x62, 0x2e, 0x60, 0x9c, 0xe8, 0x3c, 0xc7, 0xca, 0x89, 0x80,
+	0xd2, 0x3d, 0x6c, 0x2a, 0xda, 0x98, 0x0a, 0x9d, 0x13, 0xc3, 0xb6, 0xd2, 0x41, 0x7e, 0x0a, 0xa0,
+	0x53, 0xbc, 0xde, 0x66, 0x49, 0x65, 0x9d, 0x08, 0x49, 0x65, 0xaa, 0x53, 0xbc, 0xa2, 0x04, 0x7f,
+	0x03, 0xd3, 0x3c, 0x2b, 0x36, 0xd7, 0xdb, 0xb8, 0x74, 0x62, 0xb4, 0x64, 0x2b, 0xa6, 0x26, 0x4d,
+	0xe2, 0x2a, 0x2e, 0x9d, 0xfc, 0x0d, 0xf3, 0xb6, 0x5d, 0x57, 0xda, 0xc2, 0xe1, 0x93, 0xfd, 0x1e,
+	0xeb, 0x0c, 0xee, 0xeb, 0xbc, 0x82, 0x51, 0x9e, 0x39, 0x8f, 0x86, 0x3a, 0x9f, 0xa8, 0x0e, 0x91,
+	0x25, 0x5b, 0x78, 0x2c, 0x3c, 0x35, 0x3e, 0x57, 0x3d, 0x94, 0x29, 0x8c, 0xbf, 0xb4, 0x21, 0x7f,
+	0x0f, 0xc3, 0x0d, 0xd6, 0x4e, 0xb0, 0x65, 0xb0, 0x9a, 0x9d, 0xbf, 0x8c, 0xee, 0x3f, 0x6c, 0xb4,
+	0xc6, 0x5a, 0x11, 0x85, 0x7f, 0x80, 0x71, 0x72, 0xa3, 0x8b, 0x14, 0x8d, 0x18, 0x10, 0xfb, 0xf5,
+	0x43, 0xf6, 0x77, 0x9d, 0xef, 0x50, 0xf5, 0x3c, 0x79, 0x01, 0xc1, 0x1a, 0x6b, 0x7e, 0x02, 0xc1,
+	0x06, 0x6b, 0xf2, 0x35, 0x55, 0x4d, 0x78, 0x64, 0x77, 0x70, 0x6c, 0x57, 0xae, 0x21, 0xa4, 0x6b,
+	0x9e, 0x7c, 0x93, 0x17, 0x10, 0xee, 0x1b, 0x12, 0x9d, 0x9e, 0xab, 0x16, 0xf4, 0x42, 0xc1, 0xad,
+	0x90, 0x94, 0x30, 0xff, 0x86, 0x7a, 0x8f, 0xfd, 0x5e, 0xf4, 0xb3, 0x67, 0x77, 0xb3, 0x97, 0xcf,
+	0xe1, 0x59, 0xc7, 0x69, 0x87, 0x71, 0xfe, 0x87, 0x41, 0xa8, 0x1a, 0x3f, 0xfc, 0x2b, 0x0c, 0x9b,
+	0x31, 0xf1, 0xd3, 0x87, 0x56, 0x0f, 0xb6, 0x6d, 0xf1, 0xf6, 0xb1, 0x72, 0x37, 0xdd, 0x4b, 0x08,
+	0x49, 0x81, 0xff, 0x87, 0x78, 0xd8, 0xde, 0xe2, 0xdd, 0xa3, 0xf5, 0xf6, 0xa6, 0xcf, 0x9f, 0x7e,
+	0x7c, 0x4c, 0x33, 0x7f, 0xb3, 0x8b, 0xa3, 0xc4, 0x6e, 0xcf, 0xee, 0xc8, 0x87, 0xe1, 0xcf, 0x1c,
+	0xd1, 0x9f, 0xd1, 0xe9, 0xf6, 0x5b, 0xc6, 0xf1, 0x88, 0x7e, 0x9c, 0x8b, 0x7f, 0x01, 0x00, 0x00,
+	0xff, 0xff, 0xb1, 0x64, 0xc2, 0x39, 0x47, 0x03, 0x00, 0x00,
 }
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -79,8 +79,14 @@
 	services services
 	members  members
 	poll     poller
+	listing  listing
+	// storeCalls and connections to endpoints are counted since the start.
+	storeCalls, connections counts
 	// leaseID is the lease of this node's entry in the store, 0 if it has none.
 	leaseID atomic.Int64
+	// readBegun is when this node's last read of the store began, on the clock of the
+	// proofs; 0 if there was none.
+	readBegun atomic.Int64
 	// copy is what this node has read, asker what it hears from others; peerDoor is
 	// where they ask it.
 	copy     *reads.Copy
@@ -122,7 +128,8 @@
 		first:    make(chan struct{}),
 		pool:     upstream.New(time.Now),
 	}
-	n.copy, n.asker = reads.NewCopy(sinceBoot), reads.NewAsker(sinceBoot)
+	n.storeCalls.at, n.connections.at = n.started, n.started
+	n.copy, n.asker = reads.NewCopy(sinceBoot, n), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
 	}
@@ -133,7 +140,7 @@
 	n.inForce.Store(&settings.Bounds)
 	n.lease.Limit = freshLimit(settings.Bounds)
 	n.services.init(n)
-	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked)
+	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked, n.services.seen)
 	n.decisions = decision.NewLog(log)
 	n.door = &door.Door{
 		Rules: n, Services: &n.services, Leaving: n.leavingFor,
@@ -179,6 +186,7 @@
 	n.leave(background)
 	doors.close()
 	n.bookings.Close()
+	n.tellCounts(0)
 	n.log.Info("stopped", "underway", n.underway.Load())
 	return nil
 }
--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/silence"
+	"github.com/cicadatack/cicadatack/route/reach"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
 
@@ -19,6 +20,9 @@
 	firstParts = 2
 	// defaultPause is the pause that is on time where the route does not say.
 	defaultPause = 200 * time.Millisecond
+	// livesFor is how long a part counts as living through which another request has had an
+	// event: about the time of one event, less than the shortest silence that is looked at.
+	livesFor = 30 * time.Millisecond
 	// stallAgain is between two looks at a path that stays silent.
 	stallAgain = 400 * time.Millisecond
 )
@@ -100,6 +104,7 @@
 	if w.timer == nil {
 		return
 	}
+	w.a.target.Flight.Heard()
 	patience := w.pace.Patience(w.a.q.maxPause())
 	w.patience.Store(int64(patience))
 	w.timer.Reset(patience)
@@ -135,13 +140,14 @@
 		return
 	}
 	path := w.a.target.Flight.Path()
-	addresses := make([]string, len(path))
-	replicas := make(map[string]string, len(path))
-	for i, part := range path {
+	doubted := w.a.target.Flight.Unheard(livesFor)
+	addresses := make([]string, len(doubted))
+	replicas := make(map[string]string, len(doubted))
+	for i, part := range doubted {
 		addresses[i] = part.Address
 		replicas[part.Address] = part.Replica
 	}
-	lost := w.a.q.s.Prober.Lost(w.ctx, addresses)
+	lost := w.a.q.s.Prober.Lost(w.ctx, reach.Silence, addresses)
 	if len(lost) == 0 {
 		w.lookAgain(path)
 		return
@@ -160,13 +166,14 @@
 	}
 }
 
-// lookAgain looks at a path that is silent although all of it can be reached: again
-// after as long, and once the pause is late its replicas are asked for their pace, which
-// is paid for.
+// lookAgain looks at a path that is silent although all of it can be reached: again when
+// it has been silent for twice as long, and once the pause is late its replicas are asked
+// for their pace, which is paid for.
 func (w *watch) lookAgain(path paths.Path) {
-	w.vain.Store(int64(w.silentFor()))
-	if w.silentFor() < w.a.q.maxPause() {
-		w.timer.Reset(cmp.Or(time.Duration(w.patience.Load()), w.a.q.maxPause()/firstParts))
+	silent, late := w.silentFor(), w.a.q.maxPause()
+	w.vain.Store(int64(silent))
+	if silent < late {
+		w.timer.Reset(silence.Again(silent, late))
 		return
 	}
 	w.timer.Reset(stallAgain)
--- a/route/roster/tracker.go
+++ b/route/roster/tracker.go
@@ -13,10 +13,22 @@
 // Change is a difference between two lists, for the log.
 type Change struct {
 	Replica *Replica
-	// What is "listed", "changed", "draining", "gone" or "lapsed".
+	// What is one of the constants below.
 	What string
 }
 
+// What a change may be.
+const (
+	// WhatListed is a replica that is new, or has started again.
+	WhatListed = "listed"
+	// WhatChanged is another address, other layers, or a replica that drains no more.
+	WhatChanged  = "changed"
+	WhatDraining = "draining"
+	// WhatLapsed is an entry that vanished over an absence of the store, and holds.
+	WhatLapsed = "lapsed"
+	WhatGone   = "gone"
+)
+
 // Tracker makes lists of replicas from reads of the store.
 //
 // The failure that it answers: while the store is away replicas can't renew their
@@ -35,15 +47,15 @@
 
 	known    map[string]*Replica
 	lastRead time.Time
-	// until is up to when vanished entries hold, after an absence of the store.
-	until time.Time
+	// back is when the store was last found back after an absence.
+	back time.Time
 }
 
 // Update takes what one read has found and returns the replicas to use, by id, and
 // what has changed. read is when the read began.
 func (t *Tracker) Update(read time.Time, found []*Replica) ([]*Replica, []Change) {
 	if !t.lastRead.IsZero() && read.Sub(t.lastRead) > t.AwayAfter {
-		t.until = read.Add(ReturnWithin)
+		t.back = read
 	}
 	t.lastRead = read
 	now := make(map[string]*Replica, len(found))
@@ -58,25 +70,31 @@
 		if now[id] != nil {
 			continue
 		}
-		if read.Before(t.until) && !r.Draining {
+		if t.Returned(read, ReturnWithin) && !r.Draining {
 			now[id] = r
-			changes = append(changes, Change{Replica: r, What: "lapsed"})
+			changes = append(changes, Change{Replica: r, What: WhatLapsed})
 			continue
 		}
-		changes = append(changes, Change{Replica: r, What: "gone"})
+		changes = append(changes, Change{Replica: r, What: WhatGone})
 	}
 	t.known = now
 	return sorted(now), changes
 }
 
+// Returned says whether the store was found back, after an absence, less than some time
+// before a read.
+func (t *Tracker) Returned(read time.Time, within time.Duration) bool {
+	return !t.back.IsZero() && read.Sub(t.back) < within
+}
+
 func difference(old, now *Replica) string {
 	switch {
 	case old == nil || old.Born != now.Born:
-		return "listed"
+		return WhatListed
 	case now.Draining && !old.Draining:
-		return "draining"
+		return WhatDraining
 	case old.Holds != now.Holds || old.Address != now.Address || old.Draining != now.Draining:
-		return "changed"
+		return WhatChanged
 	}
 	return ""
 }
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/bookings"
@@ -23,6 +24,7 @@
 type Model struct {
 	domain string
 	now    func() time.Time
+	begun  time.Time
 
 	mu     sync.Mutex
 	layers int
@@ -33,6 +35,8 @@
 	links                      detour.Links
 	crossBytes, crossPerSecond float64
 
+	knowledge knowledge
+
 	flights map[*Flight]struct{}
 	waiting waiting.Queue
 	// wakes are the channels of those who wait, by the number of their request.
@@ -48,16 +52,20 @@
 	lost   func(replica string)
 	leave  func(replica string)
 	told   bool // that a part of the path leaves
+	// heard is when an event came last, counted from the model's beginning; 0 for never.
+	heard atomic.Int64
 }
 
 // NewModel returns a Model without replicas for a node in a failure domain.
 func NewModel(domain string, seed uint64, now func() time.Time) *Model {
 	return &Model{
-		domain:  domain,
-		now:     now,
-		book:    paths.New(seed),
-		flights: map[*Flight]struct{}{},
-		wakes:   map[uint64]chan struct{}{},
+		domain:    domain,
+		now:       now,
+		begun:     now(),
+		book:      paths.New(seed),
+		knowledge: newKnowledge(),
+		flights:   map[*Flight]struct{}{},
+		wakes:     map[uint64]chan struct{}{},
 	}
 }
 
@@ -231,6 +239,7 @@
 	case r.Misheld:
 		m.book.Misheld(fault)
 	case r.Gone:
+		m.knowledge.seen[fault] = sight{at: m.now(), lost: true}
 		if m.book.Suspect(m.now(), fault, false) {
 			return m.through(fault)
 		}
@@ -244,6 +253,7 @@
 // either; the requests that run through it are told. It says whether that is new.
 func (m *Model) Suspect(replica string, silent bool) bool {
 	m.mu.Lock()
+	m.knowledge.seen[replica] = sight{at: m.now(), lost: true}
 	fresh := m.book.Suspect(m.now(), replica, silent)
 	var lost []notice
 	if fresh {
@@ -258,11 +268,19 @@
 func (m *Model) Alive(replica string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.knowledge.seen[replica] = sight{at: m.now()}
 	was := m.book.Alive(replica)
 	m.wakeOne()
 	return was
 }
 
+// Replica returns a replica that is listed.
+func (m *Model) Replica(id string) (paths.Replica, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Replica(id)
+}
+
 // Suspects returns the replicas that are suspected.
 func (m *Model) Suspects() []paths.Replica {
 	m.mu.Lock()
@@ -275,6 +293,7 @@
 func (m *Model) SetPace(replica string, pace float64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.knowledge.seen[replica] = sight{at: m.now(), pace: max(1, pace)}
 	return m.book.SetPace(replica, pace)
 }
 
