--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -83,7 +83,7 @@
 	}
 	if c.Lost {
 		for _, loss := range n.prober.Lost(ctx, reach.Told, []string{r.Address}) {
-			if model.Suspect(r.ID, loss.Silent) {
+			if model.Doubt(r.ID, loss.Silent) {
 				n.log.Info("replica out of reach", "service", service, "replica", r.ID, "address", r.Address, "silent", loss.Silent, "told_by", c.Nodes)
 			}
 		}
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -264,6 +264,20 @@
 	return fresh
 }
 
+// Doubt notes that a replica accepts no connection which other nodes have lost. It gets no
+// new requests. Those that run through it are told only if its machine does not answer
+// either: one that leaves refuses connections, and goes on with what it has. It says
+// whether the suspicion is new.
+func (m *Model) Doubt(replica string, silent bool) bool {
+	if silent {
+		return m.Suspect(replica, true)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.knowledge.seen[replica] = sight{at: m.now(), lost: true}
+	return m.book.Suspect(m.now(), replica, false)
+}
+
 // Alive notes that a suspected replica lives. It says whether it was suspected.
 func (m *Model) Alive(replica string) bool {
 	m.mu.Lock()
