Only slow replicas are told of, and looks on the word of others do not go round

Change: told is a replica that is slow, or was until now; none is looked at that was seen within a second.

--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -149,7 +149,7 @@
 	}
 	was := n.pace
 	n.pace = max(1, pace)
-	return (was >= slowPace) != (n.pace >= slowPace)
+	return (was >= SlowPace) != (n.pace >= SlowPace)
 }
 
 // Pace is how much slower than its kind a replica is known to be, 1 for not at all.
@@ -160,14 +160,14 @@
 	return 1
 }
 
-// slowPace is the pace from which a replica is asked again until it is well.
-const slowPace = 1.5
+// SlowPace is the pace from which a replica is asked again until it is well.
+const SlowPace = 1.5
 
 // Slow returns the replicas that are slower than their kind.
 func (b *Book) Slow() []Replica {
 	var list []Replica
 	for _, n := range b.order {
-		if n.pace >= slowPace && !n.suspected {
+		if n.pace >= SlowPace && !n.suspected {
 			list = append(list, n.Replica)
 		}
 	}
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -307,7 +307,10 @@
 func (m *Model) SetPace(replica string, pace float64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.knowledge.seen[replica] = sight{at: m.now(), pace: max(1, pace)}
+	if max(pace, m.book.Pace(replica)) >= paths.SlowPace {
+		// One that is as fast as it was is no news to anybody.
+		m.knowledge.seen[replica] = sight{at: m.now(), pace: max(1, pace)}
+	}
 	return m.book.SetPace(replica, pace)
 }
 
--- a/route/targets/seen.go
+++ b/route/targets/seen.go
@@ -85,7 +85,8 @@
 	}
 	look := verdict.Look[:0]
 	for _, c := range verdict.Look {
-		if now.Sub(m.knowledge.looked[c.Replica]) >= lookAgain {
+		seen := m.knowledge.seen[c.Replica]
+		if now.Sub(m.knowledge.looked[c.Replica]) >= lookAgain && now.Sub(seen.at) >= lookAgain {
 			m.knowledge.looked[c.Replica] = now
 			look = append(look, c)
 		}
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -359,3 +359,63 @@
 		t.Errorf("%d looks in two seconds", looks)
 	}
 }
+
+// Guards against nodes that ask the same replicas for ever on each other's word: what one
+// node learns by looking is a reason for the next to look only if it is news.
+func TestLooksDoNotGoRound(t *testing.T) {
+	now := time.Now()
+	clock := func() time.Time { return now }
+	nodes := []*Model{NewModel("d", 1, clock), NewModel("d", 2, clock)}
+	names := []string{"n1", "n2"}
+	for _, m := range nodes {
+		m.Update(llm, []*roster.Replica{part("a1", 0, 4), part("b1", 4, 8)}, all(10))
+	}
+	nodes[0].SetPace("a1", 1)
+	looks := 0
+	for range 40 {
+		for i, m := range nodes {
+			for _, c := range m.Judge(names[i], names, nodes[1-i].Seen()).Look {
+				looks++
+				m.SetPace(c.Replica, 1)
+			}
+		}
+		now = now.Add(300 * time.Millisecond)
+	}
+	if looks > 0 {
+		t.Errorf("%d looks at a replica that never was slow", looks)
+	}
+	nodes[0].SetPace("a1", 5)
+	if look := nodes[1].Judge("n2", names, nodes[0].Seen()).Look; len(look) != 1 {
+		t.Errorf("a slow one is not looked at: %+v", look)
+	}
+	nodes[0].SetPace("a1", 1)
+	if seen := nodes[0].Seen(); len(seen) != 1 || seen[0].Pace != 1 {
+		t.Errorf("that it is well again is not told: %+v", seen)
+	}
+}
+
+// A replica that leaves refuses connections and goes on with what it has. Other nodes say
+// that it is lost; the requests that run through it here stay where they are.
+func TestDoubtLeavesRequestsInPeace(t *testing.T) {
+	m := halves()
+	target := take(t, m, 10)
+	told := make(chan string, 2)
+	target.Flight.Watch(func(replica string) { told <- replica }, func(string) {})
+	first := target.Path[0].Replica
+	if !m.Doubt(first, false) {
+		t.Error("no news")
+	}
+	if next := take(t, m, 10); next.Path[0].Replica == first {
+		t.Error("a new request was sent there")
+	}
+	m.Alive(first)
+	if !m.Doubt(first, true) {
+		t.Error("no news that its machine is silent")
+	}
+	if got := <-told; got != first {
+		t.Errorf("told of %s", got)
+	}
+	if len(told) > 0 {
+		t.Error("told twice: also when it only refused")
+	}
+}
