--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -252,16 +252,20 @@
 // Suspect notes that a replica looks dead, silent that its machine does not answer
 // either; the requests that run through it are told. It says whether that is new.
 func (m *Model) Suspect(replica string, silent bool) bool {
+	fresh, lost := m.suspect(replica, silent)
+	tell(lost)
+	return fresh
+}
+
+// suspect notes that a replica looks dead, and returns the requests that run through it.
+func (m *Model) suspect(replica string, silent bool) (fresh bool, through []notice) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.knowledge.seen[replica] = sight{at: m.now(), lost: true}
-	fresh := m.book.Suspect(m.now(), replica, silent)
-	var lost []notice
-	if fresh {
-		lost = m.through(replica)
+	if !m.book.Suspect(m.now(), replica, silent) {
+		return false, nil
 	}
-	m.mu.Unlock()
-	tell(lost)
-	return fresh
+	return true, m.through(replica)
 }
 
 // Doubt notes that a replica accepts no connection which other nodes have lost. It gets no
@@ -269,13 +273,17 @@
 // either: one that leaves refuses connections, and goes on with what it has. It says
 // whether the suspicion is new.
 func (m *Model) Doubt(replica string, silent bool) bool {
-	if silent {
-		return m.Suspect(replica, true)
+	fresh, lost := m.doubt(replica, silent)
+	tell(lost)
+	return fresh
+}
+
+func (m *Model) doubt(replica string, silent bool) (fresh bool, lost []notice) {
+	fresh, through := m.suspect(replica, silent)
+	if !silent {
+		return fresh, nil
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.knowledge.seen[replica] = sight{at: m.now(), lost: true}
-	return m.book.Suspect(m.now(), replica, false)
+	return fresh, through
 }
 
 // Alive notes that a suspected replica lives. It says whether it was suspected.
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -395,27 +395,21 @@
 }
 
 // A replica that leaves refuses connections and goes on with what it has. Other nodes say
-// that it is lost; the requests that run through it here stay where they are.
+// that it is lost; the requests that run through it here stay where they are, unless its
+// machine does not answer either.
 func TestDoubtLeavesRequestsInPeace(t *testing.T) {
 	m := halves()
 	target := take(t, m, 10)
-	told := make(chan string, 2)
-	target.Flight.Watch(func(replica string) { told <- replica }, func(string) {})
+	target.Flight.Watch(func(string) {}, func(string) {})
 	first := target.Path[0].Replica
-	if !m.Doubt(first, false) {
-		t.Error("no news")
+	if fresh, told := m.doubt(first, false); !fresh || len(told) != 0 {
+		t.Errorf("news %v, %d requests are told", fresh, len(told))
 	}
 	if next := take(t, m, 10); next.Path[0].Replica == first {
 		t.Error("a new request was sent there")
 	}
 	m.Alive(first)
-	if !m.Doubt(first, true) {
-		t.Error("no news that its machine is silent")
-	}
-	if got := <-told; got != first {
-		t.Errorf("told of %s", got)
-	}
-	if len(told) > 0 {
-		t.Error("told twice: also when it only refused")
+	if fresh, told := m.doubt(first, true); !fresh || len(told) != 1 {
+		t.Errorf("its machine is silent: news %v, %d requests are told", fresh, len(told))
 	}
 }
