--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -85,9 +85,6 @@
 	c.last, c.packed = r, map[int64][]byte{}
 }
 
-// Revision is the store's at the last read, 0 if there was none.
-func (c *Copy) Revision() int64 { return c.get().Revision }
-
 func (c *Copy) get() Read {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/site/listing_test.go
+++ b/node/site/listing_test.go
@@ -161,7 +161,7 @@
 	p.until("all know it", func() bool {
 		return !slices.ContainsFunc(nodes, func(n *running) bool { return n.members.entry("a-dead").Name == "" })
 	})
-	known := nodes[0].copy.Revision()
+	known := nodes[0].storeCalls.all()["read_done"]
 	p.until("it is read on, and all are named", func() bool {
 		for _, n := range nodes {
 			if !n.Fresh() {
@@ -169,7 +169,7 @@
 			}
 		}
 		p.Beat()
-		return nodes[0].copy.Revision() > known && allNamed(t, nodes, nodes)()
+		return nodes[0].storeCalls.all()["read_done"] > known && allNamed(t, nodes, nodes)()
 	})
 }
 
--- /dev/null
+++ b/node/site/take.go
@@ -0,0 +1,107 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadatack/cicadatack/fleet/reads"
+	"github.com/cicadatack/cicadatack/keep/store"
+	"github.com/cicadatack/cicadatack/platform/operator"
+	"github.com/cicadatack/cicadatack/platform/replicas"
+	"github.com/cicadatack/cicadatack/route/roster"
+)
+
+// use puts a read in force.
+func (n *Node) use(ctx context.Context, begun time.Time, r reads.Read) {
+	n.take(begun, r.Proof, r.Entries)
+	n.pool.Prune()
+	n.plan(ctx, r.Revision)
+}
+
+// take puts in force what one read has found.
+func (n *Node) take(begun time.Time, proof time.Duration, entries []store.Entry) {
+	var found []*roster.Replica
+	var members []member
+	current := false
+	for _, e := range entries {
+		if e.Key == operator.Key {
+			current = n.takeRules(e)
+			continue
+		}
+		if id, ok := replicas.ID(e.Key); ok {
+			if r := n.decode(id, e); r != nil {
+				found = append(found, r)
+			}
+			continue
+		}
+		if m, ok := decodeMember(e); ok {
+			members = append(members, m)
+		}
+	}
+	if current {
+		n.prove(proof)
+	}
+	n.poll.tracker.AwayAfter = n.pollEvery() + storeTimeout
+	list, changes := n.poll.tracker.Update(begun, found)
+	n.tellChanges(changes, len(list))
+	n.poll.mu.Lock()
+	n.poll.list = list
+	n.poll.mu.Unlock()
+	n.members.set(members, n.poll.tracker.Returned(begun, returnWithin))
+	n.services.update(list)
+	if n.rules.Load() != nil {
+		n.tookFirst.Do(func() { close(n.first) })
+	}
+}
+
+// takeRules puts a newer configuration in force. It says whether the one in force is
+// the store's.
+func (n *Node) takeRules(e store.Entry) bool {
+	if e.Revision == n.poll.ruleRev {
+		return true
+	}
+	rules, err := operator.Decode(e.Value)
+	if err != nil {
+		// The last good one stays, and is not proved by this read.
+		if n.poll.faulty[e.Key] != e.Revision {
+			n.poll.faulty[e.Key] = e.Revision
+			n.log.Error("configuration refused", "revision", e.Revision, "error", err)
+		}
+		return false
+	}
+	if old := n.rules.Load(); old != nil && rules.Version < old.Version {
+		n.log.Error("configuration refused", "revision", e.Revision, "error", errors.New("its version is older than the one in force"),
+			"version", rules.Version, "in_force", old.Version)
+		return false
+	}
+	n.poll.ruleRev = e.Revision
+	n.rules.Store(rules)
+	n.log.Info("configuration in force", "version", rules.Version, "revision", e.Revision)
+	return true
+}
+
+// decode reads a replica's entry, once for each revision of it.
+func (n *Node) decode(id string, e store.Entry) *roster.Replica {
+	if known := n.poll.decoded[id]; known != nil && known.Revision == e.Revision {
+		return known
+	}
+	r, err := replicas.Decode(id, e.Revision, e.Value)
+	if err != nil {
+		delete(n.poll.decoded, id)
+		if n.poll.faulty[e.Key] != e.Revision {
+			n.poll.faulty[e.Key] = e.Revision
+			n.log.Warn("replica's entry can't be read", "replica", id, "revision", e.Revision, "error", err)
+		}
+		return nil
+	}
+	n.poll.decoded[id] = r
+	return r
+}
+
+// replicas is the list in force.
+func (n *Node) replicas() []*roster.Replica {
+	n.poll.mu.Lock()
+	defer n.poll.mu.Unlock()
+	return n.poll.list
+}
