Revert "A start waits longer for the whole answer"

The cause given there (questions give up too soon) is wrong, or only half: probably the first reader's link, which carries some 15 MB to 100 askers; who waits longer for it shares it with all others, and nobody's answer is whole in time. What might: paced whole answers, and askers that are told to come back.

--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -160,14 +159,8 @@
 	return &readspb.LeaveResponse{}, nil
 }
 
-const (
-	// askTimeout bounds a question about what has changed, and the wait for a connection:
-	// some hundred round trips inside a failure domain.
-	askTimeout = 150 * time.Millisecond
-	// wholeTimeout bounds a question for everything: all nodes of a failure domain may ask
-	// one of them for some hundred kilobytes each.
-	wholeTimeout = 1500 * time.Millisecond
-)
+// askTimeout bounds a question: some hundred round trips inside a failure domain.
+const askTimeout = 150 * time.Millisecond
 
 // Asker asks other nodes. Ask and Took are for one goroutine.
 type Asker struct {
@@ -184,19 +177,13 @@
 // NewAsker returns an Asker that knows nothing. self is what it says of itself.
 func NewAsker(clock func() time.Duration, self func() Peer) *Asker {
 	return &Asker{
-		clock: clock,
-		self:  self,
-		client: &http.Client{Transport: &http.Transport{
-			IdleConnTimeout: 30 * time.Second,
-			DialContext:     (&net.Dialer{Timeout: askTimeout}).DialContext,
-		}},
-		known: map[string]store.Entry{},
+		clock:  clock,
+		self:   self,
+		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+		known:  map[string]store.Entry{},
 	}
 }
 
-// Empty says whether the node knows nothing: the next question asks for everything.
-func (a *Asker) Empty() bool { return a.since == 0 }
-
 // Took notes a read of the store that the node has made itself.
 func (a *Asker) Took(r Read) {
 	a.since = r.Revision
@@ -221,12 +208,6 @@
 // older than what is known here, or not whole. What is known of the other node is told in
 // any case.
 func (a *Asker) Ask(ctx context.Context, address string, young time.Duration) (Answer, error) {
-	timeout := askTimeout
-	if a.since == 0 {
-		timeout = wholeTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	asked := a.clock()
 	own := a.self()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
@@ -269,8 +250,6 @@
 
 // Leave tells the node at an address that this one, whose name is given, leaves.
 func (a *Asker) Leave(ctx context.Context, address, name string) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
 	_, err := peer.Leave(ctx, &readspb.LeaveRequest{Node: name})
 	return Error.Wrap(err)
--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -270,30 +270,3 @@
 		}
 	}
 }
-
-// slow answers later than a question about changes may take.
-type slow struct{ *Copy }
-
-func (s slow) Held(ctx context.Context, request *readspb.HeldRequest) (*readspb.HeldResponse, error) {
-	time.Sleep(2 * askTimeout)
-	return s.Copy.Held(ctx, request)
-}
-
-// All nodes of a failure domain start and ask one of them for everything, which takes a
-// while to go over its link. Guards against each giving up after a moment and reading all
-// of the store itself; who only asks for changes does not wait that long.
-func TestTheWholeAnswerIsWaitedFor(t *testing.T) {
-	now := &clock{now: time.Minute}
-	c := NewCopy(now.read, nil)
-	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: now.now})
-	server := httptest.NewServer(readspb.NewReadsServer(slow{c}))
-	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://")
-	a := NewAsker(now.read, nobody)
-	if _, err := a.Ask(context.Background(), address, time.Minute); err != nil {
-		t.Errorf("everything: %v", err)
-	}
-	if _, err := a.Ask(context.Background(), address, time.Minute); !Error.Has(err) {
-		t.Errorf("changes: %v", err)
-	}
-}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -102,11 +102,9 @@
 
 const (
 	// meetFor is how long a node that starts waits for the readers of its domain, which may
-	// start together with it and be asked by all others, before it reads the store itself;
-	// meetEvery is between two questions to them.
-	meetFor = 1500 * time.Millisecond
-	// meetNone is the same if none of them is there.
-	meetNone  = 500 * time.Millisecond
+	// start together with it, before it reads the store itself; meetEvery is between two
+	// questions to them.
+	meetFor   = 500 * time.Millisecond
 	meetEvery = 50 * time.Millisecond
 )
 
@@ -126,14 +124,12 @@
 		}
 	}
 	n.members.set(found, false)
-	ctx, cancel := context.WithTimeout(ctx, meetFor)
-	defer cancel()
-	met := false
-	for begun := time.Now(); !n.reads() && n.asker.Empty(); {
-		told, reached := n.ask(ctx)
-		n.poll.asked = told
-		met = met || reached
-		if !met && time.Since(begun) >= meetNone || !wait.For(ctx, meetEvery) {
+	for begun := time.Now(); !n.reads() && time.Since(begun) < meetFor; {
+		if told, _ := n.ask(ctx); told && n.rules.Load() != nil {
+			n.poll.asked = true
+			return
+		}
+		if !wait.For(ctx, meetEvery) {
 			return
 		}
 	}
@@ -152,17 +148,9 @@
 // of each failure domain reads it and the others ask.
 func (n *Node) look(ctx context.Context) time.Duration {
 	defer n.gauge()
-	told, reached := false, false
-	// Who knows nothing has asked for everything in vain, in meet, and reads first.
-	empty := n.asker.Empty()
-	if !empty {
-		told, reached = n.ask(ctx)
-	}
-	read := !told && n.mayRead(reached) && n.tryStore(ctx, reached)
-	if empty && !read {
-		told, _ = n.ask(ctx)
-	}
+	told, reached := n.ask(ctx)
 	n.poll.asked = told
+	read := !told && n.mayRead(reached) && n.tryStore(ctx, reached)
 	switch known := n.rules.Load() != nil; {
 	case read && known && n.reads():
 		return n.pollEvery()
