TestSlowChainIsLeft slows its stage by the machine's own pace

Reproduced beside the same load: 4 of 6 processes fail. The usual gap is taken from the first 16 tokens; beside load that is over 7.5 ms, and eight times it over the 60 ms by which the test slows its stage, so the chain rightly counts as usual. Change: the stage is slowed by three times what counts as slow at the pace just seen, 60 ms at least; same checks.

--- a/route/stream/runner_test.go
+++ b/route/stream/runner_test.go
@@ -219,9 +219,18 @@
 			defer f.stop()
 			req := request("crawl")
 			req.Chat.MaxTokens = 80
+			var begun time.Time
+			slow := 60 * time.Millisecond
 			answer, summary, err := f.collect(context.Background(), req, func(position int) {
-				if position == 2*paceWindow {
-					f.chains[0][1].Engine.SetFaults(standin.Faults{SlowPerToken: 60 * time.Millisecond})
+				switch position {
+				case 1:
+					begun = time.Now()
+				case paceWindow:
+					// On a busy machine the usual gap is long, and only more than
+					// slowFactor times it is slow.
+					slow = max(slow, 3*slowFactor*time.Since(begun)/paceWindow)
+				case 2 * paceWindow:
+					f.chains[0][1].Engine.SetFaults(standin.Faults{SlowPerToken: slow})
 				}
 			})
 			So(err, ShouldBeNil)
