TestFirstConfigurationIsWaitedFor does not miss the word that it waits for

Its goroutines: the test at the receive from 'asked', the request at the send of its result: 'asked' had no room, and where the request asked twice before the test listened, both words were dropped. Change: 'asked' keeps one word; a caller who is sent away ends the test at once.

--- a/route/door/door_test.go
+++ b/route/door/door_test.go
@@ -14,14 +14,15 @@
 	Rules
 	rules *ruleset.Ruleset
 	first chan struct{}
-	// asked is told when a request asks for the first one.
+	// asked is told when a request asks for the first one; it keeps one word, as the
+	// listener may come later.
 	asked chan struct{}
 }
 
 func (l *late) First() <-chan struct{} {
 	select {
 	case l.asked <- struct{}{}:
-	default: // nobody listens any more
+	default: // that is known already
 	}
 	return l.first
 }
@@ -39,14 +40,14 @@
 // milliseconds before the configuration has been read are not sent away: with nobody else
 // to go to they would all come back late.
 func TestFirstConfigurationIsWaitedFor(t *testing.T) {
-	l := &late{rules: &ruleset.Ruleset{}, first: make(chan struct{}), asked: make(chan struct{})}
+	l := &late{rules: &ruleset.Ruleset{}, first: make(chan struct{}), asked: make(chan struct{}, 1)}
 	e := &entry{Door: &Door{Rules: l}, r: httptest.NewRequest("GET", "/", nil)}
 	got := make(chan *ruleset.Ruleset)
 	go func() { got <- e.current(20 * time.Second) }()
 	<-l.asked // it has looked once, and found none
 	select {
 	case <-got:
-		t.Error("a caller with time to wait was sent away")
+		t.Fatal("a caller with time to wait was sent away")
 	case <-time.After(2 * firstRulesLeast):
 	}
 	close(l.first)
