--- a/decide/readers/readers.go
+++ b/decide/readers/readers.go
@@ -9,9 +9,8 @@
 //
 // # Without it
 //
-// Each node reads all of it each second and renews a lease of its own: the nodes of a
-// fleet of a hundred pay a tenth of a quiet day's worth for it, and those of one of 2,200
-// need more calls a second than the store has.
+// Each node reads all of it each second and renews a lease of its own: the calls grow with
+// the fleet, and two thousand nodes need more of them a second than the store has.
 //
 // # Rules
 //
