losses: requests of a cause, and what a fleet that started again left behind

All of them came within 8 s of the start of all nodes after a loss of power: replicas still ran what the dead nodes had begun and read the prompts of all who came back. Excluded: room and tries (not waited for), slow replicas (pace 1), a node that stood still.

--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -1,5 +1,11 @@
 package losses
 
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
 // Cause is what a request was lost by.
 type Cause string
 
@@ -20,6 +26,7 @@
 	NodeLost       Cause = "caller's node lost"
 	NodeLeaving    Cause = "caller's node leaving"
 	NodeStill      Cause = "node stood still"
+	FleetStarted   Cause = "replicas busy with what lost nodes had begun"
 	CallerLeft     Cause = "caller left"
 	Limited        Cause = "team's limit or queue"
 	Unexplained    Cause = "unexplained"
@@ -28,7 +35,19 @@
 // causes lists all of them in order.
 var causes = []Cause{
 	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, ReplicaRefused, ReplicaGone,
-	ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, CallerLeft, Limited, Unexplained,
+	ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, Unexplained,
+}
+
+// CauseOf is the cause with a name, as tables show it.
+func CauseOf(name string) (Cause, error) {
+	if slices.Contains(causes, Cause(name)) {
+		return Cause(name), nil
+	}
+	var known []string
+	for _, c := range causes {
+		known = append(known, strconv.Quote(string(c)))
+	}
+	return "", Error.New("%q is no cause; there are %s", name, strings.Join(known, ", "))
 }
 
 // Outcome is what became of a lost request.
--- a/node/losses/doc.go
+++ b/node/losses/doc.go
@@ -29,7 +29,12 @@
 //  6. The node itself stood still meanwhile.
 //  7. Streams were led around in the same seconds: replicas read their prompts again
 //     between the steps of all others.
-//  8. Else it is unexplained.
+//  8. A good part of all nodes had started some seconds before: replicas still run what
+//     the lost ones had begun, and read the prompts of all who come back at once.
+//  9. Else it is unexplained.
+//
+// Keep has requests of one cause kept, with the lines that decided about them: from a
+// table the way goes on to a request's id, and to the node that served it.
 //
 // A request that was underway on a node when that started anew was lost with the node.
 package losses
--- a/node/losses/line.go
+++ b/node/losses/line.go
@@ -68,6 +68,9 @@
 	WaitedBudgetMillis float64  `json:"waited_budget_ms"`
 	StillMillis        float64  `json:"still_ms"`
 	SlowestPace        float64  `json:"slowest_pace"`
+
+	// text is the line as it was written, where examples are asked for.
+	text string
 }
 
 // parse reads one line: the JSON object that it ends with.
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -244,3 +244,72 @@
 		t.Errorf("a plot of %d bytes", svg.Len())
 	}
 }
+
+// An operator goes from a cause to the requests behind it: each with the lines of its own
+// that decided about it, and no other request's.
+func TestRequestsOfACause(t *testing.T) {
+	other := strings.ReplaceAll(about(2, "refuse", "no_room", `"status":503`), `"r"`, `"other"`)
+	log := started + about(1, "retry", "allowed", `"end":"upstream: dial: refused","not_run":1`) +
+		about(3, "refuse", "no_endpoint", `"status":503,"waited_ms":40`) + other
+	r := NewReader()
+	if err := r.Keep(ReplicaGone, 5); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Read("log", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	list := r.Report().Examples
+	if len(list) != 1 || list[0].Request != "r" || list[0].Second != 3 || list[0].Node != "n" || list[0].LostMillis != 40 {
+		t.Fatalf("%+v", list)
+	}
+	if len(list[0].Lines) != 2 || !strings.Contains(list[0].Lines[0], "dial: refused") {
+		t.Errorf("lines %q", list[0].Lines)
+	}
+	var text bytes.Buffer
+	if err := r.Report().Text(&text); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(text.String(), "request r  n  refused") {
+		t.Error(text.String())
+	}
+}
+
+// Guards against a list that grows with the logs.
+func TestRequestsOfACauseAreBounded(t *testing.T) {
+	r := NewReader()
+	if err := r.Keep(NoRoom, 3); err != nil {
+		t.Fatal(err)
+	}
+	log := started + strings.Repeat(about(1, "refuse", "no_room", `"status":503`), 50)
+	if err := r.Read("log", strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(r.Report().Examples); n != 3 {
+		t.Errorf("%d requests listed, want 3", n)
+	}
+	for _, limit := range []int{0, -1, MostExamples + 1} {
+		if err := r.Keep(NoRoom, limit); err == nil {
+			t.Errorf("a limit of %d is taken", limit)
+		}
+	}
+	if _, err := CauseOf("bad luck"); err == nil || !strings.Contains(err.Error(), `"no room"`) {
+		t.Errorf("a cause that is none: %v", err)
+	}
+}
+
+// All nodes lose power and start again; the replicas still run what they had begun, and
+// first events come late without any line of their own that tells why. A single node that
+// starts is no such reason.
+func TestLateAfterTheFleetStarted(t *testing.T) {
+	late := lateStream(12, 620, 50, 2000, none)
+	for nodes, want := range map[int]Cause{2: FleetStarted, 9: Unexplained} {
+		log := started
+		for i := range nodes {
+			log += strings.ReplaceAll(at(1, "stopped", `"domain":"d"`), `"n"`, fmt.Sprintf(`"n%d"`, i))
+		}
+		log += at(9, "started", fmt.Sprintf(`"domain":"d","log_format":%d`, decision.LogFormat)) + late
+		if rep := read(t, log); rep.Causes[0].Name != string(want) {
+			t.Errorf("one of %d nodes started: %+v, want %s", nodes+1, rep.Causes, want)
+		}
+	}
+}
--- a/node/losses/reader.go
+++ b/node/losses/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -47,6 +48,9 @@
 	pending []pending
 	// led counts the streams of a service that were led around, by second.
 	led map[string]map[int64]int
+	// restarts are when nodes started that had run before.
+	restarts []time.Time
+	examples examples
 }
 
 // totals counts what was read.
@@ -65,25 +69,25 @@
 func (r *Reader) Read(name string, from io.Reader) error {
 	lines := bufio.NewReaderSize(from, maxLine)
 	readable, number := 0, 0
-	bytes, told := int64(0), int64(0)
+	length, told := int64(0), int64(0)
 	for {
 		text, err := lines.ReadSlice('\n')
 		if len(text) > 0 {
 			number++
-			bytes += int64(len(text))
+			length += int64(len(text))
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			skipped, skipErr := skipLine(lines)
-			bytes += skipped
+			length += skipped
 			r.unreadable(name, number, fmt.Sprintf("a line of over %d bytes", maxLine))
 			err = skipErr
 		case len(text) > 0 && r.take(name, number, text):
 			readable++
 		}
-		if r.Progress != nil && bytes-told >= progressEvery {
-			told = bytes
-			r.Progress(name, bytes)
+		if r.Progress != nil && length-told >= progressEvery {
+			told = length
+			r.Progress(name, length)
 		}
 		if errors.Is(err, io.EOF) {
 			break
@@ -131,6 +135,9 @@
 	if l.At.After(r.totals.to) {
 		r.totals.to = l.At
 	}
+	if r.examples.wanted() {
+		l.text = string(bytes.TrimSpace(text))
+	}
 	r.apply(name, number, l)
 	return true
 }
@@ -161,12 +168,13 @@
 	case messageDecision:
 		r.decided(n, l)
 	}
+	n.ran = true
 }
 
 func (r *Reader) node(name string) *node {
 	n, ok := r.nodes[name]
 	if !ok {
-		n = &node{underway: map[string]*trace{}}
+		n = &node{name: name, underway: map[string]*trace{}}
 		r.nodes[name] = n
 	}
 	return n
@@ -174,10 +182,13 @@
 
 // started ends what was underway on a node that starts anew.
 func (r *Reader) started(n *node, l line) {
-	for _, t := range n.underway {
-		r.losses.add(loss{
+	for request, t := range n.underway {
+		r.lose(loss{
 			cause: NodeLost, outcome: Failed, service: t.service, domain: n.domain, second: t.last.Unix(),
-		})
+		}, t.example(n, request))
+	}
+	if n.ran {
+		r.restarts = append(r.restarts, l.At)
 	}
 	n.domain, n.underway = l.Domain, map[string]*trace{}
 }
@@ -213,6 +224,9 @@
 		n.underway[l.Request] = t
 	}
 	t.last = l.At
+	if l.text != "" && len(t.lines) < mostLines {
+		t.lines = append(t.lines, l.text)
+	}
 	if l.Service != "" {
 		t.service = l.Service
 	}
@@ -249,10 +263,16 @@
 	if l.Status == statusBadGateway || l.Status == statusGatewayTimeout {
 		outcome = Failed // it may have run
 	}
-	r.losses.add(loss{
+	r.lose(loss{
 		cause: t.ofRefusal(l), outcome: outcome, service: t.service, domain: n.domain,
 		second: l.At.Unix(), lostMillis: l.WaitedMillis,
-	})
+	}, t.example(n, l.Request))
+}
+
+// lose counts a loss.
+func (r *Reader) lose(l loss, x Example) {
+	r.losses.add(l)
+	r.examples.add(l, x)
 }
 
 // Statuses that say that a request may have run, and the first of an endpoint's own
@@ -281,7 +301,7 @@
 	default:
 		found.outcome, found.cause = Failed, t.ofCut(l.Reason)
 	}
-	r.losses.add(found)
+	r.lose(found, t.example(n, l.Request))
 }
 
 // longSilence is the silence of a stream, in milliseconds, before its caller left that
@@ -292,7 +312,7 @@
 func (r *Reader) left(n *node, t *trace, l line, found loss) {
 	if l.SilentMillis < longSilence {
 		found.outcome, found.cause = Left, CallerLeft
-		r.losses.add(found)
+		r.lose(found, t.example(n, l.Request))
 		return
 	}
 	found.outcome = Failed
@@ -306,10 +326,10 @@
 	cause, ok := t.ofLate(l)
 	if ok {
 		found.cause = cause
-		r.losses.add(found)
+		r.lose(found, t.example(n, l.Request))
 		return
 	}
 	r.pending = append(r.pending, pending{
-		loss: found, node: n, during: interval{l.At.Add(-millis(l.TookMillis)), l.At},
+		loss: found, node: n, during: interval{l.At.Add(-millis(l.TookMillis)), l.At}, example: t.example(n, l.Request),
 	})
 }
--- a/node/losses/report.go
+++ b/node/losses/report.go
@@ -48,8 +48,9 @@
 // pending is a loss whose cause is looked for in what happened meanwhile.
 type pending struct {
 	loss
-	node   *node
-	during interval
+	node    *node
+	during  interval
+	example Example
 }
 
 // Row is the losses of one cause, service, failure domain or second.
@@ -90,16 +91,20 @@
 	Service []Row    `json:"services"`
 	Domains []Row    `json:"failure_domains"`
 	Seconds []Second `json:"seconds"`
+	// Examples are the first requests of the cause that was asked for.
+	Examples []Example `json:"examples,omitempty"`
 	// Faults are the first lines that could not be read, or not whole.
 	Faults []Fault `json:"faults,omitempty"`
 }
 
 // Report tells what has been read so far.
 func (r *Reader) Report() *Report {
-	all := maps.Clone(r.losses)
+	all, found := maps.Clone(r.losses), r.examples
+	found.list = slices.Clone(found.list)
 	for _, p := range r.pending {
 		p.cause = r.meanwhile(p)
 		all.add(p.loss)
+		found.add(p.loss, p.example)
 	}
 	rep := &Report{
 		Files: r.totals.files, Lines: r.totals.lines, Unreadable: r.totals.unreadable,
@@ -110,6 +115,7 @@
 	rep.Service = rows(all, rep.Total, func(k key) string { return k.service })
 	rep.Domains = rows(all, rep.Total, func(k key) string { return k.domain })
 	rep.Seconds = seconds(all, r.totals.from.Unix())
+	rep.Examples = found.sorted(r.totals.from)
 	return rep
 }
 
@@ -130,9 +136,31 @@
 			return OthersReread
 		}
 	}
+	if r.fleetStarted(p.during) {
+		return FleetStarted
+	}
 	return Unexplained
 }
 
+const (
+	// mostLeft is for how long replicas may still run what lost nodes had begun.
+	mostLeft = 8 * time.Second
+	// startedPart of the nodes that start again within mostLeft are a fleet that was lost.
+	startedPart = 1.0 / 3
+)
+
+// fleetStarted says whether a good part of all nodes had started again shortly before.
+func (r *Reader) fleetStarted(during interval) bool {
+	before := interval{during.from.Add(-mostLeft), during.from}
+	started := 0
+	for _, at := range r.restarts {
+		if before.meets(interval{at, at}) {
+			started++
+		}
+	}
+	return float64(started) >= startedPart*float64(len(r.nodes))
+}
+
 func (r *Row) add(outcome Outcome, s sum) {
 	switch outcome {
 	case Late:
--- a/node/losses/text.go
+++ b/node/losses/text.go
@@ -19,6 +19,7 @@
 	writeRows(w, "service", r.Service)
 	writeRows(w, "failure domain", r.Domains)
 	writeSeconds(w, r.Seconds)
+	writeExamples(w, r.Examples)
 	for _, f := range r.Faults {
 		fmt.Fprintf(w, "\n%v", f)
 	}
@@ -56,3 +57,13 @@
 		fmt.Fprintf(w, "%d\t%d\t%s (%d)\n", s.At, lost, most, s.Causes[most])
 	}
 }
+
+// writeExamples writes each request with the lines that decided about it.
+func writeExamples(w io.Writer, list []Example) {
+	for _, x := range list {
+		fmt.Fprintf(w, "\nsecond %d  request %s  %s  %s  service %s  lost %.0f ms\n", x.Second, x.Request, x.Node, x.Outcome, orNone(x.Service), x.LostMillis)
+		for _, line := range x.Lines {
+			fmt.Fprintf(w, "  %s\n", line)
+		}
+	}
+}
--- a/node/losses/trace.go
+++ b/node/losses/trace.go
@@ -6,6 +6,8 @@
 type trace struct {
 	service string
 	last    time.Time
+	// lines are kept where examples are asked for.
+	lines []string
 	// tries that failed; lastTry is how the last one ended, and notRun whether it did not
 	// run.
 	tries   int
@@ -38,12 +40,19 @@
 
 // node is what is known of one node's log.
 type node struct {
+	name     string
 	domain   string
+	ran      bool // a line of it was read
 	underway map[string]*trace
 	// still is when the process stood still, newest last.
 	still []interval
 }
 
+// example is the request as an operator is shown it.
+func (t *trace) example(n *node, request string) Example {
+	return Example{Request: request, Node: n.name, At: t.last, Lines: t.lines}
+}
+
 // interval is a span of time.
 type interval struct{ from, to time.Time }
 
