--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -47,9 +47,9 @@
 // The wait is predicted from tokens per second of a slot, measured over
 // rateWindow, times the slots that the node has had of late (shareWindow): these
 // swing where nodes share replicas. The mean begins anew when the first request has
-// to wait: slots that stood free before a rush go to all nodes. A loss of replicas counts at once, before any
-// request has finished late. The other figures stand with
-// their constants; docs/decisions/queue.md has the runs.
+// to wait: slots that stood free before a rush go to all nodes. A loss of replicas
+// counts at once, before any request has finished late. The other figures stand with
+// their constants.
 //
 // # Limits
 //
--- a/decide/admission/share.go
+++ b/decide/admission/share.go
@@ -6,9 +6,8 @@
 )
 
 // shareWindow is the time constant of the mean of the slots that a node may use.
-// In trials with three nodes before common replicas, at four times the bound, one
-// refused caller in a hundred waited for 0.97 s with 1 s, 0.59 s with 4 s and
-// 0.29 s with 2 s; docs/decisions/queue.md has the runs.
+// A shorter one follows every swing of nodes that share replicas, a longer one predicts
+// waits from slots that others have taken meanwhile.
 const shareWindow = 2 * time.Second
 
 // share is the part of the replicas' slots that the node may use. Nodes that
--- a/decide/balance/doc.go
+++ b/decide/balance/doc.go
@@ -57,8 +57,6 @@
 //
 // # Grounds for the figures
 //
-// docs/decisions/balance.md holds the measurements.
-//
 //   - DefaultSubsetSize 32: at 2,200 nodes before 10,000 replicas it gives each
 //     replica about 7 nodes, and leaves a node enough near replicas (24) that
 //     losing a third is a matter of load, not of service.
@@ -67,8 +65,8 @@
 //   - DefaultAffinityBound 1.25 over the mean: the usual bound, at which hardly
 //     any walk is longer than a few steps. A replica below AffinityFree, half
 //     of its slots, takes its own prefixes whatever the mean.
-//   - DefaultSlowStart 15 s from a tenth: measured with newcomers that are cold
-//     for 20 s; 5 s is too short, and longer withholds capacity in the rush.
+//   - DefaultSlowStart 15 s from a tenth: newcomers stay cold for some twenty
+//     seconds, and a longer start withholds capacity in the rush.
 //   - DefaultBackoff 250 ms after a refusal for want of room: a replica
 //     with 50 requests of 7 s frees about two slots in that time.
 package balance
--- a/decide/balance/pattern_test.go
+++ b/decide/balance/pattern_test.go
@@ -12,7 +12,7 @@
 
 // Each test runs the same calls through the Balancer and through baselines and
 // asserts the margin between them; the bound is one that the baseline misses.
-// `go test -v` prints the figures that docs/decisions/balance.md quotes.
+// `go test -v` prints the figures that docs/design/balance.md quotes.
 
 const (
 	fault   = 20 * time.Second // when a pattern's trouble begins
--- a/decide/entry/doc.go
+++ b/decide/entry/doc.go
@@ -25,8 +25,7 @@
 //   - MinHomes 2: the loss of one VM must not cut off a team. Homes, and the
 //     addresses of an answer, are in at least two failure domains if the nodes
 //     are: nor must the loss of a failure domain.
-//   - HomeHeadroom 4: see docs/decisions/balance.md for the spread of load
-//     measured with other values.
+//   - HomeHeadroom 4: callers come unevenly, and a home that is full sends them on.
 //   - NearPreference 8: entry VMs are near to each other and callers farther
 //     off, so a home elsewhere is worth using when those at hand are full.
 package entry
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -119,7 +119,7 @@
 //
 // Sessions are not kept to be resumed: the ticket holds the caller's certificate
 // and crosses the link twice, so a resumed handshake takes more bytes than a
-// whole one (docs/decisions/fleet.md).
+// whole one.
 func NewTransport(peers *tls.Config) http.RoundTripper {
 	return &http.Transport{
 		TLSClientConfig:     peers,
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -15,7 +15,7 @@
 // carries them out over twirp.
 //
 // Load pattern: one exchange an interval per node and one push of each change,
-// whatever the size of the fleet. docs/decisions/fleet.md has the figures.
+// whatever the size of the fleet.
 //
 // A node that is cut off from store and peers keeps serving the record that it
 // has, for Config.MaxIsolation; from then on Status says that it is not ready,
--- a/keep/document/parser.go
+++ b/keep/document/parser.go
@@ -12,8 +12,7 @@
 // stands in it.
 //
 // Load pattern answered: one endpoint of 10,000 changes, every six seconds, on
-// every node. Parse takes as long as the whole text is, most of it in reading
-// JSON; the figures are in docs/decisions/state.md.
+// every node. Parse takes as long as the whole text is, most of it in reading JSON.
 //
 // A Parser must not be used by two goroutines at once. The zero value is ready.
 type Parser struct {
--- a/keep/document/split.go
+++ b/keep/document/split.go
@@ -9,8 +9,7 @@
 // behind an element whose checksum says so, so that a change moves the ends of
 // the pieces next to it only. Pieces of about 30 KB are what one endpoint's
 // change costs the store and each watch holder (3 KB compressed), and keep the
-// index of a text with 10,000 replicas at a few KB; docs/decisions/state.md
-// has the figures.
+// index of a text with 10,000 replicas at a few KB.
 const (
 	minPieceBytes = 16 << 10
 	maxPieceBytes = 64 << 10
--- a/keep/ledger/archive.go
+++ b/keep/ledger/archive.go
@@ -38,7 +38,7 @@
 	archives int
 }
 
-// defaultLimits: measured in docs/decisions/state.md. A node that becomes a
+// defaultLimits of an archive. A node that becomes a
 // shard's owner reads all its archives before its first claim, so they are few
 // and large; 64 of them are some 900,000 orders of a shard.
 var defaultLimits = archiveLimits{
--- a/keep/ledger/forward.go
+++ b/keep/ledger/forward.go
@@ -16,9 +16,7 @@
 	// the owner waits for its next write of the shard, 25 ms at 40 writes a second.
 	lingerTime = 20 * time.Millisecond
 	// sendsAtOnce is how many batches of one shard are underway to its owner:
-	// enough that one can set out every lingerTime while others wait for a
-	// write. With three, sent as soon as there was an operation, most waited for
-	// the next write but one (docs/decisions/state.md).
+	// enough that one can set out every lingerTime while others wait for a write.
 	sendsAtOnce = 8
 	// maxBatch bounds the operations of a batch. At MaxResultBytes each they are
 	// well below what a peer takes as one message.
--- a/keep/ledger/machine.go
+++ b/keep/ledger/machine.go
@@ -19,7 +19,7 @@
 //
 // Nodes that write one shard as fast as they are allowed to overtake each
 // other between read and write: most writes are refused and one slow node
-// loses every time (measured in docs/decisions/state.md). So each leaves a gap
+// loses every time. So each leaves a gap
 // after a batch that went through, twice as long after every batch that met a
 // conflict and half as long after one that met none. A batch underway is not
 // held back by it: whoever loses now is first while the others pause.
--- a/keep/ledger/types.go
+++ b/keep/ledger/types.go
@@ -46,10 +46,8 @@
 //
 // A shard has one owner (decide/owner), which paces its writes. With several
 // shards to an owner each waits its turn behind the others, and the orders that
-// come meanwhile are spread over as many batches: with 256 shards, four of them
-// for a team, 4,000 callers of 240 teams placed a twelfth of the orders, ten to a
-// write (docs/decisions/state.md). 16 owners at 40 writes a second each are what
-// the store takes.
+// come meanwhile are spread over as many batches. 16 owners at 40 writes a second each
+// are what the store takes.
 //
 // It is fixed: nodes that disagreed about it would look for one key in two places
 // and place its order twice.
--- a/node/server/vms.go
+++ b/node/server/vms.go
@@ -35,8 +35,7 @@
 // vmCache keeps one of the platform's lists and fetches what has changed. Safe
 // for concurrent use.
 //
-// Without it each read would fetch the whole list: 205 KB/s a node with 5,000
-// endpoints (make bench, section control), a hundred times the budget.
+// Without it each read would fetch the whole list, which grows with the fleet.
 type vmCache struct {
 	store  store.ChangeReader
 	prefix string
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -111,13 +111,12 @@
 const (
 	// DefaultStoreCalls carries the ledger's 40 writes a second, which nine nodes
 	// together keep within a store's several hundred, and the reads beside them.
-	// With 20, a node placed 82 orders a second (make bench, section orders).
 	DefaultStoreCalls = 60
 	// DefaultPolls asks each of a node's 40 endpoints at least every 3 s, in
 	// which time a leaving one must be noticed.
 	DefaultPolls = 16
-	// DefaultEventPolls asks each of 12 replicas every 1.5 s, as in the run of
-	// docs/decisions/balance.md, and each of a subset of 32 every 4 s.
+	// DefaultEventPolls asks each of 12 replicas every 1.5 s and each of a subset
+	// of 32 every 4 s.
 	DefaultEventPolls = 8
 )
 
