Nodes tell each other which replicas turn requests away

Change: such a refusal is a claim (decide/evidence): what three nodes have met is believed, for a quarter of the replicas at most; nobody looks, since such a replica answers all but requests. The nodes' protocol has one more field.

--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -12,12 +12,12 @@
 //
 // # Rules
 //
-//   - A claim says what a node has seen itself: a replica that accepts no connection, or
-//     how slow a replica says it is. It has an age, and counts for ValidFor.
+//   - A claim says what a node has seen itself: a replica that accepts no connection, one
+//     that turns requests away although it has room, or how slow a replica says it is. It has an age, and counts for ValidFor.
 //   - What Enough nodes have seen independently is believed. What fewer have is looked at
 //     by a few nodes, the confirmers, whom all nodes agree on; so one node's wrong view
 //     convinces nobody alone, and a rumor does not send everybody to the same replica.
-//   - Of the replicas of one service at most the part MostTaken is taken for lost on the
+//   - Of the replicas of one service at most the part MostTaken is left out on the
 //     word of others: a network that fails looks like replicas that do.
 //   - A message holds Most claims, the youngest first. Claims that no node would make are
 //     passed over and counted.
@@ -39,8 +39,8 @@
 	Enough = 3
 	// Confirmers is how many nodes look for themselves at what fewer have seen.
 	Confirmers = 3
-	// MostTaken is the greatest part of a service's replicas that is taken for lost on the
-	// word of others.
+	// MostTaken is the greatest part of a service's replicas that is left out on the word
+	// of others.
 	MostTaken = 0.25
 	// Most is how many claims a message holds.
 	Most = 128
@@ -54,6 +54,8 @@
 	Replica string
 	// Lost says that it accepts no connection.
 	Lost bool
+	// TurnsAway says that it lives and refuses what it is sent although it has room.
+	TurnsAway bool
 	// Pace is, of one that is not lost, how much slower than its kind it says it is.
 	Pace float64
 	// Age is how long ago it was seen.
@@ -65,7 +67,7 @@
 // valid says whether a node could have made the claim, and it still counts.
 func (c Claim) valid() bool {
 	known := c.Replica != "" && c.Nodes > 0 && c.Nodes <= mostNodes && c.Age >= 0 && c.Age < ValidFor
-	return known && (c.Lost || c.Pace >= 1 && c.Pace <= mostPace)
+	return known && (c.Lost || c.TurnsAway || c.Pace >= 1 && c.Pace <= mostPace)
 }
 
 // saying is what one node told last.
@@ -131,8 +133,8 @@
 
 // subject is what claims are about; those that agree on it are added up.
 type subject struct {
-	replica string
-	lost    bool
+	replica         string
+	lost, turnsAway bool
 }
 
 func (b *Board) merge(now time.Time, own []Claim, counts func(node string, s saying) bool) []Claim {
@@ -141,7 +143,7 @@
 		if !c.valid() {
 			return
 		}
-		key := subject{c.Replica, c.Lost}
+		key := subject{c.Replica, c.Lost, c.TurnsAway}
 		known, ok := merged[key]
 		if !ok {
 			merged[key] = c
@@ -207,11 +209,12 @@
 			continue
 		}
 		switch {
-		case c.Nodes >= Enough && !c.Lost:
+		case c.Nodes >= Enough && !c.Lost && !c.TurnsAway:
 			verdict.Believe = append(verdict.Believe, c)
 		case c.Nodes >= Enough && room > 0:
 			room--
 			verdict.Believe = append(verdict.Believe, c)
+		case c.TurnsAway: // there is nothing to look at: it answers all but requests
 		case v.Confirms(c.Replica):
 			verdict.Look = append(verdict.Look, c)
 		}
--- a/decide/evidence/evidence_test.go
+++ b/decide/evidence/evidence_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+// Guards against rumors about replicas that turn requests away: they answer all that could
+// be asked instead, so fewer than enough nodes send nobody there, and enough are believed
+// for a bounded part of the replicas.
+func TestTurningAwayIsNotLookedAt(t *testing.T) {
+	near := names(40)
+	for _, node := range near {
+		if v := Judge([]Claim{{Replica: "r", TurnsAway: true, Nodes: Enough - 1}}, view(node, near, 20, nil)); len(v.Believe)+len(v.Look) > 0 {
+			t.Fatalf("%s: %+v", node, v)
+		}
+	}
+	var claims []Claim
+	for i := range 20 {
+		claims = append(claims, Claim{Replica: fmt.Sprint("r", i), TurnsAway: true, Nodes: Enough})
+	}
+	if v := Judge(claims, view(near[0], near, 20, nil)); len(v.Believe) != 20*MostTaken {
+		t.Errorf("%d of 20 are believed to turn requests away", len(v.Believe))
+	}
+}
+
 // What was seen long ago does not count, however often it is passed on.
 func TestClaimsGrowOld(t *testing.T) {
 	var b Board
--- a/fleet/bookings/bookings.go
+++ b/fleet/bookings/bookings.go
@@ -1,5 +1,6 @@
 // Package bookings lets the nodes of a failure domain tell each other what they have
-// booked on replicas, and which of these they have seen lost or slow. It is the driver of
+// booked on replicas, and which of these they have seen lost, slow or turning requests
+// away. It is the driver of
 // decide/bookings and decide/evidence.
 package bookings
 
@@ -147,7 +148,8 @@
 	wire := make([]*bookingspb.Claim, 0, len(claims))
 	for _, c := range claims {
 		wire = append(wire, &bookingspb.Claim{
-			Replica: c.Replica, Lost: c.Lost, Pace: float32(c.Pace), AgeMillis: int32(c.Age.Milliseconds()), Nodes: int32(c.Nodes),
+			Replica: c.Replica, Lost: c.Lost, TurnsAway: c.TurnsAway, Pace: float32(c.Pace),
+			AgeMillis: int32(c.Age.Milliseconds()), Nodes: int32(c.Nodes),
 		})
 	}
 	return wire
@@ -157,7 +159,7 @@
 	claims := make([]evidence.Claim, 0, len(wire))
 	for _, c := range wire {
 		claims = append(claims, evidence.Claim{
-			Replica: c.GetReplica(), Lost: c.GetLost(), Pace: float64(c.GetPace()),
+			Replica: c.GetReplica(), Lost: c.GetLost(), TurnsAway: c.GetTurnsAway(), Pace: float64(c.GetPace()),
 			Age: time.Duration(c.GetAgeMillis()) * time.Millisecond, Nodes: int(c.GetNodes()),
 		})
 	}
--- a/fleet/bookings/bookings_test.go
+++ b/fleet/bookings/bookings_test.go
@@ -81,8 +81,9 @@
 func TestClaimsAreTold(t *testing.T) {
 	ctx := context.Background()
 	lost := evidence.Claim{Replica: "r", Lost: true, Nodes: 1}
+	away := evidence.Claim{Replica: "u", TurnsAway: true, Nodes: 1}
 	hub := start(t, "hub", 1, evidence.Claim{Replica: "s", Pace: 4, Nodes: 1})
-	a, b, c := start(t, "a", 1, lost), start(t, "b", 1, lost), start(t, "c", 1)
+	a, b, c := start(t, "a", 1, lost), start(t, "b", 1, lost, away), start(t, "c", 1)
 	for _, leaf := range []node{a, b, c} {
 		if err := leaf.AsLeaf(ctx, []Peer{hub.peer}); err != nil {
 			t.Fatal(err)
@@ -90,14 +91,17 @@
 	}
 	for _, n := range []struct {
 		node
-		lost, slow int
-	}{{c, 2, 1}, {hub, 2, 0}, {a, 0, 1}} {
+		lost, slow, away int
+	}{{c, 2, 1, 1}, {hub, 2, 0, 1}, {a, 0, 1, 0}} {
 		claims, dropped := n.Claims()
 		got := map[string]int{}
 		for _, claim := range claims {
 			got[claim.Replica] = claim.Nodes
+			if claim.TurnsAway != (claim.Replica == "u") {
+				t.Errorf("%s: %+v", n.name, claim)
+			}
 		}
-		if got["r"] != n.lost || got["s"] != n.slow || dropped != 0 {
+		if got["r"] != n.lost || got["s"] != n.slow || got["u"] != n.away || dropped != 0 {
 			t.Errorf("%s: %+v, %d dropped", n.name, claims, dropped)
 		}
 	}
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -238,13 +238,16 @@
 		return nil
 	case r.Misheld:
 		m.book.Misheld(fault)
+		m.knowledge.seen[fault] = sight{at: m.now(), away: true}
 	case r.Gone:
 		m.knowledge.seen[fault] = sight{at: m.now(), lost: true}
 		if m.book.Suspect(m.now(), fault, false) {
 			return m.through(fault)
 		}
 	case r.NoRoom:
-		m.book.Full(m.now(), fault)
+		if m.book.Full(m.now(), fault) {
+			m.knowledge.seen[fault] = sight{at: m.now(), away: true}
+		}
 	}
 	return nil
 }
--- a/route/targets/seen.go
+++ b/route/targets/seen.go
@@ -13,6 +13,8 @@
 type sight struct {
 	at   time.Time
 	lost bool
+	// away is set for one that turns requests away.
+	away bool
 	// pace is of one that is not lost; 0 if it was only reached.
 	pace float64
 }
@@ -54,10 +56,10 @@
 	m.knowledge.forget(now)
 	var claims []evidence.Claim
 	for id, s := range m.knowledge.seen {
-		if !s.lost && s.pace == 0 {
+		if !s.lost && !s.away && s.pace == 0 {
 			continue
 		}
-		claims = append(claims, evidence.Claim{Replica: id, Lost: s.lost, Pace: s.pace, Age: now.Sub(s.at), Nodes: 1})
+		claims = append(claims, evidence.Claim{Replica: id, Lost: s.lost, TurnsAway: s.away, Pace: s.pace, Age: now.Sub(s.at), Nodes: 1})
 	}
 	return claims
 }
@@ -103,9 +105,13 @@
 		return // this node has seen it later
 	}
 	m.knowledge.believed[c.Replica] = now
-	if c.Lost {
+	switch {
+	case c.Lost:
 		m.book.Suspect(now, c.Replica, false)
 		return
+	case c.TurnsAway:
+		m.book.TurnsAway(now, c.Replica)
+		return
 	}
 	m.book.SetPace(c.Replica, c.Pace)
 }
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -413,3 +413,26 @@
 		t.Errorf("its machine is silent: news %v, %d requests are told", fresh, len(told))
 	}
 }
+
+// Three nodes were refused by a replica that has room. A fourth sends it nothing new, and
+// tells others only what it was refused itself.
+func TestRefusalsOfOthersAreHeeded(t *testing.T) {
+	m := halves()
+	near := []string{"n1", "n2", "n3", "n4"}
+	claims := []evidence.Claim{{Replica: "a1", TurnsAway: true, Nodes: evidence.Enough}, {Replica: "b1", TurnsAway: true, Nodes: 1}}
+	verdict := m.Judge("n4", near, claims)
+	if len(verdict.Believe) != 1 || len(verdict.Look) != 0 || len(m.Suspects()) != 0 {
+		t.Fatalf("%+v", verdict)
+	}
+	target := take(t, m, 10)
+	if target.Replica != "a2" {
+		t.Errorf("sent to %s", target.Replica)
+	}
+	if seen := m.Seen(); len(seen) != 0 {
+		t.Errorf("passed on: %+v", seen)
+	}
+	m.Ended(target, Result{Fault: "a2", NoRoom: true})
+	if seen := m.Seen(); len(seen) != 1 || seen[0].Replica != "a2" || !seen[0].TurnsAway {
+		t.Errorf("what this node was refused: %+v", seen)
+	}
+}
