Silence by the distribution of a stream's gaps (accrual, phi 8)

Cause: a silence counts as unusual four mean deviations over the mean, as round trip times in TCP. Gaps of a path vary with what its replicas read; an accrual detector asks how unlikely the silence is under the path's own distribution. Change: standard deviation in place of the mean one, 5.6 of them (phi 8).

--- a/decide/silence/silence.go
+++ b/decide/silence/silence.go
@@ -28,15 +28,19 @@
 // part the one whose event was due first asks, and all are told what it finds.
 package silence
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// weight of a new gap in the mean, and of its distance from it in the deviation: as
 	// in the round trip times of TCP (RFC 6298).
 	meanWeight = 1.0 / 8
-	devWeight  = 1.0 / 4
-	// unusualDevs is by how many deviations an unusual gap is over the mean.
-	unusualDevs = 4
+	devWeight  = 1.0 / 8
+	// unusualDevs is by how many standard deviations an unusual gap is over the mean: of
+	// gaps that are spread normally one in a hundred million is.
+	unusualDevs = 5.6
 	// least is the shortest silence that is looked at, and settled the number of gaps
 	// after which a stream's pace is known.
 	least   = 45 * time.Millisecond
@@ -51,7 +55,7 @@
 // for concurrent use.
 type Pace struct {
 	gaps      int
-	mean, dev float64 // nanoseconds
+	mean, dev float64 // nanoseconds; dev is the standard deviation
 	longest   time.Duration
 }
 
@@ -65,11 +69,8 @@
 		return
 	}
 	off := g - p.mean
-	if off < 0 {
-		off = -off
-	}
-	p.dev += devWeight * (off - p.dev)
-	p.mean += meanWeight * (g - p.mean)
+	p.dev = math.Sqrt((1 - devWeight) * (p.dev*p.dev + devWeight*off*off))
+	p.mean += meanWeight * off
 }
 
 // Vain notes that a path was looked at and nothing was lost: the stream is as slow as
