Trial: what replicas have to read counts in the choice of every path

Cause: after a loss of power all callers come back at once, and first events are late by what the replicas read of others; only streams that lose a part reckon with it.

--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -109,9 +109,6 @@
 	Exclude []string
 	// FirstOf, if not empty, names the replicas that the path may begin with.
 	FirstOf []string
-	// Again is set for a request that is underway: the replicas read all that it holds
-	// again, and those that have least to read are chosen.
-	Again bool
 }
 
 const (
@@ -323,9 +320,7 @@
 				if !ok {
 					continue
 				}
-				if q.Again {
-					part += readPrice * n.reading.left(now)
-				}
+				part += readPrice * n.reading.left(now)
 				for last := range domains {
 					cost := at(from, last).cost + part + crossing(from == 0 && q.Run.From == 0, last, domain)
 					if cost < at(to, domain).cost {
--- a/decide/paths/reading.go
+++ b/decide/paths/reading.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// readPrice is what a millisecond for which a replica is still reading adds to its cost
-// for a request that goes on: at a tenth, the wait for a few prompts weighs as much as
+// readPrice is what a millisecond for which a replica is still reading adds to its cost:
+// at a tenth, the wait for a few prompts weighs as much as
 // a usual path.
 const readPrice = 0.1
 
-// reading is what a replica has been given to read again by this node, in milliseconds.
+// reading is what a replica has been given to read by this node, in milliseconds.
 type reading struct {
 	millis float64
 	at     time.Time
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -103,7 +103,7 @@
 	}
 	wait := q.s.Now()
 	query := targets.Query{
-		Tokens: q.tokens(), Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
+		Tokens: q.tokens(), Read: q.reads(), Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
 		OnTimeUntil: q.Arrived.Add(q.patience()), WaitUntil: q.Arrived.Add(latePatience * q.patience()),
 	}
 	if q.started {
@@ -149,6 +149,15 @@
 	return float64(q.Call.Prompt) + answerPart*float64(answer)
 }
 
+// reads is what replicas read before the next event: the prompt, and of an answer that goes
+// on what the caller has of it.
+func (q *request) reads() float64 {
+	if q.started || q.Call.After != "" {
+		return q.tokens()
+	}
+	return float64(q.Call.Prompt)
+}
+
 // answerPart of an answer's length is booked: requests underway are at all points of
 // their answers and hold half of it on the mean; a little more allows for answers that
 // are longer than foreseen.
--- a/route/targets/flight.go
+++ b/route/targets/flight.go
@@ -125,7 +125,7 @@
 	m := f.model
 	whole := layers.Span{To: m.layers}
 	path, reason := m.book.Choose(now, paths.Query{
-		Domain: m.domain, Run: whole, Tokens: f.tokens, Again: true,
+		Domain: m.domain, Run: whole, Tokens: f.tokens,
 		Exclude: append(slices.Clone(o.Exclude), f.path[0].Replica), FirstOf: o.FirstOf,
 	})
 	if reason != paths.Found || !path.Runs(whole) {
@@ -240,7 +240,7 @@
 	}
 	rest, reason := m.book.Choose(now, paths.Query{
 		Domain: first.Domain, Run: layers.Span{From: first.Run.To, To: m.layers},
-		Tokens: f.tokens, Exclude: []string{first.Replica}, Again: true,
+		Tokens: f.tokens, Exclude: []string{first.Replica},
 	})
 	if reason != paths.Found {
 		return nil
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -177,6 +177,7 @@
 		return Target{}, reason, false
 	}
 	m.forget(w)
+	m.book.Reads(now, path, nil, q.Read, m.part.Near)
 	m.wakeOne() // there may be room for the next as well
 	return m.begin(path, q.Tokens), paths.Found, true
 }
