Nodes that start are told in turn, and by those that were told before

All that start ask the first reader of their domain for everything at once; its link carries a hundred whole answers side by side, none is whole within 150 ms, and then all read the store, whose link does the same. Change: a reader admits whole answers at the rate of its link (decide/readers.Starts) and sends the others on to nodes that had one; every node tells what it was told, with the age that it has.

--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -74,6 +74,7 @@
 	ruleRev int64
 	lost    bool // the last read failed
 	asked   bool // what is known was heard from another node
+	busy    bool // one that was asked had no room for an answer
 	// next is when this node may try the store again, failed how often it has tried in
 	// vain since it reached it.
 	next   time.Time
@@ -106,6 +107,9 @@
 	// questions to them.
 	meetFor   = 500 * time.Millisecond
 	meetEvery = 50 * time.Millisecond
+	// meetBusy is the same while those that are asked say that they are busy with others
+	// that start: all of them at the store would be slower.
+	meetBusy = 2 * time.Second
 )
 
 // meet learns of the readers of the failure domain from the entries of nodes alone, and
@@ -124,11 +128,14 @@
 		}
 	}
 	n.members.set(found, false)
-	for begun := time.Now(); !n.reads() && time.Since(begun) < meetFor; {
+	for begun, most := time.Now(), meetFor; !n.reads() && time.Since(begun) < most; {
 		if told, _ := n.ask(ctx); told && n.rules.Load() != nil {
 			n.poll.asked = true
 			return
 		}
+		if n.poll.busy {
+			most = meetBusy
+		}
 		if !wait.For(ctx, meetEvery) {
 			return
 		}
@@ -216,28 +223,43 @@
 // before this one, or, where this one has lost the store, of a node that reaches it. It
 // says whether one had anything young enough, and whether any was reached.
 func (n *Node) ask(ctx context.Context) (told, reached bool) {
+	n.poll.busy = false
 	young := time.Duration(float64(n.pollEvery()) * youngPart)
 	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, n.members.readers()) {
-		answer, ok := n.askOne(ctx, m.Address, young)
+		answer, ok := n.askOne(ctx, m.Address, young, n.asker.Ask)
 		reached = reached || answer.Reached
-		if ok {
+		if ok || n.askElsewhere(ctx, answer.Elsewhere, young) {
 			return true, true
 		}
 	}
 	if address := n.listing.youngerNode(time.Now(), young); address != "" && n.poll.lost && n.reads() {
-		answer, ok := n.askOne(ctx, address, young)
-		if ok {
-			n.copy.Set(answer.Read)
-		}
+		_, ok := n.askOne(ctx, address, young, n.asker.Ask)
 		return ok, reached
 	}
 	return false, reached
 }
 
+// askElsewhere asks the nodes that a busy one has named.
+func (n *Node) askElsewhere(ctx context.Context, addresses []string, young time.Duration) bool {
+	for _, address := range addresses {
+		if address == n.peersAddress() {
+			continue
+		}
+		if _, ok := n.askOne(ctx, address, young, n.asker.AskUnlisted); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// question asks one node what it has read.
+type question func(ctx context.Context, address string, young time.Duration) (reads.Answer, error)
+
 // askOne asks one node, and takes what it tells if that is young enough.
-func (n *Node) askOne(ctx context.Context, address string, young time.Duration) (reads.Answer, bool) {
+func (n *Node) askOne(ctx context.Context, address string, young time.Duration, ask question) (reads.Answer, bool) {
 	begun := time.Now()
-	answer, err := n.asker.Ask(ctx, address, young)
+	answer, err := ask(ctx, address, young)
+	n.poll.busy = n.poll.busy || answer.Busy
 	if answer.Listed {
 		n.listing.heard = begun
 	}
@@ -251,6 +273,7 @@
 			"age_ms", (sinceBoot() - answer.Read.Proof).Milliseconds())
 	}
 	n.poll.asked = true
+	n.copy.Set(answer.Read)
 	n.use(ctx, begun, answer.Read)
 	n.keepListed(ctx)
 	return answer, true
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -129,7 +129,7 @@
 		pool:     upstream.New(time.Now),
 	}
 	n.storeCalls.at, n.connections.at = n.started, n.started
-	n.copy, n.asker = reads.NewCopy(sinceBoot, n), reads.NewAsker(sinceBoot, n.self)
+	n.copy, n.asker = reads.NewCopy(sinceBoot, n, settings.LinkMbps), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
 	}
