--- a/decide/paths/book.go
+++ b/decide/paths/book.go
@@ -206,6 +206,17 @@
 	}
 }
 
+// Away returns the replicas that turn requests away.
+func (b *Book) Away(now time.Time) []string {
+	var list []string
+	for _, n := range b.order {
+		if n.away.at(now) {
+			list = append(list, n.ID)
+		}
+	}
+	return list
+}
+
 // Avoid makes a replica the last choice for a moment, without a lesson about its room.
 func (b *Book) Avoid(now time.Time, id string) {
 	if n, ok := b.nodes[id]; ok {
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -122,7 +122,10 @@
 }
 
 // replicaStates are those that replicas are counted in.
-var replicaStates = []string{"ready", "draining", "empty"}
+var replicaStates = []string{"ready", "draining", "empty", stateAway}
+
+// stateAway is of those that turn requests away; they are counted in their other state too.
+const stateAway = "turns_away"
 
 // countReplicas counts the replicas of each service by state.
 func (n *Node) countReplicas() map[string]map[string]int {
@@ -142,6 +145,11 @@
 			counts[r.Service][state]++
 		}
 	}
+	for service, model := range n.services.allModels() {
+		if away := len(model.Away()); away > 0 && counts[service] != nil {
+			counts[service][stateAway] = away
+		}
+	}
 	return counts
 }
 
--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/evidence"
@@ -45,6 +46,7 @@
 		for service, model := range n.services.allModels() {
 			model.SetOthers(held)
 			n.heed(ctx, service, model, claims)
+			n.tellAway(service, model.Away())
 		}
 	}
 }
@@ -75,6 +77,23 @@
 	}
 }
 
+// tellAway logs which replicas turn requests away that did not before, and which no longer
+// do.
+func (n *Node) tellAway(service string, ids []string) {
+	known := n.away[service]
+	n.away[service] = ids
+	for _, id := range ids {
+		if !slices.Contains(known, id) {
+			n.log.Info("replica turns requests away", "service", service, "replica", id)
+		}
+	}
+	for _, id := range known {
+		if !slices.Contains(ids, id) {
+			n.log.Info("replica is used again", "service", service, "replica", id)
+		}
+	}
+}
+
 // lookAt finds out for itself what another node has seen.
 func (n *Node) lookAt(ctx context.Context, service string, model *targets.Model, c evidence.Claim) {
 	r, ok := model.Replica(c.Replica)
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -94,6 +94,9 @@
 	peerDoor netip.AddrPort
 	// bookings are what the nodes of the failure domain tell each other.
 	bookings *bookings.Exchange
+	// away are the replicas that turn requests away, by service, as they were last told in
+	// the log; shareBookings' own.
+	away map[string][]string
 
 	// leaving is when SIGTERM came, in nanoseconds after the start; zero before.
 	leaving  atomic.Int64
@@ -129,6 +132,7 @@
 		pool:     upstream.New(time.Now),
 	}
 	n.storeCalls.at, n.connections.at = n.started, n.started
+	n.away = map[string][]string{}
 	n.copy, n.asker = reads.NewCopy(sinceBoot, n, settings.LinkMbps), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -326,6 +326,13 @@
 	return m.book.SetPace(replica, pace)
 }
 
+// Away returns the replicas that turn requests away although they have room.
+func (m *Model) Away() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Away(m.now())
+}
+
 // Slow returns the replicas that are slower than their kind.
 func (m *Model) Slow() []paths.Replica {
 	m.mu.Lock()
