--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -109,9 +109,6 @@
 	Exclude []string
 	// FirstOf, if not empty, names the replicas that the path may begin with.
 	FirstOf []string
-	// Again is set for a request that is underway: the replicas read all that it holds
-	// again, and those that have least to read are chosen.
-	Again bool
 }
 
 const (
@@ -149,6 +146,7 @@
 	// it has given a newer account of itself.
 	misheld bool
 	full    time.Time
+	away    away
 	reading reading
 	// pace is over 1 for a replica that is slower than its kind.
 	pace float64
@@ -276,7 +274,7 @@
 // Choose returns the cheapest path, or why there is none.
 func (b *Book) Choose(now time.Time, q Query) (Path, Reason) {
 	usable := b.usable(q)
-	path := b.search(now, q, usable, maxUse)
+	path := b.search(now, q, taking(now, usable), maxUse)
 	if path != nil {
 		return path, Found
 	}
@@ -297,6 +295,11 @@
 	return usable
 }
 
+// taking leaves out the replicas that turn requests away.
+func taking(now time.Time, usable []*node) []*node {
+	return slices.DeleteFunc(slices.Clone(usable), func(n *node) bool { return n.away.at(now) })
+}
+
 // search is a shortest path over the boundaries between layers. The state is the
 // boundary and the domain of the last part, as only a change of domain has a price.
 func (b *Book) search(now time.Time, q Query, usable []*node, most float64) Path {
@@ -323,9 +326,7 @@
 				if !ok {
 					continue
 				}
-				if q.Again {
-					part += readPrice * n.reading.left(now)
-				}
+				part += readPrice * n.reading.left(now)
 				for last := range domains {
 					cost := at(from, last).cost + part + crossing(from == 0 && q.Run.From == 0, last, domain)
 					if cost < at(to, domain).cost {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -177,6 +177,7 @@
 		return Target{}, reason, false
 	}
 	m.forget(w)
+	m.book.Reads(now, path, nil, q.Read, m.part.Near)
 	m.wakeOne() // there may be room for the next as well
 	return m.begin(path, q.Tokens), paths.Found, true
 }
@@ -238,13 +239,16 @@
 		return nil
 	case r.Misheld:
 		m.book.Misheld(fault)
+		m.knowledge.seen[fault] = sight{at: m.now(), away: true}
 	case r.Gone:
 		m.knowledge.seen[fault] = sight{at: m.now(), lost: true}
 		if m.book.Suspect(m.now(), fault, false) {
 			return m.through(fault)
 		}
 	case r.NoRoom:
-		m.book.Full(m.now(), fault)
+		if m.book.Full(m.now(), fault) {
+			m.knowledge.seen[fault] = sight{at: m.now(), away: true}
+		}
 	}
 	return nil
 }
@@ -322,6 +326,13 @@
 	return m.book.SetPace(replica, pace)
 }
 
+// Away returns the replicas that turn requests away although they have room.
+func (m *Model) Away() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Away(m.now())
+}
+
 // Slow returns the replicas that are slower than their kind.
 func (m *Model) Slow() []paths.Replica {
 	m.mu.Lock()
