--- a/decide/waiting/waiting.go
+++ b/decide/waiting/waiting.go
@@ -70,10 +70,20 @@
 }
 
 func insert(list []Request, r Request) []Request {
-	at, _ := slices.BinarySearchFunc(list, r.Rank+1, func(e Request, rank int) int { return cmp.Compare(e.Rank, rank) })
+	at, _ := slices.BinarySearchFunc(list, r, func(e, r Request) int {
+		return cmp.Or(cmp.Compare(e.Rank, r.Rank), e.slack().Compare(r.slack()), -1)
+	})
 	return slices.Insert(list, at, r)
 }
 
+// slack orders requests by when they become late; one that never does goes last.
+func (r Request) slack() time.Time {
+	if r.OnTimeUntil.IsZero() {
+		return time.Unix(1<<40, 0)
+	}
+	return r.OnTimeUntil
+}
+
 // Remove takes a request out, because it goes or has given up. It says whether it
 // waited.
 func (q *Queue) Remove(id uint64) bool {
