--- a/decide/waiting/waiting.go
+++ b/decide/waiting/waiting.go
@@ -45,6 +45,8 @@
 	Rank int
 	// OnTimeUntil is up to when an answer that begins is on time; zero for always.
 	OnTimeUntil time.Time
+	// Tokens is what it is expected to hold at its end.
+	Tokens float64
 }
 
 func (r Request) late(now time.Time) bool {
@@ -70,10 +72,26 @@
 }
 
 func insert(list []Request, r Request) []Request {
-	at, _ := slices.BinarySearchFunc(list, r.Rank+1, func(e Request, rank int) int { return cmp.Compare(e.Rank, rank) })
+	at, _ := slices.BinarySearchFunc(list, r, func(e, r Request) int {
+		return cmp.Or(cmp.Compare(e.Rank, r.Rank), e.turn().Compare(r.turn()), -1)
+	})
 	return slices.Insert(list, at, r)
 }
 
+// perToken is for how much time of waiting a token of length counts: a request of a
+// thousand tokens more is passed over by what comes within a tenth of a second, and by
+// nothing later.
+const perToken = 100 * time.Microsecond
+
+// turn orders requests by arrival and length: the shortest first, but none is passed over
+// for longer than its length is worth.
+func (r Request) turn() time.Time {
+	if r.OnTimeUntil.IsZero() {
+		return time.Unix(1<<40, 0)
+	}
+	return r.OnTimeUntil.Add(time.Duration(r.Tokens * float64(perToken)))
+}
+
 // Remove takes a request out, because it goes or has given up. It says whether it
 // waited.
 func (q *Queue) Remove(id uint64) bool {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -136,7 +136,7 @@
 	m.number++
 	wake := make(chan struct{}, 1)
 	m.wakes[m.number] = wake
-	return waiting.Request{ID: m.number, Rank: q.Rank, OnTimeUntil: q.OnTimeUntil}, wake
+	return waiting.Request{ID: m.number, Rank: q.Rank, OnTimeUntil: q.OnTimeUntil, Tokens: q.Tokens}, wake
 }
 
 func errorOf(reason paths.Reason) error {
