Trial: paths by the expected time to the first event

Cause: a path's price is the time of a step and the room that is booked; what its cards need to read the prompt, which differs fifteenfold, has no price.

--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -105,6 +105,8 @@
 	Run layers.Span
 	// Tokens is the most that the request is expected to hold at a time.
 	Tokens float64
+	// Prompt is the tokens that are read before the first event.
+	Prompt float64
 	// Exclude names replicas not to use.
 	Exclude []string
 	// FirstOf, if not empty, names the replicas that the path may begin with.
@@ -319,7 +321,7 @@
 				if from == 0 && len(q.FirstOf) > 0 && !slices.Contains(q.FirstOf, n.ID) {
 					continue
 				}
-				part, ok := b.partCost(now, n, cuts[to]-cuts[from], q.Tokens, most, weights[k])
+				part, ok := b.partCost(now, n, cuts[to]-cuts[from], q, most, weights[k])
 				if !ok {
 					continue
 				}
@@ -397,15 +399,16 @@
 // in its domain.
 const fullWeight = 8
 
-// partCost is the cost of n layers on a replica, in milliseconds a step.
-func (b *Book) partCost(now time.Time, n *node, count int, tokens, most, weight float64) (float64, bool) {
-	more := tokens * float64(count)
+// partCost is the cost of n layers on a replica, in milliseconds until the first event.
+func (b *Book) partCost(now time.Time, n *node, count int, q Query, most, weight float64) (float64, bool) {
+	more := q.Tokens * float64(count)
 	use := b.use(now, n, more)
 	if use > most || !math.IsInf(most, 1) && !b.grabs(now, n, more, most) {
 		return 0, false
 	}
 	use = min(use, 0.99)
-	return hopCost + weight*float64(count)*(n.LayerMillis*n.pace*n.pace+slowLayer*use/(1-use)), true
+	read := q.Prompt * n.ReadMillis * n.pace
+	return hopCost + weight*float64(count)*(read+n.LayerMillis*n.pace*n.pace+slowLayer*use/(1-use)), true
 }
 
 // trace reads the path off the ways, last part first, and joins parts of one
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -168,7 +168,7 @@
 		return Target{}, paths.NoRoom, false
 	}
 	path, reason := m.book.Choose(now, paths.Query{
-		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstOf: q.FirstOf,
+		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Prompt: q.Prompt, Exclude: q.Exclude, FirstOf: q.FirstOf,
 	})
 	if reason != paths.Found || !path.Runs(layers.Span{To: m.layers}) {
 		if first {
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -25,6 +25,8 @@
 type Query struct {
 	// Tokens is the most memory that the request is expected to need.
 	Tokens float64
+	// Prompt is the tokens that are read before the first event.
+	Prompt float64
 	// Exclude names replicas that have failed this request.
 	Exclude []string
 	// FirstOf, if not empty, names the only replicas that may be handed the request.
