Trial: the better of two paths that are drawn by chance

Cause: many nodes see the same replicas and choose the same path at the same moment; a tenth of chance in the costs may not part them. Change: costs vary up to twofold, two paths are drawn, and the one that is cheaper without chance is taken.

--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -133,7 +133,7 @@
 	maxUse = 1.1
 	// jitter is the part by which costs vary by chance, so that nodes which see the
 	// same replicas do not all choose the same one.
-	jitter = 0.1
+	jitter = 1
 )
 
 // node is a replica and what is known of it here.
@@ -278,7 +278,7 @@
 	usable := b.usable(q)
 	path := b.search(now, q, usable, maxUse)
 	if path != nil {
-		return path, Found
+		return b.better(now, q, path, b.search(now, q, usable, maxUse)), Found
 	}
 	if b.search(now, q, usable, math.Inf(1)) != nil {
 		return nil, NoRoom
@@ -297,6 +297,28 @@
 	return usable
 }
 
+// better is the cheaper of two paths that were drawn by chance.
+func (b *Book) better(now time.Time, q Query, one, other Path) Path {
+	if other == nil || b.price(now, q, one) <= b.price(now, q, other) {
+		return one
+	}
+	return other
+}
+
+// price is the cost of a path without what chance adds.
+func (b *Book) price(now time.Time, q Query, path Path) float64 {
+	last, sum := q.Domain, 0.0
+	for i, part := range path {
+		cost, _ := b.partCost(now, b.nodes[part.Replica], part.Run.Len(), q.Tokens, math.Inf(1), 1)
+		sum += cost
+		if part.Domain != last {
+			sum += crossing(i == 0 && q.Run.From == 0, 0, 1)
+		}
+		last = part.Domain
+	}
+	return sum
+}
+
 // search is a shortest path over the boundaries between layers. The state is the
 // boundary and the domain of the last part, as only a change of domain has a price.
 func (b *Book) search(now time.Time, q Query, usable []*node, most float64) Path {
