--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -130,7 +130,7 @@
 	// maxUse is the part of this node's share of a replica's room that is booked. It is
 	// over 1 since nodes are seldom all full at the same moment; where they are, the
 	// replica refuses, and the share that is reckoned with shrinks.
-	maxUse = 1.1
+	maxUse = 1000
 	// jitter is the part by which costs vary by chance, so that nodes which see the
 	// same replicas do not all choose the same one.
 	jitter = 0.1
