--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -152,7 +152,7 @@
 // answerPart of an answer's length is booked: requests underway are at all points of
 // their answers and hold half of it on the mean; a little more allows for answers that
 // are longer than foreseen.
-const answerPart = 0.6
+const answerPart = 0.8
 
 // again says whether to try once more.
 func (q *request) again(v verdict) bool {
