Trial: streams that are taken up again wait while replicas have much to read

Cause: after a loss of power the streams that it cut come back with all they hold to be read again. They are late whatever is done; those that begin could be on time, and wait behind them.

--- a/decide/paths/reading.go
+++ b/decide/paths/reading.go
@@ -59,3 +59,15 @@
 		}
 	}
 }
+
+// Backlog is how long the slowest part of a path still reads what this node has given it,
+// if nodes others have given it as much.
+func (b *Book) Backlog(now time.Time, path Path) time.Duration {
+	slowest := 0.0
+	for _, part := range path {
+		if n, ok := b.nodes[part.Replica]; ok {
+			slowest = max(slowest, n.reading.left(now))
+		}
+	}
+	return time.Duration(slowest * float64(time.Millisecond))
+}
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -103,7 +103,7 @@
 	}
 	wait := q.s.Now()
 	query := targets.Query{
-		Tokens: q.tokens(), Read: q.reads(), Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
+		Tokens: q.tokens(), Read: q.reads(), Resumed: !q.started && q.Call.After != "", Exclude: q.tried, Once: !q.Route.Idempotent(), Rank: q.Rank,
 		OnTimeUntil: q.Arrived.Add(q.patience()), WaitUntil: q.Arrived.Add(latePatience * q.patience()),
 	}
 	if q.started {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -19,6 +19,10 @@
 // replica that was suspected is used again by time alone.
 const retryRoom = 50 * time.Millisecond
 
+// resumeBacklog is what replicas may still have to read when a stream is taken up again that
+// is late already: a part of the time in which others are on time.
+const resumeBacklog = 100 * time.Millisecond
+
 // Model chooses paths through the replicas that hold a model's layers. Safe for
 // concurrent use.
 type Model struct {
@@ -136,7 +140,11 @@
 	m.number++
 	wake := make(chan struct{}, 1)
 	m.wakes[m.number] = wake
-	return waiting.Request{ID: m.number, Rank: q.Rank, OnTimeUntil: q.OnTimeUntil}, wake
+	until := q.OnTimeUntil
+	if q.Resumed {
+		until = m.now()
+	}
+	return waiting.Request{ID: m.number, Rank: q.Rank, OnTimeUntil: until}, wake
 }
 
 func errorOf(reason paths.Reason) error {
@@ -170,6 +178,9 @@
 	path, reason := m.book.Choose(now, paths.Query{
 		Domain: m.domain, Run: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstOf: q.FirstOf,
 	})
+	if reason == paths.Found && q.Resumed && m.book.Backlog(now, path) > resumeBacklog {
+		reason = paths.NoRoom
+	}
 	if reason != paths.Found || !path.Runs(layers.Span{To: m.layers}) {
 		if first {
 			m.waiting.Add(now, w)
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -27,6 +27,9 @@
 	Tokens float64
 	// Read is the tokens that are read before the first event.
 	Read float64
+	// Resumed is set for a stream that its caller takes up again: it is late already, and
+	// lets those go first that can be on time.
+	Resumed bool
 	// Exclude names replicas that have failed this request.
 	Exclude []string
 	// FirstOf, if not empty, names the only replicas that may be handed the request.
