--- a/decide/paths/reading.go
+++ b/decide/paths/reading.go
@@ -22,6 +22,11 @@
 	r.millis, r.at = r.left(now)+millis, now
 }
 
+// readTime is how long the replica reads tokens with some of its layers, in milliseconds.
+func (n *node) readTime(tokens float64, layers int) float64 {
+	return tokens * float64(layers) * n.ReadMillis * n.pace
+}
+
 // added lists the parts of a path that read a request which ran along another one.
 func added(path, before Path) []Part {
 	var list []Part
@@ -44,7 +49,7 @@
 	slowest := 0.0
 	for _, part := range added(path, before) {
 		if n, ok := b.nodes[part.Replica]; ok {
-			own := tokens * float64(part.Run.Len()) * n.ReadMillis
+			own := n.readTime(tokens, part.Run.Len())
 			slowest = max(slowest, n.reading.left(now)+own*float64(max(1, nodes)))
 		}
 	}
@@ -55,7 +60,7 @@
 func (b *Book) Reads(now time.Time, path, before Path, tokens float64, nodes int) {
 	for _, part := range added(path, before) {
 		if n, ok := b.nodes[part.Replica]; ok {
-			n.reading.add(now, tokens*float64(part.Run.Len())*n.ReadMillis*float64(max(1, nodes)))
+			n.reading.add(now, n.readTime(tokens, part.Run.Len())*float64(max(1, nodes)))
 		}
 	}
 }
