--- a/route/relay/watch.go
+++ b/route/relay/watch.go
@@ -25,6 +25,9 @@
 	livesFor = 30 * time.Millisecond
 	// stallAgain is between two looks at a path that stays silent.
 	stallAgain = 400 * time.Millisecond
+	// inspectParts: the replicas of a path that can be reached are asked for their pace once
+	// the pause is half of one that is late.
+	inspectParts = 2
 )
 
 // watch looks after the path of one attempt: when it has gone silent, or one of its
@@ -174,6 +177,9 @@
 	w.vain.Store(int64(silent))
 	if silent < late {
 		w.timer.Reset(silence.Again(silent, late))
+		if silent >= late/inspectParts {
+			w.inspect(path)
+		}
 		return
 	}
 	w.timer.Reset(stallAgain)
