--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -98,7 +98,7 @@
 	// hundred requests of usual size whatever the card, so that two of three domains carry
 	// the load of all; a domain's cards hold more than one copy, and half of them may be
 	// lost, one at a time, without a gap.
-	Fill = 0.74
+	Fill = 0.70
 	// MaxFill bounds what a neighbour takes over: 26,000 tokens stay, about 30
 	// requests of usual size.
 	MaxFill = 0.9
