--- a/fleet/config.go
+++ b/fleet/config.go
@@ -154,6 +154,9 @@
 	Revision int64
 	// Watching: this node holds a watch at the store.
 	Watching bool
+	// Near is how many nodes of the failure domain, this one included, the record is spread
+	// among.
+	Near int
 	// LastPeer and LastStore are when a peer and the store last answered.
 	LastPeer, LastStore time.Time
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -215,6 +215,7 @@
 		Ready:     f.records.machine.Ready(),
 		Revision:  f.records.machine.Latest().Revision,
 		Watching:  f.records.watching,
+		Near:      f.records.machine.Near(),
 		LastPeer:  lastPeer,
 		LastStore: f.records.lastStore,
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -298,10 +298,7 @@
 			together.Go(func() { n.stepViewQuiet(member.Received{Message: member.Message{Sender: heard}}) })
 		}
 		together.Wait()
-		n.Fleet.records.Lock()
-		told := n.Fleet.records.machine.Domain()
-		n.Fleet.records.Unlock()
-		if want := 1 + (round+1)*at; told != want {
+		if told, want := n.Status().Near, 1+(round+1)*at; told != want {
 			t.Fatalf("round %d: %d nodes of the failure domain are told of, want %d", round, told, want)
 		}
 	}
--- a/fleet/spread/machine.go
+++ b/fleet/spread/machine.go
@@ -151,8 +151,9 @@
 	return at >= 0 && at < holders
 }
 
-// Domain is how many nodes of the failure domain are known, this one included.
-func (m *Machine) Domain() int { return len(m.domain) }
+// Near is how many nodes of the failure domain the record is spread among, this one
+// included.
+func (m *Machine) Near() int { return len(m.domain) }
 
 // Base returns the held record that a peer's difference can start from, or the
 // zero Record.
--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -56,7 +56,7 @@
 	}
 	fmt.Fprintf(out, "  %s  %s\nrevision %d", s.FailureDomain, state, s.Revision)
 	if s.Digest != "" {
-		fmt.Fprintf(out, "  digest %s  watching the store: %t", s.Digest, s.Watching)
+		fmt.Fprintf(out, "  digest %s  watching the store: %t  spread among %d", s.Digest, s.Watching, s.Near)
 	}
 	if s.ProofMillis > 0 {
 		fmt.Fprintf(out, "  proved %d ms ago", s.ProofMillis)
--- a/node/operators/operators.go
+++ b/node/operators/operators.go
@@ -33,10 +33,12 @@
 	Digest   string `json:"digest,omitempty"`
 	// ProofMillis is the age of the proof that the configuration is the newest; left
 	// out where none is needed.
-	ProofMillis int64    `json:"proof_age_ms,omitempty"`
-	Underway    int64    `json:"underway"`
-	Watching    bool     `json:"watching"`
-	Members     []Member `json:"members"`
+	ProofMillis int64 `json:"proof_age_ms,omitempty"`
+	Underway    int64 `json:"underway"`
+	Watching    bool  `json:"watching"`
+	// Near is how many nodes of the failure domain the document is spread among.
+	Near    int      `json:"near,omitempty"`
+	Members []Member `json:"members"`
 	// Slots are those that this node may use of each service; Replicas how many of each
 	// service it knows in each state, where it does not reckon in slots.
 	Slots    map[string]int            `json:"usable_slots,omitempty"`
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -60,6 +60,7 @@
 		Revision:      s.revision(),
 		Underway:      s.front.Underway(),
 		Watching:      s.fleet.Status().Watching,
+		Near:          s.fleet.Status().Near,
 		Slots:         map[string]int{},
 	}
 	if d := s.directory.Load(); d != nil {
