--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -13,7 +13,6 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -206,14 +205,10 @@
 // NewAsker returns an Asker that knows nothing. self is what it says of itself.
 func NewAsker(clock func() time.Duration, self func() Peer) *Asker {
 	return &Asker{
-		clock: clock,
-		self:  self,
-		client: &http.Client{Transport: &http.Transport{
-			// A VM that is dark must not cost the time that a whole answer may take.
-			DialContext:     (&net.Dialer{Timeout: askTimeout}).DialContext,
-			IdleConnTimeout: 30 * time.Second,
-		}},
-		known: map[string]store.Entry{},
+		clock:  clock,
+		self:   self,
+		client: &http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+		known:  map[string]store.Entry{},
 	}
 }
 
