--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -21,7 +20,6 @@
 	"github.com/twitchtv/twirp"
 	"github.com/zeebo/errs"
 
-	"github.com/cicadatack/cicadatack/decide/readers"
 	"github.com/cicadatack/cicadatack/fleet/reads/readspb"
 	"github.com/cicadatack/cicadatack/keep/store"
 )
@@ -69,21 +67,17 @@
 	// packed are contents of answers about the last read, by the asker's revision: most
 	// askers have one of the reads before it.
 	packed map[int64][]byte
-	starts readers.Starts
 }
 
 // mostPacked bounds the contents that are kept.
 const mostPacked = 8
 
 // NewCopy returns an empty Copy. clock goes on while the machine is suspended; listener
-// may be nil; link is what this node's VM may send, in Mbit/s, 0 if that is not known.
-func NewCopy(clock func() time.Duration, listener Listener, link float64) *Copy {
-	return &Copy{clock: clock, listener: listener, starts: readers.Starts{Link: link * bytesPerMbit}}
+// may be nil.
+func NewCopy(clock func() time.Duration, listener Listener) *Copy {
+	return &Copy{clock: clock, listener: listener}
 }
 
-// bytesPerMbit is the bytes in a million bits.
-const bytesPerMbit = 1e6 / 8
-
 // Set replaces the read.
 func (c *Copy) Set(r Read) {
 	c.mu.Lock()
@@ -113,10 +107,6 @@
 		if err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
-		if request.Revision == 0 && !c.admit(request.Address, len(content)) {
-			answer.Busy, answer.Elsewhere = true, c.elsewhere()
-			content = nil
-		}
 		answer.Content = content
 	}
 	// The age is taken last: what comes before it makes the answer older.
@@ -124,19 +114,6 @@
 	return answer, nil
 }
 
-// admit says whether a node that has nothing may be told everything now.
-func (c *Copy) admit(address string, bytes int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.starts.Admit(time.Now(), address, bytes)
-}
-
-func (c *Copy) elsewhere() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.starts.Elsewhere(rand.IntN)
-}
-
 // content is what an asker is told that has what the store held at a revision.
 func (c *Copy) content(last Read, since int64) ([]byte, error) {
 	c.mu.Lock()
@@ -182,13 +159,8 @@
 	return &readspb.LeaveResponse{}, nil
 }
 
-const (
-	// askTimeout bounds a question: some hundred round trips inside a failure domain.
-	askTimeout = 150 * time.Millisecond
-	// wholeTimeout bounds one of a node that has nothing: the wait for the link of whoever
-	// answers, and the time that a whole answer takes on the link of a small VM.
-	wholeTimeout = readers.MostQueue + 500*time.Millisecond
-)
+// askTimeout bounds a question: some hundred round trips inside a failure domain.
+const askTimeout = 150 * time.Millisecond
 
 // Asker asks other nodes. Ask and Took are for one goroutine.
 type Asker struct {
@@ -207,7 +179,7 @@
 	return &Asker{
 		clock:  clock,
 		self:   self,
-		client: &http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
 		known:  map[string]store.Entry{},
 	}
 }
@@ -228,10 +200,6 @@
 	Read Read
 	// Reached says that the other node answered, Listed that it lists the asker.
 	Reached, Listed bool
-	// Busy says that the other node has no room on its link for all that the asker lacks;
-	// Elsewhere are addresses of nodes that may have.
-	Busy      bool
-	Elsewhere []string
 }
 
 // Ask asks the node at an address what it read last. It fails if that read began longer
@@ -240,24 +208,8 @@
 // older than what is known here, or not whole. What is known of the other node is told in
 // any case.
 func (a *Asker) Ask(ctx context.Context, address string, young time.Duration) (Answer, error) {
-	return a.ask(ctx, address, young, a.self())
-}
-
-// AskUnlisted asks a node that is not to list this one.
-func (a *Asker) AskUnlisted(ctx context.Context, address string, young time.Duration) (Answer, error) {
-	own := a.self()
-	own.Name, own.Callers = "", ""
-	return a.ask(ctx, address, young, own)
-}
-
-func (a *Asker) ask(ctx context.Context, address string, young time.Duration, own Peer) (Answer, error) {
-	timeout := askTimeout
-	if a.since == 0 {
-		timeout = wholeTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	asked := a.clock()
+	own := a.self()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
 	response, err := peer.Held(ctx, &readspb.HeldRequest{
 		Revision: a.since, Node: own.Name, Callers: own.Callers, Address: own.Address, AgeMicros: own.Age.Microseconds(),
@@ -269,17 +221,10 @@
 		return Answer{Reached: reached}, Error.Wrap(err)
 	}
 	answer := Answer{Reached: true, Listed: response.Listed}
-	if response.Busy {
-		answer.Busy, answer.Elsewhere = true, response.Elsewhere[:min(len(response.Elsewhere), mostElsewhere)]
-		return answer, Error.New("%s is busy", address)
-	}
 	answer.Read, err = a.judge(address, response, asked, young)
 	return answer, err
 }
 
-// mostElsewhere bounds the addresses that are taken from one answer.
-const mostElsewhere = 8
-
 // judge takes an answer if it is young, new and whole.
 func (a *Asker) judge(address string, response *readspb.HeldResponse, asked, young time.Duration) (Read, error) {
 	if response.Revision < a.floor {
@@ -305,8 +250,6 @@
 
 // Leave tells the node at an address that this one, whose name is given, leaves.
 func (a *Asker) Leave(ctx context.Context, address, name string) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	peer := readspb.NewReadsProtobufClient("http://"+address, a.client)
 	_, err := peer.Leave(ctx, &readspb.LeaveRequest{Node: name})
 	return Error.Wrap(err)
--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -50,7 +49,7 @@
 // time that the answer was on its way, or the asker stood still, only adds to its age.
 func TestProofIsNeverTooYoung(t *testing.T) {
 	reader, asker := &clock{now: 100 * time.Second}, &clock{now: 500 * time.Second}
-	c := NewCopy(reader.read, nil, 0)
+	c := NewCopy(reader.read, nil)
 	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: 97 * time.Second})
 	a := NewAsker(asker.read, nobody)
 	got, err := a.Ask(context.Background(), served(t, c), time.Minute)
@@ -65,7 +64,7 @@
 // A node hears from one reader what another has not read yet. It does not go back.
 func TestOlderReadsAreNotTaken(t *testing.T) {
 	now := &clock{}
-	young, old := NewCopy(now.read, nil, 0), NewCopy(now.read, nil, 0)
+	young, old := NewCopy(now.read, nil), NewCopy(now.read, nil)
 	young.Set(Read{Entries: entries("a", 5, "b", 8), Revision: 8})
 	old.Set(Read{Entries: entries("a", 5), Revision: 5})
 	a := NewAsker(now.read, nobody)
@@ -75,7 +74,7 @@
 	if r, err := a.Ask(context.Background(), served(t, old), time.Minute); !Error.Has(err) {
 		t.Errorf("took %v", r)
 	}
-	if _, err := NewAsker(now.read, nobody).Ask(context.Background(), served(t, NewCopy(now.read, nil, 0)), time.Minute); !Error.Has(err) {
+	if _, err := NewAsker(now.read, nobody).Ask(context.Background(), served(t, NewCopy(now.read, nil)), time.Minute); !Error.Has(err) {
 		t.Error("took the word of a node that has read nothing")
 	}
 }
@@ -86,7 +85,7 @@
 // itself.
 func TestReadsThatAreNotYoungAreNotTaken(t *testing.T) {
 	now := &clock{now: time.Minute}
-	c := NewCopy(now.read, nil, 0)
+	c := NewCopy(now.read, nil)
 	c.Set(Read{Entries: entries("op", 7), Revision: 9, Proof: now.now})
 	a, address := NewAsker(now.read, nobody), served(t, c)
 	if _, err := a.Ask(context.Background(), address, time.Second); err != nil {
@@ -102,7 +101,7 @@
 // ends up with what that reader has read, or takes nothing.
 func TestAskersHaveWhatReadersRead(t *testing.T) {
 	now := &clock{}
-	readers := []*Copy{NewCopy(now.read, nil, 0), NewCopy(now.read, nil, 0)}
+	readers := []*Copy{NewCopy(now.read, nil), NewCopy(now.read, nil)}
 	addresses := []string{served(t, readers[0]), served(t, readers[1])}
 	rapid.Check(t, func(t *rapid.T) {
 		held, revision := map[string]int{}, 1
@@ -159,7 +158,7 @@
 func TestWhoAsksIsThere(t *testing.T) {
 	now := &clock{now: time.Minute}
 	listener := &recorder{}
-	c := NewCopy(now.read, listener, 0)
+	c := NewCopy(now.read, listener)
 	address := served(t, c)
 	self := Peer{Name: "n-7", Callers: "10.1.0.7:80", Address: "10.1.0.7:81", Age: 3 * time.Second}
 	a := NewAsker(now.read, func() Peer { return self })
@@ -247,7 +246,7 @@
 		list = append(list, e)
 		plain += len(e.Key) + len(e.Value)
 	}
-	c := NewCopy(now.read, nil, 0)
+	c := NewCopy(now.read, nil)
 	c.Set(Read{Entries: list, Revision: 2000, Proof: now.now})
 	first, err := c.Held(context.Background(), &readspb.HeldRequest{})
 	if err != nil {
@@ -271,37 +270,3 @@
 		}
 	}
 }
-
-// Many nodes start before a reader with a small link. The first is told everything; the
-// second is told at once that there is no room for it and whom to ask, and has the same a
-// moment later, with an age that counts both ways. What is not everything needs no room.
-func TestBusyReaderNamesOthers(t *testing.T) {
-	ctx := context.Background()
-	now := &clock{now: time.Minute}
-	reader, other := NewCopy(now.read, nil, 1e-6), NewCopy(now.read, nil, 1e-6)
-	reader.Set(Read{Entries: entries("a", 5, "b", 8), Revision: 8, Proof: now.now - time.Second})
-	address, otherAddress := served(t, reader), served(t, other)
-	first := NewAsker(now.read, func() Peer { return Peer{Address: otherAddress} })
-	second := NewAsker(now.read, nobody)
-	got, err := first.Ask(ctx, address, time.Minute)
-	if err != nil {
-		t.Fatal(err)
-	}
-	answer, err := second.Ask(ctx, address, time.Minute)
-	if err == nil || !answer.Reached || !answer.Busy || !slices.Equal(answer.Elsewhere, []string{otherAddress}) {
-		t.Fatalf("%+v, %v", answer, err)
-	}
-	if _, err := second.AskUnlisted(ctx, otherAddress, time.Minute); err == nil {
-		t.Error("took the word of a node that has nothing yet")
-	}
-	other.Set(got.Read)
-	now.now += time.Second
-	heard, err := second.AskUnlisted(ctx, otherAddress, time.Minute)
-	if err != nil || text(heard.Read.Entries) != "a@5 b@8" || now.now-heard.Read.Proof < 2*time.Second {
-		t.Errorf("%+v, %v", heard, err)
-	}
-	reader.Set(Read{Entries: entries("a", 5, "b", 9), Revision: 9, Proof: now.now})
-	if later, err := second.Ask(ctx, address, time.Minute); err != nil || text(later.Read.Entries) != "a@5 b@9" {
-		t.Errorf("a change waits for the link: %+v, %v", later, err)
-	}
-}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -74,7 +74,6 @@
 	ruleRev int64
 	lost    bool // the last read failed
 	asked   bool // what is known was heard from another node
-	busy    bool // one that was asked had no room for an answer
 	// next is when this node may try the store again, failed how often it has tried in
 	// vain since it reached it.
 	next   time.Time
@@ -107,9 +106,6 @@
 	// questions to them.
 	meetFor   = 500 * time.Millisecond
 	meetEvery = 50 * time.Millisecond
-	// meetBusy is the same while those that are asked say that they are busy with others
-	// that start: all of them at the store would be slower.
-	meetBusy = 2 * time.Second
 )
 
 // meet learns of the readers of the failure domain from the entries of nodes alone, and
@@ -128,14 +124,11 @@
 		}
 	}
 	n.members.set(found, false)
-	for begun, most := time.Now(), meetFor; !n.reads() && time.Since(begun) < most; {
+	for begun := time.Now(); !n.reads() && time.Since(begun) < meetFor; {
 		if told, _ := n.ask(ctx); told && n.rules.Load() != nil {
 			n.poll.asked = true
 			return
 		}
-		if n.poll.busy {
-			most = meetBusy
-		}
 		if !wait.For(ctx, meetEvery) {
 			return
 		}
@@ -223,43 +216,28 @@
 // before this one, or, where this one has lost the store, of a node that reaches it. It
 // says whether one had anything young enough, and whether any was reached.
 func (n *Node) ask(ctx context.Context) (told, reached bool) {
-	n.poll.busy = false
 	young := time.Duration(float64(n.pollEvery()) * youngPart)
 	for _, m := range readers.Ask(n.settings.Node, n.settings.Domain, n.members.readers()) {
-		answer, ok := n.askOne(ctx, m.Address, young, n.asker.Ask)
+		answer, ok := n.askOne(ctx, m.Address, young)
 		reached = reached || answer.Reached
-		if ok || n.askElsewhere(ctx, answer.Elsewhere, young) {
+		if ok {
 			return true, true
 		}
 	}
 	if address := n.listing.youngerNode(time.Now(), young); address != "" && n.poll.lost && n.reads() {
-		_, ok := n.askOne(ctx, address, young, n.asker.Ask)
+		answer, ok := n.askOne(ctx, address, young)
+		if ok {
+			n.copy.Set(answer.Read)
+		}
 		return ok, reached
 	}
 	return false, reached
 }
 
-// askElsewhere asks the nodes that a busy one has named.
-func (n *Node) askElsewhere(ctx context.Context, addresses []string, young time.Duration) bool {
-	for _, address := range addresses {
-		if address == n.peersAddress() {
-			continue
-		}
-		if _, ok := n.askOne(ctx, address, young, n.asker.AskUnlisted); ok {
-			return true
-		}
-	}
-	return false
-}
-
-// question asks one node what it has read.
-type question func(ctx context.Context, address string, young time.Duration) (reads.Answer, error)
-
 // askOne asks one node, and takes what it tells if that is young enough.
-func (n *Node) askOne(ctx context.Context, address string, young time.Duration, ask question) (reads.Answer, bool) {
+func (n *Node) askOne(ctx context.Context, address string, young time.Duration) (reads.Answer, bool) {
 	begun := time.Now()
-	answer, err := ask(ctx, address, young)
-	n.poll.busy = n.poll.busy || answer.Busy
+	answer, err := n.asker.Ask(ctx, address, young)
 	if answer.Listed {
 		n.listing.heard = begun
 	}
@@ -273,7 +251,6 @@
 			"age_ms", (sinceBoot() - answer.Read.Proof).Milliseconds())
 	}
 	n.poll.asked = true
-	n.copy.Set(answer.Read)
 	n.use(ctx, begun, answer.Read)
 	n.keepListed(ctx)
 	return answer, true
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -133,7 +133,7 @@
 	}
 	n.storeCalls.at, n.connections.at = n.started, n.started
 	n.away = map[string][]string{}
-	n.copy, n.asker = reads.NewCopy(sinceBoot, n, settings.LinkMbps), reads.NewAsker(sinceBoot, n.self)
+	n.copy, n.asker = reads.NewCopy(sinceBoot, n), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
 	}
