A node tells what it was told, as long as it is young

The former readers ask the new ones and hear all, but told only what they had read themselves. Four nodes (b-3, b-4, b-15, b-17) know of the former ones only, reach them, are told nothing young for nine seconds, and share their own tries over the domain, one in ten seconds. They have the configuration of 11.7 s at 14.9 to 16.5 s. Excluded: the store (it serves them at the first try), answers that are refused (none is logged), a frozen process. Change: whoever was told tells it on, with the age that it has; what is not young is refused by the asker as before, so nothing older is ever taken. TestNodeTellsWhatItWasTold fails without it.

--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -225,10 +225,7 @@
 		}
 	}
 	if address := n.listing.youngerNode(time.Now(), young); address != "" && n.poll.lost && n.reads() {
-		answer, ok := n.askOne(ctx, address, young)
-		if ok {
-			n.copy.Set(answer.Read)
-		}
+		_, ok := n.askOne(ctx, address, young)
 		return ok, reached
 	}
 	return false, reached
@@ -251,6 +248,8 @@
 			"age_ms", (sinceBoot() - answer.Read.Proof).Milliseconds())
 	}
 	n.poll.asked = true
+	// Those who ask this node may know of no other that has anything young.
+	n.copy.Set(answer.Read)
 	n.use(ctx, begun, answer.Read)
 	n.keepListed(ctx)
 	return answer, true
--- a/node/site/listing_test.go
+++ b/node/site/listing_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/readers"
 	"github.com/cicadatack/cicadatack/decide/roll"
+	"github.com/cicadatack/cicadatack/fleet/reads"
 	"github.com/cicadatack/cicadatack/keep/store/storetest"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 )
@@ -235,3 +236,20 @@
 		t.Errorf("%v after it", m.get())
 	}
 }
+
+// Guards against nodes that are told nothing for seconds: the store had turned some away,
+// others became the domain's readers meanwhile, and the turned away still ask the former
+// ones, which no longer read the store themselves. Those tell what they are told, as long
+// as it is young.
+func TestNodeTellsWhatItWasTold(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(3, time.Millisecond)
+	nodes := p.fleet(readers.PerDomain + 1)
+	last := nodes[len(nodes)-1]
+	p.until("the last is no reader", func() bool { return len(p.entries()) == readers.PerDomain && !last.reads() })
+	asker := reads.NewAsker(sinceBoot, func() reads.Peer { return reads.Peer{} })
+	p.until("it tells", func() bool {
+		answer, err := asker.Ask(t.Context(), last.peerDoor.String(), together.Poll*2)
+		return err == nil && len(answer.Read.Entries) > 0
+	})
+}
