A node that starts does not share its tries at the store

One that starts reaches its readers, which have nothing young to tell yet; if then its own read fails, the pause to the next is shared over the nodes of the domain: 30 s with a hundred. Change: only one that has a configuration shares its tries. TestNodeThatStartsDoesNotShareTries fails without it (30 s).

--- a/decide/readers/readers.go
+++ b/decide/readers/readers.go
@@ -109,6 +109,8 @@
 	// Reader is set for one of the domain's readers, Told if a reader before it was
 	// reached, though with nothing young to tell.
 	Reader, Told bool
+	// Starting is set until it has a configuration.
+	Starting bool
 }
 
 const (
@@ -121,12 +123,13 @@
 // Retry is the mean pause before the store is tried again. The first reader tries often:
 // it finds out for all when the store is back. The nodes that it reads for share the
 // tries by which they find out whether they reach the store where their readers don't.
-// Who knows of nobody tries less and less often: the whole fleet may do so at once.
+// Who knows of nobody tries less and less often: the whole fleet may do so at once. So does
+// a node that starts: until it has a configuration it serves nobody.
 func Retry(l Lost) time.Duration {
 	switch {
 	case l.Told && l.Reader:
 		return behind * l.Soon
-	case l.Told:
+	case l.Told && !l.Starting:
 		return time.Duration(max(1, l.Near)) * l.Soon
 	case l.Reader && l.Near > 0:
 		return l.Soon
--- a/decide/readers/readers_test.go
+++ b/decide/readers/readers_test.go
@@ -179,3 +179,20 @@
 		}
 	}
 }
+
+// A hundred nodes of a failure domain start at once, and the first try of one at the store
+// fails while its readers have nothing to tell yet. Were it to share its tries with the
+// others, it would serve nobody for half a minute.
+func TestNodeThatStartsDoesNotShareTries(t *testing.T) {
+	const soon = 300 * time.Millisecond
+	l := Lost{Soon: soon, Near: 100, Told: true, Failed: 1}
+	if shared := Retry(l); shared < 10*time.Second {
+		t.Errorf("one that serves tries again after %v", shared)
+	}
+	l.Starting = true
+	for l.Failed = 1; l.Failed < 10; l.Failed++ {
+		if pause := Retry(l); pause > soon<<mostDoublings {
+			t.Errorf("one that starts tries again after %v, having failed %d times", pause, l.Failed)
+		}
+	}
+}
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -181,6 +181,7 @@
 	near, _ := n.peers(n.settings.Domain)
 	pause := readers.Retry(readers.Lost{
 		Soon: n.timing.PollSoon, Failed: n.poll.failed, Near: len(near), Reader: n.reads(), Told: reached,
+		Starting: n.rules.Load() == nil,
 	})
 	n.poll.next = time.Now().Add(pause/2 + rand.N(pause+1))
 	return false
