--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -13,12 +13,13 @@
 // # Rules
 //
 //   - A claim says what a node has seen itself: a replica that accepts no connection, one
-//     that turns requests away although it has room, or how slow a replica says it is. It has an age, and counts for ValidFor.
+//     that turns requests away although it has room, or how slow a replica says it is. It
+//     has an age, and counts for ValidFor.
 //   - What Enough nodes have seen independently is believed. What fewer have is looked at
 //     by a few nodes, the confirmers, whom all nodes agree on; so one node's wrong view
 //     convinces nobody alone, and a rumor does not send everybody to the same replica.
-//   - Of the replicas of one service at most the part MostTaken is left out on the
-//     word of others: a network that fails looks like replicas that do.
+//   - Of the replicas of one service at most the part MostTaken is left out on the word of
+//     others: a network that fails looks like replicas that do.
 //   - A message holds Most claims, the youngest first. Claims that no node would make are
 //     passed over and counted.
 package evidence
--- a/decide/paths/reading.go
+++ b/decide/paths/reading.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// readPrice is what a millisecond for which a replica is still reading adds to its cost:
-// at a tenth, the wait for a few prompts weighs as much as
-// a usual path.
+// readPrice is what a millisecond for which a replica is still reading adds to its cost: at
+// a tenth, the wait for a few prompts weighs as much as a usual path.
 const readPrice = 0.1
 
 // reading is what a replica has been given to read by this node, in milliseconds.
--- a/decide/readers/readers.go
+++ b/decide/readers/readers.go
@@ -142,8 +142,8 @@
 }
 
 // Ask returns whom a node asks before it reads for itself, in order: a reader those
-// before it, any other node all readers. Only the first that reaches the store has
-// anything young to tell, so the questions can't be shared.
+// before it, any other node all readers. What the first that reaches the store tells is
+// the youngest, so the questions can't be shared.
 func Ask(name, domain string, members []Member) []Member {
 	list := Of(domain, members)
 	if own := rank(name, list); own >= 0 {
--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -57,7 +57,7 @@
 	Left(name string)
 }
 
-// Copy is a node's last read, which it tells to others. Safe for concurrent use.
+// Copy is what a node has read or was told last, which it tells to others with its age. Safe for concurrent use.
 type Copy struct {
 	clock    func() time.Duration
 	listener Listener
--- a/node/losses/doc.go
+++ b/node/losses/doc.go
@@ -29,7 +29,7 @@
 //  6. The node itself stood still meanwhile.
 //  7. Streams were led around in the same seconds: replicas read their prompts again
 //     between the steps of all others.
-//  8. A good part of all nodes had started some seconds before: replicas still run what
+//  8. A good part of all nodes had started again some seconds before: replicas still run what
 //     the lost ones had begun, and read the prompts of all who come back at once.
 //  9. Else it is unexplained.
 //
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -49,6 +49,7 @@
 
 func (s *Server) status() operators.Status {
 	ready, reason := s.ready()
+	spread := s.fleet.Status()
 	status := operators.Status{
 		Name:          s.settings.Name,
 		Environment:   s.settings.Environment,
@@ -59,8 +60,8 @@
 		Draining:      s.draining.Load(),
 		Revision:      s.revision(),
 		Underway:      s.front.Underway(),
-		Watching:      s.fleet.Status().Watching,
-		Near:          s.fleet.Status().Near,
+		Watching:      spread.Watching,
+		Near:          spread.Near,
 		Slots:         map[string]int{},
 	}
 	if d := s.directory.Load(); d != nil {
