site: entries are retained only after an outage of the store, not after isolation

What callers saw: nothing; their requests were served. Operators saw requests reach a replica more than two seconds after the store had acknowledged that it leaves, from nodes without a fault.

Cause: after any gap in its own reads a node retained entries that were missing for 2.2 s, as if the store had been away and all entries had expired. A node that was cut off alone, or stood still, can't have seen that, and retained replicas that had left meanwhile. With the time until its first read and until the next one after 2.2 s it went on for up to four seconds after the cut, one second longer than a fault excuses. Class: absence of own evidence taken for evidence of a common fault.

Change: decide/storeoutage compares the entries before and after a gap. Entries expired in an outage only if nearly all are missing or were registered again, which the store's creation revision shows; it now comes with each entry, from the store and from other nodes. The same cause elsewhere: the entries of nodes, which were kept for 4 s after isolation, so that callers were sent to nodes that had ended; they use the same detector.

The tracker's and the entries' tests keep their rows; the signature of Decode and the name of a field follow.

--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -126,7 +126,7 @@
 	for _, e := range last.Entries {
 		content.Keys = append(content.Keys, &readspb.Key{Key: e.Key, Revision: e.Revision})
 		if e.Revision > since {
-			content.Changed = append(content.Changed, &readspb.Value{Key: e.Key, Revision: e.Revision, Value: e.Value})
+			content.Changed = append(content.Changed, &readspb.Value{Key: e.Key, Revision: e.Revision, Value: e.Value, Created: e.Created})
 		}
 	}
 	packed, err := pack(content)
@@ -269,7 +269,7 @@
 	}
 	changed := make(map[string]store.Entry, len(content.Changed))
 	for _, v := range content.Changed {
-		changed[v.Key] = store.Entry{Key: v.Key, Value: v.Value, Revision: v.Revision}
+		changed[v.Key] = store.Entry{Key: v.Key, Value: v.Value, Revision: v.Revision, Created: v.Created}
 	}
 	entries := make([]store.Entry, 0, len(content.Keys))
 	for _, k := range content.Keys {
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -144,6 +144,10 @@
 	return time.Duration(float64(min(b.Apply, b.Drain)) * pollPart)
 }
 
+// maxReadInterval is the longest time between two reads in regular operation: one read may
+// fail.
+func (n *Node) maxReadInterval() time.Duration { return n.pollEvery() + storeTimeout }
+
 // look learns what the store holds, and returns after how long to look again. One node
 // of each failure domain reads it and the others ask.
 func (n *Node) look(ctx context.Context) time.Duration {
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/entrypoints"
 	"github.com/cicadatack/cicadatack/decide/nodelist"
+	"github.com/cicadatack/cicadatack/decide/storeoutage"
 	"github.com/cicadatack/cicadatack/decide/storereaders"
 	"github.com/cicadatack/cicadatack/state/store"
 )
@@ -40,6 +42,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Near are the nodes of its failure domain that it lists.
 	Near []nodelist.Node `json:"near,omitempty"`
+
+	// created is the store's revision at which the entry was created.
+	created int64
 }
 
 func decodeMember(e store.Entry) (member, bool) {
@@ -50,6 +55,7 @@
 	if err := json.Unmarshal(e.Value, &m); err != nil || m.Name == "" {
 		return m, false // another version's entry: it names no node to use
 	}
+	m.created = e.Created
 	return m, true
 }
 
@@ -63,13 +69,37 @@
 // members are the nodes of the last read. While the store is away they stay: a node
 // that has died is met by callers, who take another.
 type members struct {
+	// outage detects that entries of nodes expired in an outage of the store; update's own.
+	outage storeoutage.Detector
+
 	mu      sync.Mutex
 	entries map[string]member
 	list    []node
 }
 
-// set takes the entries of a read. keep says that those which are missing hold for now:
-// after an absence of the store their owners need time to enter themselves again.
+// update takes the entries of a read that began at readAt. Entries that expired in an
+// outage of the store hold until their owners have had time to enter themselves again.
+func (m *members) update(readAt time.Time, maxReadInterval time.Duration, found []member) {
+	m.outage.Observe(readAt, maxReadInterval, returnWithin, registrations(maps.Values(m.known())), registrations(slices.Values(found)))
+	m.set(found, m.outage.ExpiredWithin(readAt, returnWithin))
+}
+
+// registrations returns the entries of nodes, for the detection of an outage.
+func registrations(entries iter.Seq[member]) []storeoutage.Registration {
+	var list []storeoutage.Registration
+	for e := range entries {
+		list = append(list, storeoutage.Registration{Key: e.Name, Created: e.created})
+	}
+	return list
+}
+
+func (m *members) known() map[string]member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries
+}
+
+// set replaces the entries. keep says that those which are missing hold for now.
 func (m *members) set(entries []member, keep bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/node/site/take.go
+++ b/node/site/take.go
@@ -42,13 +42,13 @@
 	if current {
 		n.prove(proof)
 	}
-	n.poll.tracker.OutageThreshold = n.pollEvery() + storeTimeout
+	n.poll.tracker.MaxReadInterval = n.maxReadInterval()
 	list, changes := n.poll.tracker.Update(begun, found)
 	n.tellChanges(changes, len(list))
 	n.poll.mu.Lock()
 	n.poll.list = list
 	n.poll.mu.Unlock()
-	n.members.set(members, n.poll.tracker.RecoveredWithin(begun, returnWithin))
+	n.members.update(begun, n.maxReadInterval(), members)
 	n.services.update(list)
 	if n.rules.Load() != nil {
 		n.tookFirst.Do(func() { close(n.first) })
@@ -86,7 +86,7 @@
 	if known := n.poll.decoded[id]; known != nil && known.Revision == e.Revision {
 		return known
 	}
-	r, err := replicas.Decode(id, e.Revision, e.Value)
+	r, err := replicas.Decode(id, e)
 	if err != nil {
 		delete(n.poll.decoded, id)
 		if n.poll.faulty[e.Key] != e.Revision {
--- a/route/replicalist/replicalist.go
+++ b/route/replicalist/replicalist.go
@@ -31,4 +31,7 @@
 	// Revision is the store's revision of the entry. Each later version of the entry has a
 	// higher revision.
 	Revision int64
+	// Created is the store's revision at which the entry was created. An entry that expired
+	// and was registered again has a higher one; 0 if it is not known.
+	Created int64
 }
--- a/route/replicalist/tracker.go
+++ b/route/replicalist/tracker.go
@@ -2,8 +2,12 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/cicadatack/cicadatack/decide/storeoutage"
 )
 
 // ReregistrationTimeout is how long replicas have to register again after an outage of the
@@ -38,31 +42,27 @@
 // node would remove all replicas from its list during that time. The node could then send
 // its requests to no replica, although every replica still serves.
 //
-// The Tracker therefore retains entries that disappeared during an outage. Their replicas
-// have ReregistrationTimeout to register again. Entries of draining replicas, and entries
-// that disappear while the store is available, are removed at once.
+// The Tracker therefore retains entries that expired in an outage, which decide/storeoutage
+// detects. Their replicas have ReregistrationTimeout to register again. Entries of draining
+// replicas, and entries that disappear while the store is available, are removed at once.
 //
 // A Tracker is not safe for concurrent use.
 type Tracker struct {
-	// OutageThreshold is the longest time between two reads of the store that does not
-	// count as an outage. Entries may have expired during an outage. Set OutageThreshold
-	// to the usual read interval plus the timeout of a failed read.
-	OutageThreshold time.Duration
+	// MaxReadInterval is the longest time between two reads of the store during which no
+	// entry can have expired unseen. Set MaxReadInterval to the usual read interval plus the
+	// timeout of a failed read.
+	MaxReadInterval time.Duration
 
-	replicas   map[string]*Replica
-	lastReadAt time.Time
-	// recoveredAt is the time of the first read after the last outage.
-	recoveredAt time.Time
+	replicas map[string]*Replica
+	outage   storeoutage.Detector
 }
 
 // Update records the replicas that a read of the store found. readAt is the time at which
 // the read began. Update returns the replicas to use, ordered by ID, and the changes since
 // the previous call.
 func (t *Tracker) Update(readAt time.Time, found []*Replica) ([]*Replica, []Change) {
-	if !t.lastReadAt.IsZero() && readAt.Sub(t.lastReadAt) > t.OutageThreshold {
-		t.recoveredAt = readAt
-	}
-	t.lastReadAt = readAt
+	t.outage.Observe(readAt, t.MaxReadInterval, ReregistrationTimeout, registrations(maps.Values(t.replicas)), registrations(slices.Values(found)))
+	retain := t.outage.ExpiredWithin(readAt, ReregistrationTimeout)
 	current := make(map[string]*Replica, len(found))
 	var changes []Change
 	for _, r := range found {
@@ -75,7 +75,7 @@
 		if current[id] != nil {
 			continue
 		}
-		if t.RecoveredWithin(readAt, ReregistrationTimeout) && !r.Draining {
+		if retain && !r.Draining {
 			current[id] = r
 			changes = append(changes, Change{Replica: r, Kind: ChangeRetained})
 			continue
@@ -86,10 +86,16 @@
 	return sortedByID(current), changes
 }
 
-// RecoveredWithin reports whether the last outage of the store ended less than d before
-// readAt. RecoveredWithin returns false if there was no outage.
-func (t *Tracker) RecoveredWithin(readAt time.Time, d time.Duration) bool {
-	return !t.recoveredAt.IsZero() && readAt.Sub(t.recoveredAt) < d
+// registrations returns the entries of replicas, for the detection of an outage. Draining
+// replicas are left out, because their entries are expected to disappear.
+func registrations(replicas iter.Seq[*Replica]) []storeoutage.Registration {
+	var list []storeoutage.Registration
+	for r := range replicas {
+		if !r.Draining {
+			list = append(list, storeoutage.Registration{Key: r.ID, Incarnation: r.Incarnation, Created: r.Created})
+		}
+	}
+	return list
 }
 
 // changeKind returns the kind of the change from previous to current, or "" if there is no
--- a/route/replicalist/tracker_test.go
+++ b/route/replicalist/tracker_test.go
@@ -23,7 +23,7 @@
 // the replicas still serve. The store is empty then, because no replica could renew its
 // entry. A replica that does not register again in time is removed.
 func TestEntriesAreRetainedAfterOutage(t *testing.T) {
-	tr := Tracker{OutageThreshold: 1500 * time.Millisecond}
+	tr := Tracker{MaxReadInterval: 1500 * time.Millisecond}
 	a, b, c := &Replica{ID: "a"}, &Replica{ID: "b"}, &Replica{ID: "c", Draining: true}
 	update := func(readAtMillis int, found ...*Replica) string {
 		list, _ := tr.Update(afterStart(readAtMillis), found)
@@ -48,10 +48,39 @@
 	}
 }
 
+// Guards against requests to replicas that left while this node alone could not reach the
+// store: the entries of the others stand, so the missing entry is removed at once.
+func TestEntriesAreRemovedAfterIsolation(t *testing.T) {
+	tr := Tracker{MaxReadInterval: 1500 * time.Millisecond}
+	var before []*Replica
+	for _, id := range []string{"a", "b", "c", "d"} {
+		before = append(before, &Replica{ID: id, Created: 10})
+	}
+	tr.Update(afterStart(0), before)
+	if list, _ := tr.Update(afterStart(6000), before[1:]); joinIDs(list) != "bcd" {
+		t.Errorf("replicas after isolation: %q, want %q", joinIDs(list), "bcd")
+	}
+}
+
+// Guards against a lost replica set: all entries expired in an outage, and at the node's
+// first read some replicas have registered again. The others are retained.
+func TestRegisteredAgainShowsTheOutage(t *testing.T) {
+	tr := Tracker{MaxReadInterval: 1500 * time.Millisecond}
+	var before, again []*Replica
+	for _, id := range []string{"a", "b", "c", "d"} {
+		before = append(before, &Replica{ID: id, Created: 10})
+		again = append(again, &Replica{ID: id, Created: 50})
+	}
+	tr.Update(afterStart(0), before)
+	if list, _ := tr.Update(afterStart(6000), again[:3]); joinIDs(list) != "abcd" {
+		t.Errorf("replicas after the outage: %q, want %q", joinIDs(list), "abcd")
+	}
+}
+
 // A replica that restarts and keeps its ID has lost its layers. The log must distinguish
 // such a restart from a change of the replica's address or layers.
 func TestChangeKinds(t *testing.T) {
-	tr := Tracker{OutageThreshold: 1500 * time.Millisecond}
+	tr := Tracker{MaxReadInterval: 1500 * time.Millisecond}
 	for _, step := range []struct {
 		found *Replica
 		want  string
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// Unlist removes the entry of a replica that leaves without announcing it. The replica
+// keeps serving, and registers no entry any more.
+func (s *Site) Unlist(id string) {
+	s.mu.Lock()
+	delete(s.replicas, id)
+	s.mu.Unlock()
+	s.Forget(id)
+}
+
 // Forget removes the entry of a replica, as the platform does when it lapses.
 func (s *Site) Forget(id string) {
 	s.write(storetest.Write{Key: "servers/" + id, Delete: true})
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -23,6 +23,9 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	// Created is the revision at which the key was created; later writes leave it
+	// unchanged. It is 0 if the store did not tell.
+	Created int64
 }
 
 // LeaseID names a lease; zero is no lease.
--- a/state/store/storetest/client.go
+++ b/state/store/storetest/client.go
@@ -290,5 +290,6 @@
 		Key:      kv.Key,
 		Value:    append([]byte(nil), kv.Value...),
 		Revision: kv.ModRevision,
+		Created:  kv.CreateRevision,
 	}
 }
