Rate limits that replicas state are read, shared and told to operators

Nodes of a failure domain pass statements on with their bookings, with their age. "replica's rate limit" is logged when one begins, changes or ends; cicadactl status, /v1/status and two gauges show those in force. The stand-in replica states limits (Fault.RateLimit).

--- a/fleet/bookings/bookings.go
+++ b/fleet/bookings/bookings.go
@@ -1,7 +1,7 @@
 // Package bookings lets the nodes of a failure domain tell each other what they have
-// booked on replicas, and which of these they have seen lost, slow or turning requests
-// away. It is the driver of
-// decide/reservations and decide/peerreports.
+// booked on replicas, which of these they have seen lost, slow or turning requests away,
+// and which rate limits replicas state. It is the driver of decide/reservations and
+// decide/peerreports.
 package bookings
 
 import (
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/peerreports"
 	"github.com/cicadatack/cicadatack/decide/reservations"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
@@ -26,12 +27,21 @@
 // Peer is another node.
 type Peer struct{ Name, Address string }
 
+// RateLimits are the rate limits of replicas that a node knows.
+type RateLimits interface {
+	// Statements returns what replicas have stated lately, with its age.
+	Statements() []endpointrate.Statement
+	// Observe records what another node passes on.
+	Observe(list []endpointrate.Statement)
+}
+
 // Exchange tells and hears. Safe for concurrent use.
 type Exchange struct {
 	name   string
 	now    func() time.Time
 	own    func() map[string]float64
 	seen   func() []peerreports.Observation
+	limits RateLimits
 	client *http.Client
 
 	mu       sync.Mutex
@@ -41,10 +51,11 @@
 }
 
 // New returns an Exchange of a node that knows nothing. own says what this node has
-// booked now, seen which replicas it has seen lost or slow.
-func New(name string, now func() time.Time, own func() map[string]float64, seen func() []peerreports.Observation) *Exchange {
+// booked now, seen which replicas it has seen lost or slow, limits which rate limits it
+// knows.
+func New(name string, now func() time.Time, own func() map[string]float64, seen func() []peerreports.Observation, limits RateLimits) *Exchange {
 	return &Exchange{
-		name: name, now: now, own: own, seen: seen,
+		name: name, now: now, own: own, seen: seen, limits: limits,
 		client: &http.Client{Timeout: timeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
 	}
 }
@@ -114,8 +125,14 @@
 
 func (e *Exchange) call(ctx context.Context, to Peer, hub bool, held reservations.Totals, claims []peerreports.Observation) (*bookingspb.ExchangeResponse, error) {
 	peer := bookingspb.NewBookingsProtobufClient("http://"+to.Address, e.client)
-	answer, err := peer.Exchange(ctx, &bookingspb.ExchangeRequest{Node: e.name, Hub: hub, Held: toWire(held), Claims: claimsToWire(claims)})
-	return answer, Error.Wrap(err)
+	answer, err := peer.Exchange(ctx, &bookingspb.ExchangeRequest{
+		Node: e.name, Hub: hub, Held: toWire(held), Claims: claimsToWire(claims), Limits: limitsToWire(e.limits.Statements()),
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	e.limits.Observe(limitsFromWire(answer.GetLimits()))
+	return answer, nil
 }
 
 func (e *Exchange) take(from Peer, answer *bookingspb.ExchangeResponse, alone bool) {
@@ -135,6 +152,8 @@
 // Exchange implements bookingspb.Bookings.
 func (s server) Exchange(_ context.Context, request *bookingspb.ExchangeRequest) (*bookingspb.ExchangeResponse, error) {
 	e := s.e
+	e.limits.Observe(limitsFromWire(request.GetLimits()))
+	limits := limitsToWire(e.limits.Statements())
 	own, seen := e.held(), e.seen()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -143,7 +162,7 @@
 	e.board.Record(now, request.GetNode(), request.GetHub(), fromWire(request.GetHeld()))
 	answer := e.board.ReplyTo(now, own, request.GetNode(), request.GetHub())
 	claims := e.evidence.ReplyTo(now, seen, request.GetNode(), request.GetHub())
-	return &bookingspb.ExchangeResponse{Held: toWire(answer), Claims: claimsToWire(claims)}, nil
+	return &bookingspb.ExchangeResponse{Held: toWire(answer), Claims: claimsToWire(claims), Limits: limits}, nil
 }
 
 func claimsToWire(claims []peerreports.Observation) []*bookingspb.Claim {
@@ -168,6 +187,29 @@
 	return claims
 }
 
+// limitsToWire rounds ages up, so that a statement which is passed on again and again still
+// grows old.
+func limitsToWire(list []endpointrate.Statement) []*bookingspb.Limit {
+	wire := make([]*bookingspb.Limit, 0, len(list))
+	for _, s := range list {
+		wire = append(wire, &bookingspb.Limit{
+			Replica: s.Replica, Limited: s.Limited, RequestsPerSecond: s.RequestsPerSecond, AgeMillis: int32(s.Age.Milliseconds()) + 1,
+		})
+	}
+	return wire
+}
+
+func limitsFromWire(wire []*bookingspb.Limit) []endpointrate.Statement {
+	list := make([]endpointrate.Statement, 0, len(wire))
+	for _, l := range wire {
+		list = append(list, endpointrate.Statement{
+			Replica: l.GetReplica(), Limited: l.GetLimited(), RequestsPerSecond: l.GetRequestsPerSecond(),
+			Age: time.Duration(l.GetAgeMillis()) * time.Millisecond,
+		})
+	}
+	return list
+}
+
 func toWire(held reservations.Totals) *bookingspb.Held {
 	wire := &bookingspb.Held{Nodes: int32(held.NodeCount)}
 	for replica, amount := range held.ReservedByReplica {
--- a/fleet/bookings/bookings_test.go
+++ b/fleet/bookings/bookings_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/peerreports"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
 )
@@ -17,9 +21,32 @@
 	server *httptest.Server
 }
 
+// limits are rate limits that a node knows or has heard of.
+type limits struct {
+	mu    sync.Mutex
+	known map[string]endpointrate.Statement
+}
+
+func (l *limits) Statements() []endpointrate.Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.known))
+}
+
+func (l *limits) Observe(list []endpointrate.Statement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range list {
+		if l.known == nil {
+			l.known = map[string]endpointrate.Statement{}
+		}
+		l.known[s.Replica] = s
+	}
+}
+
 func start(t *testing.T, name string, booked float64, seen ...peerreports.Observation) node {
 	t.Helper()
-	e := New(name, time.Now, func() map[string]float64 { return map[string]float64{"r": booked} }, func() []peerreports.Observation { return seen })
+	e := New(name, time.Now, func() map[string]float64 { return map[string]float64{"r": booked} }, func() []peerreports.Observation { return seen }, &limits{})
 	server := httptest.NewServer(e.Handler())
 	t.Cleanup(server.Close)
 	t.Cleanup(e.Close)
@@ -106,3 +133,27 @@
 		}
 	}
 }
+
+// Guards against nodes that send a replica more than the limit that it has stated to another
+// node: a node tells its hub, the hub tells the other nodes, and the age only grows.
+func TestRateLimitsAreTold(t *testing.T) {
+	ctx := context.Background()
+	stated := endpointrate.Statement{Replica: "r", Limited: true, RequestsPerSecond: 4.2, Age: time.Second}
+	hub, other, a, b := start(t, "hub", 1), start(t, "other", 1), start(t, "a", 1), start(t, "b", 1)
+	a.limits.Observe([]endpointrate.Statement{stated})
+	if err := a.AsLeaf(ctx, []Peer{hub.peer}); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.AsLeaf(ctx, []Peer{hub.peer}); err != nil {
+		t.Fatal(err)
+	}
+	if err := hub.AsHub(ctx, []Peer{other.peer}); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range []node{hub, other, b} {
+		got := n.limits.Statements()
+		if len(got) != 1 || !got[0].Limited || got[0].RequestsPerSecond != 4.2 || got[0].Age <= time.Second {
+			t.Errorf("%s: %+v", n.peer.Name, got)
+		}
+	}
+}
--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -75,6 +75,11 @@
 		}
 		fmt.Fprintln(out)
 	}
+	for _, name := range sorted(s.RateLimits) {
+		for _, replica := range sorted(s.RateLimits[name]) {
+			fmt.Fprintf(out, "service %-15s replica %s takes %.4g requests per second\n", name, replica, s.RateLimits[name][replica])
+		}
+	}
 	if len(s.StoreCalls) > 0 {
 		fmt.Fprint(out, "store calls")
 		for _, name := range sorted(s.StoreCalls) {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -225,6 +225,14 @@
 	m.scope.Tagged(map[string]string{labelService: service, "state": state}).Gauge("replicas").Update(float64(n))
 }
 
+// RateLimits sets how many replicas of a service state a limit on requests, and the sum of
+// these limits in requests per second of all nodes together.
+func (m *Metrics) RateLimits(service string, replicas int, requestsPerSecond float64) {
+	scope := m.scope.Tagged(map[string]string{labelService: service})
+	scope.Gauge("rate_limited_replicas").Update(float64(replicas))
+	scope.Gauge("rate_limits_requests_per_second").Update(requestsPerSecond)
+}
+
 // Room sets the part of a model's room in a failure domain that this node has booked
 // on the fullest replica.
 func (m *Metrics) Room(service, domain string, used float64) {
--- a/node/operators/operators.go
+++ b/node/operators/operators.go
@@ -43,6 +43,9 @@
 	// service it knows in each state, where it does not reckon in slots.
 	Slots    map[string]int            `json:"usable_slots,omitempty"`
 	Replicas map[string]map[string]int `json:"replicas,omitempty"`
+	// RateLimits are the limits that replicas state in their answers and that are in force,
+	// by service and replica, in requests per second of all nodes together.
+	RateLimits map[string]map[string]float64 `json:"rate_limits,omitempty"`
 	// StoreCalls are this node's calls to the store since its start, by kind and result,
 	// on the users' platform.
 	StoreCalls map[string]int64 `json:"store_calls,omitempty"`
--- a/node/server/entries.go
+++ b/node/server/entries.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/entrypoints"
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/membership"
@@ -119,6 +120,7 @@
 
 func (s *Server) followPeers(members []entrypoints.Member) {
 	var near []string
+	var senders []endpointrate.Node
 	serving := 0
 	for _, m := range members {
 		if m.Draining {
@@ -126,6 +128,7 @@
 		}
 		if !m.Suspected {
 			serving++
+			senders = append(senders, endpointrate.Node{Name: m.ID, Domain: m.FailureDomain})
 		}
 		if m.FailureDomain == s.settings.FailureDomain {
 			near = append(near, m.ID)
@@ -133,6 +136,7 @@
 	}
 	for _, each := range s.registry.All() {
 		each.Picker.SetPeers(near, serving)
+		each.RateLimits.SetNodes(senders)
 	}
 }
 
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -112,6 +112,7 @@
 	n.metrics.Connections(n.pool.OpenConns())
 	n.metrics.Members("live", len(n.members.get()))
 	n.gaugeReplicas()
+	n.gaugeRateLimits()
 	for service, model := range n.services.allModels() {
 		waiting, underway := model.RequestCounts()
 		n.metrics.Queue(service, waiting, underway)
@@ -161,6 +162,17 @@
 	}
 }
 
+func (n *Node) gaugeRateLimits() {
+	for service, limits := range n.services.allLimits() {
+		inForce := limits.InForce()
+		sum := 0.0
+		for _, s := range inForce {
+			sum += s.RequestsPerSecond
+		}
+		n.metrics.RateLimits(service, len(inForce), sum)
+	}
+}
+
 func (n *Node) serviceNames() []string {
 	var names []string
 	if rules := n.rules.Load(); rules != nil {
--- a/node/site/operators_test.go
+++ b/node/site/operators_test.go
@@ -14,7 +14,7 @@
 )
 
 // operator asks the operators' door and reads its answer.
-func (r *running) operator(t *testing.T, path string, into any) {
+func (r *running) operator(t testing.TB, path string, into any) {
 	t.Helper()
 	got := get(t, "http://"+r.settings.Control.String()+path)
 	if got.status != http.StatusOK {
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -72,15 +72,20 @@
 	}
 	near, all := s.node.peers(s.node.settings.Domain)
 	s.shareTries()
+	senders := s.node.senders()
 	for _, service := range rules.Services() {
 		replicas := byService[service.Name]
 		if service.Model != nil {
-			s.model(service.Name).Update(service.Model, replicas, targets.NodeShare{
+			model := s.model(service.Name)
+			model.RateLimits().SetNodes(senders)
+			model.Update(service.Model, replicas, targets.NodeShare{
 				CapacityShare: s.node.share, MaxConns: s.node.conns(service), DomainNodeCount: max(1, len(near)),
 			})
 			continue
 		}
-		s.plainOf(service.Name).Update(replicas, s.node.conns(service), near, all)
+		plain := s.plainOf(service.Name)
+		plain.RateLimits().SetNodes(senders)
+		plain.Update(replicas, s.node.conns(service), near, all)
 	}
 }
 
@@ -99,7 +104,7 @@
 	defer s.mu.Unlock()
 	m, ok := s.models[name]
 	if !ok {
-		m = targets.NewModelTargets(s.node.settings.Domain, s.node.seed, time.Now)
+		m = targets.NewModelTargets(s.node.settings.Node, s.node.settings.Domain, s.node.seed, time.Now)
 		s.models[name] = m
 	}
 	return m
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -144,7 +144,7 @@
 	n.inForce.Store(&settings.Bounds)
 	n.lease.MaxAge = freshLimit(settings.Bounds)
 	n.services.init(n)
-	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked, n.services.seen)
+	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked, n.services.seen, sharedLimits{n})
 	n.decisions = decisionlog.NewLog(log)
 	n.door = &ingress.Server{
 		Rules: n, Services: &n.services, DrainingFor: n.leavingFor,
--- a/node/site/site_test.go
+++ b/node/site/site_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-func get(t *testing.T, url string) answer {
+func get(t testing.TB, url string) answer {
 	t.Helper()
 	response, err := http.Get(url)
 	if err != nil {
--- a/route/headers/headers.go
+++ b/route/headers/headers.go
@@ -4,7 +4,10 @@
 package headers
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/paths"
@@ -52,6 +55,29 @@
 // LoadReport is the load that an endpoint reports in a response.
 type LoadReport struct{ RunningRequests, WaitingRequests, Slots int }
 
+// RateLimit is the limit on requests that an endpoint states in a response. It applies to the
+// requests of all nodes together, for as long as the endpoint states it.
+type RateLimit struct {
+	// Stated says that the response states a limit. RequestsPerSecond is 0 or more.
+	Stated            bool
+	RequestsPerSecond float64
+	// Malformed is the text of a limit that can't be read; empty if there is none.
+	Malformed string
+}
+
+// ParseRateLimit reads a limit in requests per second, a decimal number. An empty text states
+// no limit.
+func ParseRateLimit(text string) RateLimit {
+	if text == "" {
+		return RateLimit{}
+	}
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return RateLimit{Malformed: text}
+	}
+	return RateLimit{Stated: true, RequestsPerSecond: rate}
+}
+
 // ResponseHead is what the status and the headers of an endpoint's response say.
 type ResponseHead struct {
 	// RequestID is the ID of the request that the response belongs to; empty if not
@@ -70,6 +96,8 @@
 	FaultAddress string
 	// Load is nil if the response contains no load report.
 	Load *LoadReport
+	// RateLimit is the limit on requests that the endpoint states.
+	RateLimit RateLimit
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero if not
 	// stated.
 	IdleTimeout time.Duration
--- a/route/plainservice/codec.go
+++ b/route/plainservice/codec.go
@@ -9,8 +9,8 @@
 )
 
 // HeaderCodec is the headers.Codec of plain HTTP calls. It passes end-to-end headers on
-// and reads one response header, which says that an endpoint has not run a call. Responses
-// carry no request ID and nothing else by which to check that the answer is the
+// and reads two response headers: that an endpoint has not run a call, and the rate limit
+// that it states. Responses carry no request ID and nothing else by which to check that the answer is the
 // endpoint's own.
 type HeaderCodec struct{}
 
@@ -28,7 +28,10 @@
 
 // ParseResponse implements headers.Codec.
 func (HeaderCodec) ParseResponse(_ int, h http.Header) headers.ResponseHead {
-	return headers.ResponseHead{NotRun: h.Get(engineapi.HeaderNotRun) != ""}
+	return headers.ResponseHead{
+		NotRun:    h.Get(engineapi.HeaderNotRun) != "",
+		RateLimit: headers.ParseRateLimit(h.Get(engineapi.HeaderRateLimit)),
+	}
 }
 
 // DownstreamHeader implements headers.Codec.
--- a/route/plainservice/targets.go
+++ b/route/plainservice/targets.go
@@ -5,6 +5,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/endpointlimits"
 	"github.com/cicadatack/cicadatack/route/lifecycle"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
@@ -32,6 +33,9 @@
 	}
 }
 
+// RateLimits implements targets.Targets.
+func (d documentTargets) RateLimits() *endpointlimits.Limits { return d.call.Local.RateLimits }
+
 // Finish implements targets.Targets.
 func (d documentTargets) Finish(t targets.Target, r targets.Result) {
 	d.call.Local.Picker.Finished(t.Replica, balance.Result{Cost: callCost, TotalTime: r.Duration, Failure: r.Failure})
--- a/route/relay/reroute_test.go
+++ b/route/relay/reroute_test.go
@@ -15,7 +15,7 @@
 
 // twoReplicaModel is a model with two replicas, each of which holds all layers.
 func twoReplicaModel() *targets.ModelTargets {
-	m := targets.NewModelTargets("d", 1, time.Now)
+	m := targets.NewModelTargets("entry-1", "d", 1, time.Now)
 	model := &ruleset.Model{
 		Layers: 8, LayerMB: 100, KVBytesPerTokenLayer: 1000, StepMillis: 1,
 		CardKinds: map[string]ruleset.CardKind{"h100": {MemoryMB: 2000, StepTimeFactor: 1}},
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -24,9 +24,11 @@
 
 	"github.com/cicadatack/cicadatack/decide/admission"
 	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/admissionqueue"
 	"github.com/cicadatack/cicadatack/route/docindex"
+	"github.com/cicadatack/cicadatack/route/endpointlimits"
 	"github.com/cicadatack/cicadatack/route/replicapicker"
 	"github.com/cicadatack/cicadatack/route/retrybudget"
 	"github.com/cicadatack/cicadatack/state/document"
@@ -43,6 +45,8 @@
 	Picker    *replicapicker.Picker
 	// RetryBudget limits the retries of failed requests.
 	RetryBudget *retrybudget.Budget
+	// RateLimits are the limits on requests that the endpoints of a plain service state.
+	RateLimits *endpointlimits.Limits
 	// PrefixIndex estimates which prompt prefixes the engines have cached. It is empty for
 	// a plain service.
 	PrefixIndex *PrefixIndex
@@ -160,6 +164,7 @@
 		Name:         name,
 		Admission:    admissionqueue.New(admission.New(admission.Config{}), r.cfg.Now),
 		RetryBudget:  retrybudget.New(retry.Config{Seed: seed}, r.cfg.Now),
+		RateLimits:   endpointlimits.New(endpointrate.Node{Name: r.cfg.Node, Domain: r.cfg.FailureDomain}, seed, r.cfg.Now),
 		leavingMarks: map[leavingKey]bool{},
 
 		PrefixIndex: newPrefixIndex(r.cfg.Now),
@@ -224,6 +229,15 @@
 	maps.DeleteFunc(s.tokenTimes, func(e string, _ time.Duration) bool { return len(s.replicasOf[e]) == 0 })
 	s.mu.Unlock()
 	s.Picker.SetReplicas(replicas)
+	s.RateLimits.SetReplicas(domainsByID(replicas))
+}
+
+func domainsByID(replicas []balance.Replica) map[string]string {
+	domains := make(map[string]string, len(replicas))
+	for _, r := range replicas {
+		domains[r.ID] = r.FailureDomain
+	}
+	return domains
 }
 
 // sameStages reports whether two specifications whose replicas have the same names also
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -6,11 +6,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/reroute"
 	"github.com/cicadatack/cicadatack/decide/reservations"
 	"github.com/cicadatack/cicadatack/decide/waitqueue"
+	"github.com/cicadatack/cicadatack/route/endpointlimits"
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 )
@@ -38,6 +40,7 @@
 	crossingBytes, linkBytesPerSecond float64
 
 	observed observations
+	limits   *endpointlimits.Limits
 
 	active    map[*ActiveRequest]struct{}
 	waitQueue waitqueue.Queue
@@ -61,8 +64,9 @@
 }
 
 // NewModelTargets returns ModelTargets without replicas, for a node in a failure domain.
-func NewModelTargets(domain string, seed uint64, now func() time.Time) *ModelTargets {
+func NewModelTargets(node, domain string, seed uint64, now func() time.Time) *ModelTargets {
 	return &ModelTargets{
+		limits:       endpointlimits.New(endpointrate.Node{Name: node, Domain: domain}, seed, now),
 		domain:       domain,
 		now:          now,
 		startedAt:    now(),
@@ -89,6 +93,7 @@
 	for _, r := range list {
 		replicas = append(replicas, pathReplica(model, r))
 	}
+	m.limits.SetReplicas(domainsByID(list))
 	m.mu.Lock()
 	m.layers, m.nodeShare = model.Layers, share
 	m.crossingBytes, m.linkBytesPerSecond = model.TransferBytesPerToken, model.LinkBytesPerSecond
@@ -222,6 +227,9 @@
 	}
 }
 
+// RateLimits implements Targets.
+func (m *ModelTargets) RateLimits() *endpointlimits.Limits { return m.limits }
+
 // Finish implements Targets.
 func (m *ModelTargets) Finish(t Target, r Result) {
 	m.mu.Lock()
--- a/route/targets/plain.go
+++ b/route/targets/plain.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/endpointlimits"
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/replicapicker"
 )
@@ -15,6 +17,7 @@
 type PlainTargets struct {
 	picker   *replicapicker.Picker
 	replicas *replicaTable
+	limits   *endpointlimits.Limits
 }
 
 // healthConfig ejects replicas for a shorter time than the defaults, which are meant for
@@ -37,6 +40,7 @@
 	return &PlainTargets{
 		picker:   replicapicker.New(balancer, now, func() {}),
 		replicas: newReplicaTable(),
+		limits:   endpointlimits.New(endpointrate.Node{Name: node, Domain: domain}, seed, now),
 	}
 }
 
@@ -45,6 +49,7 @@
 // all nodes that send requests to the service.
 func (p *PlainTargets) Update(list []*replicalist.Replica, maxConns int, domainNodes []string, nodes int) {
 	p.replicas.set(list, maxConns)
+	p.limits.SetReplicas(domainsByID(list))
 	p.picker.SetPeers(domainNodes, nodes)
 	replicas := make([]balance.Replica, 0, len(list))
 	for _, r := range list {
@@ -71,6 +76,9 @@
 	return Target{Replica: r.ID, Address: r.Address, Domain: r.Domain, MaxConns: maxConns, Choice: &choice}, nil
 }
 
+// RateLimits implements Targets.
+func (p *PlainTargets) RateLimits() *endpointlimits.Limits { return p.limits }
+
 // Finish implements Targets.
 func (p *PlainTargets) Finish(t Target, r Result) {
 	p.picker.Finished(t.Replica, balance.Result{
--- a/route/targets/replica_table.go
+++ b/route/targets/replica_table.go
@@ -17,6 +17,15 @@
 	return &replicaTable{replicas: map[string]*replicalist.Replica{}}
 }
 
+// domainsByID returns the failure domains of replicas.
+func domainsByID(list []*replicalist.Replica) map[string]string {
+	domains := make(map[string]string, len(list))
+	for _, r := range list {
+		domains[r.ID] = r.Domain
+	}
+	return domains
+}
+
 func (s *replicaTable) set(list []*replicalist.Replica, maxConns int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -8,6 +8,7 @@
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/route/endpointlimits"
 )
 
 // ErrNoEndpoint means that no endpoint is available. ErrNoCapacity means that endpoints are
@@ -98,4 +99,6 @@
 	Choose(ctx context.Context, q Query) (Target, error)
 	// Finish releases the target and reports the result of the attempt.
 	Finish(t Target, r Result)
+	// RateLimits are the limits on requests that the endpoints state.
+	RateLimits() *endpointlimits.Limits
 }
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -35,7 +35,7 @@
 // has 100 MB of memory beside its four layers. At 4,000 bytes a token, this is capacity for
 // 25,000 tokens.
 func twoStageModel() *ModelTargets {
-	m := NewModelTargets("d", 1, time.Now)
+	m := NewModelTargets("entry-1", "d", 1, time.Now)
 	m.Update(testModel, []*replicalist.Replica{newReplica("a1", 0, 4), newReplica("a2", 0, 4), newReplica("b1", 4, 8), newReplica("b2", 4, 8)},
 		soleNode(10))
 	return m
@@ -249,7 +249,7 @@
 	model := *testModel
 	// One crossing of a stream with 1,000 tokens takes 50 ms.
 	model.TransferBytesPerToken, model.LinkBytesPerSecond = 1000, 2e7
-	m := NewModelTargets("d", 1, time.Now)
+	m := NewModelTargets("entry-1", "d", 1, time.Now)
 	list := []*replicalist.Replica{newReplica("a", 0, 4), newReplica("b", 4, 8), remote("x", 0, 4), remote("y", 4, 8)}
 	m.Update(&model, list, soleNode(10))
 	var streams []Target
@@ -285,7 +285,7 @@
 // goes silent. An event before a reroute does not confirm the stages of the new path.
 func TestStagesConfirmedByOtherStreams(t *testing.T) {
 	now := time.Now()
-	m := NewModelTargets("d", 1, func() time.Time { return now })
+	m := NewModelTargets("entry-1", "d", 1, func() time.Time { return now })
 	m.Update(testModel, []*replicalist.Replica{newReplica("a1", 0, 4), newReplica("b1", 4, 8), newReplica("b2", 4, 8)}, soleNode(10))
 	silent, other := choose(t, m, 10), choose(t, m, 10)
 	ids := func(window time.Duration) string {
@@ -354,7 +354,7 @@
 // node reports it as lost.
 func TestVerificationsPerReportAreBounded(t *testing.T) {
 	now := time.Now()
-	m := NewModelTargets("d", 1, func() time.Time { return now })
+	m := NewModelTargets("entry-1", "d", 1, func() time.Time { return now })
 	m.Update(testModel, []*replicalist.Replica{newReplica("a1", 0, 4), newReplica("b1", 4, 8)}, soleNode(10))
 	verifications := 0
 	for range 20 {
@@ -372,7 +372,7 @@
 func TestVerificationDoesNotTriggerAnother(t *testing.T) {
 	now := time.Now()
 	clock := func() time.Time { return now }
-	nodes := []*ModelTargets{NewModelTargets("d", 1, clock), NewModelTargets("d", 2, clock)}
+	nodes := []*ModelTargets{NewModelTargets("entry-1", "d", 1, clock), NewModelTargets("entry-2", "d", 2, clock)}
 	names := []string{"n1", "n2"}
 	for _, m := range nodes {
 		m.Update(testModel, []*replicalist.Replica{newReplica("a1", 0, 4), newReplica("b1", 4, 8)}, soleNode(10))
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -47,6 +47,9 @@
 	CutAfter int
 	// Hang takes requests and answers nothing.
 	Hang bool
+	// RateLimit is the limit in requests per second that the replica states in its answers;
+	// empty for none. It serves what exceeds the limit all the same.
+	RateLimit string
 }
 
 // Run is one run of a request at a replica.
@@ -276,6 +279,9 @@
 	r.mu.Lock()
 	fault, draining := r.fault, r.draining
 	r.mu.Unlock()
+	if fault.RateLimit != "" {
+		w.Header().Set("Server-Limit", fault.RateLimit)
+	}
 	if fault.Refuse || draining && r.Model {
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/state/engineapi/engineapi.go
+++ b/state/engineapi/engineapi.go
@@ -20,6 +20,10 @@
 // HeaderNotRun is set on an engine's or service's refusal before any work.
 const HeaderNotRun = "Cicadatack-Not-Run"
 
+// HeaderRateLimit states how many requests per second, a decimal number, a plain service's
+// endpoint takes from all nodes together, for as long as its responses have the header.
+const HeaderRateLimit = "Cicadatack-Rate-Limit"
+
 // DoneMarker closes an event stream in the chat-completions form.
 const DoneMarker = "[DONE]"
 
