Requests keep to the rate limits that replicas state, in sum over all nodes

What callers saw: replicas in need got slower for everyone; operators saw replicas that had named a limit of 4.2 and 3.2 requests a second get 45 and 59 requests in 4 s, where 30 and 24 are allowed.

Class: a bound that many nodes share and that none of them holds. A reader that keeps to the limit at each node by itself would be the same fault nine times smaller.

Change: a node asks decide/endpointrate before it sends. In decide/paths a limited replica may still run later stages: the limit is on what it is sent. New requests, retries, returns to a former first replica and migrations go the same way. A plain service's request waits for its turn if that comes in time, and is refused at once if not; so do orders and reads of the own door.

--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -41,8 +41,8 @@
 	// LayersUnavailable means that some layer has no usable holder: each holder is draining,
 	// suspected, excluded by the query, or doesn't hold the layers that it is listed with.
 	LayersUnavailable
-	// NoCapacity means that the usable holders of some layer have no free capacity or are in
-	// a backoff period.
+	// NoCapacity means that the usable holders of some layer have no free capacity, are in a
+	// backoff period or may not run the first stage now.
 	NoCapacity
 )
 
@@ -64,6 +64,9 @@
 	Exclude []string
 	// FirstReplicas, if not empty, lists the replicas that may run the first stage.
 	FirstReplicas []string
+	// NotFirst lists replicas that must not run the first stage, because this node may send
+	// them no request now. They may run later stages.
+	NotFirst []string
 }
 
 const (
@@ -251,6 +254,7 @@
 	if path != nil {
 		return path, Found
 	}
+	q.NotFirst = nil
 	if s.search(now, q, usable, math.Inf(1)) != nil {
 		return nil, NoCapacity
 	}
--- a/decide/paths/paths_test.go
+++ b/decide/paths/paths_test.go
@@ -188,6 +188,24 @@
 	}
 }
 
+// Guards against requests above the rate limit of a replica: a replica that this node may send
+// no request runs no first stage. If all first stages are blocked, the request waits.
+func TestNotFirstReplicaRunsOnlyLaterStages(t *testing.T) {
+	s := twoDomains()
+	q := Query{Domain: "near", Tokens: 10, NotFirst: []string{"n1", "n3"}}
+	path := choosePath(t, s, q)
+	if path[0].Replica == "n1" {
+		t.Errorf("path %v begins at a replica that may not be first", path)
+	}
+	if path, outcome := s.Choose(start, Query{Domain: "near", Layers: allLayers, Tokens: 10, FirstReplicas: []string{"n1"}, NotFirst: []string{"n3"}}); outcome != Found || path[len(path)-1].Replica != "n3" {
+		t.Errorf("path %v, outcome %v, want a path that ends at n3", path, outcome)
+	}
+	all := []string{"n1", "f1"}
+	if path, outcome := s.Choose(start, Query{Domain: "near", Layers: allLayers, Tokens: 10, NotFirst: all}); outcome != NoCapacity {
+		t.Errorf("path %v, outcome %v, want none for lack of capacity", path, outcome)
+	}
+}
+
 // A replica is suspected until it answers. A replica that restarted under the same ID is
 // not suspected.
 func TestSuspicionEnds(t *testing.T) {
--- a/decide/paths/search.go
+++ b/decide/paths/search.go
@@ -38,7 +38,7 @@
 			}
 			domain := domainIndexes[k]
 			for startBoundary := endBoundary - 1; startBoundary >= 0 && layerBounds[startBoundary] >= r.Holds.From; startBoundary-- {
-				if startBoundary == 0 && len(q.FirstReplicas) > 0 && !slices.Contains(q.FirstReplicas, r.ID) {
+				if startBoundary == 0 && !q.mayBeFirst(r.ID) {
 					continue
 				}
 				stageMillis, ok := s.stageCost(now, r, layerBounds[endBoundary]-layerBounds[startBoundary], q.Tokens, utilizationLimit, factorsByReplica[k])
@@ -58,6 +58,14 @@
 	return reconstructPath(layerBounds, len(domains), cheapestPaths)
 }
 
+// mayBeFirst reports whether a replica may run the first stage.
+func (q Query) mayBeFirst(replica string) bool {
+	if slices.Contains(q.NotFirst, replica) {
+		return false
+	}
+	return len(q.FirstReplicas) == 0 || slices.Contains(q.FirstReplicas, replica)
+}
+
 // crossingCost returns the cost of a change of domain on a hop, in milliseconds. The hop to
 // the first stage starts in the domain of this node.
 func crossingCost(toFirstStage bool, fromDomain, toDomain int) float64 {
--- a/route/plainservice/targets.go
+++ b/route/plainservice/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
@@ -18,16 +19,24 @@
 // Choose implements targets.Targets. Choose does not wait, because the call has already
 // waited in the admission queue.
 func (d documentTargets) Choose(_ context.Context, q targets.Query) (targets.Target, error) {
-	for exclude := q.Exclude; ; {
+	blocked := d.RateLimits().Blocked()
+	limited := len(blocked) > 0
+	for exclude := append(slices.Clone(q.Exclude), blocked...); ; {
 		choice, ok := d.call.Local.Picker.Pick(balance.Query{Cost: callCost, Exclude: exclude, NoProbe: q.NonIdempotent})
+		if !ok && limited {
+			return targets.Target{}, targets.ErrNoCapacity
+		}
 		if !ok {
 			return targets.Target{}, targets.ErrNoEndpoint
 		}
 		endpoint, known := d.call.DocumentIndex.Endpoint(choice.ReplicaID)
-		if known {
+		mayTake := known && d.RateLimits().Take(choice.ReplicaID)
+		if mayTake {
 			return targets.Target{Replica: choice.ReplicaID, Address: endpoint.Address, Domain: endpoint.FailureDomain, Choice: &choice}, nil
 		}
-		// The endpoint was added by a later document than the one that the call uses.
+		// The endpoint was added by a later document than the one that the call uses, or
+		// another call has taken what the endpoint's rate limit allowed.
+		limited = limited || known
 		d.call.Local.Picker.Finished(choice.ReplicaID, balance.Result{Cost: callCost, Failure: health.Canceled})
 		exclude = append(exclude[:len(exclude):len(exclude)], choice.ReplicaID)
 	}
--- a/route/targets/active_request.go
+++ b/route/targets/active_request.go
@@ -117,7 +117,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	path := r.findMigration(m.now(), filter)
-	if path == nil {
+	if path == nil || !m.limits.Take(path[0].Replica) {
 		return Target{}, false
 	}
 	return m.start(path, r.tokens), true
@@ -131,6 +131,7 @@
 	path, reason := m.selector.Choose(now, paths.Query{
 		Domain: m.domain, Layers: whole, Tokens: r.tokens,
 		Exclude: append(slices.Clone(filter.Exclude), r.path[0].Replica), FirstReplicas: filter.AllowedFirstReplicas,
+		NotFirst: m.limits.Blocked(),
 	})
 	if reason != paths.Found || !path.Covers(whole) {
 		return nil
@@ -160,6 +161,9 @@
 	// because other requests that lost the same stage are decided on at the same time.
 	switch action {
 	case reroute.Migrate:
+		if !m.limits.Take(migration[0].Replica) {
+			return reroute.Stay, nil, Target{}
+		}
 		m.selector.AddPrefill(now, migration, nil, r.tokens, m.nodeShare.DomainNodeCount)
 		return action, nil, m.start(migration, r.tokens)
 	case reroute.Bypass:
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -179,8 +179,9 @@
 	}
 	path, reason := m.selector.Choose(now, paths.Query{
 		Domain: m.domain, Layers: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstReplicas: q.AllowedFirstReplicas,
+		NotFirst: m.limits.Blocked(),
 	})
-	if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) {
+	if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) || !m.limits.Take(path[0].Replica) {
 		if firstTry {
 			m.waitQueue.Add(now, w)
 		}
--- a/route/targets/plain.go
+++ b/route/targets/plain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
@@ -10,6 +12,7 @@
 	"github.com/cicadatack/cicadatack/route/endpointlimits"
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/replicapicker"
+	"github.com/cicadatack/cicadatack/state/wait"
 )
 
 // PlainTargets chooses among the replicas of a plain service, where one replica serves the
@@ -18,6 +21,7 @@
 	picker   *replicapicker.Picker
 	replicas *replicaTable
 	limits   *endpointlimits.Limits
+	now      func() time.Time
 }
 
 // healthConfig ejects replicas for a shorter time than the defaults, which are meant for
@@ -41,6 +45,7 @@
 		picker:   replicapicker.New(balancer, now, func() {}),
 		replicas: newReplicaTable(),
 		limits:   endpointlimits.New(endpointrate.Node{Name: node, Domain: domain}, seed, now),
+		now:      now,
 	}
 }
 
@@ -62,12 +67,43 @@
 }
 
 // Choose implements Targets. It does not wait for capacity: plain services have their own
-// queue, and refuse requests when that queue is full.
-func (p *PlainTargets) Choose(_ context.Context, q Query) (Target, error) {
-	choice, ok := p.picker.Pick(balance.Query{Cost: 1, Exclude: q.Exclude, NoProbe: q.NonIdempotent})
+// queue, and refuse requests when that queue is full. If rate limits block the replicas, it
+// waits until one of them may be sent a request, or fails at once if that is after
+// Query.WaitUntil.
+func (p *PlainTargets) Choose(ctx context.Context, q Query) (Target, error) {
+	for {
+		blocked := p.limits.Blocked()
+		t, err := p.pick(q, blocked)
+		if !errors.Is(err, ErrNoCapacity) {
+			return t, err
+		}
+		next := p.limits.NextSendAt(blocked)
+		if next.After(q.WaitUntil) {
+			return Target{}, ErrNoCapacity
+		}
+		// A limit may end during the wait.
+		if !wait.For(ctx, min(next.Sub(p.now()), capacityPollInterval)) {
+			return Target{}, ctx.Err()
+		}
+	}
+}
+
+// pick picks a replica that is not blocked by its rate limit. It fails with ErrNoCapacity if
+// only such replicas are left.
+func (p *PlainTargets) pick(q Query, blocked []string) (Target, error) {
+	exclude := append(slices.Clone(q.Exclude), blocked...)
+	choice, ok := p.picker.Pick(balance.Query{Cost: 1, Exclude: exclude, NoProbe: q.NonIdempotent})
+	if !ok && len(blocked) > 0 {
+		return Target{}, ErrNoCapacity
+	}
 	if !ok {
 		return Target{}, ErrNoEndpoint
 	}
+	if !p.limits.Take(choice.ReplicaID) {
+		// Another request has taken what the limit allowed.
+		p.picker.Finished(choice.ReplicaID, balance.Result{Cost: 1, Failure: health.Canceled})
+		return Target{}, ErrNoCapacity
+	}
 	r, maxConns := p.replicas.get(choice.ReplicaID)
 	if r == nil {
 		p.picker.Finished(choice.ReplicaID, balance.Result{Cost: 1, Failure: health.Canceled})
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -12,7 +12,7 @@
 )
 
 // ErrNoEndpoint means that no endpoint is available. ErrNoCapacity means that endpoints are
-// available but have no capacity.
+// available but have no capacity, or may be sent no request now because of their rate limits.
 var (
 	ErrNoEndpoint = errors.New("no endpoint is available")
 	ErrNoCapacity = errors.New("no endpoint has capacity")
@@ -99,6 +99,6 @@
 	Choose(ctx context.Context, q Query) (Target, error)
 	// Finish releases the target and reports the result of the attempt.
 	Finish(t Target, r Result)
-	// RateLimits are the limits on requests that the endpoints state.
+	// RateLimits are the limits on requests that the endpoints state. Choose keeps to them.
 	RateLimits() *endpointlimits.Limits
 }
