endpointrate: a sender with a high rate saves a quarter second of requests

Cause: with one saved request at most, nine greedy nodes used 60 of a limit of 100 a second, as a request that comes between two of its turns finds at most one.

--- a/decide/endpointrate/doc.go
+++ b/decide/endpointrate/doc.go
@@ -18,7 +18,7 @@
 // # Rules
 //
 //   - A few nodes are the senders of a limited replica. They divide senderShare of the limit
-//     evenly, each with a burst of one request. All nodes compute the same senders by
+//     evenly. Each saves one request at most, or what it may send in burstTime. All nodes compute the same senders by
 //     rendezvous hashing over the list of nodes; nodes in the replica's failure domain come
 //     first, because the others seldom send to it. There is one sender for each request per
 //     second of the limit, and one more.
@@ -34,7 +34,7 @@
 //
 // The split needs no message and no common clock, so it holds while nodes are cut off from
 // each other. With a limit of r per second there are at most 1+r senders. In any t seconds
-// they send at most 1+r requests from their bursts and senderShare*r*t requests beyond
+// they send at most 1+r requests that they have saved and senderShare*r*t requests beyond
 // these, whatever the size of the fleet. Where the lists of two nodes differ by one node,
 // their senders differ by at most one: a second sender in its place sends
 // senderShare*r/(1+r) requests per second, which is less than one.
--- a/decide/endpointrate/limiter.go
+++ b/decide/endpointrate/limiter.go
@@ -11,6 +11,9 @@
 	// senderShare is the share of a limit that the senders divide. The rest is for probes,
 	// and for nodes that don't agree yet on who is a sender.
 	senderShare = 0.8
+	// burstTime is the time for which a sender saves requests that it has not sent, if its
+	// rate allows more than one in this time.
+	burstTime = 250 * time.Millisecond
 	// probeShare is the share of a limit that the probes of all other nodes take.
 	probeShare = 0.1
 	// probeWindow is how long a node may use a probe.
@@ -50,7 +53,7 @@
 	requestsPerSecond float64
 
 	// rate is what this node may send, in requests per second. credit is how many requests
-	// it may send as of creditAt, at most 1.
+	// it may send as of creditAt: one at most, or what the rate allows in burstTime.
 	rate     float64
 	credit   float64
 	creditAt time.Time
@@ -158,7 +161,7 @@
 // refill brings credit up to date.
 func (k *limit) refill(now time.Time) {
 	if elapsed := now.Sub(k.creditAt).Seconds(); elapsed > 0 {
-		k.credit = min(1, k.credit+k.rate*elapsed)
+		k.credit = min(max(1, k.rate*burstTime.Seconds()), k.credit+k.rate*elapsed)
 	}
 	k.creditAt = now
 }
