soak: replicas leave and state limits while 21 nodes in seven domains fail

The soak knew neither: its replicas died or refused, and three nodes of one domain could each ask nobody.

--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -25,6 +25,7 @@
 // asked is one request and what its caller saw.
 type asked struct {
 	id, kind, key string
+	node          string // that was asked
 	sent          time.Time
 	status        int // 0 if no answer came
 	body          string
@@ -35,6 +36,7 @@
 // there themselves.
 type crowd struct {
 	vms     []*vm
+	domains []string
 	current func() string // the key in force
 
 	mu   sync.Mutex
@@ -81,7 +83,7 @@
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 3 {
 		v := c.vms[draw.IntN(len(c.vms))]
-		response, err := client.Get("http://" + v.at().Directory + "/resolve?name=" + site.Host + "&zone=bandung")
+		response, err := client.Get("http://" + v.at().Directory + "/resolve?name=" + site.Host + "&zone=" + c.domains[draw.IntN(len(c.domains))])
 		if err != nil {
 			continue
 		}
@@ -95,12 +97,23 @@
 	return ""
 }
 
+// nodeAt is the name of the node at an address, "" if there is none now.
+func (c *crowd) nodeAt(address string) string {
+	for _, v := range c.vms {
+		if v.at().Callers == address {
+			return v.name
+		}
+	}
+	return ""
+}
+
 func (c *crowd) ask(kind, id, key string, draw *rand.Rand) asked {
 	a := asked{id: id, kind: kind, key: key}
 	address := c.door(draw)
 	if address == "" {
 		return a
 	}
+	a.node = c.nodeAt(address)
 	method, body := http.MethodPost, "some cream"
 	if kind == read {
 		method, body = http.MethodGet, ""
--- a/e2e/soak/nodes_test.go
+++ b/e2e/soak/nodes_test.go
@@ -14,6 +14,9 @@
 	"github.com/cicadatack/cicadatack/standin/link"
 )
 
+// peerPorts are the ports at which nodes ask each other, the same on all VMs.
+const peerPorts = "27340,27355"
+
 // vm is an entry VM: a node process, its settings, and its link to the store, which
 // outlive the process.
 type vm struct {
@@ -44,18 +47,21 @@
 	return dir
 }
 
+// vmPlace is a VM's name and where it stands.
+type vmPlace struct{ name, domain, ip string }
+
 // newVM writes a VM's settings; start runs its node.
-func newVM(t *testing.T, bin, name, domain, store string) *vm {
+func newVM(t *testing.T, bin string, at vmPlace, store string) *vm {
 	t.Helper()
 	l, err := link.Listen(store)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	v := &vm{name: name, bin: bin, store: l, settings: filepath.Join(t.TempDir(), name+".conf")}
+	v := &vm{name: at.name, bin: bin, store: l, settings: filepath.Join(t.TempDir(), at.name+".conf")}
 	text := strings.Join([]string{
-		"node=" + name, "zone=" + domain, "ip=127.0.0.1",
-		"listen.front=127.0.0.1:0", "listen.ready=127.0.0.1:0", "listen.control=127.0.0.1:0", "listen.directory=127.0.0.1:0",
+		"node=" + at.name, "zone=" + at.domain, "ip=" + at.ip, "portRange=" + peerPorts,
+		"listen.front=" + at.ip + ":0", "listen.ready=" + at.ip + ":0", "listen.control=" + at.ip + ":0", "listen.directory=" + at.ip + ":0",
 		"platform.addr=" + l.Address(), "limits.ramMb=256",
 		fmt.Sprint("bounds.revokeMs=", revoke.Milliseconds()), "bounds.applyMs=2000", "bounds.drainMs=2000", "bounds.graceS=8",
 		"bounds.retryRatio=0.2", "bounds.retrySlack=1000", "bounds.retryWindowS=10",
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -28,12 +28,23 @@
 	stepTime = 250 * time.Millisecond
 	// healTime bounds the wait until all is served again after the last fault.
 	healTime = 30 * time.Second
-	nodes    = 3
+	// usualNodes is the number of nodes of a failure domain today.
+	usualNodes = 3
 )
 
 // failedSeeds have failed once, each with its cause; they run always.
 var failedSeeds = []uint64{}
 
+// domainNames are the failure domains; the replicas stand in the first one.
+var domainNames = []string{"bandung", "bekasi", "bogor", "cirebon", "depok", "garut", "karawang"}
+
+// vmIP is the IP number of a VM on loopback. Nodes ask each other at fixed ports, so runs of
+// several processes at once take different numbers.
+func vmIP(i int) string {
+	run := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+run%250, 1+run/250%250, 11+i)
+}
+
 // ciSeed is the one seed of a usual run.
 const ciSeed = 1
 
@@ -61,7 +72,10 @@
 func TestSoak(t *testing.T) {
 	bin := build(t)
 	for _, seed := range seeds(t) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newRun(t, bin, seed).play() })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r := newRun(t, bin, seed, usualNodes, 1)
+			r.play(steps, stepTime, r.step)
+		})
 	}
 }
 
@@ -78,11 +92,13 @@
 	key     string
 	retired map[string]time.Time // keys taken away, and when
 	added   int
-	story   []string
-	began   time.Time
+	// healedAt is when all faults were ended.
+	healedAt time.Time
+	story    []string
+	began    time.Time
 }
 
-func newRun(t *testing.T, bin string, seed uint64) *run {
+func newRun(t *testing.T, bin string, seed uint64, nodes, domains int) *run {
 	r := &run{
 		t: t, seed: seed, draw: rand.New(rand.NewPCG(seed, 7)), site: site.New(),
 		key: "key-0", retired: map[string]time.Time{}, began: time.Now(),
@@ -93,9 +109,9 @@
 		t.Fatal(err)
 	}
 	for i := range nodes {
-		r.vms = append(r.vms, newVM(t, bin, fmt.Sprint("front-", i), "bandung", r.site.Address()))
+		r.vms = append(r.vms, newVM(t, bin, vmPlace{name: fmt.Sprint("front-", i), domain: domainNames[i%domains], ip: vmIP(i)}, r.site.Address()))
 	}
-	r.crowd = &crowd{vms: r.vms, current: r.current}
+	r.crowd = &crowd{vms: r.vms, domains: domainNames[:domains], current: r.current}
 	return r
 }
 
@@ -111,7 +127,8 @@
 	r.story = append(r.story, fmt.Sprintf("%6.2f s  ", time.Since(r.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
-func (r *run) play() {
+// play makes as many steps, which are pause apart, while callers ask, and judges the run.
+func (r *run) play(steps int, pause time.Duration, step func()) {
 	beating, stopBeating := context.WithCancel(context.Background())
 	defer stopBeating()
 	go r.beat(beating)
@@ -128,8 +145,8 @@
 		r.crowd.run(asking, r.seed)
 	}()
 	for range steps {
-		r.step()
-		time.Sleep(stepTime)
+		step()
+		time.Sleep(pause)
 	}
 	r.heal()
 	if !r.served(healTime) {
@@ -213,16 +230,17 @@
 	}
 }
 
-// freeze stands a process still for up to a second and a half.
-func (r *run) freeze(v *vm) {
+// freeze stands a process still for up to a second and a half, and returns for how long.
+func (r *run) freeze(v *vm) time.Duration {
 	p := v.now()
 	for_ := time.Duration(200+r.draw.IntN(1300)) * time.Millisecond
 	r.tell("%s stands still for %v", v.name, for_)
 	if err := p.Freeze(); err != nil {
 		r.tell("it did not: %v", err)
-		return
+		return 0
 	}
 	time.AfterFunc(for_, func() { _ = p.Thaw() }) // it may have been killed since
+	return for_
 }
 
 func (r *run) healLinks() {
@@ -310,6 +328,7 @@
 // heal ends all faults; nodes that have ended start again.
 func (r *run) heal() {
 	r.tell("all is well again")
+	r.healedAt = time.Now()
 	r.healLinks()
 	r.site.Store.SetFaults(storefake.Faults{})
 	r.healReplicas()
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -58,6 +58,8 @@
 	Header           http.Header
 	Method, Target   string
 	Body             string
+	// At is the time at which the request arrived.
+	At time.Time
 }
 
 // Fleet is all replicas of a test.
@@ -86,9 +88,11 @@
 	mu       sync.Mutex
 	fault    Fault
 	draining bool
-	orders   int64
-	from, to int
-	paths    map[string]chan string // a stream's detours, by request
+	// announced is set if the replica says that it leaves and serves on.
+	announced bool
+	orders    int64
+	from, to  int
+	paths     map[string]chan string // a stream's detours, by request
 }
 
 // Add starts a replica.
@@ -173,6 +177,13 @@
 	r.draining = true
 }
 
+// Announce makes the replica say that it leaves. Unlike Drain, the replica serves on.
+func (r *Replica) Announce() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announced = true
+}
+
 // Holds is the layers held.
 func (r *Replica) Holds() (from, to int) {
 	r.mu.Lock()
@@ -185,7 +196,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := "ready"
-	if r.draining {
+	if r.draining || r.announced {
 		state = "draining"
 	}
 	entry := map[string]any{
@@ -324,7 +335,7 @@
 	defer r.fleet.mu.Unlock()
 	r.fleet.runs = append(r.fleet.runs, Run{
 		Replica: r.ID, Request: q.Header.Get("Request-Id"), Header: q.Header.Clone(),
-		Method: q.Method, Target: q.RequestURI, Body: body.String(),
+		Method: q.Method, Target: q.RequestURI, Body: body.String(), At: time.Now(),
 	})
 }
 
