--- /dev/null
+++ b/route/targets/choose.go
@@ -0,0 +1,124 @@
+package targets
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
+	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/waitqueue"
+)
+
+// capacityPollInterval is the time after which a waiting request checks for capacity without
+// being woken. A replica that refused requests becomes usable again after some time, and no
+// waiting request is woken at that time.
+const capacityPollInterval = 50 * time.Millisecond
+
+// Choose implements Targets.
+func (m *ModelTargets) Choose(ctx context.Context, q Query) (Target, error) {
+	w, wake := m.newWaiter(q)
+	for firstTry := true; ; firstTry = false {
+		t, reason, ok := m.reserve(q, w, firstTry)
+		if ok {
+			return t, nil
+		}
+		remaining := q.WaitUntil.Sub(m.now())
+		if remaining <= 0 {
+			m.stopWaiting(w)
+			return Target{}, errorOf(reason)
+		}
+		if err := waitForWake(ctx, wake, min(remaining, capacityPollInterval)); err != nil {
+			m.stopWaiting(w)
+			return Target{}, err
+		}
+	}
+}
+
+func (m *ModelTargets) newWaiter(q Query) (waitqueue.Request, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastWaiterID++
+	wake := make(chan struct{}, 1)
+	m.wakeChannels[m.lastWaiterID] = wake
+	return waitqueue.Request{ID: m.lastWaiterID, Priority: q.Rank, OnTimeUntil: q.OnTimeUntil}, wake
+}
+
+func errorOf(reason paths.Outcome) error {
+	if reason == paths.NoCapacity {
+		return ErrNoCapacity
+	}
+	return ErrNoEndpoint
+}
+
+func waitForWake(ctx context.Context, wake <-chan struct{}, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// reserve reserves capacity on a path. At the first try it reserves none if a waiting request
+// comes first. A request that gets no path at its first try is queued.
+func (m *ModelTargets) reserve(q Query, w waitqueue.Request, firstTry bool) (Target, paths.Outcome, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	if firstTry && m.waitQueue.MustWait(now, w) {
+		m.waitQueue.Add(now, w)
+		return Target{}, paths.NoCapacity, false
+	}
+	path, reason := m.selector.Choose(now, paths.Query{
+		Domain: m.domain, Layers: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstReplicas: q.AllowedFirstReplicas,
+		NotFirst: m.limits.Blocked(),
+	})
+	if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) || !m.limits.Take(path[0].Replica) {
+		if firstTry {
+			m.waitQueue.Add(now, w)
+		}
+		return Target{}, reason, false
+	}
+	m.removeWaiter(w)
+	m.selector.AddPrefill(now, path, nil, q.PrefillTokens, m.nodeShare.DomainNodeCount)
+	m.wakeOne() // there may be capacity for the next request as well
+	return m.start(path, q.Tokens), paths.Found, true
+}
+
+func (m *ModelTargets) start(path paths.Path, tokens float64) Target {
+	active := &ActiveRequest{model: m, path: path, tokens: tokens}
+	m.selector.Reserve(path, tokens)
+	m.active[active] = struct{}{}
+	return Target{
+		Replica: path[0].Replica, Address: path[0].Address, Domain: path[0].Domain,
+		Path: path, MaxConns: m.nodeShare.MaxConns, Active: active,
+	}
+}
+
+// removeWaiter removes a request that no longer waits. The caller holds the lock.
+func (m *ModelTargets) removeWaiter(w waitqueue.Request) {
+	m.waitQueue.Remove(w.ID)
+	delete(m.wakeChannels, w.ID)
+}
+
+func (m *ModelTargets) stopWaiting(w waitqueue.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.removeWaiter(w)
+	m.wakeOne()
+}
+
+// wakeOne wakes the first waiting request, which then tries again.
+func (m *ModelTargets) wakeOne() {
+	id, ok := m.waitQueue.First(m.now())
+	if !ok {
+		return
+	}
+	select {
+	case m.wakeChannels[id] <- struct{}{}:
+	default: // a wake-up is already pending
+	}
+}
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -1,13 +1,11 @@
 package targets
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/endpointrate"
-	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/reroute"
 	"github.com/cicadatack/cicadatack/decide/reservations"
@@ -17,11 +15,6 @@
 	"github.com/cicadatack/cicadatack/route/ruleset"
 )
 
-// capacityPollInterval is the time after which a waiting request checks for capacity without
-// being woken. A replica that refused requests becomes usable again after some time, and no
-// waiting request is woken at that time.
-const capacityPollInterval = 50 * time.Millisecond
-
 // ModelTargets chooses paths through the replicas that hold a model's layers. It is safe for
 // concurrent use.
 type ModelTargets struct {
@@ -119,115 +112,6 @@
 	}
 }
 
-// Choose implements Targets.
-func (m *ModelTargets) Choose(ctx context.Context, q Query) (Target, error) {
-	w, wake := m.newWaiter(q)
-	for firstTry := true; ; firstTry = false {
-		t, reason, ok := m.reserve(q, w, firstTry)
-		if ok {
-			return t, nil
-		}
-		remaining := q.WaitUntil.Sub(m.now())
-		if remaining <= 0 {
-			m.stopWaiting(w)
-			return Target{}, errorOf(reason)
-		}
-		if err := waitForWake(ctx, wake, min(remaining, capacityPollInterval)); err != nil {
-			m.stopWaiting(w)
-			return Target{}, err
-		}
-	}
-}
-
-func (m *ModelTargets) newWaiter(q Query) (waitqueue.Request, <-chan struct{}) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastWaiterID++
-	wake := make(chan struct{}, 1)
-	m.wakeChannels[m.lastWaiterID] = wake
-	return waitqueue.Request{ID: m.lastWaiterID, Priority: q.Rank, OnTimeUntil: q.OnTimeUntil}, wake
-}
-
-func errorOf(reason paths.Outcome) error {
-	if reason == paths.NoCapacity {
-		return ErrNoCapacity
-	}
-	return ErrNoEndpoint
-}
-
-func waitForWake(ctx context.Context, wake <-chan struct{}, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-wake:
-	case <-timer.C:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return nil
-}
-
-// reserve reserves capacity on a path. At the first try it reserves none if a waiting request
-// comes first. A request that gets no path at its first try is queued.
-func (m *ModelTargets) reserve(q Query, w waitqueue.Request, firstTry bool) (Target, paths.Outcome, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.now()
-	if firstTry && m.waitQueue.MustWait(now, w) {
-		m.waitQueue.Add(now, w)
-		return Target{}, paths.NoCapacity, false
-	}
-	path, reason := m.selector.Choose(now, paths.Query{
-		Domain: m.domain, Layers: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstReplicas: q.AllowedFirstReplicas,
-		NotFirst: m.limits.Blocked(),
-	})
-	if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) || !m.limits.Take(path[0].Replica) {
-		if firstTry {
-			m.waitQueue.Add(now, w)
-		}
-		return Target{}, reason, false
-	}
-	m.removeWaiter(w)
-	m.selector.AddPrefill(now, path, nil, q.PrefillTokens, m.nodeShare.DomainNodeCount)
-	m.wakeOne() // there may be capacity for the next request as well
-	return m.start(path, q.Tokens), paths.Found, true
-}
-
-func (m *ModelTargets) start(path paths.Path, tokens float64) Target {
-	active := &ActiveRequest{model: m, path: path, tokens: tokens}
-	m.selector.Reserve(path, tokens)
-	m.active[active] = struct{}{}
-	return Target{
-		Replica: path[0].Replica, Address: path[0].Address, Domain: path[0].Domain,
-		Path: path, MaxConns: m.nodeShare.MaxConns, Active: active,
-	}
-}
-
-// removeWaiter removes a request that no longer waits. The caller holds the lock.
-func (m *ModelTargets) removeWaiter(w waitqueue.Request) {
-	m.waitQueue.Remove(w.ID)
-	delete(m.wakeChannels, w.ID)
-}
-
-func (m *ModelTargets) stopWaiting(w waitqueue.Request) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.removeWaiter(w)
-	m.wakeOne()
-}
-
-// wakeOne wakes the first waiting request, which then tries again.
-func (m *ModelTargets) wakeOne() {
-	id, ok := m.waitQueue.First(m.now())
-	if !ok {
-		return
-	}
-	select {
-	case m.wakeChannels[id] <- struct{}{}:
-	default: // a wake-up is already pending
-	}
-}
-
 // RateLimits implements Targets.
 func (m *ModelTargets) RateLimits() *endpointlimits.Limits { return m.limits }
 
@@ -267,108 +151,6 @@
 	return nil
 }
 
-// Suspect records that a replica looks dead, and whether its host is unreachable. If the
-// suspicion is new, it calls onLost of the requests that run through the replica. It reports
-// whether the suspicion is new.
-func (m *ModelTargets) Suspect(replica string, hostUnreachable bool) bool {
-	changed, callbacks := m.suspect(replica, hostUnreachable)
-	runCallbacks(callbacks)
-	return changed
-}
-
-// suspect records that a replica looks dead. If the suspicion is new, it returns the onLost
-// callbacks of the requests that run through the replica.
-func (m *ModelTargets) suspect(replica string, hostUnreachable bool) (changed bool, callbacks []replicaCallback) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.observed.own[replica] = observation{at: m.now(), unreachable: true}
-	if !m.selector.Suspect(m.now(), replica, hostUnreachable) {
-		return false, nil
-	}
-	return true, m.lossCallbacks(replica)
-}
-
-// SuspectOnReport records that a replica accepts no connection, after other nodes reported it
-// as lost. The replica gets no new requests. The requests that run through it are notified only
-// if its host is unreachable, because a draining replica also refuses connections but continues
-// its requests. SuspectOnReport reports whether the suspicion is new.
-func (m *ModelTargets) SuspectOnReport(replica string, hostUnreachable bool) bool {
-	changed, callbacks := m.suspectOnReport(replica, hostUnreachable)
-	runCallbacks(callbacks)
-	return changed
-}
-
-func (m *ModelTargets) suspectOnReport(replica string, hostUnreachable bool) (changed bool, callbacks []replicaCallback) {
-	changed, lossCallbacks := m.suspect(replica, hostUnreachable)
-	if !hostUnreachable {
-		return changed, nil
-	}
-	return changed, lossCallbacks
-}
-
-// MarkAlive records that a replica is alive. It reports whether the replica was suspected.
-func (m *ModelTargets) MarkAlive(replica string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.observed.own[replica] = observation{at: m.now()}
-	wasSuspected := m.selector.MarkAlive(replica)
-	m.wakeOne()
-	return wasSuspected
-}
-
-// Replica returns the replica with the given id, if it is listed.
-func (m *ModelTargets) Replica(id string) (paths.Replica, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.selector.Replica(id)
-}
-
-// Suspects returns the suspected replicas.
-func (m *ModelTargets) Suspects() []paths.Replica {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.selector.Suspects()
-}
-
-// SetSlowdown records the slowdown that a replica reports about itself. It reports whether the
-// replica has become slow or is no longer slow.
-func (m *ModelTargets) SetSlowdown(replica string, slowdown float64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if max(slowdown, m.selector.Slowdown(replica)) >= paths.SlowThreshold {
-		// If the replica was and is not slow, there is nothing to report to other nodes.
-		m.observed.own[replica] = observation{at: m.now(), slowdown: max(1, slowdown)}
-	}
-	return m.selector.SetSlowdown(replica, slowdown)
-}
-
-// BackedOff returns the replicas that are backed off, because they refuse requests although
-// they have capacity.
-func (m *ModelTargets) BackedOff() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.selector.BackedOff(m.now())
-}
-
-// Slow returns the replicas that are slow (paths.SlowThreshold) and not suspected.
-func (m *ModelTargets) Slow() []paths.Replica {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.selector.Slow()
-}
-
-// layersLostAfter is how long a replica must be suspected before its layers count as lost.
-// Within this time, some tries to reach the replica are made.
-const layersLostAfter = 600 * time.Millisecond
-
-// LayersLost reports whether a replica has been suspected for so long that other replicas
-// should take over its layers.
-func (m *ModelTargets) LayersLost(replica string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.selector.SuspectedFor(m.now(), replica, layersLostAfter)
-}
-
 // RerouteRefused records that an engine refused a reroute command. faultAddress is the address
 // of the stage that could not be reached, "" if a stage has no capacity.
 func (m *ModelTargets) RerouteRefused(path paths.Path, faultAddress string) {
--- /dev/null
+++ b/standin/replica/request.go
@@ -0,0 +1,181 @@
+package replica
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+func (r *Replica) request(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	fault, draining := r.fault, r.draining
+	r.mu.Unlock()
+	if fault.RateLimit != "" {
+		w.Header().Set("Server-Limit", fault.RateLimit)
+	}
+	if fault.Refuse || draining && r.Model {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if fault.Hang {
+		<-q.Context().Done()
+		return
+	}
+	if r.Model {
+		if at := r.checkPath(q.Header.Get("Hop-Count")); at != "" {
+			w.Header().Set("At-Server", at)
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	r.note(q)
+	if fault.LoseAnswer {
+		reset(w)
+		return
+	}
+	h := w.Header()
+	h.Set("Request-Id", q.Header.Get("Request-Id"))
+	if !fault.Unproved {
+		h.Set("Server-Stamp", "stamp-of-"+r.ID)
+	}
+	if r.Model {
+		r.stream(w, q, fault)
+		return
+	}
+	r.plain(w, q, fault)
+}
+
+func (r *Replica) note(q *http.Request) {
+	var body strings.Builder
+	// A body that breaks off is noted as far as it came.
+	_, _ = bufio.NewReader(q.Body).WriteTo(&body)
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.fleet.runs = append(r.fleet.runs, Run{
+		Replica: r.ID, Request: q.Header.Get("Request-Id"), Header: q.Header.Clone(),
+		Method: q.Method, Target: q.RequestURI, Body: body.String(), At: time.Now(),
+	})
+}
+
+// reset ends the connection without an answer.
+func reset(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func (r *Replica) plain(w http.ResponseWriter, q *http.Request, fault Fault) {
+	text := "answer to " + q.Header.Get("Request-Id")
+	if !fault.Twice {
+		_, _ = w.Write([]byte(text))
+		return
+	}
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for range 2 {
+		fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s",
+			q.Header.Get("Request-Id"), len(text), text)
+	}
+	_ = buffer.Flush()
+	// The connection stays open for the next request, which gets no answer of its own.
+	_, _ = buffer.ReadByte()
+	<-time.After(time.Second)
+}
+
+func (r *Replica) stream(w http.ResponseWriter, q *http.Request, fault Fault) {
+	id := q.Header.Get("Request-Id")
+	detours := make(chan string, 8)
+	r.mu.Lock()
+	r.paths[id] = detours
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.paths, id)
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	path := q.Header.Get("Hop-Count")
+	first, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	if err != nil {
+		first = 0
+	}
+	flusher := http.NewResponseController(w)
+	for n := first + 1; n <= r.Events; n++ {
+		for r.checkPath(path) != "" {
+			// A part is gone: the stream stands still until it is led around.
+			select {
+			case path = <-detours:
+			case <-q.Context().Done():
+				return
+			}
+		}
+		if fault.CutAfter > 0 && n > first+fault.CutAfter {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n)
+			_ = flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", n, n, id); err != nil {
+			return
+		}
+		_ = flusher.Flush()
+		select {
+		case <-time.After(r.Pause):
+		case path = <-detours:
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+// checkPath returns the address of the part that can't serve, "" if all can. What
+// engines do not check is a problem of the fleet.
+func (r *Replica) checkPath(path string) string {
+	at := 0
+	for i, part := range strings.Split(path, ",") {
+		address, from, to, err := parsePart(part)
+		if err != nil {
+			r.fleet.problem("path %q: %v", path, err)
+			return r.Address
+		}
+		if from != at || i == 0 && address != r.Address {
+			r.fleet.problem("path %q: layer %d comes out of order", path, from)
+		}
+		at = to
+		r.fleet.mu.Lock()
+		other := r.fleet.byAddr[address]
+		r.fleet.mu.Unlock()
+		if other == nil {
+			return address
+		}
+		if heldFrom, heldTo := other.Holds(); from < heldFrom || to > heldTo {
+			return address
+		}
+	}
+	if at != r.fleet.layers {
+		r.fleet.problem("path %q ends at layer %d", path, at)
+	}
+	return ""
+}
+
+func parsePart(part string) (address string, from, to int, err error) {
+	address, span, ok := strings.Cut(part, "=")
+	if !ok {
+		return "", 0, 0, fmt.Errorf("%q is no part", part)
+	}
+	_, err = fmt.Sscanf(span, "%d-%d", &from, &to)
+	return address, from, to, err
+}
