TestShareFollowsTheFleet waits until the listed nodes are members; off the list

Seen: share {12.12 2.02}, want {12 2}, once beside load. Cause: the test read the share once the node had read the list of 99 VMs, but these become members a moment later, so the node counted 99 nodes in place of 100. The node itself works out its share again at each tick, so only the test was wrong. The share that it demands is the same.

--- a/node/server/share_test.go
+++ b/node/server/share_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"github.com/cicadatack/cicadatack/platform/kv"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/cicadatack/cicadatack/node/tlsfiles/tlstest"
+	"github.com/cicadatack/cicadatack/platform/kv"
 	"github.com/cicadatack/cicadatack/standin/storefake"
 	"github.com/cicadatack/cicadatack/state/store"
 )
@@ -43,10 +43,11 @@
 	fake.SetFaults(storefake.Faults{})
 	ctx, cancel := context.WithTimeout(context.Background(), secureTimeout)
 	defer cancel()
-	for len(node.liveMembers()) == 0 || node.listed.Load() != 99 {
+	// The list is read before its nodes are members.
+	for len(node.liveMembers()) == 0 || node.listed.Load() != 99 || node.presentMembers() != 100 {
 		select {
 		case <-ctx.Done():
-			t.Fatal("the node never served with the list read")
+			t.Fatal("the node never served with the list read and its nodes as members")
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
