--- a/decide/endpointrate/doc.go
+++ b/decide/endpointrate/doc.go
@@ -17,11 +17,11 @@
 //
 // # Rules
 //
-//   - A few nodes are the senders of a limited replica. They divide senderShare of the limit
-//     evenly. Each saves one request at most, or what it may send in burstTime. All nodes compute the same senders by
-//     rendezvous hashing over the list of nodes; nodes in the replica's failure domain come
-//     first, because the others seldom send to it. There is one sender for each request per
-//     second of the limit, and one more.
+//   - A few nodes are the senders of a limited replica: one for each request per second of
+//     the limit, and one more. They divide senderShare of the limit evenly. Each saves one
+//     request at most, or what it may send in burstTime. All nodes compute the same senders
+//     by rendezvous hashing over the list of nodes. Nodes in the replica's failure domain
+//     come first, because the others seldom send to it.
 //   - Every other node sends a probe now and then, so that it learns when the limit ends. The
 //     probes of all nodes take probeShare of the limit. A probe that is not used within
 //     probeWindow of its time is lost, so that idle nodes don't save probes for the same
--- a/decide/endpointrate/limiter.go
+++ b/decide/endpointrate/limiter.go
@@ -52,15 +52,17 @@
 	limited           bool
 	requestsPerSecond float64
 
-	// rate is what this node may send, in requests per second. credit is how many requests
-	// it may send as of creditAt: one at most, or what the rate allows in burstTime.
+	// isSender is set if this node is a sender. rate is then what it may send, in requests
+	// per second. credit is how many requests it may send as of creditAt: one at most, or
+	// what the rate allows in burstTime.
+	isSender bool
 	rate     float64
 	credit   float64
 	creditAt time.Time
-	// probeAt is the time of the next probe, for a node that is not a sender.
-	isSender bool
-	probeAt  time.Time
-	period   time.Duration
+	// probeAt is the time of the next probe of a node that is not a sender, and probePeriod
+	// the mean time between two probes.
+	probeAt     time.Time
+	probePeriod time.Duration
 }
 
 // Limiter decides when one node may send to the replicas of a service. It is not safe for
@@ -126,8 +128,11 @@
 	rate := min(max(s.RequestsPerSecond, minRequestsPerSecond), maxRequestsPerSecond)
 	changed := known.limited != s.Limited || s.Limited && known.requestsPerSecond != rate
 	known.statedAt = statedAt
-	if changed {
-		known.limited, known.requestsPerSecond = s.Limited, rate
+	switch {
+	case !s.Limited:
+		*known = limit{statedAt: statedAt} // a later limit starts without saved requests
+	case changed:
+		known.limited, known.requestsPerSecond = true, rate
 		l.split(now, s.Replica)
 	}
 	return changed
@@ -152,9 +157,9 @@
 	}
 	known.rate = 0
 	others := float64(len(l.nodes) - len(names))
-	known.period = time.Duration(others / (probeShare * known.requestsPerSecond) * float64(time.Second))
+	known.probePeriod = time.Duration(others / (probeShare * known.requestsPerSecond) * float64(time.Second))
 	if wasSender || known.probeAt.IsZero() {
-		known.probeAt = now.Add(time.Duration(l.random.Float64() * float64(known.period)))
+		known.probeAt = now.Add(time.Duration(l.random.Float64() * float64(known.probePeriod)))
 	}
 }
 
@@ -199,7 +204,7 @@
 	if missed < probeWindow {
 		return
 	}
-	known.probeAt = known.probeAt.Add(missed / known.period * known.period)
+	known.probeAt = known.probeAt.Add(missed / known.probePeriod * known.probePeriod)
 	for now.Sub(known.probeAt) >= probeWindow {
 		l.planProbe(known)
 	}
@@ -207,7 +212,7 @@
 
 // planProbe moves the next probe by one period, more or less.
 func (l *Limiter) planProbe(known *limit) {
-	known.probeAt = known.probeAt.Add(time.Duration((0.5 + l.random.Float64()) * float64(known.period)))
+	known.probeAt = known.probeAt.Add(time.Duration((0.5 + l.random.Float64()) * float64(known.probePeriod)))
 }
 
 // Sent records a request to a replica.
@@ -250,7 +255,8 @@
 }
 
 // Statements returns what replicas have stated lately, for the other nodes. A statement keeps
-// its age when it is passed on again, so it doesn't go round for ever.
+// its age when it is passed on again, so it doesn't go round for ever. Statements also forgets
+// limits that ended long ago.
 func (l *Limiter) Statements(now time.Time) []Statement {
 	var list []Statement
 	for replica, known := range l.limits {
--- a/decide/endpointrate/limiter_test.go
+++ b/decide/endpointrate/limiter_test.go
@@ -208,6 +208,20 @@
 	}
 }
 
+// Guards against saved requests that are sent at once when a replica states a limit again.
+func TestLimitStartsWithoutSavedRequests(t *testing.T) {
+	l := New(Node{"n0", "d0"}, 1)
+	l.SetReplicas(map[string]string{replica: "d0"})
+	limited := Statement{Replica: replica, Limited: true, RequestsPerSecond: 2}
+	l.Observe(start, limited)
+	l.Observe(start.Add(time.Second), Statement{Replica: replica})
+	again := start.Add(time.Minute)
+	l.Observe(again, limited)
+	if l.MaySend(again, replica) {
+		t.Error("a request is allowed at the moment at which the limit begins again")
+	}
+}
+
 // Guards against statements that are passed from node to node for ever: they keep their age,
 // and are not passed on once they are old. The limit itself stays in force.
 func TestPassedOnStatementsGrowOld(t *testing.T) {
--- a/route/plainservice/codec.go
+++ b/route/plainservice/codec.go
@@ -10,8 +10,8 @@
 
 // HeaderCodec is the headers.Codec of plain HTTP calls. It passes end-to-end headers on
 // and reads two response headers: that an endpoint has not run a call, and the rate limit
-// that it states. Responses carry no request ID and nothing else by which to check that the answer is the
-// endpoint's own.
+// that it states. Responses carry no request ID and nothing else by which to check that the
+// answer is the endpoint's own.
 type HeaderCodec struct{}
 
 var _ headers.Codec = HeaderCodec{}
