soak: replicas are drawn from the seed, and a start counts as a fault until it is done

The replica that states a limit was the first one of a map, so the same seed drew another each time; a node that starts was taken to be in touch three seconds after it was killed, not after it had started.

--- a/e2e/soak/endpoints_test.go
+++ b/e2e/soak/endpoints_test.go
@@ -86,9 +86,10 @@
 	switch r.draw.IntN(12) {
 	case 0:
 		r.tell("%s is killed and starts again", v.name)
-		r.fault(v, 0)
+		killedAt := time.Now()
 		v.kill()
 		v.start(r.t)
+		r.faults[v.name] = append(r.faults[v.name], period{from: killedAt, to: time.Now()})
 	case 1:
 		r.fault(v, r.freeze(v))
 	case 2, 3:
@@ -132,17 +133,10 @@
 // leave lets a replica leave, and another one comes in its place. The replica serves on for
 // the rest of the run, so that late requests reach it.
 func (r *endpointRun) leave(announced bool) {
-	var staying []string
-	for id := range r.site.Replicas() {
-		if _, gone := r.left[id]; !gone && !r.limited(id) {
-			staying = append(staying, id)
-		}
-	}
-	if len(staying) == 0 {
+	id := r.drawReplica()
+	if id == "" {
 		return
 	}
-	slices.Sort(staying)
-	id := staying[r.draw.IntN(len(staying))]
 	leaving := r.site.Replica(id)
 	r.added++
 	config := leaving.Config
@@ -174,16 +168,29 @@
 	if inForce >= maxLimited {
 		return
 	}
-	for id, each := range r.site.Replicas() {
-		if _, gone := r.left[id]; gone || r.limited(id) {
-			continue
-		}
-		limit := []float64{0.2, 0.5, 1, 2}[r.draw.IntN(4)]
-		r.tell("%s states a limit of %v", id, limit)
-		each.SetFault(replica.Fault{RateLimit: strconv.FormatFloat(limit, 'f', -1, 64)})
-		r.limits = append(r.limits, statedLimit{replica: id, requestsPerSecond: limit, from: time.Now()})
+	id := r.drawReplica()
+	if id == "" {
 		return
 	}
+	limit := []float64{0.2, 0.5, 1, 2}[r.draw.IntN(4)]
+	r.tell("%s states a limit of %v", id, limit)
+	r.site.Replica(id).SetFault(replica.Fault{RateLimit: strconv.FormatFloat(limit, 'f', -1, 64)})
+	r.limits = append(r.limits, statedLimit{replica: id, requestsPerSecond: limit, from: time.Now()})
+}
+
+// drawReplica returns a replica that has not left and states no limit, "" if there is none.
+func (r *endpointRun) drawReplica() string {
+	var staying []string
+	for id := range r.site.Replicas() {
+		if _, gone := r.left[id]; !gone && !r.limited(id) {
+			staying = append(staying, id)
+		}
+	}
+	if len(staying) == 0 {
+		return ""
+	}
+	slices.Sort(staying)
+	return staying[r.draw.IntN(len(staying))]
 }
 
 func (r *endpointRun) limited(id string) bool {
