--- a/fleet/reads/reads_test.go
+++ b/fleet/reads/reads_test.go
@@ -31,7 +31,7 @@
 func entries(pairs ...any) []store.Entry {
 	var list []store.Entry
 	for i := 0; i < len(pairs); i += 2 {
-		list = append(list, store.Entry{Key: pairs[i].(string), Revision: int64(pairs[i+1].(int)), Value: fmt.Appendf(nil, "%v@%v", pairs[i], pairs[i+1])})
+		list = append(list, store.Entry{Key: pairs[i].(string), Revision: int64(pairs[i+1].(int)), Created: int64(pairs[i+1].(int)) - 1, Value: fmt.Appendf(nil, "%v@%v", pairs[i], pairs[i+1])})
 	}
 	return list
 }
@@ -39,7 +39,7 @@
 func text(list []store.Entry) string {
 	var words []string
 	for _, e := range list {
-		words = append(words, string(e.Value))
+		words = append(words, fmt.Sprintf("%s (created at %d)", e.Value, e.Created))
 	}
 	return strings.Join(words, " ")
 }
--- a/standin/storefake/client_test.go
+++ b/standin/storefake/client_test.go
@@ -62,7 +62,7 @@
 			So(errors.Is(err, store.ErrConflict), ShouldBeTrue)
 			entry, err := client.Get(ctx, "a")
 			So(err, ShouldBeNil)
-			So(entry, ShouldResemble, store.Entry{Key: "a", Value: []byte("2"), Revision: second})
+			So(entry, ShouldResemble, store.Entry{Key: "a", Value: []byte("2"), Revision: second, Created: first})
 		})
 		Convey("a list longer than a page is complete and in order", func() {
 			for i := range 1203 {
--- a/state/promotion/promotion_test.go
+++ b/state/promotion/promotion_test.go
@@ -245,7 +245,7 @@
 			stands, err := client.Get(ctx, ProductionKey("dawn"))
 			So(err, ShouldBeNil)
 			So(stands, ShouldResemble, store.Entry{
-				Key: ProductionKey("dawn"), Value: []byte(`{"format":2}`), Revision: revision,
+				Key: ProductionKey("dawn"), Value: []byte(`{"format":2}`), Revision: revision, Created: revision,
 			})
 		})
 	})
