Pushbacks of replicas (Retry-After of a 503) are read and told to operators

Change: platform/callers and platform/engines decode the header, on the own door plain services and engines state theirs in the same one, with status 503 only: with 429 it concerns one caller. A text that is no number of seconds is logged and says nothing. decide/pushback holds the times, route/endpointlimits makes it safe for concurrent use. "replica wants no requests" is logged at the node that was told, a request that is sent all the same has pushback_left_ms in its route line; cicadactl status and a gauge show those in force. The stand-ins of replicas, engines and plain services state one, and the replicas note each call that reaches them.

Nothing is sent differently yet.

--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -80,6 +80,11 @@
 			fmt.Fprintf(out, "service %-15s replica %s takes %.4g requests per second\n", name, replica, s.RateLimits[name][replica])
 		}
 	}
+	for _, name := range sorted(s.Pushbacks) {
+		for _, replica := range sorted(s.Pushbacks[name]) {
+			fmt.Fprintf(out, "service %-15s replica %s wants no requests for %d ms\n", name, replica, s.Pushbacks[name][replica])
+		}
+	}
 	if len(s.StoreCalls) > 0 {
 		fmt.Fprint(out, "store calls")
 		for _, name := range sorted(s.StoreCalls) {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -233,6 +233,11 @@
 	scope.Gauge("rate_limits_requests_per_second").Update(requestsPerSecond)
 }
 
+// Pushbacks sets how many replicas of a service want no requests from this node now.
+func (m *Metrics) Pushbacks(service string, replicas int) {
+	m.service(service).Gauge("pushback_replicas").Update(float64(replicas))
+}
+
 // Room sets the part of a model's room in a failure domain that this node has booked
 // on the fullest replica.
 func (m *Metrics) Room(service, domain string, used float64) {
--- a/node/operators/operators.go
+++ b/node/operators/operators.go
@@ -46,6 +46,9 @@
 	// RateLimits are the limits that replicas state in their answers and that are in force,
 	// by service and replica, in requests per second of all nodes together.
 	RateLimits map[string]map[string]float64 `json:"rate_limits,omitempty"`
+	// Pushbacks are the replicas that want no requests from this node, by service and replica,
+	// with the time for which they want none from now on.
+	Pushbacks map[string]map[string]int64 `json:"pushbacks_ms,omitempty"`
 	// StoreCalls are this node's calls to the store since its start, by kind and result,
 	// on the users' platform.
 	StoreCalls map[string]int64 `json:"store_calls,omitempty"`
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -63,6 +63,7 @@
 		Watching:      spread.Watching,
 		Near:          spread.Near,
 		Slots:         map[string]int{},
+		Pushbacks:     map[string]map[string]int64{},
 	}
 	if d := s.directory.Load(); d != nil {
 		status.Digest = d.Digest
@@ -74,6 +75,9 @@
 	}
 	for _, each := range s.registry.All() {
 		status.Slots[each.Name] = each.Picker.Slots()
+		if millis := each.RateLimits.PushbackMillis(); len(millis) > 0 {
+			status.Pushbacks[each.Name] = millis
+		}
 	}
 	return status
 }
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -162,6 +162,7 @@
 	}
 }
 
+// gaugeRateLimits sets the figures of what replicas state about the requests that they want.
 func (n *Node) gaugeRateLimits() {
 	for service, limits := range n.services.allLimits() {
 		inForce := limits.InForce()
@@ -170,6 +171,7 @@
 			sum += s.RequestsPerSecond
 		}
 		n.metrics.RateLimits(service, len(inForce), sum)
+		n.metrics.Pushbacks(service, len(limits.Pushbacks()))
 	}
 }
 
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -138,7 +138,7 @@
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
 	}
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
-	n.engines = &engines.Client{Pool: n.pool}
+	n.engines = &engines.Client{Pool: n.pool, Answered: n.engineAnswered}
 	n.prober = connprobe.New(n.pool, time.Now)
 	n.reports = replicareport.New(n.engines, time.Now)
 	n.inForce.Store(&settings.Bounds)
--- a/route/decisionlog/decisionlog.go
+++ b/route/decisionlog/decisionlog.go
@@ -34,7 +34,9 @@
 	Reroute Kind = "detour"
 	// PlaceOrder concerns an order: a call that may run at most once.
 	PlaceOrder Kind = "place"
-	Finish     Kind = "finish"
+	// Pushback records that an engine wants no requests for a time.
+	Pushback Kind = "pushback"
+	Finish   Kind = "finish"
 )
 
 // Alternative is a candidate of the balancer with its score. The lowest score is the
--- a/route/endpointlimits/endpointlimits.go
+++ b/route/endpointlimits/endpointlimits.go
@@ -1,5 +1,6 @@
-// Package endpointlimits applies the rate limits that the replicas of one service state in
-// their answers. It makes decide/endpointrate safe for concurrent use.
+// Package endpointlimits holds what the replicas of one service state in their answers about the
+// requests that they want: rate limits, and pushbacks, which are times without requests. It
+// makes decide/endpointrate and decide/pushback safe for concurrent use.
 package endpointlimits
 
 import (
@@ -7,20 +8,22 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/endpointrate"
+	"github.com/cicadatack/cicadatack/decide/pushback"
 )
 
-// Limits are the rate limits of one service's replicas, as one node knows them. Safe for
-// concurrent use.
+// Limits are the rate limits and pushbacks of one service's replicas, as one node knows them.
+// Safe for concurrent use.
 type Limits struct {
 	now func() time.Time
 
-	mu      sync.Mutex
-	limiter *endpointrate.Limiter
+	mu        sync.Mutex
+	limiter   *endpointrate.Limiter
+	pushbacks *pushback.Tracker
 }
 
 // New returns Limits of a node. Each node must pass a different seed.
 func New(node endpointrate.Node, seed uint64, now func() time.Time) *Limits {
-	return &Limits{now: now, limiter: endpointrate.New(node, seed)}
+	return &Limits{now: now, limiter: endpointrate.New(node, seed), pushbacks: pushback.New()}
 }
 
 // SetNodes replaces the list of nodes that divide the limits.
@@ -45,6 +48,41 @@
 	return l.limiter.Observe(l.now(), s)
 }
 
+// ObservePushback records that a replica wants no requests from this node for a time. It
+// reports whether the replica wants none for longer than it was known to.
+func (l *Limits) ObservePushback(replica string, duration time.Duration) (extended bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pushbacks.Observe(l.now(), replica, duration)
+}
+
+// Pushbacks returns the pushbacks that are not over.
+func (l *Limits) Pushbacks() []pushback.Pushback {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pushbacks.Active(l.now())
+}
+
+// PushbackMillis returns for how many milliseconds from now on replicas want no requests, by
+// replica, for operators.
+func (l *Limits) PushbackMillis() map[string]int64 {
+	millis := map[string]int64{}
+	for _, p := range l.Pushbacks() {
+		millis[p.Replica] = p.Remaining.Milliseconds()
+	}
+	return millis
+}
+
+// PushbackRemaining returns for how long a replica wants no requests from now on, 0 if it
+// wants some.
+func (l *Limits) PushbackRemaining(replica string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	until := l.pushbacks.Until(now, replica)
+	return max(0, until.Sub(now))
+}
+
 // Blocked returns the replicas to which this node may not send a request now.
 func (l *Limits) Blocked() []string {
 	l.mu.Lock()
--- a/route/engineclient/client.go
+++ b/route/engineclient/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/state/engineapi"
 )
 
@@ -176,7 +177,10 @@
 		return resp, nil
 	}
 	defer drainAndClose(resp.Body)
-	return nil, sendError(address, stateAfterRefusal(resp, connsUsed.Load()), resp.StatusCode, nil)
+	return nil, Error.Wrap(&SendError{
+		Endpoint: address, State: stateAfterRefusal(resp, connsUsed.Load()), HTTPStatus: resp.StatusCode,
+		Pushback: headers.ParsePushback(resp.StatusCode, resp.Header.Get(engineapi.HeaderRetryAfter)),
+	})
 }
 
 // stateAfterRefusal returns StateNotRun if the engine says that it did not run the
--- a/route/engineclient/errors.go
+++ b/route/engineclient/errors.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/route/headers"
 )
 
 // Error is the class of every error of this package.
@@ -37,6 +39,8 @@
 	State State
 	// HTTPStatus is the HTTP status with which the engine refused the call, or zero.
 	HTTPStatus int
+	// Pushback is how long the refusal says that the engine wants no further requests.
+	Pushback headers.Pushback
 	// Cause is the underlying error, or nil if the engine answered.
 	Cause error
 }
@@ -62,6 +66,16 @@
 	return errors.As(err, &send) && send.State == StateNotRun
 }
 
+// Pushback returns how long the engine wants no further requests, according to the refusal that
+// err carries.
+func Pushback(err error) headers.Pushback {
+	var send *SendError
+	if errors.As(err, &send) {
+		return send.Pushback
+	}
+	return headers.Pushback{}
+}
+
 // HTTPStatus returns the HTTP status with which the engine refused the call, or zero if
 // err carries none.
 func HTTPStatus(err error) int {
--- a/route/headers/headers.go
+++ b/route/headers/headers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/pushback"
 	"github.com/cicadatack/cicadatack/route/outcome"
 )
 
@@ -78,6 +79,29 @@
 	return RateLimit{Stated: true, RequestsPerSecond: rate}
 }
 
+// Pushback is how long an endpoint that refuses a request wants no further requests from this
+// node.
+type Pushback struct {
+	// Duration is 0 if the response states no time.
+	Duration time.Duration
+	// Malformed is the text of a time that can't be read; empty if there is none.
+	Malformed string
+}
+
+// ParsePushback reads what a response with the given status states in its header Retry-After: a
+// time in seconds, a decimal number. Only a refusal with status 503 states a pushback. With
+// status 429, the time concerns one caller and not the node.
+func ParsePushback(status int, text string) Pushback {
+	if status != http.StatusServiceUnavailable || text == "" {
+		return Pushback{}
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return Pushback{Malformed: text}
+	}
+	return Pushback{Duration: time.Duration(min(seconds, pushback.MaxDuration.Seconds()) * float64(time.Second))}
+}
+
 // ResponseHead is what the status and the headers of an endpoint's response say.
 type ResponseHead struct {
 	// RequestID is the ID of the request that the response belongs to; empty if not
@@ -98,6 +122,8 @@
 	Load *LoadReport
 	// RateLimit is the limit on requests that the endpoint states.
 	RateLimit RateLimit
+	// Pushback is how long the endpoint wants no further requests.
+	Pushback Pushback
 	// IdleTimeout is how long the endpoint keeps an idle connection open; zero if not
 	// stated.
 	IdleTimeout time.Duration
--- a/route/headers/headers_test.go
+++ b/route/headers/headers_test.go
@@ -1,6 +1,11 @@
 package headers
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/pushback"
+)
 
 // Guards against a limit that is misread: a text that is no number must neither end a limit nor
 // stand for one that blocks the replica.
@@ -23,3 +28,29 @@
 		}
 	}
 }
+
+// Guards against a pushback that is misread: a text that is no number must not block a replica,
+// and a 429 concerns one caller only.
+func TestParsePushback(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		text   string
+		want   Pushback
+	}{
+		{503, "", Pushback{}},
+		{503, "3", Pushback{Duration: 3 * time.Second}},
+		{503, " 0.25 ", Pushback{Duration: 250 * time.Millisecond}},
+		{503, "0", Pushback{}},
+		{503, "1e300", Pushback{Duration: pushback.MaxDuration}},
+		{503, "Inf", Pushback{Duration: pushback.MaxDuration}},
+		{503, "-1", Pushback{Malformed: "-1"}},
+		{503, "NaN", Pushback{Malformed: "NaN"}},
+		{503, "Fri, 31 Dec 1999 23:59:59 GMT", Pushback{Malformed: "Fri, 31 Dec 1999 23:59:59 GMT"}},
+		{429, "3", Pushback{}},
+		{200, "3", Pushback{}},
+	} {
+		if got := ParsePushback(c.status, c.text); got != c.want {
+			t.Errorf("%d, %q: %+v, want %+v", c.status, c.text, got, c.want)
+		}
+	}
+}
--- a/route/modelservice/chooser.go
+++ b/route/modelservice/chooser.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/stream"
 	"github.com/cicadatack/cicadatack/state/engineapi"
 )
@@ -148,6 +150,7 @@
 		Started:          epoch.gotFirstToken,
 		Failure:          healthFailure(r),
 	})
+	c.observePushback(chain, r.Pushback)
 	if r.End == stream.EndMismatch || r.Reason == stream.WrongArtifact {
 		c.call.server.PlanObserver.ReportPlanMismatch(c.call.Service.Name, chain.Replica)
 	}
@@ -164,6 +167,18 @@
 	}
 }
 
+// observePushback records for how long the first engine of a chain wants no further requests.
+func (c *chainChooser) observePushback(chain stream.Chain, wanted headers.Pushback) {
+	endpoint := chain.Stages[0].Endpoint
+	figures := map[string]float64{"for_ms": float64(wanted.Duration.Milliseconds())}
+	switch {
+	case wanted.Malformed != "":
+		c.call.RecordDecision(decisionlog.Pushback, endpoint, fmt.Sprintf("Retry-After %q can't be read, want seconds as a decimal number", wanted.Malformed), nil)
+	case c.call.Local.ObservePushback(endpoint, wanted.Duration):
+		c.call.RecordDecision(decisionlog.Pushback, endpoint, "the engine wants no requests", figures)
+	}
+}
+
 func (c *chainChooser) recordChoice(choice balance.Choice) {
 	kind := decisionlog.Route
 	if len(c.epochs) > 1 {
--- a/route/plainservice/codec.go
+++ b/route/plainservice/codec.go
@@ -9,8 +9,8 @@
 )
 
 // HeaderCodec is the headers.Codec of plain HTTP calls. It passes end-to-end headers on
-// and reads two response headers: that an endpoint has not run a call, and the rate limit
-// that it states. Responses carry no request ID and nothing else by which to check that the
+// and reads three response headers: that an endpoint has not run a call, the rate limit
+// that it states, and how long it wants no further calls. Responses carry no request ID and nothing else by which to check that the
 // answer is the endpoint's own.
 type HeaderCodec struct{}
 
@@ -27,10 +27,11 @@
 }
 
 // ParseResponse implements headers.Codec.
-func (HeaderCodec) ParseResponse(_ int, h http.Header) headers.ResponseHead {
+func (HeaderCodec) ParseResponse(status int, h http.Header) headers.ResponseHead {
 	return headers.ResponseHead{
 		NotRun:    h.Get(engineapi.HeaderNotRun) != "",
 		RateLimit: headers.ParseRateLimit(h.Get(engineapi.HeaderRateLimit)),
+		Pushback:  headers.ParsePushback(status, h.Get(engineapi.HeaderRetryAfter)),
 	}
 }
 
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/targets"
@@ -94,34 +93,10 @@
 		return nil, &res
 	}
 	a.head = req.server.HeaderCodec.ParseResponse(exchange.StatusCode, exchange.Header)
-	a.observeRateLimit(exchange.StatusCode)
+	a.observeStatements(exchange.StatusCode)
 	return exchange, nil
 }
 
-// observeRateLimit records what the answer states of the endpoint's rate limit. An answer
-// without a limit ends the limit only if it is a success: a refusal may be written before the
-// endpoint looks at its load.
-func (a *attempt) observeRateLimit(status int) {
-	limit := a.head.RateLimit
-	switch {
-	case a.head.Misdirected:
-		return // the answer is another endpoint's
-	case limit.Malformed != "":
-		a.req.log.Warn("replica's rate limit can't be read, want requests per second as a decimal number",
-			"service", a.req.Service, "replica", a.target.Replica, "text", limit.Malformed)
-		return
-	case !limit.Stated && (a.head.NotRun || status >= http.StatusMultipleChoices):
-		return
-	}
-	changed := a.req.Targets.RateLimits().Observe(endpointrate.Statement{
-		Replica: a.target.Replica, Limited: limit.Stated, RequestsPerSecond: limit.RequestsPerSecond,
-	})
-	if changed {
-		a.req.log.Info("replica's rate limit", "service", a.req.Service, "replica", a.target.Replica,
-			"limited", limit.Stated, "requests_per_second", limit.RequestsPerSecond)
-	}
-}
-
 // matchesRequest reports whether the head of an answer belongs to this request. An endpoint
 // that could not parse the request sends a refusal without an id.
 func (a *attempt) matchesRequest(h http.Header) bool {
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -86,12 +86,16 @@
 	d := decisionlog.FromChoice(target.Choice)
 	d.Kind, d.Chosen = decisionlog.Route, target.Replica
 	d.Values["try"] = float64(req.attemptCount)
+	pushback := req.Targets.RateLimits().PushbackRemaining(target.Replica)
+	if pushback > 0 {
+		d.Values["pushback_left_ms"] = millis(pushback)
+	}
 	d.TextValues = []decisionlog.TextValue{{Name: "address", Text: target.Address}}
 	if len(target.Path) > 0 {
 		d.Reason = "cheapest path with capacity"
 		d.TextValues = append(d.TextValues, decisionlog.TextValue{Name: "path", Text: target.Path.String()})
 	}
-	d.SkipLog = !req.sampled && req.attemptCount == 1
+	d.SkipLog = !req.sampled && req.attemptCount == 1 && pushback == 0
 	req.record(d)
 }
 
--- /dev/null
+++ b/route/relay/statements.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/cicadatack/cicadatack/decide/endpointrate"
+)
+
+// observeStatements records what the head of the answer says of the requests that the endpoint
+// wants. An answer from another endpoint that has the address now says nothing.
+func (a *attempt) observeStatements(status int) {
+	if a.head.Misdirected {
+		return
+	}
+	a.observeRateLimit(status)
+	a.observePushback()
+}
+
+// observeRateLimit records what the answer states of the endpoint's rate limit. An answer
+// without a limit ends the limit only if it is a success: a refusal may be written before the
+// endpoint looks at its load.
+func (a *attempt) observeRateLimit(status int) {
+	limit := a.head.RateLimit
+	switch {
+	case limit.Malformed != "":
+		a.req.log.Warn("replica's rate limit can't be read, want requests per second as a decimal number",
+			"service", a.req.Service, "replica", a.target.Replica, "text", limit.Malformed)
+		return
+	case !limit.Stated && (a.head.NotRun || status >= http.StatusMultipleChoices):
+		return
+	}
+	changed := a.req.Targets.RateLimits().Observe(endpointrate.Statement{
+		Replica: a.target.Replica, Limited: limit.Stated, RequestsPerSecond: limit.RequestsPerSecond,
+	})
+	if changed {
+		a.req.log.Info("replica's rate limit", "service", a.req.Service, "replica", a.target.Replica,
+			"limited", limit.Stated, "requests_per_second", limit.RequestsPerSecond)
+	}
+}
+
+// observePushback records for how long the endpoint wants no further requests.
+func (a *attempt) observePushback() {
+	wanted := a.head.Pushback
+	if wanted.Malformed != "" {
+		a.req.log.Warn("replica's Retry-After can't be read, want seconds as a decimal number",
+			"service", a.req.Service, "replica", a.target.Replica, "text", wanted.Malformed)
+		return
+	}
+	if a.req.Targets.RateLimits().ObservePushback(a.target.Replica, wanted.Duration) {
+		a.req.log.Info("replica wants no requests", "service", a.req.Service, "replica", a.target.Replica,
+			"request", a.req.Call.ID, "for_ms", wanted.Duration.Milliseconds())
+	}
+}
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -45,7 +45,8 @@
 	Picker    *replicapicker.Picker
 	// RetryBudget limits the retries of failed requests.
 	RetryBudget *retrybudget.Budget
-	// RateLimits are the limits on requests that the endpoints of a plain service state.
+	// RateLimits are the limits on requests that the endpoints of a plain service state, and the
+	// pushbacks of replicas.
 	RateLimits *endpointlimits.Limits
 	// PrefixIndex estimates which prompt prefixes the engines have cached. It is empty for
 	// a plain service.
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -97,6 +97,7 @@
 func (e *epoch) handleOpenError(ctx context.Context, err error) {
 	e.result.Status = engineclient.HTTPStatus(err)
 	e.result.NotRun = engineclient.NotRun(err)
+	e.result.Pushback = engineclient.Pushback(err)
 	switch {
 	case e.result.NotRun && e.result.Status != 0:
 		e.setEnd(EndRefused, err)
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/state/engineapi"
 	"github.com/zeebo/errs"
 )
@@ -145,6 +146,8 @@
 	Err error
 	// Status is the HTTP status of a refusal, or zero.
 	Status int
+	// Pushback is how long the first engine wants no further requests, as its refusal states.
+	Pushback headers.Pushback
 	// Tokens is how many tokens the epoch delivered.
 	Tokens int
 	// FirstToken is the time from sending the request to the epoch's first token, or
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -224,7 +224,13 @@
 // refuse answers before any work was done and says so.
 func refuse(w http.ResponseWriter, err error) {
 	status := http.StatusTooManyRequests
+	var pushback *pushbackError
 	switch {
+	case errors.As(err, &pushback):
+		status = http.StatusServiceUnavailable
+		if pushback.retryAfter != "" {
+			w.Header().Set(engineapi.HeaderRetryAfter, pushback.retryAfter)
+		}
 	case errors.Is(err, errDraining), errors.Is(err, errRefusedNext):
 		status = http.StatusServiceUnavailable
 	case errors.Is(err, errHolding), errors.Is(err, errCancelled):
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -36,6 +36,10 @@
 	// EarlyDone ends an answer after this many tokens with the marker that
 	// closes a stream, but without the event that closes the answer.
 	EarlyDone int `json:"early_done,omitempty"`
+	// Refuse refuses new streams with 503. RetryAfter is what these refusals state, in
+	// seconds; empty for nothing.
+	Refuse     bool   `json:"refuse,omitempty"`
+	RetryAfter string `json:"retry_after,omitempty"`
 	// Drain reports draining and refuses new streams; those underway finish.
 	Drain bool `json:"drain,omitempty"`
 }
--- a/standin/engine/stage.go
+++ b/standin/engine/stage.go
@@ -9,6 +9,13 @@
 	"github.com/cicadatack/cicadatack/state/engineapi"
 )
 
+// pushbackError is the refusal of an engine that wants no further requests for a time, in
+// seconds.
+type pushbackError struct{ retryAfter string }
+
+// Error implements error.
+func (p *pushbackError) Error() string { return "the engine wants no requests" }
+
 // errRefusedNext wraps a refusal of a later stage before any work.
 var errRefusedNext = errors.New("a later stage refused")
 
@@ -45,6 +52,9 @@
 	if e.faults.Drain || e.holding.Role == engineapi.RoleDrain {
 		return errDraining
 	}
+	if e.faults.Refuse {
+		return &pushbackError{retryAfter: e.faults.RetryAfter}
+	}
 	stage := p.Chain[index]
 	holds := stage.First == e.holding.First && stage.Last == e.holding.Last && e.report().Runs(p.Artifact)
 	if e.cfg.CheckFencing && (!holds || p.PlacementVersion != e.holding.PlacementVersion) {
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -31,6 +31,8 @@
 	DropReply int `json:"drop_reply"`
 	// Refuse answers 503 before any work, with the header that says so.
 	Refuse bool `json:"refuse"`
+	// RetryAfter is what refusals state, in seconds; empty for nothing.
+	RetryAfter string `json:"retry_after,omitempty"`
 	// FailAfterWork takes the order and answers 500.
 	FailAfterWork bool `json:"fail_after_work"`
 	// DelayMillis is how long each call takes.
@@ -119,7 +121,7 @@
 	defer s.end()
 	pause(r, faults)
 	if faults.Refuse {
-		refuse(w)
+		refuse(w, faults)
 		return
 	}
 	s.mu.Lock()
@@ -136,7 +138,7 @@
 	faults := s.begin()
 	defer s.end()
 	if faults.Refuse {
-		refuse(w)
+		refuse(w, faults)
 		return
 	}
 	number, drop := s.take(r, body)
@@ -195,7 +197,10 @@
 	}
 }
 
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, f Faults) {
+	if f.RetryAfter != "" {
+		w.Header().Set("Retry-After", f.RetryAfter)
+	}
 	w.Header().Set("Cicadatack-Not-Run", "1")
 	http.Error(w, "no work taken", http.StatusServiceUnavailable)
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -33,6 +33,8 @@
 type Fault struct {
 	// Refuse answers every request 503, not run.
 	Refuse bool
+	// RetryAfter is what these answers state, in seconds; empty for nothing.
+	RetryAfter string
 	// LoseAnswer runs the request and resets the connection.
 	LoseAnswer bool
 	// Twice sends every answer of a plain service a second time.
@@ -59,6 +61,16 @@
 	At time.Time
 }
 
+// Arrival is a call that reached a replica, also if the replica refused it.
+type Arrival struct {
+	Replica string
+	// Request is empty for orders and reports.
+	Request, Method, Target string
+	At                      time.Time
+	// RetryAfter is what the refusal of the call stated; empty for nothing.
+	RetryAfter string
+}
+
 // Fleet is all replicas of a test.
 type Fleet struct {
 	layers int
@@ -66,6 +78,7 @@
 	mu       sync.Mutex
 	byAddr   map[string]*Replica
 	runs     []Run
+	arrivals []Arrival
 	problems []string
 }
 
@@ -147,6 +160,19 @@
 	return runs
 }
 
+// Arrivals returns the calls that reached a replica, in order.
+func (f *Fleet) Arrivals(replica string) []Arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Arrival
+	for _, a := range f.arrivals {
+		if a.Replica == replica {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // Problems tells what replicas were asked to do wrong.
 func (f *Fleet) Problems() []string {
 	f.mu.Lock()
@@ -217,6 +243,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.noteArrival(q)
 	switch {
 	case r.Model && q.URL.Path == "/order":
 		r.order(w, q)
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -19,6 +19,9 @@
 	}
 	if fault.Refuse || draining && r.Model {
 		w.Header().Set("Not-Run", "1")
+		if fault.RetryAfter != "" {
+			w.Header().Set("Retry-After", fault.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -51,6 +54,20 @@
 	r.plain(w, q, fault)
 }
 
+// noteArrival notes a call, whatever the replica does with it.
+func (r *Replica) noteArrival(q *http.Request) {
+	r.mu.Lock()
+	fault := r.fault
+	r.mu.Unlock()
+	arrival := Arrival{Replica: r.ID, Request: q.Header.Get("Request-Id"), Method: q.Method, Target: q.RequestURI, At: time.Now()}
+	if fault.Refuse {
+		arrival.RetryAfter = fault.RetryAfter
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.fleet.arrivals = append(r.fleet.arrivals, arrival)
+}
+
 func (r *Replica) note(q *http.Request) {
 	var body strings.Builder
 	// A body that breaks off is noted as far as it came.
--- a/state/engineapi/engineapi.go
+++ b/state/engineapi/engineapi.go
@@ -24,6 +24,11 @@
 // endpoint takes from all nodes together, for as long as its responses have the header.
 const HeaderRateLimit = "Cicadatack-Rate-Limit"
 
+// HeaderRetryAfter states, in the refusal with status 503 of an engine or of a plain service's
+// endpoint, for how many seconds, a decimal number, it wants no further requests from the node
+// that it refused.
+const HeaderRetryAfter = "Retry-After"
+
 // DoneMarker closes an event stream in the chat-completions form.
 const DoneMarker = "[DONE]"
 
