Replicas that state for how long they want no requests get none

What callers saw: a further try, and where all replicas of a service shed load a wait of 0.4 to 0.6 s for a refusal. Operators saw replicas that had asked two nodes for 3 s without requests get 5 and 3 from them in that time.

In its place stood a guess: a backoff of 0.15 to 2.4 s for a model's replica, an ejection for a plain service's, and both give way if no other replica is left. Class: what a replica states is not kept, as a guess about the same thing stands in its place.

Change: route/endpointlimits blocks a replica until its pushback is over, also if it is the last one left, a former first replica or the target of a migration. In a path it runs no stage. The send itself asks once more, as another request may have been refused meanwhile. Orders of layers, reroute commands, questions for reports and tries to reach a suspected replica wait too; a stream whose later stage is lost migrates instead. A refusal with a pushback is no failure: it ejects nothing, lowers no capacity and is not told to other nodes as a guess. A request that nobody can serve in time by this alone is refused at once and told when to return. The own door keeps to it for plain services, orders and chains of engines, whatever stage of a chain the engine is.

--- a/decide/health/failure.go
+++ b/decide/health/failure.go
@@ -21,13 +21,16 @@
 	// Leaving means that the endpoint refused the request before doing work, because it
 	// is shutting down.
 	Leaving
+	// PushedBack means that the endpoint refused the request before doing work, and stated for
+	// how long it wants no further requests.
+	PushedBack
 	// Canceled means that the caller gave up, which says nothing about the endpoint's
 	// health.
 	Canceled
 )
 
 var failureNames = [...]string{
-	"none", "unreachable", "timeout", "broken", "internal", "overloaded", "leaving", "canceled",
+	"none", "unreachable", "timeout", "broken", "internal", "overloaded", "leaving", "pushed back", "canceled",
 }
 
 func (f Failure) String() string {
@@ -37,9 +40,10 @@
 	return "invalid"
 }
 
-// Faulty reports whether the failure counts against the endpoint's health. Overloaded and
-// Leaving do not count: ejecting a full endpoint would shift its load to the next one,
-// which would then become full as well.
+// Faulty reports whether the failure counts against the endpoint's health. Overloaded,
+// Leaving and PushedBack do not count: ejecting a full endpoint would shift its load to the
+// next one, which would then become full as well. An endpoint that states when it wants
+// requests again needs no guess of that time.
 func (f Failure) Faulty() bool {
 	switch f {
 	case Unreachable, Timeout, BrokenResponse, Internal:
@@ -51,5 +55,5 @@
 // ProvesNotRun reports whether the failure alone proves that the endpoint did no work for
 // the request.
 func (f Failure) ProvesNotRun() bool {
-	return f == Unreachable || f == Overloaded || f == Leaving
+	return f == Unreachable || f == Overloaded || f == Leaving || f == PushedBack
 }
--- a/node/site/limits.go
+++ b/node/site/limits.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/cicadatack/cicadatack/decide/endpointrate"
 	"github.com/cicadatack/cicadatack/route/endpointlimits"
-	"github.com/cicadatack/cicadatack/route/headers"
 )
 
 // senders are the nodes that divide the rate limits of replicas.
@@ -72,28 +71,3 @@
 	}
 	return all
 }
-
-// engineAnswered records what the answer of an engine to an order or to a question for its
-// report states.
-func (n *Node) engineAnswered(replica string, head headers.ResponseHead) {
-	for service, model := range n.services.allModels() {
-		if _, listed := model.Replica(replica); !listed || head.Misdirected {
-			continue
-		}
-		if model.RateLimits().ObservePushback(replica, head.Pushback.Duration) {
-			n.log.Info("replica wants no requests", "service", service, "replica", replica, "for_ms", head.Pushback.Duration.Milliseconds())
-		}
-	}
-}
-
-// pushbacks are the times for which replicas want no requests from this node, by service and
-// replica, in milliseconds.
-func (n *Node) pushbacks() map[string]map[string]int64 {
-	all := map[string]map[string]int64{}
-	for service, limits := range n.services.allLimits() {
-		if millis := limits.PushbackMillis(); len(millis) > 0 {
-			all[service] = millis
-		}
-	}
-	return all
-}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -126,7 +126,7 @@
 	defer s.mu.Unlock()
 	k, ok := s.keepers[name]
 	if !ok {
-		k = layerorders.New(name, s.node.engines, s.node.timing.Settle, s.node.log)
+		k = layerorders.New(name, engineCalls{s.node}, s.node.timing.Settle, s.node.log)
 		s.keepers[name] = k
 	}
 	return k
@@ -177,6 +177,9 @@
 		n.noteStill(begun, recheckEvery)
 		for service, model := range n.services.allModels() {
 			for _, r := range model.Suspects() {
+				if model.RateLimits().PushbackRemaining(r.ID) > 0 {
+					continue // it is tried once it wants requests again
+				}
 				if !n.prober.Reachable(ctx, connprobe.ReasonRecheck, r.Address) {
 					model.RecordUnreachable(r.ID)
 				} else if model.MarkAlive(r.ID) {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -140,7 +140,7 @@
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool, Answered: n.engineAnswered}
 	n.prober = connprobe.New(n.pool, time.Now)
-	n.reports = replicareport.New(n.engines, time.Now)
+	n.reports = replicareport.New(engineCalls{n}, time.Now)
 	n.inForce.Store(&settings.Bounds)
 	n.lease.MaxAge = freshLimit(settings.Bounds)
 	n.services.init(n)
@@ -149,7 +149,7 @@
 	n.door = &ingress.Server{
 		Rules: n, Services: &n.services, DrainingFor: n.leavingFor,
 		Relay: &relay.Server{
-			HeaderCodec: callers.Dialect{}, Engines: n.engines, Pool: n.pool, Prober: n.prober, Reports: n.reports,
+			HeaderCodec: callers.Dialect{}, Engines: engineCalls{n}, Pool: n.pool, Prober: n.prober, Reports: n.reports,
 			Metrics: n.metrics, Recorder: n.decisions, Log: log, Now: time.Now, SampleEvery: successSample,
 		},
 	}
--- a/route/endpointlimits/endpointlimits.go
+++ b/route/endpointlimits/endpointlimits.go
@@ -4,6 +4,7 @@
 package endpointlimits
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -83,11 +84,34 @@
 	return max(0, until.Sub(now))
 }
 
+// PushbackEnd returns the earliest end of the pushbacks of the replicas, or the zero time if all
+// of them want requests.
+func (l *Limits) PushbackEnd(replicas []string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	var end time.Time
+	for _, replica := range replicas {
+		until := l.pushbacks.Until(now, replica)
+		if !until.IsZero() && (end.IsZero() || until.Before(end)) {
+			end = until
+		}
+	}
+	return end
+}
+
 // Blocked returns the replicas to which this node may not send a request now.
 func (l *Limits) Blocked() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limiter.Blocked(l.now())
+	now := l.now()
+	blocked := l.limiter.Blocked(now)
+	for _, p := range l.pushbacks.Active(now) {
+		if !slices.Contains(blocked, p.Replica) {
+			blocked = append(blocked, p.Replica)
+		}
+	}
+	return blocked
 }
 
 // Take reports whether this node may send a request to a replica now, and counts it if so.
@@ -95,7 +119,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	if !l.limiter.MaySend(now, replica) {
+	if !l.pushbacks.Until(now, replica).IsZero() || !l.limiter.MaySend(now, replica) {
 		return false
 	}
 	l.limiter.Sent(now, replica)
@@ -109,7 +133,11 @@
 	now := l.now()
 	var next time.Time
 	for _, replica := range replicas {
-		if at := l.limiter.NextSendAt(now, replica); next.IsZero() || at.Before(next) {
+		at := l.limiter.NextSendAt(now, replica)
+		if until := l.pushbacks.Until(now, replica); until.After(at) {
+			at = until
+		}
+		if next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
--- a/route/modelservice/attempts.go
+++ b/route/modelservice/attempts.go
@@ -122,6 +122,9 @@
 	case stream.EndCallerGone, stream.EndDeadline:
 		return health.Canceled
 	case stream.EndRefused:
+		if r.Pushback.Duration > 0 {
+			return health.PushedBack
+		}
 		return upstream.RefusalFailure(r.Status)
 	case stream.EndUnreachable:
 		return health.Unreachable
--- a/route/modelservice/chooser.go
+++ b/route/modelservice/chooser.go
@@ -65,7 +65,7 @@
 // pickUsableChain picks replicas until one has a usable chain. Each replica is tried
 // once.
 func (c *chainChooser) pickUsableChain(ctx context.Context, exclude []string) (stream.Chain, error) {
-	exclude = slices.Concat(exclude, c.call.excluded)
+	exclude = slices.Concat(exclude, c.call.excluded, c.call.Local.PushedBack())
 	for {
 		choice, chain, err := c.pickChain(ctx, exclude)
 		if err == nil {
--- a/route/plainservice/targets.go
+++ b/route/plainservice/targets.go
@@ -24,7 +24,7 @@
 	for exclude := append(slices.Clone(q.Exclude), blocked...); ; {
 		choice, ok := d.call.Local.Picker.Pick(balance.Query{Cost: callCost, Exclude: exclude, NoProbe: q.NonIdempotent})
 		if !ok && limited {
-			return targets.Target{}, targets.ErrNoCapacity
+			return targets.Target{}, targets.BlockedError(d.RateLimits(), blocked)
 		}
 		if !ok {
 			return targets.Target{}, targets.ErrNoEndpoint
@@ -34,8 +34,9 @@
 		if mayTake {
 			return targets.Target{Replica: choice.ReplicaID, Address: endpoint.Address, Domain: endpoint.FailureDomain, Choice: &choice}, nil
 		}
-		// The endpoint was added by a later document than the one that the call uses, or
-		// another call has taken what the endpoint's rate limit allowed.
+		// The endpoint was added by a later document than the one that the call uses, another
+		// call has taken what the endpoint's rate limit allowed, or the endpoint has just
+		// stated that it wants no requests.
 		limited = limited || known
 		d.call.Local.Picker.Finished(choice.ReplicaID, balance.Result{Cost: callCost, Failure: health.Canceled})
 		exclude = append(exclude[:len(exclude):len(exclude)], choice.ReplicaID)
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -75,6 +75,10 @@
 	if req.Freshness != nil && !req.Freshness.Fresh() {
 		return nil, &attemptResult{kind: resultNotSent, detail: "the configuration is not proved to be recent"}
 	}
+	if req.Targets.RateLimits().PushbackRemaining(a.target.Replica) > 0 {
+		// Another request was refused after this one had chosen its target.
+		return nil, &attemptResult{kind: resultNotSent, detail: "the endpoint wants no requests", feedback: targets.Result{Failure: health.Canceled}}
+	}
 	exchange, err := req.server.Pool.Send(ctx, upstream.Request{
 		Address: a.target.Address,
 		Method:  req.Method, Target: req.Target, Host: cmp.Or(req.Host, a.target.Address), Body: req.Body,
@@ -165,6 +169,12 @@
 
 // refusedResult classifies a refusal: an answer that says that the request did not run.
 func (a *attempt) refusedResult(status int) attemptResult {
+	if a.pushedBack() {
+		return attemptResult{
+			kind: resultNotRun, detail: fmt.Sprintf("%d from %s, which wants no requests for %v", status, a.target.Address, a.head.Pushback.Duration),
+			feedback: targets.Result{Failure: health.PushedBack},
+		}
+	}
 	slow := a.req.server.Now().Sub(a.startedAt) > suspectAfter
 	return attemptResult{
 		kind:   resultNotRun,
--- a/route/relay/final_answer.go
+++ b/route/relay/final_answer.go
@@ -81,13 +81,24 @@
 	case len(req.mayHaveRunOn) > 0:
 		return nil, refusalWithoutAnswer(req.lastResult)
 	case errors.Is(err, targets.ErrNoCapacity):
-		return nil, NotRun(http.StatusServiceUnavailable, ReasonNoCapacity, "no endpoint has capacity", retryAfterNoCapacity)
+		return nil, req.noCapacity(err)
 	case errors.Is(err, targets.ErrNoEndpoint):
 		return nil, NotRun(http.StatusServiceUnavailable, ReasonNoEndpoint, "no endpoint is available", retryAfterNoCapacity)
 	}
 	return nil, req.expired()
 }
 
+// noCapacity returns the refusal of a request for which no endpoint has capacity. If the
+// endpoints have stated when they want requests again, the caller is told that time.
+func (req *requestState) noCapacity(err error) *outcome.Refusal {
+	retryAfter := retryAfterNoCapacity
+	var pushback *targets.PushbackError
+	if errors.As(err, &pushback) {
+		retryAfter = max(minRetryAfter, pushback.Until.Sub(req.server.Now()))
+	}
+	return NotRun(http.StatusServiceUnavailable, ReasonNoCapacity, err.Error(), retryAfter)
+}
+
 func refusalWithoutAnswer(res attemptResult) *outcome.Refusal {
 	return outcomeUnknown(http.StatusBadGateway, ReasonUnknown, "the endpoint received the request and did not answer it: "+res.detail)
 }
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -211,6 +211,8 @@
 	// retryAfterNoCapacity is the Retry-After of refusals for lack of capacity. Streams last
 	// some seconds, and about a tenth of them end within this time.
 	retryAfterNoCapacity = 400 * time.Millisecond
+	// minRetryAfter is the shortest Retry-After.
+	minRetryAfter = 10 * time.Millisecond
 	// statusCallerGone is only logged; the caller has left.
 	statusCallerGone = 499
 )
--- a/route/relay/statements.go
+++ b/route/relay/statements.go
@@ -51,3 +51,11 @@
 			"request", a.req.Call.ID, "for_ms", wanted.Duration.Milliseconds())
 	}
 }
+
+// pushedBack reports whether the endpoint itself wants no requests. What it states then replaces
+// any guess of how long it refuses requests. If the refusal names another stage as faulty, that
+// stage is judged as after any refusal.
+func (a *attempt) pushedBack() bool {
+	ownFault := a.head.FaultAddress == "" || a.head.FaultAddress == a.target.Address
+	return a.head.Pushback.Duration > 0 && !a.head.Misdirected && ownFault
+}
--- a/route/targets/active_request.go
+++ b/route/targets/active_request.go
@@ -130,7 +130,7 @@
 	whole := layers.Span{To: m.layers}
 	path, reason := m.selector.Choose(now, paths.Query{
 		Domain: m.domain, Layers: whole, Tokens: r.tokens,
-		Exclude: append(slices.Clone(filter.Exclude), r.path[0].Replica), FirstReplicas: filter.AllowedFirstReplicas,
+		Exclude: slices.Concat(filter.Exclude, []string{r.path[0].Replica}, m.pushedBack()), FirstReplicas: filter.AllowedFirstReplicas,
 		NotFirst: m.limits.Blocked(),
 	})
 	if reason != paths.Found || !path.Covers(whole) {
@@ -242,16 +242,18 @@
 }
 
 // findBypass returns a path that keeps the first stage and runs through usable replicas after
-// it, or nil. The caller holds the lock.
+// it, or nil. There is none while the first replica wants no requests, because the reroute
+// command is one. The caller holds the lock.
 func (r *ActiveRequest) findBypass(now time.Time) paths.Path {
 	m := r.model
 	first := r.path[0]
-	if first.Layers.To == m.layers {
+	pushedBack := m.pushedBack()
+	if first.Layers.To == m.layers || slices.Contains(pushedBack, first.Replica) {
 		return nil
 	}
 	rest, reason := m.selector.Choose(now, paths.Query{
 		Domain: first.Domain, Layers: layers.Span{From: first.Layers.To, To: m.layers},
-		Tokens: r.tokens, Exclude: []string{first.Replica},
+		Tokens: r.tokens, Exclude: append(pushedBack, first.Replica),
 	})
 	if reason != paths.Found {
 		return nil
--- a/route/targets/choose.go
+++ b/route/targets/choose.go
@@ -1,11 +1,14 @@
 package targets
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
+	"github.com/cicadatack/cicadatack/decide/pushback"
 	"github.com/cicadatack/cicadatack/decide/waitqueue"
 )
 
@@ -22,6 +25,10 @@
 		if ok {
 			return t, nil
 		}
+		if until, blocked := m.blockedPast(q); blocked {
+			m.stopWaiting(w)
+			return Target{}, &PushbackError{Until: until}
+		}
 		remaining := q.WaitUntil.Sub(m.now())
 		if remaining <= 0 {
 			m.stopWaiting(w)
@@ -72,10 +79,7 @@
 		m.waitQueue.Add(now, w)
 		return Target{}, paths.NoCapacity, false
 	}
-	path, reason := m.selector.Choose(now, paths.Query{
-		Domain: m.domain, Layers: layers.Span{To: m.layers}, Tokens: q.Tokens, Exclude: q.Exclude, FirstReplicas: q.AllowedFirstReplicas,
-		NotFirst: m.limits.Blocked(),
-	})
+	path, reason := m.selector.Choose(now, m.pathQuery(q, m.pushedBack()))
 	if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) || !m.limits.Take(path[0].Replica) {
 		if firstTry {
 			m.waitQueue.Add(now, w)
@@ -88,6 +92,49 @@
 	return m.start(path, q.Tokens), paths.Found, true
 }
 
+// pathQuery returns the query for a path of a new request. unwanted lists replicas that the path
+// must not use besides those that the request excludes.
+func (m *ModelTargets) pathQuery(q Query, unwanted []string) paths.Query {
+	return paths.Query{
+		Domain: m.domain, Layers: layers.Span{To: m.layers}, Tokens: q.Tokens,
+		Exclude:       slices.Concat(q.Exclude, unwanted),
+		FirstReplicas: q.AllowedFirstReplicas, NotFirst: m.limits.Blocked(),
+	}
+}
+
+// pushedBack returns the replicas that want no requests from this node. No path may use them:
+// a later stage is sent work as well.
+func (m *ModelTargets) pushedBack() []string { return replicaIDs(m.limits.Pushbacks()) }
+
+func replicaIDs(pushbacks []pushback.Pushback) []string {
+	var ids []string
+	for _, p := range pushbacks {
+		ids = append(ids, p.Replica)
+	}
+	return ids
+}
+
+// blockedPast reports whether the request can't be served in time because of pushbacks alone:
+// every path needs a replica that wants no requests until after Query.WaitUntil. until is the
+// earliest end of such a pushback.
+func (m *ModelTargets) blockedPast(q Query) (until time.Time, blocked bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	tooLate := slices.DeleteFunc(m.limits.Pushbacks(), func(p pushback.Pushback) bool { return !now.Add(p.Remaining).After(q.WaitUntil) })
+	if len(tooLate) == 0 {
+		return time.Time{}, false
+	}
+	if _, reason := m.selector.Choose(now, m.pathQuery(q, replicaIDs(tooLate))); reason != paths.LayersUnavailable {
+		return time.Time{}, false
+	}
+	if _, reason := m.selector.Choose(now, m.pathQuery(q, nil)); reason == paths.LayersUnavailable {
+		return time.Time{}, false
+	}
+	first := slices.MinFunc(tooLate, func(a, b pushback.Pushback) int { return cmp.Compare(a.Remaining, b.Remaining) })
+	return now.Add(first.Remaining), true
+}
+
 func (m *ModelTargets) start(path paths.Path, tokens float64) Target {
 	active := &ActiveRequest{model: m, path: path, tokens: tokens}
 	m.selector.Reserve(path, tokens)
--- a/route/targets/plain.go
+++ b/route/targets/plain.go
@@ -67,9 +67,9 @@
 }
 
 // Choose implements Targets. It does not wait for capacity: plain services have their own
-// queue, and refuse requests when that queue is full. If rate limits block the replicas, it
-// waits until one of them may be sent a request, or fails at once if that is after
-// Query.WaitUntil.
+// queue, and refuse requests when that queue is full. If rate limits or pushbacks block the
+// replicas, it waits until one of them may be sent a request, or fails at once if that is
+// after Query.WaitUntil.
 func (p *PlainTargets) Choose(ctx context.Context, q Query) (Target, error) {
 	for {
 		blocked := p.limits.Blocked()
@@ -77,9 +77,10 @@
 		if !errors.Is(err, ErrNoCapacity) {
 			return t, err
 		}
-		next := p.limits.NextSendAt(blocked)
-		if next.After(q.WaitUntil) {
-			return Target{}, ErrNoCapacity
+		awaited := p.usable(q, blocked)
+		next := p.limits.NextSendAt(awaited)
+		if len(awaited) == 0 || next.After(q.WaitUntil) {
+			return Target{}, BlockedError(p.limits, blocked)
 		}
 		// A limit may end during the wait.
 		if !wait.For(ctx, min(next.Sub(p.now()), capacityPollInterval)) {
@@ -88,8 +89,16 @@
 	}
 }
 
-// pick picks a replica that is not blocked by its rate limit. It fails with ErrNoCapacity if
-// only such replicas are left.
+// usable returns those of the replicas that could serve the request if they were not blocked.
+func (p *PlainTargets) usable(q Query, replicas []string) []string {
+	return slices.DeleteFunc(slices.Clone(replicas), func(id string) bool {
+		r, _ := p.replicas.get(id)
+		return r == nil || r.Draining || slices.Contains(q.Exclude, id)
+	})
+}
+
+// pick picks a replica that is not blocked by its rate limit or pushback. It fails with
+// ErrNoCapacity if only such replicas are left.
 func (p *PlainTargets) pick(q Query, blocked []string) (Target, error) {
 	exclude := append(slices.Clone(q.Exclude), blocked...)
 	choice, ok := p.picker.Pick(balance.Query{Cost: 1, Exclude: exclude, NoProbe: q.NonIdempotent})
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -18,6 +18,25 @@
 	ErrNoCapacity = errors.New("no endpoint has capacity")
 )
 
+// PushbackError means that replicas could serve a request, but want none before Until, which is
+// too late for the request. errors.Is(err, ErrNoCapacity) is true.
+type PushbackError struct{ Until time.Time }
+
+// Error implements error.
+func (p *PushbackError) Error() string { return "the endpoints that could serve want no requests now" }
+
+// Is implements the interface that errors.Is uses.
+func (p *PushbackError) Is(target error) bool { return target == ErrNoCapacity }
+
+// BlockedError returns the error of a request that no replica can serve in time because of what
+// the replicas state: a PushbackError if some of them want no requests, otherwise ErrNoCapacity.
+func BlockedError(limits *endpointlimits.Limits, blocked []string) error {
+	if until := limits.PushbackEnd(blocked); !until.IsZero() {
+		return &PushbackError{Until: until}
+	}
+	return ErrNoCapacity
+}
+
 // Query describes the target that an attempt needs.
 type Query struct {
 	// Tokens is the number of tokens that the request is expected to hold in the KV cache at
