--- a/node/site/pushback_test.go
+++ b/node/site/pushback_test.go
@@ -85,17 +85,6 @@
 	return calls
 }
 
-// firstReplicas are the model replicas that hold the first layer.
-func firstReplicas(p *platform) []string {
-	var ids []string
-	for id, r := range p.Replicas() {
-		if from, to := r.Holds(); r.Model && from == 0 && to > 0 {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Guards against requests to a replica that has refused one and stated for how long it wants
 // none: a node that guesses this time keeps trying, and so does one that has no other replica.
 func TestReplicasThatWantNoRequestsGetNone(t *testing.T) {
