soak: replicas refuse for a time, and say in answers that they leave

TestEndpointPromises, 21 processes: a replica, or all of the plain service, refuses requests and states for how long it wants none; some replicas that leave say so in their answers for 5 s before the store shows it. Each node's requests are held against what it was told itself, from what callers and replicas see. A third chain serves while others state limits.

--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -30,6 +30,11 @@
 	status        int // 0 if no answer came
 	body          string
 	whole         bool
+	// replica is the one whose stamp the answer bears, saidLeaving that the answer says that it
+	// leaves, and answered when the head of the answer came.
+	replica     string
+	saidLeaving bool
+	answered    time.Time
 }
 
 // crowd is callers that ask where to connect, keep the answer for a while and connect
@@ -137,7 +142,8 @@
 		return a
 	}
 	defer response.Body.Close()
-	a.status = response.StatusCode
+	a.status, a.answered = response.StatusCode, time.Now()
+	a.replica, a.saidLeaving = stampedBy(response.Header.Get("Server-Stamp")), response.Header.Get("Server-Leaving") == "1"
 	text, err := io.ReadAll(response.Body)
 	a.body, a.whole = string(text), err == nil
 	return a
--- a/e2e/soak/endpoints_test.go
+++ b/e2e/soak/endpoints_test.go
@@ -21,6 +21,8 @@
 	endpointStepTime = 300 * time.Millisecond
 	// drainTime is how long after it left a replica may still get requests.
 	drainTime = 2 * time.Second
+	// answersFirst is how long some replicas that leave say so in answers alone.
+	answersFirst = 5 * time.Second
 	// inTouchAfter is how long after its last fault a node is bound by the promises.
 	inTouchAfter = 3 * time.Second
 	// limitSettles is how long after a replica first stated its limit the limit counts, in
@@ -44,7 +46,12 @@
 	left    map[string]time.Time // replicas that have left, and when the store knew
 	limits  []statedLimit
 	faults  map[string][]period // by node
+	stops   map[string][]period // those of the faults that are restarts or freezes
 	outages []period            // of the store
+	// unlistAt is when the entries of replicas that leave without announcing it will go.
+	unlistAt map[string]time.Time
+	// pushedBack are the ends of the last times for which replicas want no requests.
+	pushedBack map[string]time.Time
 }
 
 // period is the time of a fault.
@@ -60,38 +67,54 @@
 	return period{from: now, to: now.Add(d)}
 }
 
-// Replicas leave, announced or not, and state limits, while nodes are killed, stand still
+// Replicas leave, announced or not, state limits and refuse requests for a time, while nodes are killed, stand still
 // and are cut off from the store, and the store goes away, drawn from a seed. A node in touch
 // sends nothing to a replica that left longer ago than replicas wait; a replica gets no more
-// than the limit that it states, from all nodes in touch together; and the promises of
-// TestSoak hold.
+// than the limit that it states, from all nodes in touch together; a node that was told that a
+// replica leaves or wants no requests for a time keeps to it; and the promises of TestSoak hold.
 func TestEndpointPromises(t *testing.T) {
 	bin := build(t)
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			r := &endpointRun{
 				run:  newRun(t, bin, seed, endpointNodes, endpointDomains),
-				left: map[string]time.Time{}, faults: map[string][]period{},
+				left: map[string]time.Time{}, faults: map[string][]period{}, stops: map[string][]period{},
+				unlistAt: map[string]time.Time{}, pushedBack: map[string]time.Time{},
 			}
+			r.addModels()
 			r.play(endpointSteps, endpointStepTime, r.step)
 			r.judgeLeft()
 			r.judgeLimits()
+			r.judgePushbacks()
+			r.judgeSaidLeaving()
 		})
 	}
 }
 
+// addModels adds a third chain, so that models serve while some replicas state limits.
+func (r *endpointRun) addModels() {
+	config := r.site.Replica("i-model-0").Config
+	for _, id := range []string{"i-model-4", "i-model-5"} {
+		config.ID = id
+		if err := r.site.Add(config); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
 func (r *endpointRun) step() {
 	r.revive()
+	r.unlistDue()
 	v := r.vms[r.draw.IntN(len(r.vms))]
-	switch r.draw.IntN(12) {
+	switch r.draw.IntN(14) {
 	case 0:
 		r.tell("%s is killed and starts again", v.name)
 		killedAt := time.Now()
 		v.kill()
 		v.start(r.t)
-		r.faults[v.name] = append(r.faults[v.name], period{from: killedAt, to: time.Now()})
+		r.stop(v, period{from: killedAt, to: time.Now()})
 	case 1:
-		r.fault(v, r.freeze(v))
+		r.stop(v, lasting(r.freeze(v)))
 	case 2, 3:
 		r.cutFromStore(v)
 	case 4, 5:
@@ -106,18 +129,21 @@
 		if r.draw.IntN(3) == 0 { // while it is away, and for a while after, no node is in touch
 			r.storeAway()
 		}
+	case 12, 13:
+		r.pushBack()
 	}
 }
 
-// fault records that a node has a fault that lasts for some time from now on.
-func (r *endpointRun) fault(v *vm, lasts time.Duration) {
-	r.faults[v.name] = append(r.faults[v.name], lasting(lasts))
+// stop records a restart or a freeze of a node.
+func (r *endpointRun) stop(v *vm, p period) {
+	r.faults[v.name] = append(r.faults[v.name], p)
+	r.stops[v.name] = append(r.stops[v.name], p)
 }
 
 func (r *endpointRun) cutFromStore(v *vm) {
 	lasts := time.Duration(1000+r.draw.IntN(2500)) * time.Millisecond
 	r.tell("%s is cut off from the store for %v", v.name, lasts)
-	r.fault(v, lasts)
+	r.faults[v.name] = append(r.faults[v.name], lasting(lasts))
 	v.store.Freeze()
 	time.AfterFunc(lasts, v.store.Heal)
 }
@@ -131,7 +157,7 @@
 }
 
 // leave lets a replica leave, and another one comes in its place. The replica serves on for
-// the rest of the run, so that late requests reach it.
+// the rest of the run, so that late requests reach it, and says in all answers that it leaves.
 func (r *endpointRun) leave(announced bool) {
 	id := r.drawReplica()
 	if id == "" {
@@ -149,10 +175,24 @@
 	if announced {
 		leaving.Announce()
 		r.site.Beat()
-	} else {
+		r.left[id] = time.Now()
+		return
+	}
+	leaving.SetFault(replica.Fault{Leaving: true})
+	r.unlistAt[id] = time.Now().Add(time.Duration(r.draw.IntN(2)) * answersFirst)
+	r.unlistDue()
+}
+
+// unlistDue removes the entries of replicas that leave without announcing it.
+func (r *endpointRun) unlistDue() {
+	for id, at := range r.unlistAt {
+		if time.Now().Before(at) {
+			continue
+		}
 		r.site.Unlist(id)
+		r.left[id] = time.Now()
+		delete(r.unlistAt, id)
 	}
-	r.left[id] = time.Now()
 }
 
 // stateLimit lets a replica that stays state a limit. At most maxLimited do so at a time, so
@@ -178,21 +218,29 @@
 	r.limits = append(r.limits, statedLimit{replica: id, requestsPerSecond: limit, from: time.Now()})
 }
 
-// drawReplica returns a replica that has not left and states no limit, "" if there is none.
+// drawReplica returns one of the staying replicas, "" if there is none.
 func (r *endpointRun) drawReplica() string {
-	var staying []string
-	for id := range r.site.Replicas() {
-		if _, gone := r.left[id]; !gone && !r.limited(id) {
-			staying = append(staying, id)
-		}
-	}
+	staying := r.staying()
 	if len(staying) == 0 {
 		return ""
 	}
-	slices.Sort(staying)
 	return staying[r.draw.IntN(len(staying))]
 }
 
+// staying are the replicas that have not left, state no limit and want requests, sorted.
+func (r *endpointRun) staying() []string {
+	var ids []string
+	for id := range r.site.Replicas() {
+		_, gone := r.left[id]
+		_, going := r.unlistAt[id]
+		if !gone && !going && !r.limited(id) && time.Now().After(r.pushedBack[id]) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (r *endpointRun) limited(id string) bool {
 	return slices.ContainsFunc(r.limits, func(l statedLimit) bool { return l.replica == id && l.to.IsZero() })
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -13,8 +13,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -175,6 +177,17 @@
 	return list
 }
 
+// ReplicaIDs returns the replicas that calls have reached, sorted.
+func (f *Fleet) ReplicaIDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]bool{}
+	for _, a := range f.arrivals {
+		seen[a.Replica] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // Problems tells what replicas were asked to do wrong.
 func (f *Fleet) Problems() []string {
 	f.mu.Lock()
