--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -19,6 +19,7 @@
 	NoCover        Cause = "no cover of some layer"
 	Stale          Cause = "stale configuration"
 	BudgetSpent    Cause = "try budget spent"
+	PushedBack     Cause = "replicas want no requests"
 	ReplicaRefused Cause = "replica refused"
 	ReplicaGone    Cause = "replica broke off or did not answer"
 	ReplicaSlow    Cause = "replica slow"
@@ -34,7 +35,7 @@
 
 // causes lists all of them in order.
 var causes = []Cause{
-	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, ReplicaRefused, ReplicaGone,
+	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, PushedBack, ReplicaRefused, ReplicaGone,
 	ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, Unexplained,
 }
 
@@ -72,6 +73,7 @@
 	"no_adapter":          NoCover,
 	"no_endpoint":         NoCover,
 	"no_room":             NoRoom,
+	"pushed_back":         PushedBack,
 	"timeout":             NoRoom,
 	"leaving":             NodeLeaving,
 	"not_ready":           NodeLeaving,
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -54,6 +54,7 @@
 		outcome Outcome
 	}{
 		{"keys not proved", about(1, "refuse", "stale_configuration", `"status":503`), Stale, Refused},
+		{"pushed back", about(1, "refuse", "pushed_back", `"status":503`), PushedBack, Refused},
 		{"no room", about(1, "refuse", "no_room", `"status":503`), NoRoom, Refused},
 		{"no holder", about(1, "refuse", "no_endpoint", `"status":503`), NoCover, Refused},
 		{"leaving", about(1, "refuse", "leaving", `"status":503`), NodeLeaving, Refused},
--- a/route/relay/final_answer.go
+++ b/route/relay/final_answer.go
@@ -24,6 +24,8 @@
 		return res.answer, nil
 	case len(req.mayHaveRunOn) > 0:
 		return nil, refusalWithoutAnswer(res)
+	case res.feedback.Failure == health.PushedBack:
+		return nil, NotRun(http.StatusServiceUnavailable, ReasonPushedBack, res.detail, retryAfterNoCapacity)
 	case res.feedback.Failure == health.Overloaded:
 		return nil, NotRun(http.StatusTooManyRequests, ReasonOverloaded, res.detail, retryAfterNoCapacity)
 	case res.feedback.NoCapacity:
@@ -81,22 +83,22 @@
 	case len(req.mayHaveRunOn) > 0:
 		return nil, refusalWithoutAnswer(req.lastResult)
 	case errors.Is(err, targets.ErrNoCapacity):
-		return nil, req.noCapacity(err)
+		return nil, req.refuseNoCapacity(err)
 	case errors.Is(err, targets.ErrNoEndpoint):
 		return nil, NotRun(http.StatusServiceUnavailable, ReasonNoEndpoint, "no endpoint is available", retryAfterNoCapacity)
 	}
 	return nil, req.expired()
 }
 
-// noCapacity returns the refusal of a request for which no endpoint has capacity. If the
+// refuseNoCapacity returns the refusal of a request for which no endpoint has capacity. If the
 // endpoints have stated when they want requests again, the caller is told that time.
-func (req *requestState) noCapacity(err error) *outcome.Refusal {
-	retryAfter := retryAfterNoCapacity
+func (req *requestState) refuseNoCapacity(err error) *outcome.Refusal {
 	var pushback *targets.PushbackError
-	if errors.As(err, &pushback) {
-		retryAfter = max(minRetryAfter, pushback.Until.Sub(req.server.Now()))
+	if !errors.As(err, &pushback) {
+		return NotRun(http.StatusServiceUnavailable, ReasonNoCapacity, err.Error(), retryAfterNoCapacity)
 	}
-	return NotRun(http.StatusServiceUnavailable, ReasonNoCapacity, err.Error(), retryAfter)
+	retryAfter := max(minRetryAfter, pushback.Until.Sub(req.server.Now()))
+	return NotRun(http.StatusServiceUnavailable, ReasonPushedBack, err.Error(), retryAfter)
 }
 
 func refusalWithoutAnswer(res attemptResult) *outcome.Refusal {
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -201,6 +201,7 @@
 const (
 	ReasonNoEndpoint = "no_endpoint"
 	ReasonNoCapacity = "no_room"
+	ReasonPushedBack = "pushed_back"
 	ReasonOverloaded = "overloaded"
 	ReasonUnknown    = "unknown"
 	ReasonTimeout    = "timeout"
