A caller is refused within a second if the retry budget is spent

What callers saw, on the own door with all endpoints of a plain service refusing: at 60 reads a second most are refused at once, and some get neither answer nor refusal within 5 s (26 of 360 by the users' find; 16 of 360 in a trial here, until the caller gave up after 12 s).

Cause: a stack of the process that hangs shows all 16 in decideRetry. A request that may be tried again waits for the retry budget as long as it may wait for capacity, twice 0.6 of its latency objective. Services of the own door have none; their timeout stands in its place, so that wait is 36 s, and it holds one of the 16 slots. Class: a bound that is derived from a figure which is missing.

Change: the wait for the budget is a second at most. Routes on the users' platform have objectives of 150 to 600 ms, so theirs (180 to 720 ms) stay as they were.

Result: TestCallersAreRefusedWhileAllEndpointsRefuse fails on the commit before and passes. That a request waits for the budget although no endpoint is left to try is not changed.

--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -199,14 +199,19 @@
 // budgetWaitUntil is the time until which the request may wait for the retry budget. If a
 // stream that has begun were given up, the events that the caller has received would be wasted.
 // Such a stream waits as long as its caller does. Other requests wait as long as they may wait
-// for capacity.
+// for capacity, but at most for maxBudgetWait.
 func (req *requestState) budgetWaitUntil() time.Time {
 	if req.answerStarted {
 		return req.lastEventAt.Add(resumeTimeout)
 	}
-	return req.Arrived.Add(maxWaitFactor * req.onTimeWait())
+	return req.Arrived.Add(min(maxBudgetWait, maxWaitFactor*req.onTimeWait()))
 }
 
+// maxBudgetWait bounds the wait for the retry budget. Routes without a latency objective of their
+// own have their timeout in its place, often half a minute. If all endpoints refuse, their
+// requests would hold their slots for that time, and their callers would learn nothing.
+const maxBudgetWait = time.Second
+
 // budgetPollInterval is the time between two checks of a spent retry budget.
 const budgetPollInterval = 100 * time.Millisecond
 
