--- a/node/server/entries.go
+++ b/node/server/entries.go
@@ -136,7 +136,7 @@
 	}
 	for _, each := range s.registry.All() {
 		each.Picker.SetPeers(near, serving)
-		each.RateLimits.SetNodes(senders)
+		each.Limits.SetNodes(senders)
 	}
 }
 
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -75,7 +75,7 @@
 	}
 	for _, each := range s.registry.All() {
 		status.Slots[each.Name] = each.Picker.Slots()
-		if millis := each.RateLimits.PushbackMillis(); len(millis) > 0 {
+		if millis := each.Limits.PushbackMillis(); len(millis) > 0 {
 			status.Pushbacks[each.Name] = millis
 		}
 	}
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -112,7 +112,7 @@
 	n.metrics.Connections(n.pool.OpenConns())
 	n.metrics.Members("live", len(n.members.get()))
 	n.gaugeReplicas()
-	n.gaugeRateLimits()
+	n.gaugeLimits()
 	for service, model := range n.services.allModels() {
 		waiting, underway := model.RequestCounts()
 		n.metrics.Queue(service, waiting, underway)
@@ -163,8 +163,8 @@
 	}
 }
 
-// gaugeRateLimits sets the figures of what replicas state about the requests that they want.
-func (n *Node) gaugeRateLimits() {
+// gaugeLimits sets the figures of what replicas state about the requests that they want.
+func (n *Node) gaugeLimits() {
 	for service, limits := range n.services.allLimits() {
 		inForce := limits.InForce()
 		sum := 0.0
--- a/node/site/limits.go
+++ b/node/site/limits.go
@@ -21,10 +21,10 @@
 	defer s.mu.Unlock()
 	all := make(map[string]*endpointlimits.Limits, len(s.models)+len(s.plain))
 	for name, m := range s.models {
-		all[name] = m.RateLimits()
+		all[name] = m.Limits()
 	}
 	for name, p := range s.plain {
-		all[name] = p.RateLimits()
+		all[name] = p.Limits()
 	}
 	return all
 }
--- a/node/site/pushback.go
+++ b/node/site/pushback.go
@@ -23,7 +23,7 @@
 		if head.Leaving.Stated && model.MarkLeaving(targets.Target{Replica: replica, Incarnation: r.Incarnation}) {
 			n.log.Info("replica says that it is leaving", "service", service, "replica", replica)
 		}
-		if model.RateLimits().ObservePushback(replica, head.Pushback.Duration) {
+		if model.Limits().ObservePushback(replica, head.Pushback.Duration) {
 			n.log.Info("replica wants no requests", "service", service, "replica", replica, "for_ms", head.Pushback.Duration.Milliseconds())
 		}
 	}
@@ -66,7 +66,7 @@
 // pushedBack returns an error if a replica wants no requests.
 func (e engineCalls) pushedBack(replica string) error {
 	for _, model := range e.node.services.allModels() {
-		if remaining := model.RateLimits().PushbackRemaining(replica); remaining > 0 {
+		if remaining := model.Limits().PushbackRemaining(replica); remaining > 0 {
 			return Error.New("not sent: %s wants no requests for %v", replica, remaining)
 		}
 	}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -6,14 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/cicadatack/cicadatack/decide/retry"
-	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/layerorders"
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/retrybudget"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
-	"github.com/cicadatack/cicadatack/state/wait"
 )
 
 // services are the endpoints of each service that the configuration names.
@@ -96,14 +93,14 @@
 		replicas := byService[service.Name]
 		if service.Model != nil {
 			model := s.model(service.Name)
-			model.RateLimits().SetNodes(senders)
+			model.Limits().SetNodes(senders)
 			model.Update(service.Model, replicas, targets.NodeShare{
 				CapacityShare: s.node.share, MaxConns: s.node.conns(service), DomainNodeCount: max(1, len(near)),
 			})
 			continue
 		}
 		plain := s.plainOf(service.Name)
-		plain.RateLimits().SetNodes(senders)
+		plain.Limits().SetNodes(senders)
 		plain.Update(replicas, s.node.conns(service), near, all)
 	}
 }
@@ -175,64 +172,6 @@
 	startNear = 3
 )
 
-// recheckEvery is how often suspected replicas are tried again. A connection costs
-// next to nothing, a request that meets a dead part seconds.
-const recheckEvery = 400 * time.Millisecond
-
-// stillLimit is how much longer than it should a pause may last before the process, or
-// its machine, is taken to have stood still.
-const stillLimit = 100 * time.Millisecond
-
-// noteStill logs that the process stood still, if a pause that has just ended shows it.
-func (n *Node) noteStill(begun, pause time.Duration) {
-	if still := sinceBoot() - begun - pause; still > stillLimit {
-		n.log.Warn("stood still", "still_ms", still.Milliseconds())
-	}
-}
-
-// recheck tries the suspected replicas until the context ends.
-func (n *Node) recheck(ctx context.Context) {
-	for begun := sinceBoot(); wait.For(ctx, recheckEvery); begun = sinceBoot() {
-		n.noteStill(begun, recheckEvery)
-		for service, model := range n.services.allModels() {
-			for _, r := range model.Suspects() {
-				if model.RateLimits().PushbackRemaining(r.ID) > 0 {
-					continue // it is tried once it wants requests again
-				}
-				if !n.prober.Reachable(ctx, connprobe.ReasonRecheck, r.Address) {
-					model.RecordUnreachable(r.ID)
-				} else if model.MarkAlive(r.ID) {
-					n.log.Info("replica reached again", "replica", r.ID, "service", service, "address", r.Address)
-				}
-			}
-		}
-	}
-}
-
-// repaceEvery is how often slow replicas are asked whether they still are. Nothing is
-// sent to them meanwhile that would show it.
-const repaceEvery = time.Second
-
-// repace asks the slow replicas until the context ends.
-func (n *Node) repace(ctx context.Context) {
-	for wait.For(ctx, repaceEvery) {
-		for service, model := range n.services.allModels() {
-			for _, r := range model.Slow() {
-				if model.HasRecentPeerReport(r.ID) {
-					continue
-				}
-				account, _, err := n.reports.Get(ctx, r.Address, r.ID)
-				if err != nil {
-					continue // the next request that meets it, or the list, tells
-				}
-				if model.SetSlowdown(r.ID, account.Slowdown) {
-					n.log.Info("replica's pace", "service", service, "replica", r.ID, "domain", r.Domain, "pace", account.Slowdown)
-				}
-			}
-		}
-	}
-}
-
 func (s *services) allModels() map[string]*targets.ModelTargets {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -279,39 +218,3 @@
 		}
 	}
 }
-
-const (
-	// budgetPart of the allowed further tries is used: nodes differ for a moment on
-	// how many they are, and what one spends arrives a little later.
-	budgetPart = 0.8
-	// startNodes is how many nodes one that knows of no others reckons with.
-	startNodes = 12
-	// restartPart of a node's allowance is there when it starts: what its last process
-	// spent is not known, and a fleet that is restarted one by one would have twice the
-	// allowance.
-	restartPart = 1.0 / 8
-)
-
-// newBudget is this node's part of the tries beyond the first that all nodes may
-// send to a service in a window.
-func (n *Node) newBudget() *retrybudget.Budget {
-	b := n.bounds()
-	part := n.tries()
-	start := part * restartPart
-	if n.settings.FirstStart {
-		start = part
-	}
-	return retrybudget.New(retry.Config{
-		RetryRatio: b.RetryRatio * budgetPart, Burst: part, InitialRetries: start, Window: b.RetryWindow, Seed: n.seed,
-	}, time.Now)
-}
-
-// tries is this node's part of the tries that all nodes may make besides the share of
-// their requests.
-func (n *Node) tries() float64 {
-	_, all := n.peers("")
-	if all < 2 && time.Since(n.started) < meetAfter {
-		all = startNodes
-	}
-	return n.bounds().RetrySlack * budgetPart / float64(all)
-}
--- a/route/endpointlimits/endpointlimits.go
+++ b/route/endpointlimits/endpointlimits.go
@@ -90,14 +90,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	var end time.Time
-	for _, replica := range replicas {
-		until := l.pushbacks.Until(now, replica)
-		if !until.IsZero() && (end.IsZero() || until.Before(end)) {
-			end = until
-		}
-	}
-	return end
+	return earliest(replicas, func(replica string) time.Time { return l.pushbacks.Until(now, replica) })
 }
 
 // Blocked returns the replicas to which this node may not send a request now.
@@ -131,17 +124,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	var next time.Time
-	for _, replica := range replicas {
-		at := l.limiter.NextSendAt(now, replica)
-		if until := l.pushbacks.Until(now, replica); until.After(at) {
-			at = until
+	return earliest(replicas, func(replica string) time.Time {
+		at, until := l.limiter.NextSendAt(now, replica), l.pushbacks.Until(now, replica)
+		if until.After(at) {
+			return until
 		}
-		if next.IsZero() || at.Before(next) {
-			next = at
+		return at
+	})
+}
+
+// earliest returns the earliest of the replicas' times that are not zero, or the zero time.
+func earliest(replicas []string, timeOf func(replica string) time.Time) time.Time {
+	var first time.Time
+	for _, replica := range replicas {
+		at := timeOf(replica)
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
 		}
 	}
-	return next
+	return first
 }
 
 // Statements returns what replicas have stated lately, for the other nodes.
--- a/route/plainservice/targets.go
+++ b/route/plainservice/targets.go
@@ -19,18 +19,18 @@
 // Choose implements targets.Targets. Choose does not wait, because the call has already
 // waited in the admission queue.
 func (d documentTargets) Choose(_ context.Context, q targets.Query) (targets.Target, error) {
-	blocked := d.RateLimits().Blocked()
+	blocked := d.Limits().Blocked()
 	limited := len(blocked) > 0
 	for exclude := append(slices.Clone(q.Exclude), blocked...); ; {
 		choice, ok := d.call.Local.Picker.Pick(balance.Query{Cost: callCost, Exclude: exclude, NoProbe: q.NonIdempotent})
 		if !ok && limited {
-			return targets.Target{}, targets.BlockedError(d.RateLimits(), blocked)
+			return targets.Target{}, targets.BlockedError(d.Limits(), blocked)
 		}
 		if !ok {
 			return targets.Target{}, targets.ErrNoEndpoint
 		}
 		endpoint, known := d.call.DocumentIndex.Endpoint(choice.ReplicaID)
-		mayTake := known && d.RateLimits().Take(choice.ReplicaID)
+		mayTake := known && d.Limits().Take(choice.ReplicaID)
 		if mayTake {
 			return targets.Target{Replica: choice.ReplicaID, Address: endpoint.Address, Domain: endpoint.FailureDomain, Choice: &choice}, nil
 		}
@@ -48,8 +48,8 @@
 	return d.call.Local.Picker.RecordLeavingAnswer(t.Replica)
 }
 
-// RateLimits implements targets.Targets.
-func (d documentTargets) RateLimits() *endpointlimits.Limits { return d.call.Local.RateLimits }
+// Limits implements targets.Targets.
+func (d documentTargets) Limits() *endpointlimits.Limits { return d.call.Local.Limits }
 
 // Finish implements targets.Targets.
 func (d documentTargets) Finish(t targets.Target, r targets.Result) {
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -75,7 +75,7 @@
 	if req.Freshness != nil && !req.Freshness.Fresh() {
 		return nil, &attemptResult{kind: resultNotSent, detail: "the configuration is not proved to be recent"}
 	}
-	if req.Targets.RateLimits().PushbackRemaining(a.target.Replica) > 0 {
+	if req.Targets.Limits().PushbackRemaining(a.target.Replica) > 0 {
 		// Another request was refused after this one had chosen its target.
 		return nil, &attemptResult{kind: resultNotSent, detail: "the endpoint wants no requests", feedback: targets.Result{Failure: health.Canceled}}
 	}
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -86,7 +86,7 @@
 	d := decisionlog.FromChoice(target.Choice)
 	d.Kind, d.Chosen = decisionlog.Route, target.Replica
 	d.Values["try"] = float64(req.attemptCount)
-	pushback := req.Targets.RateLimits().PushbackRemaining(target.Replica)
+	pushback := req.Targets.Limits().PushbackRemaining(target.Replica)
 	if pushback > 0 {
 		d.Values["pushback_left_ms"] = millis(pushback)
 	}
--- a/route/relay/statements.go
+++ b/route/relay/statements.go
@@ -17,12 +17,16 @@
 	a.observeLeaving()
 }
 
+// warnMalformed logs that the endpoint states something that can't be read.
+func (a *attempt) warnMalformed(message, text string) {
+	a.req.log.Warn(message, "service", a.req.Service, "replica", a.target.Replica, "text", text)
+}
+
 // observeLeaving records that the endpoint is about to exit.
 func (a *attempt) observeLeaving() {
 	leaving := a.head.Leaving
 	if leaving.Malformed != "" {
-		a.req.log.Warn("what the replica states about its leaving can't be read, want 1 or 0",
-			"service", a.req.Service, "replica", a.target.Replica, "text", leaving.Malformed)
+		a.warnMalformed("what the replica states about its leaving can't be read, want 1 or 0", leaving.Malformed)
 		return
 	}
 	if leaving.Stated && a.req.Targets.MarkLeaving(a.target) {
@@ -37,13 +41,12 @@
 	limit := a.head.RateLimit
 	switch {
 	case limit.Malformed != "":
-		a.req.log.Warn("replica's rate limit can't be read, want requests per second as a decimal number",
-			"service", a.req.Service, "replica", a.target.Replica, "text", limit.Malformed)
+		a.warnMalformed("replica's rate limit can't be read, want requests per second as a decimal number", limit.Malformed)
 		return
 	case !limit.Stated && (a.head.NotRun || status >= http.StatusMultipleChoices):
 		return
 	}
-	changed := a.req.Targets.RateLimits().Observe(endpointrate.Statement{
+	changed := a.req.Targets.Limits().Observe(endpointrate.Statement{
 		Replica: a.target.Replica, Limited: limit.Stated, RequestsPerSecond: limit.RequestsPerSecond,
 	})
 	if changed {
@@ -56,11 +59,10 @@
 func (a *attempt) observePushback() {
 	wanted := a.head.Pushback
 	if wanted.Malformed != "" {
-		a.req.log.Warn("replica's Retry-After can't be read, want seconds as a decimal number",
-			"service", a.req.Service, "replica", a.target.Replica, "text", wanted.Malformed)
+		a.warnMalformed("replica's Retry-After can't be read, want seconds as a decimal number", wanted.Malformed)
 		return
 	}
-	if a.req.Targets.RateLimits().ObservePushback(a.target.Replica, wanted.Duration) {
+	if a.req.Targets.Limits().ObservePushback(a.target.Replica, wanted.Duration) {
 		a.req.log.Info("replica wants no requests", "service", a.req.Service, "replica", a.target.Replica,
 			"request", a.req.Call.ID, "for_ms", wanted.Duration.Milliseconds())
 	}
--- a/route/service/pushback.go
+++ b/route/service/pushback.go
@@ -5,7 +5,7 @@
 // PushedBack returns the replicas that want no requests from this node now.
 func (s *Service) PushedBack() []string {
 	var replicas []string
-	for _, p := range s.RateLimits.Pushbacks() {
+	for _, p := range s.Limits.Pushbacks() {
 		replicas = append(replicas, p.Replica)
 	}
 	return replicas
@@ -16,7 +16,7 @@
 // it. ObservePushback reports whether some replica wants none for longer than it was known to.
 func (s *Service) ObservePushback(endpoint string, duration time.Duration) (extended bool) {
 	for _, replica := range s.ReplicasOf(endpoint) {
-		extended = s.RateLimits.ObservePushback(replica, duration) || extended
+		extended = s.Limits.ObservePushback(replica, duration) || extended
 	}
 	return extended
 }
--- a/route/service/service.go
+++ b/route/service/service.go
@@ -45,9 +45,9 @@
 	Picker    *replicapicker.Picker
 	// RetryBudget limits the retries of failed requests.
 	RetryBudget *retrybudget.Budget
-	// RateLimits are the limits on requests that the endpoints of a plain service state, and the
-	// pushbacks of replicas.
-	RateLimits *endpointlimits.Limits
+	// Limits are the rate limits that the endpoints of a plain service state, and the pushbacks of
+	// replicas.
+	Limits *endpointlimits.Limits
 	// PrefixIndex estimates which prompt prefixes the engines have cached. It is empty for
 	// a plain service.
 	PrefixIndex *PrefixIndex
@@ -165,7 +165,7 @@
 		Name:         name,
 		Admission:    admissionqueue.New(admission.New(admission.Config{}), r.cfg.Now),
 		RetryBudget:  retrybudget.New(retry.Config{Seed: seed}, r.cfg.Now),
-		RateLimits:   endpointlimits.New(endpointrate.Node{Name: r.cfg.Node, Domain: r.cfg.FailureDomain}, seed, r.cfg.Now),
+		Limits:       endpointlimits.New(endpointrate.Node{Name: r.cfg.Node, Domain: r.cfg.FailureDomain}, seed, r.cfg.Now),
 		leavingMarks: map[leavingKey]bool{},
 
 		PrefixIndex: newPrefixIndex(r.cfg.Now),
@@ -230,7 +230,7 @@
 	maps.DeleteFunc(s.tokenTimes, func(e string, _ time.Duration) bool { return len(s.replicasOf[e]) == 0 })
 	s.mu.Unlock()
 	s.Picker.SetReplicas(replicas)
-	s.RateLimits.SetReplicas(domainsByID(replicas))
+	s.Limits.SetReplicas(domainsByID(replicas))
 }
 
 func domainsByID(replicas []balance.Replica) map[string]string {
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// RateLimits implements Targets.
-func (m *ModelTargets) RateLimits() *endpointlimits.Limits { return m.limits }
+// Limits implements Targets.
+func (m *ModelTargets) Limits() *endpointlimits.Limits { return m.limits }
 
 // Finish implements Targets.
 func (m *ModelTargets) Finish(t Target, r Result) {
--- a/route/targets/plain.go
+++ b/route/targets/plain.go
@@ -134,8 +134,8 @@
 	return Target{Replica: r.ID, Incarnation: r.Incarnation, Address: r.Address, Domain: r.Domain, MaxConns: maxConns, Choice: &choice}, nil
 }
 
-// RateLimits implements Targets.
-func (p *PlainTargets) RateLimits() *endpointlimits.Limits { return p.limits }
+// Limits implements Targets.
+func (p *PlainTargets) Limits() *endpointlimits.Limits { return p.limits }
 
 // Finish implements Targets.
 func (p *PlainTargets) Finish(t Target, r Result) {
--- a/route/targets/pushback_test.go
+++ b/route/targets/pushback_test.go
@@ -14,7 +14,7 @@
 func pushBack(t *testing.T, of Targets, duration time.Duration, replicas ...string) {
 	t.Helper()
 	for _, replica := range replicas {
-		if !of.RateLimits().ObservePushback(replica, duration) {
+		if !of.Limits().ObservePushback(replica, duration) {
 			t.Fatalf("the pushback of %s is not taken", replica)
 		}
 	}
--- a/route/targets/ratelimit_test.go
+++ b/route/targets/ratelimit_test.go
@@ -14,7 +14,7 @@
 func state(t *testing.T, limited Targets, replica string, requestsPerSecond float64) {
 	t.Helper()
 	s := endpointrate.Statement{Replica: replica, Limited: true, RequestsPerSecond: requestsPerSecond}
-	if !limited.RateLimits().Observe(s) {
+	if !limited.Limits().Observe(s) {
 		t.Fatalf("the limit of %s is not taken", replica)
 	}
 }
--- a/route/targets/targets.go
+++ b/route/targets/targets.go
@@ -123,6 +123,6 @@
 	// MarkLeaving records that the target's replica has said in an answer that it is leaving. The
 	// replica gets no new requests. MarkLeaving reports whether that was not known.
 	MarkLeaving(t Target) bool
-	// RateLimits are the limits on requests that the endpoints state. Choose keeps to them.
-	RateLimits() *endpointlimits.Limits
+	// Limits are the rate limits and pushbacks that the endpoints state. Choose keeps to them.
+	Limits() *endpointlimits.Limits
 }
