A replica that becomes blocked while it is picked leaves the choice to the others

What callers saw: with one of two replicas of a plain service wanting no requests, a few callers were refused (503) although the other one served.

A request picks a replica, another one is refused there with a pushback, and the first can't take it. Choose then looked at the replicas that were blocked before the pick: none, so none was worth waiting for, and it refused. A rate limit used up meanwhile took the same way.

Change: that end of a pick is an error of its own, and the choice begins anew.

--- a/route/targets/plain.go
+++ b/route/targets/plain.go
@@ -87,6 +87,9 @@
 	for {
 		blocked := p.limits.Blocked()
 		t, err := p.pick(q, blocked)
+		if errors.Is(err, errBlockedMeanwhile) {
+			continue
+		}
 		if !errors.Is(err, ErrNoCapacity) {
 			return t, err
 		}
@@ -110,8 +113,12 @@
 	})
 }
 
+// errBlockedMeanwhile means that a replica became blocked after it was picked. Another replica
+// may not be blocked.
+var errBlockedMeanwhile = errors.New("the picked replica became blocked")
+
 // pick picks a replica that is not blocked by its rate limit or pushback. It fails with
-// ErrNoCapacity if only such replicas are left.
+// ErrNoCapacity if only such replicas are left, and with errBlockedMeanwhile.
 func (p *PlainTargets) pick(q Query, blocked []string) (Target, error) {
 	exclude := append(slices.Clone(q.Exclude), blocked...)
 	choice, ok := p.picker.Pick(balance.Query{Cost: 1, Exclude: exclude, NoProbe: q.NonIdempotent})
@@ -122,9 +129,9 @@
 		return Target{}, ErrNoEndpoint
 	}
 	if !p.limits.Take(choice.ReplicaID) {
-		// Another request has taken what the limit allowed.
+		// Another request has taken what the limit allowed, or was refused with a pushback.
 		p.picker.Finished(choice.ReplicaID, balance.Result{Cost: 1, Failure: health.Canceled})
-		return Target{}, ErrNoCapacity
+		return Target{}, errBlockedMeanwhile
 	}
 	r, maxConns := p.replicas.get(choice.ReplicaID)
 	if r == nil {
--- a/route/targets/pushback_test.go
+++ b/route/targets/pushback_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -136,3 +137,27 @@
 		t.Errorf("%v, want no change of a replica's state", changes)
 	}
 }
+
+// Guards against a refusal while another replica serves: a replica states a pushback after a
+// request has picked it, and before the request takes it.
+func TestPushbackDuringChoice(t *testing.T) {
+	const (
+		rounds  = 300
+		callers = 8
+	)
+	for range rounds {
+		p := plainReplicas()
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() {
+				for range 5 {
+					if _, err := p.Choose(context.Background(), Query{}); err != nil {
+						t.Errorf("%v, want the replica that wants requests", err)
+					}
+				}
+			})
+		}
+		p.Limits().ObservePushback("p1", time.Minute)
+		group.Wait()
+	}
+}
