A model's replica that becomes blocked during the search for a path is searched around

The same fault as in plain services, in the choice of a path: a request whose first replica became blocked between the search and its being taken was queued or, if it may not wait, refused, although another path stood open. It now searches again. Present with rate limits before, where a node's last credit is taken by another request.

--- a/route/targets/choose.go
+++ b/route/targets/choose.go
@@ -79,8 +79,8 @@
 		m.waitQueue.Add(now, w)
 		return Target{}, paths.NoCapacity, false
 	}
-	path, reason := m.selector.Choose(now, m.pathQuery(q, m.pushedBack()))
-	if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) || !m.limits.Take(path[0].Replica) {
+	path, reason := m.takePath(now, q)
+	if path == nil {
 		if firstTry {
 			m.waitQueue.Add(now, w)
 		}
@@ -92,6 +92,21 @@
 	return m.start(path, q.Tokens), paths.Found, true
 }
 
+// takePath finds a path for a new request and counts the request at its first replica. If that
+// replica becomes blocked during the search, takePath searches again. Without a path it returns
+// nil and the reason. The caller holds the lock.
+func (m *ModelTargets) takePath(now time.Time, q Query) (paths.Path, paths.Outcome) {
+	for {
+		path, reason := m.selector.Choose(now, m.pathQuery(q, m.pushedBack()))
+		if reason != paths.Found || !path.Covers(layers.Span{To: m.layers}) {
+			return nil, reason
+		}
+		if m.limits.Take(path[0].Replica) {
+			return path, paths.Found
+		}
+	}
+}
+
 // pathQuery returns the query for a path of a new request. unwanted lists replicas that the path
 // must not use besides those that the request excludes.
 func (m *ModelTargets) pathQuery(q Query, unwanted []string) paths.Query {
--- a/route/targets/pushback_test.go
+++ b/route/targets/pushback_test.go
@@ -145,19 +145,27 @@
 		rounds  = 300
 		callers = 8
 	)
-	for range rounds {
-		p := plainReplicas()
-		var group sync.WaitGroup
-		for range callers {
-			group.Go(func() {
-				for range 5 {
-					if _, err := p.Choose(context.Background(), Query{}); err != nil {
-						t.Errorf("%v, want the replica that wants requests", err)
+	for name, c := range map[string]struct {
+		newTargets func() Targets
+		replica    string
+	}{
+		"plain": {func() Targets { return plainReplicas() }, "p1"},
+		"model": {func() Targets { return twoStageModel() }, "a1"},
+	} {
+		for range rounds {
+			of := c.newTargets()
+			var group sync.WaitGroup
+			for range callers {
+				group.Go(func() {
+					for range 5 {
+						if _, err := of.Choose(context.Background(), Query{}); err != nil {
+							t.Errorf("%s: %v, want the replica that wants requests", name, err)
+						}
 					}
-				}
-			})
+				})
+			}
+			of.Limits().ObservePushback(c.replica, time.Minute)
+			group.Wait()
 		}
-		p.Limits().ObservePushback("p1", time.Minute)
-		group.Wait()
 	}
 }
