--- a/standin/engine/stage.go
+++ b/standin/engine/stage.go
@@ -182,16 +182,25 @@
 	return total
 }
 
-// finish ends a session here and on the later stages.
+// finish ends a session here and on the later stages. If another stream waits for the slot, the
+// later stages free theirs first: that stream needs all of them, and later stages have no queue.
 func (e *Engine) finish(s *session, cancelled bool) {
 	e.mu.Lock()
 	if cancelled {
 		e.table.rememberCancel(s.stream, s.epoch)
 		e.stats.Cancelled++
 	}
-	e.drop(s)
+	handsOver := len(e.slots.waiting) > 0
+	if !handsOver {
+		e.drop(s)
+	}
 	e.mu.Unlock()
 	e.closeNext(s, cancelled)
+	if handsOver {
+		e.mu.Lock()
+		e.drop(s)
+		e.mu.Unlock()
+	}
 }
 
 func (e *Engine) closeNext(s *session, cancelled bool) {
@@ -231,6 +240,10 @@
 	ended := e.table.upTo(stream, epoch)
 	for _, s := range ended {
 		e.stats.Cancelled++
+		if s.index == 0 && len(e.slots.waiting) > 0 {
+			s.cancel() // its handler finishes it, and hands the slot over in order
+			continue
+		}
 		e.drop(s)
 	}
 	return ended
