What an engine states in answers to orders and cannot be read is logged

A malformed time or leaving in the answer to an order or a question for a report counted as not stated without a word; in the answers to requests it was logged already.

--- a/node/site/pushback.go
+++ b/node/site/pushback.go
@@ -23,6 +23,9 @@
 		if head.Leaving.Stated && model.MarkLeaving(targets.Target{Replica: replica, Incarnation: r.Incarnation}) {
 			n.log.Info("replica says that it is leaving", "service", service, "replica", replica)
 		}
+		if text := head.Pushback.Malformed + head.Leaving.Malformed; text != "" {
+			n.log.Warn("what an engine states about its leaving or in Retry-After can't be read", "service", service, "replica", replica, "text", text)
+		}
 		if model.Limits().ObservePushback(replica, head.Pushback.Duration) {
 			n.log.Info("replica wants no requests", "service", service, "replica", replica, "for_ms", head.Pushback.Duration.Milliseconds())
 		}
