TestRefusalOfSecondAttemptLeavesStateUnknown counts its attempts atomically

Cause, by its report: the test's server counts attempts in a plain int from the goroutines of two connections; the handler of the second attempt panics, so nothing orders its write before the third one's read. The test is wrong, not the product; what it checks is unchanged.

--- a/route/engineclient/client_test.go
+++ b/route/engineclient/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,10 +137,10 @@
 // connection and crashes before it answers. The transport sends the order again, and
 // the restarted engine refuses it.
 func TestRefusalOfSecondAttemptLeavesStateUnknown(t *testing.T) {
-	attempts := 0
+	var attempts atomic.Int32
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
-		switch attempts++; attempts {
+		switch attempts.Add(1) {
 		case 1:
 			w.WriteHeader(http.StatusNoContent)
 		case 2:
@@ -156,7 +157,7 @@
 		address := srv.Listener.Addr().String()
 		So(client.Order(context.Background(), address, engineapi.Order{}), ShouldBeNil)
 		err := client.Order(context.Background(), address, engineapi.Order{})
-		So(attempts, ShouldEqual, 3)
+		So(attempts.Load(), ShouldEqual, 3)
 		So(HTTPStatus(err), ShouldEqual, http.StatusServiceUnavailable)
 		So(NotRun(err), ShouldBeFalse)
 	})
