A node tells of which services it reaches no replica

The logs of the incident can't tell a node that is cut off from all replicas from one whose suspicions outlast the cut: they name the replicas that the node has tried, three of 39, and nothing says what it takes itself for.

decide/reach judges by the results of opening connections: a node is cut off from a service if connections to five of its replicas (all, if there are fewer) failed and none succeeded since. From two failures on it probes others, so that replicas that died are not taken for a cut; while it is cut off, it probes two at random each 400 ms. Log lines "no replica is reached" and "replicas are reached again", cut_off_ms in the status, the metric cut_off, and a reason of probes of its own. No decision about requests uses it yet.

Stand-ins for it: links that reset, refuse, or lose packets in one direction or both, and a view of the platform in which one node's ways to replicas fail alone.

--- /dev/null
+++ b/decide/reach/reach_test.go
@@ -0,0 +1,128 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
+
+func trackerOf(replicas int) *Tracker {
+	t := New(1)
+	var ids []string
+	for i := range replicas {
+		ids = append(ids, fmt.Sprint("i-", i))
+	}
+	t.SetReplicas(ids)
+	return t
+}
+
+func cutOff(t *Tracker, now time.Time) bool {
+	_, is := t.CutOffFor(now)
+	return is
+}
+
+// Guards against a node that goes on trying one replica after the other although its own links
+// have failed.
+func TestNodeThatReachesNoReplicaIsCutOff(t *testing.T) {
+	for _, c := range []struct{ replicas, failures int }{{1, 1}, {3, 3}, {5, 5}, {39, EvidenceReplicas}} {
+		tracker := trackerOf(c.replicas)
+		for i := range c.failures {
+			if cutOff(tracker, start) {
+				t.Errorf("%d replicas: cut off after %d failures, want %d", c.replicas, i, c.failures)
+			}
+			tracker.Failed(start, fmt.Sprint("i-", i))
+			tracker.Failed(start, fmt.Sprint("i-", i)) // a replica counts once
+		}
+		if !cutOff(tracker, start) {
+			t.Errorf("%d replicas: not cut off after %d failures", c.replicas, c.failures)
+		}
+	}
+}
+
+// Guards against a node that believes it is cut off because a few replicas died.
+func TestVerificationFindsAReplicaThatIsReached(t *testing.T) {
+	tracker := trackerOf(39)
+	tracker.Failed(start, "i-0")
+	if got := tracker.ToVerify(start); len(got) > 0 {
+		t.Errorf("one failure makes the node probe %v", got)
+	}
+	tracker.Failed(start, "i-1")
+	probes := tracker.ToVerify(start)
+	if len(probes) != EvidenceReplicas-2 {
+		t.Fatalf("probes %v, want %d replicas", probes, EvidenceReplicas-2)
+	}
+	for _, id := range probes {
+		if id == "i-0" || id == "i-1" {
+			t.Errorf("%s is probed again", id)
+		}
+	}
+	tracker.Failed(start, probes[0])
+	tracker.Connected(probes[1])
+	tracker.Failed(start, probes[2])
+	if cutOff(tracker, start) {
+		t.Error("cut off although a replica accepted a connection")
+	}
+}
+
+// Guards against a verification that never ends: failures in places far apart in time are no
+// sign of a broken link.
+func TestOldFailuresDoNotCount(t *testing.T) {
+	tracker := trackerOf(39)
+	for i := range 20 {
+		tracker.Failed(start.Add(time.Duration(i)*time.Second), fmt.Sprint("i-", i))
+	}
+	if cutOff(tracker, start.Add(20*time.Second)) {
+		t.Error("cut off by failures one second apart")
+	}
+	if got := tracker.ToVerify(start.Add(time.Hour)); len(got) > 0 {
+		t.Errorf("probes %v an hour later", got)
+	}
+}
+
+// Guards against a node that does not notice the end of a cut, and against one that probes all
+// replicas meanwhile.
+func TestFirstConnectionEndsTheCut(t *testing.T) {
+	tracker := trackerOf(39)
+	for i := range EvidenceReplicas {
+		tracker.Failed(start, fmt.Sprint("i-", i))
+	}
+	later := start.Add(time.Hour)
+	if cutFor, is := tracker.CutOffFor(later); !is || cutFor != time.Hour {
+		t.Errorf("cut off for %v, %v", cutFor, is)
+	}
+	seen := map[string]bool{}
+	for range 200 {
+		probes := tracker.ToRecheck()
+		if len(probes) != RecheckReplicas {
+			t.Fatalf("probes %v", probes)
+		}
+		for _, id := range probes {
+			seen[id] = true
+		}
+	}
+	if len(seen) < 30 {
+		t.Errorf("only %d replicas are ever probed", len(seen))
+	}
+	if !tracker.Connected("i-30") || cutOff(tracker, later) || len(tracker.ToRecheck()) > 0 {
+		t.Error("still cut off after a connection")
+	}
+}
+
+// Guards against evidence of a replica that has left: its address may belong to another service.
+func TestUnlistedReplicasAreNoEvidence(t *testing.T) {
+	tracker := trackerOf(2)
+	tracker.Failed(start, "i-0")
+	tracker.SetReplicas([]string{"i-1", "i-2"})
+	tracker.Failed(start, "i-0")
+	tracker.Failed(start, "i-1")
+	if cutOff(tracker, start) {
+		t.Error("cut off by a replica that is not listed")
+	}
+	tracker.Failed(start, "i-2")
+	tracker.Connected("i-0")
+	if !cutOff(tracker, start) {
+		t.Error("a replica that is not listed ended the cut")
+	}
+}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -238,6 +238,15 @@
 	m.service(service).Gauge("pushback_replicas").Update(float64(replicas))
 }
 
+// CutOff sets whether this node reaches no replica of a service.
+func (m *Metrics) CutOff(service string, cutOff bool) {
+	value := 0.0
+	if cutOff {
+		value = 1
+	}
+	m.service(service).Gauge("cut_off").Update(value)
+}
+
 // Room sets the part of a model's room in a failure domain that this node has booked
 // on the fullest replica.
 func (m *Metrics) Room(service, domain string, used float64) {
--- a/node/operators/operators.go
+++ b/node/operators/operators.go
@@ -49,6 +49,9 @@
 	// Pushbacks are the replicas that want no requests from this node, by service and replica,
 	// with the time for which they want none from now on.
 	Pushbacks map[string]map[string]int64 `json:"pushbacks_ms,omitempty"`
+	// CutOff are the services of which this node reaches no replica, with the time for which it
+	// has reached none.
+	CutOff map[string]int64 `json:"cut_off_ms,omitempty"`
 	// StoreCalls are this node's calls to the store since its start, by kind and result,
 	// on the users' platform.
 	StoreCalls map[string]int64 `json:"store_calls,omitempty"`
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -113,6 +113,9 @@
 	n.metrics.Members("live", len(n.members.get()))
 	n.gaugeReplicas()
 	n.gaugeLimits()
+	for _, service := range n.serviceNames() {
+		n.metrics.CutOff(service, n.reach.CutOff(service))
+	}
 	for service, model := range n.services.allModels() {
 		waiting, underway := model.RequestCounts()
 		n.metrics.Queue(service, waiting, underway)
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -88,6 +88,7 @@
 	}
 	near, all := s.node.peers(s.node.settings.Domain)
 	s.shareTries()
+	s.node.reach.setReplicas(rules.Services(), byService)
 	senders := s.node.senders()
 	for _, service := range rules.Services() {
 		replicas := byService[service.Name]
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -77,6 +77,7 @@
 		freshness.Lease
 	}
 	services services
+	reach    *reachability
 	members  members
 	poll     poller
 	listing  listing
@@ -140,6 +141,8 @@
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool, Answered: n.engineAnswered}
 	n.prober = connprobe.New(n.pool, time.Now)
+	n.reach = newReachability(n.seed, log)
+	n.pool.OnDial = n.reach.observeDial
 	n.reports = replicareport.New(engineCalls{n}, time.Now)
 	n.inForce.Store(&settings.Bounds)
 	n.lease.MaxAge = freshLimit(settings.Bounds)
@@ -178,6 +181,7 @@
 	defer stop()
 	go n.follow(background)
 	go n.recheck(background)
+	go n.verifyReach(background)
 	go n.repace(background)
 	go n.shareBookings(background)
 	go n.watchSettings(background, reload)
--- a/route/connprobe/connprobe.go
+++ b/route/connprobe/connprobe.go
@@ -70,6 +70,9 @@
 	// ReasonRecheck means that this node suspects the endpoint of having failed. The probe
 	// finds out whether the endpoint has recovered.
 	ReasonRecheck Reason = "again"
+	// ReasonCutOff means that this node may be cut off from all endpoints of a service. The
+	// probes of some of them find out whether it is, and when that ends.
+	ReasonCutOff Reason = "cut_off"
 )
 
 type probe struct {
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -26,6 +26,10 @@
 
 // Pool holds the connections of one node to endpoints. It is safe for concurrent use.
 type Pool struct {
+	// OnDial, if not nil, is called with the result of each attempt to open a connection, unless
+	// the caller ended the attempt. It is set before use.
+	OnDial func(address string, connected bool)
+
 	now  func() time.Time
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -59,11 +63,21 @@
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		if ctx.Err() == nil {
+			p.reportDial(address, false)
+		}
 		return nil, &Failure{Address: address, NotSent: true, Unreachable: ctx.Err() == nil, Cause: Error.Wrap(err)}
 	}
+	p.reportDial(address, true)
 	return newConn(raw), nil
 }
 
+func (p *Pool) reportDial(address string, connected bool) {
+	if p.OnDial != nil {
+		p.OnDial(address, connected)
+	}
+}
+
 // takeIdle returns a usable idle connection, or nil. Connections that have expired, were closed
 // by the endpoint or have received unexpected bytes are closed.
 func (p *Pool) takeIdle(address string) *conn {
@@ -200,11 +214,15 @@
 // reports whether the endpoint accepts the connection, and whether the endpoint's host answers
 // at all. It sends no request.
 func (p *Pool) Reachable(ctx context.Context, address string, timeout time.Duration) (accepts, answers bool) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := p.get(ctx, address, true, 0)
+	c, err := p.get(dialCtx, address, true, 0)
 	if err != nil {
-		return false, ctx.Err() == nil
+		answers = dialCtx.Err() == nil
+		if !answers && ctx.Err() == nil {
+			p.reportDial(address, false)
+		}
+		return false, answers
 	}
 	p.putIdle(address, c, 0)
 	return true, true
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -21,8 +21,11 @@
 	conns  map[net.Conn]bool
 	cut    bool
 	frozen bool
-	delay  time.Duration
-	passed int64
+	// heldBack are the directions in which bytes are held back.
+	heldBack Direction
+	delay    time.Duration
+	passed   int64
+	door     door
 }
 
 // Listen opens a link on a free port of the target's IP number.
@@ -31,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	listener, err := listenOnFixedPort(host)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +85,9 @@
 	defer l.mu.Unlock()
 	l.cut = false
 	l.frozen = false
+	l.heldBack = 0
 	l.delay = 0
+	l.open()
 	l.cond.Broadcast()
 }
 
@@ -99,7 +104,9 @@
 	defer l.mu.Unlock()
 	l.cut = true
 	l.frozen = false
+	l.heldBack = 0
 	l.closeAll()
+	l.door.closed = true
 	l.cond.Broadcast()
 	return l.listener.Close()
 }
@@ -115,6 +122,9 @@
 	for {
 		near, err := l.listener.Accept()
 		if err != nil {
+			if l.awaitOpenDoor() {
+				continue
+			}
 			return
 		}
 		go l.join(near)
@@ -133,8 +143,8 @@
 		l.drop(near)
 		return
 	}
-	go l.pass(near, far)
-	l.pass(far, near)
+	go l.pass(near, far, ToTarget)
+	l.pass(far, near, FromTarget)
 }
 
 func (l *Link) add(c net.Conn) bool {
@@ -155,14 +165,14 @@
 	delete(l.conns, c)
 }
 
-func (l *Link) pass(from, to net.Conn) {
+func (l *Link) pass(from, to net.Conn, direction Direction) {
 	defer l.drop(from)
 	defer l.drop(to)
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			l.hold(n)
+			l.hold(n, direction)
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				return
 			}
@@ -174,9 +184,9 @@
 }
 
 // hold waits out the faults in force and counts the bytes.
-func (l *Link) hold(n int) {
+func (l *Link) hold(n int, direction Direction) {
 	l.mu.Lock()
-	for l.frozen {
+	for l.frozen || l.heldBack&direction != 0 {
 		l.cond.Wait()
 	}
 	delay := l.delay
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -79,8 +79,10 @@
 type Fleet struct {
 	layers int
 
-	mu       sync.Mutex
-	byAddr   map[string]*Replica
+	mu     sync.Mutex
+	byAddr map[string]*Replica
+	// aliases maps the addresses by which some nodes know replicas to the replicas' own.
+	aliases  map[string]string
 	runs     []Run
 	arrivals []Arrival
 	problems []string
@@ -88,7 +90,24 @@
 
 // NewFleet returns an empty fleet for a model with that many layers.
 func NewFleet(layers int) *Fleet {
-	return &Fleet{layers: layers, byAddr: map[string]*Replica{}}
+	return &Fleet{layers: layers, byAddr: map[string]*Replica{}, aliases: map[string]string{}}
+}
+
+// Alias makes an address stand for that of a replica in the paths of requests.
+func (f *Fleet) Alias(alias, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.aliases[alias] = address
+}
+
+// find returns the replica at an address, or nil, and the replica's own address.
+func (f *Fleet) find(address string) (*Replica, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if own, ok := f.aliases[address]; ok {
+		address = own
+	}
+	return f.byAddr[address], address
 }
 
 // Replica is one stand-in, listening on loopback.
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -168,13 +168,11 @@
 			r.fleet.problem("path %q: %v", path, err)
 			return r.Address
 		}
-		if from != at || i == 0 && address != r.Address {
+		other, ownAddress := r.fleet.find(address)
+		if from != at || i == 0 && ownAddress != r.Address {
 			r.fleet.problem("path %q: layer %d comes out of order", path, from)
 		}
 		at = to
-		r.fleet.mu.Lock()
-		other := r.fleet.byAddr[address]
-		r.fleet.mu.Unlock()
 		if other == nil {
 			return address
 		}
--- /dev/null
+++ b/standin/site/view.go
@@ -0,0 +1,157 @@
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+
+	"github.com/cicadatack/cicadatack/standin/link"
+)
+
+// View is the platform as one node sees it: a store of which the entries of replicas name
+// addresses of links that only this node uses, so that its ways to replicas can fail alone.
+type View struct {
+	site   *Site
+	server *httptest.Server
+
+	mu sync.Mutex
+	// links are the ways to replicas, by the replica's address; down is how the ways to some
+	// replicas fail, nil if none does.
+	links map[string]*link.Link
+	down  func(replica string) func(*link.Link)
+}
+
+// NewView returns a view of the site in which all replicas are reached.
+func (s *Site) NewView() *View {
+	v := &View{site: s, links: map[string]*link.Link{}}
+	v.server = httptest.NewServer(http.HandlerFunc(v.serve))
+	return v
+}
+
+// Address is the store's, for the node whose view this is.
+func (v *View) Address() string { return v.server.Listener.Addr().String() }
+
+// Close ends the store's door and the links.
+func (v *View) Close() {
+	v.server.CloseClientConnections()
+	v.server.Close()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, l := range v.links {
+		_ = l.Close() // the test ends
+	}
+}
+
+// Cut lets the ways to all replicas fail, also to those that come later, until Heal.
+func (v *View) Cut(fault func(*link.Link)) {
+	v.CutSome(fault, func(string) bool { return true })
+}
+
+// CutSome lets the ways to the replicas fail whose ids cut names, until Heal.
+func (v *View) CutSome(fault func(*link.Link), cut func(replica string) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = func(replica string) func(*link.Link) {
+		if cut(replica) {
+			return fault
+		}
+		return nil
+	}
+	for id, r := range v.site.Replicas() {
+		if l := v.links[r.Address]; l != nil && cut(id) {
+			fault(l)
+		}
+	}
+}
+
+// Heal ends all faults of the ways to replicas.
+func (v *View) Heal() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = nil
+	for _, l := range v.links {
+		l.Heal()
+	}
+}
+
+// serve passes a call on to the store and puts the links' addresses into its answer.
+func (v *View) serve(w http.ResponseWriter, r *http.Request) {
+	recorder := httptest.NewRecorder()
+	v.site.Store.ServeHTTP(recorder, r) // a lost answer panics, and the connection ends
+	body := recorder.Body.Bytes()
+	if r.Method == http.MethodGet && recorder.Code == http.StatusOK {
+		body = v.rewrite(body)
+	}
+	w.Header().Set("Content-Type", recorder.Header().Get("Content-Type"))
+	w.WriteHeader(recorder.Code)
+	_, _ = w.Write(body) // the node may have gone
+}
+
+// rewrite replaces the addresses in all entries of replicas in an answer of the store.
+func (v *View) rewrite(body []byte) []byte {
+	var answer map[string]json.RawMessage
+	if json.Unmarshal(body, &answer) != nil {
+		return body
+	}
+	for _, field := range []string{"items", "events"} {
+		var list []map[string]json.RawMessage
+		if json.Unmarshal(answer[field], &list) != nil {
+			continue
+		}
+		for _, item := range list {
+			v.rewriteEntry(item)
+		}
+		answer[field] = mustMarshal(list)
+	}
+	return mustMarshal(answer)
+}
+
+func (v *View) rewriteEntry(item map[string]json.RawMessage) {
+	var key string
+	var value []byte
+	if json.Unmarshal(item["key"], &key) != nil || json.Unmarshal(item["value"], &value) != nil {
+		return
+	}
+	id, isReplica := strings.CutPrefix(key, "servers/")
+	var entry map[string]any
+	if !isReplica || json.Unmarshal(value, &entry) != nil {
+		return
+	}
+	address, ok := entry["addr"].(string)
+	if !ok {
+		return
+	}
+	entry["addr"] = v.linkTo(id, address)
+	item["value"] = mustMarshal(mustMarshal(entry)) // bytes become base64
+}
+
+// linkTo returns the address of the link to a replica, which it opens if there is none.
+func (v *View) linkTo(id, address string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if l := v.links[address]; l != nil {
+		return l.Address()
+	}
+	l, err := link.Listen(address)
+	if err != nil {
+		return address // the test sees a node that is not cut off
+	}
+	v.links[address] = l
+	v.site.Fleet.Alias(l.Address(), address)
+	if v.down != nil {
+		if fault := v.down(id); fault != nil {
+			fault(l)
+		}
+	}
+	return l.Address()
+}
+
+func mustMarshal(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // what was decoded from JSON can be encoded
+	}
+	return data
+}
