--- a/node/site/reach_test.go
+++ b/node/site/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
@@ -22,6 +23,18 @@
 	return p.start(settings, quick, free), view
 }
 
+// cuts are the ways in which the links to replicas fail.
+var cuts = []struct {
+	name  string
+	fault func(*link.Link)
+}{
+	{"reset", (*link.Link).Reset},
+	{"new connections refused", (*link.Link).Refuse},
+	{"silent", func(l *link.Link) { l.Partition(link.Both) }},
+	{"silent to replicas", func(l *link.Link) { l.Partition(link.ToTarget) }},
+	{"silent from replicas", func(l *link.Link) { l.Partition(link.FromTarget) }},
+}
+
 // Guards against an on-call engineer who can't tell a node that reaches no replica from one whose
 // belief outlasts the cut.
 func TestNodeTellsThatItReachesNoReplica(t *testing.T) {
@@ -43,3 +56,41 @@
 		t.Error("the log does not say that replicas are reached again")
 	}
 }
+
+// Guards against callers who are refused because the node that they have connected to reaches no
+// replica, although another node does.
+func TestCallersOfCutOffNodeAreServed(t *testing.T) {
+	for _, cut := range cuts {
+		t.Run(cut.name, func(t *testing.T) {
+			p := newPlatform(t)
+			p.chains(3, time.Millisecond)
+			node, view := p.viewed("front-1", "bandung")
+			p.viewed("front-2", "bekasi")
+			p.until("the nodes know each other", func() bool { return len(node.members.get()) == 2 })
+			view.Cut(cut.fault)
+			time.Sleep(cutSettles)
+			served, asked := 0, 0
+			for i := range 10 {
+				for _, each := range []struct{ method, path string }{{"POST", "/ask/1"}, {"POST", "/order/1"}, {"GET", "/read/1"}} {
+					asked++
+					got := node.ask(each.method, each.path, fmt.Sprint(each.path, i), goodKey)
+					if got.status == http.StatusOK && got.err == nil {
+						served++
+					} else {
+						t.Logf("%s %d: status %d, %v, %s", each.path, i, got.status, got.err, got.body)
+					}
+				}
+			}
+			if allowed := firstTriesThatMayFail; asked-served > allowed {
+				t.Errorf("%d of %d requests were served at the first try, at most %d may fail", served, asked, allowed)
+			}
+		})
+	}
+}
+
+const (
+	// cutSettles is a tenth of the time after which the platform judges a node that is cut off.
+	cutSettles = 300 * time.Millisecond
+	// firstTriesThatMayFail are those by which the node finds out that it is cut off.
+	firstTriesThatMayFail = 3
+)
