Reports of cut-off nodes do not exclude replicas that others reach

What callers saw: nothing in the record; nodes in touch left out sound replicas.

Cause: a failed connection is evidence about a link, and was taken for evidence about the replica. Only a newer observation of the node's own stood against reports, and cut-off nodes renew theirs all the time.

Change: a node that reached a replica after a doubt says so (reached, a new field of the nodes' claims). If the node itself or another one has reached the replica, or a stream through it goes on, such reports are not accepted; the verifiers check it, and what they find counts. A node that reaches no replica of a service reports none of them as lost.

TestReportsOfCutOffNodesDoNotExcludeAReachedReplica failed before (excluded 40 times in 40 exchanges, now once at most), so did TestReportsDoNotExcludeAReplicaWithALivingStream. TestPeerReportsAreNotForwarded required that a node reports nothing about a replica that it has just reached; it now requires exactly that it was reached, and nothing else, which is as strict.

--- a/decide/peerreports/peerreports.go
+++ b/decide/peerreports/peerreports.go
@@ -17,9 +17,12 @@
 //     observations to a hub and gets the observations of the other nodes. The hubs exchange
 //     their observations among each other.
 //   - An observation states what a node has seen itself: a replica that accepts no
-//     connection, a replica that refuses requests although it has capacity, or the slowdown
-//     that a replica reports about itself. An observation has an age and is valid for
-//     ValidFor.
+//     connection, a replica that refuses requests although it has capacity, the slowdown
+//     that a replica reports about itself, or a replica that accepts connections although
+//     it was in doubt. An observation has an age and is valid for ValidFor.
+//   - A failed connection is evidence about a link. If this node or another one has reached
+//     the replica, reports that it accepts no connection come from nodes whose links have
+//     failed. They are not accepted, and the Verifiers check the replica.
 //   - A node accepts an observation that at least Quorum nodes have made independently.
 //     If fewer nodes have made the observation, or if accepting it would exceed
 //     MaxExcludedShare, a few nodes, the Verifiers, check the replica themselves.
@@ -73,6 +76,9 @@
 	// Refusing is set if the replica is alive but refuses requests although it has
 	// capacity.
 	Refusing bool
+	// Reached is set if the replica accepts connections, after it was suspected or reported
+	// as unreachable.
+	Reached bool
 	// Slowdown is the factor by which a reachable replica is slower than others of its
 	// kind, as reported by the replica itself.
 	Slowdown float64
@@ -86,7 +92,7 @@
 // not expired.
 func (o Observation) valid() bool {
 	known := o.Replica != "" && o.Observers > 0 && o.Observers <= maxObservers && o.Age >= 0 && o.Age < ValidFor
-	return known && (o.Unreachable || o.Refusing || o.Slowdown >= 1 && o.Slowdown <= maxSlowdown)
+	return known && (o.Unreachable || o.Refusing || o.Reached || o.Slowdown >= 1 && o.Slowdown <= maxSlowdown)
 }
 
 // message is the last message received from a node.
@@ -155,8 +161,8 @@
 // subject identifies what an observation is about. Observations with the same subject are
 // merged into one.
 type subject struct {
-	replica               string
-	unreachable, refusing bool
+	replica                        string
+	unreachable, refusing, reached bool
 }
 
 func (a *Aggregator) merge(now time.Time, own []Observation, include func(node string, m message) bool) []Observation {
@@ -165,7 +171,7 @@
 		if !o.valid() {
 			return
 		}
-		key := subject{o.Replica, o.Unreachable, o.Refusing}
+		key := subject{o.Replica, o.Unreachable, o.Refusing, o.Reached}
 		known, ok := merged[key]
 		if !ok {
 			merged[key] = o
@@ -210,8 +216,9 @@
 	Node        string
 	DomainNodes []string
 	// Known reports whether a replica belongs to the service. Suspected reports whether
-	// this node already treats a replica as lost.
-	Known, Suspected func(replica string) bool
+	// this node already treats a replica as lost. Reached reports whether this node has
+	// itself reached the replica within ValidFor.
+	Known, Suspected, Reached func(replica string) bool
 	// ReplicaCount is the number of replicas of the service, SuspectedCount the number of
 	// those that this node already treats as lost.
 	ReplicaCount, SuspectedCount int
@@ -228,11 +235,17 @@
 func Evaluate(observations []Observation, v View) Decision {
 	var decision Decision
 	remainingExclusions := int(math.Floor(float64(v.ReplicaCount)*MaxExcludedShare)) - v.SuspectedCount
+	reached := reachedReplicas(observations)
 	for _, o := range observations {
-		if !v.Known(o.Replica) || o.Unreachable && v.Suspected(o.Replica) {
+		if o.Reached || !v.Known(o.Replica) || o.Unreachable && v.Suspected(o.Replica) {
 			continue
 		}
 		switch {
+		case o.Unreachable && (reached[o.Replica] || v.Reached(o.Replica)):
+			// If no other node has reached the replica, this node's evidence must not expire.
+			if v.Verifies(o.Replica) || !reached[o.Replica] {
+				decision.Verify = append(decision.Verify, o)
+			}
 		case o.Observers >= Quorum && !o.Unreachable && !o.Refusing:
 			decision.Accept = append(decision.Accept, o)
 		case o.Observers >= Quorum && remainingExclusions > 0:
@@ -246,6 +259,17 @@
 	return decision
 }
 
+// reachedReplicas returns the replicas that some node has reached.
+func reachedReplicas(observations []Observation) map[string]bool {
+	reached := map[string]bool{}
+	for _, o := range observations {
+		if o.Reached {
+			reached[o.Replica] = true
+		}
+	}
+	return reached
+}
+
 // Verifies reports whether this node is one of the Verifiers of the given replica.
 func (v View) Verifies(replica string) bool {
 	key := rendezvous.Hash(replica)
--- a/decide/peerreports/peerreports_test.go
+++ b/decide/peerreports/peerreports_test.go
@@ -21,6 +21,7 @@
 	return View{
 		Node: node, DomainNodes: domainNodes, ReplicaCount: replicas, SuspectedCount: len(suspected),
 		Known: func(r string) bool { return r != "unknown" }, Suspected: func(r string) bool { return suspected[r] },
+		Reached: func(string) bool { return false },
 	}
 }
 
@@ -166,3 +167,49 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// Guards against a sound replica that all nodes leave out because three nodes, whose own links have
+// failed, report it as unreachable.
+func TestReportsAreNotAcceptedIfANodeReachesTheReplica(t *testing.T) {
+	nodes := names(40)
+	claim := Observation{Replica: "r", Unreachable: true, Observers: Quorum}
+	for _, c := range []struct {
+		name         string
+		ownEvidence  bool
+		observations []Observation
+		wantAccept   bool
+		wantVerify   int // of forty nodes
+	}{
+		{"nobody has reached it", false, []Observation{claim}, true, 0},
+		{"another node has", false, []Observation{claim, {Replica: "r", Reached: true, Observers: 1}}, false, Verifiers},
+		{"this node has, alone", true, []Observation{claim}, false, 40},
+		{"this node and another have", true, []Observation{{Replica: "r", Reached: true, Observers: 1}, claim}, false, Verifiers},
+		{"another replica was reached", false, []Observation{claim, {Replica: "s", Reached: true, Observers: 1}}, true, 0},
+	} {
+		verifying := 0
+		for _, node := range nodes {
+			v := view(node, nodes, 20, nil)
+			v.Reached = func(string) bool { return c.ownEvidence }
+			decision := Evaluate(c.observations, v)
+			verifying += len(decision.Verify)
+			if accepted := len(decision.Accept) > 0; accepted != c.wantAccept {
+				t.Errorf("%s: accepted %+v", c.name, decision.Accept)
+			}
+		}
+		if verifying != c.wantVerify {
+			t.Errorf("%s: %d nodes verify it, want %d", c.name, verifying, c.wantVerify)
+		}
+	}
+}
+
+// Guards against a report of a reached replica that is lost on its way through a hub.
+func TestReachedReplicasAreTold(t *testing.T) {
+	var hub Aggregator
+	if dropped := hub.Record(start, "n-1", false, []Observation{{Replica: "r", Reached: true, Observers: 1}}); dropped > 0 {
+		t.Fatal("dropped")
+	}
+	hub.Record(start, "n-2", false, []Observation{{Replica: "r", Unreachable: true, Observers: 1}})
+	if answer := hub.ReplyTo(start, nil, "n-3", false); len(answer) != 2 {
+		t.Errorf("told %+v", answer)
+	}
+}
--- a/fleet/bookings/bookings.go
+++ b/fleet/bookings/bookings.go
@@ -169,7 +169,7 @@
 	wire := make([]*bookingspb.Claim, 0, len(claims))
 	for _, c := range claims {
 		wire = append(wire, &bookingspb.Claim{
-			Replica: c.Replica, Lost: c.Unreachable, TurnsAway: c.Refusing, Pace: float32(c.Slowdown),
+			Replica: c.Replica, Lost: c.Unreachable, TurnsAway: c.Refusing, Reached: c.Reached, Pace: float32(c.Slowdown),
 			AgeMillis: int32(c.Age.Milliseconds()), Nodes: int32(c.Observers),
 		})
 	}
@@ -180,7 +180,7 @@
 	claims := make([]peerreports.Observation, 0, len(wire))
 	for _, c := range wire {
 		claims = append(claims, peerreports.Observation{
-			Replica: c.GetReplica(), Unreachable: c.GetLost(), Refusing: c.GetTurnsAway(), Slowdown: float64(c.GetPace()),
+			Replica: c.GetReplica(), Unreachable: c.GetLost(), Refusing: c.GetTurnsAway(), Reached: c.GetReached(), Slowdown: float64(c.GetPace()),
 			Age: time.Duration(c.GetAgeMillis()) * time.Millisecond, Observers: int(c.GetNodes()),
 		})
 	}
--- a/fleet/bookings/bookings_test.go
+++ b/fleet/bookings/bookings_test.go
@@ -109,8 +109,9 @@
 	ctx := context.Background()
 	lost := peerreports.Observation{Replica: "r", Unreachable: true, Observers: 1}
 	away := peerreports.Observation{Replica: "u", Refusing: true, Observers: 1}
+	reached := peerreports.Observation{Replica: "v", Reached: true, Observers: 1}
 	hub := start(t, "hub", 1, peerreports.Observation{Replica: "s", Slowdown: 4, Observers: 1})
-	a, b, c := start(t, "a", 1, lost), start(t, "b", 1, lost, away), start(t, "c", 1)
+	a, b, c := start(t, "a", 1, lost), start(t, "b", 1, lost, away, reached), start(t, "c", 1)
 	for _, leaf := range []node{a, b, c} {
 		if err := leaf.AsLeaf(ctx, []Peer{hub.peer}); err != nil {
 			t.Fatal(err)
@@ -118,17 +119,17 @@
 	}
 	for _, n := range []struct {
 		node
-		lost, slow, away int
-	}{{c, 2, 1, 1}, {hub, 2, 0, 1}, {a, 0, 1, 0}} {
+		lost, slow, away, reached int
+	}{{c, 2, 1, 1, 1}, {hub, 2, 0, 1, 1}, {a, 0, 1, 0, 0}} {
 		claims, dropped := n.Claims()
 		got := map[string]int{}
 		for _, claim := range claims {
 			got[claim.Replica] = claim.Observers
-			if claim.Refusing != (claim.Replica == "u") {
+			if claim.Refusing != (claim.Replica == "u") || claim.Reached != (claim.Replica == "v") {
 				t.Errorf("%s: %+v", n.name, claim)
 			}
 		}
-		if got["r"] != n.lost || got["s"] != n.slow || got["u"] != n.away || dropped != 0 {
+		if got["r"] != n.lost || got["s"] != n.slow || got["u"] != n.away || got["v"] != n.reached || dropped != 0 {
 			t.Errorf("%s: %+v, %d dropped", n.name, claims, dropped)
 		}
 	}
--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -112,7 +112,11 @@
 		return // it is no longer listed
 	}
 	if c.Unreachable {
-		for _, loss := range n.prober.FindUnreachable(ctx, connprobe.ReasonPeerReport, []string{r.Address}) {
+		lost := n.prober.FindUnreachable(ctx, connprobe.ReasonPeerReport, []string{r.Address})
+		if len(lost) == 0 && ctx.Err() == nil {
+			model.MarkAlive(r.ID)
+		}
+		for _, loss := range lost {
 			if model.SuspectOnReport(r.ID, loss.HostUnreachable) {
 				n.log.Info("replica out of reach", "service", service, "replica", r.ID, "address", r.Address, "silent", loss.HostUnreachable, "told_by", c.Observers)
 			}
@@ -128,11 +132,16 @@
 	}
 }
 
-// seen is what this node has seen of all models' replicas.
+// seen is what this node has seen of all models' replicas. Of a service that it does not reach at
+// all it does not say that replicas accept no connection: that is evidence about its own links.
 func (s *services) seen() []peerreports.Observation {
 	var all []peerreports.Observation
-	for _, model := range s.allModels() {
-		all = append(all, model.Observations()...)
+	for service, model := range s.allModels() {
+		list := model.Observations()
+		if s.node.reach.CutOff(service) {
+			list = slices.DeleteFunc(list, func(o peerreports.Observation) bool { return o.Unreachable })
+		}
+		all = append(all, list...)
 	}
 	return all
 }
--- a/route/httpapi/testnode_test.go
+++ b/route/httpapi/testnode_test.go
@@ -210,7 +210,7 @@
 func (discardMetrics) Resumed(string, string)           {}
 func (discardMetrics) Dropped(string, string)           {}
 func (discardMetrics) Retried(string, string)           {}
-func (discardMetrics) Forwarded(string, string) {}
+func (discardMetrics) Forwarded(string, string)         {}
 func (discardMetrics) Order(string, string)             {}
 
 // apiRequest is one request of a caller.
--- a/route/targets/observations.go
+++ b/route/targets/observations.go
@@ -10,7 +10,12 @@
 // verification, this node itself checks a replica about which other nodes report.
 const verifyInterval = time.Second
 
-// observation is what this node itself has last seen of a replica.
+// eventEvidence is how long after an event of a stream all stages of its path count as alive.
+// Events are some tens of milliseconds apart.
+const eventEvidence = 250 * time.Millisecond
+
+// observation is what this node itself has last seen of a replica. If nothing but the time is
+// set, the replica accepted a connection.
 type observation struct {
 	at          time.Time
 	unreachable bool
@@ -20,6 +25,9 @@
 	slowdown float64
 }
 
+// reached reports whether the replica accepted a connection.
+func (o observation) reached() bool { return !o.unreachable && !o.refusing && o.slowdown == 0 }
+
 // observations holds what this node itself has seen of replicas, and when it acted on the
 // reports of other nodes. ModelTargets.mu guards it.
 type observations struct {
@@ -58,10 +66,10 @@
 	m.observed.forget(now)
 	var list []peerreports.Observation
 	for id, seen := range m.observed.own {
-		if !seen.unreachable && !seen.refusing && seen.slowdown == 0 {
-			continue
-		}
-		list = append(list, peerreports.Observation{Replica: id, Unreachable: seen.unreachable, Refusing: seen.refusing, Slowdown: seen.slowdown, Age: now.Sub(seen.at), Observers: 1})
+		list = append(list, peerreports.Observation{
+			Replica: id, Unreachable: seen.unreachable, Refusing: seen.refusing, Reached: seen.reached(), Slowdown: seen.slowdown,
+			Age: now.Sub(seen.at), Observers: 1,
+		})
 	}
 	return list
 }
@@ -82,6 +90,7 @@
 	m.observed.forget(now)
 	decision := peerreports.Evaluate(reports, peerreports.View{
 		Node: node, DomainNodes: domainNodes, Known: m.selector.Known, Suspected: m.selector.Suspected,
+		Reached:      func(replica string) bool { return m.reachedLately(now, replica) },
 		ReplicaCount: m.selector.Len(), SuspectedCount: len(m.selector.Suspects()),
 	})
 	for _, c := range decision.Accept {
@@ -99,6 +108,21 @@
 	return decision
 }
 
+// reachedLately reports whether this node itself has reached a replica: it accepted a connection,
+// or a stream through it goes on. The caller holds the lock.
+func (m *ModelTargets) reachedLately(now time.Time, replica string) bool {
+	if own, ok := m.observed.own[replica]; ok && own.reached() && now.Sub(own.at) < peerreports.ValidFor {
+		return true
+	}
+	since := now.Sub(m.startedAt) - eventEvidence
+	for r := range m.active {
+		if at := time.Duration(r.lastEventAt.Load()); at > 0 && at >= since && r.uses(replica) {
+			return true
+		}
+	}
+	return false
+}
+
 // accept applies a report. A replica that other nodes report as lost gets no new requests. The
 // requests that already run through it are rerouted only once they go silent, because the
 // replica may be draining and still continue them. The caller holds the lock.
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -341,7 +341,7 @@
 		t.Errorf("after a failed try: %+v", seen)
 	}
 	m.MarkAlive("a1")
-	if seen := m.Observations(); len(seen) != 0 || len(m.Suspects()) != 0 {
+	if seen := m.Observations(); len(seen) != 1 || !seen[0].Reached || seen[0].Unreachable || len(m.Suspects()) != 0 {
 		t.Errorf("after the replica was reached: %+v", seen)
 	}
 	reports[0].Age = 400 * time.Millisecond
@@ -444,3 +444,62 @@
 		t.Errorf("this node's own refusals: %+v", seen)
 	}
 }
+
+// Three nodes that are cut off from a sound replica report it as lost, at each exchange. A fourth
+// node reaches it. The fourth node goes on choosing it, although its own evidence is older than
+// the reports.
+func TestReportsOfCutOffNodesDoNotExcludeAReachedReplica(t *testing.T) {
+	now := time.Now()
+	m := NewModelTargets("n4", "d", 1, func() time.Time { return now })
+	m.Update(testModel, []*replicalist.Replica{newReplica("a1", 0, 4), newReplica("b1", 4, 8), newReplica("a2", 0, 4), newReplica("b2", 4, 8)}, soleNode(10))
+	domainNodes := []string{"n1", "n2", "n3", "n4"}
+	reports := []peerreports.Observation{{Replica: "a1", Unreachable: true, Observers: peerreports.Quorum, Age: 50 * time.Millisecond}}
+	exchanges, excluded := 0, 0
+	for range 40 {
+		for _, c := range m.Evaluate("n4", domainNodes, reports).Verify {
+			m.MarkAlive(c.Replica) // the verification reaches it
+		}
+		for _, r := range m.Suspects() {
+			now = now.Add(400 * time.Millisecond)
+			m.MarkAlive(r.ID) // so does the next recheck
+			excluded++
+		}
+		exchanges++
+		now = now.Add(300 * time.Millisecond)
+	}
+	if excluded > 1 {
+		t.Errorf("excluded %d times in %d exchanges, want once at most", excluded, exchanges)
+	}
+}
+
+// A stream through a replica goes on while other nodes report the replica as lost: it is alive.
+func TestReportsDoNotExcludeAReplicaWithALivingStream(t *testing.T) {
+	m := twoStageModel()
+	target := choose(t, m, 10)
+	target.Active.RecordEvent()
+	var reports []peerreports.Observation
+	for _, stage := range target.Path {
+		reports = append(reports, peerreports.Observation{Replica: stage.Replica, Unreachable: true, Observers: peerreports.Quorum})
+	}
+	if decision := m.Evaluate("n4", []string{"n1", "n2", "n3", "n4"}, reports); len(decision.Accept) > 0 || len(m.Suspects()) > 0 {
+		t.Errorf("accepted: %+v", decision.Accept)
+	}
+}
+
+// A node that reaches a replica says so while others report it as lost. The others verify the
+// replica, and do not accept the reports.
+func TestReachedReplicaIsReported(t *testing.T) {
+	m := twoStageModel()
+	m.Suspect("a1", false)
+	m.MarkAlive("a1")
+	reached := m.Observations()
+	if len(reached) != 1 || !reached[0].Reached || reached[0].Unreachable {
+		t.Fatalf("reported: %+v", reached)
+	}
+	other := twoStageModel()
+	reports := append(reached, peerreports.Observation{Replica: "a1", Unreachable: true, Observers: peerreports.Quorum})
+	decision := other.Evaluate("n4", []string{"n4"}, reports)
+	if len(decision.Accept) > 0 || len(decision.Verify) != 1 || len(other.Suspects()) > 0 {
+		t.Errorf("%+v", decision)
+	}
+}
