Layers of replicas that other nodes reach are not given to others

With some replicas in reach, such an order makes a sound replica give up the layers that it serves.

LayersLost asked for 0.6 s of its own suspicion.

Change: a loss counts after 0.6 s if another node of the domain reports it (or there is no other), after 1.5 s if nobody says anything, and not at all while another node reaches the replica. A node that reaches no replica of the model orders nothing, and the next reader of the domain takes its turn.

TestLayersOfAReplicaThatOthersReachAreNotLost failed before (lost after 0.6 s in all cases).

--- a/node/site/members.go
+++ b/node/site/members.go
@@ -188,10 +188,11 @@
 	return n.rules.Load() != nil && n.Fresh() && n.leavingFor() == 0
 }
 
-// keeps says whether it is this node's turn to order the replicas of a failure domain:
-// the first of the domain's readers, or, where it has none, of all nodes with an entry.
-func (n *Node) keeps(domain string) bool {
-	list := n.members.readers()
+// keeps says whether it is this node's turn to order the replicas of a model in a failure domain:
+// the first of the domain's readers, or, where it has none, of all nodes with an entry. Nodes that
+// forward their requests don't count, because they reach no replica.
+func (n *Node) keeps(service, domain string) bool {
+	list := slices.DeleteFunc(n.members.readers(), func(m storereaders.Member) bool { return !n.forwarder.sends(service, m.Name) })
 	if own := storereaders.ForDomain(domain, list); len(own) > 0 {
 		return own[0].Name == n.settings.Node
 	}
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -201,8 +201,8 @@
 	}
 	list := n.replicas()
 	for _, service := range rules.Services() {
-		if service.Model == nil {
-			continue
+		if service.Model == nil || n.reach.CutOff(service.Name) {
+			continue // another node takes its turn, see keeps
 		}
 		var own []*replicalist.Replica
 		domains := map[string]bool{}
@@ -214,7 +214,7 @@
 		}
 		model := n.services.model(service.Name)
 		for domain := range domains {
-			if n.keeps(domain) {
+			if n.keeps(service.Name, domain) {
 				n.services.keeper(service.Name).Reconcile(ctx, time.Now(), service.Model, domain, revision, own, model.LayersLost)
 			}
 		}
--- a/route/targets/observations.go
+++ b/route/targets/observations.go
@@ -35,10 +35,38 @@
 	// acceptedAt is the time when this node last accepted other nodes' reports on a replica.
 	// verifiedAt is the time when such reports last made this node verify a replica.
 	acceptedAt, verifiedAt map[string]time.Time
+	// lostAtPeersAt is the time when other nodes last reported a replica as lost, reachedByPeersAt
+	// the time when another node last reached it.
+	lostAtPeersAt, reachedByPeersAt map[string]time.Time
+	// alone is set if there is no other node in the failure domain.
+	alone bool
 }
 
 func newObservations() observations {
-	return observations{own: map[string]observation{}, acceptedAt: map[string]time.Time{}, verifiedAt: map[string]time.Time{}}
+	return observations{
+		own: map[string]observation{}, acceptedAt: map[string]time.Time{}, verifiedAt: map[string]time.Time{},
+		lostAtPeersAt: map[string]time.Time{}, reachedByPeersAt: map[string]time.Time{},
+	}
+}
+
+// recordReports remembers what other nodes report about the reach of replicas.
+func (o *observations) recordReports(now time.Time, reports []peerreports.Observation) {
+	for _, r := range reports {
+		switch {
+		case r.Reached:
+			o.reachedByPeersAt[r.Replica] = now.Add(-r.Age)
+		case r.Unreachable:
+			o.lostAtPeersAt[r.Replica] = now.Add(-r.Age)
+		}
+	}
+}
+
+// lostToOthers reports whether other nodes confirm that a replica is lost, and whether one of them
+// has reached it.
+func (o *observations) lostToOthers(replica string) (confirmed, contradicted bool) {
+	_, confirmed = o.lostAtPeersAt[replica]
+	_, contradicted = o.reachedByPeersAt[replica]
+	return confirmed || o.alone, contradicted
 }
 
 // forget drops entries that are at least as old as peerreports.ValidFor.
@@ -48,7 +76,7 @@
 			delete(o.own, id)
 		}
 	}
-	for _, timestamps := range []map[string]time.Time{o.acceptedAt, o.verifiedAt} {
+	for _, timestamps := range []map[string]time.Time{o.acceptedAt, o.verifiedAt, o.lostAtPeersAt, o.reachedByPeersAt} {
 		for id, at := range timestamps {
 			if now.Sub(at) >= peerreports.ValidFor {
 				delete(timestamps, id)
@@ -88,6 +116,8 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	m.observed.forget(now)
+	m.observed.recordReports(now, reports)
+	m.observed.alone = len(domainNodes) <= 1
 	decision := peerreports.Evaluate(reports, peerreports.View{
 		Node: node, DomainNodes: domainNodes, Known: m.selector.Known, Suspected: m.selector.Suspected,
 		Reached:      func(replica string) bool { return m.reachedLately(now, replica) },
--- a/route/targets/replica_health.go
+++ b/route/targets/replica_health.go
@@ -96,16 +96,33 @@
 	return m.selector.Slow()
 }
 
-// layersLostAfter is how long a replica must be suspected before its layers count as lost.
-// Within this time, some tries to reach the replica are made.
-const layersLostAfter = 600 * time.Millisecond
+const (
+	// layersLostAfter is how long a replica must be suspected before its layers count as lost.
+	// Within this time, some tries to reach the replica are made.
+	layersLostAfter = 600 * time.Millisecond
+	// unconfirmedLostAfter takes the place of layersLostAfter if no other node of the failure
+	// domain reports the loss. By then a node that reaches the replica has said so.
+	unconfirmedLostAfter = 1500 * time.Millisecond
+)
 
 // LayersLost reports whether other replicas should take over the layers of a replica: it has
-// been suspected for long, or it has said that it is leaving.
+// been suspected for long, or it has said that it is leaving. A replica that another node reaches
+// is not lost: the link of this node is.
 func (m *ModelTargets) LayersLost(replica string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, listed := m.selector.Replica(replica)
-	leaving := listed && m.leaving.Marked(replica, r.Incarnation)
-	return leaving || m.selector.SuspectedFor(m.now(), replica, layersLostAfter)
+	if listed && m.leaving.Marked(replica, r.Incarnation) {
+		return true
+	}
+	now := m.now()
+	m.observed.forget(now)
+	confirmed, contradicted := m.observed.lostToOthers(replica)
+	switch {
+	case contradicted:
+		return false
+	case confirmed:
+		return m.selector.SuspectedFor(now, replica, layersLostAfter)
+	}
+	return m.selector.SuspectedFor(now, replica, unconfirmedLostAfter)
 }
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -503,3 +503,41 @@
 		t.Errorf("%+v", decision)
 	}
 }
+
+// The node that orders layers loses its link to a replica. Other nodes reach the replica, so no
+// other replica is ordered to take over its layers. If others report the loss too, or nobody
+// contradicts for long, the layers count as lost.
+func TestLayersOfAReplicaThatOthersReachAreNotLost(t *testing.T) {
+	claim := peerreports.Observation{Replica: "a1", Unreachable: true, Observers: 1}
+	reached := peerreports.Observation{Replica: "a1", Reached: true, Observers: 1}
+	for _, c := range []struct {
+		name                string
+		domainNodes         []string
+		reports             []peerreports.Observation
+		lostSoon, lostLater bool
+	}{
+		{"another node reports the loss", []string{"n1", "n2"}, []peerreports.Observation{claim}, true, true},
+		{"another node reaches it", []string{"n1", "n2"}, []peerreports.Observation{reached}, false, false},
+		{"one reports the loss, one reaches it", []string{"n1", "n2", "n3"}, []peerreports.Observation{claim, reached}, false, false},
+		{"nobody says anything", []string{"n1", "n2"}, nil, false, true},
+		{"there is no other node", []string{"n1"}, nil, true, true},
+	} {
+		now := time.Now()
+		m := NewModelTargets("n1", "d", 1, func() time.Time { return now })
+		m.Update(testModel, []*replicalist.Replica{newReplica("a1", 0, 4), newReplica("b1", 4, 8)}, soleNode(10))
+		m.Suspect("a1", false)
+		for waited := time.Duration(0); waited <= 3*time.Second; waited += 300 * time.Millisecond {
+			m.Evaluate("n1", c.domainNodes, c.reports)
+			if waited < layersLostAfter && m.LayersLost("a1") {
+				t.Errorf("%s: lost after %v", c.name, waited)
+			}
+			if waited == layersLostAfter && m.LayersLost("a1") != c.lostSoon {
+				t.Errorf("%s: lost after %v: %v", c.name, waited, !c.lostSoon)
+			}
+			now = now.Add(300 * time.Millisecond)
+		}
+		if m.LayersLost("a1") != c.lostLater {
+			t.Errorf("%s: lost after three seconds: %v", c.name, !c.lostLater)
+		}
+	}
+}
