--- a/node/site/forward_test.go
+++ b/node/site/forward_test.go
@@ -209,9 +209,9 @@
 // Guards against a replica that works on for a caller who has left the node that forwards.
 func TestCancelOfAForwardedStreamReachesTheReplica(t *testing.T) {
 	p := newPlatform(t)
-	p.chains(1000, 10*time.Millisecond)
-	p.helper("front-2")
+	p.chains(1000, 100*time.Millisecond) // longer than the test waits for anything
 	node, _ := p.cutOffNode("front-1")
+	p.helper("front-2")
 	p.awaitHelpers(node, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
