Nodes that reach no replica leave the answers; reach and forwarding become packages

What callers saw: answers of /resolve went on naming nodes that could only pass their requests on, at the cost of a hop.

A node that reaches no replica of any service leaves its own answers, and those of the nodes that it forwards to, while at least half of the nodes remain: beyond that the others could not take all connections, and forwarding serves the callers that come. No call of the store is needed for it.

node/site/reach.go and forward.go move to route/reachability and route/forwarder, for both doors.

--- a/decide/forwarding/cutoff.go
+++ b/decide/forwarding/cutoff.go
@@ -13,8 +13,12 @@
 	forwardedAt map[pauseKey]time.Time
 }
 
-// Observe records that a node has forwarded a request for a service.
-func (c *CutOffNodes) Observe(now time.Time, service, node string) {
+// allServices stands for all services in a pauseKey.
+const allServices = ""
+
+// Observe records that a node has forwarded a request for a service. fromAll is set if the node
+// reaches no replica of any service.
+func (c *CutOffNodes) Observe(now time.Time, service, node string, fromAll bool) {
 	if c.forwardedAt == nil {
 		c.forwardedAt = map[pauseKey]time.Time{}
 	}
@@ -24,6 +28,9 @@
 		}
 	}
 	c.forwardedAt[pauseKey{node, service}] = now
+	if fromAll {
+		c.forwardedAt[pauseKey{node, allServices}] = now
+	}
 }
 
 // CutOff reports whether a node has lately forwarded a request for a service.
@@ -31,3 +38,8 @@
 	at, ok := c.forwardedAt[pauseKey{node, service}]
 	return ok && now.Sub(at) < cutOffTTL
 }
+
+// CutOffFromAll reports whether a node has lately said that it reaches no replica of any service.
+func (c *CutOffNodes) CutOffFromAll(now time.Time, node string) bool {
+	return c.CutOff(now, allServices, node)
+}
--- a/decide/forwarding/forwarding_test.go
+++ b/decide/forwarding/forwarding_test.go
@@ -123,15 +123,19 @@
 // two nodes use after the cut.
 func TestNodesThatForwardCountAsCutOffForAWhile(t *testing.T) {
 	var c CutOffNodes
-	c.Observe(start, "llm", "a-0")
+	c.Observe(start, "llm", "a-0", false)
 	if !c.CutOff(start, "llm", "a-0") || c.CutOff(start, "ledger", "a-0") || c.CutOff(start, "llm", "a-1") {
 		t.Error("not exactly the node that forwards counts as cut off")
 	}
 	if c.CutOff(start.Add(cutOffTTL), "llm", "a-0") {
 		t.Error("it counts as cut off for longer than cutOffTTL")
 	}
-	c.Observe(start.Add(time.Minute), "llm", "a-1")
-	if len(c.forwardedAt) != 1 {
-		t.Errorf("%d nodes are remembered", len(c.forwardedAt))
+	c.Observe(start.Add(time.Minute), "llm", "a-1", false)
+	if len(c.forwardedAt) != 1 || c.CutOffFromAll(start.Add(time.Minute), "a-1") {
+		t.Errorf("remembered: %v", c.forwardedAt)
+	}
+	c.Observe(start.Add(time.Minute), "llm", "a-1", true)
+	if !c.CutOffFromAll(start.Add(time.Minute), "a-1") {
+		t.Error("it does not count as cut off from all services")
 	}
 }
--- a/node/site/forward_test.go
+++ b/node/site/forward_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/entrypoints"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/standin/link"
 	"github.com/cicadatack/cicadatack/standin/replica"
@@ -141,7 +143,7 @@
 func (n *Node) forwardedByOthers() int {
 	count := 0
 	for _, m := range n.members.get() {
-		if !n.forwarder.sends(site.ModelService, m.Name) {
+		if !n.forwarder.Sends(site.ModelService, m.Name) {
 			count++
 		}
 	}
@@ -351,3 +353,25 @@
 		t.Errorf("%d orders arrived at two replicas of which each has asked for no more", arrivals)
 	}
 }
+
+// Guards against callers who are sent to a node that can only pass their requests on.
+func TestCutOffNodeLeavesTheAnswers(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(3, time.Millisecond)
+	other, _ := p.viewed("front-2", "bandung")
+	node, view := p.cutOffNode("front-1")
+	p.awaitHelpers(node, 1)
+	names := func(n *running, address string) bool {
+		return slices.ContainsFunc(n.entries(), func(m entrypoints.Member) bool { return m.Address == address })
+	}
+	own := node.settings.Callers.String()
+	p.until("both nodes have left it out", func() bool {
+		node.ask("GET", "/read/1", fmt.Sprint("again-", time.Now()), goodKey)
+		return !names(node, own) && !names(other, own)
+	})
+	if !names(node, other.settings.Callers.String()) {
+		t.Error("the node that serves is left out")
+	}
+	view.Heal()
+	p.until("both nodes name it again", func() bool { return names(node, own) && names(other, own) })
+}
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/entrypoints"
+	"github.com/cicadatack/cicadatack/decide/forwarding"
 	"github.com/cicadatack/cicadatack/decide/nodelist"
 	"github.com/cicadatack/cicadatack/decide/storeoutage"
 	"github.com/cicadatack/cicadatack/decide/storereaders"
@@ -167,7 +168,7 @@
 }
 
 // entries are the nodes that callers may be sent to, this one included if it can
-// serve them.
+// serve them. Nodes that reach no replica are left out while enough others remain.
 func (n *Node) entries() []entrypoints.Member {
 	var list []entrypoints.Member
 	for _, m := range n.members.get() {
@@ -180,7 +181,7 @@
 			ID: n.settings.Node, Address: n.settings.Callers.String(), FailureDomain: n.settings.Domain,
 		})
 	}
-	return list
+	return entrypoints.LeaveOutCutOff(list, n.forwarder.NodeCutOffFromAll)
 }
 
 // serving says whether this node should be given callers.
@@ -192,7 +193,7 @@
 // the first of the domain's readers, or, where it has none, of all nodes with an entry. Nodes that
 // forward their requests don't count, because they reach no replica.
 func (n *Node) keeps(service, domain string) bool {
-	list := slices.DeleteFunc(n.members.readers(), func(m storereaders.Member) bool { return !n.forwarder.sends(service, m.Name) })
+	list := slices.DeleteFunc(n.members.readers(), func(m storereaders.Member) bool { return !n.forwarder.Sends(service, m.Name) })
 	if own := storereaders.ForDomain(domain, list); len(own) > 0 {
 		return own[0].Name == n.settings.Node
 	}
@@ -204,11 +205,20 @@
 	return len(own) > 0 && own[0].Name == n.settings.Node
 }
 
+// forwardingNodes are the nodes that may serve requests for this one.
+func (n *Node) forwardingNodes() []forwarding.Node {
+	var nodes []forwarding.Node
+	for _, m := range n.members.get() {
+		nodes = append(nodes, forwarding.Node{Name: m.Name, Domain: m.Domain, Address: m.Peers})
+	}
+	return nodes
+}
+
 // sendersTo returns the names of the nodes of a domain that send requests to the replicas of a
 // service, and how many nodes there are in all that do.
 func (n *Node) sendersTo(service, domain string) (near []string, all int) {
 	for _, m := range n.members.get() {
-		if !n.forwarder.sends(service, m.Name) {
+		if !n.forwarder.Sends(service, m.Name) {
 			continue
 		}
 		all++
--- a/node/site/services.go
+++ b/node/site/services.go
@@ -87,8 +87,8 @@
 		byService[r.Service] = append(byService[r.Service], r)
 	}
 	s.shareTries()
-	s.node.reach.setReplicas(rules.Services(), byService)
-	s.node.forwarder.setNodes(s.node.members.get())
+	s.node.reach.SetEndpoints(addressesOf(rules.Services(), byService))
+	s.node.forwarder.SetNodes(s.node.forwardingNodes())
 	senders := s.node.senders()
 	for _, service := range rules.Services() {
 		replicas := byService[service.Name]
@@ -107,6 +107,18 @@
 	}
 }
 
+// addressesOf returns the addresses of the services' replicas, by service and replica.
+func addressesOf(services []*ruleset.Service, replicas map[string][]*replicalist.Replica) map[string]map[string]string {
+	all := map[string]map[string]string{}
+	for _, service := range services {
+		all[service.Name] = map[string]string{}
+		for _, r := range replicas[service.Name] {
+			all[service.Name][r.ID] = r.Address
+		}
+	}
+	return all
+}
+
 // shareTries gives each budget this node's part as of now.
 func (s *services) shareTries() {
 	part := s.node.tries()
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -31,7 +31,9 @@
 	"github.com/cicadatack/cicadatack/platform/kv"
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/forwarder"
 	"github.com/cicadatack/cicadatack/route/ingress"
+	"github.com/cicadatack/cicadatack/route/reachability"
 	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/replicareport"
 	"github.com/cicadatack/cicadatack/route/ruleset"
@@ -77,10 +79,10 @@
 		freshness.Lease
 	}
 	services services
-	reach    *reachability
+	reach    *reachability.Monitor
 	// forwarder chooses the nodes that serve requests for this one, and peerPool holds the
 	// connections to them.
-	forwarder *forwarder
+	forwarder *forwarder.Forwarder
 	peerPool  *upstream.Pool
 	members   members
 	poll      poller
@@ -145,10 +147,10 @@
 	n.metrics = metrics.New(settings.Node, func(err error) { log.Error("metric refused", "error", err) })
 	n.engines = &engines.Client{Pool: n.pool, Answered: n.engineAnswered}
 	n.prober = connprobe.New(n.pool, time.Now)
-	n.reach = newReachability(n.seed, log)
-	n.pool.OnDial = n.reach.observeDial
+	n.reach = reachability.New(n.seed, log)
+	n.pool.OnDial = n.reach.ObserveDial
 	n.peerPool = upstream.New(time.Now)
-	n.forwarder = newForwarder(n)
+	n.forwarder = forwarder.New(settings.Node, settings.Domain, n.seed, n.reach, time.Now)
 	n.reports = replicareport.New(engineCalls{n}, time.Now)
 	n.inForce.Store(&settings.Bounds)
 	n.lease.MaxAge = freshLimit(settings.Bounds)
@@ -188,7 +190,7 @@
 	defer stop()
 	go n.follow(background)
 	go n.recheck(background)
-	go n.verifyReach(background)
+	go n.reach.Run(background, n.prober)
 	go n.repace(background)
 	go n.shareBookings(background)
 	go n.watchSettings(background, reload)
--- a/route/headers/forward.go
+++ b/route/headers/forward.go
@@ -24,6 +24,8 @@
 	Revision int64 `json:"revision"`
 	// Service is the service that the request was meant for.
 	Service string `json:"service"`
+	// CutOffFromAll is set if the node reaches no replica of any service.
+	CutOffFromAll bool `json:"cut_off_from_all,omitempty"`
 	// ElapsedMicros is the time since the request arrived from its caller.
 	ElapsedMicros int64 `json:"elapsed_us"`
 	// MayHaveRunOn are the first replicas that may have begun the request.
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -29,8 +29,11 @@
 	Choose(service string, asked []string) (forwarding.Node, bool)
 	// Finish releases a node and records how it handled the request.
 	Finish(service string, node forwarding.Node, r forwarding.Result)
+	// CutOffFromAll reports whether this node reaches no replica of any service.
+	CutOffFromAll() bool
 	// Observe records that another node has forwarded a request for a service to this one.
-	Observe(service, node string)
+	// fromAll is set if that node reaches no replica of any service.
+	Observe(service, node string, fromAll bool)
 }
 
 // ForwardPath is prefixed to the path of a request that is forwarded to another node.
@@ -136,7 +139,7 @@
 	header := req.server.HeaderCodec.DownstreamHeader(req.Header)
 	headers.Forward{
 		Node: req.server.Forwarder.Name(), Revision: req.Revision, Service: req.Service,
-		ElapsedMicros: now.Sub(req.Arrived).Microseconds(), MayHaveRunOn: req.mayHaveRunOn, ResumeAfter: a.resumeAfter,
+		CutOffFromAll: req.server.Forwarder.CutOffFromAll(), ElapsedMicros: now.Sub(req.Arrived).Microseconds(), MayHaveRunOn: req.mayHaveRunOn, ResumeAfter: a.resumeAfter,
 	}.Set(header)
 	exchange, err := req.server.PeerPool.Send(ctx, upstream.Request{
 		Address: a.target.Address, Method: req.Method, Target: ForwardPath + req.Target, Host: cmp.Or(req.Host, a.target.Address),
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -208,7 +208,7 @@
 	if r.Forwarded != nil {
 		state.mayHaveRunOn = slices.Clone(r.Forwarded.MayHaveRunOn)
 		if s.Forwarder != nil {
-			s.Forwarder.Observe(r.Service, r.Forwarded.Node)
+			s.Forwarder.Observe(r.Service, r.Forwarded.Node, r.Forwarded.CutOffFromAll)
 		}
 	}
 	return state, cancel
