--- a/route/plainservice/codec.go
+++ b/route/plainservice/codec.go
@@ -38,9 +38,7 @@
 
 // DownstreamHeader implements headers.Codec.
 func (HeaderCodec) DownstreamHeader(h http.Header) http.Header {
-	to := http.Header{}
-	copyEndToEndHeaders(to, h)
-	return to
+	return headers.EndToEnd(h)
 }
 
 // WriteRefusal implements headers.Codec.
--- a/route/plainservice/plainservice.go
+++ b/route/plainservice/plainservice.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -164,7 +165,7 @@
 
 // writeAnswer sends an endpoint's answer to the caller.
 func (p *plainCall) writeAnswer(w http.ResponseWriter, a *relay.Answer) {
-	copyEndToEndHeaders(w.Header(), a.Header)
+	maps.Copy(w.Header(), headers.EndToEnd(a.Header))
 	w.Header().Set(outcome.Header, string(outcome.Done))
 	w.WriteHeader(a.Status)
 	// A write error means that the caller has disconnected, so there is nobody to tell.
