Own door: calls of a node that reaches no endpoint go to another node

route/callforward sends a call to another node's peers' listener, with certificates on both sides as in the exchange, before anything is counted or claimed here: that node checks the key, counts the call against the team's limit and claims orders. A refusal as not run lets up to two further nodes be asked, anything else ends the call; a connection of its own for each call, so that no transport sends it again. A forwarded call is not forwarded again.

--- a/node/server/documents.go
+++ b/node/server/documents.go
@@ -48,6 +48,7 @@
 	s.registry.Apply(d)
 	s.book.Apply(d)
 	s.keeper.Apply(d)
+	s.reach.SetEndpoints(endpointAddresses(d))
 	s.directory.Store(d)
 	s.metrics.Revision(r.Revision)
 	s.followMembers()
--- a/node/server/entries.go
+++ b/node/server/entries.go
@@ -60,7 +60,8 @@
 
 // entryMembers lists the nodes that callers may be sent to. The platform's list
 // does not tell environments apart, so the members may serve another one, or its
-// trial: callers sent there would find their keys unknown.
+// trial: callers sent there would find their keys unknown. Nodes that reach no endpoint are left
+// out while enough others remain.
 func (s *Server) entryMembers() []entrypoints.Member {
 	members := s.fleet.Members()
 	known := make([]entrypoints.Member, 0, len(members))
@@ -76,7 +77,7 @@
 			Suspected:     m.State == membership.Suspect,
 		})
 	}
-	return known
+	return entrypoints.LeaveOutCutOff(known, s.forwarder.WorseThanOthers)
 }
 
 // followMembers sets what depends on who is there: the teams' home nodes, the
--- a/node/server/listen.go
+++ b/node/server/listen.go
@@ -82,7 +82,7 @@
 
 func (s *Server) buildListeners() error {
 	s.callers = s.newHTTP(s.closeWhenDraining(s.front.Handler()))
-	s.peers = s.newHTTP(s.fleet.Handler())
+	s.peers = s.newHTTP(s.peersHandler())
 	s.operators = s.newHTTP(s.operatorRoutes())
 	return s.secureListeners()
 }
--- a/node/server/loops.go
+++ b/node/server/loops.go
@@ -41,6 +41,7 @@
 	s.metrics.Underway(s.front.ActiveRequests())
 	s.metrics.Revision(s.revision())
 	s.followMembers()
+	s.followForwarding()
 }
 
 // followLeaving tells the services which endpoints leave.
--- a/node/server/operators.go
+++ b/node/server/operators.go
@@ -64,6 +64,7 @@
 		Near:          spread.Near,
 		Slots:         map[string]int{},
 		Pushbacks:     map[string]map[string]int64{},
+		CutOff:        s.reach.CutOffMillis(),
 	}
 	if d := s.directory.Load(); d != nil {
 		status.Digest = d.Digest
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -20,14 +20,17 @@
 	"github.com/cicadatack/cicadatack/node/tlsfiles"
 	"github.com/cicadatack/cicadatack/platform/kv"
 	"github.com/cicadatack/cicadatack/route/chains"
+	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/docindex"
 	"github.com/cicadatack/cicadatack/route/engineclient"
+	"github.com/cicadatack/cicadatack/route/forwarder"
 	"github.com/cicadatack/cicadatack/route/httpapi"
 	"github.com/cicadatack/cicadatack/route/layerplans"
 	"github.com/cicadatack/cicadatack/route/lifecycle"
 	"github.com/cicadatack/cicadatack/route/modelservice"
 	"github.com/cicadatack/cicadatack/route/plainservice"
+	"github.com/cicadatack/cicadatack/route/reachability"
 	"github.com/cicadatack/cicadatack/route/relay"
 	"github.com/cicadatack/cicadatack/route/service"
 	"github.com/cicadatack/cicadatack/route/stream"
@@ -69,6 +72,9 @@
 	metrics    *metrics.Metrics
 	front      *httpapi.Server
 	pool       *upstream.Pool
+	prober     *connprobe.Prober
+	reach      *reachability.Monitor
+	forwarder  *forwarder.Forwarder
 	engines    *engineclient.Client
 	streams    *stream.Runner
 	leaving    *leavingList
@@ -133,7 +139,8 @@
 	}), time.Now)
 	s.leaving = newLeavingList(s.registry, s.log)
 	s.pool = upstream.New(time.Now)
-	s.engines = engineclient.New(nil)
+	s.buildForwarding()
+	s.engines = engineclient.NewObserved(s.reach.ObserveDial)
 	s.streams = stream.New(s.engines, nil, stream.Options{MaxExecutions: streamEpochs, MaxAttempts: 2 * streamEpochs, OnCacheLost: s.cacheLost})
 	s.orderPeers = newOrderPeers(s)
 	s.orders = ledger.New(s.store, s.settings.Environment, ledger.Config{Peers: s.orderPeers})
@@ -150,6 +157,7 @@
 	}
 	source.Follow(s.fleet.Latest)
 	s.front = s.newFront()
+	s.front.CallForwarder = s.newCallForwarder(peers)
 	return s.buildListeners()
 }
 
@@ -219,6 +227,7 @@
 	work.Go(func() { s.eventsLoop(background) })
 	work.Go(func() { s.leavingLoop(background) })
 	work.Go(func() { s.settleLoop(background) })
+	work.Go(func() { s.reach.Run(background, s.prober) })
 	work.Go(func() { s.book.Run(background) })
 	work.Go(func() { s.keeper.Run(background) })
 	failed := s.serve()
--- a/node/server/slots_test.go
+++ b/node/server/slots_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"github.com/cicadatack/cicadatack/platform/kv"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -14,8 +13,6 @@
 	"github.com/cicadatack/cicadatack/fleet/membership"
 	"github.com/cicadatack/cicadatack/node/tlsfiles/tlstest"
 	"github.com/cicadatack/cicadatack/standin/storefake"
-	"github.com/cicadatack/cicadatack/state/promotion"
-	"github.com/cicadatack/cicadatack/state/store"
 )
 
 // Two nodes of one environment and one of another use the same store, whose list
@@ -74,16 +71,5 @@
 		"endpoints":[{"name":"e","address":"127.0.0.1:1","failure_domain":"bandung"}],
 		"services":[{"name":"bookings","kind":"plain","plain":{"endpoints":["e"]}}],
 		"teams":[{"name":"pens","weight":1,"key_sha256":[%q]}],"policy":{"entry_valid_s":1}}`, environment, strings.Repeat("ab", 32))
-	client, err := kv.Open(address, store.Config{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := promotion.New(client)
-	tried, err := p.Trial(context.Background(), environment, []byte(text), "siti")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := p.Promote(context.Background(), environment, tried.Digest, 0, promotion.NewID(), "siti"); err != nil {
-		t.Fatal(err)
-	}
+	promoteText(t, address, environment, text)
 }
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -181,7 +181,7 @@
 			ID: n.settings.Node, Address: n.settings.Callers.String(), FailureDomain: n.settings.Domain,
 		})
 	}
-	return entrypoints.LeaveOutCutOff(list, n.forwarder.NodeCutOffFromAll)
+	return entrypoints.LeaveOutCutOff(list, n.forwarder.WorseThanOthers)
 }
 
 // serving says whether this node should be given callers.
--- /dev/null
+++ b/route/callforward/callforward.go
@@ -0,0 +1,263 @@
+// Package callforward forwards calls of the product's own API to another node while this node
+// reaches no endpoint of their service. The other node handles a call from the beginning: it
+// checks the key, counts the call against the team's limit and claims orders, so none of this
+// happens here. The data path of the platform's callers (route/relay) forwards by itself.
+package callforward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/forwarding"
+	"github.com/cicadatack/cicadatack/route/callparser"
+	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/headers"
+	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/route/relay"
+)
+
+// Metrics counts forwarded calls by what came of them.
+type Metrics interface {
+	Forwarded(service, result string)
+}
+
+// Server forwards calls. Safe for concurrent use.
+type Server struct {
+	Forwarder relay.Forwarder
+	// Transport opens a connection for each call. A transport that reuses connections may send
+	// a call again by itself after a connection breaks.
+	Transport http.RoundTripper
+	// Scheme is that of the nodes' own listeners.
+	Scheme   string
+	Recorder decisionlog.Recorder
+	Metrics  Metrics
+	Now      func() time.Time
+}
+
+const (
+	// maxForwards bounds the nodes that are asked to serve one call.
+	maxForwards = 3
+	// retryAfter is the Retry-After of a call that no node can serve: about the time in which
+	// a node finds out that it reaches endpoints again.
+	retryAfter = 500 * time.Millisecond
+	// maxRefusalBytes bounds the body of a refusal that is kept while other nodes are asked.
+	maxRefusalBytes = 16 << 10
+)
+
+// Codes of refusals.
+const (
+	codeUnreachable   = "unreachable"
+	codeOlderDocument = "older_document"
+	codeNoAnswer      = "no_answer"
+)
+
+// Forward serves a call through another node, if this node reaches no endpoint of its service. It
+// returns false if the call must be served here. body is the body of the call, which was read.
+func (s *Server) Forward(w http.ResponseWriter, r *http.Request, c *callparser.Call, body []byte) bool {
+	if forward, forwarded := forwardOf(r.Context()); forwarded {
+		return s.refuseForwarded(w, c, forward)
+	}
+	if !s.Forwarder.CutOff(c.Service.Name) {
+		return false
+	}
+	f := &forwardedCall{server: s, w: w, r: r, call: c, body: body}
+	return f.run()
+}
+
+// refuseForwarded refuses a call that another node forwards, if this node can't serve it either
+// or has an older document. It reports whether it has refused the call.
+func (s *Server) refuseForwarded(w http.ResponseWriter, c *callparser.Call, forward headers.Forward) bool {
+	s.Forwarder.Observe(c.Service.Name, forward.Node, forward.CutOffFromAll)
+	refusal := &outcome.Refusal{Status: http.StatusServiceUnavailable, Outcome: outcome.NotRun, RetryAfter: retryAfter}
+	switch {
+	case c.DocumentIndex.Revision < forward.Revision:
+		refusal.Code, refusal.Message = codeOlderDocument, "this node has an older document"
+	case s.Forwarder.CutOff(c.Service.Name):
+		refusal.Code, refusal.Message = codeUnreachable, "this node reaches no endpoint of the service either"
+	default:
+		return false
+	}
+	refusal.Write(w)
+	return true
+}
+
+// forwardedCall is a call that is being forwarded.
+type forwardedCall struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	call   *callparser.Call
+	body   []byte
+}
+
+// run asks nodes until one of them serves the call or may have run it. It returns false if none
+// could be asked.
+func (f *forwardedCall) run() bool {
+	var asked []string
+	var refusal *refusedAnswer
+	for len(asked) < maxForwards {
+		node, ok := f.server.Forwarder.Choose(f.call.Service.Name, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, node.Name)
+		refused, result := f.attempt(node)
+		f.server.Forwarder.Finish(f.call.Service.Name, node, result)
+		f.server.Metrics.Forwarded(f.call.Service.Name, result.String())
+		if result != forwarding.NoCapacity && result != forwarding.CannotServe && result != forwarding.NoAnswer {
+			return true
+		}
+		if refused == nil && result == forwarding.NoAnswer {
+			continue // nothing was sent
+		}
+		refusal = refused
+	}
+	if refusal == nil {
+		return false
+	}
+	refusal.write(f.w)
+	return true
+}
+
+// attempt sends the call to a node. It passes on the answer, unless the node refused the call and
+// another node may serve it: then it returns the refusal. It returns no refusal and
+// forwarding.NoAnswer if the call was not sent.
+func (f *forwardedCall) attempt(node forwarding.Node) (*refusedAnswer, forwarding.Result) {
+	s := f.server
+	s.Recorder.Record(decisionlog.Decision{
+		At: s.Now(), Request: f.call.ID, Team: f.call.Team.Name, Service: f.call.Service.Name, Revision: f.call.DocumentIndex.Revision,
+		Kind: decisionlog.Forward, Chosen: node.Name, Reason: "no endpoint is reached",
+		TextValues: []decisionlog.TextValue{{Name: "address", Text: node.Address}},
+	})
+	answer, sent, err := f.send(node)
+	if err != nil {
+		if f.r.Context().Err() != nil {
+			return nil, forwarding.Canceled
+		}
+		if !sent {
+			return nil, forwarding.NoAnswer
+		}
+		f.refuseUnknown(err)
+		return nil, forwarding.Canceled // answered: another node must not be asked
+	}
+	defer answer.Body.Close()
+	if refused := refusalOf(answer); refused != nil {
+		if refused.status == http.StatusTooManyRequests {
+			return refused, forwarding.NoCapacity
+		}
+		return refused, forwarding.CannotServe
+	}
+	f.passOn(answer)
+	return nil, forwarding.Served
+}
+
+// send sends the call. sent reports whether the node may have read a part of it.
+func (f *forwardedCall) send(node forwarding.Node) (answer *http.Response, sent bool, err error) {
+	ctx, dialed := traceConnection(f.r.Context())
+	url := f.server.Scheme + "://" + node.Address + relay.ForwardPath + f.r.URL.RequestURI()
+	q, err := http.NewRequestWithContext(ctx, f.r.Method, url, bytes.NewReader(f.body))
+	if err != nil {
+		return nil, false, err
+	}
+	q.GetBody = nil // the transport must not send the body again
+	q.Header = headers.EndToEnd(f.r.Header)
+	if !f.call.Deadline.IsZero() {
+		remaining := max(time.Millisecond, f.call.Deadline.Sub(f.server.Now()))
+		q.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	}
+	headers.Forward{
+		Node: f.server.Forwarder.Name(), Revision: f.call.DocumentIndex.Revision, Service: f.call.Service.Name,
+		CutOffFromAll: f.server.Forwarder.CutOffFromAll(), ElapsedMicros: f.server.Now().Sub(f.call.ArrivedAt).Microseconds(),
+	}.Set(q.Header)
+	answer, err = f.server.Transport.RoundTrip(q)
+	return answer, dialed.Load(), err
+}
+
+// refuseUnknown answers a call that another node may have run.
+func (f *forwardedCall) refuseUnknown(err error) {
+	refusal := &outcome.Refusal{
+		Status: http.StatusBadGateway, Code: codeNoAnswer, Outcome: outcome.Unknown,
+		Message: "the node that was to serve the call did not answer: " + err.Error(),
+	}
+	refusal.Write(f.w)
+}
+
+// passOn passes an answer on as it arrives. An answer that breaks off is aborted.
+func (f *forwardedCall) passOn(answer *http.Response) {
+	for name, values := range headers.EndToEnd(answer.Header) {
+		f.w.Header()[name] = values
+	}
+	f.w.WriteHeader(answer.StatusCode)
+	flusher := http.NewResponseController(f.w)
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if _, writeErr := f.w.Write(buffer[:n]); writeErr != nil {
+			return // the caller has left
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_ = flusher.Flush() // a listener that can't flush sends the answer at its end
+	}
+}
+
+// refusedAnswer is the answer of a node that has not run the call.
+type refusedAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// refusalOf returns the refusal of a node after which another node may serve the call, or nil.
+func refusalOf(answer *http.Response) *refusedAnswer {
+	if answer.Header.Get(outcome.Header) != string(outcome.NotRun) {
+		return nil
+	}
+	if answer.StatusCode != http.StatusServiceUnavailable && answer.StatusCode != http.StatusTooManyRequests {
+		return nil
+	}
+	// A body that breaks off is passed on as far as it came: the status says all.
+	body, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusalBytes))
+	return &refusedAnswer{status: answer.StatusCode, header: headers.EndToEnd(answer.Header), body: body}
+}
+
+func (r *refusedAnswer) write(w http.ResponseWriter) {
+	for name, values := range r.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write(r.body) // the caller may have left
+}
+
+// forwardKey is the key of a forwarded call's headers.Forward in its context.
+type forwardKey struct{}
+
+func forwardOf(ctx context.Context) (headers.Forward, bool) {
+	forward, ok := ctx.Value(forwardKey{}).(headers.Forward)
+	return forward, ok
+}
+
+// Handler serves the calls that other nodes forward, by the handler of the callers' listener.
+func Handler(next http.Handler) http.Handler {
+	return http.StripPrefix(relay.ForwardPath, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		forward, ok := headers.TakeForward(r.Header)
+		if !ok {
+			refusal := &outcome.Refusal{Status: http.StatusBadRequest, Code: "not_forwarded", Message: "the call does not say which node forwards it", Outcome: outcome.NotRun}
+			refusal.Write(w)
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), forwardKey{}, forward)))
+	}))
+}
+
+// IsForwarded reports whether a path is that of a forwarded call.
+func IsForwarded(path string) bool { return strings.HasPrefix(path, relay.ForwardPath+"/") }
--- /dev/null
+++ b/route/callforward/callforward_test.go
@@ -0,0 +1,231 @@
+package callforward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/decide/forwarding"
+	"github.com/cicadatack/cicadatack/route/callparser"
+	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/docindex"
+	"github.com/cicadatack/cicadatack/route/headers"
+	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/state/document"
+)
+
+// fleetOf is a forwarder that knows a fixed list of nodes, which are asked in order.
+type fleetOf struct {
+	cutOff   bool
+	nodes    []string // addresses
+	results  []forwarding.Result
+	observed []string
+}
+
+func (f *fleetOf) Name() string                          { return "front-1" }
+func (f *fleetOf) CutOff(string) bool                    { return f.cutOff }
+func (f *fleetOf) CutOffFromAll() bool                   { return false }
+func (f *fleetOf) Observe(_ string, node string, _ bool) { f.observed = append(f.observed, node) }
+func (f *fleetOf) Choose(_ string, asked []string) (forwarding.Node, bool) {
+	if len(asked) >= len(f.nodes) {
+		return forwarding.Node{}, false
+	}
+	return forwarding.Node{Name: f.nodes[len(asked)], Address: f.nodes[len(asked)]}, true
+}
+func (f *fleetOf) Finish(_ string, _ forwarding.Node, r forwarding.Result) {
+	f.results = append(f.results, r)
+}
+
+type noRecorder struct{}
+
+func (noRecorder) Record(decisionlog.Decision) {}
+
+type noMetrics struct{}
+
+func (noMetrics) Forwarded(string, string) {}
+
+func serverOf(f *fleetOf) *Server {
+	return &Server{
+		Forwarder: f, Transport: &http.Transport{DisableKeepAlives: true}, Scheme: "http",
+		Recorder: noRecorder{}, Metrics: noMetrics{}, Now: time.Now,
+	}
+}
+
+func callOf(revision int64) *callparser.Call {
+	return &callparser.Call{
+		ID: "call", Team: &document.Team{Name: "pens"}, Service: &document.Service{Name: "bookings"},
+		ArrivedAt: time.Now(), Deadline: time.Now().Add(5 * time.Second), DocumentIndex: &docindex.Index{Revision: revision},
+	}
+}
+
+// nodeThat starts a node that answers forwarded calls with a handler, and counts the calls.
+func nodeThat(t *testing.T, answer http.HandlerFunc) (address string, calls *atomic.Int64) {
+	t.Helper()
+	calls = &atomic.Int64{}
+	server := httptest.NewServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		answer(w, r)
+	})))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), calls
+}
+
+func refuse(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		(&outcome.Refusal{Status: status, Code: "no_chain", Outcome: outcome.NotRun}).Write(w)
+	}
+}
+
+func serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set(outcome.Header, string(outcome.Done))
+	_, _ = w.Write([]byte(r.URL.Path + " " + string(body) + " " + r.Header.Get("Authorization")))
+}
+
+func breakOff(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// Guards against callers who are refused although another node could serve them, and against a
+// call that is sent to a second node although the first one may have run it.
+func TestCallsAreForwarded(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	unreachable := closed.Addr().String()
+	closed.Close()
+	for _, c := range []struct {
+		name    string
+		first   http.HandlerFunc // nil: it can't be reached
+		status  int
+		outcome outcome.Outcome
+		second  int64 // calls that the second node gets
+	}{
+		{"the first node serves", serve, http.StatusOK, outcome.Done, 0},
+		{"the first node reaches no endpoint", refuse(http.StatusServiceUnavailable), http.StatusOK, outcome.Done, 1},
+		{"the first node is full", refuse(http.StatusTooManyRequests), http.StatusOK, outcome.Done, 1},
+		{"the first node does not know the key", refuse(http.StatusUnauthorized), http.StatusUnauthorized, outcome.NotRun, 0},
+		{"the first node breaks off", breakOff, http.StatusBadGateway, outcome.Unknown, 0},
+		{"the first node can't be reached", nil, http.StatusOK, outcome.Done, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first := unreachable
+			if c.first != nil {
+				first, _ = nodeThat(t, c.first)
+			}
+			second, secondCalls := nodeThat(t, serve)
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest("POST", "/services/bookings/x", nil)
+			r.Header.Set("Authorization", "Bearer key")
+			if !serverOf(&fleetOf{cutOff: true, nodes: []string{first, second}}).Forward(w, r, callOf(3), []byte("feed")) {
+				t.Fatal("not forwarded")
+			}
+			if w.Code != c.status || w.Header().Get(outcome.Header) != string(c.outcome) || secondCalls.Load() != c.second {
+				t.Errorf("status %d, outcome %s, the second node got %d calls", w.Code, w.Header().Get(outcome.Header), secondCalls.Load())
+			}
+			if c.status == http.StatusOK && w.Body.String() != "/services/bookings/x feed Bearer key" {
+				t.Errorf("the node got %q", w.Body)
+			}
+		})
+	}
+}
+
+// Guards against calls that leave a node which could serve them itself, and against a caller who
+// gets no answer if no node can be asked.
+func TestCallsStayAtTheNode(t *testing.T) {
+	address, calls := nodeThat(t, serve)
+	for name, f := range map[string]*fleetOf{
+		"endpoints are reached": {nodes: []string{address}},
+		"no other node":         {cutOff: true},
+	} {
+		w := httptest.NewRecorder()
+		if serverOf(f).Forward(w, httptest.NewRequest("POST", "/services/bookings/x", nil), callOf(3), nil) || calls.Load() > 0 {
+			t.Errorf("%s: forwarded", name)
+		}
+	}
+}
+
+// Guards against a caller who is told nothing of when to return if all nodes refuse.
+func TestLastRefusalIsPassedOn(t *testing.T) {
+	first, _ := nodeThat(t, refuse(http.StatusServiceUnavailable))
+	second, _ := nodeThat(t, refuse(http.StatusTooManyRequests))
+	f := &fleetOf{cutOff: true, nodes: []string{first, second}}
+	w := httptest.NewRecorder()
+	if !serverOf(f).Forward(w, httptest.NewRequest("POST", "/services/bookings/x", nil), callOf(3), nil) {
+		t.Fatal("not answered")
+	}
+	if w.Code != http.StatusTooManyRequests || !strings.Contains(w.Body.String(), "no_chain") {
+		t.Errorf("status %d, %s", w.Code, w.Body)
+	}
+	if len(f.results) != 2 || f.results[0] != forwarding.CannotServe || f.results[1] != forwarding.NoCapacity {
+		t.Errorf("results %v", f.results)
+	}
+}
+
+// Guards against two cut-off nodes that pass a call to each other, and against a call that is
+// handled by an older document than the one that admitted it.
+func TestForwardedCallIsServedOrRefused(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		cutOff   bool
+		revision int64
+		refused  string
+	}{
+		{"served", false, 3, ""},
+		{"newer document here", false, 4, ""},
+		{"older document here", false, 2, codeOlderDocument},
+		{"cut off as well", true, 3, codeUnreachable},
+	} {
+		other, otherCalls := nodeThat(t, serve)
+		f := &fleetOf{cutOff: c.cutOff, nodes: []string{other}}
+		r := httptest.NewRequest("POST", "/services/bookings/x", nil)
+		r = r.WithContext(context.WithValue(r.Context(), forwardKey{}, headers.Forward{Node: "front-2", Revision: 3}))
+		w := httptest.NewRecorder()
+		handled := serverOf(f).Forward(w, r, callOf(c.revision), nil)
+		if handled != (c.refused != "") || !strings.Contains(w.Body.String(), c.refused) || otherCalls.Load() > 0 {
+			t.Errorf("%s: handled %v, %s, passed on %d times", c.name, handled, w.Body, otherCalls.Load())
+		}
+		if handled && (w.Code != http.StatusServiceUnavailable || w.Header().Get(outcome.Header) != string(outcome.NotRun)) {
+			t.Errorf("%s: status %d", c.name, w.Code)
+		}
+		if len(f.observed) != 1 || f.observed[0] != "front-2" {
+			t.Errorf("%s: observed %v", c.name, f.observed)
+		}
+	}
+}
+
+// Guards against a stream that is held back until its end, and against one that looks whole
+// although its node broke it off.
+func TestStreamIsPassedOnAsItArrives(t *testing.T) {
+	goOn := make(chan struct{})
+	address, _ := nodeThat(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(outcome.Header, string(outcome.Done))
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		<-goOn
+		panic(http.ErrAbortHandler)
+	})
+	s := serverOf(&fleetOf{cutOff: true, nodes: []string{address}})
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.Forward(w, r, callOf(3), nil)
+	}))
+	defer front.Close()
+	response, err := http.Post(front.URL+"/v1/chat/completions", "application/json", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	first := make([]byte, len("first"))
+	if _, err := io.ReadFull(response.Body, first); err != nil || string(first) != "first" {
+		t.Fatalf("%q, %v", first, err)
+	}
+	close(goOn)
+	if _, err := io.ReadAll(response.Body); err == nil {
+		t.Error("a stream that broke off looks whole")
+	}
+}
--- a/route/engineclient/client.go
+++ b/route/engineclient/client.go
@@ -51,16 +51,33 @@
 // New returns a client. If transport is nil, the client creates its own.
 func New(transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerEngine,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}
+		transport = newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	}
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
+// NewObserved returns a client that calls onDial with the result of each attempt to open a
+// connection, unless the caller ended the attempt.
+func NewObserved(onDial func(address string, connected bool)) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return New(newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err == nil || ctx.Err() == nil {
+			onDial(address, err == nil)
+		}
+		return conn, err
+	}))
+}
+
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
--- a/route/forwarder/forwarder.go
+++ b/route/forwarder/forwarder.go
@@ -21,6 +21,8 @@
 	mu       sync.Mutex
 	selector *forwarding.Selector
 	cutOff   forwarding.CutOffNodes
+	// servedAt is when another node last served a request for this one.
+	servedAt time.Time
 }
 
 var _ relay.Forwarder = (*Forwarder)(nil)
@@ -57,6 +59,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.selector.Finish(f.now(), service, node.Name, r)
+	if r == forwarding.Served {
+		f.servedAt = f.now()
+	}
 }
 
 // Observe implements relay.Forwarder.
@@ -69,15 +74,21 @@
 // CutOffFromAll implements relay.Forwarder.
 func (f *Forwarder) CutOffFromAll() bool { return f.reach.CutOffFromAll() }
 
-// NodeCutOffFromAll reports whether a node, this one or another, reaches no endpoint of any
-// service, as far as this node knows.
-func (f *Forwarder) NodeCutOffFromAll(node string) bool {
-	if node == f.node {
-		return f.CutOffFromAll()
-	}
+// servedTTL is how long after another node has served a request for this one that node counts as
+// reaching endpoints.
+const servedTTL = 2 * time.Second
+
+// WorseThanOthers reports whether a node, this one or another, reaches no endpoint of any service
+// while another node does, as far as this node knows. If all nodes are cut off, or all endpoints
+// are gone, no node is worse than the others.
+func (f *Forwarder) WorseThanOthers(node string) bool {
+	cutOff := f.CutOffFromAll()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cutOff.CutOffFromAll(f.now(), node)
+	if node == f.node {
+		return cutOff && f.now().Sub(f.servedAt) < servedTTL
+	}
+	return !cutOff && f.cutOff.CutOffFromAll(f.now(), node)
 }
 
 // Sends reports whether a node sends requests to the endpoints of a service itself, as far as this
--- a/route/httpapi/httpapi.go
+++ b/route/httpapi/httpapi.go
@@ -44,6 +44,12 @@
 	ServePlain(w http.ResponseWriter, r *http.Request, c *callparser.Call, path string, body []byte)
 }
 
+// CallForwarder serves calls through other nodes. Forward returns false if the call must be served
+// by this node.
+type CallForwarder interface {
+	Forward(w http.ResponseWriter, r *http.Request, c *callparser.Call, body []byte) bool
+}
+
 // EntryProvider returns the entry VMs that a team should use.
 type EntryProvider interface {
 	Entry(team *document.Team, failureDomain string) EntryResponse
@@ -69,6 +75,8 @@
 	ModelServer   ModelServer
 	PlainServer   PlainServer
 	EntryProvider EntryProvider
+	// CallForwarder may be nil.
+	CallForwarder CallForwarder
 	Now           func() time.Time
 
 	activeRequests atomic.Int64
@@ -85,9 +93,6 @@
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		newRefusal(http.StatusNotFound, "unknown_path", "no such call: "+r.URL.Path).Write(w)
 	})
-	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
-		newRefusal(http.StatusNotFound, "unknown_path", "no such call: "+r.URL.Path).Write(w)
-	})
 	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
 		newRefusal(http.StatusMethodNotAllowed, "method_not_allowed", r.Method+" is not a method of "+r.URL.Path).Write(w)
 	})
@@ -146,7 +151,7 @@
 		refused.Write(w)
 		return
 	}
-	chat, refused := readChat(w, r)
+	chat, body, refused := readChat(w, r)
 	if refused != nil {
 		refused.Write(w)
 		return
@@ -168,28 +173,37 @@
 	// Engines know the model by the service's name.
 	chat.Model = service
 	w.Header().Set(outcome.HeaderRequest, c.ID)
+	if s.forward(w, r, c, body) {
+		return
+	}
 	s.ModelServer.ServeModel(w, r, c, chat)
 }
 
-func readChat(w http.ResponseWriter, r *http.Request) (engineapi.ChatRequest, *outcome.Refusal) {
+// forward reports whether another node has served the call.
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, c *callparser.Call, body []byte) bool {
+	return s.CallForwarder != nil && s.CallForwarder.Forward(w, r, c, body)
+}
+
+// readChat returns the request for a model, and the body that it was read from.
+func readChat(w http.ResponseWriter, r *http.Request) (engineapi.ChatRequest, []byte, *outcome.Refusal) {
 	var chat engineapi.ChatRequest
 	body, refused := readBody(w, r)
 	if refused != nil {
-		return chat, refused
+		return chat, nil, refused
 	}
 	if err := json.Unmarshal(body, &chat); err != nil {
-		return chat, newRefusal(http.StatusBadRequest, "bad_json", err.Error())
+		return chat, nil, newRefusal(http.StatusBadRequest, "bad_json", err.Error())
 	}
 	switch {
 	case len(chat.Messages) == 0:
-		return chat, newRefusal(http.StatusBadRequest, "no_messages", "messages: at least one is needed")
+		return chat, nil, newRefusal(http.StatusBadRequest, "no_messages", "messages: at least one is needed")
 	case chat.MaxTokens < 0:
-		return chat, newRefusal(http.StatusBadRequest, "bad_max_tokens", "max_tokens: must not be negative")
+		return chat, nil, newRefusal(http.StatusBadRequest, "bad_max_tokens", "max_tokens: must not be negative")
 	}
 	// Callers must not choose engines, streams or priorities.
 	chat.Pipeline = nil
 	chat.Priority = 0
-	return chat, nil
+	return chat, body, nil
 }
 
 func (s *Server) handlePlain(w http.ResponseWriter, r *http.Request) {
@@ -216,6 +230,9 @@
 		c.Class = admission.Order
 	}
 	w.Header().Set(outcome.HeaderRequest, c.ID)
+	if s.forward(w, r, c, body) {
+		return
+	}
 	s.PlainServer.ServePlain(w, r, c, path, body)
 }
 
