--- a/decide/reach/doc.go
+++ b/decide/reach/doc.go
@@ -22,6 +22,9 @@
 //   - Two failures start a verification: the node probes other replicas until one accepts the
 //     connection or there is enough evidence. Replicas that died therefore do not make a node
 //     believe that it is cut off while it reaches others.
+//   - A node that is cut off from one service verifies the others in the same way. Their
+//     requests would find out more slowly: a connection that hangs takes a request longer than
+//     a probe.
 //   - While a node is cut off, it probes RecheckReplicas replicas at a time, chosen at random.
 //     The first connection ends the state.
 //   - A failure older than failureTTL does not count, because nothing shows that the link is
--- a/decide/reach/reach.go
+++ b/decide/reach/reach.go
@@ -31,6 +31,9 @@
 	failedAt map[string]time.Time
 	// cutOffSince is zero if the node is not cut off.
 	cutOffSince time.Time
+	// inDoubt is set until enough replicas have been tried, if the node is cut off from another
+	// service.
+	inDoubt bool
 }
 
 // New returns a Tracker without replicas. Nodes with different seeds probe different replicas.
@@ -60,7 +63,7 @@
 		return false
 	}
 	changed = !t.cutOffSince.IsZero()
-	t.cutOffSince = time.Time{}
+	t.cutOffSince, t.inDoubt = time.Time{}, false
 	clear(t.failedAt)
 	return changed
 }
@@ -76,10 +79,16 @@
 	if !t.cutOffSince.IsZero() || len(t.failedAt) < min(EvidenceReplicas, len(t.replicas)) {
 		return false
 	}
-	t.cutOffSince = now
+	t.cutOffSince, t.inDoubt = now, false
 	return true
 }
 
+// Doubt makes the node verify whether it is cut off from the service, because it is cut off from
+// another one.
+func (t *Tracker) Doubt() {
+	t.inDoubt = t.cutOffSince.IsZero()
+}
+
 func (t *Tracker) forget(now time.Time) {
 	for id, at := range t.failedAt {
 		if now.Sub(at) >= failureTTL {
@@ -98,11 +107,11 @@
 }
 
 // ToVerify returns the replicas to probe next in order to find out whether the node is cut off.
-// It returns none if the node is known to be cut off or has failed to connect to fewer than two
-// replicas.
+// It returns none if the node is known to be cut off, or if it has failed to connect to fewer than
+// two replicas and there is no other doubt.
 func (t *Tracker) ToVerify(now time.Time) []string {
 	t.forget(now)
-	if !t.cutOffSince.IsZero() || len(t.failedAt) < verifyAfter {
+	if !t.cutOffSince.IsZero() || len(t.failedAt) < verifyAfter && !t.inDoubt {
 		return nil
 	}
 	untried := slices.DeleteFunc(slices.Clone(t.replicas), func(id string) bool { return !t.failedAt[id].IsZero() })
--- a/decide/reach/reach_test.go
+++ b/decide/reach/reach_test.go
@@ -126,3 +126,30 @@
 		t.Error("a replica that is not listed ended the cut")
 	}
 }
+
+// Guards against requests of one service that wait for connections which hang, although requests
+// of another service have shown that the node's links have failed.
+func TestDoubtStartsAVerification(t *testing.T) {
+	tracker := trackerOf(3)
+	tracker.Doubt()
+	probes := tracker.ToVerify(start)
+	if len(probes) != 3 {
+		t.Fatalf("probes %v, want all three replicas", probes)
+	}
+	tracker.Failed(start, probes[0])
+	tracker.Connected(probes[1])
+	if got := tracker.ToVerify(start); len(got) > 0 || cutOff(tracker, start) {
+		t.Errorf("after a connection: probes %v", got)
+	}
+	tracker.Doubt()
+	for _, id := range tracker.ToVerify(start) {
+		tracker.Failed(start, id)
+	}
+	if !cutOff(tracker, start) {
+		t.Error("not cut off after all probes failed")
+	}
+	tracker.Doubt()
+	if got := tracker.ToVerify(start); len(got) > 0 {
+		t.Errorf("a node that is cut off verifies it: %v", got)
+	}
+}
--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -43,6 +43,9 @@
 	vms     []*vm
 	domains []string
 	current func() string // the key in force
+	// keepsAddresses makes half of the requests go to addresses that callers have kept, whatever
+	// the answers name now.
+	keepsAddresses bool
 
 	mu   sync.Mutex
 	seen []asked
@@ -102,6 +105,14 @@
 	return ""
 }
 
+// address is where a caller connects.
+func (c *crowd) address(draw *rand.Rand) string {
+	if c.keepsAddresses && draw.IntN(2) == 0 {
+		return c.vms[draw.IntN(len(c.vms))].at().Callers
+	}
+	return c.door(draw)
+}
+
 // nodeAt is the name of the node at an address, "" if there is none now.
 func (c *crowd) nodeAt(address string) string {
 	for _, v := range c.vms {
@@ -114,7 +125,7 @@
 
 func (c *crowd) ask(kind, id, key string, draw *rand.Rand) asked {
 	a := asked{id: id, kind: kind, key: key}
-	address := c.door(draw)
+	address := c.address(draw)
 	if address == "" {
 		return a
 	}
--- a/e2e/soak/nodes_test.go
+++ b/e2e/soak/nodes_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// linesAbout are the lines of the nodes' present processes that name a request.
+func (r *run) linesAbout(request string) []string {
+	var found []string
+	for _, v := range r.vms {
+		for _, line := range v.now().Lines() {
+			if strings.Contains(line, `"`+request+`"`) {
+				found = append(found, line)
+			}
+		}
+	}
+	return found
+}
+
 // log is the end of the process's output.
 func (v *vm) log() string {
 	p := v.now()
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -92,13 +93,24 @@
 	key     string
 	retired map[string]time.Time // keys taken away, and when
 	added   int
-	// healedAt is when all faults were ended.
+	// healedAt is when all faults were ended; healMore, if not nil, ends those of one kind of run.
 	healedAt time.Time
+	healMore func()
 	story    []string
 	began    time.Time
 }
 
 func newRun(t *testing.T, bin string, seed uint64, nodes, domains int) *run {
+	var places []vmPlace
+	for i := range nodes {
+		places = append(places, vmPlace{name: fmt.Sprint("front-", i), domain: domainNames[i%domains], ip: vmIP(i)})
+	}
+	return newRunAt(t, bin, seed, places, func(s *site.Site, _ vmPlace) string { return s.Address() })
+}
+
+// newRunAt returns a run with nodes at the given places. storeOf returns the address of the store
+// for a node.
+func newRunAt(t *testing.T, bin string, seed uint64, places []vmPlace, storeOf func(*site.Site, vmPlace) string) *run {
 	r := &run{
 		t: t, seed: seed, draw: rand.New(rand.NewPCG(seed, 7)), site: site.New(),
 		key: "key-0", retired: map[string]time.Time{}, began: time.Now(),
@@ -108,10 +120,14 @@
 	if err := r.site.AddUsual(replica.Config{Domain: "bandung", Events: events, Pause: pause}); err != nil {
 		t.Fatal(err)
 	}
-	for i := range nodes {
-		r.vms = append(r.vms, newVM(t, bin, vmPlace{name: fmt.Sprint("front-", i), domain: domainNames[i%domains], ip: vmIP(i)}, r.site.Address()))
+	var domains []string
+	for _, place := range places {
+		r.vms = append(r.vms, newVM(t, bin, place, storeOf(r.site, place)))
+		if !slices.Contains(domains, place.domain) {
+			domains = append(domains, place.domain)
+		}
 	}
-	r.crowd = &crowd{vms: r.vms, domains: domainNames[:domains], current: r.current}
+	r.crowd = &crowd{vms: r.vms, domains: domains, current: r.current}
 	return r
 }
 
@@ -330,6 +346,9 @@
 	r.tell("all is well again")
 	r.healedAt = time.Now()
 	r.healLinks()
+	if r.healMore != nil {
+		r.healMore()
+	}
 	r.site.Store.SetFaults(storefake.Faults{})
 	r.healReplicas()
 	for _, v := range r.vms {
--- a/route/reachability/reachability.go
+++ b/route/reachability/reachability.go
@@ -91,10 +91,24 @@
 	now, tracker := time.Now(), m.services[o.service]
 	if tracker.Failed(now, o.endpoint) {
 		m.log.Warn("no replica is reached", "service", o.service, "last_tried", o.endpoint)
+		m.doubtOthers(o.service)
 	}
-	if len(tracker.ToVerify(now)) == 0 {
-		return
+	if len(tracker.ToVerify(now)) > 0 {
+		m.wakeVerification()
 	}
+}
+
+// doubtOthers lets the other services be verified. The caller holds the lock.
+func (m *Monitor) doubtOthers(service string) {
+	for name, tracker := range m.services {
+		if name != service {
+			tracker.Doubt()
+		}
+	}
+	m.wakeVerification()
+}
+
+func (m *Monitor) wakeVerification() {
 	select {
 	case m.verify <- struct{}{}:
 	default: // a verification is due already
