A node with no other node to ask waits for replicas that it suspects

What callers saw: nothing yet; found by reading the diff.

Cause: the wish to fail at once stood until a node had been asked, not until none was left. Change: the choice is made again without it, unless the node is known to be cut off. The success of a forwarded request is counted in the retry budget of the node that served it only: both counted it, so that the sum of all budgets could exceed the allowed ratio.

TestLoneNodeWaitsForReplicasThatItSuspects failed before (503 at once). TestChoiceFailsAtOnceIfReplicasAreOutOfReach states when a choice does not wait.

--- a/node/site/forward_test.go
+++ b/node/site/forward_test.go
@@ -375,3 +375,18 @@
 	view.Heal()
 	p.until("both nodes name it again", func() bool { return names(node, own) && names(other, own) })
 }
+
+// Guards against a caller who is refused at once because of a suspicion that the next probes end:
+// there is no other node to ask.
+func TestLoneNodeWaitsForReplicasThatItSuspects(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(3, time.Millisecond)
+	node := p.node(p.settings("front-1"))
+	model := node.services.model(site.ModelService)
+	for _, r := range node.replicas() {
+		model.Suspect(r.ID, false)
+	}
+	if got := node.ask("POST", "/ask/1", "patient", goodKey); got.status != http.StatusOK {
+		t.Errorf("status %d, %s", got.status, got.body)
+	}
+}
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -58,15 +58,6 @@
 	return req.server.Forwarder != nil && req.server.Forwarder.CutOff(req.Service)
 }
 
-// failIfUnreachable reports whether the choice of a target fails at once if the endpoints are out
-// of reach: another node can be asked, or asks this one, or it is certain that none is reached.
-func (req *requestState) failIfUnreachable() bool {
-	if req.server.Forwarder == nil {
-		return false
-	}
-	return req.Forwarded != nil || len(req.forwarding.asked) == 0 || req.cutOff()
-}
-
 // chooseNode returns a node that may serve the request. There is none for a request that was
 // forwarded already: two nodes that are both cut off would pass it to each other.
 func (req *requestState) chooseNode() (forwarding.Node, bool) {
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -34,7 +34,9 @@
 			return req.answerWithoutTarget(err)
 		}
 		if res.kind == resultComplete {
-			req.Budget.Success()
+			if !res.forwarded { // the other node has counted it
+				req.Budget.Success()
+			}
 			return res.answer, nil
 		}
 		if !req.decideRetry(res) {
@@ -54,14 +56,14 @@
 			return attemptResult{}, targets.ErrUnreachable
 		}
 	}
-	target, err := req.choose(reserved)
+	target, err := req.choose(reserved, req.server.Forwarder != nil)
 	if errors.Is(err, targets.ErrUnreachable) {
 		if node, ok := req.chooseNode(); ok {
 			return req.forward(node), nil
 		}
 		if !req.cutOff() && req.Forwarded == nil {
 			// The suspicions may be wrong: the next probes tell.
-			target, err = req.choose(nil)
+			target, err = req.choose(nil, false)
 		}
 	}
 	if err != nil {
@@ -128,8 +130,9 @@
 
 // choose returns the reserved target or, if that is nil, a new one from Targets. If the request
 // may already have run on as many replicas as the route allows, only these replicas may get the
-// request again.
-func (req *requestState) choose(reserved *targets.Target) (targets.Target, error) {
+// request again. With failIfUnreachable the choice fails at once if the endpoints are out of this
+// node's reach.
+func (req *requestState) choose(reserved *targets.Target, failIfUnreachable bool) (targets.Target, error) {
 	if reserved != nil {
 		return *reserved, nil
 	}
@@ -137,11 +140,11 @@
 	query := targets.Query{
 		Tokens: req.expectedTokens(), PrefillTokens: req.prefillTokens(), Exclude: req.failedReplicas, NonIdempotent: !req.Route.Idempotent(), Rank: req.Rank,
 		OnTimeUntil: req.Arrived.Add(req.onTimeWait()), WaitUntil: req.Arrived.Add(maxWaitFactor * req.onTimeWait()),
+		FailIfUnreachable: failIfUnreachable,
 	}
 	if req.answerStarted {
 		query.WaitUntil = begun.Add(resumeTimeout)
 	}
-	query.FailIfUnreachable = req.failIfUnreachable()
 	if len(req.mayHaveRunOn) >= req.Route.MaxReplicas {
 		query.AllowedFirstReplicas, query.Exclude = req.mayHaveRunOn, nil
 	}
--- a/route/targets/targets_test.go
+++ b/route/targets/targets_test.go
@@ -541,3 +541,40 @@
 		}
 	}
 }
+
+// A node suspects all replicas of the first layers. Another node may reach them, so a request that
+// can go to another node does not wait. Nothing is out of reach for a request whose replicas have
+// failed it, or are draining.
+func TestChoiceFailsAtOnceIfReplicasAreOutOfReach(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(m *ModelTargets) (exclude []string)
+		want    error
+	}{
+		{"suspected", func(m *ModelTargets) []string {
+			m.Suspect("a1", false)
+			m.Suspect("a2", true)
+			return nil
+		}, ErrUnreachable},
+		{"one suspected, one has failed the request", func(m *ModelTargets) []string {
+			m.Suspect("a1", false)
+			return []string{"a1", "a2"}
+		}, ErrUnreachable},
+		{"both have failed the request", func(*ModelTargets) []string { return []string{"a1", "a2"} }, ErrNoEndpoint},
+		{"one suspected", func(m *ModelTargets) []string {
+			m.Suspect("a1", false)
+			return nil
+		}, nil},
+	} {
+		m := twoStageModel()
+		exclude := c.prepare(m)
+		begun := time.Now()
+		_, err := m.Choose(context.Background(), Query{Tokens: 10, Exclude: exclude, FailIfUnreachable: true, WaitUntil: begun.Add(100 * time.Millisecond)})
+		if !errors.Is(err, c.want) || errors.Is(err, ErrUnreachable) != (c.want == ErrUnreachable) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+		if _, err := m.Choose(context.Background(), Query{Tokens: 10, Exclude: exclude}); errors.Is(err, ErrUnreachable) {
+			t.Errorf("%s: a request that can't go elsewhere is told %v", c.name, err)
+		}
+	}
+}
