--- a/e2e/soak/reach_test.go
+++ b/e2e/soak/reach_test.go
@@ -126,10 +126,10 @@
 	if _, faulty := r.healAt[domain]; faulty {
 		return
 	}
-	name, fault := r.drawFault()
+	fault := r.drawFault()
 	lasts := time.Duration(4000+r.draw.IntN(4000)) * time.Millisecond
-	r.tell("%s is cut off from all replicas, %s, for %v", domain, name, lasts)
-	r.views[domain].Cut(fault)
+	r.tell("%s is cut off from all replicas, %s, for %v", domain, fault.Name, lasts)
+	r.views[domain].Cut(fault.Apply)
 	r.healAt[domain] = time.Now().Add(lasts)
 	r.cuts = append(r.cuts, cut{lasting(lasts), domain})
 }
@@ -139,29 +139,16 @@
 	if _, faulty := r.healAt[domain]; faulty {
 		return
 	}
-	name, fault := r.drawFault()
+	fault := r.drawFault()
 	parts := []string{"i-plain", "i-model", "0", "1"}
 	part := parts[r.draw.IntN(len(parts))]
 	lasts := time.Duration(2000+r.draw.IntN(3000)) * time.Millisecond
-	r.tell("%s is cut off from replicas with %q in their ids, %s, for %v", domain, part, name, lasts)
-	r.views[domain].CutSome(fault, func(id string) bool { return strings.Contains(id, part) })
+	r.tell("%s is cut off from replicas with %q in their ids, %s, for %v", domain, part, fault.Name, lasts)
+	r.views[domain].CutSome(fault.Apply, func(id string) bool { return strings.Contains(id, part) })
 	r.healAt[domain] = time.Now().Add(lasts)
 }
 
-func (r *reachRun) drawFault() (string, func(*link.Link)) {
-	faults := []struct {
-		name  string
-		fault func(*link.Link)
-	}{
-		{"reset", (*link.Link).Reset},
-		{"new connections refused", (*link.Link).Refuse},
-		{"silent", func(l *link.Link) { l.Partition(link.Both) }},
-		{"silent to replicas", func(l *link.Link) { l.Partition(link.ToTarget) }},
-		{"silent from replicas", func(l *link.Link) { l.Partition(link.FromTarget) }},
-	}
-	drawn := faults[r.draw.IntN(len(faults))]
-	return drawn.name, drawn.fault
-}
+func (r *reachRun) drawFault() link.Fault { return link.Faults[r.draw.IntN(len(link.Faults))] }
 
 // silence makes a replica silent for a second, for all nodes.
 func (r *reachRun) silence() {
--- a/node/site/reach_test.go
+++ b/node/site/reach_test.go
@@ -24,18 +24,6 @@
 	return p.start(settings, quick, free), view
 }
 
-// cuts are the ways in which the links to replicas fail.
-var cuts = []struct {
-	name  string
-	fault func(*link.Link)
-}{
-	{"reset", (*link.Link).Reset},
-	{"new connections refused", (*link.Link).Refuse},
-	{"silent", func(l *link.Link) { l.Partition(link.Both) }},
-	{"silent to replicas", func(l *link.Link) { l.Partition(link.ToTarget) }},
-	{"silent from replicas", func(l *link.Link) { l.Partition(link.FromTarget) }},
-}
-
 // Guards against an on-call engineer who can't tell a node that reaches no replica from one whose
 // belief outlasts the cut.
 func TestNodeTellsThatItReachesNoReplica(t *testing.T) {
@@ -61,14 +49,14 @@
 // Guards against callers who are refused because the node that they have connected to reaches no
 // replica, although another node does.
 func TestCallersOfCutOffNodeAreServed(t *testing.T) {
-	for _, cut := range cuts {
-		t.Run(cut.name, func(t *testing.T) {
+	for _, cut := range link.Faults {
+		t.Run(cut.Name, func(t *testing.T) {
 			p := newPlatform(t)
 			p.chains(3, time.Millisecond)
 			node, view := p.viewed("front-1", "bandung")
 			p.viewed("front-2", "bekasi")
 			p.until("the nodes know each other", func() bool { return len(node.members.get()) == 2 })
-			view.Cut(cut.fault)
+			view.Cut(cut.Apply)
 			time.Sleep(cutSettles)
 			served, asked := 0, 0
 			for i := range 10 {
--- a/standin/link/partition.go
+++ b/standin/link/partition.go
@@ -18,6 +18,21 @@
 	Both                 = ToTarget | FromTarget
 )
 
+// Fault is a way in which the network between a node and a host fails.
+type Fault struct {
+	Name  string
+	Apply func(*Link)
+}
+
+// Faults are the ways in which a node can lose its link to a host that others reach.
+var Faults = []Fault{
+	{"reset", (*Link).Reset},
+	{"new connections refused", (*Link).Refuse},
+	{"silent", func(l *Link) { l.Partition(Both) }},
+	{"silent to the host", func(l *Link) { l.Partition(ToTarget) }},
+	{"silent from the host", func(l *Link) { l.Partition(FromTarget) }},
+}
+
 // door is the state of a link's listener.
 type door struct {
 	// shut is set while new connections are refused or hang, closed once the link has ended.
--- a/standin/link/partition_test.go
+++ b/standin/link/partition_test.go
@@ -57,19 +57,18 @@
 // under each fault.
 func TestPartitions(t *testing.T) {
 	for _, c := range []struct {
-		name         string
-		fault        func(*Link)
+		fault        Fault
 		openLives    bool
 		refuses      bool
 		reachesAgain bool
 	}{
-		{"refuse", (*Link).Refuse, true, true, true},
-		{"reset", (*Link).Reset, false, true, false},
-		{"to target", func(l *Link) { l.Partition(ToTarget) }, false, false, true},
-		{"from target", func(l *Link) { l.Partition(FromTarget) }, false, false, true},
-		{"both", func(l *Link) { l.Partition(Both) }, false, false, true},
+		{Faults[0], false, true, false},
+		{Faults[1], true, true, true},
+		{Faults[2], false, false, true},
+		{Faults[3], false, false, true},
+		{Faults[4], false, false, true},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(c.fault.Name, func(t *testing.T) {
 			l := echo(t)
 			open, err := dial(t, l)
 			if err != nil {
@@ -79,7 +78,7 @@
 				t.Fatal(err)
 			}
 			for range 2 {
-				c.fault(l)
+				c.fault.Apply(l)
 			}
 			if err := returned(open); (err == nil) != c.openLives {
 				t.Errorf("the open connection: %v", err)
