--- a/node/logsink/logsink_test.go
+++ b/node/logsink/logsink_test.go
@@ -12,11 +12,17 @@
 // slowReader is an output that stands still until it is let go.
 type slowReader struct {
 	gate chan struct{}
-	mu   sync.Mutex
-	got  bytes.Buffer
+	// reached gets a value at each write, before the writer waits.
+	reached chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
 }
 
 func (r *slowReader) Write(p []byte) (int, error) {
+	select {
+	case r.reached <- struct{}{}:
+	default: // nobody asks any more
+	}
 	<-r.gate
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -26,13 +32,18 @@
 // The reader of a node's log stands still. Requests that log go on; what is dropped is
 // counted and told when the reader reads again.
 func TestStandingReaderHoldsUpNobody(t *testing.T) {
-	out := &slowReader{gate: make(chan struct{})}
+	const lines = 4 * defaultBytes / 1024
+	out := &slowReader{gate: make(chan struct{}), reached: make(chan struct{}, 1)}
 	s := New(out)
 	line := []byte(strings.Repeat("x", 1023) + "\n")
+	// The sink must wait for the reader before the lines come: else it could take a full buffer
+	// and the count of what was dropped, and room for the rest.
+	_, _ = s.Write(line)
+	<-out.reached
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for range 4 * defaultBytes / len(line) {
+		for range lines {
 			if _, err := s.Write(line); err != nil {
 				t.Error(err)
 			}
@@ -44,8 +55,8 @@
 		t.Fatal("a log line waited for the reader")
 	}
 	dropped := s.Dropped()
-	if dropped == 0 {
-		t.Fatal("nothing was dropped")
+	if want := lines - defaultBytes/len(line); dropped != want {
+		t.Fatalf("%d lines were dropped, want the %d that the buffer has no room for", dropped, want)
 	}
 	close(out.gate)
 	s.Close()
