The line of a cut answer names the silent replica that the node had left

The line now has the replica that was left, the silence at that time, and how long the caller had got nothing.

go test ./node/losses ./route/relay pass.

--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -22,6 +22,7 @@
 	PushedBack     Cause = "replicas want no requests"
 	ReplicaRefused Cause = "replica refused"
 	ReplicaGone    Cause = "replica broke off or did not answer"
+	SilentLeft     Cause = "silent replica left"
 	ReplicaSlow    Cause = "replica slow"
 	ReplicaError   Cause = "replica's own error"
 	NodeLost       Cause = "caller's node lost"
@@ -38,7 +39,7 @@
 // causes lists all of them in order.
 var causes = []Cause{
 	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, PushedBack, ReplicaRefused, ReplicaGone,
-	ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
+	SilentLeft, ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
 }
 
 // CauseOf is the cause with a name, as tables show it.
@@ -113,14 +114,16 @@
 }
 
 // ofCut is the cause of an answer that was cut, by what was done before.
-func (t *trace) ofCut(reason string) Cause {
-	cause := refusals[strings.TrimPrefix(reason, reasonCut)]
+func (t *trace) ofCut(l line) Cause {
+	cause := refusals[strings.TrimPrefix(l.Reason, reasonCut)]
 	switch {
 	case cause == CrashingPart:
 		return cause
+	case l.Left != "":
+		return SilentLeft
 	case t.spent:
 		return BudgetSpent
-	case reason == "answer cut: no_endpoint":
+	case l.Reason == "answer cut: no_endpoint":
 		return NoRoom
 	case t.lastTry != "":
 		return ofTry(t.lastTry, t.notRun)
--- a/node/losses/doc.go
+++ b/node/losses/doc.go
@@ -19,7 +19,8 @@
 //  1. The request's end names it: the configuration was not proved or not known, the
 //     node was leaving, no endpoint had room, some layer had no holder, the budget of
 //     tries was spent, the service was saturated and the request was shed, the endpoint
-//     itself failed, its caller left.
+//     itself failed, its caller left. An answer was cut after the node had ended an attempt
+//     because its replica was silent.
 //  2. A stream that paused: the longest pause contains a way around a lost part. If more
 //     of it went by before the order was taken than after, the part was noticed late;
 //     else the links were busy if the way crosses failure domains, and the rest was
--- a/node/losses/line.go
+++ b/node/losses/line.go
@@ -49,6 +49,8 @@
 	Reason  string `json:"reason"`
 	Service string `json:"service"`
 	End     string `json:"end"`
+	// Left is the replica whose attempt the node ended because it was silent.
+	Left string `json:"left"`
 
 	Status    float64 `json:"status"`
 	NotRun    float64 `json:"not_run"`
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -69,6 +69,8 @@
 		{"answer lost", retried("may have run", "upstream: EOF") + about(1, "refuse", "unknown", `"status":502`), ReplicaGone, Failed},
 		{"own error", about(1, "finish", "done", `"status":500,"took_ms":3`), ReplicaError, Failed},
 		{"cut", about(1, "finish", "answer cut: unknown", `"took_ms":3`), LostPart, Failed},
+		{"cut after a silent replica was left", retried("allowed", "a part of the path is lost: i-1") +
+			about(1, "finish", "answer cut: no_endpoint", `"took_ms":3,"left":"i-1","left_silent_ms":80`), SilentLeft, Failed},
 		{"caller left", about(1, "finish", "the caller left", `"took_ms":300,"silent_ms":20`), CallerLeft, Left},
 		{"caller left a silent stream", led(150, 2) + about(3, "finish", "the caller left", `"took_ms":3000,"silent_ms":2000`), BusyLinks, Failed},
 		{"noticed late", led(280, 0) + lateStream(3, 50, 320, 2000, none), LostPart, Late},
--- a/node/losses/reader.go
+++ b/node/losses/reader.go
@@ -299,7 +299,7 @@
 	case l.Reason == reasonDone:
 		return
 	default:
-		found.outcome, found.cause = Failed, t.ofCut(l.Reason)
+		found.outcome, found.cause = Failed, t.ofCut(l)
 	}
 	r.lose(found, t.example(n, l.Request))
 }
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -208,13 +208,19 @@
 // abort ends an answer that has begun and can't be completed. The connection is closed so that
 // the caller sees an incomplete answer.
 func (req *requestState) abort(reason string) {
-	req.record(decisionlog.Decision{
+	d := decisionlog.Decision{
 		Kind: decisionlog.Finish, Chosen: req.lastTarget.Replica, Reason: "answer cut: " + reason,
 		TextValues: req.withRoute(decisionlog.TextValue{Name: "last_event", Text: req.lastEvent.String()}, decisionlog.TextValue{Name: "last_try", Text: req.lastResult.detail}),
 		Values: map[string]float64{
 			"sends": float64(req.attemptCount), "events": float64(req.eventCount), "took_ms": millis(req.server.Now().Sub(req.Arrived)),
+			"silent_ms": millis(req.silentFor()),
 		},
-	})
+	}
+	if req.leftReplica != "" {
+		d.TextValues = append(d.TextValues, decisionlog.TextValue{Name: "left", Text: req.leftReplica})
+		d.Values["left_silent_ms"] = millis(req.leftSilence)
+	}
+	req.record(d)
 	req.server.Metrics.Request(req.Service, req.Team, "cut")
 	panic(http.ErrAbortHandler)
 }
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -41,6 +41,9 @@
 			}
 			return res.answer, nil
 		}
+		if res.migrateTo != nil {
+			req.leftReplica, req.leftSilence = req.lastTarget.Replica, req.silentFor()
+		}
 		if !req.decideRetry(res) {
 			return req.finalAnswer(res)
 		}
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -183,6 +183,10 @@
 	longestPause         time.Duration
 	eventsAtLongestPause int
 	lastEventAt          time.Time
+	// leftReplica is the first replica of the last attempt that this node ended because the
+	// replica was silent, leftSilence the silence of the stream at that time.
+	leftReplica string
+	leftSilence time.Duration
 	// capacityWait is the time that the request waited for capacity, budgetWait the time that it
 	// waited for the retry budget.
 	capacityWait, budgetWait time.Duration
