A stream leaves a silent replica only once another one has its next event

Callers saw streams that broke off after sound replicas had been silent for a second. Cause: a probe of a silent replica failed (its queue of new connections was full), so the replica counted as lost, and the node ended the attempts of all its streams there, each for a reserved place at another first replica. That one was silent as well, refused, or could not be reached; both counted as failed for the stream for good, and a node that takes itself for cut off gave the stream up at once.

Class: an attempt whose fate is not known is ended before anything takes its place.

Change: the other replica is asked beside the silent one (a hedge). The first of both that has an event goes on, the other one is canceled; if the silent attempt breaks off, it waits for the hedge. A target is probed before a retry is charged. An answer that has begun waits for a path also at a node that takes itself for cut off. A model replica that accepted no connection is not left out for the rest of the stream's life: the suspicion does that as long as it lasts. Four seconds of silence no longer end an attempt, but let it be hedged; a stream that can't be resumed is left alone.

The tests of migrations now have replicas that listen: a migration is one only if the other replica has the next event.

--- a/route/connprobe/connprobe.go
+++ b/route/connprobe/connprobe.go
@@ -77,6 +77,9 @@
 	// ReasonCutOff means that this node may be cut off from all endpoints of a service. The
 	// probes of some of them find out whether it is, and when that ends.
 	ReasonCutOff Reason = "cut_off"
+	// ReasonHedge means that a stream may continue at the endpoint because its own replica is
+	// silent.
+	ReasonHedge Reason = "hedge"
 	// ReasonBrokenOff means that an answer of the endpoint broke off. The probe finds out whether
 	// the endpoint's process has ended.
 	ReasonBrokenOff Reason = "broken_off"
--- a/route/decisionlog/decisionlog.go
+++ b/route/decisionlog/decisionlog.go
@@ -32,6 +32,8 @@
 	Resume Kind = "resume"
 	// Reroute replaces part of the path of a request that is being served.
 	Reroute Kind = "detour"
+	// Hedge makes another attempt beside the present one, whose replica is silent, or ends it.
+	Hedge Kind = "hedge"
 	// Forward sends the request to another node, because this node reaches no endpoint that
 	// could serve it.
 	Forward Kind = "forward"
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -47,9 +47,9 @@
 	// answer is the endpoint's answer; nil if there is none, or if it was streamed. The answer
 	// of a failed attempt is passed on only if no later attempt succeeds.
 	answer *Answer
-	// migrateTo is the target to which the request migrates; nil if it does not migrate. Its
-	// capacity is reserved, and the retry budget is already charged.
-	migrateTo *targets.Target
+	// hedge is the hedged attempt that continues the stream in place of this one; nil if there is
+	// none.
+	hedge *hedge
 	// forwarded is set if the attempt was made at another node.
 	forwarded bool
 }
@@ -65,6 +65,8 @@
 	// resumeAfter is the id of the last event that the caller has, if the stream is resumed.
 	resumeAfter string
 	head        headers.ResponseHead
+	// hedge is set if the attempt was begun as a hedge.
+	hedge *hedge
 	// forwarded is set if the attempt is made at another node, whose name and address are in
 	// target. replicaAtNode is the first replica that this node says it has used. refused is set
 	// if it refused the request, shed if it did so because the service is saturated.
--- a/route/relay/attempt_test.go
+++ b/route/relay/attempt_test.go
@@ -40,7 +40,8 @@
 				Route:  &ruleset.Route{Kind: c.kind, MaxReplicas: 3},
 				Budget: retrybudget.New(retry.Config{}, func() time.Time { return now }), Deadline: now.Add(time.Minute),
 			},
-			server: &Server{Now: func() time.Time { return now }}, attemptCount: 1, mayHaveRunOn: make([]string, c.mayHaveRunCount),
+			server:         &Server{Now: func() time.Time { return now }},
+			attemptHistory: attemptHistory{attemptCount: 1, mayHaveRunOn: make([]string, c.mayHaveRunCount)},
 		}
 		if d := req.askBudget(c.last); d.Retry != c.wantRetry {
 			t.Errorf("%s: %+v", c.name, d)
--- a/route/relay/ended.go
+++ b/route/relay/ended.go
@@ -9,7 +9,6 @@
 	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/outcome"
-	"github.com/cicadatack/cicadatack/route/targets"
 )
 
 // refuseIsolated refuses a request at once if replicas crash on a part of its prompt.
@@ -44,8 +43,8 @@
 }
 
 // sentTo tells the guard to which replica the attempt is sent.
-func (a *attempt) sentTo() {
-	a.req.guarded.Sent(crashguard.Replica{
+func (a *attempt) sentTo(guarded *crashguard.Request) {
+	guarded.Sent(crashguard.Replica{
 		ID: a.target.Replica, Incarnation: a.target.Incarnation, Version: a.target.Version, Addresses: []string{a.target.Address},
 	})
 }
@@ -68,9 +67,6 @@
 	if refusal == nil || res.notRun() {
 		return false
 	}
-	if res.migrateTo != nil {
-		req.releaseTarget(*res.migrateTo)
-	}
 	req.guardRefusal = refusal
 	req.record(decisionlog.Decision{
 		Kind: decisionlog.Retry, Chosen: lastOf(req.failedReplicas), Reason: guardReason(refusal.Verdict),
@@ -79,8 +75,3 @@
 	})
 	return true
 }
-
-// releaseTarget releases a target to which nothing was sent.
-func (req *requestState) releaseTarget(t targets.Target) {
-	req.Targets.Finish(t, targets.Result{Failure: health.Canceled})
-}
--- a/route/relay/events.go
+++ b/route/relay/events.go
@@ -40,6 +40,9 @@
 	return event{data: data, id: idOf(data)}, true
 }
 
+// hasEvent reports whether next has an event.
+func (s *eventSplitter) hasEvent() bool { return eventLength(s.pending()) > 0 }
+
 func (s *eventSplitter) pending() []byte { return s.buffer[s.consumedBytes:] }
 
 // incompleteBytes is the length of the incomplete event at the end of the buffer, without white
--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -65,18 +65,20 @@
 	pendingLossReason   string
 	// wake ends the wait between two tries to reroute.
 	wake chan struct{}
-	// migrateTo is set if this attempt was canceled for a migration: it is the target reserved
-	// for the next attempt. migrateReason is the reason of the migration.
-	migrateTo     *targets.Target
-	migrateReason string
+	// history is that of the request, with the hedges of this attempt.
+	history attemptHistory
+	// forwarding is set while events are passed on to the caller. hedge is the hedge that is under
+	// way, takenOver the one that continues the stream in place of this attempt.
+	forwarding       bool
+	hedge, takenOver *hedge
 }
 
 func (a *attempt) monitor(ctx context.Context, cancel context.CancelFunc) *pathMonitor {
-	m := &pathMonitor{attempt: a, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
+	m := &pathMonitor{attempt: a, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), history: a.req.attemptHistory.clone()}
 	if a.target.Active == nil {
 		return m
 	}
-	m.setMigrationFilter(a.req)
+	m.setMigrationFilter()
 	m.timer = time.AfterFunc(a.target.Active.FirstCheckAfter(a.req.Route.LatencyObjective/firstCheckDivisor), m.checkPath)
 	a.target.Active.SetCallbacks(
 		func(replica string) { m.reroute("a part of the path is lost: "+replica, false) },
@@ -89,17 +91,19 @@
 // stream that can't be resumed does not migrate. Once this attempt uses the last replica that
 // the route allows, the stream may only return to an earlier replica. The stream returns only if
 // its present first replica is lost, not because an earlier replica would continue it sooner.
-func (m *pathMonitor) setMigrationFilter(req *requestState) {
-	if !req.Route.Idempotent() {
+func (m *pathMonitor) setMigrationFilter() {
+	route := m.attempt.req.Route
+	if !route.Idempotent() {
 		return
 	}
-	if len(req.mayHaveRunOn)+1 < req.Route.MaxReplicas {
-		m.filter.Exclude = slices.Clone(req.failedReplicas)
-		m.mayReplace, m.mayMigrate = true, req.attemptCount < attemptLimit
+	m.filter, m.mayReplace, m.mayMigrate = targets.MigrationFilter{}, false, false
+	if len(m.history.mayHaveRunOn)+1 < route.MaxReplicas {
+		m.filter.Exclude = slices.Clone(m.history.failedReplicas)
+		m.mayReplace, m.mayMigrate = true, m.history.attemptCount < attemptLimit
 		return
 	}
-	m.filter.AllowedFirstReplicas = slices.Clone(req.mayHaveRunOn)
-	m.mayReplace = len(req.mayHaveRunOn) > 0
+	m.filter.AllowedFirstReplicas = slices.Clone(m.history.mayHaveRunOn)
+	m.mayReplace = len(m.history.mayHaveRunOn) > 0 && m.history.attemptCount < attemptLimit
 }
 
 // recordEvents records that events have arrived, and restarts the timer for the next check.
@@ -138,12 +142,8 @@
 func (m *pathMonitor) stop() {
 	m.mu.Lock()
 	m.stopped = true
-	target := m.migrateTo
-	m.migrateTo = nil
+	m.abandonLocked(m.hedge, hedgeEnded)
 	m.mu.Unlock()
-	if target != nil {
-		m.release(*target)
-	}
 	if m.timer != nil {
 		m.timer.Stop()
 		if m.lastEventAt.Load() == 0 {
@@ -210,6 +210,9 @@
 		return
 	}
 	m.timer.Reset(recheckInterval)
+	if silent >= streamIdleTimeout {
+		go m.replaceSilent()
+	}
 	toAsk := path
 	if active := m.attempt.target.Active; active.UnderLoadControl() {
 		toAsk = active.StagesToAsk(m.lastEventAt.Load() > 0)
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -32,7 +32,7 @@
 	var res attemptResult
 	for {
 		var err error
-		if res, err = req.guardedAttempt(res.migrateTo); err != nil {
+		if res, err = req.guardedAttempt(res.hedge); err != nil {
 			return req.answerWithoutTarget(err)
 		}
 		if res.kind == resultComplete {
@@ -41,7 +41,7 @@
 			}
 			return res.answer, nil
 		}
-		if res.migrateTo != nil {
+		if res.hedge != nil {
 			req.leftReplica, req.leftSilence = req.lastTarget.Replica, req.silentFor()
 		}
 		if !req.decideRetry(res) {
@@ -50,52 +50,57 @@
 	}
 }
 
-// guardedAttempt makes one attempt if the guard allows it.
-func (req *requestState) guardedAttempt(reserved *targets.Target) (attemptResult, error) {
+// guardedAttempt continues a hedge, or makes one attempt if the guard allows it.
+func (req *requestState) guardedAttempt(h *hedge) (attemptResult, error) {
+	if h != nil {
+		req.guarded = h.guarded
+		defer req.guarded.End()
+		return req.attempt(h.attempt), nil
+	}
 	if err := req.guarded.Begin(req.ctx); err != nil {
-		if reserved != nil {
-			req.releaseTarget(*reserved)
-		}
 		return attemptResult{}, err
 	}
 	defer req.guarded.End()
-	return req.nextAttempt(reserved)
+	return req.nextAttempt()
 }
 
 // nextAttempt makes one attempt at an endpoint that this node reaches, or at another node if it
 // reaches none. It fails if there is neither.
-func (req *requestState) nextAttempt(reserved *targets.Target) (attemptResult, error) {
-	if reserved == nil && req.cutOff() {
+func (req *requestState) nextAttempt() (attemptResult, error) {
+	if req.cutOff() {
 		if node, ok := req.chooseNode(); ok {
 			return req.forward(node), nil
 		}
-		if req.Forwarded != nil {
+		if req.Forwarded != nil && !req.answerStarted {
 			return attemptResult{}, targets.ErrUnreachable
 		}
 	}
-	target, err := req.choose(reserved, req.server.Forwarder != nil)
+	target, err := req.choose(req.server.Forwarder != nil)
 	if errors.Is(err, targets.ErrUnreachable) {
 		if node, ok := req.chooseNode(); ok {
 			return req.forward(node), nil
 		}
-		if !req.cutOff() && req.Forwarded == nil {
-			// The suspicions may be wrong: the next probes tell.
-			target, err = req.choose(nil, false)
+		if req.answerStarted || !req.cutOff() && req.Forwarded == nil {
+			// The suspicions may be wrong: the next probes tell. The caller of a stream that has
+			// begun waits for its next event in any case.
+			target, err = req.choose(false)
 		}
 	}
 	if err != nil {
 		return attemptResult{}, err
 	}
-	return req.attempt(target), nil
+	return req.attempt(&attempt{req: req, target: target, startedAt: req.server.Now()}), nil
 }
 
 // attempt makes one attempt and reports its result to the targets.
-func (req *requestState) attempt(target targets.Target) attemptResult {
-	a := &attempt{req: req, target: target, startedAt: req.server.Now()}
+func (req *requestState) attempt(a *attempt) attemptResult {
+	target := a.target
 	req.attemptCount++
 	req.lastTarget = target
 	req.recordRoute(target)
-	a.sentTo()
+	if a.hedge == nil {
+		a.sentTo(req.guarded)
+	}
 	var res attemptResult
 	if req.Route.Kind == ruleset.Stream {
 		res = a.runStream()
@@ -147,14 +152,11 @@
 	req.record(d)
 }
 
-// choose returns the reserved target or, if that is nil, a new one from Targets. If the request
+// choose returns a target from Targets. If the request
 // may already have run on as many replicas as the route allows, only these replicas may get the
 // request again. With failIfUnreachable the choice fails at once if the endpoints are out of this
 // node's reach.
-func (req *requestState) choose(reserved *targets.Target, failIfUnreachable bool) (targets.Target, error) {
-	if reserved != nil {
-		return *reserved, nil
-	}
+func (req *requestState) choose(failIfUnreachable bool) (targets.Target, error) {
 	begun := req.server.Now()
 	query := targets.Query{
 		Tokens: req.expectedTokens(), PrefillTokens: req.prefillTokens(), Exclude: req.failedReplicas, NonIdempotent: !req.Route.Idempotent(), Rank: req.Rank,
--- a/route/relay/reroute.go
+++ b/route/relay/reroute.go
@@ -8,7 +8,6 @@
 	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/reroute"
-	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/state/wait"
@@ -34,9 +33,8 @@
 // request takes a bypass. That bypass may add crossings only if the links between failure
 // domains are idle.
 //
-// While there is neither a bypass nor a target for a migration, the request keeps its path. Its
-// first replica may yet continue the answer, and ending the attempt would lose the answer. The
-// attempt is therefore ended only once capacity is reserved at another first replica.
+// The request keeps its path until another first replica has continued the answer (hedge). Its own
+// first replica may be sound and only silent, and ending the attempt would lose the answer.
 func (m *pathMonitor) reroute(reason string, draining bool) {
 	if !m.beginReroute(reason, draining) {
 		return
@@ -91,8 +89,7 @@
 }
 
 // replaceFirst migrates the request if its first replica counts as dead and another first
-// replica has capacity now. Without such capacity the request keeps its path. Its first replica
-// may yet continue the answer, and ending the attempt would certainly lose the answer.
+// replica has capacity now.
 func (m *pathMonitor) replaceFirst(active *targets.ActiveRequest, reason string) bool {
 	if !m.mayReplace || !m.firstReplicaDead(active) || !m.attempt.req.Budget.CanRetry() {
 		return false
@@ -101,11 +98,22 @@
 	if !ok {
 		return false
 	}
-	if m.migrate(next, reason) {
-		return true
+	return m.migrate(next, reason)
+}
+
+// replaceSilent hedges a stream that has been silent for long although its replicas can be reached.
+func (m *pathMonitor) replaceSilent() {
+	const reason = "the stream is silent"
+	if !m.beginReroute(reason, false) {
+		return
+	}
+	defer m.endReroute()
+	if !m.mayReplace || !m.attempt.req.Budget.CanRetry() {
+		return
+	}
+	if next, ok := m.attempt.target.Active.ReserveMigration(m.filter); ok {
+		m.migrate(next, reason)
 	}
-	m.release(next)
-	return false
 }
 
 // firstReplicaDead reports whether the first replica counts as dead: it is suspected, and the
@@ -136,10 +144,11 @@
 	maxWait := time.Duration(float64(m.attempt.req.maxPause()) * bypassWaitShare)
 	action, path, next := active.Recover(m.mayMigrate && m.attempt.req.Budget.CanRetry(), maxWait, m.filter)
 	if action == reroute.Migrate {
-		if m.staysSilent() && m.migrate(next, reason+"; another failure domain goes on sooner") {
+		if !m.staysSilent() {
+			m.release(next)
+		} else if m.migrate(next, reason+"; another failure domain goes on sooner") {
 			return true
 		}
-		m.release(next)
 		if m.ctx.Err() != nil {
 			return true
 		}
@@ -160,19 +169,6 @@
 	return m.lastEventAt.Load() == before
 }
 
-// migrate charges the retry budget and ends the attempt, so that the request continues at the
-// next target. It returns false if the budget allows no retry.
-func (m *pathMonitor) migrate(next targets.Target, reason string) bool {
-	decision := m.attempt.req.Budget.Allow(retry.Attempt{
-		AttemptsMade: 1, Failure: health.BrokenResponse, Idempotent: true, Deadline: m.attempt.req.Deadline, Alternatives: 1,
-	})
-	if !decision.Retry {
-		return false
-	}
-	m.cancelForMigration(reason, next)
-	return true
-}
-
 // release releases the target that was reserved for a migration that does not happen.
 func (m *pathMonitor) release(next targets.Target) {
 	m.attempt.req.Targets.Finish(next, targets.Result{Failure: health.Canceled})
@@ -252,33 +248,3 @@
 	defer m.mu.Unlock()
 	m.rerouting = false
 }
-
-// cancelForMigration cancels the attempt so that the request continues at the next target.
-func (m *pathMonitor) cancelForMigration(reason string, next targets.Target) {
-	m.mu.Lock()
-	stopped := m.stopped
-	if !stopped {
-		m.migrateReason, m.migrateTo = reason, &next
-	}
-	m.mu.Unlock()
-	if stopped {
-		m.release(next)
-		return
-	}
-	m.cancel()
-}
-
-// applyMigration returns the final result of an attempt. If cancelForMigration ended the
-// attempt, this result is a failure with the reserved target as its migrateTo. Otherwise the
-// result is res. If the answer is complete, the caller has left or the deadline is reached, the
-// result is res in any case, and stop releases the reserved target.
-func (m *pathMonitor) applyMigration(res attemptResult) attemptResult {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.migrateTo == nil || res.kind == resultComplete || m.attempt.req.ctx.Err() != nil {
-		return res
-	}
-	next := m.migrateTo
-	m.migrateTo = nil
-	return attemptResult{kind: resultUnknown, detail: m.migrateReason, feedback: targets.Result{Failure: health.BrokenResponse}, migrateTo: next}
-}
--- a/route/relay/reroute_test.go
+++ b/route/relay/reroute_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/replicalist"
@@ -47,9 +49,9 @@
 	req := &requestState{
 		Request: &Request{
 			Route:   &ruleset.Route{Kind: ruleset.Stream, Resumable: true, MaxReplicas: 2},
-			Targets: m, Budget: budget, Deadline: time.Now().Add(time.Minute),
+			Targets: m, Budget: budget, Deadline: time.Now().Add(time.Minute), Method: "POST", Target: "/",
 		},
-		server: &Server{Now: time.Now},
+		server: streamServer(), ctx: context.Background(), callerCtx: context.Background(), log: hclog.NewNullLogger(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	monitor := &pathMonitor{attempt: &attempt{req: req, target: target, startedAt: time.Now().Add(-silentFor)}, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
@@ -63,9 +65,14 @@
 func TestFirstReplicaWithoutPowerIsReplacedAtOnce(t *testing.T) {
 	for _, hostUnreachable := range []bool{true, false} {
 		m := twoReplicaModel()
+		replicas := testReplicas("a", "b")
+		for _, r := range replicas {
+			r.Address = newStreamReplica(hedgeEvents+1).listen(t, false)
+		}
+		m.Update(testModel(), replicas, targets.NodeShare{CapacityShare: func(string) float64 { return 1 }, MaxConns: 10, DomainNodeCount: 1})
 		monitor, cancel := silentStream(t, m, retrybudget.New(retry.Config{Burst: 10}, time.Now), 100*time.Millisecond)
 		defer cancel()
-		monitor.setMigrationFilter(monitor.attempt.req)
+		monitor.setMigrationFilter()
 		m.Suspect(monitor.attempt.target.Replica, hostUnreachable)
 		if migrated := monitor.replaceFirst(monitor.attempt.target.Active, "lost"); migrated != hostUnreachable {
 			t.Errorf("silent %t: migrated %t", hostUnreachable, migrated)
@@ -79,11 +86,16 @@
 // released, such reservations would add up until the node refuses every request.
 func TestReservationOfACancelledMigrationIsReleased(t *testing.T) {
 	m := twoReplicaModel()
+	replicas := testReplicas("a", "b")
+	for _, r := range replicas {
+		r.Address = newStreamReplica(hedgeEvents+1).listen(t, false)
+	}
+	m.Update(testModel(), replicas, targets.NodeShare{CapacityShare: func(string) float64 { return 1 }, MaxConns: 10, DomainNodeCount: 1})
 	budget := retrybudget.New(retry.Config{Burst: 1, MinRetriesPerSecond: 1e-9}, time.Now)
 	monitor, cancel := silentStream(t, m, budget, time.Minute)
 	defer cancel()
 	req, target, now := monitor.attempt.req, monitor.attempt.target, time.Now()
-	monitor.setMigrationFilter(req)
+	monitor.setMigrationFilter()
 	m.Suspect(target.Replica, false)
 
 	// Another first replica has capacity, so only the failed charge can prevent the migration.
--- a/route/relay/retry.go
+++ b/route/relay/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
@@ -16,6 +15,10 @@
 // waits, at most until budgetWaitUntil.
 func (req *requestState) decideRetry(res attemptResult) bool {
 	req.recordFailure(res)
+	if res.hedge != nil {
+		req.recordRetry(res, retry.Decision{Retry: true, Reason: retry.Allowed})
+		return true
+	}
 	if res.kind == resultCallerGone || res.kind == resultDeadline || req.forwarding.final || req.heldBack(res) {
 		return false
 	}
@@ -29,6 +32,12 @@
 		d = req.askBudget(res) // the budget refills over time
 	}
 	req.budgetWait += req.server.Now().Sub(waitStart)
+	req.recordRetry(res, d)
+	return d.Retry
+}
+
+// recordRetry records how an attempt ended and whether another one follows.
+func (req *requestState) recordRetry(res attemptResult, d retry.Decision) {
 	req.record(decisionlog.Decision{
 		Kind: decisionlog.Retry, Chosen: lastOf(req.failedReplicas), Reason: d.Reason.String(),
 		TextValues: []decisionlog.TextValue{{Name: "end", Text: res.detail}},
@@ -39,7 +48,6 @@
 	if d.Retry {
 		req.server.Metrics.Retried(req.Service, res.feedback.Failure.String())
 	}
-	return d.Retry
 }
 
 // budgetWaitUntil is the time until which the request may wait for the retry budget. If a
@@ -69,32 +77,22 @@
 }
 
 // recordFailure records which replica failed, and whether the first replica may have run the
-// request. If the answer names a faulty stage, the replica of that stage counts as failed, not
-// the first replica.
+// request.
 func (req *requestState) recordFailure(res attemptResult) {
 	first := req.lastTarget.Replica
 	if first == "" || res.forwarded {
 		return
 	}
-	faulty := first
-	if res.feedback.FaultAddress != "" {
-		faulty = req.lastTarget.ReplicaByAddress(res.feedback.FaultAddress)
-	}
-	if faulty != "" && !slices.Contains(req.failedReplicas, faulty) {
-		req.failedReplicas = append(req.failedReplicas, faulty)
-	}
-	if !res.notRun() && !slices.Contains(req.mayHaveRunOn, first) {
-		req.mayHaveRunOn = append(req.mayHaveRunOn, first)
+	req.addFailed(req.lastTarget, res)
+	if !res.notRun() {
+		req.addRan(first)
 	}
 }
 
 // askBudget decides on a retry by the limits of the route and the retry budget. A retry of an
-// attempt that was not sent costs the endpoints nothing and is not charged. A migration was
-// already charged when its target was reserved.
+// attempt that was not sent costs the endpoints nothing and is not charged.
 func (req *requestState) askBudget(res attemptResult) retry.Decision {
 	switch {
-	case res.migrateTo != nil:
-		return retry.Decision{Retry: true, Reason: retry.Allowed}
 	case res.kind == resultNotSent && req.mayAskNode():
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
 	case req.attemptCount >= attemptLimit, len(req.mayHaveRunOn) >= req.Route.MaxReplicas && req.Route.Kind != ruleset.Stream:
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -154,14 +154,10 @@
 	// sampled requests are logged even if they succeed.
 	sampled bool
 
-	// failedReplicas are the replicas that failed this request. mayHaveRunOn are the first
-	// replicas that may have begun it. attemptCount is the number of attempts so far.
-	failedReplicas []string
-	mayHaveRunOn   []string
-	attemptCount   int
-	lastResult     attemptResult
-	lastTarget     targets.Target
-	forwarding     forwardState
+	attemptHistory
+	lastResult attemptResult
+	lastTarget targets.Target
+	forwarding forwardState
 	// guarded is what the guard keeps of the request; guardRefusal is why it lets the request run
 	// no further, nil if it does not.
 	guarded      *crashguard.Request
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -14,44 +14,85 @@
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
-// streamIdleTimeout is the pause after which an attempt is given up although all replicas of
-// its path can be reached. Engines give up a silent stage sooner.
-const streamIdleTimeout = 4 * time.Second
+const (
+	// streamIdleTimeout is the silence after which a stream is hedged although all replicas of its
+	// path can be reached. Engines give up a silent stage sooner. At another node, which may hang
+	// itself, an attempt that can be resumed ends.
+	streamIdleTimeout = 4 * time.Second
+	// readBytes is the size of the buffer into which a stream is read.
+	readBytes = 2 << 10
+)
 
 // runStream makes an attempt whose events are passed on as they arrive.
 func (a *attempt) runStream() attemptResult {
-	req := a.req
-	switch {
-	case req.answerStarted:
-		a.resumeAfter = req.lastEvent.String()
-	case req.Forwarded != nil:
-		a.resumeAfter = req.Forwarded.ResumeAfter
-	}
-	ctx, cancel := context.WithCancel(req.ctx)
+	ctx, cancel := a.streamContext()
 	defer cancel()
 	monitor := a.monitor(ctx, cancel)
 	defer monitor.stop()
-	exchange, failed := a.send(ctx, streamIdleTimeout)
+	return monitor.finalResult(a.runMonitored(ctx, monitor))
+}
+
+// streamContext returns the context of the attempt and a function that cancels the attempt.
+func (a *attempt) streamContext() (context.Context, context.CancelFunc) {
+	if a.hedge != nil {
+		return a.hedge.ctx, a.hedge.cancel
+	}
+	return context.WithCancel(a.req.ctx)
+}
+
+func (a *attempt) runMonitored(ctx context.Context, monitor *pathMonitor) attemptResult {
+	if a.hedge != nil {
+		defer a.hedge.exchange.Close()
+		return a.forwardStream(a.hedge.exchange, &a.hedge.split, monitor)
+	}
+	a.resumeAfter = a.req.resumePosition()
+	exchange, failed := a.send(ctx, a.idleTimeout())
 	if failed != nil {
-		return monitor.applyMigration(*failed)
+		return *failed
 	}
 	defer exchange.Close()
 	if !isEventStream(exchange) {
-		if req.answerStarted {
+		if a.req.answerStarted {
 			return a.unexpected(exchange)
 		}
-		return a.readInsteadOfStream(exchange)
+		return a.readInsteadOfStream(exchange, monitor)
 	}
 	if bad := a.invalidReason(); bad != "" {
 		return attemptResult{kind: resultUnknown, detail: bad, feedback: targets.Result{Failure: health.Internal}}
 	}
-	return monitor.applyMigration(a.forwardStream(exchange, monitor))
+	return a.forwardStream(exchange, &eventSplitter{}, monitor)
+}
+
+// resumePosition is the id of the event after which an attempt resumes the stream; "" if the stream
+// has not begun.
+func (req *requestState) resumePosition() string {
+	switch {
+	case req.answerStarted:
+		return req.lastEvent.String()
+	case req.Forwarded != nil:
+		return req.Forwarded.ResumeAfter
+	}
+	return ""
+}
+
+// idleTimeout is how long the attempt may be silent. The silence of a replica does not end an
+// attempt: the replica may be sound, and the monitor finds another one that goes on.
+func (a *attempt) idleTimeout() time.Duration {
+	remaining := a.req.Deadline.Sub(a.req.server.Now())
+	if a.forwarded && a.req.Route.Idempotent() {
+		return min(streamIdleTimeout, remaining)
+	}
+	return remaining
 }
 
 // readInsteadOfStream reads an answer that is no stream. A complete success counts as the first
 // event. Otherwise replicas that answer all requests this way would seem to serve none, and load
 // control would refuse nearly all requests.
-func (a *attempt) readInsteadOfStream(e *upstream.Exchange) attemptResult {
+func (a *attempt) readInsteadOfStream(e *upstream.Exchange, monitor *pathMonitor) attemptResult {
+	refused := a.head.NotRun || a.head.Misdirected
+	if !refused && !monitor.beginForward() {
+		return takenOver()
+	}
 	res := a.readBuffered(e)
 	if res.kind == resultComplete && e.StatusCode < http.StatusMultipleChoices {
 		a.req.awaiting.FirstEvent()
@@ -76,30 +117,40 @@
 	}
 }
 
-// forwardStream passes complete events on until the stream ends.
-func (a *attempt) forwardStream(e *upstream.Exchange, monitor *pathMonitor) attemptResult {
-	req := a.req
-	var split eventSplitter
-	buffer := make([]byte, 2<<10)
+// errTakenOver means that a hedge continues the stream.
+var errTakenOver = errors.New("a hedge has taken over")
+
+// takenOver is the result of an attempt that may pass on nothing more. finalResult replaces it.
+func takenOver() attemptResult {
+	return attemptResult{kind: resultUnknown, detail: errTakenOver.Error(), feedback: targets.Result{Failure: health.Canceled}}
+}
+
+// forwardStream passes complete events on until the stream ends. split holds what was read already.
+func (a *attempt) forwardStream(e *upstream.Exchange, split *eventSplitter, monitor *pathMonitor) attemptResult {
+	buffer := make([]byte, readBytes)
+	var readErr error
 	for {
-		n, err := e.Read(buffer, min(streamIdleTimeout, req.Deadline.Sub(req.server.Now())))
-		split.add(buffer[:n])
-		if writeErr := a.forwardEvents(e, &split, monitor); writeErr != nil {
-			return attemptResult{kind: resultCallerGone, detail: writeErr.Error(), feedback: targets.Result{Failure: health.Canceled}}
-		}
+		writeErr := a.forwardEvents(e, split, monitor)
 		switch {
-		case errors.Is(err, io.EOF):
-			return a.finish(e, &split)
-		case err != nil:
-			return a.resultOfError(err)
+		case errors.Is(writeErr, errTakenOver):
+			return takenOver()
+		case writeErr != nil:
+			return attemptResult{kind: resultCallerGone, detail: writeErr.Error(), feedback: targets.Result{Failure: health.Canceled}}
+		case errors.Is(readErr, io.EOF):
+			return a.finish(e, split, monitor)
+		case readErr != nil:
+			return a.resultOfError(readErr)
 		case split.incompleteBytes() > maxEventBytes:
 			return attemptResult{kind: resultUnknown, detail: "an event exceeds the size limit", feedback: targets.Result{Failure: health.Internal}}
 		}
+		var n int
+		n, readErr = e.Read(buffer, a.idleTimeout())
+		split.add(buffer[:n])
 	}
 }
 
 // forwardEvents writes the complete events received so far to the caller. It fails if the
-// caller has left.
+// caller has left, or with errTakenOver.
 func (a *attempt) forwardEvents(e *upstream.Exchange, split *eventSplitter, monitor *pathMonitor) error {
 	req := a.req
 	forwarded := false
@@ -112,6 +163,9 @@
 		if !req.lastEvent.precedes(ev.id) {
 			continue
 		}
+		if !forwarded && !monitor.beginForward() {
+			return errTakenOver
+		}
 		req.beginStream(e)
 		if _, err := req.w.Write(ev.data); err != nil {
 			return err
@@ -128,6 +182,7 @@
 	req.awaiting.FirstEvent()
 	req.recordPause()
 	monitor.recordEvents()
+	monitor.endForward()
 	return http.NewResponseController(req.w).Flush()
 }
 
@@ -158,7 +213,7 @@
 }
 
 // finish checks that a stream that has ended is complete.
-func (a *attempt) finish(e *upstream.Exchange, split *eventSplitter) attemptResult {
+func (a *attempt) finish(e *upstream.Exchange, split *eventSplitter, monitor *pathMonitor) attemptResult {
 	req := a.req
 	switch {
 	case split.incompleteBytes() > 0:
@@ -167,6 +222,8 @@
 		return brokenOff(detailNoEvents)
 	case a.cutUnframed(e):
 		return brokenOff(detailCutUnframed)
+	case !monitor.beginForward():
+		return takenOver()
 	}
 	req.beginStream(e)
 	e.KeepAlive(a.head.IdleTimeout)
