Hedges are counted by their result; a cut line names what was left since the last event

hedges_total tells an operator whether sound replicas fall silent (not_needed), and whether all of them do (failed, late). `left` in the line of a cut answer is the replica or node whose attempt this node ended since the caller's last event: after a hedge has taken over, the replica that was left has no part in a later cut.

go test -race ./route/relay ./node/losses pass.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -158,6 +158,14 @@
 	}).Counter("forwarded_total").Inc(1)
 }
 
+// Hedged counts attempts that were made beside that at a silent replica, by what came of them.
+func (m *Metrics) Hedged(service, result string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		"result":     result,
+	}).Counter("hedges_total").Inc(1)
+}
+
 // ReplicaEnded counts the requests that were under way at a replica when its process ended.
 func (m *Metrics) ReplicaEnded(service string) {
 	m.service(service).Counter("requests_at_ended_replicas_total").Inc(1)
--- a/route/httpapi/testnode_test.go
+++ b/route/httpapi/testnode_test.go
@@ -211,6 +211,7 @@
 func (discardMetrics) Dropped(string, string)           {}
 func (discardMetrics) Retried(string, string)           {}
 func (discardMetrics) Forwarded(string, string)         {}
+func (discardMetrics) Hedged(string, string)            {}
 func (discardMetrics) Shed(string, int)                 {}
 func (discardMetrics) Order(string, string)             {}
 
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -216,7 +216,7 @@
 			"silent_ms": millis(req.silentFor()),
 		},
 	}
-	if req.leftReplica != "" {
+	if req.leftAt.After(req.lastEventAt) {
 		d.TextValues = append(d.TextValues, decisionlog.TextValue{Name: "left", Text: req.leftReplica})
 		d.Values["left_silent_ms"] = millis(req.leftSilence)
 	}
--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -158,6 +158,7 @@
 	}
 	m.takenOver = h
 	m.cancel()
+	m.attempt.req.server.Metrics.Hedged(m.attempt.req.Service, "took_over")
 	return true
 }
 
@@ -191,10 +192,22 @@
 	req := m.attempt.req
 	res.feedback.Duration = req.server.Now().Sub(h.startedAt)
 	req.Targets.Finish(h.target, res.feedback)
+	req.server.Metrics.Hedged(req.Service, hedgeResult(abandoned))
 	m.recordHedge(h, res.detail)
 	return abandoned != "" && abandoned != hedgeLate
 }
 
+// hedgeResult names the result of a hedge that did not take over, for metrics.
+func hedgeResult(abandoned string) string {
+	switch abandoned {
+	case "":
+		return "failed"
+	case hedgeLate:
+		return "late"
+	}
+	return "not_needed"
+}
+
 // recordOutcome records at which replicas the request may have run, and which have failed it. It
 // returns why the hedge was abandoned.
 func (m *pathMonitor) recordOutcome(h *hedge, res attemptResult) (abandoned string) {
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -41,8 +42,8 @@
 			}
 			return res.answer, nil
 		}
-		if res.hedge != nil {
-			req.leftReplica, req.leftSilence = req.lastTarget.Replica, req.silentFor()
+		if res.kind == resultUnknown && res.feedback.Failure == health.Timeout {
+			req.leftReplica, req.leftAt, req.leftSilence = req.lastTarget.Replica, req.server.Now(), req.silentFor()
 		}
 		if !req.decideRetry(res) {
 			return req.finalAnswer(res)
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -67,6 +67,8 @@
 	Resumed(service, reason string)
 	Retried(service, reason string)
 	Forwarded(service, result string)
+	// Hedged counts hedges by their result: took_over, not_needed, late or failed.
+	Hedged(service, result string)
 	// Shed counts requests that this node refused because the service was saturated.
 	Shed(service string, priority int)
 }
@@ -179,9 +181,10 @@
 	longestPause         time.Duration
 	eventsAtLongestPause int
 	lastEventAt          time.Time
-	// leftReplica is the first replica of the last attempt that this node ended because the
-	// replica was silent, leftSilence the silence of the stream at that time.
+	// leftReplica is the replica or node of the last attempt that this node ended because it was
+	// silent, leftAt the time of that, leftSilence the silence of the stream then.
 	leftReplica string
+	leftAt      time.Time
 	leftSilence time.Duration
 	// capacityWait is the time that the request waited for capacity, budgetWait the time that it
 	// waited for the retry budget.
--- a/route/relay/shed_test.go
+++ b/route/relay/shed_test.go
@@ -54,6 +54,7 @@
 func (noMetrics) Waited(string, time.Duration)     {}
 func (noMetrics) Retried(string, string)           {}
 func (noMetrics) Forwarded(string, string)         {}
+func (noMetrics) Hedged(string, string)            {}
 func (m noMetrics) Shed(_ string, priority int)    { m.shed[priority]++ }
 
 // requestInterval is the time between two requests. Rates count complete tenths of a second.
