A hedge that crashes its replica holds the stream back

What a caller would see: a prompt that crashes replicas ends one after the other: the hedge of a silent stream crashes its replica, and the stream is then sent to the next one. The guard of the request knew of the crashes of the first attempt only.

The guard is told of a hedge that breaks off, and the stream is not tried again until other nodes clear its parts, as after a crash of its own.

TestHedgeThatCrashesItsReplicaHoldsTheStreamBack fails without it (a third replica is asked), passes three times with the race detector.

--- a/route/crashguard/request.go
+++ b/route/crashguard/request.go
@@ -137,6 +137,14 @@
 	}
 }
 
+// Join records what another attempt at the same request, which has ended, has found out: if its
+// replica crashed before it answered, this request is not tried again either.
+func (r *Request) Join(other *Request) {
+	if r != nil && other != nil {
+		r.mustClear = r.mustClear || other.mustClear
+	}
+}
+
 // provenEvents is the number of events after which a request whose replica crashed may be tried
 // again at once. Replicas that crash on a part have written one event at most.
 const provenEvents = 2
--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -180,10 +180,14 @@
 // endHedge releases a hedge that does not continue the stream. It reports whether the request needs
 // no further reroute, because the present attempt has had an event or has ended.
 func (m *pathMonitor) endHedge(h *hedge, res attemptResult) bool {
+	brokenOff := h.ctx.Err() == nil && res.kind == resultUnknown && res.feedback.Failure == health.BrokenResponse
 	h.cancel()
 	if h.exchange != nil {
 		h.exchange.Close()
 	}
+	if brokenOff {
+		h.guarded.BrokenOff(m.ctx)
+	}
 	h.guarded.End()
 	abandoned := m.recordOutcome(h, res)
 	if abandoned != "" {
@@ -214,6 +218,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hedge = nil
+	m.ended = append(m.ended, h.guarded)
 	m.history.attemptCount++
 	if h.abandoned == "" || h.abandoned == hedgeLate {
 		m.history.addFailed(h.target, res)
@@ -274,6 +279,9 @@
 	defer m.mu.Unlock()
 	m.stopped = true
 	req.attemptHistory = m.history
+	for _, ended := range m.ended {
+		req.guarded.Join(ended)
+	}
 	if m.takenOver == nil {
 		return res
 	}
--- a/route/relay/hedge_test.go
+++ b/route/relay/hedge_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/connprobe"
+	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/retrybudget"
@@ -242,3 +244,63 @@
 	<-done
 	eventually(t, "the hedge is canceled", func() bool { return other.cancellations() == 1 })
 }
+
+// Guards against a prompt that crashes one replica after the other because a hedge has crashed its
+// replica and the stream is then sent to a third one.
+func TestHedgeThatCrashesItsReplicaHoldsTheStreamBack(t *testing.T) {
+	first, other := newStreamReplica(2), newStreamReplica(2)
+	var otherServer *httptest.Server
+	crash := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		other.mu.Lock()
+		other.resumed = append(other.resumed, r.Header.Get("Last-Event-Id"))
+		other.mu.Unlock()
+		time.Sleep(100 * time.Millisecond) // its process answers a probe for as long
+		otherServer.Listener.Close()
+		panic(http.ErrAbortHandler)
+	})
+	otherServer = httptest.NewServer(crash)
+	t.Cleanup(otherServer.Close)
+	third := newStreamReplica(hedgeEvents + 1)
+	server, metrics := streamServer(), &guardMetrics{}
+	server.Guard = crashguard.New(crashguard.Config{Prober: server.Prober, Metrics: metrics, Log: hclog.NewNullLogger(), Now: time.Now})
+	for i := range 10 { // crashes are judged once the guard has seen answers
+		sound := server.Guard.Request(fmt.Sprint("sound-", i), "", []string{"shared"})
+		sound.Sent(crashguard.Replica{ID: "sound"})
+		sound.Answered()
+	}
+	m := targets.NewModelTargets("entry-1", "d", 1, time.Now)
+	share := targets.NodeShare{CapacityShare: func(string) float64 { return 1 }, MaxConns: 10, DomainNodeCount: 1}
+	list := testReplicas("first", "other", "third")
+	list[0].Address, list[2].Address = first.listen(t, false), third.listen(t, false)
+	list[1].Address = strings.TrimPrefix(otherServer.URL, "http://")
+	m.Update(testModel(), list[:1], share)
+	request := &Request{
+		Call:    headers.CallHead{ID: "r", PromptParts: []string{"shared", "bad"}},
+		Route:   &ruleset.Route{Kind: ruleset.Stream, Resumable: true, MaxReplicas: 4, LatencyObjective: time.Second, MaxEventGap: time.Minute},
+		Targets: m, Budget: retrybudget.New(retry.Config{Burst: 10}, time.Now),
+		Method: http.MethodPost, Target: "/", Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second),
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer func() { _ = recover() }() // a cut answer panics
+		server.Serve(t.Context(), httptest.NewRecorder(), request)
+	}()
+	eventually(t, "the stream runs", func() bool { return len(first.requests()) == 1 })
+	m.Update(testModel(), list[:2], share)
+	time.Sleep(50 * time.Millisecond)
+	m.Suspect("first", true)
+	eventually(t, "the other replica is asked", func() bool { return len(other.requests()) == 1 })
+	eventually(t, "the crash is known", func() bool { return metrics.ended.Load() == 1 })
+	m.Update(testModel(), list, share)
+	close(first.breakOff)
+	<-done
+	if got := third.requests(); len(got) > 0 {
+		t.Errorf("the stream was sent to a third replica after a crash, %v", got)
+	}
+}
+
+type guardMetrics struct{ ended atomic.Int64 }
+
+func (g *guardMetrics) ReplicaEnded(string)          { g.ended.Add(1) }
+func (*guardMetrics) IsolatedParts(string, int, int) {}
--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -12,6 +12,7 @@
 	"github.com/cicadatack/cicadatack/decide/probebudget"
 	"github.com/cicadatack/cicadatack/decide/stall"
 	"github.com/cicadatack/cicadatack/route/connprobe"
+	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
 
@@ -71,6 +72,8 @@
 	// way, takenOver the one that continues the stream in place of this attempt.
 	forwarding       bool
 	hedge, takenOver *hedge
+	// ended are what the guard keeps of the hedges that did not take over.
+	ended []*crashguard.Request
 }
 
 func (a *attempt) monitor(ctx context.Context, cancel context.CancelFunc) *pathMonitor {
