--- a/route/relay/doc.go
+++ b/route/relay/doc.go
@@ -21,8 +21,10 @@
 //     bypass or by a migration.
 //   - A bypass is a path that keeps the first stage and avoids the lost or draining stage. The
 //     first replica is commanded to continue along it, and the attempt goes on.
-//   - A request migrates if its attempt is ended and another first replica resumes the stream
-//     after the last event, in a new attempt.
+//   - A request migrates if another first replica resumes the stream after the last event, in a
+//     new attempt.
+//   - A hedge is an attempt beside the present one, whose replica is silent. The attempt that has
+//     the next event first goes on, and the other one is canceled.
 //
 // # Guarantees
 //
@@ -32,6 +34,8 @@
 //   - An answer reaches its caller only if it carries the request's id, passes the
 //     endpoint's own integrity checks and is complete. A stream that ends early is aborted,
 //     not closed.
+//   - The silence of a replica does not end an attempt at a stream. The attempt ends with its
+//     replica, with its caller, at the deadline, or once a hedge has the next event.
 //   - Only complete events of a stream are passed on, so that another replica can resume
 //     the stream after the last event.
 //
