--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -61,6 +61,12 @@
 // refused because they were at replicas that crashed for other reasons.
 func TestVerdicts(t *testing.T) {
 	subject := Part{service, "d00d"}
+	crashThreeTimes := func(n *node) {
+		n.serve(10, system)
+		for range 3 {
+			n.crash(system, bad)
+		}
+	}
 	for _, c := range []struct {
 		name string
 		play func(*node)
@@ -71,18 +77,8 @@
 			n.serve(10, system)
 			n.crash(system, bad)
 		}, bad, Suspect},
-		{"the part that all requests share is clear", func(n *node) {
-			n.serve(10, system)
-			n.crash(system, bad)
-			n.crash(system, bad)
-			n.crash(system, bad)
-		}, system, Clear},
-		{"three crashes one after the other isolate", func(n *node) {
-			n.serve(10, system)
-			n.crash(system, bad)
-			n.crash(system, bad)
-			n.crash(system, bad)
-		}, bad, Isolated},
+		{"the part that all requests share is clear", crashThreeTimes, system, Clear},
+		{"three crashes one after the other isolate", crashThreeTimes, bad, Isolated},
 		{"an answer clears a part of all crashes before it", func(n *node) {
 			n.serve(10, system)
 			n.crash(system, bad)
