A late refusal does not show that the stage it names is lost

Cause: a refusal that came more than a second after the request was sent was taken for the engine's word that the stage it names does not answer. A first replica that was silent itself refuses late for any reason, also for lack of memory. The sound stage counted as lost at once, and the streams through it that had been silent for 0.7 s were taken to other replicas in the same millisecond.

Class: evidence about one replica held against another. Now each refusal that names a stage has that stage probed, as early refusals had before; a stage that accepts no connection counts as lost, any other one as full for a moment.

TestLateRefusalDoesNotShowALoss failed before (one replica counts as lost after a refusal at 3 s).

--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -176,11 +176,6 @@
 	return 0, false
 }
 
-// suspectAfter is the duration of an attempt after which its refusal means that a stage of the
-// path does not answer. Such a refusal arrives only after the engine's own timeout. A refusal
-// for lack of capacity arrives at once.
-const suspectAfter = time.Second
-
 // refusedResult classifies a refusal: an answer that says that the request did not run.
 func (a *attempt) refusedResult(status int) attemptResult {
 	if a.pushedBack() {
@@ -189,7 +184,6 @@
 			feedback: targets.Result{Failure: health.PushedBack},
 		}
 	}
-	slow := a.req.server.Now().Sub(a.startedAt) > suspectAfter
 	return attemptResult{
 		kind:   resultNotRun,
 		detail: fmt.Sprintf("%d from %s, at fault: %q", status, a.target.Address, a.head.FaultAddress),
@@ -197,8 +191,7 @@
 			Failure:       upstream.RefusalFailure(status),
 			FaultAddress:  a.head.FaultAddress,
 			LayersMissing: a.head.Misdirected,
-			Suspected:     slow,
-			NoCapacity:    !a.head.Misdirected && !slow,
+			NoCapacity:    !a.head.Misdirected,
 		},
 	}
 }
--- a/route/relay/request_test.go
+++ b/route/relay/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/connprobe"
+	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/retrybudget"
 )
 
@@ -37,3 +39,20 @@
 		req.probeFaultyReplica(target, "unknown address")
 	}
 }
+
+// Guards against sound stages that count as lost, with all streams through them, because a replica that
+// was silent for a second names them when it refuses the requests that came meanwhile.
+func TestLateRefusalDoesNotShowALoss(t *testing.T) {
+	for _, late := range []time.Duration{0, 3 * time.Second} {
+		m := twoReplicaModel()
+		monitor, cancel := silentStream(t, m, retrybudget.New(retry.Config{Burst: 10}, time.Now), late)
+		defer cancel()
+		a := monitor.attempt
+		a.head = headers.ResponseHead{NotRun: true, FaultAddress: a.target.Address}
+		res := a.refusedResult(http.StatusServiceUnavailable)
+		m.Finish(a.target, res.feedback)
+		if lost := m.Suspects(); len(lost) > 0 || !res.feedback.NoCapacity {
+			t.Errorf("refused after %v: %d replicas count as lost", late, len(lost))
+		}
+	}
+}
