Hedges: faults found by a review

A reviewer who had not seen the work provoked these on; each has a test that fails there. - A stream whose replica was gone for good stayed with it until its deadline: after a check that found a loss no further check came (TestLostStreamGoesOnAtAReplicaThatComesLater). - A hedge that read a long prompt for over 1.5 s was canceled and sent again to the same replica until the deadline. It is canceled now only if its replica accepts no connection or a third replica is allowed (TestSlowHedgeIsWaitedFor). - A stream was sent to one refusing replica after the other, 12 in place of 4 (TestHedgesAreLimited). - A hedge that ended without an event took over; a crash without a framed end looked like the end of the stream (TestHedgeWithoutAnEventDoesNotTakeOver). - A hedge that worked was canceled because the silent replica answered with a failure of its own (TestHedgeGoesOnAfterAFailureOfTheSilentReplica). - A silent stream of a plain service was no longer resumed elsewhere after 4 s (TestSilentStreamOfAPlainServiceGoesOn). - A second hedge could begin while the attempt waited for the first and was not counted as a replica that had the request; retries were charged for hedges that were not sent (TestHedgeBeginsOnlyWhileItIsNeeded). - A request that may crash its replica was hedged; what the guard knew of the first attempt was lost when the hedge took over. - TestReservationOfACancelledMigrationIsReleased had become weaker: it counts the arrivals at the other replica now, with a deadline that lets them through.

--- a/route/crashguard/request.go
+++ b/route/crashguard/request.go
@@ -142,6 +142,27 @@
 func (r *Request) Join(other *Request) {
 	if r != nil && other != nil {
 		r.mustClear = r.mustClear || other.mustClear
+		r.trial = r.trial || other.trial
+	}
+}
+
+// MayHedge reports whether the request may run at a second replica beside the present one. A request
+// that may crash its replica runs at one at a time.
+func (r *Request) MayHedge() bool {
+	if r == nil {
+		return true
+	}
+	_, verdict := r.guard.worst(r.parts)
+	return verdict == poison.Clear
+}
+
+// Crashed reports whether a replica has crashed before it answered this request.
+func (r *Request) Crashed() bool { return r != nil && r.mustClear }
+
+// Left finds out later whether the process of a replica that was left has ended.
+func (r *Request) Left() {
+	if r != nil && !r.proven {
+		go r.guard.lookAgain(*r)
 	}
 }
 
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -50,6 +50,8 @@
 	// hedge is the hedged attempt that continues the stream in place of this one; nil if there is
 	// none.
 	hedge *hedge
+	// left is set if the attempt was canceled for the hedge, and did not end by itself.
+	left bool
 	// forwarded is set if the attempt was made at another node.
 	forwarded bool
 }
--- a/route/relay/ended.go
+++ b/route/relay/ended.go
@@ -55,6 +55,8 @@
 	switch {
 	case res.kind == resultComplete && (res.answer == nil || res.answer.Status < http.StatusMultipleChoices):
 		a.req.guarded.Answered()
+	case res.kind == resultUnknown && res.left:
+		a.req.guarded.Left()
 	case res.kind == resultUnknown && res.feedback.Failure == health.BrokenResponse:
 		a.req.guarded.BrokenOff(a.req.ctx)
 	}
--- a/route/relay/events.go
+++ b/route/relay/events.go
@@ -40,8 +40,25 @@
 	return event{data: data, id: idOf(data)}, true
 }
 
-// hasEvent reports whether next has an event.
-func (s *eventSplitter) hasEvent() bool { return eventLength(s.pending()) > 0 }
+// hasEventAfter reports whether a complete event with data follows a position. It consumes nothing.
+func (s *eventSplitter) hasEventAfter(p *eventPosition) bool {
+	rest := s.pending()
+	for length := eventLength(rest); length > 0; length = eventLength(rest) {
+		event := rest[:length]
+		rest = rest[length:]
+		if hasData(event) && p.precedes(idOf(event)) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasData reports whether an event has a line of data. Comments keep a connection open and have none.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, append([]byte("\n"), dataField...))
+}
+
+var dataField = []byte("data:")
 
 func (s *eventSplitter) pending() []byte { return s.buffer[s.consumedBytes:] }
 
--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -15,8 +15,9 @@
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
-// hedgeTimeout is how long a hedged attempt may take to its first event.
-const hedgeTimeout = resumeTimeout
+// hedgeInterval is how long a hedge may take to its first event before it is checked, and the time
+// between two checks.
+const hedgeInterval = 1500 * time.Millisecond
 
 // Reasons to cancel a hedge.
 const (
@@ -33,6 +34,8 @@
 	*attempt
 	reason  string
 	guarded *crashguard.Request
+	// position is that of the last event that the caller has.
+	position eventPosition
 	// ctx ends when the hedge is abandoned or, once it continues the stream, with that attempt.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,20 +51,20 @@
 // migrate makes a hedged attempt at a reserved target and waits until it continues the stream or has
 // ended. It reports whether the request needs no further reroute.
 func (m *pathMonitor) migrate(next targets.Target, reason string) bool {
-	if !m.accepts(next) || !m.chargeRetry() {
+	if !m.accepts(next) {
 		m.release(next)
 		return false
 	}
-	h, mayBegin := m.beginHedge(next, reason)
-	if !mayBegin {
+	h := m.beginHedge(next, reason)
+	if h == nil {
 		m.release(next)
 		return m.ctx.Err() != nil
 	}
 	defer close(h.done)
 	m.recordHedge(h, "the present replica is silent")
-	expiry := time.AfterFunc(hedgeTimeout, func() { m.abandon(h, hedgeLate) })
+	stopChecks := m.checkHedge(h)
 	res := h.firstEvent()
-	expiry.Stop()
+	stopChecks()
 	if res.kind == resultComplete && m.takeOver(h) {
 		return true
 	}
@@ -70,55 +73,95 @@
 
 // accepts reports whether a target accepts a connection. A replica that does not is suspected, and
 // costs no retry.
-func (m *pathMonitor) accepts(next targets.Target) bool {
+func (m *pathMonitor) accepts(target targets.Target) bool {
 	req := m.attempt.req
-	lost := req.server.Prober.FindUnreachable(m.ctx, connprobe.ReasonHedge, []string{next.Address})
+	lost := req.server.Prober.FindUnreachable(m.ctx, connprobe.ReasonHedge, []string{target.Address})
 	if len(lost) == 0 {
 		return true
 	}
-	if next.Active.Suspect(next.Replica, lost[0].HostUnreachable) {
-		req.log.Info("replica out of reach", "service", req.Service, "replica", next.Replica, "address", next.Address, "silent", lost[0].HostUnreachable)
+	if target.Active.Suspect(target.Replica, lost[0].HostUnreachable) {
+		req.log.Info("replica out of reach", "service", req.Service, "replica", target.Replica, "address", target.Address, "silent", lost[0].HostUnreachable)
 	}
 	return false
 }
 
-// chargeRetry charges the retry budget. It returns false if the budget allows no retry.
-func (m *pathMonitor) chargeRetry() bool {
-	req := m.attempt.req
-	return req.Budget.Allow(retry.Attempt{
-		AttemptsMade: 1, Failure: health.BrokenResponse, Idempotent: true, Deadline: req.Deadline, Alternatives: 1,
-	}).Retry
-}
-
-// beginHedge prepares a hedged attempt. It returns false if events are being passed on, if the
-// attempt has ended or if the guard allows no attempt.
-func (m *pathMonitor) beginHedge(next targets.Target, reason string) (*hedge, bool) {
+// beginHedge charges the retry budget and prepares a hedged attempt. It returns nil if events are
+// being passed on, if the attempt has ended, or if the guard or the budget allows no attempt.
+func (m *pathMonitor) beginHedge(next targets.Target, reason string) *hedge {
 	req := m.attempt.req
 	guarded := req.server.Guard.Request(req.Call.ID, req.Service, req.Call.PromptParts)
-	if err := guarded.Begin(m.ctx); err != nil {
-		return nil, false
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stopped || m.forwarding {
-		guarded.End()
-		return nil, false
+	if m.stopped || m.ending || m.forwarding || m.hedgeCrashed() || !guarded.MayHedge() || !m.chargeRetry() {
+		return nil
 	}
 	h := &hedge{
 		attempt: &attempt{req: req, target: next, startedAt: req.server.Now(), resumeAfter: req.resumePosition()},
 		reason:  reason, guarded: guarded, done: make(chan struct{}),
 	}
+	h.position.set([]byte(h.resumeAfter))
 	h.ctx, h.cancel = context.WithCancel(req.ctx)
 	h.attempt.hedge = h
 	h.sentTo(guarded)
 	m.hedge = h
-	return h, true
+	return h
+}
+
+// hedgeCrashed reports whether a hedge of this attempt has crashed its replica. The next one would
+// crash its replica as well. The caller holds the lock.
+func (m *pathMonitor) hedgeCrashed() bool {
+	for _, ended := range m.ended {
+		if ended.Crashed() {
+			return true
+		}
+	}
+	return false
+}
+
+// chargeRetry charges the retry budget. It returns false if the budget allows no retry.
+func (m *pathMonitor) chargeRetry() bool {
+	req := m.attempt.req
+	return req.Budget.Allow(retry.Attempt{
+		AttemptsMade: 1, Failure: health.BrokenResponse, Idempotent: true, Deadline: req.Deadline, Alternatives: 1,
+	}).Retry
 }
 
-// firstEvent sends the request and reads until an event is there. The result is complete if the
-// hedge can continue the stream.
+// checkHedge cancels a hedge that has had no event for hedgeInterval, if its replica accepts no
+// connection or if the route allows yet another replica. Otherwise the hedge may be all that goes
+// on, and it is checked again. The checks end with the returned function.
+func (m *pathMonitor) checkHedge(h *hedge) (stop func()) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	go func() {
+		timer := time.NewTicker(hedgeInterval)
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			}
+			if m.allowsThird() || !m.accepts(h.target) {
+				m.abandon(h, hedgeLate)
+				return
+			}
+		}
+	}()
+	return cancel
+}
+
+// allowsThird reports whether the stream may run at yet another first replica, beside those of the
+// present attempt and of its hedge.
+func (m *pathMonitor) allowsThird() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	const present, hedged = 1, 1
+	return len(m.history.mayHaveRunOn)+present+hedged < m.attempt.req.Route.MaxReplicas && m.history.attemptCount+hedged < attemptLimit
+}
+
+// firstEvent sends the request and reads until the next event of the stream is there. The result is
+// complete if the hedge can continue the stream.
 func (h *hedge) firstEvent() attemptResult {
-	exchange, failed := h.send(h.ctx, hedgeTimeout)
+	exchange, failed := h.send(h.ctx, h.idleTimeout())
 	if failed != nil {
 		return *failed
 	}
@@ -131,15 +174,15 @@
 	}
 	buffer := make([]byte, readBytes)
 	for {
-		n, err := exchange.Read(buffer, hedgeTimeout)
+		n, err := exchange.Read(buffer, h.idleTimeout())
 		h.split.add(buffer[:n])
 		switch {
-		case h.split.hasEvent():
+		case h.split.hasEventAfter(&h.position):
+			return attemptResult{kind: resultComplete}
+		case errors.Is(err, io.EOF) && h.callerHasAll():
 			return attemptResult{kind: resultComplete}
-		case errors.Is(err, io.EOF) && h.split.incompleteBytes() == 0:
-			return attemptResult{kind: resultComplete} // the caller already has all events
 		case errors.Is(err, io.EOF):
-			return brokenOff("the stream ended in the middle of an event")
+			return brokenOff(detailNoEvents)
 		case err != nil:
 			return h.resultOfError(err)
 		case h.split.incompleteBytes() > maxEventBytes:
@@ -148,8 +191,14 @@
 	}
 }
 
+// callerHasAll reports whether an answer that has ended without a further event says that the caller
+// has all events. The end of a connection does not say so: the replica may have crashed.
+func (h *hedge) callerHasAll() bool {
+	return h.resumeAfter != "" && h.split.incompleteBytes() == 0 && !h.exchange.EndsWithConnection()
+}
+
 // takeOver lets a hedge continue the stream and cancels the present attempt. It returns false if the
-// present attempt has had an event meanwhile or has ended.
+// present attempt has had an event meanwhile or the request has ended.
 func (m *pathMonitor) takeOver(h *hedge) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -180,6 +229,7 @@
 // endHedge releases a hedge that does not continue the stream. It reports whether the request needs
 // no further reroute, because the present attempt has had an event or has ended.
 func (m *pathMonitor) endHedge(h *hedge, res attemptResult) bool {
+	req := m.attempt.req
 	brokenOff := h.ctx.Err() == nil && res.kind == resultUnknown && res.feedback.Failure == health.BrokenResponse
 	h.cancel()
 	if h.exchange != nil {
@@ -188,12 +238,13 @@
 	if brokenOff {
 		h.guarded.BrokenOff(m.ctx)
 	}
-	h.guarded.End()
+	if res.feedback.NoCapacity && res.feedback.FaultAddress != "" {
+		req.probeFaultyReplica(h.target, res.feedback.FaultAddress)
+	}
 	abandoned := m.recordOutcome(h, res)
 	if abandoned != "" {
 		res.detail, res.feedback = abandoned, targets.Result{Failure: health.Canceled}
 	}
-	req := m.attempt.req
 	res.feedback.Duration = req.server.Now().Sub(h.startedAt)
 	req.Targets.Finish(h.target, res.feedback)
 	req.server.Metrics.Hedged(req.Service, hedgeResult(abandoned))
@@ -259,33 +310,39 @@
 	m.forwarding = false
 }
 
-// finalResult returns the final result of the present attempt. If a hedge has taken over, this result
-// is a failure with the hedge that goes on. If the attempt has failed while a hedge is under way, it
-// waits for the hedge.
+// finalResult returns the final result of the present attempt. If the attempt has failed while a
+// hedge is under way, it waits for the hedge. If a hedge has taken over, the result has the hedge.
 func (m *pathMonitor) finalResult(res attemptResult) attemptResult {
-	req := m.attempt.req
-	m.mu.Lock()
-	h := m.hedge
-	over := res.kind == resultComplete || res.kind == resultCallerGone || res.kind == resultDeadline || req.ctx.Err() != nil
-	if over || h == nil {
-		m.stopped = true
-		m.abandonLocked(h, hedgeEnded)
-	}
-	m.mu.Unlock()
-	if h != nil {
-		<-h.done
+	hedge, canceled := m.beginEnd(res)
+	if hedge != nil {
+		<-hedge.done
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stopped = true
-	req.attemptHistory = m.history
+	m.attempt.req.attemptHistory = m.history.clone()
 	for _, ended := range m.ended {
-		req.guarded.Join(ended)
+		m.attempt.req.guarded.Join(ended)
 	}
-	if m.takenOver == nil {
+	switch {
+	case m.takenOver == nil:
 		return res
+	case canceled:
+		res = attemptResult{kind: resultUnknown, detail: m.takenOver.reason, feedback: targets.Result{Failure: health.BrokenResponse}, left: true}
 	}
-	return attemptResult{
-		kind: resultUnknown, detail: m.takenOver.reason, feedback: targets.Result{Failure: health.BrokenResponse}, hedge: m.takenOver,
+	res.hedge = m.takenOver
+	return res
+}
+
+// beginEnd lets no further hedge begin, and cancels the one that is under way if the request has
+// ended. It returns that hedge, and whether the attempt was canceled for it.
+func (m *pathMonitor) beginEnd(res attemptResult) (h *hedge, canceled bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ending = true
+	if res.kind == resultComplete || res.kind == resultCallerGone || res.kind == resultDeadline || m.attempt.req.ctx.Err() != nil {
+		m.stopped = true
+		m.abandonLocked(m.hedge, hedgeEnded)
 	}
+	return m.hedge, m.takenOver != nil
 }
--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -72,6 +72,8 @@
 	// way, takenOver the one that continues the stream in place of this attempt.
 	forwarding       bool
 	hedge, takenOver *hedge
+	// ending is set once the attempt has a result. It may wait for a hedge then, and none begins.
+	ending bool
 	// ended are what the guard keeps of the hedges that did not take over.
 	ended []*crashguard.Request
 }
@@ -102,7 +104,8 @@
 	m.filter, m.mayReplace, m.mayMigrate = targets.MigrationFilter{}, false, false
 	if len(m.history.mayHaveRunOn)+1 < route.MaxReplicas {
 		m.filter.Exclude = slices.Clone(m.history.failedReplicas)
-		m.mayReplace, m.mayMigrate = true, m.history.attemptCount < attemptLimit
+		m.mayReplace = m.history.attemptCount < attemptLimit
+		m.mayMigrate = m.mayReplace
 		return
 	}
 	m.filter.AllowedFirstReplicas = slices.Clone(m.history.mayHaveRunOn)
@@ -174,6 +177,7 @@
 		m.recheckLater(path)
 		return
 	}
+	m.timer.Reset(recheckInterval) // tries to reroute the stream end, the silence may not
 	newlySuspected := false
 	for _, loss := range lost {
 		replica := replicas[loss.Address]
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -54,6 +54,7 @@
 // guardedAttempt continues a hedge, or makes one attempt if the guard allows it.
 func (req *requestState) guardedAttempt(h *hedge) (attemptResult, error) {
 	if h != nil {
+		h.guarded.Join(req.guarded)
 		req.guarded = h.guarded
 		defer req.guarded.End()
 		return req.attempt(h.attempt), nil
--- a/route/relay/reroute_test.go
+++ b/route/relay/reroute_test.go
@@ -87,14 +87,16 @@
 func TestReservationOfACancelledMigrationIsReleased(t *testing.T) {
 	m := twoReplicaModel()
 	replicas := testReplicas("a", "b")
+	servers := map[string]*streamReplica{}
 	for _, r := range replicas {
-		r.Address = newStreamReplica(hedgeEvents+1).listen(t, false)
+		servers[r.ID] = newStreamReplica(hedgeEvents + 1)
+		r.Address = servers[r.ID].listen(t, false)
 	}
 	m.Update(testModel(), replicas, targets.NodeShare{CapacityShare: func(string) float64 { return 1 }, MaxConns: 10, DomainNodeCount: 1})
 	budget := retrybudget.New(retry.Config{Burst: 1, MinRetriesPerSecond: 1e-9}, time.Now)
 	monitor, cancel := silentStream(t, m, budget, time.Minute)
 	defer cancel()
-	req, target, now := monitor.attempt.req, monitor.attempt.target, time.Now()
+	req, target := monitor.attempt.req, monitor.attempt.target
 	monitor.setMigrationFilter()
 	m.Suspect(target.Replica, false)
 
@@ -104,13 +106,17 @@
 		t.Fatal("no other replica could continue the stream")
 	}
 	m.Finish(next, targets.Result{})
-	req.Deadline = now // too near for a retry: Budget.Left passes, Budget.Allow fails
+	// Too near for a retry, which begins after a delay, and not for a request that is sent now.
+	req.Deadline = time.Now().Add(2 * deadlineMargin)
 	if monitor.replaceFirst(target.Active, "lost") {
 		t.Error("the stream migrated without a charge to the budget")
 	}
 	if _, active := m.RequestCounts(); active != 1 {
 		t.Errorf("%d requests hold reservations, want only the active one", active)
 	}
+	if got := servers[next.Replica].requests(); len(got) > 0 {
+		t.Errorf("the other replica got %d requests that were not charged", len(got))
+	}
 }
 
 // While a stream is being rerouted because of a draining stage, another stage dies. If the loss
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -16,8 +16,8 @@
 
 const (
 	// streamIdleTimeout is the silence after which a stream is hedged although all replicas of its
-	// path can be reached. Engines give up a silent stage sooner. At another node, which may hang
-	// itself, an attempt that can be resumed ends.
+	// path can be reached. Engines give up a silent stage sooner. Where nothing can be hedged, at
+	// another node or at a plain service, an attempt that can be resumed ends.
 	streamIdleTimeout = 4 * time.Second
 	// readBytes is the size of the buffer into which a stream is read.
 	readBytes = 2 << 10
@@ -79,7 +79,7 @@
 // attempt: the replica may be sound, and the monitor finds another one that goes on.
 func (a *attempt) idleTimeout() time.Duration {
 	remaining := a.req.Deadline.Sub(a.req.server.Now())
-	if a.forwarded && a.req.Route.Idempotent() {
+	if a.target.Active == nil && a.req.Route.Idempotent() {
 		return min(streamIdleTimeout, remaining)
 	}
 	return remaining
@@ -89,8 +89,8 @@
 // event. Otherwise replicas that answer all requests this way would seem to serve none, and load
 // control would refuse nearly all requests.
 func (a *attempt) readInsteadOfStream(e *upstream.Exchange, monitor *pathMonitor) attemptResult {
-	refused := a.head.NotRun || a.head.Misdirected
-	if !refused && !monitor.beginForward() {
+	failed := a.head.NotRun || a.head.Misdirected || e.StatusCode >= http.StatusInternalServerError
+	if !failed && !monitor.beginForward() {
 		return takenOver()
 	}
 	res := a.readBuffered(e)
--- a/route/relay/stream_replica_test.go
+++ b/route/relay/stream_replica_test.go
@@ -49,6 +49,10 @@
 	silentAfter    int
 	goOn, breakOff chan struct{}
 	refuses        bool
+	// delay is the time to the first event. An empty replica ends the stream without an event, and
+	// the answer with its connection.
+	delay time.Duration
+	empty bool
 
 	mu sync.Mutex
 	// resumed are the positions at which requests arrived, canceled counts those that the caller
@@ -71,6 +75,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.empty {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Transfer-Encoding", "identity")
+		return
+	}
+	time.Sleep(s.delay)
 	first, _ := strconv.Atoi(position) // "" is the beginning
 	for n := first + 1; n <= hedgeEvents; n++ {
 		if n == s.silentAfter+1 && !s.await(r.Context()) {
@@ -146,27 +156,35 @@
 	done    chan struct{}
 }
 
-// startStream sends a request to a model with one replica, which has the id "first" and is silent
-// after its second event.
-func startStream(t *testing.T, server *Server, first *streamReplica, prepare func(*Request)) *streamRun {
-	t.Helper()
+// newStreamRun prepares a request to a model with one replica, which has the id "first".
+func newStreamRun(t *testing.T, address string) *streamRun {
 	r := &streamRun{
 		t: t, model: targets.NewModelTargets("entry-1", "d", 1, time.Now), answer: httptest.NewRecorder(), done: make(chan struct{}),
 	}
-	r.list = testReplicas("first")
-	r.list[0].Address = first.listen(t, false)
-	r.update()
+	r.add("first", address)
 	r.request = &Request{
 		Route:   &ruleset.Route{Kind: ruleset.Stream, Resumable: true, MaxReplicas: 2, LatencyObjective: time.Second, MaxEventGap: time.Minute},
 		Targets: r.model, Budget: retrybudget.New(retry.Config{Burst: 10}, time.Now),
 		Method: http.MethodPost, Target: "/", Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second),
 	}
-	prepare(r.request)
+	return r
+}
+
+// start sends the request.
+func (r *streamRun) start(server *Server) {
 	go func() {
 		defer close(r.done)
 		defer func() { _ = recover() }() // a cut answer panics, and its body is short
-		server.Serve(t.Context(), r.answer, r.request)
+		server.Serve(r.t.Context(), r.answer, r.request)
 	}()
+}
+
+// startStream sends a request to a model with one replica, and waits until it is silent.
+func startStream(t *testing.T, server *Server, first *streamReplica, prepare func(*Request)) *streamRun {
+	t.Helper()
+	r := newStreamRun(t, first.listen(t, false))
+	prepare(r.request)
+	r.start(server)
 	eventually(t, "the stream runs", func() bool { return len(first.requests()) == 1 })
 	time.Sleep(50 * time.Millisecond) // the first events arrive
 	return r
