A probe takes a host as answering only if it refused the connection

What was seen: `replica out of reach` with "silent":false for hosts whose accept queue was full. Such a replica counts as refusing connections: its streams wait 700 ms in place of 70 ms before another replica is asked, and a broken-off answer counts as the end of its process, as a crash that the parts of its prompt are blamed for.

Cause: the pool took the host as answering if the context of the dial had not expired once the dial had failed. The socket's own deadline is that of the context, and it can end the dial before the timer of the context fires.

Change: the error tells. Only a refused or reset connection shows a host that answers; a timeout, a missing way to the host or a lack of local ports do not. A failed attempt is reported to OnDial once, as before.

--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -216,18 +218,27 @@
 func (p *Pool) Reachable(ctx context.Context, address string, timeout time.Duration) (accepts, answers bool) {
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := p.get(dialCtx, address, true, 0)
+	p.reserve(address, 0)
+	raw, err := p.dial(dialCtx, "tcp", address)
 	if err != nil {
-		answers = dialCtx.Err() == nil
-		if !answers && ctx.Err() == nil {
+		p.release(address)
+		if ctx.Err() == nil {
 			p.reportDial(address, false)
 		}
-		return false, answers
+		return false, hostAnswered(err)
 	}
-	p.putIdle(address, c, 0)
+	p.reportDial(address, true)
+	p.putIdle(address, newConn(raw), 0)
 	return true, true
 }
 
+// hostAnswered reports whether a connection could not be opened because the host refused it. All
+// other errors, such as a timeout or a lack of local ports, don't show that the host is up. The
+// state of the dial's context tells nothing: a dial can return before its context has expired.
+func hostAnswered(dialError error) bool {
+	return errors.Is(dialError, syscall.ECONNREFUSED) || errors.Is(dialError, syscall.ECONNRESET)
+}
+
 // Connected reports whether a connection to an endpoint is open or being opened.
 func (p *Pool) Connected(address string) bool {
 	p.mu.Lock()
