A probe whose connection is reset has found a replica that accepts connections

What was seen: replicas that accept more connections than they keep reset those beyond, and nodes logged `replica out of reach` for such sound replicas.

Cause: the kernel reports a reset during connect only for a connection that was established. If the reset arrives before the dial has returned, the dial fails with ECONNRESET, and the probe took that for a refusal: the replica is suspected, its streams are taken elsewhere, and a broken-off answer counts as the end of its process.

Change: a reset counts as accepted, as it did whenever the dial returned first. A process that is ending also resets what it has not accepted yet; the next probe is refused then, and a broken-off answer is probed twice.

--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -222,21 +222,24 @@
 	raw, err := p.dial(dialCtx, "tcp", address)
 	if err != nil {
 		p.release(address)
+		accepts, answers = dialShows(err)
 		if ctx.Err() == nil {
-			p.reportDial(address, false)
+			p.reportDial(address, accepts)
 		}
-		return false, hostAnswered(err)
+		return accepts, answers
 	}
 	p.reportDial(address, true)
 	p.putIdle(address, newConn(raw), 0)
 	return true, true
 }
 
-// hostAnswered reports whether a connection could not be opened because the host refused it. All
-// other errors, such as a timeout or a lack of local ports, don't show that the host is up. The
-// state of the dial's context tells nothing: a dial can return before its context has expired.
-func hostAnswered(dialError error) bool {
-	return errors.Is(dialError, syscall.ECONNREFUSED) || errors.Is(dialError, syscall.ECONNRESET)
+// dialShows returns what the error of opening a connection shows about an endpoint. A connection that
+// was reset had been accepted. Other errors than a refusal, such as a timeout or a lack of local
+// ports, don't show that the host is up. The state of the dial's context tells nothing: a dial can
+// return before its context has expired.
+func dialShows(err error) (accepts, answers bool) {
+	accepts = errors.Is(err, syscall.ECONNRESET)
+	return accepts, accepts || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // Connected reports whether a connection to an endpoint is open or being opened.
