Probes leave a replica no more connections than its requests may open

Cause: a probe opened its connection without a bound and returned it to the pool. While it was under way it also counted as a request's connection: a request that could have opened the last one was refused.

Change: the pool remembers the last bound that a request gave for an endpoint.

--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -43,9 +41,22 @@
 // endpointConns holds the connections to one endpoint.
 type endpointConns struct {
 	idle []*conn // the last used is reused first, so that surplus connections expire
-	open int
+	// open counts the connections that are idle, carry a request or are being opened for one.
+	// probing counts those that probes are opening. They don't take the place of a request's.
+	open, probing int
+	// maxConns is the last bound that a request gave; zero if none did.
+	maxConns int
 }
 
+// bound records the bound that a request gave; requests without one leave it as it is.
+func (e *endpointConns) bound(maxConns int) {
+	if maxConns > 0 {
+		e.maxConns = maxConns
+	}
+}
+
+func (e *endpointConns) unused() bool { return e.open == 0 && e.probing == 0 && len(e.idle) == 0 }
+
 // New returns a Pool without connections. now is a monotonic clock.
 func New(now func() time.Time) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -54,6 +65,7 @@
 
 // get returns an idle connection or a new connection. If newOnly is set, it returns a new one.
 func (p *Pool) get(ctx context.Context, address string, newOnly bool, maxConns int) (*conn, error) {
+	p.setBound(address, maxConns)
 	if !newOnly {
 		if c := p.takeIdle(address); c != nil {
 			return c, nil
@@ -74,6 +86,25 @@
 	return newConn(raw), nil
 }
 
+// setBound records the bound of a request on the connections to an endpoint, for later probes.
+func (p *Pool) setBound(address string, maxConns int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conns := p.endpoints[address]; conns != nil {
+		conns.bound(maxConns)
+	}
+}
+
+// endpoint returns the connections to an endpoint. The caller holds the lock.
+func (p *Pool) endpoint(address string) *endpointConns {
+	conns := p.endpoints[address]
+	if conns == nil {
+		conns = &endpointConns{}
+		p.endpoints[address] = conns
+	}
+	return conns
+}
+
 func (p *Pool) reportDial(address string, connected bool) {
 	if p.OnDial != nil {
 		p.OnDial(address, connected)
@@ -112,11 +143,8 @@
 // idle connection to make room, and returns false if there is no idle connection.
 func (p *Pool) reserve(address string, maxConns int) bool {
 	p.mu.Lock()
-	conns := p.endpoints[address]
-	if conns == nil {
-		conns = &endpointConns{}
-		p.endpoints[address] = conns
-	}
+	conns := p.endpoint(address)
+	conns.bound(maxConns)
 	var oldest *conn
 	if maxConns > 0 && conns.open >= maxConns {
 		if len(conns.idle) == 0 {
@@ -141,7 +169,7 @@
 	defer p.mu.Unlock()
 	conns := p.endpoints[address]
 	conns.open--
-	if conns.open == 0 && len(conns.idle) == 0 {
+	if conns.unused() {
 		delete(p.endpoints, address)
 	}
 }
@@ -212,36 +240,6 @@
 	return expired
 }
 
-// Reachable opens a connection to an endpoint and returns the connection to the pool. It
-// reports whether the endpoint accepts the connection, and whether the endpoint's host answers
-// at all. It sends no request.
-func (p *Pool) Reachable(ctx context.Context, address string, timeout time.Duration) (accepts, answers bool) {
-	dialCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	p.reserve(address, 0)
-	raw, err := p.dial(dialCtx, "tcp", address)
-	if err != nil {
-		p.release(address)
-		accepts, answers = dialShows(err)
-		if ctx.Err() == nil {
-			p.reportDial(address, accepts)
-		}
-		return accepts, answers
-	}
-	p.reportDial(address, true)
-	p.putIdle(address, newConn(raw), 0)
-	return true, true
-}
-
-// dialShows returns what the error of opening a connection shows about an endpoint. A connection that
-// was reset had been accepted. Other errors than a refusal, such as a timeout or a lack of local
-// ports, don't show that the host is up. The state of the dial's context tells nothing: a dial can
-// return before its context has expired.
-func dialShows(err error) (accepts, answers bool) {
-	accepts = errors.Is(err, syscall.ECONNRESET)
-	return accepts, accepts || errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // Connected reports whether a connection to an endpoint is open or being opened.
 func (p *Pool) Connected(address string) bool {
 	p.mu.Lock()
@@ -262,7 +260,7 @@
 	defer p.mu.Unlock()
 	n := 0
 	for _, conns := range p.endpoints {
-		n += conns.open
+		n += conns.open + conns.probing
 	}
 	return n
 }
