Silent streams share probes for as long as the silence lasts

What was seen: while all replicas of a service were silent for two seconds, each node opened a connection to each of them for every shared check. They wait in the queue of a stalled process; once it is full, probes of a sound replica fail because of the probes, and the replica counts as lost.

Cause: a probe that reached its replica was shared for 60 ms only, however long the silence was, and streams check at different times.

Change: a stream that is silent shares the probe of another stream for as long as it had itself been silent when that probe began, up to 400 ms, but no probe (over 60 ms old) from before its own last check. The checks of a single stream are as before, each with a new probe; those of many streams now need about as many probes as those of one.

Weighed and left: an interval in the prober that doubles with each probe that reaches the replica; it needs to be told of events to know when the silence ends, and would let a stream check twice with the same result. And a fixed 400 ms between probes, as under load control: fewer probes, but a loss just after the first probe of a short silence would be found 340 ms later.

--- a/route/connprobe/connprobe.go
+++ b/route/connprobe/connprobe.go
@@ -24,9 +24,11 @@
 	// unreachableTTL is how long callers share a probe that is running or has found the
 	// endpoint unreachable. When an endpoint dies, all requests that use the endpoint ask
 	// for a probe at once. A reachable endpoint may die right after its probe, so callers
-	// share a probe that reached the endpoint for reachableTTL only.
-	unreachableTTL = 250 * time.Millisecond
-	reachableTTL   = 60 * time.Millisecond
+	// share a probe that reached the endpoint for reachableTTL only, or during a Silence up to
+	// maxReachableTTL.
+	unreachableTTL  = 250 * time.Millisecond
+	reachableTTL    = 60 * time.Millisecond
+	maxReachableTTL = probebudget.MinInterval
 	// maxCachedProbes bounds the number of probes kept in memory.
 	maxCachedProbes = 4096
 )
@@ -103,9 +105,13 @@
 // FindUnreachable returns the addresses that accept no connection in any attempt. If ctx
 // ends before the probes do, FindUnreachable returns the unreachable addresses found so far.
 func (p *Prober) FindUnreachable(ctx context.Context, reason Reason, addresses []string) []UnreachableEndpoint {
+	return p.find(ctx, reason, addresses, func(time.Time) time.Duration { return reachableTTL })
+}
+
+func (p *Prober) find(ctx context.Context, reason Reason, addresses []string, ttl reachedTTL) []UnreachableEndpoint {
 	probes := make([]*probe, len(addresses))
 	for i, address := range addresses {
-		probes[i] = p.probe(ctx, reason, address)
+		probes[i] = p.probe(ctx, reason, address, ttl)
 	}
 	var unreachable []UnreachableEndpoint
 	for i, pr := range probes {
@@ -161,13 +167,16 @@
 	p.contacts[address] = contact
 }
 
+// reachedTTL returns how long a caller shares a probe that reached its endpoint, by its start.
+type reachedTTL func(startedAt time.Time) time.Duration
+
 // probe returns the last probe of an address if its result is still valid, or starts a new
 // probe.
-func (p *Prober) probe(ctx context.Context, reason Reason, address string) *probe {
+func (p *Prober) probe(ctx context.Context, reason Reason, address string, ttl reachedTTL) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	if cached, ok := p.probes[address]; ok && cached.valid(now) {
+	if cached, ok := p.probes[address]; ok && cached.valid(now, ttl) {
 		return cached
 	}
 	if len(p.probes) >= maxCachedProbes {
@@ -185,11 +194,11 @@
 
 // valid reports whether callers may still share the result of the probe, or wait for the
 // result of a running probe.
-func (p *probe) valid(now time.Time) bool {
+func (p *probe) valid(now time.Time, ttl reachedTTL) bool {
 	age := now.Sub(p.startedAt)
 	select {
 	case <-p.done:
-		return age < reachableTTL || !p.reachable && age < unreachableTTL
+		return p.reachable && age < ttl(p.startedAt) || !p.reachable && age < unreachableTTL
 	default:
 		return age < unreachableTTL
 	}
--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -49,6 +49,8 @@
 	// checkedSilence is how long the stream had been silent when the last check found no lost
 	// replica. The next event resets it to 0.
 	checkedSilence atomic.Int64
+	// silence holds the checks of the present silence.
+	silence connprobe.Silence
 
 	// filter selects the replicas that may replace the first replica. mayReplace allows a
 	// migration if the first replica is lost. mayMigrate allows a migration if a later stage is
@@ -166,7 +168,8 @@
 		addresses[i] = stage.Address
 		replicas[stage.Address] = stage.Replica
 	}
-	lost := m.attempt.req.server.Prober.FindUnreachable(m.ctx, connprobe.ReasonStalledStream, addresses)
+	silentSince := m.attempt.startedAt.Add(time.Duration(m.lastEventAt.Load()))
+	lost := m.attempt.req.server.Prober.FindUnreachableInSilence(m.ctx, &m.silence, silentSince, addresses)
 	if len(lost) == 0 && len(suspected) == 0 {
 		m.recheckLater(path)
 		return
