A caller's deadline while connecting is no failed connection

What could be seen: a host counts as out of reach, and its service as possibly cut off, because callers' time ended while connections to it were being opened.

Cause: as for probes, the state of the context right after the dial told whether the caller or the host had ended it. The socket's deadline is that of the context and can end the dial before the context's timer fires.

Change: a context whose deadline has passed has ended. (The deadline, not the error, decides here: the dialer's own timeout ends with the same error.)

The relay's attempts were not affected in what they tell the caller, as they look at the deadline themselves; what OnDial reports was.

--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -77,15 +77,23 @@
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
-		if ctx.Err() == nil {
+		callerEnded := ended(ctx)
+		if !callerEnded {
 			p.reportDial(address, false)
 		}
-		return nil, &Failure{Address: address, NotSent: true, Unreachable: ctx.Err() == nil, Cause: Error.Wrap(err)}
+		return nil, &Failure{Address: address, NotSent: true, Unreachable: !callerEnded, Cause: Error.Wrap(err)}
 	}
 	p.reportDial(address, true)
 	return newConn(raw), nil
 }
 
+// ended reports whether a context has ended. A dial can return at the deadline of its context before
+// the timer of the context has fired.
+func ended(ctx context.Context) bool {
+	deadline, has := ctx.Deadline()
+	return ctx.Err() != nil || has && !time.Now().Before(deadline)
+}
+
 // setBound records the bound of a request on the connections to an endpoint, for later probes.
 func (p *Pool) setBound(address string, maxConns int) {
 	p.mu.Lock()
