--- a/route/relay/hedge_limits_test.go
+++ b/route/relay/hedge_limits_test.go
@@ -53,13 +53,6 @@
 	return s.Pool.Reachable(ctx, address, timeout)
 }
 
-// noReports are replicas that tell nothing of themselves.
-type noReports struct{}
-
-func (noReports) Report(context.Context, string, string) (replicareport.Report, error) {
-	return replicareport.Report{}, context.Canceled
-}
-
 // Guards against a hedge that is canceled and sent again to the same replica because it reads a long
 // prompt, while nothing else goes on with the stream.
 func TestSlowHedgeIsWaitedFor(t *testing.T) {
--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -86,7 +86,9 @@
 		return m
 	}
 	m.setMigrationFilter()
-	m.timer = time.AfterFunc(a.target.Active.FirstCheckAfter(a.req.Route.LatencyObjective/firstCheckDivisor), m.checkPath)
+	// The first check may be due at once, and must find the timer.
+	m.timer = time.AfterFunc(time.Hour, m.checkPath)
+	m.timer.Reset(a.target.Active.FirstCheckAfter(a.req.Route.LatencyObjective / firstCheckDivisor))
 	a.target.Active.SetCallbacks(
 		func(replica string) { m.reroute("a part of the path is lost: "+replica, false) },
 		func(replica string) { m.reroute("a part of the path is draining: "+replica, true) },
