A replica whose answer broke off is probed anew

Found by the review of the hedges: a hedge's replica is probed before it is asked, and an answer without a length that the replica's crash cuts within 60 ms of that looked complete, since the probe before the crash counted. TestBrokenOffAnswersAreProbedAnew fails with the earlier 60 ms (the replica counts as reached), passes now; route/relay and route/crashguard pass.

--- a/route/connprobe/connprobe.go
+++ b/route/connprobe/connprobe.go
@@ -26,8 +26,11 @@
 	// for a probe at once. A reachable endpoint may die right after its probe, so callers
 	// share a probe that reached the endpoint for reachableTTL only, or during a Silence up to
 	// maxReachableTTL.
-	unreachableTTL  = 250 * time.Millisecond
-	reachableTTL    = 60 * time.Millisecond
+	unreachableTTL = 250 * time.Millisecond
+	reachableTTL   = 60 * time.Millisecond
+	// brokenOffTTL replaces reachableTTL where an answer has broken off: a probe before that says
+	// nothing. The answers of a process that ends break off within milliseconds.
+	brokenOffTTL    = 5 * time.Millisecond
 	maxReachableTTL = probebudget.MinInterval
 	// maxCachedProbes bounds the number of probes kept in memory.
 	maxCachedProbes = 4096
@@ -105,7 +108,11 @@
 // FindUnreachable returns the addresses that accept no connection in any attempt. If ctx
 // ends before the probes do, FindUnreachable returns the unreachable addresses found so far.
 func (p *Prober) FindUnreachable(ctx context.Context, reason Reason, addresses []string) []UnreachableEndpoint {
-	return p.find(ctx, reason, addresses, func(time.Time) time.Duration { return reachableTTL })
+	ttl := reachableTTL
+	if reason == ReasonBrokenOff {
+		ttl = brokenOffTTL
+	}
+	return p.find(ctx, reason, addresses, func(time.Time) time.Duration { return ttl })
 }
 
 func (p *Prober) find(ctx context.Context, reason Reason, addresses []string, ttl reachedTTL) []UnreachableEndpoint {
--- a/route/connprobe/connprobe_test.go
+++ b/route/connprobe/connprobe_test.go
@@ -48,6 +48,24 @@
 	}
 }
 
+// Guards against a crash that is not noticed because the replica was reached just before it, and
+// against a probe by each of the answers that a crash breaks off.
+func TestBrokenOffAnswersAreProbedAnew(t *testing.T) {
+	d, now := &fakeDialer{}, time.Unix(0, 0)
+	p := New(d, func() time.Time { return now })
+	p.Reachable(t.Context(), ReasonHedge, "a")
+	now = now.Add(brokenOffTTL)
+	d.unreachable = []string{"a"}
+	for range 50 {
+		if p.Reachable(t.Context(), ReasonBrokenOff, "a") {
+			t.Fatal("a probe before the end of the answer counts")
+		}
+	}
+	if d.calls != 3 {
+		t.Errorf("%d connection attempts, want 3", d.calls)
+	}
+}
+
 // hangingDialer lets connections hang until the timeout. Only the second attempt to the
 // address "lossy" succeeds, as after the loss of one packet.
 type hangingDialer struct {
