Silence of engines ends no model call before its deadline

Callers saw new model calls refused with 503 no_chain after 0.3 to 1 s while the engines only stood still, and under more load streams that had begun cut with the same error.

Cause: an engine that does not say within 300 ms what it holds ends the attempt, and such attempts counted as failed ones. Three of them, or a spent retry budget, ended the call. A stream that left its silent chain then met the same check on the next one. The budget was asked only after the silent chain had been given up, so a refusal left nothing to wait for; a stream with one chain had no replica left at once.

Class: an attempt, or a call, is ended for silence before anything has taken its place.

Change: an attempt that was silent before anything was sent counts neither as an attempt nor against the budget. An epoch whose chain is silent is left only if another one is allowed and the budget has granted its retry; otherwise it stays until the deadline, or 30 s without one. If every replica has been tried, those that were silent are tried again. Refused and broken connections count as before.

Not covered: while new connections hang, nodes that take themselves for cut off still refuse calls (503 unreachable); calls that find no free slot are refused by the predicted wait (429).

--- a/route/httpapi/testnode_test.go
+++ b/route/httpapi/testnode_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,6 +34,7 @@
 	"github.com/cicadatack/cicadatack/route/teamlimiter"
 	"github.com/cicadatack/cicadatack/route/upstream"
 	standinengine "github.com/cicadatack/cicadatack/standin/engine"
+	"github.com/cicadatack/cicadatack/standin/link"
 	standinplain "github.com/cicadatack/cicadatack/standin/plain"
 	"github.com/cicadatack/cicadatack/state/document"
 	"github.com/cicadatack/cicadatack/state/ledger"
@@ -57,6 +60,11 @@
 	store          *storetest.Client
 	plainEndpoints []*standinplain.Server
 	engines        [][2]*standinengine.Server
+	// links are the links by which the node and the engines reach each engine, if
+	// testNodeConfig.links is set.
+	links    [][2]*link.Link
+	registry *service.Registry
+	log      logBuffer
 	// respond, if set, answers the calls of the plain service instead of the stand-in.
 	respond http.HandlerFunc
 	// handledCalls receives a value each time that the node has handled a call.
@@ -74,6 +82,7 @@
 	checksKeys    bool
 	tokenTime     time.Duration
 	streamOptions stream.Options
+	links         bool
 }
 
 func newTestNode(t *testing.T, cfg testNodeConfig) *testNode {
@@ -102,15 +111,22 @@
 	for i := range cfg.chains {
 		replica := document.Replica{Name: fmt.Sprintf("replica-%d", i)}
 		var pair [2]*standinengine.Server
+		var links [2]*link.Link
 		for stage := range pair {
 			name := fmt.Sprintf("engine-%d-%d", i, stage)
 			first := stage * layers / 2
 			last := first + layers/2 - 1
 			pair[stage] = n.startEngine(standinengine.Config{Name: name, Model: assistant, First: first, Last: last, Step: cfg.tokenTime})
-			n.document.Endpoints = append(n.document.Endpoints, document.Endpoint{Name: name, Address: pair[stage].Address})
+			address := pair[stage].Address
+			if cfg.links {
+				links[stage] = n.startLink(address)
+				address = links[stage].Address()
+			}
+			n.document.Endpoints = append(n.document.Endpoints, document.Endpoint{Name: name, Address: address})
 			replica.Stages = append(replica.Stages, document.Stage{Endpoint: name, Layers: []int{first, last}})
 		}
 		n.engines = append(n.engines, pair)
+		n.links = append(n.links, links)
 		m.Replicas = append(m.Replicas, replica)
 	}
 	return document.Service{Name: assistant, Kind: document.KindModel, Model: m}
@@ -125,6 +141,25 @@
 	return server
 }
 
+func (n *testNode) startLink(target string) *link.Link {
+	l, err := link.Listen(target)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// promote puts the document in force once more, as a new revision with another limit of
+// a policy.
+func (n *testNode) promote() {
+	next := *n.document
+	next.Policy.QueueDeadlineMillis = 10_000 + int(n.documentIndex.Load().Revision)
+	index := docindex.Build(&next, n.documentIndex.Load().Revision+1, "digest")
+	n.registry.Apply(index)
+	n.documentIndex.Store(index)
+}
+
 func (n *testNode) startPlain(cfg testNodeConfig) document.Service {
 	p := &document.Plain{NonIdempotent: []document.Call{{Method: http.MethodPost, Path: "/orders"}}}
 	for i := range 2 {
@@ -164,8 +199,9 @@
 	n.t.Cleanup(claims.Close)
 	registry := service.NewRegistry(service.Config{Node: "entry-1", FailureDomain: "bandung", Now: time.Now})
 	registry.Apply(n.documentIndex.Load())
+	n.registry = registry
 	limiter := teamlimiter.New(limits.New(limits.Config{Self: "entry-1"}), time.Now)
-	recorder := decisionlog.NewLog(hclog.NewNullLogger())
+	recorder := decisionlog.NewLog(hclog.New(&hclog.LoggerOptions{Output: &n.log, Level: hclog.Debug}))
 	pool := upstream.New(time.Now)
 	n.t.Cleanup(pool.Close)
 	client := engineclient.New(nil)
@@ -195,6 +231,25 @@
 	n.url = server.URL
 }
 
+// logBuffer keeps the decision log.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// linesWith returns the lines that contain the text.
+func (b *logBuffer) linesWith(text string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.DeleteFunc(strings.Split(b.text.String(), "\n"), func(line string) bool { return !strings.Contains(line, text) })
+}
+
 type discardPlans struct{}
 
 func (discardPlans) ReportPlanMismatch(string, string)    {}
--- a/route/modelservice/attempts.go
+++ b/route/modelservice/attempts.go
@@ -18,6 +18,9 @@
 // run twice: each token has a position in the stream, so no token reaches the caller
 // twice.
 func (c *chainChooser) waitForRetry(ctx context.Context) error {
+	if c.leftSilentChain() {
+		return c.waitAfterSilence(ctx)
+	}
 	d := c.call.Local.RetryBudget.Allow(retry.Attempt{
 		AttemptsMade: c.countedAttempts(),
 		Failure:      c.retryCause(),
@@ -37,7 +40,7 @@
 
 const (
 	// maxConsecutiveFailures is the number of consecutive chains without a token after
-	// which an extended retry ends (see extendsRetries).
+	// which an extended retry ends (see extendsRetries). Silent chains are not counted.
 	maxConsecutiveFailures = 6
 	// minExtendedBackoff and maxExtendedBackoff bound the backoff of extended retries,
 	// which doubles with each retry. If all chains pause for a few seconds, the retries
@@ -75,7 +78,8 @@
 }
 
 // countedAttempts returns the number of attempts that the retry budget compares with
-// its maximum. Unless retries are extended, all attempts count.
+// its maximum. Unless retries are extended, all attempts count, except those that
+// ended because the chain was silent.
 //
 // With extended retries, a chain that brought tokens is a success, and only the
 // consecutive chains without a token are bounded, by maxConsecutiveFailures. If all
@@ -85,9 +89,10 @@
 // storm when a service is down.
 func (c *chainChooser) countedAttempts() int {
 	if !c.extendsRetries() {
-		return len(c.epochs)
+		return failedAttempts(c.epochs)
 	}
-	if c.trailingFailures() >= maxConsecutiveFailures {
+	trailing := c.epochs[len(c.epochs)-c.trailingFailures():]
+	if failedAttempts(trailing) >= maxConsecutiveFailures {
 		return math.MaxInt
 	}
 	return 1
--- a/route/modelservice/chooser.go
+++ b/route/modelservice/chooser.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 
 	"github.com/cicadatack/cicadatack/decide/balance"
 	"github.com/cicadatack/cicadatack/decide/health"
@@ -20,6 +21,8 @@
 // at a time.
 type chainChooser struct {
 	call *modelCall
+	// reservedRetry is set if the retry budget has been charged for the next chain.
+	reservedRetry atomic.Bool
 	// epochs are the epochs of the call in order; endedEpochs is the number of those
 	// that have ended.
 	epochs      []epochState
@@ -68,6 +71,9 @@
 		// known to be failing now.
 		chain, err = c.pickUsableChain(ctx, exclude[len(exclude)-1:])
 	}
+	if errors.Is(err, errNoReplica) && len(c.epochs) == c.endedEpochs && c.hadSilentChain() {
+		chain, err = c.pickSilentChain(ctx)
+	}
 	if errors.Is(err, errNoReplica) && len(c.epochs) == c.endedEpochs && c.hadUnresponsiveChain() {
 		// There is only one chain, and it was unresponsive for a fraction of a second.
 		return c.pickUsableChain(ctx, nil)
@@ -156,6 +162,7 @@
 	c.endedEpochs++
 	c.observeEnd(r)
 	c.epochs[r.Epoch-1].unresponsive = r.Unresponsive
+	c.epochs[r.Epoch-1].silent = r.Silent
 	epoch := c.epochs[r.Epoch-1]
 	c.call.Local.Picker.Finished(chain.Replica, balance.Result{
 		Cost:             c.call.expectedCost,
--- a/route/modelservice/progress.go
+++ b/route/modelservice/progress.go
@@ -15,7 +15,9 @@
 	artifact engineapi.Artifact
 	// unresponsive is set if the chain received the request and became unresponsive
 	// before its first token.
-	unresponsive  bool
+	unresponsive bool
+	// silent is set if the epoch ended because the chain sent nothing in time.
+	silent        bool
 	gotFirstToken bool
 	// lastProgressAt is the time of the last progress report to the balancer;
 	// tokensSinceProgress is the number of tokens since that report.
--- a/route/stream/answer.go
+++ b/route/stream/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cicadatack/cicadatack/state/engineapi"
@@ -20,6 +21,7 @@
 	deliveredTokens    []string
 	excludedReplicas   []string
 	executions         int    // number of chains that may have run part of the answer
+	attempts           int    // number of chains tried, without those that ran nothing and were silent
 	nextChain          *Chain // already chosen by leaveSlowChain, or nil
 	leftSlowChain      bool
 	stalls             int
@@ -36,7 +38,7 @@
 // the caller disconnects, the deadline passes, no chain is available, or mayAttempt allows
 // no further epoch.
 func (a *answer) run(ctx context.Context) error {
-	for epoch := uint32(1); a.mayAttempt(epoch); epoch++ {
+	for epoch := uint32(1); a.mayAttempt(); epoch++ {
 		chain, err := a.choose(ctx)
 		if err != nil {
 			return a.chooseError(ctx, err)
@@ -51,16 +53,21 @@
 		case EndDeadline:
 			return ErrDeadline
 		}
-		a.excludedReplicas = append(a.excludedReplicas, chain.Replica)
+		a.exclude(chain.Replica)
 		a.prepareResume(ctx, chain, result)
 	}
 	return errors.Join(ErrAttemptsExhausted, a.summary.LastResult.Err)
 }
 
-// mayAttempt reports whether MaxExecutions and MaxAttempts allow an epoch with this
-// number.
-func (a *answer) mayAttempt(epoch uint32) bool {
-	return a.executions < a.runner.options.MaxExecutions && int(epoch) <= a.runner.options.MaxAttempts
+// mayAttempt reports whether MaxExecutions and MaxAttempts allow one more epoch.
+func (a *answer) mayAttempt() bool {
+	return a.executions < a.runner.options.MaxExecutions && a.attempts < a.runner.options.MaxAttempts
+}
+
+// exclude makes replica the last of the excluded replicas.
+func (a *answer) exclude(replica string) {
+	others := slices.DeleteFunc(a.excludedReplicas, func(r string) bool { return r == replica })
+	a.excludedReplicas = append(others, replica)
 }
 
 // chooser returns the request's chooser, or the Runner's if there is none.
@@ -119,6 +126,9 @@
 	if !e.result.NotRun {
 		a.executions++
 	}
+	if !e.result.NotRun || !e.result.Silent {
+		a.attempts++
+	}
 	e.finish()
 	a.summary.LastResult = e.result
 	return e.result
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -40,6 +40,7 @@
 func (e *epoch) run(ctx context.Context) {
 	if err := e.verify(ctx); err != nil {
 		e.result.NotRun = true
+		e.result.Silent = isTimeout(err)
 		e.setEnd(EndMismatch, err)
 		e.preferCallerCause(ctx)
 		return
@@ -48,6 +49,7 @@
 	defer cancel(nil)
 	e.ctx = epochCtx
 	e.watchdog = newWatchdog(cancel)
+	e.watchdog.mayLeave = e.mayLeaveSilentChain()
 	defer e.watchdog.disarm()
 	e.sentAt = time.Now()
 	e.openedAt = e.answer.runner.reports.now()
@@ -104,6 +106,7 @@
 	case e.result.NotRun && e.result.Status != 0:
 		e.setEnd(EndRefused, err)
 	case e.result.NotRun:
+		e.result.Silent = isTimeout(err) || errors.Is(context.Cause(e.ctx), errStalled)
 		e.setEnd(EndUnreachable, err)
 	default:
 		e.handleStreamError(ctx, err)
@@ -157,7 +160,7 @@
 	}
 	e.answer.summary.FinishReason = event.Finish
 	e.setEnd(EndDone, nil)
-	e.watchdog.arm(drainTimeout)
+	e.watchdog.armDrain(drainTimeout)
 	stream.Drain()
 	return true
 }
@@ -188,6 +191,7 @@
 
 // handleStreamError sets the end of an epoch whose stream failed.
 func (e *epoch) handleStreamError(ctx context.Context, err error) {
+	e.result.Silent = errors.Is(context.Cause(e.ctx), errStalled)
 	switch {
 	case errors.Is(context.Cause(e.ctx), errStalled) && e.result.Tokens == 0:
 		e.result.Unresponsive = errors.Is(context.Cause(e.ctx), errUnresponsive)
--- a/route/stream/slow.go
+++ b/route/stream/slow.go
@@ -73,5 +73,5 @@
 // could return a chain on which no epoch runs, and Ended would not be called.
 func (e *epoch) mayLeaveChain() bool {
 	o := e.answer.runner.options
-	return e.answer.executions+1 < o.MaxExecutions && int(e.number) < o.MaxAttempts
+	return e.answer.executions+1 < o.MaxExecutions && e.answer.attempts+1 < o.MaxAttempts
 }
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -49,6 +49,13 @@
 	Ended(chain Chain, result AttemptResult)
 }
 
+// RetryReserver is implemented by choosers that limit retries. ReserveRetry reports whether
+// the answer may leave a silent chain, and reserves the retry that Choose then uses. It is
+// called from another goroutine than the other methods, while an epoch runs.
+type RetryReserver interface {
+	ReserveRetry() bool
+}
+
 // Request is one answer to be generated.
 type Request struct {
 	// StreamID identifies the stream and is never reused.
@@ -142,6 +149,10 @@
 	// Unresponsive is set if End is EndNoFirstToken because the chain became
 	// unresponsive, not because FirstTokenTimeout passed.
 	Unresponsive bool
+	// Silent is set if the epoch ended because the chain sent nothing in time: no engine
+	// report, no connection, no first token or no next token. The chain may be sound, so
+	// its silence alone must not end the answer.
+	Silent bool
 	// Err is the underlying error, or nil.
 	Err error
 	// Status is the HTTP status of a refusal, or zero.
@@ -239,7 +250,8 @@
 	MinStallTimeout time.Duration
 	// MaxExecutions bounds the number of chains that may have run part of a request.
 	// MaxAttempts bounds the number of chains tried, including those that provably ran
-	// nothing.
+	// nothing. Chains that ran nothing and were silent are not counted. An answer whose
+	// last allowed chain is silent stays on this chain.
 	MaxExecutions, MaxAttempts int
 	// ReportTTL is how long an engine report that matches the plan is cached.
 	// ReportTimeout bounds the call that fetches an engine report.
--- a/route/stream/watchdog.go
+++ b/route/stream/watchdog.go
@@ -25,8 +25,14 @@
 // therefore waits for one more timeout. The wait is extended only once per token, because
 // otherwise a node whose timers are always late would never detect a stall. The wait for the
 // first token may be extended more often, because it has a deadline.
+//
+// The watchdog cancels the epoch only if mayLeave allows it. Otherwise nothing can take the
+// epoch's place, and the epoch goes on waiting.
 type watchdog struct {
 	cancel context.CancelCauseFunc
+	// mayLeave reports whether an epoch that has waited since a time may be cancelled. It
+	// must not block.
+	mayLeave func(since time.Time) bool
 
 	mu                 sync.Mutex
 	timer              *time.Timer
@@ -34,19 +40,22 @@
 	timeout            time.Duration
 	firstToken         *firstTokenWait // the wait for the first token, or nil after that token
 	extendedAfterDelay bool            // the wait was extended since arm, because the timer fired late
+	armedAt            time.Time       // when the wait for the present token started
+	draining           bool            // the answer is complete, and only the end of the body is awaited
 }
 
 // firstTokenWait is the wait for an epoch's first token. The time for prefill and in the
 // engine's queue is not known beforehand, so the deadline must be long. chainProber
 // detects a frozen stage or a failed link sooner.
 type firstTokenWait struct {
+	startedAt    time.Time
 	silentSince  time.Time // the time without a reply or token is counted from here at the earliest
 	deadline     time.Time
 	unresponsive func(since time.Time) bool
 }
 
 func newWatchdog(cancel context.CancelCauseFunc) *watchdog {
-	return &watchdog{cancel: cancel}
+	return &watchdog{cancel: cancel, mayLeave: func(time.Time) bool { return true }}
 }
 
 // arm starts the wait for the next token, which ends after timeout.
@@ -55,16 +64,27 @@
 	defer w.mu.Unlock()
 	w.firstToken = nil
 	w.extendedAfterDelay = false
+	w.armedAt = time.Now()
 	w.restart(timeout)
 }
 
+// armDrain starts the wait for the end of the body after the closing event. When the wait
+// ends, the epoch is cancelled whatever mayLeave says.
+func (w *watchdog) armDrain(timeout time.Duration) {
+	w.mu.Lock()
+	w.draining = true
+	w.mu.Unlock()
+	w.arm(timeout)
+}
+
 // armFirstToken starts the wait for the first token. The wait ends after limit, or when
 // unresponsive returns true. unresponsive is called each interval and must not block.
 func (w *watchdog) armFirstToken(interval, limit time.Duration, unresponsive func(since time.Time) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	w.firstToken = &firstTokenWait{silentSince: now, deadline: now.Add(limit), unresponsive: unresponsive}
+	w.armedAt = now
+	w.firstToken = &firstTokenWait{startedAt: now, silentSince: now, deadline: now.Add(limit), unresponsive: unresponsive}
 	w.restart(min(interval, limit))
 }
 
@@ -96,13 +116,13 @@
 func (w *watchdog) fire() {
 	firstToken, timedOut := w.expired(time.Now())
 	if timedOut {
-		w.cancel(errStalled)
+		w.leave(errStalled)
 		return
 	}
 	if firstToken == nil {
 		return
 	}
-	unresponsive := firstToken.unresponsive(firstToken.silentSince)
+	unresponsive := firstToken.unresponsive(firstToken.silentSince) && w.mayLeave(firstToken.startedAt)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.firstToken != firstToken {
@@ -119,6 +139,22 @@
 	w.schedule(max(delay, 0))
 }
 
+// leave cancels the epoch, or restarts the wait if the epoch may not be cancelled.
+func (w *watchdog) leave(cause error) {
+	w.mu.Lock()
+	expiresAt, armedAt, draining := w.expiresAt, w.armedAt, w.draining
+	w.mu.Unlock()
+	if draining || w.mayLeave(armedAt) {
+		w.cancel(cause)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.expiresAt.Equal(expiresAt) && !expiresAt.IsZero() {
+		w.restart(w.timeout)
+	}
+}
+
 // expired is called when the timer has fired. expired returns one of three results:
 //   - nil, true: The wait has timed out, and the caller cancels the epoch.
 //   - nil, false: The wait was stopped, restarted or extended, and the caller returns.
