A read at a silent replica goes on beside the one at another replica

Callers of plain services got 502 for reads whose sound replica was silent for three times the objective of the route: the node closed the connection, then asked another replica, and gave up if that one was silent as well, refused, failed, or if the retry budget was spent, long before the deadline. A read that a cut-off node had forwarded ended after the same time, at which the node that served it had only begun to ask its second replica.

Class: an attempt whose fate is not known is ended before anything takes its place.

Evidence: TestReadOutlivesSilentReplicas (route/relay): on the code before eight of ten cases end with 502 (one with the other replica's 500) after 60 to 200 ms of a timeout of 5 s, though a replica answers after 400 ms. Whole node: TestReadOutlivesSilentReplicaWhileTheOtherRefuses and both cases of TestForwardedReadOutlivesSilentReplicas end with 502.

Change: after the same time another replica is asked beside the silent one, charged to the retry budget as before, at no more replicas than the route allows, never for an order. The first whole answer is passed on, the other attempts are canceled and their connections closed. A request that no other replica may get, or that was forwarded, waits until its deadline. If no attempt answers, the caller gets the other replica's own failure if there was one.

Weighed: that only the last allowed attempt waits until the deadline. Smaller, but the first attempt would still be ended for one at a replica that may refuse or be silent for longer. Cost: a caller whose replicas are all silent for good is now answered at its deadline (504), not after two such times (502).

--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -69,9 +69,11 @@
 	hedge *hedge
 	// forwarded is set if the attempt is made at another node, whose name and address are in
 	// target. replicaAtNode is the first replica that this node says it has used. refused is set
-	// if it refused the request, shed if it did so because the service is saturated.
+	// if it refused the request, shed if it did so because the service is saturated. ranElsewhere
+	// are the replicas at which earlier attempts may have run.
 	forwarded     bool
 	replicaAtNode string
+	ranElsewhere  []string
 	refused, shed bool
 }
 
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -22,8 +23,8 @@
 	// Longer answers are passed on as they arrive, and aborted if they end early.
 	DefaultMaxBufferedBytes = 1 << 20
 	// headTimeoutFactor is multiplied by the route's objective. The product is the time after
-	// which an unanswered idempotent request is retried at another endpoint. With a lower
-	// factor, slow requests that are still within the usual range would be retried too.
+	// which an unanswered idempotent request is sent to another endpoint as well. With a lower
+	// factor, slow requests that are still within the usual range would be sent twice too.
 	headTimeoutFactor = 3
 	headerLength      = "Content-Length"
 )
@@ -65,40 +66,80 @@
 }
 
 // runBuffered makes an attempt whose answer is passed on only once it is complete, or once it
-// exceeds the buffer limit.
+// exceeds the buffer limit. If its replica is silent, another attempt may join it.
 func (a *attempt) runBuffered() attemptResult {
-	headTimeout := a.req.Deadline.Sub(a.req.server.Now())
-	if a.req.Route.Idempotent() && a.req.Route.MaxReplicas > 1 {
-		headTimeout = headTimeoutFactor * a.req.Route.LatencyObjective
+	if a.mayBeHedged() {
+		return newParallelAttempts(a).run()
 	}
-	exchange, failed := a.send(a.req.ctx, headTimeout)
+	r := a.receive(a.req.ctx, func() {})
+	defer r.close()
+	return a.bufferedResult(r)
+}
+
+// response is what an endpoint has answered to one attempt. Either failed or exchange is set; err is
+// why the body is not complete.
+type response struct {
+	failed   *attemptResult
+	exchange *upstream.Exchange
+	body     []byte
+	err      error
+}
+
+// close closes the connection unless it was returned to the pool.
+func (r response) close() {
+	if r.exchange != nil {
+		r.exchange.Close()
+	}
+}
+
+// receive sends the request and reads the whole answer into memory, up to the buffer limit. begun is
+// called once the head of the answer is there.
+func (a *attempt) receive(ctx context.Context, begun func()) response {
+	exchange, failed := a.send(ctx, a.req.Deadline.Sub(a.req.server.Now()))
 	if failed != nil {
-		return *failed
+		return response{failed: failed}
 	}
-	defer exchange.Close()
-	return a.readBuffered(exchange)
+	begun()
+	body, err := a.readAll(exchange)
+	return response{exchange: exchange, body: body, err: err}
 }
 
-// readBuffered reads the whole body of an answer into memory and classifies the attempt. An
-// answer that exceeds the buffer limit is passed to the caller of Serve as it arrives; for Do,
-// the attempt fails.
+// readBuffered reads the whole body of an answer into memory and classifies the attempt.
 func (a *attempt) readBuffered(e *upstream.Exchange) attemptResult {
-	if a.head.NotRun || a.head.Misdirected {
-		a.discardBody(e)
-		return a.refusedResult(e.StatusCode)
-	}
 	body, err := a.readAll(e)
-	if errors.Is(err, upstream.ErrTooLong) && a.req.w != nil {
-		return a.forwardUnbuffered(e, body)
-	}
-	if err != nil {
-		return a.resultOfError(err)
-	}
-	if a.cutUnframed(e) {
+	return a.bufferedResult(response{exchange: e, body: body, err: err})
+}
+
+// bufferedResult classifies an attempt. An answer that exceeds the buffer limit is passed to the
+// caller of Serve as it arrives; for Do, the attempt fails.
+func (a *attempt) bufferedResult(r response) attemptResult {
+	e := r.exchange
+	switch {
+	case r.failed != nil:
+		return *r.failed
+	case a.head.NotRun || a.head.Misdirected:
+		if r.err == nil {
+			e.KeepAlive(a.head.IdleTimeout)
+		}
+		return a.refusedResult(e.StatusCode)
+	case a.exceedsBuffer(r):
+		return a.forwardUnbuffered(e, r.body)
+	case r.err != nil:
+		return a.resultOfError(r.err)
+	case a.cutUnframed(e):
 		return brokenOff(detailCutUnframed)
 	}
 	e.KeepAlive(a.head.IdleTimeout)
-	answer := &Answer{Status: e.StatusCode, Header: e.Header, Body: body}
+	return a.resultOfAnswer(&Answer{Status: e.StatusCode, Header: e.Header, Body: r.body})
+}
+
+// exceedsBuffer reports whether an answer is passed on to the caller of Serve as it arrives.
+func (a *attempt) exceedsBuffer(r response) bool {
+	return errors.Is(r.err, upstream.ErrTooLong) && a.req.w != nil && !a.head.NotRun && !a.head.Misdirected
+}
+
+// resultOfAnswer classifies an attempt that has a whole answer.
+func (a *attempt) resultOfAnswer(answer *Answer) attemptResult {
 	switch {
 	case answer.Status < http.StatusMultipleChoices:
 		if bad := a.invalidReason(); bad != "" {
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -75,28 +75,42 @@
 // forward makes one attempt at another node. That node checks the key again and sends the request
 // by its own limits, so this node only checks and passes on the answer.
 func (req *requestState) forward(node forwarding.Node) attemptResult {
-	a := &attempt{req: req, startedAt: req.server.Now(), target: targets.Target{Replica: node.Name, Address: node.Address}, forwarded: true}
+	a := req.attemptAtNode(node)
+	req.lastTarget = a.target
+	req.guarded.Sent(crashguard.Replica{}) // the other node finds out whether a replica ends
+	res := a.runForwarded()
+	res.forwarded = true
+	req.lastResult = res
+	a.endAtNode(node, res)
+	return res
+}
+
+// attemptAtNode returns an attempt at another node, and records and counts it.
+func (req *requestState) attemptAtNode(node forwarding.Node) *attempt {
 	req.awaiting.Ended() // the other node counts it
 	req.attemptCount++
-	req.lastTarget = a.target
 	req.record(decisionlog.Decision{
 		Kind: decisionlog.Forward, Chosen: node.Name, Reason: "no endpoint is reached",
 		TextValues: req.withRoute(decisionlog.TextValue{Name: "address", Text: node.Address}),
 		Values:     map[string]float64{"try": float64(req.attemptCount)},
 		SkipLog:    !req.sampled && req.attemptCount == 1,
 	})
-	req.guarded.Sent(crashguard.Replica{}) // the other node finds out whether a replica ends
-	res := a.runForwarded()
-	res.forwarded = true
+	return &attempt{
+		req: req, target: targets.Target{Replica: node.Name, Address: node.Address}, startedAt: req.server.Now(),
+		forwarded: true, ranElsewhere: slices.Clone(req.mayHaveRunOn),
+	}
+}
+
+// endAtNode releases the node of an attempt and records where the request may have run.
+func (a *attempt) endAtNode(node forwarding.Node, res attemptResult) {
+	req := a.req
 	result := a.forwardingResult(res)
 	req.server.Forwarder.Finish(req.Service, node, result)
 	req.server.Metrics.Forwarded(req.Service, result.String())
-	req.lastResult = res
 	req.forwarding.final = req.forwarding.final || res.kind == resultFailed
 	if !res.notRun() && res.kind != resultComplete {
 		req.mayHaveRunAnywhere(a.replicaAtNode)
 	}
-	return res
 }
 
 // mayHaveRunAnywhere records that the request may have run at a node that gave no complete answer.
@@ -133,7 +147,7 @@
 	header := req.server.HeaderCodec.DownstreamHeader(req.Header)
 	headers.Forward{
 		Node: req.server.Forwarder.Name(), Revision: req.Revision, Service: req.Service,
-		CutOffFromAll: req.server.Forwarder.CutOffFromAll(), ElapsedMicros: now.Sub(req.Arrived).Microseconds(), MayHaveRunOn: req.mayHaveRunOn, ResumeAfter: a.resumeAfter,
+		CutOffFromAll: req.server.Forwarder.CutOffFromAll(), ElapsedMicros: now.Sub(req.Arrived).Microseconds(), MayHaveRunOn: a.ranElsewhere, ResumeAfter: a.resumeAfter,
 		Admitted: req.awaiting != nil,
 	}.Set(header)
 	exchange, err := req.server.PeerPool.Send(ctx, upstream.Request{
--- a/route/relay/retry.go
+++ b/route/relay/retry.go
@@ -89,13 +89,18 @@
 	}
 }
 
+// attemptsExhausted reports whether the route allows no further attempt.
+func (req *requestState) attemptsExhausted() bool {
+	return req.attemptCount >= attemptLimit || len(req.mayHaveRunOn) >= req.Route.MaxReplicas && req.Route.Kind != ruleset.Stream
+}
+
 // askBudget decides on a retry by the limits of the route and the retry budget. A retry of an
 // attempt that was not sent costs the endpoints nothing and is not charged.
 func (req *requestState) askBudget(res attemptResult) retry.Decision {
 	switch {
 	case res.kind == resultNotSent && req.mayAskNode():
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
-	case req.attemptCount >= attemptLimit, len(req.mayHaveRunOn) >= req.Route.MaxReplicas && req.Route.Kind != ruleset.Stream:
+	case req.attemptsExhausted():
 		return retry.Decision{Reason: retry.TooManyAttempts}
 	case res.kind == resultNotSent:
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
