An answer that has begun is not continued by another replica's answer

Callers of reads whose answer exceeds the buffer limit (1 MiB) could get the beginning of one replica's answer, followed by the beginning of another replica's, up to the length that the first had stated: whole by its length, and wrong. Cause: the answer is passed on as it arrives, and if its replica breaks off the request was retried like one of which the caller has nothing.

Evidence: TestAnswerThatHasBegunIsNotContinuedByAnotherReplica: on the code before the answer is not cut and has 32768 bytes of the first replica and 65536 of the other.

Change: such an answer is cut ("answer cut: unknown") as the comment of DefaultMaxBufferedBytes says.

The test fails on the code before; go test -race ./route/relay passes (three runs).

--- a/route/relay/retry.go
+++ b/route/relay/retry.go
@@ -19,7 +19,7 @@
 		req.recordRetry(res, retry.Decision{Retry: true, Reason: retry.Allowed})
 		return true
 	}
-	if res.kind == resultCallerGone || res.kind == resultDeadline || req.forwarding.final || req.heldBack(res) {
+	if res.kind == resultCallerGone || res.kind == resultDeadline || req.forwarding.final || req.begunWhole() || req.heldBack(res) {
 		return false
 	}
 	d := req.askBudget(res)
@@ -36,6 +36,12 @@
 	return d.Retry
 }
 
+// begunWhole reports whether the caller has a part of an answer that is no stream. Only its own replica
+// can continue it: another one would begin a new answer.
+func (req *requestState) begunWhole() bool {
+	return req.answerStarted && req.Route.Kind != ruleset.Stream
+}
+
 // recordRetry records how an attempt ended and whether another one follows.
 func (req *requestState) recordRetry(res attemptResult, d retry.Decision) {
 	req.record(decisionlog.Decision{
