The guard learns of crashes of replicas that have a read at the same time

A request that crashes replicas could crash two of them unseen by the guard: since attempts of a read are made beside each other, only the end of the last one that the request's loop sees was looked into.

TestGuardLearnsOfCrashesOfParallelAttempts fails without the change (one crash of two, none of one) and passes three times with the race detector. The other tests of route/relay pass. A new test covers reads without an objective, as the own door sends them: they were and are sent once, and wait.

--- a/route/relay/ended.go
+++ b/route/relay/ended.go
@@ -55,11 +55,16 @@
 	switch {
 	case res.kind == resultComplete && (res.answer == nil || res.answer.Status < http.StatusMultipleChoices):
 		a.req.guarded.Answered()
-	case res.kind == resultUnknown && res.feedback.Failure == health.BrokenResponse:
+	case res.brokenOff():
 		a.req.guarded.BrokenOff(a.req.ctx)
 	}
 }
 
+// brokenOff reports whether the replica ended the attempt in the middle.
+func (res attemptResult) brokenOff() bool {
+	return res.kind == resultUnknown && res.feedback.Failure == health.BrokenResponse
+}
+
 // heldBack reports whether the request must not be tried again, because a replica has crashed
 // before it answered the request. The replica of the next attempt would crash as well.
 func (req *requestState) heldBack(res attemptResult) bool {
--- a/route/relay/parallel.go
+++ b/route/relay/parallel.go
@@ -238,6 +238,9 @@
 // endHedge releases a hedge and records at which replicas the request may have run, and which have
 // failed it.
 func (p *parallelAttempts) endHedge(x *parallelAttempt, res attemptResult) {
+	if res.brokenOff() {
+		x.guarded.BrokenOff(p.req.ctx)
+	}
 	x.guarded.End()
 	p.prepaid = res.kind == resultNotSent
 	if res.kind == resultFailed {
@@ -270,6 +273,7 @@
 	res.forwarded = x.forwarded
 	switch {
 	case p.firstResult != nil:
+		p.first.checkReplicaEnded(*p.firstResult)
 		res.feedback = p.firstResult.feedback
 	case p.first.answering.Load():
 		res.feedback = targets.Result{Failure: health.Canceled}
--- a/route/relay/parallel_test.go
+++ b/route/relay/parallel_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 
 	"github.com/cicadatack/cicadatack/decide/retry"
 	"github.com/cicadatack/cicadatack/route/connprobe"
+	"github.com/cicadatack/cicadatack/route/crashguard"
+	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/retrybudget"
 	"github.com/cicadatack/cicadatack/route/ruleset"
@@ -33,6 +36,7 @@
 type plainReplica struct {
 	id     string
 	answer http.HandlerFunc
+	server *httptest.Server
 
 	mu                 sync.Mutex
 	requests, canceled int
@@ -80,10 +84,6 @@
 	}
 }
 
-type plainMetrics struct{ noMetrics }
-
-func (plainMetrics) Retried(string, string) {}
-
 // plainRead is a read at replicas of which the first one is the only one that is known when the
 // request is sent.
 type plainRead struct {
@@ -92,8 +92,15 @@
 	request   *Request
 	budget    *retrybudget.Budget
 	maxBuffer int
+	// ended counts the replicas that the guard has found to have ended.
+	ended endedReplicas
 }
 
+type endedReplicas struct{ count atomic.Int64 }
+
+func (e *endedReplicas) ReplicaEnded(string)            { e.count.Add(1) }
+func (e *endedReplicas) IsolatedParts(string, int, int) {}
+
 func newPlainRead(t *testing.T, answers ...http.HandlerFunc) *plainRead {
 	p := &plainRead{t: t, budget: retrybudget.New(retry.Config{Burst: 10}, time.Now)}
 	for i, answer := range answers {
@@ -110,14 +117,15 @@
 func (p *plainRead) serve() (answer *httptest.ResponseRecorder, cut bool) {
 	pool := upstream.New(time.Now)
 	server := &Server{
-		HeaderCodec: streamCodec{}, Pool: pool, Prober: connprobe.New(pool, time.Now), Metrics: plainMetrics{},
+		HeaderCodec: streamCodec{}, Pool: pool, Prober: connprobe.New(pool, time.Now), Metrics: noMetrics{},
 		Recorder: discardDecisions{}, Log: hclog.NewNullLogger(), Now: time.Now, MaxBufferedBytes: p.maxBuffer,
 	}
+	server.Guard = crashguard.New(crashguard.Config{Prober: server.Prober, Metrics: &p.ended, Log: server.Log, Now: time.Now})
 	var list []*replicalist.Replica
 	for _, r := range p.replicas {
-		s := httptest.NewServer(r)
-		p.t.Cleanup(s.Close)
-		list = append(list, &replicalist.Replica{ID: r.id, Domain: "d", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 10})
+		r.server = httptest.NewServer(r)
+		p.t.Cleanup(r.server.Close)
+		list = append(list, &replicalist.Replica{ID: r.id, Domain: "d", Address: strings.TrimPrefix(r.server.URL, "http://"), Slots: 10})
 	}
 	plain := targets.NewPlainTargets("entry-1", "d", 1, time.Now)
 	plain.Update(list[:1], 10, nil, 1)
@@ -199,3 +207,47 @@
 		t.Errorf("status %d, want the replica's own 500", answer.Code)
 	}
 }
+
+// Guards against a read without a latency objective, as those of the product's own door, that is sent
+// twice or ended because its replica is silent.
+func TestReadWithoutObjectiveWaitsForItsReplica(t *testing.T) {
+	p := newPlainRead(t, answersAfter(longSilence, "first"), answersAfter(0, "other"))
+	p.request.Route.LatencyObjective = readTimeout
+	answer, _ := p.serve()
+	if answer.Body.String() != "first" {
+		t.Errorf("got %d %q", answer.Code, answer.Body)
+	}
+	if asked, _ := p.replicas[1].counts(); asked > 0 {
+		t.Errorf("the other replica got %d requests", asked)
+	}
+}
+
+// Guards against crashes of which the guard does not learn because two replicas had the request.
+func TestGuardLearnsOfCrashesOfParallelAttempts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other http.HandlerFunc // nil ends the replica
+		want  int64
+	}{
+		{"both end", nil, 2},
+		{"the other one answers", answersAfter(longSilence, "other"), 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPlainRead(t, nil, c.other)
+			for _, r := range p.replicas {
+				if r.answer == nil {
+					r.answer = func(w http.ResponseWriter, q *http.Request) {
+						time.Sleep(longSilence / 2)
+						_ = r.server.Listener.Close()
+						breaksOffAfter(0)(w, q)
+					}
+				}
+			}
+			p.request.Call = headers.CallHead{ID: "q", PromptParts: []string{"part"}}
+			p.serve()
+			if got := p.ended.count.Load(); got != c.want {
+				t.Errorf("the guard has found %d ended replicas, want %d", got, c.want)
+			}
+		})
+	}
+}
