Tests: new versions and a leaving node while replicas are silent

Guards against requests under way that a version of the configuration ends, or ends sooner, while their sound replicas are silent: shorter timeouts, routes or services removed and added again, fewer connections or replicas, load control, replicas missing in the list; and against a node that leaves meanwhile. Streams, reads and orders are under way in each case.

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -91,6 +91,12 @@
 	).Replace(configuration), keys)
 }
 
+// ConfigureEdited is Configure with parts of its text replaced: pairs of what is there and what takes
+// its place.
+func (s *Site) ConfigureEdited(keys []string, edits ...string) {
+	s.configure(strings.NewReplacer(edits...).Replace(configuration), keys)
+}
+
 const configuration = `{"version":%d,
  "routes":[
   {"name":"r1","host":"a.example","prefix":"/ask/","kind":"stream","timeoutMs":20000,"goalMs":500,"gapAimMs":200,
