Test: a read goes to another node beside a replica out of reach

Guards the way by which a read under way at a replica that the node no longer reaches is served by another node.

--- a/node/site/silent_plain_test.go
+++ b/node/site/silent_plain_test.go
@@ -190,3 +190,31 @@
 		})
 	}
 }
+
+// Guards against a read that waits until its deadline because its node has lost the way to the replica
+// that has it, although another node could serve it.
+func TestReadGoesToAnotherNodeBesideAReplicaOutOfReach(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(3, time.Millisecond)
+	p.viewed("front-2", "bandung")
+	node, view := p.viewed("front-1", "bekasi")
+	p.awaitHelpers(node, 1)
+	view.Cut((*link.Link).Freeze)
+	var answers []answer
+	var longest time.Duration
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		answers, longest = node.askAll(10, "GET", "/read/1", "read-")
+	}()
+	time.Sleep(100 * time.Millisecond)
+	view.Cut(func(l *link.Link) { l.Partition(link.Both) })
+	for i := range 4 {
+		go node.ask("GET", "/read/1", fmt.Sprint("find-out-", i), goodKey)
+	}
+	<-done
+	p.wantOwnAnswers(answers, "read-")
+	if longest > hedgedReadWithin {
+		t.Errorf("a read took %v, want at most %v", longest, hedgedReadWithin)
+	}
+}
