--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -12,6 +12,7 @@
 	"github.com/cicadatack/cicadatack/decide/probebudget"
 	"github.com/cicadatack/cicadatack/decide/stall"
 	"github.com/cicadatack/cicadatack/route/connprobe"
+	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/targets"
 )
 
@@ -49,6 +50,8 @@
 	// checkedSilence is how long the stream had been silent when the last check found no lost
 	// replica. The next event resets it to 0.
 	checkedSilence atomic.Int64
+	// silence holds the checks of the present silence.
+	silence connprobe.Silence
 
 	// filter selects the replicas that may replace the first replica. mayReplace allows a
 	// migration if the first replica is lost. mayMigrate allows a migration if a later stage is
@@ -71,6 +74,10 @@
 	// way, takenOver the one that continues the stream in place of this attempt.
 	forwarding       bool
 	hedge, takenOver *hedge
+	// ending is set once the attempt has a result. It may wait for a hedge then, and none begins.
+	ending bool
+	// ended are what the guard keeps of the hedges that did not take over.
+	ended []*crashguard.Request
 }
 
 func (a *attempt) monitor(ctx context.Context, cancel context.CancelFunc) *pathMonitor {
@@ -79,7 +86,9 @@
 		return m
 	}
 	m.setMigrationFilter()
-	m.timer = time.AfterFunc(a.target.Active.FirstCheckAfter(a.req.Route.LatencyObjective/firstCheckDivisor), m.checkPath)
+	// The first check may be due at once, and must find the timer.
+	m.timer = time.AfterFunc(time.Hour, m.checkPath)
+	m.timer.Reset(a.target.Active.FirstCheckAfter(a.req.Route.LatencyObjective / firstCheckDivisor))
 	a.target.Active.SetCallbacks(
 		func(replica string) { m.reroute("a part of the path is lost: "+replica, false) },
 		func(replica string) { m.reroute("a part of the path is draining: "+replica, true) },
@@ -99,7 +108,8 @@
 	m.filter, m.mayReplace, m.mayMigrate = targets.MigrationFilter{}, false, false
 	if len(m.history.mayHaveRunOn)+1 < route.MaxReplicas {
 		m.filter.Exclude = slices.Clone(m.history.failedReplicas)
-		m.mayReplace, m.mayMigrate = true, m.history.attemptCount < attemptLimit
+		m.mayReplace = m.history.attemptCount < attemptLimit
+		m.mayMigrate = m.mayReplace
 		return
 	}
 	m.filter.AllowedFirstReplicas = slices.Clone(m.history.mayHaveRunOn)
@@ -166,11 +176,13 @@
 		addresses[i] = stage.Address
 		replicas[stage.Address] = stage.Replica
 	}
-	lost := m.attempt.req.server.Prober.FindUnreachable(m.ctx, connprobe.ReasonStalledStream, addresses)
+	silentSince := m.attempt.startedAt.Add(time.Duration(m.lastEventAt.Load()))
+	lost := m.attempt.req.server.Prober.FindUnreachableInSilence(m.ctx, &m.silence, silentSince, addresses)
 	if len(lost) == 0 && len(suspected) == 0 {
 		m.recheckLater(path)
 		return
 	}
+	m.timer.Reset(recheckInterval) // tries to reroute the stream end, the silence may not
 	newlySuspected := false
 	for _, loss := range lost {
 		replica := replicas[loss.Address]
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/health"
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -41,8 +42,8 @@
 			}
 			return res.answer, nil
 		}
-		if res.hedge != nil {
-			req.leftReplica, req.leftSilence = req.lastTarget.Replica, req.silentFor()
+		if res.kind == resultUnknown && res.feedback.Failure == health.Timeout {
+			req.leftReplica, req.leftAt, req.leftSilence = req.lastTarget.Replica, req.server.Now(), req.silentFor()
 		}
 		if !req.decideRetry(res) {
 			return req.finalAnswer(res)
@@ -53,6 +54,7 @@
 // guardedAttempt continues a hedge, or makes one attempt if the guard allows it.
 func (req *requestState) guardedAttempt(h *hedge) (attemptResult, error) {
 	if h != nil {
+		h.guarded.Join(req.guarded)
 		req.guarded = h.guarded
 		defer req.guarded.End()
 		return req.attempt(h.attempt), nil
