--- a/route/relay/retry.go
+++ b/route/relay/retry.go
@@ -19,7 +19,7 @@
 		req.recordRetry(res, retry.Decision{Retry: true, Reason: retry.Allowed})
 		return true
 	}
-	if res.kind == resultCallerGone || res.kind == resultDeadline || req.forwarding.final || req.heldBack(res) {
+	if res.kind == resultCallerGone || res.kind == resultDeadline || req.forwarding.final || req.begunWhole() || req.heldBack(res) {
 		return false
 	}
 	d := req.askBudget(res)
@@ -36,6 +36,12 @@
 	return d.Retry
 }
 
+// begunWhole reports whether the caller has a part of an answer that is no stream. Only its own replica
+// can continue it: another one would begin a new answer.
+func (req *requestState) begunWhole() bool {
+	return req.answerStarted && req.Route.Kind != ruleset.Stream
+}
+
 // recordRetry records how an attempt ended and whether another one follows.
 func (req *requestState) recordRetry(res attemptResult, d retry.Decision) {
 	req.record(decisionlog.Decision{
@@ -89,13 +95,18 @@
 	}
 }
 
+// attemptsExhausted reports whether the route allows no further attempt.
+func (req *requestState) attemptsExhausted() bool {
+	return req.attemptCount >= attemptLimit || len(req.mayHaveRunOn) >= req.Route.MaxReplicas && req.Route.Kind != ruleset.Stream
+}
+
 // askBudget decides on a retry by the limits of the route and the retry budget. A retry of an
 // attempt that was not sent costs the endpoints nothing and is not charged.
 func (req *requestState) askBudget(res attemptResult) retry.Decision {
 	switch {
 	case res.kind == resultNotSent && req.mayAskNode():
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
-	case req.attemptCount >= attemptLimit, len(req.mayHaveRunOn) >= req.Route.MaxReplicas && req.Route.Kind != ruleset.Stream:
+	case req.attemptsExhausted():
 		return retry.Decision{Reason: retry.TooManyAttempts}
 	case res.kind == resultNotSent:
 		return retry.Decision{Retry: true, Reason: retry.Allowed}
