--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -132,6 +132,8 @@
 
 	mu     sync.Mutex
 	server *http.Server
+	// listener is the one of the present incarnation.
+	listener *net.TCPListener
 	// down is set while the replica is gone after a crash, killed if it is gone for good.
 	down, killed bool
 	fault        Fault
@@ -142,6 +144,7 @@
 	from, to  int
 	paths     map[string]chan string // a stream's detours, by request
 	prompts   prefillQueue
+	silence   silence
 }
 
 // Add starts a replica.
@@ -163,13 +166,14 @@
 	server := &http.Server{Handler: r}
 	r.mu.Lock()
 	r.server = server
+	r.listener = listener.(*net.TCPListener)
 	r.mu.Unlock()
 	r.fleet.mu.Lock()
 	r.fleet.byAddr[r.Address] = r
 	r.fleet.mu.Unlock()
 	go func() {
 		// It ends with Kill or with a crash.
-		_ = server.Serve(listener)
+		_ = server.Serve(&silentListener{Listener: listener, silence: &r.silence, closed: make(chan struct{})})
 	}()
 }
 
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -86,7 +85,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(*silentConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
@@ -165,6 +164,14 @@
 				return
 			}
 		}
+		for over := r.fleet.silentPart(path); over != nil; over = r.fleet.silentPart(path) {
+			select {
+			case <-over:
+			case path = <-detours:
+			case <-q.Context().Done():
+				return
+			}
+		}
 		if fault.CutAfter > 0 && n > first+fault.CutAfter {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: to", n)
 			_ = out.Flush()
