Soak: replicas that are silent together while versions follow each other

TestSilentReplicas: nine nodes in three failure domains, 30 callers that keep connections open and leave a stream after two seconds without an event. Judged beside the promises of TestSoak: an answer that ran is whole, unless its caller left, its node was killed or had used five sixths of its time after a SIGTERM, or its replica died; a stream whose replica died goes on within 1.5 s, if no replica is silent around that time.

The other runs have the callers, events and checks that they had.

--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -35,6 +35,13 @@
 	replica     string
 	saidLeaving bool
 	answered    time.Time
+	// ended is when the answer ended, err how, if it is not whole. left says that the caller left.
+	ended time.Time
+	err   error
+	left  bool
+	// gap is the longest time without an event of a stream, and gapAt when it ended.
+	gap   time.Duration
+	gapAt time.Time
 }
 
 // crowd is callers that ask where to connect, keep the answer for a while and connect
@@ -48,6 +55,10 @@
 	keepsAddresses bool
 	// parts returns the parts of a stream's prompt; nil if none are stated.
 	parts func(id string) string
+	// number of callers, and whether they keep connections open and leave streams as callers of the
+	// platform do; see keepingCaller.
+	number           int
+	keepsConnections bool
 
 	mu   sync.Mutex
 	seen []asked
@@ -63,8 +74,12 @@
 // run asks until the context ends.
 func (c *crowd) run(ctx context.Context, seed uint64) {
 	var wg sync.WaitGroup
-	for i := range callers {
+	for i := range c.number {
 		wg.Go(func() {
+			if c.keepsConnections {
+				c.newKeepingCaller().run(ctx, seed, i)
+				return
+			}
 			draw := rand.New(rand.NewPCG(seed, uint64(i)))
 			for n := 0; ctx.Err() == nil; n++ {
 				kind := []string{stream, stream, order, read}[draw.IntN(4)]
--- a/e2e/soak/judge_test.go
+++ b/e2e/soak/judge_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/standin/replica"
+	"github.com/cicadatack/cicadatack/standin/site"
 )
 
 // judge holds what callers saw against what replicas did.
@@ -44,15 +45,19 @@
 		add("told that it ran, and it ran %d times", len(runs))
 	}
 	if a.status == http.StatusOK {
-		if problem := wrongBody(a); problem != "" {
+		if problem := wrongBody(a, r.events); problem != "" {
 			add("%s", problem)
 		}
 	}
 	if at, gone := r.retired[a.key]; gone && len(runs) > 0 && a.sent.After(at.Add(revoke)) {
 		add("it ran %v after its key was taken away", a.sent.Sub(at).Round(time.Millisecond))
 	}
+	team := site.Team
+	if a.kind == openRead {
+		team = "" // no key came with it
+	}
 	for _, each := range runs {
-		if each.Header.Get("Authorization") != "" || each.Header.Get("Tenant") != "bogor" {
+		if each.Header.Get("Authorization") != "" || each.Header.Get("Tenant") != team {
 			add("the replica was shown %v", each.Header)
 		}
 	}
@@ -71,7 +76,7 @@
 
 // wrongBody says what is wrong with the body of a success: it must be the request's
 // own, and of a stream the events in order, all of them if it ended as whole.
-func wrongBody(a asked) string {
+func wrongBody(a asked, events int) string {
 	if a.kind != stream {
 		if a.whole && a.body != "answer to "+a.id {
 			return fmt.Sprintf("got %q", a.body)
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -88,6 +88,8 @@
 	site  *site.Site
 	vms   []*vm
 	crowd *crowd
+	// events is how many events a stream has.
+	events int
 
 	mu      sync.Mutex
 	key     string
@@ -113,7 +115,7 @@
 func newRunAt(t *testing.T, bin string, seed uint64, places []vmPlace, storeOf func(*site.Site, vmPlace) string) *run {
 	r := &run{
 		t: t, seed: seed, draw: rand.New(rand.NewPCG(seed, 7)), site: site.New(),
-		key: "key-0", retired: map[string]time.Time{}, began: time.Now(),
+		key: "key-0", retired: map[string]time.Time{}, began: time.Now(), events: events,
 	}
 	t.Cleanup(r.site.Close)
 	r.site.Configure(r.key)
@@ -127,7 +129,7 @@
 			domains = append(domains, place.domain)
 		}
 	}
-	r.crowd = &crowd{vms: r.vms, domains: domains, current: r.current}
+	r.crowd = &crowd{vms: r.vms, domains: domains, current: r.current, number: callers}
 	return r
 }
 
@@ -279,7 +281,7 @@
 	r.site.Lose(id)
 	time.AfterFunc(600*time.Millisecond, func() { r.site.Forget(id) })
 	err := r.site.Add(replica.Config{
-		ID: fresh, Service: site.ModelService, Domain: "bandung", Kind: site.Card, Model: true, Events: events, Pause: pause,
+		ID: fresh, Service: site.ModelService, Domain: "bandung", Kind: site.Card, Model: true, Events: r.events, Pause: pause,
 	})
 	if err != nil {
 		r.t.Error(err)
