A stream leaves a dead first replica also once that is no longer listed

Callers saw streams that stood still until they left, two seconds after a first replica had died without a word (its connections hang).

Cause: its entry goes before the stream has been silent for long enough, or before a probe fails. The selector knows nothing of a replica that is not listed, so it counted as not suspected, and the node sent it one reroute command after the other, each a connection of 0.3 s that hangs.

Change: a request keeps the last suspicion of its first replica, which counts once the replica is not listed.

--- a/route/targets/active_request.go
+++ b/route/targets/active_request.go
@@ -95,11 +95,15 @@
 }
 
 // FirstReplicaState reports whether the replica that received the request is suspected, and
-// whether its host is unreachable.
+// whether its host is unreachable. A replica that is no longer listed counts
+// as suspected if it was found out of reach.
 func (r *ActiveRequest) FirstReplicaState() (suspected, hostUnreachable bool) {
 	r.model.mu.Lock()
 	defer r.model.mu.Unlock()
 	first := r.path[0].Replica
+	if !r.model.selector.Known(first) {
+		return r.firstLost, r.firstHostUnreachable
+	}
 	return r.model.selector.Suspected(first), r.model.selector.HostUnreachable(first)
 }
 
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -61,6 +61,9 @@
 	lastEventAt atomic.Int64
 	// begun is set once an event of this attempt has arrived.
 	begun atomic.Bool
+	// firstLost and firstHostUnreachable are the last suspicion of the first replica. They count
+	// once that replica is no longer listed, as the selector then knows nothing of it.
+	firstLost, firstHostUnreachable bool
 }
 
 // NewModelTargets returns ModelTargets without replicas, for a node in a failure domain.
--- a/route/targets/replica_health.go
+++ b/route/targets/replica_health.go
@@ -21,12 +21,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observed.own[replica] = observation{at: m.now(), unreachable: true}
+	m.recordFirstState(replica, true, hostUnreachable)
 	if !m.selector.Suspect(m.now(), replica, hostUnreachable) {
 		return false, nil
 	}
 	return true, m.lossCallbacks(replica)
 }
 
+// recordFirstState records the state of a replica with the requests that it received. The caller
+// holds the lock.
+func (m *ModelTargets) recordFirstState(replica string, lost, hostUnreachable bool) {
+	for r := range m.active {
+		if r.path[0].Replica == replica {
+			r.firstLost, r.firstHostUnreachable = lost, hostUnreachable
+		}
+	}
+}
+
 // SuspectOnReport records that a replica accepts no connection, after other nodes reported it
 // as lost. The replica gets no new requests. The requests that run through it are notified only
 // if its host is unreachable, because a draining replica also refuses connections but continues
@@ -50,6 +61,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observed.own[replica] = observation{at: m.now()}
+	m.recordFirstState(replica, false, false)
 	wasSuspected := m.selector.MarkAlive(replica)
 	m.wakeOne()
 	return wasSuspected
