--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -155,7 +155,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	const present, hedged = 1, 1
-	return len(m.history.mayHaveRunOn)+present+hedged < m.attempt.req.Route.MaxReplicas && m.history.attemptCount+hedged < attemptLimit
+	return len(m.history.mayHaveRunOn)+present+hedged < m.attempt.req.Route.MaxReplicas && m.history.mayHedge()
 }
 
 // firstEvent sends the request and reads until the next event of the stream is there. The result is
@@ -270,7 +270,11 @@
 	defer m.mu.Unlock()
 	m.hedge = nil
 	m.ended = append(m.ended, h.guarded)
-	m.history.attemptCount++
+	if res.notRun() {
+		m.history.refusedHedges++
+	} else {
+		m.history.attemptCount++
+	}
 	if h.abandoned == "" || h.abandoned == hedgeLate {
 		m.history.addFailed(h.target, res)
 	}
--- a/route/relay/hedge_limits_test.go
+++ b/route/relay/hedge_limits_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+// Guards against a stream that is cut when its replica ends, although another one could go on, because
+// hedges that were refused during an earlier silence have used up its attempts.
+func TestRefusedHedgesLeaveAttemptsForALostReplica(t *testing.T) {
+	t.Parallel()
+	first, sound := newStreamReplica(2), newStreamReplica(hedgeEvents+1)
+	run := startStream(t, streamServer(), first, func(*Request) {})
+	var others []*streamReplica
+	for i := range attemptLimit - 1 {
+		others = append(others, &streamReplica{refuses: true})
+		run.add(fmt.Sprint("other-", i), others[i].listen(t, false))
+	}
+	run.loseFirst()
+	eventually(t, "all have refused", func() bool {
+		arrivals := 0
+		for _, other := range others {
+			arrivals += len(other.requests())
+		}
+		return arrivals == len(others)
+	})
+	run.model.MarkAlive("first")
+	time.Sleep(2 * rerouteRetryInterval) // no further hedge begins
+	run.add("sound", sound.listen(t, false))
+	close(first.breakOff)
+	run.wait()
+	run.wantWhole()
+}
+
 // Guards against a stream that ends too early because the replica of its hedge ended without an
 // event, and against a sound attempt that is canceled for such a hedge.
 func TestHedgeWithoutAnEventDoesNotTakeOver(t *testing.T) {
--- a/route/relay/history.go
+++ b/route/relay/history.go
@@ -13,11 +13,20 @@
 	failedReplicas []string
 	mayHaveRunOn   []string
 	attemptCount   int
+	// refusedHedges is the number of hedges that provably did not run. They leave the request its
+	// attempts.
+	refusedHedges int
+}
+
+// mayHedge reports whether the limits of attempts and of refused hedges allow another hedge.
+func (h *attemptHistory) mayHedge() bool {
+	return h.attemptCount < attemptLimit && h.refusedHedges < attemptLimit-1
 }
 
 func (h *attemptHistory) clone() attemptHistory {
 	return attemptHistory{
 		failedReplicas: slices.Clone(h.failedReplicas), mayHaveRunOn: slices.Clone(h.mayHaveRunOn), attemptCount: h.attemptCount,
+		refusedHedges: h.refusedHedges,
 	}
 }
 
--- a/route/relay/monitor.go
+++ b/route/relay/monitor.go
@@ -108,12 +108,12 @@
 	m.filter, m.mayReplace, m.mayMigrate = targets.MigrationFilter{}, false, false
 	if len(m.history.mayHaveRunOn)+1 < route.MaxReplicas {
 		m.filter.Exclude = slices.Clone(m.history.failedReplicas)
-		m.mayReplace = m.history.attemptCount < attemptLimit
+		m.mayReplace = m.history.mayHedge()
 		m.mayMigrate = m.mayReplace
 		return
 	}
 	m.filter.AllowedFirstReplicas = slices.Clone(m.history.mayHaveRunOn)
-	m.mayReplace = len(m.history.mayHaveRunOn) > 0 && m.history.attemptCount < attemptLimit
+	m.mayReplace = len(m.history.mayHaveRunOn) > 0 && m.history.mayHedge()
 }
 
 // recordEvents records that events have arrived, and restarts the timer for the next check.
