--- a/review/cases/rig_test.go
+++ b/review/cases/rig_test.go
@@ -182,7 +182,7 @@
 			"bounds.seedLagS=3", "bounds.addrReuseS=2", "bounds.stableMs=3000", "bounds.ackMs=4000", "bounds.syncS=4", "bounds.drainMs=2000", "bounds.graceS=8",
 			"bounds.lossSlackMs=200", "bounds.applyMs=2000", "bounds.rewindMs=250", "bounds.stretchMs=5000", "bounds.strictRevoke=true", "bounds.revokeMs=5000",
 			"bounds.retryRatio=0.2", "bounds.retryWindowS=10", "bounds.retrySlack=196", "bounds.recoverS=12", "bounds.passMs=120", "bounds.ttl_max_s=5",
-			"platform.addr=" + r.views[zone].Address(), "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
+			"platform.addr=" + r.storeOf(zone), "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
 			"platform.valueBytes=1048576", "platform.ttlMinMs=1000",
 		}
 		path := filepath.Join(r.dir, n.name+".conf")
@@ -222,6 +222,14 @@
 	time.Sleep(4 * time.Second) // all know of one another
 }
 
+// storeOf is the address of the store for the nodes of a zone.
+func (r *rig) storeOf(zone string) string {
+	if v := r.views[zone]; v != nil {
+		return v.Address()
+	}
+	return r.site.Address()
+}
+
 // log is the end of what a node has logged.
 func (r *rig) log(n *node) string {
 	data, _ := os.ReadFile(filepath.Join(r.dir, n.name+".log"))
