--- a/review/cases/engine_test.go
+++ b/review/cases/engine_test.go
@@ -298,9 +298,12 @@
 	how, downFor, server := e.all.how, e.all.downFor, e.server
 	e.all.mu.Unlock()
 	e.all.r.tell("replica %s crashes", e.id)
-	if how == "dark" {
+	switch how {
+	case "dark":
 		e.link.Partition(link.Both) // nothing comes from it, and new connections hang
-	} else {
+	case "hold":
+		_ = server.Close() // its connections are closed, and its link accepts and closes new ones
+	default:
 		e.link.Reset() // its connections are reset, and new ones refused
 	}
 	time.AfterFunc(downFor, func() {
--- a/review/cases/poison_test.go
+++ b/review/cases/poison_test.go
@@ -28,7 +28,7 @@
 	fatalCrashes  = 5
 	tolerated     = 3
 	soundEvery    = 250 * time.Millisecond // at each machine
-	markedEvery   = 3 * time.Second // at each machine
+	markedEvery   = 3 * time.Second        // at each machine
 	poisonLasts   = 40 * time.Second
 	perZone       = 4
 	poisonDownFor = 3 * time.Second
--- a/review/cases/rig_test.go
+++ b/review/cases/rig_test.go
@@ -34,6 +34,8 @@
 	tenant = "bogor"
 	// heartbeat is how often replicas write their entries.
 	heartbeat = 1200 * time.Millisecond
+	// longest is how long a script may run.
+	longest = 116 * time.Second
 )
 
 // trouble says whether the disruption takes place.
@@ -98,6 +100,7 @@
 	if r.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		r.cannotRun("%v", err)
 	}
+	time.AfterFunc(longest, func() { r.cannotRun("not over after %v", longest) })
 	for _, zone := range zones {
 		if r.views[zone] == nil {
 			r.views[zone] = r.site.NewView()
