--- a/node/site/site.go
+++ b/node/site/site.go
@@ -223,6 +223,9 @@
 	case <-ctx.Done():
 	}
 	n.leave(background)
+	if underway := n.underway.Load(); underway > 0 {
+		n.log.Warn("requests cut by the stop", "underway", underway, "leaving_ms", n.leavingFor().Milliseconds())
+	}
 	doors.close()
 	n.bookings.Close()
 	n.tellCounts(0)
