draining: a stopped node accepts only what it can answer before it ends

Cause: requests other than streams were accepted for a fixed 5.5 s, whatever the route's timeout, the caller's budget and the grace period are. Evidence: "requests cut by the stop leaving_ms=7600 underway=4" for the four orders with deadlines after that; the count was right and the end not early.

Change: package decide/draining accepts a request if its deadline comes before the node's end; orders never otherwise, idempotent requests with a later deadline in the first third of the time. What still runs 0.1 s before the end is answered by the node itself (504 with an unknown outcome, or a cut stream) with the reason `leaving`, where the log blamed the caller before. `cicadactl losses` counts these as the leaving node's.

Why it works: whatever a replica does, a request ends by its deadline, so an accepted order is answered before the process ends.

--- /dev/null
+++ b/decide/draining/draining.go
@@ -0,0 +1,42 @@
+package draining
+
+import "time"
+
+const (
+	// longRequestPart is the part of the time to the node's end for which it accepts idempotent
+	// requests whose deadline comes after its end.
+	longRequestPart = 1.0 / 3
+	// AnswerMargin is the time between the latest deadline of an accepted request and the node's
+	// end. The node writes the last answers in it.
+	AnswerMargin = 100 * time.Millisecond
+)
+
+// Drain describes a node that was told to stop. The zero value is that of a node that was not.
+type Drain struct {
+	// Elapsed is the time since the node was told to stop; zero if it was not.
+	Elapsed time.Duration
+	// AcceptFor is the time from Elapsed zero for which callers may still use the node's address.
+	AcceptFor time.Duration
+	// End is the time from Elapsed zero to the end of the process.
+	End time.Duration
+}
+
+// Active reports whether the node was told to stop.
+func (d Drain) Active() bool { return d.Elapsed > 0 }
+
+// Accepts reports whether the node accepts a request whose deadline is remaining from now.
+func (d Drain) Accepts(remaining time.Duration, idempotent bool) bool {
+	switch {
+	case !d.Active():
+		return true
+	case d.Elapsed >= d.AcceptFor:
+		return false
+	case d.Elapsed+remaining <= d.LastAnswer():
+		return true
+	}
+	return idempotent && float64(d.Elapsed) < longRequestPart*float64(d.End)
+}
+
+// LastAnswer is the time from Elapsed zero at which the node ends the requests that are still under
+// way, so that their callers get an answer before the process ends.
+func (d Drain) LastAnswer() time.Duration { return d.End - AnswerMargin }
--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -117,7 +117,7 @@
 func (t *trace) ofCut(l line) Cause {
 	cause := refusals[strings.TrimPrefix(l.Reason, reasonCut)]
 	switch {
-	case cause == CrashingPart:
+	case cause == CrashingPart, cause == NodeLeaving:
 		return cause
 	case l.Left != "":
 		return SilentLeft
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -63,6 +63,8 @@
 		{"no room", about(1, "refuse", "no_room", `"status":503`), NoRoom, Refused},
 		{"no holder", about(1, "refuse", "no_endpoint", `"status":503`), NoCover, Refused},
 		{"leaving", about(1, "refuse", "leaving", `"status":503`), NodeLeaving, Refused},
+		{"ended by a stop", about(1, "refuse", "leaving", `"status":504`), NodeLeaving, Failed},
+		{"cut by a stop", retried("allowed", "upstream: EOF") + about(1, "finish", "answer cut: leaving", `"took_ms":3`), NodeLeaving, Failed},
 		{"a full replica", retried("too many attempts", `503 from 10.0.0.1:1, at fault: "10.0.0.2:1"`) +
 			about(1, "refuse", "no_room", `"status":503`), ReplicaRefused, Refused},
 		{"tries spent", retried("budget spent", "503 from 10.0.0.1:1") + about(1, "refuse", "no_room", `"status":503`), BudgetSpent, Refused},
--- a/node/site/doors.go
+++ b/node/site/doors.go
@@ -1,17 +1,14 @@
 package site
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cicadatack/cicadatack/decide/entrypoints"
 	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/platform/directory"
-	"github.com/cicadatack/cicadatack/state/wait"
 )
 
 // serveReady answers the platform's checks.
@@ -97,38 +94,3 @@
 		n.log.Debug("state not sent", "error", err)
 	}
 }
-
-const (
-	// leaveMargin of the time until SIGKILL is left for the end of the process.
-	leaveMargin = 400 * time.Millisecond
-	// leaveTTLs times the time that answers hold is how long a leaving node takes new
-	// requests in any case: some callers keep answers three times as long as told.
-	leaveTTLs = 3
-	leaveLook = 20 * time.Millisecond
-)
-
-// leavingFor is how long ago SIGTERM came, zero if it did not.
-func (n *Node) leavingFor() time.Duration {
-	at := n.leaving.Load()
-	if at == 0 {
-		return 0
-	}
-	return max(1, time.Since(n.started)-time.Duration(at))
-}
-
-// leave takes the node out of the answers and serves on until callers have gone and
-// what is underway has ended.
-func (n *Node) leave(ctx context.Context) {
-	n.leaving.Store(int64(time.Since(n.started)))
-	n.log.Info("leaving", "underway", n.underway.Load())
-	go n.unlist(ctx)
-	last := n.bounds().Grace - leaveMargin
-	for n.leavingFor() < last {
-		if n.leavingFor() >= min(leaveTTLs*n.timing.EntryTTL, last) && n.underway.Load() == 0 {
-			return
-		}
-		if !wait.For(ctx, leaveLook) {
-			return
-		}
-	}
-}
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -116,6 +116,9 @@
 	// leaving is when SIGTERM came, in nanoseconds after the start; zero before.
 	leaving  atomic.Int64
 	underway atomic.Int64
+	// stopping is done once the requests that are still underway have to end; endRequests ends it.
+	stopping    context.Context
+	endRequests context.CancelFunc
 }
 
 // freshFor is the part of the time after which a key that was taken away must run
@@ -177,12 +180,14 @@
 	})
 	n.bookings.SetCrashes(n.guard, func(err error) { log.Warn("evidence of crashes passed over", "error", err) })
 	n.decisions = decisionlog.NewLog(log)
+	n.stopping, n.endRequests = context.WithCancel(context.Background())
 	n.door = &ingress.Server{
-		Rules: n, Services: &n.services, DrainingFor: n.leavingFor,
+		Rules: n, Services: &n.services, Drain: n.drain,
 		Relay: &relay.Server{
 			HeaderCodec: callers.Dialect{}, Engines: engineCalls{n}, Pool: n.pool, Prober: n.prober, Reports: n.reports,
 			Forwarder: n.forwarder, PeerPool: n.peerPool, Guard: n.guard,
 			Metrics: n.metrics, Recorder: n.decisions, Log: log, Now: time.Now, SampleEvery: successSample,
+			Stopping: n.stopping,
 		},
 	}
 	return n, nil
--- a/route/ingress/ingress.go
+++ b/route/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/draining"
 	"github.com/cicadatack/cicadatack/route/loadadmission"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/relay"
@@ -48,9 +49,8 @@
 	Rules    Rules
 	Services Services
 	Relay    *relay.Server
-	// DrainingFor returns the time since the node was told to stop, or zero if it was
-	// not.
-	DrainingFor func() time.Duration
+	// Drain describes the node after it was told to stop.
+	Drain func() draining.Drain
 }
 
 // ServeHTTP answers one request of a caller.
@@ -90,17 +90,11 @@
 	reasonTooLarge       = "body_too_large"
 	reasonSlowBody       = "slow_body"
 	reasonUnknownService = "unknown_service"
-	reasonDraining       = "leaving"
 )
 
-const (
-	// drainRetryAfter is the Retry-After of a draining node: another node can serve the
-	// caller a moment later.
-	drainRetryAfter = 100 * time.Millisecond
-	// rulesRetryAfter is the Retry-After while no recent configuration is known: the
-	// time of a few reads of the store.
-	rulesRetryAfter = 500 * time.Millisecond
-)
+// rulesRetryAfter is the Retry-After while no recent configuration is known: the time of a
+// few reads of the store.
+const rulesRetryAfter = 500 * time.Millisecond
 
 // checkHead reads the request's headers, finds the route and the service, and checks
 // the caller's key.
@@ -195,35 +189,18 @@
 	return nil
 }
 
-const (
-	// streamAcceptPeriodWhileDraining is how long a draining node accepts streams.
-	// Callers have been told to use other nodes, and a stream of some seconds still ends
-	// before the node stops. A longer stream would be cut, so it is better started at another node.
-	streamAcceptPeriodWhileDraining = 2500 * time.Millisecond
-	// shortRequestAcceptPeriodWhileDraining is how long a draining node accepts requests
-	// that are not streams.
-	shortRequestAcceptPeriodWhileDraining = 5500 * time.Millisecond
-)
-
-// refuseWhileDraining refuses requests whose answers would not end before the node
-// stops.
+// refuseWhileDraining refuses requests that would outlast this node. A forwarded request is refused
+// in any case, as the other node can ask a node that goes on.
 func (in *incomingRequest) refuseWhileDraining() *outcome.Refusal {
-	drainingFor := in.DrainingFor()
-	if drainingFor == 0 {
+	drain, request := in.Drain(), in.request
+	if !drain.Active() {
 		return nil
 	}
 	in.w.Header().Set("Connection", "close")
-	if in.request.Forwarded != nil {
-		return relay.NotRun(http.StatusServiceUnavailable, reasonDraining, "this node is about to stop", drainRetryAfter)
-	}
-	acceptPeriod := shortRequestAcceptPeriodWhileDraining
-	if in.request.Route.Kind == ruleset.Stream {
-		acceptPeriod = streamAcceptPeriodWhileDraining
-	}
-	if drainingFor < acceptPeriod {
+	if request.Forwarded == nil && drain.Accepts(request.Deadline.Sub(in.Relay.Now()), request.Route.Idempotent()) {
 		return nil
 	}
-	return relay.NotRun(http.StatusServiceUnavailable, reasonDraining, "this node is about to stop", drainRetryAfter)
+	return relay.NotRun(http.StatusServiceUnavailable, relay.ReasonLeaving, "this node is about to stop", relay.RetryAfterLeaving)
 }
 
 func hostWithoutPort(host string) string {
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -32,10 +32,11 @@
 	resultFailed
 	// resultUnknown is a failed attempt whose request may have run.
 	resultUnknown
-	// resultCallerGone and resultDeadline are attempts that this node ended, because the caller
-	// left or the deadline was reached.
+	// resultCallerGone, resultDeadline and resultStopped are attempts that this node ended, because the
+	// caller left, the deadline was reached, or the node is about to end.
 	resultCallerGone
 	resultDeadline
+	resultStopped
 )
 
 // attemptResult describes how one attempt ended.
@@ -59,6 +60,11 @@
 // notRun reports whether the attempt provably did not run.
 func (res attemptResult) notRun() bool { return res.kind == resultNotSent || res.kind == resultNotRun }
 
+// endedLocally reports whether this node ended the attempt, and not its endpoint.
+func (res attemptResult) endedLocally() bool {
+	return res.kind == resultCallerGone || res.kind == resultDeadline || res.kind == resultStopped
+}
+
 // attempt is one attempt to serve a request.
 type attempt struct {
 	req       *requestState
@@ -167,13 +173,15 @@
 // deadline.
 const hangTimeoutDivisor = 2
 
-// endedLocally reports whether this node ended the request: the caller left or the deadline is
-// reached.
+// endedLocally reports whether this node ended the request: the caller left, the deadline is reached,
+// or the node is about to end.
 func (a *attempt) endedLocally() (resultKind, bool) {
 	req := a.req
 	switch {
 	case req.callerCtx.Err() != nil:
 		return resultCallerGone, true
+	case req.stopped():
+		return resultStopped, true
 	case !req.server.Now().Before(req.Deadline.Add(-deadlineMargin)):
 		return resultDeadline, true
 	}
--- a/route/relay/final_answer.go
+++ b/route/relay/final_answer.go
@@ -17,6 +17,8 @@
 	switch {
 	case res.kind == resultCallerGone:
 		return nil, req.callerGone()
+	case res.kind == resultStopped:
+		return nil, req.stopRequest()
 	case res.kind == resultDeadline:
 		return nil, req.expired()
 	case req.answerStarted && req.guardRefusal != nil:
@@ -78,12 +80,30 @@
 	return outcomeUnknown(http.StatusGatewayTimeout, ReasonTimeout, "no answer before the deadline")
 }
 
+// stopped reports whether this node is about to end.
+func (req *requestState) stopped() bool {
+	return req.server.Stopping != nil && req.server.Stopping.Err() != nil
+}
+
+// stopRequest returns the answer to a request that is under way when the node is about to end.
+func (req *requestState) stopRequest() *outcome.Refusal {
+	if req.answerStarted {
+		req.abort(ReasonLeaving)
+	}
+	if len(req.mayHaveRunOn) == 0 && req.attemptCount == 0 {
+		return NotRun(http.StatusServiceUnavailable, ReasonLeaving, "this node is about to stop", RetryAfterLeaving)
+	}
+	return outcomeUnknown(http.StatusGatewayTimeout, ReasonLeaving, "this node has stopped before the endpoint answered")
+}
+
 // answerWithoutTarget returns the final answer if no target is available.
 func (req *requestState) answerWithoutTarget(err error) (*Answer, *outcome.Refusal) {
 	var guarded *crashguard.Refusal
 	switch {
 	case req.callerCtx.Err() != nil:
 		return nil, req.callerGone()
+	case req.stopped():
+		return nil, req.stopRequest()
 	case errors.As(err, &guarded) && req.answerStarted:
 		req.guardRefusal = guarded
 		req.abort(guardReason(guarded.Verdict))
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -217,7 +217,7 @@
 	switch {
 	case res.kind == resultComplete, res.kind == resultFailed, a.shed:
 		return forwarding.Served
-	case res.kind == resultCallerGone, res.kind == resultDeadline:
+	case res.endedLocally():
 		return forwarding.Canceled
 	case res.feedback.NoCapacity:
 		return forwarding.NoCapacity
--- a/route/relay/retry.go
+++ b/route/relay/retry.go
@@ -19,7 +19,7 @@
 		req.recordRetry(res, retry.Decision{Retry: true, Reason: retry.Allowed})
 		return true
 	}
-	if res.kind == resultCallerGone || res.kind == resultDeadline || req.forwarding.final || req.begunWhole() || req.heldBack(res) {
+	if res.endedLocally() || req.forwarding.final || req.begunWhole() || req.heldBack(res) {
 		return false
 	}
 	d := req.askBudget(res)
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -140,6 +140,11 @@
 	// only kept in memory. Zero logs all requests.
 	SampleEvery uint64
 
+	// Stopping is done when the node is about to end. The requests that are still under way are then
+	// answered at once, so that their callers don't lose the connection without an answer. nil for a
+	// node that waits for all of them.
+	Stopping context.Context
+
 	requestCount atomic.Uint64
 }
 
@@ -149,7 +154,8 @@
 	server *Server
 	// w receives the answer; nil if Do returns the answer.
 	w http.ResponseWriter
-	// callerCtx ends when the caller leaves. ctx ends when the caller leaves or at the deadline.
+	// callerCtx ends when the caller leaves. ctx also ends at the deadline, and when the node is about
+	// to end.
 	callerCtx context.Context
 	ctx       context.Context
 	log       hclog.Logger
@@ -223,7 +229,7 @@
 }
 
 func (s *Server) newRequestState(callerCtx context.Context, w http.ResponseWriter, r *Request) (*requestState, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(callerCtx, r.Deadline)
+	ctx, cancel := s.requestContext(callerCtx, r.Deadline)
 	state := &requestState{
 		Request: r, server: s, w: w, callerCtx: callerCtx, ctx: ctx, log: s.Log.With("request", r.Call.ID),
 		sampled: s.SampleEvery == 0 || s.requestCount.Add(1)%s.SampleEvery == 0,
@@ -238,6 +244,20 @@
 	return state, cancel
 }
 
+// requestContext returns the context of a request. It ends when the caller leaves, at the deadline, or
+// when the node is about to end.
+func (s *Server) requestContext(callerCtx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(callerCtx, deadline)
+	if s.Stopping == nil {
+		return ctx, cancel
+	}
+	release := context.AfterFunc(s.Stopping, cancel)
+	return ctx, func() {
+		release()
+		cancel()
+	}
+}
+
 // Reasons of refusals, for logs and metrics.
 const (
 	ReasonNoEndpoint = "no_endpoint"
@@ -255,6 +275,8 @@
 	ReasonUnknown      = "unknown"
 	ReasonTimeout      = "timeout"
 	ReasonCallerGone   = "caller_gone"
+	// ReasonLeaving means that this node was told to stop.
+	ReasonLeaving = "leaving"
 )
 
 const (
@@ -263,6 +285,9 @@
 	retryAfterNoCapacity = 400 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After.
 	minRetryAfter = 10 * time.Millisecond
+	// RetryAfterLeaving is the Retry-After of a node that was told to stop: another node can serve
+	// the caller a moment later.
+	RetryAfterLeaving = 100 * time.Millisecond
 	// statusCallerGone is only logged; the caller has left.
 	statusCallerGone = 499
 )
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -46,6 +46,8 @@
 	// CutAfter ends a stream's connection after that many events, in the middle of
 	// the next one; zero does not.
 	CutAfter int
+	// Work is how long a plain service works on a request. It stops if the connection closes.
+	Work time.Duration
 	// Prefill is the time to read a prompt. The replica reads one prompt at a time, the most
 	// urgent first, so more than one per Prefill wait.
 	Prefill time.Duration
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -96,6 +96,13 @@
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Work > 0 {
+		select {
+		case <-time.After(fault.Work):
+		case <-q.Context().Done():
+			return
+		}
+	}
 	text := "answer to " + q.Header.Get("Request-Id")
 	if fault.Unframed {
 		out, closeAnswer := answerTo(w, fault)
