own door: calls that would outlast a limited drain are refused

Calls go through decide/draining as on the platform's door: accepted if their deadline comes before the limit, others only if they are no orders and come in the first third of the time; refused as not run otherwise.

--- a/node/server/drain.go
+++ b/node/server/drain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cicadatack/cicadatack/decide/draining"
 	"github.com/cicadatack/cicadatack/decide/entrypoints"
 	"github.com/cicadatack/cicadatack/fleet"
 )
@@ -36,6 +37,7 @@
 // node that closed its listener at once would refuse callers who hold a valid
 // answer. After that no new connection is taken, and what is underway finishes.
 func (s *Server) leave() {
+	s.drainingSince.Store(int64(time.Since(s.started)))
 	s.draining.Store(true)
 	s.log.Info("draining", "underway", s.front.ActiveRequests())
 	ctx, cancel := s.drainContext()
@@ -64,6 +66,17 @@
 	return context.WithTimeout(context.Background(), time.Duration(limit)*time.Second)
 }
 
+// drainState describes the drain for calls that arrive in it. Without a limit the node waits for all of
+// them, so it accepts all.
+func (s *Server) drainState() draining.Drain {
+	limit := time.Duration(s.settings.Drain.LimitSeconds) * time.Second
+	if limit == 0 || !s.draining.Load() {
+		return draining.Drain{}
+	}
+	elapsed := time.Since(s.started) - time.Duration(s.drainingSince.Load())
+	return draining.Drain{Elapsed: max(1, elapsed), AcceptFor: limit, End: limit}
+}
+
 // serveOn waits until no valid entry answer names this node any more.
 func (s *Server) serveOn(ctx context.Context) {
 	if s.directory.Load() == nil {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -93,7 +93,10 @@
 	// parser is used by apply only, which the fleet calls one at a time.
 	parser    document.Parser
 	directory atomic.Pointer[docindex.Index]
+	started   time.Time
 	draining  atomic.Bool
+	// drainingSince is when the drain began, in nanoseconds after started.
+	drainingSince atomic.Int64
 	// listed is how many entry VMs the platform's list last had; zero: not read.
 	listed    atomic.Int64
 	followMu  sync.Mutex
@@ -109,7 +112,7 @@
 
 // New returns a node whose addresses are open; Run serves on them.
 func New(cfg settings.Settings, log hclog.Logger) (*Server, error) {
-	s := &Server{settings: cfg, log: log, drain: make(chan struct{})}
+	s := &Server{settings: cfg, log: log, started: time.Now(), drain: make(chan struct{})}
 	if err := s.listen(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -204,6 +207,7 @@
 	}
 	return &httpapi.Server{
 		DocumentIndex: s.directory.Load,
+		Drain:         s.drainState,
 		Now:           time.Now,
 		EntryProvider: &entries{server: s},
 		ModelServer: &modelservice.Server{
--- a/route/httpapi/httpapi.go
+++ b/route/httpapi/httpapi.go
@@ -17,6 +17,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cicadatack/cicadatack/decide/admission"
+	"github.com/cicadatack/cicadatack/decide/draining"
 	"github.com/cicadatack/cicadatack/route/callparser"
 	"github.com/cicadatack/cicadatack/route/docindex"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -77,7 +78,9 @@
 	EntryProvider EntryProvider
 	// CallForwarder may be nil.
 	CallForwarder CallForwarder
-	Now           func() time.Time
+	// Drain describes a node that was told to stop and whose drain has a limit; nil if no node has one.
+	Drain func() draining.Drain
+	Now   func() time.Time
 
 	activeRequests atomic.Int64
 }
@@ -170,6 +173,10 @@
 		refused.Write(w)
 		return
 	}
+	if refused := s.refuseWhileDraining(c); refused != nil {
+		refused.Write(w)
+		return
+	}
 	// Engines know the model by the service's name.
 	chat.Model = service
 	w.Header().Set(outcome.HeaderRequest, c.ID)
@@ -184,6 +191,31 @@
 	return s.CallForwarder != nil && s.CallForwarder.Forward(w, r, c, body)
 }
 
+const (
+	// noDeadline stands for the time left of a call without a deadline.
+	noDeadline = 365 * 24 * time.Hour
+	// leavingRetryAfter is the Retry-After of a node that was told to stop: another node can serve the
+	// call a moment later.
+	leavingRetryAfter = 100 * time.Millisecond
+)
+
+// refuseWhileDraining refuses calls that would be cut when the node's drain reaches its limit.
+func (s *Server) refuseWhileDraining(c *callparser.Call) *outcome.Refusal {
+	if s.Drain == nil {
+		return nil
+	}
+	remaining := noDeadline
+	if !c.Deadline.IsZero() {
+		remaining = c.Deadline.Sub(s.Now())
+	}
+	if s.Drain().Accepts(remaining, c.Class != admission.Order) {
+		return nil
+	}
+	refused := newRefusal(http.StatusServiceUnavailable, "leaving", "this node is about to stop")
+	refused.RetryAfter = leavingRetryAfter
+	return refused
+}
+
 // readChat returns the request for a model, and the body that it was read from.
 func readChat(w http.ResponseWriter, r *http.Request) (engineapi.ChatRequest, []byte, *outcome.Refusal) {
 	var chat engineapi.ChatRequest
@@ -229,6 +261,10 @@
 	if docindex.NonIdempotent(c.Service.Plain, r.Method, path) {
 		c.Class = admission.Order
 	}
+	if refused := s.refuseWhileDraining(c); refused != nil {
+		refused.Write(w)
+		return
+	}
 	w.Header().Set(outcome.HeaderRequest, c.ID)
 	if s.forward(w, r, c, body) {
 		return
