forwarding: a node serves only requests of nodes with its own version in force

Cause: the node asks one node after the other, and these learn of a version at different moments. A node refused a forwarded request only if its own version was older than the asker's. Evidence, from the nodes' lines: front-bandung-0, with version 13 in force, had an order handled by front-bekasi-1 under 16 and then one by front-bogor-2 under 13.

Change: a forwarded request is served only under the version that its own node has in force, which never goes back. Whoever is behind reads the one key of the configuration at once: the asked node before it refuses, the asking node before it sends the request again to the same node (route/catchup). Answers name the version of their node. The same on the own door with the document.

Why it works: all requests of a node's callers are handled by that node's version, whoever handles them.

Tests changed: "newer document here" and "sound" with an older revision stated the fault (a newer version serves an older node's request); both now state the refusal, and the sound case names the version in force.

--- a/fleet/records.go
+++ b/fleet/records.go
@@ -94,6 +94,18 @@
 	return true
 }
 
+// Refresh reads the record from the store. It returns before a newer record is in force.
+func (f *Fleet) Refresh(ctx context.Context) error {
+	record, err := f.documents.Get(ctx)
+	if err != nil {
+		f.log.Warn("store not read", "error", Error.Wrap(err))
+		return Error.Wrap(err)
+	}
+	f.storeAnswered()
+	f.stepRecords(docsync.Learned{Record: record, Source: docsync.FromStore})
+	return nil
+}
+
 // watchLoop holds a watch while this node is one of its failure domain's
 // holders. A broken watch is taken up again with a jittered, growing pause.
 func (f *Fleet) watchLoop() {
--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -71,6 +71,10 @@
 var refusals = map[string]Cause{
 	"stale_configuration": Stale,
 	"no_configuration":    Stale,
+	"older_configuration": Stale,
+	"newer_configuration": Stale,
+	"older_document":      Stale,
+	"newer_document":      Stale,
 	"unknown_service":     NoCover,
 	"no_chain":            NoCover,
 	"no_adapter":          NoCover,
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -321,6 +321,15 @@
 	m.scope.Tagged(map[string]string{"kind": kind, "result": result}).Counter("store_calls_total").Inc(1)
 }
 
+// CatchUp counts a read of the configuration for a forwarded request, by its result.
+func (m *Metrics) CatchUp(err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	m.scope.Tagged(map[string]string{"result": result}).Counter("configuration_catch_ups_total").Inc(1)
+}
+
 // Connections sets how many connections to endpoints are open.
 func (m *Metrics) Connections(n int) {
 	m.scope.Gauge("endpoint_connections").Update(float64(n))
--- a/node/server/forwarding.go
+++ b/node/server/forwarding.go
@@ -11,6 +11,7 @@
 	"github.com/cicadatack/cicadatack/fleet"
 	"github.com/cicadatack/cicadatack/fleet/membership"
 	"github.com/cicadatack/cicadatack/route/callforward"
+	"github.com/cicadatack/cicadatack/route/catchup"
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/docindex"
 	"github.com/cicadatack/cicadatack/route/forwarder"
@@ -52,7 +53,8 @@
 	}
 	return &callforward.Server{
 		Forwarder: s.forwarder, Transport: transport, Scheme: cmp.Or(peers.Scheme, "http"),
-		Recorder: s.decisions, Metrics: s.metrics, Now: time.Now,
+		Revisions: catchup.New(s.revision, s.fleet.Refresh, s.metrics.CatchUp),
+		Recorder:  s.decisions, Metrics: s.metrics, Now: time.Now,
 	}
 }
 
--- a/node/site/forward_test.go
+++ b/node/site/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/entrypoints"
+	"github.com/cicadatack/cicadatack/platform/boot"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/standin/link"
 	"github.com/cicadatack/cicadatack/standin/replica"
@@ -36,7 +38,20 @@
 // helper starts a node that serves for others behind a link.
 func (p *platform) helper(name string) (*running, *link.Link) {
 	p.t.Helper()
-	node := p.node(p.settings(name))
+	return p.helperOn(p.settings(name))
+}
+
+// helperAt is helper for a node that reaches the store through a door.
+func (p *platform) helperAt(name string, store *storeDoor) {
+	p.t.Helper()
+	settings := p.settings(name)
+	settings.Store = netip.MustParseAddrPort(store.Listener.Addr().String())
+	p.helperOn(settings)
+}
+
+func (p *platform) helperOn(settings *boot.Settings) (*running, *link.Link) {
+	p.t.Helper()
+	node, name := p.node(settings), settings.Node
 	server := httptest.NewServer(node.peersDoor())
 	p.t.Cleanup(server.Close)
 	l, err := link.Listen(server.Listener.Addr().String())
@@ -256,7 +271,8 @@
 }
 
 // Guards against a key that a cut-off node still takes although the node that sends the request
-// knows that it was revoked, and against a request that is handled by an older configuration.
+// knows that it was revoked, and against a request that is handled by another configuration than that
+// of the node that forwards it.
 func TestForwardedRequestsAreCheckedByTheNodeThatSends(t *testing.T) {
 	p := newPlatform(t)
 	p.chains(3, time.Millisecond)
@@ -270,10 +286,11 @@
 		status    int
 		code      string
 	}{
-		{"sound", goodKey, 1, true, http.StatusOK, ""},
-		{"revoked key", "old-key", 1, true, http.StatusUnauthorized, "unknown_key"},
+		{"sound", goodKey, node.Revision(), true, http.StatusOK, ""},
+		{"revoked key", "old-key", node.Revision(), true, http.StatusUnauthorized, "unknown_key"},
 		{"newer configuration", goodKey, 1 << 40, true, http.StatusServiceUnavailable, "older_configuration"},
-		{"not forwarded", goodKey, 1, false, http.StatusBadRequest, "not_forwarded"},
+		{"older configuration", goodKey, node.Revision() - 1, true, http.StatusServiceUnavailable, "newer_configuration"},
+		{"not forwarded", goodKey, node.Revision(), false, http.StatusBadRequest, "not_forwarded"},
 	} {
 		q, err := http.NewRequest("POST", door.URL+"/forward/order/1", strings.NewReader("some cream"))
 		if err != nil {
@@ -295,7 +312,7 @@
 		if result.Refusal != nil {
 			code = result.Refusal.Code
 		}
-		if response.StatusCode != c.status || code != c.code || !understood {
+		if response.StatusCode != c.status || code != c.code || !understood || result.Revision != node.Revision() && c.forward {
 			t.Errorf("%s: status %d, result %+v", c.name, response.StatusCode, result)
 		}
 		if ran := len(p.Fleet.Runs(c.name)) > 0; ran != (c.status == http.StatusOK) {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -26,6 +26,7 @@
 	"github.com/cicadatack/cicadatack/platform/callers"
 	"github.com/cicadatack/cicadatack/platform/engines"
 	"github.com/cicadatack/cicadatack/platform/kv"
+	"github.com/cicadatack/cicadatack/route/catchup"
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
@@ -68,7 +69,11 @@
 	// decisions are the latest about requests, for the operators.
 	decisions *decisionlog.Log
 
-	rules atomic.Pointer[ruleset.Ruleset]
+	// taking is held while what was read from the store is put in force.
+	taking sync.Mutex
+	rules  atomic.Pointer[ruleset.Ruleset]
+	// catchUp reads the configuration for forwarded requests whose other node has a newer one.
+	catchUp *catchup.Reader
 	// first is closed when the first configuration is in force, with the replicas of its
 	// services.
 	first     chan struct{}
@@ -171,6 +176,7 @@
 	n.inForce.Store(&settings.Bounds)
 	n.lease.MaxAge = freshLimit(settings.Bounds)
 	n.services.init(n)
+	n.catchUp = catchup.New(n.Revision, n.readRules, n.metrics.CatchUp)
 	n.bookings = bookings.New(settings.Node, time.Now, n.services.booked, n.services.seen, sharedLimits{n})
 	n.bookings.SetLoads(n.services.loads)
 	n.loans.init(n)
@@ -187,7 +193,7 @@
 			HeaderCodec: callers.Dialect{}, Engines: engineCalls{n}, Pool: n.pool, Prober: n.prober, Reports: n.reports,
 			Forwarder: n.forwarder, PeerPool: n.peerPool, Guard: n.guard,
 			Metrics: n.metrics, Recorder: n.decisions, Log: log, Now: time.Now, SampleEvery: successSample,
-			Stopping: n.stopping,
+			Stopping: n.stopping, Revisions: n,
 		},
 	}
 	return n, nil
@@ -241,6 +247,19 @@
 // Current implements ingress.Rules.
 func (n *Node) Current() *ruleset.Ruleset { return n.rules.Load() }
 
+// Revision implements relay.Revisions.
+func (n *Node) Revision() int64 {
+	if rules := n.rules.Load(); rules != nil {
+		return rules.Version
+	}
+	return 0
+}
+
+// CatchUp implements relay.Revisions.
+func (n *Node) CatchUp(ctx context.Context, revision int64) int64 {
+	return n.catchUp.CatchUp(ctx, revision)
+}
+
 // Loaded implements ingress.Rules.
 func (n *Node) Loaded() <-chan struct{} { return n.first }
 
--- a/node/site/take.go
+++ b/node/site/take.go
@@ -23,6 +23,8 @@
 
 // take puts in force what one read has found.
 func (n *Node) take(begun time.Time, proof time.Duration, entries []store.Entry) {
+	n.taking.Lock()
+	defer n.taking.Unlock()
 	var found []*replicalist.Replica
 	var members []member
 	var isolated []poison.Isolation
@@ -63,12 +65,36 @@
 	}
 }
 
+// readRules reads the configuration alone and puts it in force, with the replicas that are known.
+func (n *Node) readRules(ctx context.Context) error {
+	proof := sinceBoot()
+	entry, err := n.store.Get(ctx, operator.Key)
+	n.storeCalled("configuration", err)
+	if err != nil {
+		n.log.Warn("configuration not read for a forwarded request", "error", err, "version", n.Revision())
+		return Error.Wrap(err)
+	}
+	n.taking.Lock()
+	defer n.taking.Unlock()
+	before := n.Revision()
+	if n.takeRules(entry) {
+		n.prove(proof)
+	}
+	if n.Revision() > before {
+		n.services.update(n.replicas())
+	}
+	return nil
+}
+
 // takeRules puts a newer configuration in force. It says whether the one in force is
-// the store's.
+// the store's. The caller holds n.taking.
 func (n *Node) takeRules(e store.Entry) bool {
 	if e.Revision == n.poll.ruleRev {
 		return true
 	}
+	if e.Revision < n.poll.ruleRev {
+		return false // a read that began before the one that brought the configuration in force
+	}
 	rules, err := operator.Decode(e.Value)
 	if err != nil {
 		// The last good one stays, and is not proved by this read.
--- a/route/callforward/callforward.go
+++ b/route/callforward/callforward.go
@@ -33,10 +33,12 @@
 	// a call again by itself after a connection breaks.
 	Transport http.RoundTripper
 	// Scheme is that of the nodes' own listeners.
-	Scheme   string
-	Recorder decisionlog.Recorder
-	Metrics  Metrics
-	Now      func() time.Time
+	Scheme string
+	// Revisions tells the version of the document that this node has in force.
+	Revisions relay.Revisions
+	Recorder  decisionlog.Recorder
+	Metrics   Metrics
+	Now       func() time.Time
 }
 
 const (
@@ -51,6 +53,7 @@
 const (
 	codeUnreachable   = "unreachable"
 	codeOlderDocument = "older_document"
+	codeNewerDocument = "newer_document"
 	codeNoAnswer      = "no_answer"
 )
 
@@ -58,7 +61,7 @@
 // returns false if the call must be served here. body is the body of the call, which was read.
 func (s *Server) Forward(w http.ResponseWriter, r *http.Request, c *callparser.Call, body []byte) bool {
 	if forward, forwarded := forwardOf(r.Context()); forwarded {
-		return s.refuseForwarded(w, c, forward)
+		return s.refuseForwarded(r.Context(), w, c, forward)
 	}
 	if !s.Forwarder.CutOff(c.Service.Name) {
 		return false
@@ -68,13 +71,17 @@
 }
 
 // refuseForwarded refuses a call that another node forwards, if this node can't serve it either
-// or has an older document. It reports whether it has refused the call.
-func (s *Server) refuseForwarded(w http.ResponseWriter, c *callparser.Call, forward headers.Forward) bool {
+// or has another document. It reports whether it has refused the call.
+func (s *Server) refuseForwarded(ctx context.Context, w http.ResponseWriter, c *callparser.Call, forward headers.Forward) bool {
 	s.Forwarder.Observe(c.Service.Name, forward.Node, forward.CutOffFromAll)
 	refusal := &outcome.Refusal{Status: http.StatusServiceUnavailable, Outcome: outcome.NotRun, RetryAfter: retryAfter}
-	switch {
-	case c.DocumentIndex.Revision < forward.Revision:
+	switch inForce := c.DocumentIndex.Revision; {
+	case inForce < forward.Revision:
 		refusal.Code, refusal.Message = codeOlderDocument, "this node has an older document"
+		go s.Revisions.CatchUp(context.WithoutCancel(ctx), forward.Revision)
+	case inForce > forward.Revision:
+		refusal.Code, refusal.Message = codeNewerDocument, "this node has a newer document"
+		headers.ForwardResult{Revision: inForce}.Set(w.Header())
 	case s.Forwarder.CutOff(c.Service.Name):
 		refusal.Code, refusal.Message = codeUnreachable, "this node reaches no endpoint of the service either"
 		headers.ForwardResult{Serving: s.Forwarder.Serving(c.Service.Name)}.Set(w.Header())
@@ -92,6 +99,8 @@
 	r      *http.Request
 	call   *callparser.Call
 	body   []byte
+	// sentRevision is the version of the document that the call was last sent with.
+	sentRevision int64
 }
 
 // run asks nodes until one of them serves the call or may have run it. It returns false if none
@@ -133,7 +142,7 @@
 		Kind: decisionlog.Forward, Chosen: node.Name, Reason: "no endpoint is reached",
 		TextValues: []decisionlog.TextValue{{Name: "address", Text: node.Address}},
 	})
-	answer, sent, err := f.send(node)
+	answer, result, sent, err := f.sendInStep(node)
 	if err != nil {
 		if f.r.Context().Err() != nil {
 			return nil, forwarding.Canceled
@@ -145,9 +154,7 @@
 		return nil, forwarding.Canceled // answered: another node must not be asked
 	}
 	defer answer.Body.Close()
-	if result, ok := headers.TakeForwardResult(answer.Header); ok {
-		s.Forwarder.Named(f.call.Service.Name, result.Serving)
-	}
+	s.Forwarder.Named(f.call.Service.Name, result.Serving)
 	if refused := refusalOf(answer); refused != nil {
 		if refused.status == http.StatusTooManyRequests {
 			return refused, forwarding.NoCapacity
@@ -158,6 +165,30 @@
 	return nil, forwarding.Served
 }
 
+// maxSends bounds how often a call is sent to the same node, which refuses it each time as a newer
+// document comes into force.
+const maxSends = 3
+
+// sendInStep sends the call, and sends it again if the node has refused it because of a newer document
+// and this node now has that one as well. Otherwise a node with an older document could handle a later
+// call of the same caller.
+func (f *forwardedCall) sendInStep(node forwarding.Node) (answer *http.Response, result headers.ForwardResult, sent bool, err error) {
+	for sends := 1; ; sends++ {
+		if answer, sent, err = f.send(node); err != nil {
+			return nil, headers.ForwardResult{}, sent, err
+		}
+		result, _ = headers.TakeForwardResult(answer.Header) // a node that serves the call states none
+		refused := answer.Header.Get(outcome.Header) == string(outcome.NotRun)
+		if !refused || result.Revision <= f.sentRevision || sends == maxSends {
+			return answer, result, sent, nil
+		}
+		if f.server.Revisions.CatchUp(f.r.Context(), result.Revision) < result.Revision {
+			return answer, result, sent, nil
+		}
+		answer.Body.Close()
+	}
+}
+
 // send sends the call. sent reports whether the node may have read a part of it.
 func (f *forwardedCall) send(node forwarding.Node) (answer *http.Response, sent bool, err error) {
 	ctx, dialed := traceConnection(f.r.Context())
@@ -172,8 +203,9 @@
 		remaining := max(time.Millisecond, f.call.Deadline.Sub(f.server.Now()))
 		q.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	}
+	f.sentRevision = f.server.Revisions.Revision()
 	headers.Forward{
-		Node: f.server.Forwarder.Name(), Revision: f.call.DocumentIndex.Revision, Service: f.call.Service.Name,
+		Node: f.server.Forwarder.Name(), Revision: f.sentRevision, Service: f.call.Service.Name,
 		CutOffFromAll: f.server.Forwarder.CutOffFromAll(), ElapsedMicros: f.server.Now().Sub(f.call.ArrivedAt).Microseconds(),
 	}.Set(q.Header)
 	answer, err = f.server.Transport.RoundTrip(q)
--- a/route/callforward/callforward_test.go
+++ b/route/callforward/callforward_test.go
@@ -56,9 +56,18 @@
 
 func (noMetrics) Forwarded(string, string) {}
 
+// documents are the versions of the document that a node has: one in force, and another one in the store.
+type documents struct{ inForce, stored int64 }
+
+func (d *documents) Revision() int64 { return d.inForce }
+func (d *documents) CatchUp(context.Context, int64) int64 {
+	d.inForce = d.stored
+	return d.inForce
+}
+
 func serverOf(f *fleetOf) *Server {
 	return &Server{
-		Forwarder: f, Transport: &http.Transport{DisableKeepAlives: true}, Scheme: "http",
+		Forwarder: f, Revisions: &documents{inForce: 3, stored: 3}, Transport: &http.Transport{DisableKeepAlives: true}, Scheme: "http",
 		Recorder: noRecorder{}, Metrics: noMetrics{}, Now: time.Now,
 	}
 }
@@ -174,7 +183,7 @@
 }
 
 // Guards against two cut-off nodes that pass a call to each other, and against a call that is
-// handled by an older document than the one that admitted it.
+// handled by another document than that of the node that forwards it.
 func TestForwardedCallIsServedOrRefused(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -183,7 +192,7 @@
 		refused  string
 	}{
 		{"served", false, 3, ""},
-		{"newer document here", false, 4, ""},
+		{"newer document here", false, 4, codeNewerDocument},
 		{"older document here", false, 2, codeOlderDocument},
 		{"cut off as well", true, 3, codeUnreachable},
 	} {
@@ -192,7 +201,9 @@
 		r := httptest.NewRequest("POST", "/services/bookings/x", nil)
 		r = r.WithContext(context.WithValue(r.Context(), forwardKey{}, headers.Forward{Node: "front-2", Revision: 3}))
 		w := httptest.NewRecorder()
-		handled := serverOf(f).Forward(w, r, callOf(c.revision), nil)
+		s := serverOf(f)
+		s.Revisions = &steadyDocument{c.revision}
+		handled := s.Forward(w, r, callOf(c.revision), nil)
 		if handled != (c.refused != "") || !strings.Contains(w.Body.String(), c.refused) || otherCalls.Load() > 0 {
 			t.Errorf("%s: handled %v, %s, passed on %d times", c.name, handled, w.Body, otherCalls.Load())
 		}
@@ -205,6 +216,56 @@
 	}
 }
 
+// steadyDocument is the only version of the document that a node has.
+type steadyDocument struct{ revision int64 }
+
+func (d *steadyDocument) Revision() int64                      { return d.revision }
+func (d *steadyDocument) CatchUp(context.Context, int64) int64 { return d.revision }
+
+// nodeWith starts a node that serves calls of nodes with the same version of the document, and refuses
+// others.
+func nodeWith(t *testing.T, revision int64) (address string, served *atomic.Int64) {
+	served = &atomic.Int64{}
+	address, _ = nodeThat(t, func(w http.ResponseWriter, r *http.Request) {
+		s := serverOf(&fleetOf{})
+		s.Revisions = &steadyDocument{revision}
+		if !s.Forward(w, r, callOf(revision), nil) {
+			served.Add(1)
+			serve(w, r)
+		}
+	})
+	return address, served
+}
+
+// Guards against calls that an older document handles after a newer one has handled one of the same
+// node: of the nodes that serve for it, one has the newer document and one the older.
+func TestForwardedCallsNeverGoBackToAnOlderDocument(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		stored       int64 // what the forwarding node can catch up with
+		newer, older int64 // calls served
+	}{
+		{"the node catches up", 4, 2, 0},
+		{"the node does not reach the store", 3, 0, 2},
+	} {
+		newer, newerServed := nodeWith(t, 4)
+		older, olderServed := nodeWith(t, 3)
+		s := serverOf(nil)
+		s.Revisions = &documents{inForce: 3, stored: c.stored}
+		for _, order := range [][]string{{newer, older}, {older, newer}} {
+			f := &fleetOf{cutOff: true, nodes: order}
+			s.Forwarder = f
+			w := httptest.NewRecorder()
+			if !s.Forward(w, httptest.NewRequest("POST", "/services/bookings/x", nil), callOf(3), nil) || w.Code != http.StatusOK {
+				t.Errorf("%s: status %d, %s", c.name, w.Code, w.Body)
+			}
+		}
+		if newerServed.Load() != c.newer || olderServed.Load() != c.older {
+			t.Errorf("%s: the newer document served %d calls, the older %d", c.name, newerServed.Load(), olderServed.Load())
+		}
+	}
+}
+
 // Guards against a stream that is held back until its end, and against one that looks whole
 // although its node broke it off.
 func TestStreamIsPassedOnAsItArrives(t *testing.T) {
--- a/route/headers/forward.go
+++ b/route/headers/forward.go
@@ -19,8 +19,8 @@
 type Forward struct {
 	// Node is the name of the node that forwards the request.
 	Node string `json:"node"`
-	// Revision is the version of the configuration that admitted the request. A node with an
-	// older version must not serve it.
+	// Revision is the version of the configuration that the node has in force. A node with another
+	// version must not serve the request.
 	Revision int64 `json:"revision"`
 	// Service is the service that the request was meant for.
 	Service string `json:"service"`
@@ -57,11 +57,18 @@
 	Replica string `json:"replica,omitempty"`
 	// Refusal is set if the node itself refused the request.
 	Refusal *ForwardRefusal `json:"refusal,omitempty"`
+	// Revision is the version of the configuration that the node has in force.
+	Revision int64 `json:"revision,omitempty"`
 	// Serving are nodes that serve the requests of the node that refuses, as it reaches no replica
 	// either.
 	Serving []string `json:"serving,omitempty"`
 }
 
+// RefusedAs reports whether the node refused the request for a reason, so that it has not run.
+func (r ForwardResult) RefusedAs(code string) bool {
+	return r.Refusal != nil && r.Refusal.Code == code && r.Refusal.Outcome == outcome.NotRun
+}
+
 // ForwardRefusal is the refusal of a forwarded request.
 type ForwardRefusal struct {
 	Code             string          `json:"code"`
--- a/route/ingress/forwarded.go
+++ b/route/ingress/forwarded.go
@@ -14,11 +14,8 @@
 // callers come first if there is not enough capacity for all.
 const forwardedRank = 1000
 
-// Reasons of refusals of forwarded requests.
-const (
-	reasonNotForwarded = "not_forwarded"
-	reasonOlderRules   = "older_configuration"
-)
+// reasonNotForwarded is the reason of refusals of requests that don't say which node forwards them.
+const reasonNotForwarded = "not_forwarded"
 
 // ForwardedHandler serves requests that other nodes forward because they reach no endpoint that
 // could serve them. The keys are checked again by this node's configuration.
@@ -39,14 +36,27 @@
 	s.serve(w, r, request)
 }
 
-// refuseOlderRules refuses a forwarded request that a newer configuration has admitted: this node
-// would handle it as only an older one allows.
-func (in *incomingRequest) refuseOlderRules() *outcome.Refusal {
+// refuseOtherRules refuses a forwarded request unless this node has the version of the configuration in
+// force that the forwarding node has. With an older version this node would handle the request as only
+// that one allows; with a newer version, the next node that is asked could have an older one, and the
+// callers of the forwarding node would see it go back. The node that is behind catches up: this one
+// before it refuses, the forwarding node before it sends the request again.
+func (in *incomingRequest) refuseOtherRules() *outcome.Refusal {
 	forward := in.request.Forwarded
-	if forward == nil || in.rules.Version >= forward.Revision {
+	if forward == nil {
 		return nil
 	}
-	return relay.NotRun(http.StatusServiceUnavailable, reasonOlderRules, "this node has an older configuration", rulesRetryAfter)
+	if in.rules.Version < forward.Revision {
+		in.Rules.CatchUp(in.httpRequest.Context(), forward.Revision)
+		in.useRules(in.Rules.Current())
+	}
+	switch {
+	case in.rules.Version < forward.Revision:
+		return relay.NotRun(http.StatusServiceUnavailable, relay.ReasonOlderRules, "this node has an older configuration", rulesRetryAfter)
+	case in.rules.Version > forward.Revision:
+		return relay.NotRun(http.StatusServiceUnavailable, relay.ReasonNewerRules, "this node has a newer configuration", rulesRetryAfter)
+	}
+	return nil
 }
 
 // pickService returns the service that the request goes to. A forwarded request goes to the one
--- a/route/ingress/ingress.go
+++ b/route/ingress/ingress.go
@@ -26,6 +26,7 @@
 // Rules gives the current rules, which are the node's configuration.
 type Rules interface {
 	relay.ConfigFreshness
+	relay.Revisions
 	// Current returns the newest configuration, or nil if none has been loaded yet.
 	Current() *ruleset.Ruleset
 	// Loaded returns a channel that is closed when the first configuration is in force
@@ -104,11 +105,12 @@
 	if request.Call, err = in.Relay.HeaderCodec.ParseRequest(in.httpRequest.Header); err != nil {
 		return relay.NotRun(http.StatusBadRequest, reasonMalformed, err.Error(), 0)
 	}
-	if in.rules = in.waitForRules(request.Call.Timeout); in.rules == nil {
+	rules := in.waitForRules(request.Call.Timeout)
+	if rules == nil {
 		return relay.NotRun(http.StatusServiceUnavailable, reasonNoRules, "no configuration is known yet", rulesRetryAfter)
 	}
-	request.Revision = in.rules.Version
-	if refusal := in.refuseOlderRules(); refusal != nil {
+	in.useRules(rules)
+	if refusal := in.refuseOtherRules(); refusal != nil {
 		return refusal
 	}
 	if request.Route = in.rules.Match(hostWithoutPort(in.httpRequest.Host), in.httpRequest.URL.Path); request.Route == nil {
@@ -130,6 +132,11 @@
 	return in.refuseWhileDraining()
 }
 
+// useRules sets the configuration that the request is handled by.
+func (in *incomingRequest) useRules(rules *ruleset.Ruleset) {
+	in.rules, in.request.Revision = rules, rules.Version
+}
+
 const (
 	// A request that arrives before the first configuration is loaded waits for its
 	// caller's timeout divided by rulesWaitDivisor, but at least minRulesWait and at
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -60,7 +60,7 @@
 		h.Del(headerLength)
 	}
 	if req.Forwarded != nil {
-		headers.ForwardResult{Replica: req.lastTarget.Replica}.Set(h)
+		headers.ForwardResult{Replica: req.lastTarget.Replica, Revision: req.Revision}.Set(h)
 	}
 	req.w.WriteHeader(status)
 }
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -44,6 +44,15 @@
 	Observe(service, node string, fromAll bool)
 }
 
+// Revisions tells which version of the configuration this node has in force.
+type Revisions interface {
+	// Revision returns the version in force.
+	Revision() int64
+	// CatchUp waits for a short time until a version or a newer one is in force, and returns the version
+	// in force.
+	CatchUp(ctx context.Context, revision int64) int64
+}
+
 // ForwardPath is prefixed to the path of a request that is forwarded to another node.
 const ForwardPath = "/forward"
 
@@ -139,17 +148,49 @@
 	return a.runBuffered()
 }
 
-// sendToNode sends the request to another node and decodes the head of the answer.
+// maxSendsToNode bounds how often a request is sent to the same node, which refuses it each time as a
+// newer configuration comes into force.
+const maxSendsToNode = 3
+
+// sendToNode sends the request to another node and decodes the head of the answer. If that node has a
+// newer configuration, it sends the request again once this node has that version as well. Otherwise
+// the node's older version could handle a later request of the same callers.
 func (a *attempt) sendToNode(ctx context.Context, headTimeout time.Duration) (*upstream.Exchange, *attemptResult) {
+	for sends := 1; ; sends++ {
+		exchange, result, failed := a.sendOnceToNode(ctx, headTimeout)
+		if failed == nil || !result.RefusedAs(ReasonNewerRules) || sends == maxSendsToNode {
+			return exchange, failed
+		}
+		inForce := a.req.server.Revisions.CatchUp(ctx, result.Revision)
+		a.recordCatchUp(result.Revision, inForce)
+		if inForce < result.Revision {
+			return nil, failed
+		}
+	}
+}
+
+// recordCatchUp records that the node of the attempt has a newer configuration, and the version that
+// this node has in force after it has waited for that one.
+func (a *attempt) recordCatchUp(revision, inForce int64) {
+	a.req.record(decisionlog.Decision{
+		Kind: decisionlog.Forward, Chosen: a.target.Replica, Reason: "the node has a newer configuration",
+		TextValues: a.req.withRoute(),
+		Values:     map[string]float64{"node_revision": float64(revision), "in_force": float64(inForce)},
+	})
+}
+
+// sendOnceToNode sends the request to another node once.
+func (a *attempt) sendOnceToNode(ctx context.Context, headTimeout time.Duration) (*upstream.Exchange, headers.ForwardResult, *attemptResult) {
 	req := a.req
+	a.refused, a.shed = false, false
 	now := req.server.Now()
 	remaining := req.Deadline.Sub(now)
 	if remaining <= deadlineMargin {
-		return nil, &attemptResult{kind: resultDeadline, detail: "deadline too near to forward the request"}
+		return nil, headers.ForwardResult{}, &attemptResult{kind: resultDeadline, detail: "deadline too near to forward the request"}
 	}
 	header := req.server.HeaderCodec.DownstreamHeader(req.Header)
 	headers.Forward{
-		Node: req.server.Forwarder.Name(), Revision: req.Revision, Service: req.Service,
+		Node: req.server.Forwarder.Name(), Revision: req.server.Revisions.Revision(), Service: req.Service,
 		CutOffFromAll: req.server.Forwarder.CutOffFromAll(), ElapsedMicros: now.Sub(req.Arrived).Microseconds(), MayHaveRunOn: a.ranElsewhere, ResumeAfter: a.resumeAfter,
 		Admitted: req.awaiting != nil,
 	}.Set(header)
@@ -160,7 +201,7 @@
 	})
 	if err != nil {
 		res := a.resultOfError(err)
-		return nil, &res
+		return nil, headers.ForwardResult{}, &res
 	}
 	result, understood := headers.TakeForwardResult(exchange.Header)
 	req.server.Forwarder.Named(req.Service, result.Serving)
@@ -169,9 +210,9 @@
 		a.discardBody(exchange)
 		exchange.Close()
 		res := a.refusedByNode(exchange.StatusCode, result.Refusal)
-		return nil, &res
+		return nil, result, &res
 	}
-	return exchange, nil
+	return exchange, result, nil
 }
 
 // refusedByNode classifies the refusal of another node. refusal is nil if the answer can't be
--- a/route/relay/record.go
+++ b/route/relay/record.go
@@ -25,6 +25,7 @@
 	req.server.Metrics.Refused(req.Service, r.Code)
 	if req.Forwarded != nil {
 		result := refusalResult(r)
+		result.Revision = req.Revision
 		if r.Code == ReasonUnreachable && req.server.Forwarder != nil {
 			result.Serving = req.server.Forwarder.Serving(req.Service)
 		}
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -133,6 +133,8 @@
 	// connections to them. If Forwarder is nil, no request is forwarded.
 	Forwarder Forwarder
 	PeerPool  *upstream.Pool
+	// Revisions is set if Forwarder is.
+	Revisions Revisions
 	// MaxBufferedBytes bounds the answers that are buffered until they are complete. Zero
 	// stands for DefaultMaxBufferedBytes.
 	MaxBufferedBytes int
@@ -277,6 +279,10 @@
 	ReasonCallerGone   = "caller_gone"
 	// ReasonLeaving means that this node was told to stop.
 	ReasonLeaving = "leaving"
+	// ReasonOlderRules and ReasonNewerRules mean that the node to which a request was forwarded has an
+	// older or a newer configuration than the node that forwards it.
+	ReasonOlderRules = "older_configuration"
+	ReasonNewerRules = "newer_configuration"
 )
 
 const (
--- a/route/relay/shed_test.go
+++ b/route/relay/shed_test.go
@@ -196,6 +196,12 @@
 	c.results = append(c.results, r)
 }
 
+// steadyRevision is the only version of the configuration that a node has.
+type steadyRevision int64
+
+func (r steadyRevision) Revision() int64                      { return int64(r) }
+func (r steadyRevision) CatchUp(context.Context, int64) int64 { return int64(r) }
+
 // Guards against callers of a cut-off node that are shed by two nodes, or asked for at several
 // nodes until one admits them.
 func TestOneNodeDecidesOnForwardedRequests(t *testing.T) {
@@ -211,7 +217,7 @@
 	defer other.Close()
 	s := newShedding(t)
 	forwarder := &cutOff{address: strings.TrimPrefix(other.URL, "http://")}
-	s.Forwarder = forwarder
+	s.Forwarder, s.Revisions = forwarder, steadyRevision(1)
 	if refused := s.serve(t, func(*Request) {}); refused != 30 || asked != 30 || admitted > 0 || len(s.shed) > 0 || len(s.arrived) > 0 {
 		t.Errorf("%d refused, %d asked of another node, %v shed here", refused, asked, s.shed)
 	}
