tests: answers that are cut in their head are never whole

Other operators report that a replica stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body, framed as whole. Here it does not happen in what was tried: each number of bytes of an answer in ten framings, closed, reset and half closed, on new and kept connections; at both doors for orders, reads, streams and models; forwarded, with the head of the replica or of the node cut.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -24,6 +24,8 @@
 	// heldBack are the directions in which bytes are held back.
 	heldBack Direction
 	delay    time.Duration
+	// endAfter is how many bytes from the target a connection passes on before it ends; 0 for no end.
+	endAfter int
 	passed   int64
 	door     door
 }
@@ -79,6 +81,13 @@
 	l.delay = d
 }
 
+// EndAfter closes each connection, in the usual way, once it has passed on so many bytes from the target.
+func (l *Link) EndAfter(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endAfter = bytes
+}
+
 // Heal ends every fault.
 func (l *Link) Heal() {
 	l.mu.Lock()
@@ -87,6 +96,7 @@
 	l.frozen = false
 	l.heldBack = 0
 	l.delay = 0
+	l.endAfter = 0
 	l.open()
 	l.cond.Broadcast()
 }
@@ -169,13 +179,15 @@
 	defer l.drop(from)
 	defer l.drop(to)
 	buffer := make([]byte, copyBuffer)
-	for {
+	for passed := 0; ; {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			l.hold(n, direction)
-			if _, werr := to.Write(buffer[:n]); werr != nil {
+			allowed, ends := l.allowed(passed, n, direction)
+			if _, werr := to.Write(buffer[:allowed]); werr != nil || ends {
 				return
 			}
+			passed += n
 		}
 		if err != nil {
 			return
@@ -183,6 +195,17 @@
 	}
 }
 
+// allowed returns how many of n bytes a connection passes on that has passed on so many already, and
+// whether it ends then.
+func (l *Link) allowed(passed, n int, direction Direction) (bytes int, ends bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.endAfter == 0 || direction != FromTarget || passed+n < l.endAfter {
+		return n, false
+	}
+	return max(0, l.endAfter-passed), true
+}
+
 // hold waits out the faults in force and counts the bytes.
 func (l *Link) hold(n int, direction Direction) {
 	l.mu.Lock()
