site: a read of the configuration alone renews no proof

A node that others read for decides by the age of its proof when to read the store itself. The read of the configuration for forwarded requests renewed that proof, so that in a run of versions such a node, with its domain's readers lost, would have kept an old list of replicas. By reading, not brought about; the tests of forwarded requests pass.

--- a/node/site/take.go
+++ b/node/site/take.go
@@ -65,9 +65,10 @@
 	}
 }
 
-// readRules reads the configuration alone and puts it in force, with the replicas that are known.
+// readRules reads the configuration alone and puts it in force, with the replicas that are known. It
+// renews no proof: a node decides by the age of its proof when to read all, and would let its list of
+// replicas grow old.
 func (n *Node) readRules(ctx context.Context) error {
-	proof := sinceBoot()
 	entry, err := n.store.Get(ctx, operator.Key)
 	n.storeCalled("configuration", err)
 	if err != nil {
@@ -77,10 +78,7 @@
 	n.taking.Lock()
 	defer n.taking.Unlock()
 	before := n.Revision()
-	if n.takeRules(entry) {
-		n.prove(proof)
-	}
-	if n.Revision() > before {
+	if n.takeRules(entry); n.Revision() > before {
 		n.services.update(n.replicas())
 	}
 	return nil
