--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -22,6 +22,8 @@
 	read   = "/read/"
 )
 
+var usualKinds = []string{stream, stream, order, read}
+
 // asked is one request and what its caller saw.
 type asked struct {
 	id, kind, key string
@@ -55,6 +57,8 @@
 	keepsAddresses bool
 	// parts returns the parts of a stream's prompt; nil if none are stated.
 	parts func(id string) string
+	// kinds are what callers ask for, drawn at random; nil for usualKinds.
+	kinds []string
 	// number of callers, and whether they keep connections open and leave streams as callers of the
 	// platform do; see keepingCaller.
 	number           int
@@ -73,6 +77,10 @@
 
 // run asks until the context ends.
 func (c *crowd) run(ctx context.Context, seed uint64) {
+	kinds := c.kinds
+	if kinds == nil {
+		kinds = usualKinds
+	}
 	var wg sync.WaitGroup
 	for i := range c.number {
 		wg.Go(func() {
@@ -82,7 +90,7 @@
 			}
 			draw := rand.New(rand.NewPCG(seed, uint64(i)))
 			for n := 0; ctx.Err() == nil; n++ {
-				kind := []string{stream, stream, order, read}[draw.IntN(4)]
+				kind := kinds[draw.IntN(len(kinds))]
 				c.note(c.ask(kind, fmt.Sprintf("%d-%d-%d", seed, i, n), c.current(), draw))
 				time.Sleep(thinkTime)
 			}
--- a/e2e/soak/nodes_test.go
+++ b/e2e/soak/nodes_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cicadatack/cicadatack/e2e/harness"
 	"github.com/cicadatack/cicadatack/standin/link"
@@ -51,8 +52,11 @@
 // vmPlace is a VM's name and where it stands.
 type vmPlace struct{ name, domain, ip string }
 
+// usualGrace is the time between SIGTERM and SIGKILL.
+const usualGrace = 8 * time.Second
+
 // newVM writes a VM's settings; start runs its node.
-func newVM(t *testing.T, bin string, at vmPlace, store string) *vm {
+func newVM(t *testing.T, bin string, at vmPlace, store string, grace time.Duration) *vm {
 	t.Helper()
 	l, err := link.Listen(store)
 	if err != nil {
@@ -64,7 +68,7 @@
 		"node=" + at.name, "zone=" + at.domain, "ip=" + at.ip, "portRange=" + peerPorts,
 		"listen.front=" + at.ip + ":0", "listen.ready=" + at.ip + ":0", "listen.control=" + at.ip + ":0", "listen.directory=" + at.ip + ":0",
 		"platform.addr=" + l.Address(), "limits.ramMb=256",
-		fmt.Sprint("bounds.revokeMs=", revoke.Milliseconds()), "bounds.applyMs=2000", "bounds.drainMs=2000", "bounds.graceS=8",
+		fmt.Sprint("bounds.revokeMs=", revoke.Milliseconds()), "bounds.applyMs=2000", "bounds.drainMs=2000", fmt.Sprint("bounds.graceS=", int(grace.Seconds())),
 		"bounds.retryRatio=0.2", "bounds.retrySlack=1000", "bounds.retryWindowS=10",
 	}, "\n")
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
--- a/e2e/soak/reach_test.go
+++ b/e2e/soak/reach_test.go
@@ -54,14 +54,14 @@
 	bin := build(t)
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			r := newReachRun(t, bin, seed)
+			r := newReachRun(t, bin, seed, usualGrace)
 			r.play(reachSteps, reachStepTime, r.step)
 			r.judgeReach()
 		})
 	}
 }
 
-func newReachRun(t *testing.T, bin string, seed uint64) *reachRun {
+func newReachRun(t *testing.T, bin string, seed uint64, grace time.Duration) *reachRun {
 	r := &reachRun{views: map[string]*site.View{}, healAt: map[string]time.Time{}, faults: map[string][]period{}}
 	for i, domain := range domainNames {
 		nodes := 1
@@ -73,7 +73,7 @@
 			r.places = append(r.places, vmPlace{name: fmt.Sprint("front-", n), domain: domain, ip: vmIP(n)})
 		}
 	}
-	r.run = newRunAt(t, bin, seed, r.places, func(s *site.Site, place vmPlace) string {
+	r.run = newRunAt(t, bin, seed, grace, r.places, func(s *site.Site, place vmPlace) string {
 		if r.views[place.domain] == nil {
 			r.views[place.domain] = s.NewView()
 			t.Cleanup(r.views[place.domain].Close)
@@ -91,13 +91,7 @@
 
 func (r *reachRun) step() {
 	r.revive()
-	for domain, at := range r.healAt {
-		if time.Now().After(at) {
-			r.tell("the ways from %s to replicas are well", domain)
-			r.views[domain].Heal()
-			delete(r.healAt, domain)
-		}
-	}
+	r.healDue()
 	v := r.vms[r.draw.IntN(len(r.vms))]
 	switch r.draw.IntN(16) {
 	case 0, 1, 2, 3:
@@ -121,6 +115,17 @@
 	}
 }
 
+// healDue ends the faults of views whose time is over.
+func (r *reachRun) healDue() {
+	for domain, at := range r.healAt {
+		if time.Now().After(at) {
+			r.tell("the ways from %s to replicas are well", domain)
+			r.views[domain].Heal()
+			delete(r.healAt, domain)
+		}
+	}
+}
+
 // cutOff lets the ways from a domain to all replicas fail for some seconds.
 func (r *reachRun) cutOff(domain string) {
 	if _, faulty := r.healAt[domain]; faulty {
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -107,12 +107,12 @@
 	for i := range nodes {
 		places = append(places, vmPlace{name: fmt.Sprint("front-", i), domain: domainNames[i%domains], ip: vmIP(i)})
 	}
-	return newRunAt(t, bin, seed, places, func(s *site.Site, _ vmPlace) string { return s.Address() })
+	return newRunAt(t, bin, seed, usualGrace, places, func(s *site.Site, _ vmPlace) string { return s.Address() })
 }
 
 // newRunAt returns a run with nodes at the given places. storeOf returns the address of the store
 // for a node.
-func newRunAt(t *testing.T, bin string, seed uint64, places []vmPlace, storeOf func(*site.Site, vmPlace) string) *run {
+func newRunAt(t *testing.T, bin string, seed uint64, grace time.Duration, places []vmPlace, storeOf func(*site.Site, vmPlace) string) *run {
 	r := &run{
 		t: t, seed: seed, draw: rand.New(rand.NewPCG(seed, 7)), site: site.New(),
 		key: "key-0", retired: map[string]time.Time{}, began: time.Now(), events: events,
@@ -124,7 +124,7 @@
 	}
 	var domains []string
 	for _, place := range places {
-		r.vms = append(r.vms, newVM(t, bin, place, storeOf(r.site, place)))
+		r.vms = append(r.vms, newVM(t, bin, place, storeOf(r.site, place), grace))
 		if !slices.Contains(domains, place.domain) {
 			domains = append(domains, place.domain)
 		}
