--- a/e2e/soak/reach_test.go
+++ b/e2e/soak/reach_test.go
@@ -103,11 +103,7 @@
 			r.cutOff(domain)
 		}
 	case 6:
-		r.tell("%s is killed and starts again", v.name)
-		killedAt := time.Now()
-		v.kill()
-		v.start(r.t)
-		r.faults[v.name] = append(r.faults[v.name], period{from: killedAt, to: time.Now()})
+		r.restart(v)
 	case 7:
 		r.faults[v.name] = append(r.faults[v.name], lasting(r.freeze(v)))
 	case 8:
@@ -115,6 +111,15 @@
 	}
 }
 
+// restart kills a node and starts it again.
+func (r *reachRun) restart(v *vm) {
+	r.tell("%s is killed and starts again", v.name)
+	killedAt := time.Now()
+	v.kill()
+	v.start(r.t)
+	r.faults[v.name] = append(r.faults[v.name], period{from: killedAt, to: time.Now()})
+}
+
 // healDue ends the faults of views whose time is over.
 func (r *reachRun) healDue() {
 	for domain, at := range r.healAt {
--- a/e2e/soak/versions_test.go
+++ b/e2e/soak/versions_test.go
@@ -87,11 +87,7 @@
 		now := time.Now()
 		r.faults[v.name] = append(r.faults[v.name], period{from: now.Add(stopsAfter), to: now.Add(stopsBy)})
 	case 10:
-		r.tell("%s is killed and starts again", v.name)
-		killedAt := time.Now()
-		v.kill()
-		v.start(r.t)
-		r.faults[v.name] = append(r.faults[v.name], period{from: killedAt, to: time.Now()})
+		r.restart(v)
 	case 11:
 		r.faults[v.name] = append(r.faults[v.name], lasting(r.freeze(v)))
 	case 12, 13:
--- a/route/upstream/cut_test.go
+++ b/route/upstream/cut_test.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// answerOnce accepts one connection, reads a request, writes an answer and ends the connection as end
-// does.
-func answerOnce(t *testing.T, answer string, end func(*net.TCPConn)) string {
+// answering accepts one connection, answers a request on it with each of the answers in turn, and ends the
+// connection as end does.
+func answering(t *testing.T, end func(*net.TCPConn), answers ...string) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -25,13 +25,17 @@
 		if err != nil {
 			return
 		}
-		_, _ = c.Read(make([]byte, 4<<10)) // the request fits
-		_, _ = io.WriteString(c, answer)
+		for _, answer := range answers {
+			_, _ = c.Read(make([]byte, 4<<10)) // the request fits
+			_, _ = io.WriteString(c, answer)
+		}
 		end(c.(*net.TCPConn))
 	}()
 	return l.Addr().String()
 }
 
+func closeConn(c *net.TCPConn) { _ = c.Close() }
+
 // Guards against an answer that a replica has cut, in the head or later, and that is taken for a whole
 // one with an empty or a short body.
 func TestCutAnswersAreNeverWhole(t *testing.T) {
@@ -58,7 +62,7 @@
 		name string
 		end  func(*net.TCPConn)
 	}{
-		{"closed", func(c *net.TCPConn) { _ = c.Close() }},
+		{"closed", closeConn},
 		{"reset", func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }},
 		{"half closed", func(c *net.TCPConn) { _ = c.CloseWrite() }},
 	}
@@ -71,7 +75,7 @@
 				if f.endsWithConnection && cut >= len(f.head) {
 					break
 				}
-				status, got, err := exchange(pool, answerOnce(t, whole[:cut], e.end))
+				status, got, err := exchange(pool, answering(t, e.end, whole[:cut]))
 				if err == nil {
 					t.Errorf("%s, %s after %q: status %d with the body %q", f.name, e.name, whole[:cut], status, got)
 				}
@@ -79,7 +83,7 @@
 			if e.name == "reset" {
 				continue // a reset may overtake the answer
 			}
-			if _, got, err := exchange(pool, answerOnce(t, whole, e.end)); err != nil || got != body {
+			if _, got, err := exchange(pool, answering(t, e.end, whole)); err != nil || got != body {
 				t.Errorf("%s, %s: the whole answer is %q, %v", f.name, e.name, got, err)
 			}
 		}
@@ -94,7 +98,7 @@
 	defer pool.Close()
 	for _, c := range []struct{ method, answer string }{{http.MethodGet, whole + "whole"}, {http.MethodHead, whole}} {
 		for cut := range len(c.answer) {
-			address := answerTwice(t, c.answer, c.answer[:cut])
+			address := answering(t, closeConn, c.answer, c.answer[:cut])
 			first, err := pool.Send(context.Background(), Request{Address: address, Method: c.method, Target: "/", Header: http.Header{}, HeadTimeout: 5 * time.Second})
 			if err != nil {
 				t.Fatal(err)
@@ -116,29 +120,6 @@
 	}
 }
 
-// answerTwice accepts one connection and answers two requests on it. It closes the connection after the
-// second answer.
-func answerTwice(t *testing.T, first, second string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		defer l.Close()
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		for _, answer := range []string{first, second} {
-			_, _ = c.Read(make([]byte, 4<<10)) // the request fits
-			_, _ = io.WriteString(c, answer)
-		}
-	}()
-	return l.Addr().String()
-}
-
 // exchange sends a request and reads the whole answer.
 func exchange(pool *Pool, address string) (status int, body string, err error) {
 	e, err := pool.Send(context.Background(), Request{
