draining: an order is sent only if it ends before the node, also when it has waited

Callers saw a 504 for orders that a node had accepted before SIGTERM and sent to a replica after it: the body was still arriving, or the order waited for capacity or a retry, and the route's timeout was longer than the time to the node's end. Whether the order was placed is unknown then, although the node could have refused it as not run.

Cause: whether a request ends before the node was asked once, when its head arrived.

Change: draining.MaySend states the rule for what was accepted earlier; the relay asks it before each send and after each wait for capacity, for both doors. Reads and streams go on, as their callers can have the rest elsewhere.

--- a/decide/draining/doc.go
+++ b/decide/draining/doc.go
@@ -19,5 +19,8 @@
 // part of the period. Nearly all of them end long before their deadline, and a caller whose answer
 // is cut can have the rest of it from another node. An order has no such remedy.
 //
-// What is not accepted is refused at once as not run, so that the caller can use another node.
+// An order that was accepted and has waited since, for the rest of its body or for capacity, is sent on
+// by the same rule.
+//
+// What is not accepted or sent on is refused at once as not run, so that the caller can use another node.
 package draining
--- a/decide/draining/draining.go
+++ b/decide/draining/draining.go
@@ -31,12 +31,24 @@
 		return true
 	case d.Elapsed >= d.AcceptFor:
 		return false
-	case d.Elapsed+remaining <= d.LastAnswer():
+	case d.endsInTime(remaining):
 		return true
 	}
 	return idempotent && float64(d.Elapsed) < longRequestPart*float64(d.End)
 }
 
+// MaySend reports whether a request that was accepted earlier, and whose deadline is remaining from now,
+// may be sent to a replica. An order may have waited for its body or for capacity since it was accepted,
+// also since before the node was told to stop.
+func (d Drain) MaySend(remaining time.Duration, idempotent bool) bool {
+	return !d.Active() || idempotent || d.endsInTime(remaining)
+}
+
+// endsInTime reports whether the node answers a request at its deadline at the latest.
+func (d Drain) endsInTime(remaining time.Duration) bool {
+	return d.Elapsed+remaining <= d.LastAnswer()
+}
+
 // LastAnswer is the time from Elapsed zero at which the node ends the requests that are still under
 // way, so that their callers get an answer before the process ends.
 func (d Drain) LastAnswer() time.Duration { return d.End - AnswerMargin }
--- a/decide/draining/draining_test.go
+++ b/decide/draining/draining_test.go
@@ -33,6 +33,27 @@
 	}
 }
 
+// Guards against an order that has waited since it was accepted and is sent although the node ends before
+// the order's deadline, and against reads and streams that are given up for it.
+func TestOnlyOrdersThatEndBeforeTheNodeAreSent(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		elapsed, remaining time.Duration
+		idempotent, want   bool
+	}{
+		{"not told to stop", 0, time.Hour, false, true},
+		{"order that ends with the node", 4500 * ms, 3000 * ms, false, true},
+		{"order that ends after the node", 4501 * ms, 3000 * ms, false, false},
+		{"order that ends in time, callers have no address any more", 6500 * ms, 900 * ms, false, true},
+		{"long stream, late", 7000 * ms, time.Hour, true, true},
+	} {
+		d := Drain{Elapsed: c.elapsed, AcceptFor: 6 * time.Second, End: 7600 * ms}
+		if got := d.MaySend(c.remaining, c.idempotent); got != c.want {
+			t.Errorf("%s: sent: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against periods that suit one grace period only: whatever it is, an accepted order ends
 // before the node does, and long streams are accepted in its first third.
 func TestPeriodsFollowTheGracePeriod(t *testing.T) {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -222,7 +222,7 @@
 			Lifecycle: desk,
 			Relay: &relay.Server{
 				HeaderCodec: plainservice.HeaderCodec{}, Pool: s.pool, Prober: s.prober, Metrics: s.metrics, Recorder: s.decisions, Log: s.log, Now: time.Now,
-				MaxBufferedBytes: plainservice.MaxAnswerBytes,
+				MaxBufferedBytes: plainservice.MaxAnswerBytes, Drain: s.drainState,
 			},
 			Claims:  s.orders,
 			Metrics: s.metrics,
--- a/node/site/harness_test.go
+++ b/node/site/harness_test.go
@@ -163,8 +163,14 @@
 
 // ask sends one request over a connection of its own and reads the whole answer.
 func (r *running) ask(method, path, id, key string, headers ...string) answer {
-	transport := &http.Transport{DisableKeepAlives: true}
-	q, err := http.NewRequest(method, "http://"+r.settings.Callers.String()+path, strings.NewReader(bodyOf(method)))
+	return r.upload(method, path, id, key, strings.NewReader(bodyOf(method)), headers...)
+}
+
+// upload does the same with a body of the caller's. With the header Expect the body is read once the node
+// asks for it.
+func (r *running) upload(method, path, id, key string, body io.Reader, headers ...string) answer {
+	transport := &http.Transport{DisableKeepAlives: true, ExpectContinueTimeout: patience}
+	q, err := http.NewRequest(method, "http://"+r.settings.Callers.String()+path, body)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -183,8 +189,8 @@
 		return answer{err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	text, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
 func bodyOf(method string) string {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -193,7 +193,7 @@
 			HeaderCodec: callers.Dialect{}, Engines: engineCalls{n}, Pool: n.pool, Prober: n.prober, Reports: n.reports,
 			Forwarder: n.forwarder, PeerPool: n.peerPool, Guard: n.guard,
 			Metrics: n.metrics, Recorder: n.decisions, Log: log, Now: time.Now, SampleEvery: successSample,
-			Stopping: n.stopping, Revisions: n,
+			Stopping: n.stopping, Drain: n.drain, Revisions: n,
 		},
 	}
 	return n, nil
--- a/node/site/stop_test.go
+++ b/node/site/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -103,6 +104,35 @@
 	}
 }
 
+// Guards against an order that a node accepts before it is told to stop and sends to a replica after
+// that, although the node ends before the order may: its caller can't know whether it was placed.
+func TestStoppedNodeSendsNoOrderThatOutlastsIt(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(3, time.Millisecond)
+	p.ConfigureEdited([]string{goodKey}, `"timeoutMs":1500`, `"timeoutMs":15000`)
+	node := p.stoppable("front-1")
+	body, rest := io.Pipe()
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- node.upload(http.MethodPost, "/order/1", "upload", goodKey, body, "Expect", "100-continue")
+	}()
+	if _, err := io.WriteString(rest, "some "); err != nil { // returns once the node has accepted the head
+		t.Fatal(err)
+	}
+	p.slowPlain(10 * time.Second)
+	node.stop()
+	p.until("the node leaves", func() bool { return node.leavingFor() > 0 })
+	if _, err := io.WriteString(rest, "cream"); err != nil {
+		t.Fatal(err)
+	}
+	if err := rest.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-answers; got.status != http.StatusServiceUnavailable || got.err != nil || len(p.Fleet.Runs("upload")) > 0 {
+		t.Errorf("status %d, %v, ran %v; want a refusal as not run", got.status, got.err, p.Fleet.Runs("upload"))
+	}
+}
+
 // Guards against streams that a stopped node accepts late, and against a cut stream that looks
 // complete or whose cause the log doesn't name.
 func TestStreamsOfAStoppedNode(t *testing.T) {
--- a/route/relay/final_answer.go
+++ b/route/relay/final_answer.go
@@ -85,13 +85,30 @@
 	return req.server.Stopping != nil && req.server.Stopping.Err() != nil
 }
 
+// errLeaving means that this node ends before the request would.
+var errLeaving = Error.New("this node is about to stop")
+
+// outlastsNode reports whether the request must not be sent any more, because this node may end before
+// the answer. The caller of an order could not know then whether the order was placed.
+func (req *requestState) outlastsNode() bool {
+	if req.server.Drain == nil {
+		return false
+	}
+	return !req.server.Drain().MaySend(req.Deadline.Sub(req.server.Now()), req.Route.Idempotent())
+}
+
+// refuseLeaving returns the refusal of a request that did not run because this node is about to stop.
+func refuseLeaving() *outcome.Refusal {
+	return NotRun(http.StatusServiceUnavailable, ReasonLeaving, errLeaving.Error(), RetryAfterLeaving)
+}
+
 // stopRequest returns the answer to a request that is under way when the node is about to end.
 func (req *requestState) stopRequest() *outcome.Refusal {
 	if req.answerStarted {
 		req.abort(ReasonLeaving)
 	}
 	if len(req.mayHaveRunOn) == 0 && req.attemptCount == 0 {
-		return NotRun(http.StatusServiceUnavailable, ReasonLeaving, "this node is about to stop", RetryAfterLeaving)
+		return refuseLeaving()
 	}
 	return outcomeUnknown(http.StatusGatewayTimeout, ReasonLeaving, "this node has stopped before the endpoint answered")
 }
@@ -115,6 +132,8 @@
 		return req.lastResult.answer, nil
 	case len(req.mayHaveRunOn) > 0:
 		return nil, refusalWithoutAnswer(req.lastResult)
+	case errors.Is(err, errLeaving):
+		return nil, refuseLeaving()
 	case errors.Is(err, targets.ErrNoCapacity):
 		return nil, req.refuseNoCapacity(err)
 	case req.forwarding.refusal != nil:
--- a/route/relay/request.go
+++ b/route/relay/request.go
@@ -69,6 +69,9 @@
 // nextAttempt makes one attempt at an endpoint that this node reaches, or at another node if it
 // reaches none. It fails if there is neither.
 func (req *requestState) nextAttempt() (attemptResult, error) {
+	if req.outlastsNode() {
+		return attemptResult{}, errLeaving
+	}
 	if req.cutOff() {
 		if node, ok := req.chooseNode(); ok {
 			return req.forward(node), nil
@@ -92,6 +95,10 @@
 	if err != nil {
 		return attemptResult{}, err
 	}
+	if req.outlastsNode() { // it has waited for capacity
+		req.Targets.Finish(target, targets.Result{Failure: health.Canceled})
+		return attemptResult{}, errLeaving
+	}
 	return req.attempt(&attempt{req: req, target: target, startedAt: req.server.Now()}), nil
 }
 
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
+	"github.com/cicadatack/cicadatack/decide/draining"
 	"github.com/cicadatack/cicadatack/decide/loadshed"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/route/connprobe"
@@ -147,6 +148,9 @@
 	// node that waits for all of them.
 	Stopping context.Context
 
+	// Drain describes a node that was told to stop; nil for a node that waits for all requests.
+	Drain func() draining.Drain
+
 	requestCount atomic.Uint64
 }
 
