admission: a silence of all engines is no loss of speed

Cause: waits are predicted from the time that answers take. After a silence of five seconds the first answers that end have taken 8.4 s, and the rate of a slot is 12 tokens a second in place of some 30 for as long as a rate is remembered. After quick answers the same silence makes the service count as stalled, which refuses everyone who waits.

The line of a refusal has the slots and the silence from now on.

Change: slot time stands still while answers have begun and none gets a part, from one second on and for at most 10 s of one silence. Answers report their parts to the queue; a lock is taken for the first part and after a silence.

--- a/decide/admission/dispatch.go
+++ b/decide/admission/dispatch.go
@@ -86,9 +86,9 @@
 
 func (q *Queue) start(now time.Time, it *item) {
 	it.running = true
-	it.startedAt = now
+	it.startedAt = q.silence.slotTime(now)
 	it.team.runningCount++
-	q.meter.addRunning(now, it.Cost)
+	q.meter.addRunning(it.startedAt, it.Cost)
 	if it.jobLength == long {
 		q.runningLongJobs++
 	}
@@ -99,8 +99,11 @@
 
 // release frees the slot of a running request and corrects the charge of the team from the
 // expected to the actual cost.
-func (q *Queue) release(it *item, cost float64) {
+func (q *Queue) release(now time.Time, it *item, cost float64) {
 	t := it.team
+	if it.answering {
+		q.silence.end(now)
+	}
 	t.runningCount--
 	q.meter.removeRunning(it.startedAt, it.Cost)
 	if it.jobLength == long {
--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -35,6 +35,9 @@
 //   - The drain rate is the work that the node's slots finish, in tokens per second.
 //   - The forecast rate of a team is the part of the drain rate that the team is expected
 //     to get. A low-demand team has a demand of at most its forecast rate.
+//   - The service is silent while answers have begun and none of them has got a further part
+//     for SilenceAfter. Slot time does not count the time for which the service is silent, up
+//     to maxSilence.
 //   - A review recomputes the forecast rates and refuses the waiting requests that will
 //     miss their deadlines. It runs every TickInterval while requests wait.
 //   - Headroom is the number of slots kept free for teams below their share.
--- a/decide/admission/forecast.go
+++ b/decide/admission/forecast.go
@@ -122,11 +122,11 @@
 }
 
 func (q *Queue) recomputeForecast(now time.Time) {
-	slotRate := q.meter.slotRate(now)
+	slotRate := q.slotRate(now)
 	f := &q.forecast
 	f.computedAt = now
 	f.drainRate = slotRate * q.nodeSlots.meanAt(now)
-	f.stalled = q.meter.stalled(now)
+	f.stalled = q.meter.stalled(q.silence.slotTime(now))
 	q.longJobSlots = q.slots
 	q.measureDemand(now)
 	f.weightWithDemand = q.weightWithDemand()
--- a/decide/admission/list.go
+++ b/decide/admission/list.go
@@ -23,9 +23,10 @@
 	block     *block // set while the request waits
 	jobLength jobLength
 	running   bool
+	answering bool // running, and its answer has begun
 	Request
 	offeredAt     time.Time
-	startedAt     time.Time
+	startedAt     time.Time     // in slot time
 	predictedWait time.Duration // as predicted at the offer
 }
 
--- a/decide/admission/probe.go
+++ b/decide/admission/probe.go
@@ -13,5 +13,5 @@
 		totalDemand += t.demand[short] + t.demand[long]
 		teamStates += fmt.Sprintf(" %s:%.0f/%.0f/%.0f", t.name[5:], t.demand[0], t.forecastRate, t.queues[Interactive].lists[short].totalCost)
 	}
-	return fmt.Sprintf("mean %.1f rate %.1f demand %.0f spare %.0f head %d %s", q.nodeSlots.meanAt(now), q.meter.slotRate(now), totalDemand, q.forecast.allJobsAllocation.spareRate, q.forecast.headroom, teamStates)
+	return fmt.Sprintf("mean %.1f rate %.1f demand %.0f spare %.0f head %d %s", q.nodeSlots.meanAt(now), q.slotRate(now), totalDemand, q.forecast.allJobsAllocation.spareRate, q.forecast.headroom, teamStates)
 }
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -28,6 +28,7 @@
 	items      map[uint64]*item
 	freeItems  *item // unused items, linked by next
 	meter      rateMeter
+	silence    silence
 	demandStep stepDetector
 	forecast   forecast
 
@@ -119,9 +120,9 @@
 	}
 	cost = max(cost, 0)
 	if cost > 0 {
-		q.meter.recordFinished(now, it.Cost, now.Sub(it.startedAt))
+		q.meter.recordFinished(now, it.Cost, q.silence.slotTime(now).Sub(it.startedAt))
 	}
-	q.release(it, cost)
+	q.release(now, it, cost)
 	q.dispatch(now)
 	return q.takeVerdicts()
 }
@@ -139,7 +140,7 @@
 	if !ok || !it.running {
 		return nil
 	}
-	q.release(it, max(cost, 0))
+	q.release(now, it, max(cost, 0))
 	q.dispatch(now)
 	return q.takeVerdicts()
 }
@@ -153,8 +154,8 @@
 		return nil
 	}
 	if it.running {
-		finishedTokens := q.meter.slotRate(now) * now.Sub(it.startedAt).Seconds()
-		q.release(it, min(finishedTokens, it.Cost))
+		finishedTokens := q.slotRate(now) * q.silence.slotTime(now).Sub(it.startedAt).Seconds()
+		q.release(now, it, min(finishedTokens, it.Cost))
 	} else {
 		q.dequeue(it)
 		q.recycle(it)
@@ -224,7 +225,7 @@
 }
 
 func (q *Queue) drainRate(now time.Time) float64 {
-	return q.meter.slotRate(now) * q.nodeSlots.meanAt(now)
+	return q.slotRate(now) * q.nodeSlots.meanAt(now)
 }
 
 func (q *Queue) getOrAddTeam(name string) *team {
--- a/decide/admission/queue_test.go
+++ b/decide/admission/queue_test.go
@@ -224,6 +224,10 @@
 			delete(state, requestID)
 			applyVerdicts(q.Cancel(now, requestID))
 		},
+		"answer begins": func(t *rapid.T) { q.AnswerBegan(now, knownID(t)) },
+		"answer goes on": func(t *rapid.T) {
+			q.Progress(now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "silent ms"))*time.Millisecond), now)
+		},
 		"capacity": func(t *rapid.T) {
 			slotCount = rapid.IntRange(0, 5).Draw(t, "slots")
 			applyVerdicts(q.SetCapacity(now, slotCount))
--- a/decide/admission/refuse.go
+++ b/decide/admission/refuse.go
@@ -235,6 +235,8 @@
 		Predicted:   it.predictedWait,
 		QueueLength: q.waitingCount,
 		DrainRate:   q.drainRate(now),
+		Slots:       q.slots,
+		Silent:      q.silence.silentFor(now),
 	}
 }
 
--- a/decide/admission/types.go
+++ b/decide/admission/types.go
@@ -135,6 +135,10 @@
 	// DrainRate is the node's drain rate, in expected tokens per second. Zero means
 	// unknown.
 	DrainRate float64
+	// Slots is the number of slots that the node may use.
+	Slots int
+	// Silent is for how long the service has been silent, beyond SilenceAfter.
+	Silent time.Duration
 }
 
 // Stats is the state of the queue for logs and metrics.
--- a/route/admissionqueue/admissionqueue.go
+++ b/route/admissionqueue/admissionqueue.go
@@ -14,6 +14,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/admission"
@@ -37,13 +38,19 @@
 	queue *Queue
 	id    uint64
 	once  sync.Once
+	// answering is set once the request has got the first part of its answer.
+	answering bool
 	// Verdict is the decision that admitted the request.
 	Verdict admission.Verdict
 }
 
 // Queue is the admission queue of one service on one node. Safe for concurrent use.
 type Queue struct {
-	now func() time.Time
+	now     func() time.Time
+	created time.Time
+	// progressAt is when a running request last got a part of its answer, in nanoseconds after
+	// created. The lock is needed to end a silence.
+	progressAt atomic.Int64
 
 	mu              sync.Mutex
 	policy          *admission.Queue
@@ -58,6 +65,7 @@
 func New(policy *admission.Queue, now func() time.Time) *Queue {
 	return &Queue{
 		now:             now,
+		created:         now(),
 		policy:          policy,
 		pendingVerdicts: map[uint64]chan admission.Verdict{},
 	}
@@ -77,7 +85,7 @@
 }
 
 func (q *Queue) offer(r Request) (uint64, <-chan admission.Verdict) {
-	q.mu.Lock()
+	q.lock()
 	defer q.mu.Unlock()
 	q.lastID++
 	id := q.lastID
@@ -103,7 +111,7 @@
 // cancel removes a request whose caller has canceled. If the policy admits the request
 // at the same moment, Cancel frees the slot.
 func (q *Queue) cancel(id uint64) {
-	q.mu.Lock()
+	q.lock()
 	defer q.mu.Unlock()
 	delete(q.pendingVerdicts, id)
 	q.deliverAndSchedule(q.policy.Cancel(q.now(), id))
@@ -116,7 +124,7 @@
 }
 
 func (q *Queue) finish(id uint64, cost float64) {
-	q.mu.Lock()
+	q.lock()
 	defer q.mu.Unlock()
 	q.deliverAndSchedule(q.policy.Finish(q.now(), id, cost))
 }
@@ -132,10 +140,38 @@
 	})
 }
 
+// lock takes the lock and tells the policy of the answers' progress.
+func (q *Queue) lock() {
+	q.mu.Lock()
+	at := q.created.Add(time.Duration(q.progressAt.Load()))
+	q.policy.Progress(at, at)
+}
+
+// Progress records that the request got a part of its answer. It is called for each part, by one
+// goroutine, and takes the queue's lock only for the first part and after a silence.
+func (p *Permit) Progress() {
+	q := p.queue
+	at := q.now().Sub(q.created)
+	if p.answering && at-time.Duration(q.progressAt.Load()) < admission.SilenceAfter {
+		q.progressAt.Store(int64(at))
+		return
+	}
+	q.lock()
+	defer q.mu.Unlock()
+	now := q.created.Add(at)
+	q.policy.Progress(q.created.Add(time.Duration(q.progressAt.Load())), now)
+	q.progressAt.Store(int64(at))
+	if !p.answering {
+		p.answering = true
+		q.policy.AnswerBegan(now, p.id)
+	}
+	q.deliverAndSchedule(nil)
+}
+
 // Configure runs change on the policy under the queue's lock and delivers the verdicts
 // that change returns.
 func (q *Queue) Configure(change func(now time.Time, q *admission.Queue) []admission.Verdict) {
-	q.mu.Lock()
+	q.lock()
 	defer q.mu.Unlock()
 	q.deliverAndSchedule(change(q.now(), q.policy))
 }
@@ -172,7 +208,7 @@
 }
 
 func (q *Queue) tick() {
-	q.mu.Lock()
+	q.lock()
 	defer q.mu.Unlock()
 	q.deliverAndSchedule(nil)
 }
--- a/route/lifecycle/lifecycle.go
+++ b/route/lifecycle/lifecycle.go
@@ -139,6 +139,8 @@
 		"predicted_ms":       float64(verdict.Predicted.Milliseconds()),
 		"waiting":            float64(verdict.QueueLength),
 		"drain_tokens_per_s": verdict.DrainRate,
+		"slots":              float64(verdict.Slots),
+		"silent_ms":          float64(verdict.Silent.Milliseconds()),
 		"retry_after_ms":     float64(verdict.RetryAfter.Milliseconds()),
 	})
 	c.manager.Metrics.Refused(c.Service.Name, verdict.Reason.String())
@@ -150,6 +152,9 @@
 	return c.manager.Now()
 }
 
+// Progress records that the call got a part of its answer.
+func (p *Permit) Progress() { p.queuePermit.Progress() }
+
 // Release frees the slot of a call whose answer is complete. work is the work done, in
 // tokens.
 func (p *Permit) Release(work float64) {
--- a/route/modelservice/modelservice.go
+++ b/route/modelservice/modelservice.go
@@ -103,7 +103,7 @@
 		m.RespondNotAdmitted(w, err)
 		return
 	}
-	work, complete := m.run(w, r)
+	work, complete := m.run(w, r, permit)
 	if complete {
 		permit.Release(work)
 	} else {
@@ -135,7 +135,7 @@
 
 // run sends the call along chains until its answer is complete or the call fails. It
 // returns the work done, in tokens, and whether the answer is complete.
-func (m *modelCall) run(w http.ResponseWriter, r *http.Request) (work float64, complete bool) {
+func (m *modelCall) run(w http.ResponseWriter, r *http.Request, permit *lifecycle.Permit) (work float64, complete bool) {
 	response := newResponseWriter(w, m.Call, m.chat)
 	chooser := &chainChooser{call: m}
 	summary, err := m.server.Streams.Run(r.Context(), stream.Request{
@@ -147,6 +147,7 @@
 		Deadline:          m.Deadline,
 		Chooser:           chooser,
 	}, func(token string, trace engineapi.TokenTrace) error {
+		permit.Progress()
 		chooser.recordToken(trace)
 		return response.writeToken(token)
 	})
