standin: a replica that is gone keeps its port

Nothing was wrong with the nodes.

Cause: a stand-in listened on a free port that the kernel had chosen, and gave it back while it was gone after a crash. The port is one of those that the kernel gives to outgoing connections, here of any process of the machine.

Change: a socket that is bound and does not listen keeps the port from the start of the replica until it is gone for good. Connections are refused meanwhile, as before. No check is changed.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -128,6 +129,8 @@
 	Address string
 	Born    int64
 	fleet   *Fleet
+	// reserved keeps the replica's port until it is gone for good.
+	reserved *portReservation
 
 	mu     sync.Mutex
 	server *http.Server
@@ -150,12 +153,16 @@
 
 // Add starts a replica.
 func (f *Fleet) Add(c Config) (*Replica, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	reserved, err := reservePort()
 	if err != nil {
 		return nil, err
 	}
+	listener, err := net.Listen("tcp", reserved.Address)
+	if err != nil {
+		return nil, errors.Join(err, reserved.close())
+	}
 	r := &Replica{
-		Config: c, Address: listener.Addr().String(), Born: time.Now().UnixMilli(), fleet: f,
+		Config: c, Address: reserved.Address, reserved: reserved, Born: time.Now().UnixMilli(), fleet: f,
 		paths: map[string]chan string{},
 	}
 	r.serve(listener)
@@ -181,9 +188,16 @@
 // Kill ends the replica and all its connections.
 func (r *Replica) Kill() {
 	r.mu.Lock()
+	again := r.killed
 	r.killed = true
 	r.mu.Unlock()
 	r.end()
+	if again {
+		return
+	}
+	if err := r.reserved.close(); err != nil {
+		r.fleet.problem("the port of %s is not given back: %v", r.ID, err)
+	}
 }
 
 // end closes the listener and all connections.
