standin: a replica waits for the copies of its old listener

Cause: a process that is being started has a copy of all sockets until its program runs, also of a listener that is closed meanwhile.

Change: the stand-in tries for up to a second while the address is in use, to come back and to hold its port. No check is changed.

Result: TestReplicaComesBackWhileProcessesStart fails on the code before (3 of 3) and passes 3 of 3.

--- a/standin/replica/crash.go
+++ b/standin/replica/crash.go
@@ -69,7 +69,7 @@
 
 // holdPort accepts and resets connections at an address.
 func holdPort(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenAgain(address)
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +124,7 @@
 	if killed {
 		return
 	}
-	listener, err := net.Listen("tcp", r.Address)
+	listener, err := listenAgain(r.Address)
 	if err != nil {
 		r.fleet.problem("%s does not come back: %v", r.ID, err)
 		return
--- a/standin/replica/port.go
+++ b/standin/replica/port.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"errors"
 	"net"
 	"strconv"
 	"syscall"
+	"time"
 )
 
 // portReservation is a socket that is bound to a port and does not listen. While it is open, the kernel
@@ -44,4 +46,18 @@
 	return address.(*syscall.SockaddrInet4).Port, nil
 }
 
+// listenPatience bounds the wait for copies of a listener that was closed.
+const listenPatience = time.Second
+
+// listenAgain listens at the address of a listener that was closed. Processes that are being started
+// have a copy of that listener until their programs run.
+func listenAgain(address string) (net.Listener, error) {
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(begun) > listenPatience {
+			return listener, err
+		}
+	}
+}
+
 func (p *portReservation) close() error { return syscall.Close(p.fd) }
--- a/standin/replica/port_test.go
+++ b/standin/replica/port_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"os/exec"
+	"sync"
 	"testing"
 	"time"
 )
@@ -12,16 +14,8 @@
 func TestPortOfReplicaThatIsGoneIsKept(t *testing.T) {
 	fleet := NewFleet(8)
 	t.Cleanup(fleet.Close)
-	r, err := fleet.Add(Config{ID: "i-0", Service: "llm"})
-	if err != nil {
-		t.Fatal(err)
-	}
+	r := servingReplica(t, fleet)
 	fleet.CrashBy(Crash{DownFor: time.Hour})
-	resp, err := http.Get("http://" + r.Address + "/") // returns once the replica serves
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = resp.Body.Close()
 	r.crash()
 	if conn, err := net.Dial("tcp", r.Address); err == nil {
 		_ = conn.Close()
@@ -48,3 +42,52 @@
 	}
 	_ = conn.Close()
 }
+
+// Guards against a replica that can't come back, or whose port is not held, because a process that is
+// being started still has a copy of the listener that was closed.
+func TestReplicaComesBackWhileProcessesStart(t *testing.T) {
+	fleet := NewFleet(8)
+	t.Cleanup(fleet.Close)
+	r := servingReplica(t, fleet)
+	fleet.CrashBy(Crash{DownFor: time.Hour, HoldPort: true})
+	stop := make(chan struct{})
+	var starts sync.WaitGroup
+	for range 4 {
+		starts.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err := exec.Command("true").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range 300 {
+		r.crash()
+		r.comeBack()
+	}
+	close(stop)
+	starts.Wait()
+	for _, problem := range fleet.Problems() {
+		t.Error(problem)
+	}
+}
+
+// servingReplica returns a replica that has answered a request.
+func servingReplica(t *testing.T, fleet *Fleet) *Replica {
+	r, err := fleet.Add(Config{ID: "i-0", Service: "llm"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Get("http://" + r.Address + "/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return r
+}
