tests: calls that another node serves and cuts in the head are unknown

At each number of bytes of a head the caller gets 502 with the outcome unknown, and no second node is asked.

--- a/route/callforward/callforward_test.go
+++ b/route/callforward/callforward_test.go
@@ -150,6 +150,31 @@
 	}
 }
 
+// Guards against a call whose node stops in the middle of its answer's head, and whose caller gets a
+// whole answer with an empty body, or which a second node runs as well.
+func TestForwardedAnswersCutInTheirHeadAreUnknown(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\n"
+	for cut := range len(head) {
+		first, _ := nodeThat(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, head[:cut]) // the other node may have left
+			_ = conn.Close()
+		})
+		second, secondCalls := nodeThat(t, serve)
+		w := httptest.NewRecorder()
+		if !serverOf(&fleetOf{cutOff: true, nodes: []string{first, second}}).Forward(w, httptest.NewRequest("POST", "/services/bookings/x", nil), callOf(3), []byte("feed")) {
+			t.Fatalf("%d bytes: not forwarded", cut)
+		}
+		if w.Code != http.StatusBadGateway || w.Header().Get(outcome.Header) != string(outcome.Unknown) || secondCalls.Load() > 0 {
+			t.Errorf("%d bytes: status %d, outcome %s, the second node got %d calls", cut, w.Code, w.Header().Get(outcome.Header), secondCalls.Load())
+		}
+	}
+}
+
 // Guards against calls that leave a node which could serve them itself, and against a caller who
 // gets no answer if no node can be asked.
 func TestCallsStayAtTheNode(t *testing.T) {
