streams: record events whose id can't be one of the stream's

Callers got pieces with the id "" from replicas that sent garbage, and no line or metric of a node said so: whether the bytes came after the last event of an answer, between two events or at a seam of two runs could not be told.

A node now writes a line with the replica, the last event, the number of sends, how the answer is framed and the first of these bytes, and counts them. What is passed on is unchanged. The stand-in replicas can write stray bytes into their streams, for the tests that follow.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -166,6 +166,15 @@
 	}).Counter("hedges_total").Inc(1)
 }
 
+// StrayBytes counts streams in which a replica sent bytes that are no part of them, by what is wrong
+// with these.
+func (m *Metrics) StrayBytes(service, reason string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  reason,
+	}).Counter("stray_bytes_total").Inc(1)
+}
+
 // ReplicaEnded counts the requests that were under way at a replica when its process ended.
 func (m *Metrics) ReplicaEnded(service string) {
 	m.service(service).Counter("requests_at_ended_replicas_total").Inc(1)
--- a/route/httpapi/testnode_test.go
+++ b/route/httpapi/testnode_test.go
@@ -267,6 +267,7 @@
 func (discardMetrics) Retried(string, string)           {}
 func (discardMetrics) Forwarded(string, string)         {}
 func (discardMetrics) Hedged(string, string)            {}
+func (discardMetrics) StrayBytes(string, string)        {}
 func (discardMetrics) Shed(string, int)                 {}
 func (discardMetrics) Order(string, string)             {}
 
--- a/route/relay/events.go
+++ b/route/relay/events.go
@@ -136,5 +136,11 @@
 	return number, true
 }
 
+// isNumericID reports whether an id is a whole number.
+func isNumericID(id []byte) bool {
+	_, isNumeric := parseNumericID(id)
+	return isNumeric
+}
+
 // maxDigits is the number of decimal digits that always fit into an int64.
 const maxDigits = 18
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -70,6 +70,8 @@
 	Forwarded(service, result string)
 	// Hedged counts hedges by their result: took_over, not_needed, late or failed.
 	Hedged(service, result string)
+	// StrayBytes counts streams in which a replica sent bytes that are no part of them.
+	StrayBytes(service, reason string)
 	// Shed counts requests that this node refused because the service was saturated.
 	Shed(service string, priority int)
 }
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -166,6 +166,9 @@
 		if !forwarded && !monitor.beginForward() {
 			return errTakenOver
 		}
+		if !isNumericID(ev.id) {
+			a.recordStrayBytes(e, ev)
+		}
 		req.beginStream(e)
 		if _, err := req.w.Write(ev.data); err != nil {
 			return err
@@ -186,6 +189,17 @@
 	return http.NewResponseController(req.w).Flush()
 }
 
+// recordStrayBytes records an event whose id can't be one of the stream's.
+func (a *attempt) recordStrayBytes(e *upstream.Exchange, ev event) {
+	const maxShownBytes = 64
+	const reason = "id"
+	req := a.req
+	req.server.Metrics.StrayBytes(req.Service, reason)
+	req.log.Warn("replica sends stray bytes", "service", req.Service, "replica", a.target.Replica, "address", a.target.Address, "reason", reason,
+		"last_event", req.lastEvent.String(), "sends", req.attemptCount, "ends_with_connection", e.EndsWithConnection(),
+		"bytes", string(ev.data[:min(len(ev.data), maxShownBytes)]))
+}
+
 // recordPause records the time to the first event or, for a later event, the pause before it if
 // that is the longest so far.
 func (req *requestState) recordPause() {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -57,6 +57,8 @@
 	// EndAfter ends the replica's process after that many events of a stream, or bytes of an
 	// unframed plain answer; zero does not.
 	EndAfter int
+	// Stray are bytes that the replica writes into its streams.
+	Stray Stray
 	// Hang takes requests and answers nothing.
 	Hang bool
 	// Leaving says in all answers that the replica leaves, while its entry says nothing of it.
@@ -66,6 +68,25 @@
 	RateLimit string
 }
 
+// Stray are bytes in a stream that are no part of it.
+type Stray struct {
+	// Bytes is empty for none.
+	Bytes string
+	// After is the number of events of the run before the bytes. If the run has no more events, they
+	// follow its last one.
+	After int
+	// BreakOff ends the connection after the bytes.
+	BreakOff bool
+	// Once leaves out all runs of a request but its first one, at whichever replica.
+	Once bool
+}
+
+// dueBefore reports whether the bytes come before the next event of a run.
+func (s Stray) dueBefore(sent int) bool { return s.Bytes != "" && s.After == sent }
+
+// dueAtEnd reports whether the bytes follow the last event of a run.
+func (s Stray) dueAtEnd(sent int) bool { return s.Bytes != "" && s.After >= sent }
+
 // Run is one run of a request at a replica.
 type Run struct {
 	Replica, Request string
