--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -22,6 +22,7 @@
 	PushedBack     Cause = "replicas want no requests"
 	ReplicaRefused Cause = "replica refused"
 	ReplicaGone    Cause = "replica broke off or did not answer"
+	StrayBytes     Cause = "replica sent stray bytes"
 	SilentLeft     Cause = "silent replica left"
 	ReplicaSlow    Cause = "replica slow"
 	ReplicaError   Cause = "replica's own error"
@@ -39,7 +40,7 @@
 // causes lists all of them in order.
 var causes = []Cause{
 	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, PushedBack, ReplicaRefused, ReplicaGone,
-	SilentLeft, ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
+	StrayBytes, SilentLeft, ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
 }
 
 // CauseOf is the cause with a name, as tables show it.
--- a/node/losses/line.go
+++ b/node/losses/line.go
@@ -114,6 +114,7 @@
 	words string
 	cause Cause
 }{
+	{"stray bytes after event", StrayBytes},
 	{"the endpoint's own", ReplicaError},
 	{"goes on sooner", LostPart},
 	{"part of the path", LostPart},
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -70,6 +70,9 @@
 		{"tries spent", retried("budget spent", "503 from 10.0.0.1:1") + about(1, "refuse", "no_room", `"status":503`), BudgetSpent, Refused},
 		{"answer lost", retried("may have run", "upstream: EOF") + about(1, "refuse", "unknown", `"status":502`), ReplicaGone, Failed},
 		{"own error", about(1, "finish", "done", `"status":500,"took_ms":3`), ReplicaError, Failed},
+		{"stray bytes cut", retried("too many attempts", `stray bytes after event "3" (id): "data: from the endpoint's own"`) +
+			about(1, "finish", "answer cut: unknown", `"took_ms":3`), StrayBytes, Failed},
+		{"stray bytes and a second try", retried("allowed", `stray bytes after event "" (line): "x"`) + lateStream(3, 560, 50, 2000, none), StrayBytes, Late},
 		{"cut", about(1, "finish", "answer cut: unknown", `"took_ms":3`), LostPart, Failed},
 		{"cut after a silent replica was left", retried("allowed", "a part of the path is lost: i-1") +
 			about(1, "finish", "answer cut: no_endpoint", `"took_ms":3,"left":"i-1","left_silent_ms":80`), SilentLeft, Failed},
--- /dev/null
+++ b/route/eventstream/doc.go
@@ -0,0 +1,26 @@
+// Package eventstream reads the streams of server-sent events that replicas send, and tells the events
+// of a stream from bytes that are no part of it. A faulty replica may send such bytes between two events
+// or after the last one: the rest of another answer, a second answer, or bytes without any form.
+//
+// # Contract of a stream
+//
+// The form is that of server-sent events (https://html.spec.whatwg.org/multipage/server-sent-events.html):
+//
+//   - A stream consists of blocks of lines. An empty line ends a block. Lines end with LF or CRLF, or
+//     all lines of an answer end with CR.
+//   - A line is a comment, which begins with a colon, or a field: a name, a colon and a value. Names are
+//     lower-case letters, digits and hyphens. The fields of the standard may lack the colon and the value.
+//     Other fields are allowed, as the standard has receivers ignore them.
+//   - A block of nothing but comments, empty lines and retry fields is no event. It may stand anywhere.
+//
+// An event must be one after which another replica can resume the stream:
+//
+//   - It has one id and at least one line of data.
+//   - Its id is a whole number of at most MaxIDDigits digits, above that of the event before it in the
+//     same answer.
+//   - Replicas number their events without gaps or in steps that stay about the same. An id that rises by
+//     a larger step than any before it counts only once the next event of the answer follows it, with an
+//     id above it. The first event of an answer counts also if the answer is complete without another one.
+//
+// What breaks the contract is a *Violation. The events before it are sound, and nothing after it is.
+package eventstream
--- /dev/null
+++ b/route/eventstream/violation.go
@@ -0,0 +1,42 @@
+package eventstream
+
+import "fmt"
+
+// Reason says how bytes break the contract of a stream.
+type Reason string
+
+// Reasons, as they stand in logs and metrics.
+const (
+	// ReasonLine is a line that is neither a field nor a comment.
+	ReasonLine Reason = "line"
+	// ReasonID is an event without an id, with several, or with one that is no whole number.
+	ReasonID Reason = "id"
+	// ReasonNoData is an event without data.
+	ReasonNoData Reason = "no_data"
+	// ReasonOrder is an id that is not above the one before it in the same answer.
+	ReasonOrder Reason = "order"
+	// ReasonJump is an id that rises by a larger step than any before it, and that no further event
+	// confirms.
+	ReasonJump Reason = "jump"
+	// ReasonTooLong is a block of more than MaxBlockBytes.
+	ReasonTooLong Reason = "too_long"
+)
+
+// Violation is the error of an answer that breaks the contract of a stream.
+type Violation struct {
+	Reason Reason
+	// After is the id of the last sound event, "" if there was none.
+	After string
+	// Bytes are the first of the bytes that break the contract.
+	Bytes string
+}
+
+// Error implements error.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("stray bytes after event %q (%s): %q", v.After, v.Reason, v.Bytes)
+}
+
+// maxShownBytes bounds Violation.Bytes.
+const maxShownBytes = 64
+
+func firstOf(p []byte) string { return string(p[:min(len(p), maxShownBytes)]) }
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -251,7 +251,7 @@
 func (req *requestState) abort(reason string) {
 	d := decisionlog.Decision{
 		Kind: decisionlog.Finish, Chosen: req.lastTarget.Replica, Reason: "answer cut: " + reason,
-		TextValues: req.withRoute(decisionlog.TextValue{Name: "last_event", Text: req.lastEvent.String()}, decisionlog.TextValue{Name: "last_try", Text: req.lastResult.detail}),
+		TextValues: req.withRoute(decisionlog.TextValue{Name: "last_event", Text: req.lastEvent.ID()}, decisionlog.TextValue{Name: "last_try", Text: req.lastResult.detail}),
 		Values: map[string]float64{
 			"sends": float64(req.attemptCount), "events": float64(req.eventCount), "took_ms": millis(req.server.Now().Sub(req.Arrived)),
 			"silent_ms": millis(req.silentFor()),
--- a/route/relay/events_bench_test.go
+++ b/route/relay/events_bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/route/eventstream"
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -29,7 +30,7 @@
 	}
 	a := &attempt{req: req, startedAt: time.Now()}
 	monitor := &pathMonitor{attempt: a, ctx: context.Background()}
-	var split eventSplitter
+	var reader eventstream.Reader
 	events := make([][]byte, 1000)
 	for i := range events {
 		events[i] = fmt.Appendf(nil, "id: %d\ndata: a token of some eighty bytes, the usual size of an event with all of its fields\n\n", i+1)
@@ -37,18 +38,14 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		if i%len(events) == 0 {
-			req.resetPosition()
+			req.lastEvent, reader = eventstream.Position{}, eventstream.Reader{}
 		}
-		split.add(events[i%len(events)])
-		if err := a.forwardEvents(&upstream.Exchange{}, &split, monitor); err != nil {
-			b.Fatal(err)
+		reader.Add(events[i%len(events)])
+		if res := a.forwardEvents(&upstream.Exchange{}, &reader, monitor); res != nil {
+			b.Fatal(res.detail)
 		}
 	}
 	if req.eventCount == 0 {
 		b.Fatal("no event was passed on")
 	}
 }
-
-// resetPosition forgets the last event. Otherwise the events that the benchmark repeats would be
-// dropped, because they count as already passed on.
-func (req *requestState) resetPosition() { req.lastEvent = eventPosition{} }
--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -11,6 +11,7 @@
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/eventstream"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -35,13 +36,13 @@
 	reason  string
 	guarded *crashguard.Request
 	// position is that of the last event that the caller has.
-	position eventPosition
+	position eventstream.Position
 	// ctx ends when the hedge is abandoned or, once it continues the stream, with that attempt.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// exchange is the answer, split the part of it that was read.
+	// exchange is the answer, reader the part of it that was read.
 	exchange *upstream.Exchange
-	split    eventSplitter
+	reader   eventstream.Reader
 	// abandoned is why the hedge was canceled, "" if it was not. The monitor's lock guards it.
 	abandoned string
 	// done is closed when the hedge has taken over or has ended.
@@ -99,7 +100,8 @@
 		attempt: &attempt{req: req, target: next, startedAt: req.server.Now(), resumeAfter: req.resumePosition()},
 		reason:  reason, guarded: guarded, done: make(chan struct{}),
 	}
-	h.position.set([]byte(h.resumeAfter))
+	h.position = h.attempt.position()
+	h.reader = eventstream.NewReader(h.position)
 	h.ctx, h.cancel = context.WithCancel(req.ctx)
 	h.attempt.hedge = h
 	h.sentTo(guarded)
@@ -175,18 +177,21 @@
 	buffer := make([]byte, readBytes)
 	for {
 		n, err := exchange.Read(buffer, h.idleTimeout())
-		h.split.add(buffer[:n])
+		h.reader.Add(buffer[:n])
+		ended := errors.Is(err, io.EOF)
+		if ended && !exchange.EndsWithConnection() {
+			h.reader.Complete()
+		}
+		hasEvent, stray := h.reader.HasEventAfter(h.position)
 		switch {
-		case h.split.hasEventAfter(&h.position):
-			return attemptResult{kind: resultComplete}
-		case errors.Is(err, io.EOF) && h.callerHasAll():
+		case hasEvent, ended && stray == nil && h.callerHasAll():
 			return attemptResult{kind: resultComplete}
-		case errors.Is(err, io.EOF):
+		case stray != nil:
+			return *h.strayBytes(exchange, stray)
+		case ended:
 			return brokenOff(detailNoEvents)
 		case err != nil:
 			return h.resultOfError(err)
-		case h.split.incompleteBytes() > maxEventBytes:
-			return attemptResult{kind: resultUnknown, detail: "an event exceeds the size limit", feedback: targets.Result{Failure: health.Internal}}
 		}
 	}
 }
@@ -194,7 +199,7 @@
 // callerHasAll reports whether an answer that has ended without a further event says that the caller
 // has all events. The end of a connection does not say so: the replica may have crashed.
 func (h *hedge) callerHasAll() bool {
-	return h.resumeAfter != "" && h.split.incompleteBytes() == 0 && !h.exchange.EndsWithConnection()
+	return h.resumeAfter != "" && !h.reader.Incomplete() && !h.exchange.EndsWithConnection()
 }
 
 // takeOver lets a hedge continue the stream and cancels the present attempt. It returns false if the
--- a/route/relay/hedge_test.go
+++ b/route/relay/hedge_test.go
@@ -23,6 +23,7 @@
 	firstGoesOn := func(first, _ *streamReplica) { close(first.goOn) }
 	for _, c := range []struct {
 		name         string
+		stray        string // of the first replica, after its silence
 		other        *streamReplica
 		otherDown    bool
 		notResumable bool
@@ -39,10 +40,17 @@
 			time.Sleep(20 * time.Millisecond)
 			close(other.goOn)
 		}},
+		{name: "the other one sends stray bytes", other: newStrayReplica(2), wantOther: "[2]", end: firstGoesOn},
+		{name: "the first one sends stray bytes meanwhile", stray: strayEvent, other: newStreamReplica(2), wantOther: "[2]", end: func(first, other *streamReplica) {
+			close(first.goOn)
+			time.Sleep(20 * time.Millisecond)
+			close(other.goOn)
+		}},
 		{name: "the stream can't be resumed", other: newStreamReplica(never), notResumable: true, wantOther: "[]", end: firstGoesOn},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			first := newStreamReplica(2)
+			first.stray = c.stray
 			run := startStream(t, streamServer(), first, func(r *Request) { r.Route.Resumable = !c.notResumable })
 			run.add("other", c.other.listen(t, c.otherDown))
 			run.loseFirst()
@@ -66,6 +74,17 @@
 	}
 }
 
+// strayEvent is an event that no stream has.
+const strayEvent = "data: stray\n\n"
+
+// newStrayReplica returns a replica that sends stray bytes after an event, without a silence.
+func newStrayReplica(after int) *streamReplica {
+	s := newStreamReplica(after)
+	s.stray = strayEvent
+	close(s.goOn)
+	return s
+}
+
 // Guards against two replicas that work on one stream for good: the attempt that does not go on is
 // canceled.
 func TestHedgeIsCanceledIfTheSilentReplicaGoesOn(t *testing.T) {
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -16,6 +16,7 @@
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/eventstream"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/loadadmission"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -187,7 +188,7 @@
 	// number of events that the caller has. lastEvent is the last of these events.
 	answerStarted bool
 	eventCount    int
-	lastEvent     eventPosition
+	lastEvent     eventstream.Position
 	// timeToFirstEvent is the time from the request's arrival to the first event. longestPause
 	// is the longest pause between two later events; eventsAtLongestPause is eventCount at the
 	// end of that pause.
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/route/eventstream"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
 )
@@ -43,7 +45,7 @@
 func (a *attempt) runMonitored(ctx context.Context, monitor *pathMonitor) attemptResult {
 	if a.hedge != nil {
 		defer a.hedge.exchange.Close()
-		return a.forwardStream(a.hedge.exchange, &a.hedge.split, monitor)
+		return a.forwardStream(a.hedge.exchange, &a.hedge.reader, monitor)
 	}
 	a.resumeAfter = a.req.resumePosition()
 	exchange, failed := a.send(ctx, a.idleTimeout())
@@ -60,7 +62,8 @@
 	if bad := a.invalidReason(); bad != "" {
 		return attemptResult{kind: resultUnknown, detail: bad, feedback: targets.Result{Failure: health.Internal}}
 	}
-	return a.forwardStream(exchange, &eventSplitter{}, monitor)
+	reader := eventstream.NewReader(a.position())
+	return a.forwardStream(exchange, &reader, monitor)
 }
 
 // resumePosition is the id of the event after which an attempt resumes the stream; "" if the stream
@@ -68,13 +71,21 @@
 func (req *requestState) resumePosition() string {
 	switch {
 	case req.answerStarted:
-		return req.lastEvent.String()
+		return req.lastEvent.ID()
 	case req.Forwarded != nil:
 		return req.Forwarded.ResumeAfter
 	}
 	return ""
 }
 
+// position is the position in the stream after which the answer to the attempt goes on.
+func (a *attempt) position() eventstream.Position {
+	if a.req.answerStarted {
+		return a.req.lastEvent
+	}
+	return eventstream.ParsePosition(cmp.Or(a.resumeAfter, a.req.Call.LastEventID))
+}
+
 // idleTimeout is how long the attempt may be silent. The silence of a replica does not end an
 // attempt: the replica may be sound, and the monitor finds another one that goes on.
 func (a *attempt) idleTimeout() time.Duration {
@@ -117,87 +128,142 @@
 	}
 }
 
-// errTakenOver means that a hedge continues the stream.
-var errTakenOver = errors.New("a hedge has taken over")
-
 // takenOver is the result of an attempt that may pass on nothing more. finalResult replaces it.
 func takenOver() attemptResult {
-	return attemptResult{kind: resultUnknown, detail: errTakenOver.Error(), feedback: targets.Result{Failure: health.Canceled}}
+	return attemptResult{kind: resultUnknown, detail: "a hedge has taken over", feedback: targets.Result{Failure: health.Canceled}}
 }
 
-// forwardStream passes complete events on until the stream ends. split holds what was read already.
-func (a *attempt) forwardStream(e *upstream.Exchange, split *eventSplitter, monitor *pathMonitor) attemptResult {
+// forwardStream passes complete events on until the stream ends. reader holds what was read already.
+func (a *attempt) forwardStream(e *upstream.Exchange, reader *eventstream.Reader, monitor *pathMonitor) attemptResult {
 	buffer := make([]byte, readBytes)
-	var readErr error
 	for {
-		writeErr := a.forwardEvents(e, split, monitor)
-		switch {
-		case errors.Is(writeErr, errTakenOver):
-			return takenOver()
-		case writeErr != nil:
-			return attemptResult{kind: resultCallerGone, detail: writeErr.Error(), feedback: targets.Result{Failure: health.Canceled}}
-		case errors.Is(readErr, io.EOF):
-			return a.finish(e, split, monitor)
-		case readErr != nil:
-			return a.resultOfError(readErr)
-		case split.incompleteBytes() > maxEventBytes:
-			return attemptResult{kind: resultUnknown, detail: "an event exceeds the size limit", feedback: targets.Result{Failure: health.Internal}}
+		if res := a.forwardEvents(e, reader, monitor); res != nil {
+			return *res
+		}
+		n, err := e.Read(buffer, a.idleTimeout())
+		reader.Add(buffer[:n])
+		if err == nil {
+			continue
 		}
-		var n int
-		n, readErr = e.Read(buffer, a.idleTimeout())
-		split.add(buffer[:n])
+		if res := a.forwardEvents(e, reader, monitor); res != nil {
+			return *res
+		}
+		if errors.Is(err, io.EOF) {
+			return a.finish(e, reader, monitor)
+		}
+		return a.resultOfError(err)
 	}
 }
 
-// forwardEvents writes the complete events received so far to the caller. It fails if the
-// caller has left, or with errTakenOver.
-func (a *attempt) forwardEvents(e *upstream.Exchange, split *eventSplitter, monitor *pathMonitor) error {
-	req := a.req
-	forwarded := false
-	for {
-		ev, ok := split.next()
-		if !ok {
+// forwardEvents writes the complete events received so far to the caller. It returns a result if the
+// attempt has ended: the caller has left, a hedge has taken over, or the replica has sent stray bytes.
+func (a *attempt) forwardEvents(e *upstream.Exchange, reader *eventstream.Reader, monitor *pathMonitor) *attemptResult {
+	var written writtenBlocks
+	var res *attemptResult
+	for res == nil {
+		block, ok, err := reader.Next()
+		if err != nil {
+			res = a.strayBytes(e, err)
 			break
 		}
-		req.guarded.Event()
-		if !req.lastEvent.precedes(ev.id) {
-			continue
-		}
-		if !forwarded && !monitor.beginForward() {
-			return errTakenOver
-		}
-		if !isNumericID(ev.id) {
-			a.recordStrayBytes(e, ev)
-		}
-		req.beginStream(e)
-		if _, err := req.w.Write(ev.data); err != nil {
-			return err
+		if !ok {
+			break
 		}
-		forwarded = true
-		req.eventCount++
-		if len(ev.id) > 0 {
-			req.lastEvent.set(ev.id)
+		res = a.forwardBlock(e, block, monitor, &written)
+	}
+	if gone := a.flush(monitor, written); gone != nil {
+		return gone
+	}
+	return res
+}
+
+// writtenBlocks is what was written to the caller and not flushed yet.
+type writtenBlocks struct {
+	events int
+	// comment is set if there are blocks that are no events.
+	comment bool
+}
+
+// forwardBlock writes one block to the caller, unless the caller already has it. It returns a result if
+// the attempt has ended.
+func (a *attempt) forwardBlock(e *upstream.Exchange, block eventstream.Block, monitor *pathMonitor, written *writtenBlocks) *attemptResult {
+	req := a.req
+	if !block.Event {
+		return a.forwardComment(block.Data, written)
+	}
+	req.guarded.Event()
+	if !req.lastEvent.Precedes(block.ID) {
+		return nil
+	}
+	if written.events == 0 && !monitor.beginForward() {
+		res := takenOver()
+		return &res
+	}
+	req.beginStream(e)
+	if len(a.preface) > 0 {
+		block.Data = append(a.preface, block.Data...)
+		a.preface = nil
+	}
+	if _, err := req.w.Write(block.Data); err != nil {
+		return callerGone(err)
+	}
+	written.events++
+	req.eventCount++
+	req.lastEvent.Advance(block.ID)
+	return nil
+}
+
+// forwardComment writes a block that is no event. Before the first event it is kept, so that any answer
+// of another replica can still be sent instead.
+func (a *attempt) forwardComment(data []byte, written *writtenBlocks) *attemptResult {
+	if !a.req.answerStarted {
+		if len(a.preface)+len(data) <= eventstream.MaxBlockBytes {
+			a.preface = append(a.preface, data...)
 		}
+		return nil
+	}
+	written.comment = true
+	if _, err := a.req.w.Write(data); err != nil {
+		return callerGone(err)
 	}
-	if !forwarded {
+	return nil
+}
+
+// flush sends what was written to the caller, and records the events. It returns a result if the caller
+// has left.
+func (a *attempt) flush(monitor *pathMonitor, written writtenBlocks) *attemptResult {
+	if written == (writtenBlocks{}) {
 		return nil
 	}
-	req.awaiting.FirstEvent()
-	req.recordPause()
-	monitor.recordEvents()
-	monitor.endForward()
-	return http.NewResponseController(req.w).Flush()
+	if written.events > 0 {
+		a.req.awaiting.FirstEvent()
+		a.req.recordPause()
+		monitor.recordEvents()
+		monitor.endForward()
+	}
+	if err := http.NewResponseController(a.req.w).Flush(); err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
+// callerGone is the result of an attempt whose events can't be written to the caller.
+func callerGone(err error) *attemptResult {
+	return &attemptResult{kind: resultCallerGone, detail: err.Error(), feedback: targets.Result{Failure: health.Canceled}}
 }
 
-// recordStrayBytes records an event whose id can't be one of the stream's.
-func (a *attempt) recordStrayBytes(e *upstream.Exchange, ev event) {
-	const maxShownBytes = 64
-	const reason = "id"
+// strayBytes records that the replica has sent bytes that are no part of the stream. What it sends from
+// there on can't be told from them either, so the attempt has failed.
+func (a *attempt) strayBytes(e *upstream.Exchange, err error) *attemptResult {
 	req := a.req
-	req.server.Metrics.StrayBytes(req.Service, reason)
-	req.log.Warn("replica sends stray bytes", "service", req.Service, "replica", a.target.Replica, "address", a.target.Address, "reason", reason,
-		"last_event", req.lastEvent.String(), "sends", req.attemptCount, "ends_with_connection", e.EndsWithConnection(),
-		"bytes", string(ev.data[:min(len(ev.data), maxShownBytes)]))
+	var violation *eventstream.Violation
+	if errors.As(err, &violation) {
+		req.server.Metrics.StrayBytes(req.Service, string(violation.Reason))
+		req.log.Warn("replica sends stray bytes", "service", req.Service, "replica", a.target.Replica, "address", a.target.Address,
+			"reason", string(violation.Reason), "last_event", violation.After, "sends", req.attemptCount,
+			"ends_with_connection", e.EndsWithConnection(), "bytes", violation.Bytes)
+	}
+	return &attemptResult{kind: resultUnknown, detail: err.Error(), feedback: targets.Result{Failure: health.Internal}}
 }
 
 // recordPause records the time to the first event or, for a later event, the pause before it if
@@ -226,16 +292,21 @@
 	req.server.Metrics.FirstToken(req.Service, req.server.Now().Sub(req.Arrived))
 }
 
-// finish checks that a stream that has ended is complete.
-func (a *attempt) finish(e *upstream.Exchange, split *eventSplitter, monitor *pathMonitor) attemptResult {
+// finish passes on what the end of the stream makes complete, and checks that the stream is.
+func (a *attempt) finish(e *upstream.Exchange, reader *eventstream.Reader, monitor *pathMonitor) attemptResult {
 	req := a.req
+	if a.cutUnframed(e) {
+		return brokenOff(detailCutUnframed)
+	}
+	reader.Complete()
+	if res := a.forwardEvents(e, reader, monitor); res != nil {
+		return *res
+	}
 	switch {
-	case split.incompleteBytes() > 0:
+	case reader.Incomplete():
 		return brokenOff("the stream ended in the middle of an event")
 	case !req.answerStarted && a.resumeAfter == "" && req.Call.LastEventID == "":
 		return brokenOff(detailNoEvents)
-	case a.cutUnframed(e):
-		return brokenOff(detailCutUnframed)
 	case !monitor.beginForward():
 		return takenOver()
 	}
--- a/route/relay/stream_replica_test.go
+++ b/route/relay/stream_replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -53,6 +54,8 @@
 	// the answer with its connection.
 	delay time.Duration
 	empty bool
+	// stray are bytes after the silence that are no part of the stream.
+	stray string
 
 	mu sync.Mutex
 	// resumed are the positions at which requests arrived, canceled counts those that the caller
@@ -83,8 +86,11 @@
 	time.Sleep(s.delay)
 	first, _ := strconv.Atoi(position) // "" is the beginning
 	for n := first + 1; n <= hedgeEvents; n++ {
-		if n == s.silentAfter+1 && !s.await(r.Context()) {
-			panic(http.ErrAbortHandler)
+		if n == s.silentAfter+1 {
+			if !s.await(r.Context()) {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, s.stray) // a caller that has left gets nothing
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
 		_ = http.NewResponseController(w).Flush()
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -222,7 +222,7 @@
 	_, _ = out.Write([]byte(stray.Bytes))
 	_ = out.Flush()
 	if stray.BreakOff {
-		panic(http.ErrAbortHandler)
+		out.breakOff()
 	}
 }
 
--- a/standin/replica/unframed.go
+++ b/standin/replica/unframed.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -10,6 +11,8 @@
 type answerWriter interface {
 	io.Writer
 	Flush() error
+	// breakOff ends the connection, so that the answer is not complete. It does not return.
+	breakOff()
 }
 
 // framed is an answer that net/http frames.
@@ -18,6 +21,21 @@
 	*http.ResponseController
 }
 
+func (framed) breakOff() { panic(http.ErrAbortHandler) }
+
+// unframed is an answer that is written to the connection itself.
+type unframed struct {
+	*bufio.ReadWriter
+	conn net.Conn
+}
+
+func (u unframed) breakOff() {
+	if tcp, ok := u.conn.(*silentConn); ok {
+		_ = tcp.SetLinger(0) // a connection that has ended needs no reset
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // answerTo returns what writes the body of an answer. An unframed answer is written to the connection
 // itself and ends with it. closeAnswer ends the answer.
 func answerTo(w http.ResponseWriter, fault Fault) (out answerWriter, closeAnswer func()) {
@@ -33,7 +51,5 @@
 	_, _ = buffer.WriteString("Connection: close\r\n\r\n")
 	// A write fails if the caller has gone; there is nobody left to answer.
 	_ = buffer.Flush()
-	return buffer, func() { _ = conn.Close() }
+	return unframed{buffer, conn}, func() { _ = conn.Close() }
 }
-
-var _ answerWriter = (*bufio.ReadWriter)(nil)
