--- a/route/eventstream/block.go
+++ b/route/eventstream/block.go
@@ -16,7 +16,7 @@
 
 // line returns the first line without its end, and its length with it; 0 if the line is not complete.
 func (e *lineEnd) line(p []byte) (line []byte, length int, violation *Violation) {
-	at := bytes.IndexAny(p, "\r\n")
+	at := firstLineEnd(p)
 	if at < 0 {
 		return nil, 0, nil
 	}
@@ -41,6 +41,19 @@
 	return p[:at], length, nil
 }
 
+// firstLineEnd returns where the first LF or CR is, -1 if there is none.
+func firstLineEnd(p []byte) int {
+	lf := bytes.IndexByte(p, '\n')
+	before := p
+	if lf >= 0 {
+		before = p[:lf]
+	}
+	if cr := bytes.IndexByte(before, '\r'); cr >= 0 {
+		return cr
+	}
+	return lf
+}
+
 // byteOrderMark may precede the first line of an answer.
 var byteOrderMark = []byte("\ufeff")
 
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -214,7 +214,7 @@
 }
 
 // forwardComment writes a block that is no event. Before the first event it is kept, so that any answer
-// of another replica can still be sent instead.
+// of another replica can still be sent instead; what exceeds the bound of a block is left out.
 func (a *attempt) forwardComment(data []byte, written *writtenBlocks) *attemptResult {
 	if !a.req.answerStarted {
 		if len(a.preface)+len(data) <= eventstream.MaxBlockBytes {
