streams: events that the caller has, ids and bounds of resumed answers

Ids of repeated events could go back. - An event that waits for the next one, and what a hedge has read, were kept without a bound, and each read scanned all of it again. - A sound stream of two events with ids 2 and 4 was taken for stray bytes. - A byte order mark of a resumed answer stood in the middle of the stream. - Whether bytes were stray could depend on how an answer of CR lines was divided.

Reader knows the position that the answer goes on after and says which events are repeated; it reads each byte once, keeps what it has found, and has one bound for all that it keeps. The lines of data of an event follow each other, so that a line of data before a sound event no longer becomes a part of it.

Several faults in one commit: they are one change of the reader.

--- a/node/site/stray_bytes_test.go
+++ b/node/site/stray_bytes_test.go
@@ -51,9 +51,7 @@
 				t.Parallel()
 				p := newPlatform(t)
 				p.chains(strayEvents, time.Millisecond)
-				settings := p.settings("front-1")
-				settings.Bounds.RetryRatio = 2 // each stream is resumed
-				node := p.node(settings)
+				node := p.strayNode(false)
 				for _, form := range strayForms {
 					for _, after := range []int{0, 3, strayEvents} {
 						p.playStray(node, form, replica.Fault{
@@ -82,7 +80,8 @@
 				got := node.ask("POST", "/ask/x", id, goodKey)
 				refused := after == 0 && got.status == http.StatusBadGateway
 				cut := after > 0 && got.status == http.StatusOK && got.err != nil && wholeStream(got.body, id, after) == nil
-				whole := after == strayEvents && got.err == nil && wholeStream(got.body, id, strayEvents) == nil // white space at the end
+				whitespace := form.name == "a carriage return" && after == strayEvents
+				whole := whitespace && got.err == nil && wholeStream(got.body, id, strayEvents) == nil
 				if !refused && !cut && !whole {
 					t.Errorf("%s after event %d: %d, %v, %q", form.name, after, got.status, got.err, got.body)
 				}
@@ -95,17 +94,85 @@
 func TestStrayBytesAreNoPartOfAForwardedStream(t *testing.T) {
 	p := newPlatform(t)
 	p.chains(strayEvents, time.Millisecond)
+	node := p.strayNode(true)
+	for _, form := range strayForms {
+		for _, after := range []int{0, 3, strayEvents} {
+			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.bytes(after), After: after, Once: true}})
+		}
+	}
+}
+
+// Guards against stray bytes that are taken for events that a caller who resumes a stream has, or that
+// begin the stream anew for that caller, at the node and through two nodes.
+func TestStrayBytesAreNoPartOfAStreamThatItsCallerResumes(t *testing.T) {
+	const after = 3
+	forms := append([]strayForm{
+		{"an id of before", always("id: 1\ndata: stray\n\n")},
+		{"the caller's last id", always("id: 3\ndata: stray\n\n")},
+		{"an id of before and bytes", always("id: 1\ndata: stray\n\nstray\n")},
+		{"events of before", always("id: 1\ndata: stray\n\nid: 2\ndata: stray\n\n")},
+	}, strayForms...)
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprint("forwarded ", forwarded), func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t)
+			p.chains(strayEvents, time.Millisecond)
+			node := p.strayNode(forwarded)
+			for _, form := range forms {
+				for _, sent := range []int{0, 2} {
+					for _, breakOff := range []bool{false, true} {
+						id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.name, " ", "-"), sent, breakOff)
+						p.setFaults(replica.Fault{Stray: replica.Stray{Bytes: form.bytes(after + sent), After: sent, BreakOff: breakOff, Once: true}})
+						got := node.ask("POST", "/ask/x", id, goodKey, "Last-Event-Id", fmt.Sprint(after))
+						if got.status != http.StatusOK || got.err != nil || got.body != eventsAfter(after, id) {
+							t.Errorf("%s after %d more events, breaks off %v: %d, %v, %q", form.name, sent, breakOff, got.status, got.err, got.body)
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// eventsAfter are the events of a stream after one of them.
+func eventsAfter(after int, id string) string {
+	var b strings.Builder
+	for n := after + 1; n <= strayEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d of %s\n\n", n, n, id)
+	}
+	return b.String()
+}
+
+// Guards against stray bytes of which no line tells.
+func TestStrayBytesAreLogged(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(strayEvents, time.Millisecond)
+	node := p.node(p.settings("front-1"))
+	if err := p.strayServed(node, "s1", replica.Fault{Stray: replica.Stray{Bytes: "data: stray\n\n", After: 3, Once: true}}); err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(p.log()) {
+		if strings.Contains(line, `"replica sends stray bytes"`) && strings.Contains(line, `"last_event":"3"`) && strings.Contains(line, `"request":"s1"`) {
+			return
+		}
+	}
+	t.Error("no line tells of the stray bytes")
+}
+
+// strayNode starts a node that has retries for each stream and sends to the replicas itself, or one that
+// has such a node serve its callers.
+func (p *platform) strayNode(forwarded bool) *running {
+	p.t.Helper()
 	settings := p.settings("front-2")
 	settings.Bounds.RetryRatio = 2
 	settings.FirstStart = true // it has its retries from the start
+	if !forwarded {
+		return p.node(settings)
+	}
 	p.helperOn(settings)
 	node, _ := p.cutOffNode("front-1")
 	p.awaitHelpers(node, 1)
-	for _, form := range strayForms {
-		for _, after := range []int{0, 3, strayEvents} {
-			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.bytes(after), After: after, Once: true}})
-		}
-	}
+	return node
 }
 
 func (p *platform) setFaults(fault replica.Fault) {
--- a/route/eventstream/doc.go
+++ b/route/eventstream/doc.go
@@ -15,12 +15,13 @@
 //
 // An event must be one after which another replica can resume the stream:
 //
-//   - It has one id and at least one line of data.
+//   - It has one id and at least one line of data. Its lines of data follow each other.
 //   - Its id is a whole number of at most MaxIDDigits digits, above that of the event before it in the
-//     same answer.
-//   - Replicas number their events without gaps or in steps that stay about the same. An id that rises by
-//     a larger step than any before it counts only once the next event of the answer follows it, with an
-//     id above it. The first event of an answer counts also if the answer is complete without another one.
+//     same answer. An answer that resumes a stream may begin with events that the stream already has. It
+//     then does not end before the last of these.
+//   - Ids rise by one, or by steps that stay about the same. An id that rises by a larger step than any
+//     before it in the stream counts only once the next event of the answer follows it, with an id above
+//     it. The first event of a stream counts also if the answer is complete without another one.
 //
 // What breaks the contract is a *Violation. The events before it are sound, and nothing after it is.
 package eventstream
--- a/route/eventstream/position.go
+++ b/route/eventstream/position.go
@@ -10,7 +10,8 @@
 type Position struct {
 	id    int64
 	known bool
-	// largestStep is the largest difference between the ids of two events in succession.
+	// largestStep is the largest difference between the ids of two events in succession. The first id
+	// counts as a step from 0.
 	largestStep int64
 }
 
@@ -28,18 +29,16 @@
 	return strconv.FormatInt(p.id, 10)
 }
 
-// Precedes reports whether the position is before the event with this id.
-func (p Position) Precedes(id int64) bool { return !p.known || id > p.id }
+// precedes reports whether the position is before the event with this id.
+func (p Position) precedes(id int64) bool { return !p.known || id > p.id }
 
 // Advance moves the position to an event after it.
 func (p *Position) Advance(id int64) {
-	if p.known {
-		p.largestStep = max(p.largestStep, id-p.id)
-	}
+	p.largestStep = max(p.largestStep, id-p.id)
 	p.id, p.known = id, true
 }
 
-// jumpsTo reports whether an id rises by a larger step than any before it.
+// jumpsTo reports whether an id rises by a larger step than one and than any before it.
 func (p Position) jumpsTo(id int64) bool { return id-p.id > max(1, p.largestStep) }
 
 // parseID parses an id. It allocates nothing.
--- a/route/eventstream/reader.go
+++ b/route/eventstream/reader.go
@@ -1,145 +1,168 @@
 package eventstream
 
-import (
-	"bytes"
-)
+import "bytes"
 
-// MaxBlockBytes bounds one block of a stream.
-const MaxBlockBytes = 1 << 20
+// MaxPendingBytes bounds what a reader keeps: an incomplete block, or an event that waits for the next
+// one, with what follows it.
+const MaxPendingBytes = 1 << 20
 
 // Block is one complete block of a stream. Data is valid until the next call of Add.
 type Block struct {
 	// Data is the block as received, with the empty line that ends it.
 	Data []byte
-	// Event is set if the block is an event, whose id is ID.
-	Event bool
-	ID    int64
+	// Event is set if the block is an event, whose id is ID. Repeated is set if its id is not above
+	// the position that the reader began with: the stream already has that event.
+	Event, Repeated bool
+	ID              int64
 }
 
 // Reader reads the blocks of one answer. Its zero value reads an answer that begins its stream.
 type Reader struct {
-	buffer []byte
-	// consumed is the length in bytes of the buffer's prefix that Next has returned.
-	consumed int
-	// begun is set once Next has returned a block.
-	begun   bool
-	lineEnd lineEnd
-	// position is that of the last event of the stream. answered is set once this answer has had an event.
+	scanner scanner
+	// position is that of the last event of the stream that was found.
 	position Position
+	// last is the id of the last event of this answer, also of a repeated one; valid if answered is set.
+	last     int64
 	answered bool
+	// held is an event that waits for the next one; valid if holds is set.
+	held  block
+	holds bool
+	// found are blocks that Next has not returned, newEvents how many of them are events that are not
+	// repeated. returned is the end of the last block that it has returned.
+	found     []block
+	newEvents int
+	returned  int
 	// complete is set once the answer has ended.
 	complete  bool
 	violation *Violation
 }
 
-// NewReader returns a reader of an answer that resumes its stream after a position.
-func NewReader(after Position) Reader { return Reader{position: after} }
+// NewReader returns a reader of an answer that goes on with its stream after a position.
+func NewReader(after Position) Reader {
+	return Reader{position: after, scanner: scanner{dropMark: after.known}}
+}
 
 // Add appends received bytes.
-func (r *Reader) Add(p []byte) {
-	if r.consumed > 0 {
-		r.buffer = r.buffer[:copy(r.buffer, r.pending())]
-		r.consumed = 0
-	}
-	r.buffer = append(r.buffer, p...)
-}
+func (r *Reader) Add(p []byte) { r.scanner.add(p, r.returned) }
 
 // Complete records that the answer has ended and is complete. No bytes follow.
 func (r *Reader) Complete() { r.complete = true }
 
 // Next returns the next block; ok is false if it has not arrived yet. The error is a *Violation, and
 // is returned by all further calls as well.
-func (r *Reader) Next() (block Block, ok bool, err error) {
-	if r.violation != nil {
-		return Block{}, false, r.violation
+func (r *Reader) Next() (b Block, ok bool, err error) {
+	for len(r.found) == 0 {
+		if more, err := r.find(); err != nil || !more {
+			return Block{}, false, err
+		}
 	}
-	block, ok, violation := r.next()
-	if violation != nil {
-		violation.After, violation.Bytes = r.position.ID(), firstOf(r.pending())
-		r.violation = violation
-		return Block{}, false, violation
+	first := r.found[0]
+	r.found = r.found[:copy(r.found, r.found[1:])]
+	r.returned = first.end
+	if first.event && !first.repeated {
+		r.newEvents--
 	}
-	return block, ok, nil
+	return Block{Data: r.scanner.bytes(first.span), Event: first.event, Repeated: first.repeated, ID: first.id}, true, nil
 }
 
-func (r *Reader) next() (Block, bool, *Violation) {
-	block, violation := r.lineEnd.block(r.pending(), r.begun)
-	switch {
-	case violation != nil:
-		return Block{}, false, violation
-	case len(block.Data) == 0 && len(r.pending()) > MaxBlockBytes:
-		return Block{}, false, &Violation{Reason: ReasonTooLong}
-	case len(block.Data) == 0:
-		return Block{}, false, nil
-	case !block.Event:
-		r.consume(block)
-		return block, true, nil
-	case r.answered && block.ID <= r.position.id:
-		return Block{}, false, &Violation{Reason: ReasonOrder}
-	}
-	if r.position.jumpsTo(block.ID) {
-		if confirmed, violation := r.confirms(block); violation != nil || !confirmed {
-			return Block{}, false, violation
+// HasEvent reports whether an event has arrived that the stream does not have. Next returns it later.
+func (r *Reader) HasEvent() (bool, error) {
+	for r.newEvents == 0 {
+		if more, err := r.find(); err != nil || !more {
+			return false, err
 		}
 	}
-	r.consume(block)
-	r.advance(block.ID)
-	return block, true, nil
+	return true, nil
 }
 
-func (r *Reader) consume(block Block) {
-	r.consumed += len(block.Data)
-	r.begun = true
+// Incomplete reports whether a part of a block is left that is more than white space.
+func (r *Reader) Incomplete() bool {
+	return len(bytes.TrimSpace(r.scanner.bytes(span{r.scanner.start, r.scanner.end()}))) > 0
 }
 
-// advance records an event of this answer. A replica that resumes a stream may repeat events before the
-// position.
-func (r *Reader) advance(id int64) {
-	if id > r.position.id || !r.position.known {
-		r.position.Advance(id)
-		r.answered = true
+// find reads one block, and adds to found what can be returned by now. It returns false if no complete
+// block is left.
+func (r *Reader) find() (bool, error) {
+	if r.violation != nil {
+		return false, r.violation
+	}
+	b, ok, violation := r.scanner.next()
+	switch {
+	case violation != nil:
+	case ok:
+		violation = r.take(b)
+	case r.complete:
+		ok, violation = r.end()
+	case r.scanner.end()-r.returned > MaxPendingBytes:
+		violation = &Violation{Reason: ReasonTooLong}
 	}
+	if violation == nil {
+		return ok, nil
+	}
+	violation.After, violation.Bytes = r.position.ID(), firstOf(r.scanner.bytes(span{r.pendingStart(b), r.scanner.end()}))
+	r.violation = violation
+	return false, violation
 }
 
-// confirms reports whether the event after a block confirms the block's id, which rises by a larger step
-// than any before. It returns false if that event has not arrived yet.
-func (r *Reader) confirms(block Block) (bool, *Violation) {
-	lineEnd, rest := r.lineEnd, r.pending()[len(block.Data):]
-	for {
-		next, violation := lineEnd.block(rest, true)
-		switch {
-		case violation != nil:
-			return false, violation
-		case len(next.Data) == 0 && !r.complete:
-			return false, nil
-		case len(next.Data) == 0 && r.answered:
-			return false, &Violation{Reason: ReasonJump}
-		case len(next.Data) == 0:
-			return true, nil
-		case next.Event && next.ID <= block.ID:
-			return false, &Violation{Reason: ReasonJump}
-		case next.Event:
-			return true, nil
-		}
-		rest = rest[len(next.Data):]
+// pendingStart is where the bytes begin that break the contract: at the event that is held, or at the
+// block that was read last.
+func (r *Reader) pendingStart(read block) int {
+	switch {
+	case r.holds:
+		return r.held.start
+	case read.end > 0:
+		return read.start
 	}
+	return r.scanner.start
 }
 
-// HasEventAfter reports whether an event after a position is there. It consumes nothing.
-func (r *Reader) HasEventAfter(p Position) (bool, error) {
-	ahead := *r
-	for {
-		block, ok, err := ahead.Next()
-		if err != nil || !ok {
-			return false, err
-		}
-		if block.Event && p.Precedes(block.ID) {
-			return true, nil
-		}
+// take adds a block to found, or holds it.
+func (r *Reader) take(b block) *Violation {
+	switch {
+	case !b.event && r.holds:
+		r.held.end = b.end
+		return nil
+	case !b.event:
+		r.found = append(r.found, b)
+		return nil
+	case r.holds && b.id <= r.held.id:
+		return &Violation{Reason: ReasonJump}
+	case r.holds:
+		r.accept(r.held)
+		r.holds = false
+	case r.answered && b.id <= r.last:
+		return &Violation{Reason: ReasonOrder}
 	}
+	if r.position.jumpsTo(b.id) {
+		r.held, r.holds = b, true
+		return nil
+	}
+	r.accept(b)
+	return nil
 }
 
-// Incomplete reports whether a part of a block is left that is more than white space.
-func (r *Reader) Incomplete() bool { return len(bytes.TrimSpace(r.pending())) > 0 }
+// accept adds an event to found.
+func (r *Reader) accept(b block) {
+	r.last, r.answered = b.id, true
+	b.repeated = !r.position.precedes(b.id)
+	if !b.repeated {
+		r.newEvents++
+		r.position.Advance(b.id)
+	}
+	r.found = append(r.found, b)
+}
 
-func (r *Reader) pending() []byte { return r.buffer[r.consumed:] }
+// end judges what only the end of the answer tells. It returns true if that adds an event to found.
+func (r *Reader) end() (bool, *Violation) {
+	switch {
+	case r.holds && r.position.known:
+		return false, &Violation{Reason: ReasonJump}
+	case r.holds:
+		r.accept(r.held)
+		r.holds = false
+		return true, nil
+	case r.answered && r.last < r.position.id:
+		return false, &Violation{Reason: ReasonEnd}
+	}
+	return false, nil
+}
--- a/route/eventstream/reader_test.go
+++ b/route/eventstream/reader_test.go
@@ -1,17 +1,19 @@
 package eventstream
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // reading is what a reader makes of an answer.
 type reading struct {
+	// ids are those of the events that are not repeated.
 	ids       []int64
+	repeated  []int64
 	data      string
 	violation *Violation
 	rest      bool
@@ -25,7 +27,10 @@
 		block, ok, err := r.Next()
 		for ; ok; block, ok, err = r.Next() {
 			got.data += string(block.Data)
-			if block.Event {
+			switch {
+			case block.Repeated:
+				got.repeated = append(got.repeated, block.ID)
+			case block.Event:
 				got.ids = append(got.ids, block.ID)
 			}
 		}
@@ -72,6 +77,8 @@
 		{"fields of the replica's own", "weight-versions: 2\nid: 1\ndata: a\n\nid: 2\ndata: b\nx9: 1\n\n", []int64{1, 2}},
 		{"colons and bytes of all kinds in data", "id: 1\ndata: HTTP/1.1 200 OK: \x00\xff\n\n", []int64{1}},
 		{"ids that skip", "id: 2\ndata: a\n\nid: 4\ndata: b\n\nid: 6\ndata: c\n\nid: 7\ndata: d\n\n", []int64{2, 4, 6, 7}},
+		{"two events with a step of 2", "id: 2\ndata: a\n\nid: 4\ndata: b\n\n", []int64{2, 4}},
+		{"two events with a step of 10", "id: 10\ndata: a\n\nid: 20\ndata: b\n\n", []int64{10, 20}},
 		{"one event with a high id", "id: 17\ndata: a\n\n", []int64{17}},
 		{"a long event", "id: 1\ndata: " + strings.Repeat("a", 2000) + "\n\n", []int64{1}},
 	} {
@@ -103,7 +110,9 @@
 		{"an id that is too long", "id: 1000000000000000000\ndata: a\n\n", ReasonID},
 		{"two ids", "id: 4\nid: 5\ndata: a\n\n", ReasonID},
 		{"only a field of the replica's own", "weight-versions: 2\n\n", ReasonID},
-		{"no data", "id: 4\n\n", ReasonNoData},
+		{"no data", "id: 4\n\n", ReasonData},
+		{"data on both sides of an id", "data: a\nid: 4\ndata: b\n\n", ReasonData},
+		{"a line of data before an event", "data: a\n", ReasonData},
 		{"an id of before", "id: 3\ndata: a\n\n", ReasonOrder},
 		{"the beginning of a stream", eventsUpTo(2), ReasonOrder},
 		{"an id that is too high", "id: 900\ndata: a\n\n", ReasonJump},
@@ -160,20 +169,44 @@
 }
 
 // Guards against a resumed stream that is taken for stray bytes because its replica repeats events that
-// the caller has.
+// the caller has, and against stray bytes that are taken for such events.
 func TestResumedAnswersMayRepeatEvents(t *testing.T) {
-	after := ParsePosition("9")
-	got := read(after, "id: 8\ndata: a\n\nid: 9\ndata: b\n\nid: 10\ndata: c\n\n", 1, true)
-	if !slices.Equal(got.ids, []int64{8, 9, 10}) || got.violation != nil {
-		t.Errorf("%v, %v", got.ids, got.violation)
-	}
-	for id, want := range map[int64]bool{8: false, 9: false, 10: true} {
-		if got := after.Precedes(id); got != want {
-			t.Errorf("%d after 9: %v", id, got)
-		}
+	for _, c := range []struct {
+		name, answer  string
+		repeated, ids []int64
+		reason        Reason
+	}{
+		{"nothing is repeated", "id: 10\ndata: a\n\n", nil, []int64{10}, ""},
+		{"nothing is left", "", nil, nil, ""},
+		{"two events are repeated", "id: 8\ndata: a\n\nid: 9\ndata: b\n\nid: 10\ndata: c\n\n", []int64{8, 9}, []int64{10}, ""},
+		{"the last event is repeated and nothing is left", "id: 9\ndata: a\n\n", []int64{9}, nil, ""},
+		{"a byte order mark", "\ufeffid: 10\ndata: a\n\n", nil, []int64{10}, ""},
+		{"repeated events go back", "id: 8\ndata: a\n\nid: 3\ndata: b\n\nid: 10\ndata: c\n\n", []int64{8}, nil, ReasonOrder},
+		{"it ends below the position", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int64{1, 2}, nil, ReasonEnd},
+		{"an id is too high", "id: 900\ndata: a\n\n", nil, nil, ReasonJump},
+		{"an id is too high and goes back", "id: 90\ndata: a\n\nid: 10\ndata: b\n\n", nil, nil, ReasonJump},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for size := 1; size <= max(1, len(c.answer)); size++ {
+				got := read(ParsePosition("9"), c.answer, size, true)
+				if !slices.Equal(got.ids, c.ids) || !slices.Equal(got.repeated, c.repeated) || strings.HasPrefix(got.data, "\ufeff") {
+					t.Fatalf("in pieces of %d: %v, repeated %v, %q", size, got.ids, got.repeated, got.data)
+				}
+				if (got.violation == nil) != (c.reason == "") || got.violation != nil && got.violation.Reason != c.reason {
+					t.Fatalf("in pieces of %d: %v", size, got.violation)
+				}
+			}
+		})
 	}
-	if got = read(after, "id: 90\ndata: a\n\nid: 10\ndata: b\n\n", 1, true); got.violation == nil || len(got.ids) > 0 {
-		t.Errorf("90 after 9: %v, %v", got.ids, got.violation)
+}
+
+// Guards against a stream whose steps are learned anew by each attempt: its first events would wait.
+func TestPositionKeepsTheStep(t *testing.T) {
+	var p Position
+	p.Advance(2)
+	p.Advance(4)
+	if got := read(p, "id: 6\ndata: a\n\n", 1, false); !slices.Equal(got.ids, []int64{6}) {
+		t.Errorf("%v", got.ids)
 	}
 }
 
@@ -188,30 +221,65 @@
 	}
 }
 
-// Guards against a block without an end that is kept without a bound.
-func TestBlocksHaveABound(t *testing.T) {
-	for _, answer := range []string{"data: " + strings.Repeat("a", MaxBlockBytes), strings.Repeat(": a\n", MaxBlockBytes/4+1)} {
+// Guards against bytes that are kept without a bound: a block without an end, or what follows an event
+// that waits for the next one.
+func TestWhatIsKeptHasABound(t *testing.T) {
+	const held = "id: 9\ndata: a\n\n"
+	line, lines, comments := "data: "+strings.Repeat("a", MaxPendingBytes), strings.Repeat(": a\n", MaxPendingBytes/4+1), strings.Repeat(": a\n\n", MaxPendingBytes/4)
+	for _, answer := range []string{line, lines, held + line, held + lines, held + comments} {
 		if got := read(Position{}, answer, 64<<10, false); got.violation == nil || got.violation.Reason != ReasonTooLong {
 			t.Errorf("%d bytes: %v", len(answer), got.violation)
 		}
 	}
+	r := NewReader(Position{})
+	r.Add([]byte(comments))
+	if _, err := r.HasEvent(); err == nil {
+		t.Error("comments are kept without a bound while an event is waited for")
+	}
+}
+
+// Guards against work that grows with the square of what has arrived: each read would begin anew.
+func TestBytesAreScannedOnce(t *testing.T) {
+	const size, most = 64, 5 * time.Second // a few milliseconds each; a scan of all before takes minutes
+	for name, answer := range map[string]string{
+		"a long line":             "id: 1\ndata: " + strings.Repeat("a", MaxPendingBytes/2) + "\n\n",
+		"many lines":              "id: 1\n" + strings.Repeat("data: a\n", MaxPendingBytes/16) + "\n",
+		"comments after an event": "id: 9\ndata: a\n\n" + strings.Repeat(": a\n\n", MaxPendingBytes/10),
+		"comments":                strings.Repeat(": a\n\n", MaxPendingBytes/10),
+	} {
+		begun := time.Now()
+		r := NewReader(Position{})
+		for piece := range slices.Chunk([]byte(answer), size) {
+			r.Add(piece)
+			if _, err := r.HasEvent(); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if took := time.Since(begun); took > most {
+			t.Errorf("%s: %v", name, took)
+		}
+	}
 }
 
 // Guards against a hedge that wins by bytes that are no event of its stream.
 func TestOnlyEventsOfTheStreamCountAsAhead(t *testing.T) {
-	after := ParsePosition("3")
+	const strayEvent = "data: stray\n\n"
 	for answer, want := range map[string]bool{
-		": comment\n\n": false, "id: 3\ndata: a\n\n": false, "id: 4\ndata: a\n": false, "data: a\n\n": false, "id: 9\ndata: a\n\n": false,
-		"id: 4\ndata: a\n\n": true, "id: 3\ndata: a\n\nid: 4\ndata: a\n\n": true,
+		": comment\n\n": false, "id: 3\ndata: a\n\n": false, "id: 4\ndata: a\n": false, strayEvent: false, "id: 9\ndata: a\n\n": false,
+		"id: 4\ndata: a\n\n": true, ": comment\n\nid: 3\ndata: a\n\nid: 4\ndata: a\n\n" + strayEvent: true,
 	} {
-		r := NewReader(after)
+		r := NewReader(ParsePosition("3"))
 		r.Add([]byte(answer))
-		got, err := r.HasEventAfter(after)
-		if got != want || (err != nil) != (answer == "data: a\n\n") {
+		got, err := r.HasEvent()
+		if got != want || (err != nil) != (answer == strayEvent) {
 			t.Errorf("%q: %v, %v", answer, got, err)
 		}
-		if !bytes.Equal(r.pending(), []byte(answer)) {
-			t.Errorf("%q was consumed", answer)
+		var data string
+		for b, ok, _ := r.Next(); ok; b, ok, _ = r.Next() {
+			data += string(b.Data)
+		}
+		if sound := strings.TrimSuffix(answer, strayEvent); want && data != sound {
+			t.Errorf("%q: Next returned %q", answer, data)
 		}
 	}
 }
@@ -220,17 +288,19 @@
 // are divided changes nothing.
 func FuzzReader(f *testing.F) {
 	for _, seed := range []string{
-		"id: 1\ndata: x\n\n\n\nid:2\r\n\r\n", eventsUpTo(3), ": c\rid: 1\rdata\r\r", "\ufeffid: 1\ndata: a\n\nid: 9\ndata: b\n\nid: 2\ndata: c\n\n",
+		"id: 1\ndata: x\n\n\n\nid:2\r\n\r\n", eventsUpTo(3), ": c\rid: 1\rdata\r\r", "id: 1\rdata: a\r\r\n", "\ufeffid: 1\ndata: a\n\nid: 9\ndata: b\n\nid: 2\ndata: c\n\n",
 		"id: 1\ndata: a\n\nHTTP/1.1 200 OK\r\n\r\n", "retry: 1\n\nweight-versions: 1\nid: 5\ndata\n\n",
 	} {
-		f.Add([]byte(seed), 3, true)
+		f.Add([]byte(seed), 3, true, "")
+		f.Add([]byte(seed), 1, true, "1")
 	}
-	f.Fuzz(func(t *testing.T, answer []byte, size int, complete bool) {
+	f.Fuzz(func(t *testing.T, answer []byte, size int, complete bool, after string) {
 		if size <= 0 || len(answer) == 0 {
 			return
 		}
-		got, whole := read(Position{}, string(answer), size, complete), read(Position{}, string(answer), len(answer), complete)
-		if !strings.HasPrefix(string(answer), got.data) {
+		position := ParsePosition(after)
+		got, whole := read(position, string(answer), size, complete), read(position, string(answer), len(answer), complete)
+		if !strings.HasPrefix(string(answer), got.data) && !strings.HasPrefix(string(answer), "\ufeff"+got.data) {
 			t.Errorf("%q became %q", answer, got.data)
 		}
 		if got.data != whole.data || !slices.Equal(got.ids, whole.ids) || (got.violation == nil) != (whole.violation == nil) {
--- a/route/eventstream/violation.go
+++ b/route/eventstream/violation.go
@@ -11,14 +11,16 @@
 	ReasonLine Reason = "line"
 	// ReasonID is an event without an id, with several, or with one that is no whole number.
 	ReasonID Reason = "id"
-	// ReasonNoData is an event without data.
-	ReasonNoData Reason = "no_data"
+	// ReasonData is an event without data, or with other fields between its lines of data.
+	ReasonData Reason = "data"
 	// ReasonOrder is an id that is not above the one before it in the same answer.
 	ReasonOrder Reason = "order"
 	// ReasonJump is an id that rises by a larger step than any before it, and that no further event
 	// confirms.
 	ReasonJump Reason = "jump"
-	// ReasonTooLong is a block of more than MaxBlockBytes.
+	// ReasonEnd is the end of an answer that repeats events and stops before it goes on with the stream.
+	ReasonEnd Reason = "end"
+	// ReasonTooLong is a block of more than MaxPendingBytes.
 	ReasonTooLong Reason = "too_long"
 )
 
--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -35,8 +35,6 @@
 	*attempt
 	reason  string
 	guarded *crashguard.Request
-	// position is that of the last event that the caller has.
-	position eventstream.Position
 	// ctx ends when the hedge is abandoned or, once it continues the stream, with that attempt.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -100,8 +98,7 @@
 		attempt: &attempt{req: req, target: next, startedAt: req.server.Now(), resumeAfter: req.resumePosition()},
 		reason:  reason, guarded: guarded, done: make(chan struct{}),
 	}
-	h.position = h.attempt.position()
-	h.reader = eventstream.NewReader(h.position)
+	h.reader = eventstream.NewReader(h.attempt.position())
 	h.ctx, h.cancel = context.WithCancel(req.ctx)
 	h.attempt.hedge = h
 	h.sentTo(guarded)
@@ -182,7 +179,7 @@
 		if ended && !exchange.EndsWithConnection() {
 			h.reader.Complete()
 		}
-		hasEvent, stray := h.reader.HasEventAfter(h.position)
+		hasEvent, stray := h.reader.HasEvent()
 		switch {
 		case hasEvent, ended && stray == nil && h.callerHasAll():
 			return attemptResult{kind: resultComplete}
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -78,12 +77,17 @@
 	return ""
 }
 
-// position is the position in the stream after which the answer to the attempt goes on.
+// position is the position in the stream after which the answer to the attempt goes on: the caller has
+// the events up to it.
 func (a *attempt) position() eventstream.Position {
-	if a.req.answerStarted {
-		return a.req.lastEvent
+	req := a.req
+	switch {
+	case req.answerStarted:
+		return req.lastEvent
+	case a.resumeAfter == "" && req.Route.Resumable:
+		return eventstream.ParsePosition(req.Call.LastEventID)
 	}
-	return eventstream.ParsePosition(cmp.Or(a.resumeAfter, a.req.Call.LastEventID))
+	return eventstream.ParsePosition(a.resumeAfter)
 }
 
 // idleTimeout is how long the attempt may be silent. The silence of a replica does not end an
@@ -192,7 +196,7 @@
 		return a.forwardComment(block.Data, written)
 	}
 	req.guarded.Event()
-	if !req.lastEvent.Precedes(block.ID) {
+	if block.Repeated {
 		return nil
 	}
 	if written.events == 0 && !monitor.beginForward() {
@@ -213,11 +217,14 @@
 	return nil
 }
 
+// maxPrefaceBytes bounds the comments before the first event that are kept. Further ones are left out.
+const maxPrefaceBytes = 64 << 10
+
 // forwardComment writes a block that is no event. Before the first event it is kept, so that any answer
-// of another replica can still be sent instead; what exceeds the bound of a block is left out.
+// of another replica can still be sent instead.
 func (a *attempt) forwardComment(data []byte, written *writtenBlocks) *attemptResult {
 	if !a.req.answerStarted {
-		if len(a.preface)+len(data) <= eventstream.MaxBlockBytes {
+		if len(a.preface)+len(data) <= maxPrefaceBytes {
 			a.preface = append(a.preface, data...)
 		}
 		return nil
@@ -260,7 +267,7 @@
 	if errors.As(err, &violation) {
 		req.server.Metrics.StrayBytes(req.Service, string(violation.Reason))
 		req.log.Warn("replica sends stray bytes", "service", req.Service, "replica", a.target.Replica, "address", a.target.Address,
-			"reason", string(violation.Reason), "last_event", violation.After, "sends", req.attemptCount,
+			"reason", string(violation.Reason), "last_event", violation.After, "sends", req.attemptCount, "forwarded", a.forwarded,
 			"ends_with_connection", e.EndsWithConnection(), "bytes", violation.Bytes)
 	}
 	return &attemptResult{kind: resultUnknown, detail: err.Error(), feedback: targets.Result{Failure: health.Internal}}
