relay: an answer that names no request is not passed on, whatever its status

Only successes had to carry the request's id; an answer with status 300 and more and without an id was passed on, and its connection kept, on which the answer to the request may follow. The same class as stray events: bytes are taken by their place.

Such an answer now ends the attempt, unless it says that the request has not run: an idempotent request goes to another replica, any other is answered 502. Applies where endpoints repeat the id, which the platform's do. TestAnswersThatNameNoRequestAreNotPassedOn failed before for reads and orders of each status.

--- a/node/site/stray_bytes_test.go
+++ b/node/site/stray_bytes_test.go
@@ -159,6 +159,27 @@
 	t.Error("no line tells of the stray bytes")
 }
 
+// Guards against answers of any status that name no request and are passed on as the answer of one: a
+// faulty replica has sent bytes that belong to none.
+func TestAnswersThatNameNoRequestAreNotPassedOn(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(strayEvents, time.Millisecond)
+	node := p.strayNode(false)
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusInternalServerError} {
+		p.Replica("i-plain-0").SetFault(replica.Fault{Nameless: status})
+		for i := range 4 {
+			read := node.ask("GET", "/read/1", fmt.Sprintf("read-%d-%d", status, i), goodKey)
+			if read.status != http.StatusOK {
+				t.Errorf("a read was answered %d, a replica that answers well is there", read.status)
+			}
+			order := node.ask("POST", "/order/1", fmt.Sprintf("order-%d-%d", status, i), goodKey)
+			if order.status != http.StatusOK && order.status != http.StatusBadGateway {
+				t.Errorf("an order was answered %d", order.status)
+			}
+		}
+	}
+}
+
 // strayNode starts a node that has retries for each stream and sends to the replicas itself, or one that
 // has such a node serve its callers.
 func (p *platform) strayNode(forwarded bool) *running {
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -122,6 +122,9 @@
 			e.KeepAlive(a.head.IdleTimeout)
 		}
 		return a.refusedResult(e.StatusCode)
+	case a.ofAnotherRequest():
+		// The connection is closed: the answer to this request may follow.
+		return invalidAnswer(detailOtherRequest)
 	case a.exceedsBuffer(r):
 		return a.forwardUnbuffered(e, r.body)
 	case r.err != nil:
@@ -143,7 +146,7 @@
 	switch {
 	case answer.Status < http.StatusMultipleChoices:
 		if bad := a.invalidReason(); bad != "" {
-			return attemptResult{kind: resultUnknown, detail: bad, feedback: targets.Result{Failure: health.Internal}}
+			return invalidAnswer(bad)
 		}
 	case answer.Status >= http.StatusInternalServerError:
 		return attemptResult{
@@ -158,12 +161,24 @@
 // Such an answer must come from the endpoint itself, carry the id of this request and be
 // unmodified.
 func (a *attempt) invalidReason() string {
-	if a.req.Call.IDEchoed && a.head.RequestID != a.req.Call.ID {
-		return "the answer does not carry the request's id"
+	if a.ofAnotherRequest() {
+		return detailOtherRequest
 	}
 	return a.head.InvalidReason
 }
 
+const detailOtherRequest = "the answer does not carry the request's id"
+
+// ofAnotherRequest reports whether an answer may belong to another request, or to none.
+func (a *attempt) ofAnotherRequest() bool {
+	return a.req.Call.IDEchoed && a.head.RequestID != a.req.Call.ID
+}
+
+// invalidAnswer is the result of an attempt whose answer must not be passed on.
+func invalidAnswer(reason string) attemptResult {
+	return attemptResult{kind: resultUnknown, detail: reason, feedback: targets.Result{Failure: health.Internal}}
+}
+
 // discardBody reads the rest of a refusal so that its connection can be reused.
 func (a *attempt) discardBody(e *upstream.Exchange) {
 	if _, err := a.readAll(e); err == nil {
@@ -181,7 +196,7 @@
 func (a *attempt) forwardUnbuffered(e *upstream.Exchange, first []byte) attemptResult {
 	req := a.req
 	if bad := a.invalidReason(); bad != "" && e.StatusCode < http.StatusMultipleChoices {
-		return attemptResult{kind: resultUnknown, detail: bad, feedback: targets.Result{Failure: health.Internal}}
+		return invalidAnswer(bad)
 	}
 	req.writeHead(e.StatusCode, e.Header, int(e.ContentLength))
 	req.answerStarted = true
--- a/route/relay/hedge.go
+++ b/route/relay/hedge.go
@@ -169,7 +169,7 @@
 		return h.unexpected(exchange)
 	}
 	if bad := h.invalidReason(); bad != "" {
-		return attemptResult{kind: resultUnknown, detail: bad, feedback: targets.Result{Failure: health.Internal}}
+		return invalidAnswer(bad)
 	}
 	buffer := make([]byte, readBytes)
 	for {
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -59,7 +59,7 @@
 		return a.readInsteadOfStream(exchange, monitor)
 	}
 	if bad := a.invalidReason(); bad != "" {
-		return attemptResult{kind: resultUnknown, detail: bad, feedback: targets.Result{Failure: health.Internal}}
+		return invalidAnswer(bad)
 	}
 	reader := eventstream.NewReader(a.position())
 	return a.forwardStream(exchange, &reader, monitor)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -44,6 +44,8 @@
 	Twice bool
 	// Unproved leaves the proof out of answers.
 	Unproved bool
+	// Nameless is the status of the answers of a plain service, which then name no request; 0 for none.
+	Nameless int
 	// CutAfter ends a stream's connection after that many events, in the middle of
 	// the next one; zero does not.
 	CutAfter int
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -103,6 +103,12 @@
 			return
 		}
 	}
+	if fault.Nameless > 0 {
+		w.Header().Del("Request-Id")
+		w.Header().Del("Server-Stamp")
+		w.WriteHeader(fault.Nameless)
+		return
+	}
 	text := "answer to " + q.Header.Get("Request-Id")
 	if fault.Unframed {
 		out, closeAnswer := answerTo(w, fault)
