--- a/decide/layers/coverage.go
+++ b/decide/layers/coverage.go
@@ -22,6 +22,9 @@
 		capacity: make([]float64, model.Layers),
 		holders:  make([]int, model.Layers),
 	}
+	for i := range c.replicas {
+		c.replicas[i].Held = model.heldSpan(c.replicas[i])
+	}
 	// Replicas with much memory come first, so that replicas with little memory fill the
 	// remaining gaps.
 	slices.SortStableFunc(c.replicas, func(a, b Replica) int {
@@ -41,7 +44,7 @@
 		return
 	}
 	capacity := c.model.TokenCapacity(r.MemoryMB, r.Held.Len())
-	for l := max(0, r.Held.From); l < min(r.Held.To, c.model.Layers); l++ {
+	for l := r.Held.From; l < r.Held.To; l++ {
 		c.capacity[l] += float64(sign) * capacity
 		c.holders[l] += sign
 	}
--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -67,7 +67,17 @@
 // Span is the range of layers from From, inclusive, to To, exclusive.
 type Span struct{ From, To int }
 
-func (s Span) Len() int { return s.To - s.From }
+// Len returns the number of layers of the span. It is 0 if the span is empty, and at most
+// the largest int.
+func (s Span) Len() int {
+	if s.Empty() {
+		return 0
+	}
+	if n := s.To - s.From; n > 0 {
+		return n
+	}
+	return math.MaxInt // the difference exceeds an int
+}
 
 // Empty reports whether the span contains no layer.
 func (s Span) Empty() bool { return s.To <= s.From }
@@ -75,6 +85,20 @@
 // Covers reports whether s contains all layers of t.
 func (s Span) Covers(t Span) bool { return s.From <= t.From && t.To <= s.To }
 
+// Within returns the layers that s and bounds have in common. The result is the zero Span if
+// there are none.
+func (s Span) Within(bounds Span) Span {
+	common := Span{max(s.From, bounds.From), min(s.To, bounds.To)}
+	if common.Empty() {
+		return Span{}
+	}
+	return common
+}
+
+// MaxModelLayers is the largest number of layers of a model, and the highest end of a span that
+// a replica can state. The memory and the time that a plan takes grow with this number.
+const MaxModelLayers = 4096
+
 // Model describes the number and memory of a model's layers.
 type Model struct {
 	Layers int
@@ -89,7 +113,8 @@
 	// MemoryMB is the memory of the card for weights and requests, in megabytes.
 	MemoryMB float64
 	// Held is the span that the replica reports. If the replica has an order whose span it
-	// has not reported yet, Held is the span of the order.
+	// has not reported yet, Held is the span of the order. Held may be any span, see
+	// Model.heldSpan.
 	Held Span
 	// Fixed replicas count as holders but get no order now, because an earlier order is not
 	// finished or its outcome is not known.
@@ -129,8 +154,11 @@
 )
 
 // Plan returns the orders for one failure domain, one for each replica whose span
-// changes.
+// changes. It returns none for a model with no layers or with more than MaxModelLayers.
 func Plan(model Model, replicas []Replica) []Order {
+	if !model.valid() {
+		return nil
+	}
 	c := newCoverage(model, replicas)
 	orders := c.fillEmpty()
 	if gaps := c.gaps(); len(gaps) > 0 && c.countHolders() > 0 {
@@ -167,9 +195,11 @@
 // FullyCovered reports whether each layer of the model has a holder. Excluded replicas don't
 // count as holders.
 func FullyCovered(model Model, replicas []Replica) bool {
-	return len(newCoverage(model, replicas).gaps()) == 0
+	return model.valid() && len(newCoverage(model, replicas).gaps()) == 0
 }
 
+func (m Model) valid() bool { return m.Layers > 0 && m.Layers <= MaxModelLayers }
+
 // MaxLayers returns fillFraction times the number of layers whose weights fit in
 // memoryMB. The result is rounded, and is at least 1 and at most the number of layers of the
 // model.
@@ -178,6 +208,21 @@
 	return min(m.Layers, max(1, int(math.Round(float64(fittingLayers)*fillFraction))))
 }
 
+// heldSpan returns the part of a reported span that counts in a plan: the layers that the model
+// has. A replica can report others while the configuration that is in force is older or newer
+// than its layers.
+//
+// A span that the card has no memory for can't be held, and counts as none. Otherwise other
+// replicas would give up layers that have no holder but this one. The replica may then be
+// ordered to hold a span that fits.
+func (m Model) heldSpan(r Replica) Span {
+	fittingLayers := max(1, r.MemoryMB/m.LayerMB) // Plan orders one layer also where none fits
+	if float64(r.Held.Len()) > fittingLayers {
+		return Span{}
+	}
+	return r.Held.Within(Span{To: m.Layers})
+}
+
 // TokenCapacity returns the number of tokens whose KV cache for n layers fits in memoryMB
 // beside the weights of these layers.
 func (m Model) TokenCapacity(memoryMB float64, n int) float64 {
