--- a/decide/paths/replica_state.go
+++ b/decide/paths/replica_state.go
@@ -1,6 +1,7 @@
 package paths
 
 import (
+	"math"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/layers"
@@ -162,14 +163,14 @@
 
 // SetSlowdown records the slowdown that a replica reports: its step time divided by the
 // usual step time of its kind of card. SetSlowdown reports whether the replica has become
-// slow or is no longer slow (SlowThreshold).
+// slow or is no longer slow (SlowThreshold). A slowdown that is not a number changes nothing.
 func (s *Selector) SetSlowdown(id string, slowdown float64) bool {
 	r, ok := s.replicas[id]
-	if !ok {
+	if !ok || math.IsNaN(slowdown) {
 		return false
 	}
 	previousSlowdown := r.slowdown
-	r.slowdown = max(1, slowdown)
+	r.slowdown = min(max(1, slowdown), MaxSlowdown)
 	return (previousSlowdown >= SlowThreshold) != (r.slowdown >= SlowThreshold)
 }
 
@@ -185,6 +186,10 @@
 // replica for its slowdown repeatedly, until the slowdown is below SlowThreshold.
 const SlowThreshold = 1.5
 
+// MaxSlowdown stands for any higher slowdown. The cost of a path must stay finite, or a replica
+// could not be used even if no other holds its layers.
+const MaxSlowdown = 1e4
+
 // Slow returns the slow replicas (SlowThreshold) that are not suspected to be dead.
 func (s *Selector) Slow() []Replica {
 	var list []Replica
--- a/route/targets/model.go
+++ b/route/targets/model.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadatack/cicadatack/decide/drainmark"
 	"github.com/cicadatack/cicadatack/decide/endpointrate"
+	"github.com/cicadatack/cicadatack/decide/layers"
 	"github.com/cicadatack/cicadatack/decide/paths"
 	"github.com/cicadatack/cicadatack/decide/reroute"
 	"github.com/cicadatack/cicadatack/decide/reservations"
@@ -119,11 +120,15 @@
 	runCallbacksPaced(callbacks)
 }
 
+// pathReplica returns a listed replica as input of the selector. Layers that the model does not have
+// are left out: the list and the configuration may be of different ages. All layers take memory,
+// so a replica that states more of them than fit on its card has no capacity.
 func pathReplica(model *ruleset.Model, r *replicalist.Replica) paths.Replica {
 	accelerator := model.CardKinds[r.CardKind]
 	capacity := max(0, accelerator.MemoryMB-float64(r.Holds.Len())*model.LayerMB) / model.KVMegabytesPerTokenLayer()
 	return paths.Replica{
-		ID: r.ID, Incarnation: r.Incarnation, Version: r.Version, Address: r.Address, Domain: r.Domain, Holds: r.Holds,
+		ID: r.ID, Incarnation: r.Incarnation, Version: r.Version, Address: r.Address, Domain: r.Domain,
+		Holds:         r.Holds.Within(layers.Span{To: model.Layers}),
 		Capacity:      capacity,
 		LayerMillis:   model.StepMillis * accelerator.StepTimeFactor / float64(model.Layers),
 		PrefillMillis: model.PrefillMillis(accelerator),
