balance: hold for any slots, weight and load

What callers would see: refusals of a plain service, or all requests at one replica.

Cause: slots were added up as they were stated; the sum of two replicas with 2^63-1 slots is no int any more. A weight that is not a number, or infinite, made the capacity of all replicas together so. The two counts of a load were added as ints: a load of 2^63-1 and 1 was taken for none.

Change: a replica counts with at most 2^20 slots, with the weight 1 if the stated one is none, and with at most 10^9 requests, so that a later report takes all of them back. A report from the future counts as made now.

Sums of slots alone stayed at the largest int on arm64, where the tests ran; on amd64 they would be negative, by reading only.

--- a/decide/balance/load.go
+++ b/decide/balance/load.go
@@ -102,15 +102,25 @@
 // applied. Reports from polls and from answers can arrive out of order. applyReport
 // returns whether it applied the report.
 func (l *replicaLoad) applyReport(now time.Time, report LoadReport) bool {
-	madeAt := now.Add(-report.Age)
+	madeAt := now.Add(-max(0, report.Age))
 	if madeAt.Before(l.lastReportMadeAt) {
 		return false
 	}
 	l.lastReportMadeAt = madeAt
-	l.reportedOtherNodeRequests = max(0, float64(report.RunningRequests+report.WaitingRequests)-float64(l.history.countAt(madeAt)))
+	l.reportedOtherNodeRequests = max(0, report.requests()-float64(l.history.countAt(madeAt)))
 	return true
 }
 
+// requests returns the number of requests that the report counts.
+func (r LoadReport) requests() float64 {
+	requests := float64(r.RunningRequests) + float64(r.WaitingRequests) // the sum of two ints may exceed an int
+	return min(max(0, requests), maxReportedRequests)
+}
+
+// maxReportedRequests stands for any larger number. Sums over the replicas stay exact, so that a
+// later report of the replica takes back all of it.
+const maxReportedRequests = 1e9
+
 // costWeightedRequests returns the sum of the costs of the node's own requests at the
 // replica, each divided by the mean cost. A request of unknown cost counts as 1.
 func (l *replicaLoad) costWeightedRequests(meanCost float64) float64 {
--- a/decide/balance/subset.go
+++ b/decide/balance/subset.go
@@ -20,12 +20,13 @@
 }
 
 // hashReplicas returns the replicas sorted by the hash of their ID, without
-// duplicates. Slots and weights that are not set become 1.
+// duplicates. Slots and weights that are not set become 1, and more slots than maxSlots become
+// maxSlots, so that no sum of slots exceeds an int.
 func hashReplicas(replicas []Replica) []hashedReplica {
 	hashed := make([]hashedReplica, len(replicas))
 	for i, r := range replicas {
-		r.Slots = max(1, r.Slots)
-		if r.Weight <= 0 {
+		r.Slots = min(max(1, r.Slots), maxSlots)
+		if !(r.Weight > 0 && r.Weight <= maxWeight) {
 			r.Weight = 1
 		}
 		hashed[i] = hashedReplica{r, rendezvous.Hash(r.ID)}
@@ -34,6 +35,14 @@
 	return slices.CompactFunc(hashed, func(a, b hashedReplica) bool { return a.idHash == b.idHash })
 }
 
+const (
+	// maxSlots is more than any replica has.
+	maxSlots = 1 << 20
+	// maxWeight is more than the speed of any replica. A larger weight, or one that is not a
+	// number, would make the capacity of the tier infinite or not a number.
+	maxWeight = 1e6
+)
+
 func containsHash(replicas []hashedReplica, hash uint64) bool {
 	_, found := slices.BinarySearchFunc(replicas, hash, func(r hashedReplica, hash uint64) int {
 		return cmp.Compare(r.idHash, hash)
