upstream: bound how long an idle connection is kept

What operators would see: connections to replicas that are gone stay open, one or more for each replica that states a Keep-Alive of years.

Cause: the time that an answer states was used as it was.

Change: an idle connection is kept for ten minutes at most.

Evidence: TestIdleTimeIsBounded failed before: connections stayed open after Prune and after Close. Test changed: openKeptConn got its time as an argument, with the same minute for its users.

--- a/route/upstream/once_test.go
+++ b/route/upstream/once_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -80,6 +81,11 @@
 
 // openKeptConn leaves an idle connection to the endpoint in the pool.
 func (f *closingEndpoint) openKeptConn(t *testing.T, pool *Pool) {
+	t.Helper()
+	f.openConnKeptFor(t, pool, time.Minute)
+}
+
+func (f *closingEndpoint) openConnKeptFor(t *testing.T, pool *Pool, keepFor time.Duration) {
 	t.Helper()
 	e, err := pool.Send(context.Background(), request(f.listener.Addr().String(), "warm"))
 	if err != nil {
@@ -88,7 +94,7 @@
 	if _, err := body(e); err != nil {
 		t.Fatal(err)
 	}
-	e.KeepAlive(time.Minute)
+	e.KeepAlive(keepFor)
 	if pool.OpenConns() != 1 {
 		t.Fatal("the connection was not kept")
 	}
@@ -157,6 +163,27 @@
 	}
 }
 
+// Guards against connections that are neither pruned nor closed because an endpoint states that it
+// keeps them for decades.
+func TestIdleTimeIsBounded(t *testing.T) {
+	f := startClosingEndpoint(t, false)
+	for _, stated := range []time.Duration{999999999 * time.Second, math.MaxInt64} {
+		now := time.Now()
+		pool := New(func() time.Time { return now })
+		f.openConnKeptFor(t, pool, stated)
+		now = now.Add(2 * maxIdleTime)
+		pool.Prune()
+		if pool.OpenConns() != 0 {
+			t.Errorf("%v: %d connections left open", stated, pool.OpenConns())
+		}
+		f.openConnKeptFor(t, pool, stated)
+		pool.Close()
+		if pool.OpenConns() != 0 {
+			t.Errorf("%v: %d connections left open by Close", stated, pool.OpenConns())
+		}
+	}
+}
+
 func TestOnly429CountsAsOverload(t *testing.T) {
 	for status, want := range map[int]health.Failure{429: health.Overloaded, 503: health.Unreachable, 421: health.Unreachable} {
 		if got := RefusalFailure(status); got != want {
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -192,12 +192,13 @@
 }
 
 // putIdle returns a connection to the pool. keepFor is how long the endpoint keeps the
-// connection open while it is idle; zero stands for defaultIdleTime.
+// connection open while it is idle; zero stands for defaultIdleTime, and longer times than
+// maxIdleTime for that.
 func (p *Pool) putIdle(address string, c *conn, keepFor time.Duration) {
 	if keepFor <= 0 {
 		keepFor = defaultIdleTime
 	}
-	c.idleUntil = p.now().Add(max(0, keepFor-idleTimeMargin))
+	c.idleUntil = p.now().Add(max(0, min(keepFor, maxIdleTime)-idleTimeMargin))
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		p.discard(address, c)
 		return
@@ -219,7 +220,11 @@
 }
 
 // beyondAnyIdleTime is longer than any idle connection is kept.
-const beyondAnyIdleTime = 24 * time.Hour
+const beyondAnyIdleTime = 2 * maxIdleTime
+
+// maxIdleTime is the longest time that an idle connection is kept. Without the bound, connections
+// to an endpoint that states decades are neither pruned nor closed with the pool.
+const maxIdleTime = 10 * time.Minute
 
 // closeIdle closes the idle connections that have expired at the given time.
 func (p *Pool) closeIdle(at time.Time) {
