--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -297,6 +297,11 @@
 	m.scope.Tagged(map[string]string{labelService: service, "state": state}).Gauge("replicas").Update(float64(n))
 }
 
+// EntriesPassedOver sets how many entries of replicas name no replica to use.
+func (m *Metrics) EntriesPassedOver(n int) {
+	m.scope.Gauge("replica_entries_passed_over").Update(float64(n))
+}
+
 // RateLimits sets how many replicas of a service state a limit on requests, and the sum of
 // these limits in requests per second of all nodes together.
 func (m *Metrics) RateLimits(service string, replicas int, requestsPerSecond float64) {
--- a/node/site/figures.go
+++ b/node/site/figures.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cicadatack/cicadatack/decide/layers"
 )
 
 // results of a store call, for metrics.
@@ -131,7 +133,11 @@
 }
 
 // replicaStates are those that replicas are counted in.
-var replicaStates = []string{"ready", "draining", "empty", stateAway}
+var replicaStates = []string{"ready", "draining", "empty", stateAway, stateForeignLayers}
+
+// stateForeignLayers is of those that state layers which the configuration in force does not have;
+// they are counted in their other state too.
+const stateForeignLayers = "foreign_layers"
 
 // stateAway is of those that turn requests away; they are counted in their other state too.
 const stateAway = "turns_away"
@@ -142,6 +148,7 @@
 	for _, service := range n.serviceNames() {
 		counts[service] = map[string]int{}
 	}
+	modelLayers := n.modelLayers()
 	leaving := n.services.leavingReplicas()
 	for _, r := range n.replicas() {
 		state := "ready"
@@ -151,8 +158,12 @@
 		case r.CardKind != "" && r.Holds.Empty():
 			state = "empty"
 		}
-		if counts[r.Service] != nil {
-			counts[r.Service][state]++
+		if counts[r.Service] == nil {
+			continue
+		}
+		counts[r.Service][state]++
+		if model, ok := modelLayers[r.Service]; ok && !model.Covers(r.Holds) {
+			counts[r.Service][stateForeignLayers]++
 		}
 	}
 	for service, model := range n.services.allModels() {
@@ -163,7 +174,26 @@
 	return counts
 }
 
+// modelLayers are the layers of each service that runs a model.
+func (n *Node) modelLayers() map[string]layers.Span {
+	all := map[string]layers.Span{}
+	rules := n.rules.Load()
+	if rules == nil {
+		return all
+	}
+	for _, service := range rules.Services() {
+		if service.Model != nil {
+			all[service.Name] = layers.Span{To: service.Model.Layers}
+		}
+	}
+	return all
+}
+
 func (n *Node) gaugeReplicas() {
+	n.taking.Lock()
+	passedOver := len(n.poll.passedOver)
+	n.taking.Unlock()
+	n.metrics.EntriesPassedOver(passedOver)
 	for service, counts := range n.countReplicas() {
 		for _, state := range replicaStates {
 			n.metrics.Replicas(service, state, counts[state])
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -70,10 +70,13 @@
 type poller struct {
 	tracker replicalist.Tracker
 	decoded map[string]*replicalist.Replica // by id, with the revision that was decoded
-	faulty  map[string]int64                // entries that can't be read, by revision
-	ruleRev int64
-	lost    bool // the last read failed
-	asked   bool // what is known was heard from another node
+	faulty  map[string]int64                // entries of other kinds that can't be read, by revision
+	// passedOver are the entries of the last read that name no replica to use, by id; passing
+	// are those of the read that is being taken.
+	passedOver, passing map[string]passedEntry
+	ruleRev             int64
+	lost                bool // the last read failed
+	asked               bool // what is known was heard from another node
 	// retry says when this node may try the store again after reads that failed.
 	retry storereaders.RetryTimer
 
@@ -81,6 +84,12 @@
 	list []*replicalist.Replica
 }
 
+// passedEntry is a replica's entry that names no replica to use.
+type passedEntry struct {
+	revision int64
+	reason   string
+}
+
 // follow reads the store until the context ends.
 func (n *Node) follow(ctx context.Context) {
 	if n.settings.FirstStart && !wait.For(ctx, rand.N(n.timing.Spread+1)) {
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -158,6 +158,7 @@
 	n.away, n.saturated = map[string][]string{}, map[string]bool{}
 	n.listing.wake = make(chan struct{}, 1)
 	n.poll.decoded, n.poll.faulty = map[string]*replicalist.Replica{}, map[string]int64{}
+	n.poll.passing = map[string]passedEntry{}
 	n.copy, n.asker = reads.NewCopy(sinceBoot, n), reads.NewAsker(sinceBoot, n.self)
 	if settings.PeerPort != 0 {
 		n.peerDoor = netip.AddrPortFrom(settings.IP, settings.PeerPort)
--- a/node/site/take.go
+++ b/node/site/take.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/poison"
@@ -52,6 +53,7 @@
 	if current {
 		n.prove(proof)
 	}
+	n.poll.forget(found)
 	n.poll.tracker.MaxReadInterval = n.maxReadInterval()
 	list, changes := n.poll.tracker.Update(begun, found)
 	n.tellChanges(changes, len(list))
@@ -118,19 +120,53 @@
 	if known := n.poll.decoded[id]; known != nil && known.Revision == e.Revision {
 		return known
 	}
+	if known, ok := n.poll.passedOver[id]; ok && known.revision == e.Revision {
+		n.poll.passing[id] = known
+		return nil
+	}
 	r, err := replicas.Decode(id, e)
 	if err != nil {
 		delete(n.poll.decoded, id)
-		if n.poll.faulty[e.Key] != e.Revision {
-			n.poll.faulty[e.Key] = e.Revision
-			n.log.Warn("replica's entry can't be read", "replica", id, "revision", e.Revision, "error", err)
-		}
+		n.passOver(id, e.Revision, err)
 		return nil
 	}
 	n.poll.decoded[id] = r
 	return r
 }
 
+// passOver notes an entry that names no replica to use. The log has a line if the reason is new: a
+// replica whose entry can't be read renews it all the time.
+func (n *Node) passOver(id string, revision int64, err error) {
+	reason := shortened(err.Error())
+	if known, ok := n.poll.passedOver[id]; !ok || known.reason != reason {
+		n.log.Warn("replica's entry can't be read", "replica", shortened(id), "revision", revision, "error", reason)
+	}
+	n.poll.passing[id] = passedEntry{revision: revision, reason: reason}
+}
+
+// maxToldBytes bounds what the log has of a text from outside.
+const maxToldBytes = 200
+
+func shortened(text string) string {
+	if len(text) <= maxToldBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxToldBytes], "") + "..."
+}
+
+// forget drops what is remembered of entries that the last read did not find. found are the
+// replicas that it found.
+func (p *poller) forget(found []*replicalist.Replica) {
+	p.passedOver, p.passing = p.passing, map[string]passedEntry{}
+	if len(p.decoded) == len(found) {
+		return
+	}
+	p.decoded = make(map[string]*replicalist.Replica, len(found))
+	for _, r := range found {
+		p.decoded[r.ID] = r
+	}
+}
+
 // replicas is the list in force.
 func (n *Node) replicas() []*replicalist.Replica {
 	n.poll.mu.Lock()
