layerorders: a replica that can't be reached holds no layers (LOST)

What callers saw: no stream of a model is served in a failure domain, for as long as one entry of another writer is there that states no layers and an address where nobody listens.

Cause: an order counts as carried out until the list shows its result, or 2.5 s and the time to load have passed, also if neither the order nor the question for a report was answered. The replica was then empty again, got the same order, and counted as the holder again. The others were planned beside it: of two sound replicas both held layers 3 to 8, and nobody 0 to 3.

Change: a replica without layers that answers neither is left out of the plan until it renews its entry, which sound replicas do about each second. The order of a replica that has layers stays pending as before, as it may arrive.

Evidence: TestUnreachableReplicaGetsNoLayersAlone (node/site) served no stream in 20 s before, with the same order each 2.5 s in its log; TestUnreachableReplicaIsNoHolder fails with the rule switched off. The fake replicas of these tests can be out of reach; no test was changed.

--- a/node/site/odd_entries_test.go
+++ b/node/site/odd_entries_test.go
@@ -276,3 +276,27 @@
 		t.Error("a sound replica has layers that the model does not have")
 	}
 }
+
+// Guards against layers that nobody holds because the plan gives them to a replica that takes no orders:
+// an entry of another writer, at an address where nobody listens.
+func TestUnreachableReplicaGetsNoLayersAlone(t *testing.T) {
+	p := newPlatform(t)
+	p.Put("servers/a-odd", []byte(modelEntry(`"x":1`)))
+	for i := range 2 {
+		c := replica.Config{ID: fmt.Sprint("i-model-", i), Service: site.ModelService, Domain: "bandung", Kind: site.Card, Model: true, Events: 3, Pause: time.Millisecond}
+		if err := p.Add(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := p.Add(replica.Config{ID: "i-plain-0", Service: site.PlainService, Domain: "bandung"}); err != nil {
+		t.Fatal(err)
+	}
+	node := p.node(p.settings("front-1"))
+	tries := 0
+	p.until("a stream is served", func() bool {
+		p.Beat()
+		tries++
+		got := node.ask("POST", "/ask/x", fmt.Sprint("s", tries), goodKey)
+		return got.status == http.StatusOK && got.err == nil
+	})
+}
--- a/route/layerorders/layerorders.go
+++ b/route/layerorders/layerorders.go
@@ -78,6 +78,9 @@
 	mu             sync.Mutex
 	pendingOrders  map[string]pendingOrder
 	acceptedOrders map[string]orderCount
+	// unanswered has the replicas without layers that answered neither their last order nor the
+	// request for a report, each with the revision of its entry at that time.
+	unanswered     map[string]int64
 	plannedDomains map[string]bool // the domains that have had a first plan
 	firstListedAt  map[string]time.Time
 	countChangedAt map[string]time.Time
@@ -89,7 +92,7 @@
 func New(service string, client ReplicaClient, settleTime time.Duration, log hclog.Logger) *Controller {
 	return &Controller{
 		service: service, client: client, settleTime: settleTime, log: log.With("service", service),
-		pendingOrders: map[string]pendingOrder{}, acceptedOrders: map[string]orderCount{}, plannedDomains: map[string]bool{},
+		pendingOrders: map[string]pendingOrder{}, acceptedOrders: map[string]orderCount{}, unanswered: map[string]int64{}, plannedDomains: map[string]bool{},
 		firstListedAt: map[string]time.Time{}, countChangedAt: map[string]time.Time{}, replicaCounts: map[string]int{},
 	}
 }
@@ -174,12 +177,18 @@
 }
 
 // plannerReplica returns a replica as input of the planner. Until the list of replicas
-// shows the result of a pending order, the replica counts as holding the ordered span.
+// shows the result of a pending order, the replica counts as holding the ordered span. A replica
+// that did not answer is left out until it renews its entry: if the ordered layers counted as
+// held, other replicas would not be ordered to hold them.
 func (k *Controller) plannerReplica(now time.Time, model *ruleset.Model, r *replicalist.Replica, suspected bool) layers.Replica {
 	replica := layers.Replica{
 		ID: r.ID, MemoryMB: model.CardKinds[r.CardKind].MemoryMB, Held: r.Holds,
 		Fixed: r.ExecutingLayerOrder, Excluded: r.Draining || suspected || model.CardKinds[r.CardKind].MemoryMB == 0,
 	}
+	if k.leftOut(r) {
+		replica.Excluded = true
+		return replica
+	}
 	p, ok := k.pendingOrders[r.ID]
 	if !ok {
 		return replica
@@ -192,6 +201,17 @@
 	return replica
 }
 
+// leftOut reports whether a replica has not answered and has not renewed its entry since. The
+// caller holds the lock.
+func (k *Controller) leftOut(r *replicalist.Replica) bool {
+	revision, ok := k.unanswered[r.ID]
+	if ok && revision != r.Revision {
+		delete(k.unanswered, r.ID)
+		return false
+	}
+	return ok
+}
+
 // maxLoadTime returns the time that an engine needs to load the ordered layers that the
 // engine does not hold, while as many other engines load as the fleet permits.
 func maxLoadTime(model *ruleset.Model, held, ordered layers.Span) time.Duration {
@@ -217,6 +237,7 @@
 	}
 	report, ok := k.fetchReport(ctx, r)
 	if !ok {
+		k.setUnanswered(r, o)
 		return
 	}
 	if report.AcceptedLayerOrders != expectedCount && report.Holds == r.Holds && !report.ExecutingLayerOrder && k.sendOrder(ctx, r, revision, report.AcceptedLayerOrders, o) {
@@ -225,6 +246,18 @@
 	k.clearPending(r.ID, report)
 }
 
+// setUnanswered records that a replica answered neither an order nor the request for a report. The
+// order of a replica that has layers may still arrive, and stays pending.
+func (k *Controller) setUnanswered(r *replicalist.Replica, o layers.Order) {
+	if o.Reason != layers.ReasonFill {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.pendingOrders, r.ID)
+	k.unanswered[r.ID] = r.Revision
+}
+
 // sendOrder sends an order that names the number of orders that the replica is expected to
 // have accepted. It reports whether the replica accepted the order.
 func (k *Controller) sendOrder(ctx context.Context, r *replicalist.Replica, revision, expectedCount int64, o layers.Order) bool {
--- a/route/layerorders/layerorders_test.go
+++ b/route/layerorders/layerorders_test.go
@@ -34,6 +34,8 @@
 	byID       map[string]*fakeReplica
 	calls      chan string
 	placeError error
+	// unreachable replicas answer neither orders nor requests for reports.
+	unreachable map[string]bool
 }
 
 func newFakeReplicas() *fakeReplicas {
@@ -51,6 +53,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer func() { e.calls <- id }()
+	if e.unreachable[id] {
+		return errors.New("connection refused")
+	}
 	if e.placeError != nil {
 		return e.placeError
 	}
@@ -66,6 +71,10 @@
 func (e *fakeReplicas) Report(_ context.Context, _, id string) (replicareport.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.unreachable[id] {
+		e.calls <- id
+		return replicareport.Report{}, errors.New("connection refused")
+	}
 	r := e.replica(id)
 	return replicareport.Report{AcceptedLayerOrders: r.acceptedOrders, Holds: r.holds}, nil
 }
@@ -195,3 +204,70 @@
 		t.Errorf("%+v", e.byID["a"])
 	}
 }
+
+// Guards against layers that nobody holds because a replica that can't be reached counts as their holder,
+// and against a replica that stays left out after it has renewed its entry.
+func TestUnreachableReplicaIsNoHolder(t *testing.T) {
+	e := newFakeReplicas()
+	e.unreachable = map[string]bool{"a": true}
+	controller := newTestController(e)
+	reconcile := func(after time.Duration, list []*replicalist.Replica) {
+		controller.Reconcile(context.Background(), startTime.Add(after), testModel, "d", 1, list, noneSuspected)
+	}
+	reconcile(0, e.list("a", "b", "c"))
+	reconcile(2*time.Second, e.list("a", "b", "c"))
+	awaitCalls(t, e, 4) // three orders, and a question to the replica that does not answer
+	awaitUnanswered(t, controller, 1)
+	for i := 1; !e.coverAll(); i++ {
+		if i > 20 {
+			t.Fatalf("layers without a holder: %v %v", e.byID["b"], e.byID["c"])
+		}
+		reconcile(time.Duration(2+3*i)*time.Second, e.list("a", "b", "c"))
+		time.Sleep(10 * time.Millisecond)
+	}
+	e.setUnreachable(nil)
+	renewed := e.list("a", "b", "c")
+	renewed[0].Revision = 7
+	reconcile(2*time.Minute, renewed)
+	deadline := time.Now().Add(10 * time.Second)
+	for e.acceptedBy("a") == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("a replica that has renewed its entry gets no order")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func awaitUnanswered(t *testing.T, k *Controller, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		k.mu.Lock()
+		got := len(k.unanswered)
+		k.mu.Unlock()
+		if got == n {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d replicas count as not answering, want %d", got, n)
+		}
+	}
+}
+
+func (e *fakeReplicas) setUnreachable(ids map[string]bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unreachable = ids
+}
+
+// coverAll reports whether the replicas hold all layers of the model.
+func (e *fakeReplicas) coverAll() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := map[int]bool{}
+	for _, r := range e.byID {
+		for l := r.holds.From; l < r.holds.To; l++ {
+			held[l] = true
+		}
+	}
+	return len(held) == testModel.Layers
+}
