ruleset: the sum of a split's weights doesn't overflow

Seen: with two services of weight 2^63-1 the first service of the split gets all requests, also if its own weight is 0.

Cause: the weights were added up as integers, and a remainder below 0 chose the first entry.

Change: they are added up as floating-point numbers, services without weight are passed over, and what rounding leaves goes to the last service with weight.

TestWeightsWhoseSumOverflows failed before ("none" in place of a and b).

--- a/route/ruleset/ruleset.go
+++ b/route/ruleset/ruleset.go
@@ -317,16 +317,21 @@
 // PickService chooses the service of one request by the weights. random must be uniformly
 // distributed in [0,1).
 func (r *Route) PickService(random float64) string {
-	totalWeight := 0
+	totalWeight := 0.0 // a sum of integers may overflow
 	for _, s := range r.WeightedServices {
-		totalWeight += s.Weight
+		totalWeight += float64(s.Weight)
 	}
-	remaining := random * float64(totalWeight)
+	remaining := random * totalWeight
+	last := r.WeightedServices[len(r.WeightedServices)-1]
 	for _, s := range r.WeightedServices {
+		if s.Weight <= 0 {
+			continue
+		}
 		remaining -= float64(s.Weight)
 		if remaining < 0 {
 			return s.Service
 		}
+		last = s // rounding may leave something of remaining
 	}
-	return r.WeightedServices[len(r.WeightedServices)-1].Service
+	return last.Service
 }
--- a/route/ruleset/ruleset_test.go
+++ b/route/ruleset/ruleset_test.go
@@ -1,6 +1,7 @@
 package ruleset
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -54,3 +55,14 @@
 		t.Error("a team without a priority is not ranked by the route's")
 	}
 }
+
+// Guards against a service without weight that gets requests since the sum of the others' weights
+// overflows.
+func TestWeightsWhoseSumOverflows(t *testing.T) {
+	route := &Route{WeightedServices: []WeightedService{{"none", 0}, {"a", math.MaxInt}, {"b", math.MaxInt}, {"neither", 0}}}
+	for random, want := range map[float64]string{0: "a", 0.49: "a", 0.51: "b", 0.999: "b", math.Nextafter(1, 0): "b"} {
+		if got := route.PickService(random); got != want {
+			t.Errorf("%v chooses %q, want %q", random, got, want)
+		}
+	}
+}
