ruleset: ranks take memory by priorities, not by pairs of them

Seen: a configuration of 1,500 routes and 1,500 teams of different priorities (some 200 KB of text) allocated 419 MB as it came into force, more than a node's memory; a longer one ends the process at each start.

Cause: a map held the rank of each pair of a team's and a route's priority.

Change: the ranks of the priorities are kept, and that of a pair is worked out. The numbers are the same.

TestManyPrioritiesTakeLittleMemory failed before (419 MB, allowed are 16); the ranks that it checks were the same before.

--- a/route/ruleset/ruleset.go
+++ b/route/ruleset/ruleset.go
@@ -161,8 +161,11 @@
 	// routesByHost holds the routes of each host, the longest prefix first.
 	routesByHost map[string][]*Route
 	teamsByKey   map[string]*Team
-	// ranks holds the rank of each pair of priorities that requests can have.
-	ranks map[priorities]int
+	// firstRank holds, for each priority by which requests are ordered first, the rank of the
+	// most urgent requests with it. routeRank holds, for each priority of routes, how many
+	// priorities of routes are more urgent. teamPriorities are the priorities that teams have.
+	firstRank, routeRank map[int]int
+	teamPriorities       map[int]bool
 }
 
 // priorities orders requests: by the team's priority, or the route's if the team has none, then by
@@ -248,37 +251,44 @@
 	}
 }
 
-// setRanks numbers the pairs of priorities that requests can have, the most urgent first.
+// setRanks numbers the pairs of priorities that requests can have, the most urgent first. Only the
+// numbers of the priorities are kept: there may be thousands of routes and teams, and millions of
+// pairs.
 func (r *Ruleset) setRanks(routes []*Route) {
-	// Few priorities are in use, but there may be thousands of routes and keys.
-	ofRoutes, ofTeams := map[int]*Route{}, map[int]*Team{}
+	r.firstRank, r.routeRank, r.teamPriorities = map[int]int{}, map[int]int{}, map[int]bool{}
 	for _, route := range routes {
-		ofRoutes[route.Priority] = route
+		r.firstRank[route.Priority], r.routeRank[route.Priority] = 0, 0
 	}
 	for _, team := range r.teamsByKey {
 		if team.Priority != nil {
-			ofTeams[*team.Priority] = team
+			r.firstRank[*team.Priority] = 0
+			r.teamPriorities[*team.Priority] = true
 		}
 	}
-	r.ranks = map[priorities]int{}
-	for _, route := range ofRoutes {
-		r.ranks[prioritiesOf(nil, route)] = 0
-		for _, team := range ofTeams {
-			r.ranks[prioritiesOf(team, route)] = 0
-		}
+	for rank, priority := range slices.Sorted(maps.Keys(r.routeRank)) {
+		r.routeRank[priority] = rank
 	}
-	inOrder := slices.SortedFunc(maps.Keys(r.ranks), func(a, b priorities) int {
-		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(a.route, b.route))
-	})
-	for rank, p := range inOrder {
-		r.ranks[p] = rank
+	next := 0
+	for _, priority := range slices.Sorted(maps.Keys(r.firstRank)) {
+		r.firstRank[priority] = next
+		if r.teamPriorities[priority] {
+			next += len(r.routeRank) // the teams' requests on each route
+		} else {
+			next++
+		}
 	}
 }
 
 // Rank returns the place of a team's requests on a route in the order of priorities, from 0 for the
 // most urgent. The priority of the team goes before that of the route. Among teams of the same
 // priority, that of the route decides.
-func (r *Ruleset) Rank(team *Team, route *Route) int { return r.ranks[prioritiesOf(team, route)] }
+func (r *Ruleset) Rank(team *Team, route *Route) int {
+	p := prioritiesOf(team, route)
+	if !r.teamPriorities[p.first] {
+		return r.firstRank[p.first]
+	}
+	return r.firstRank[p.first] + r.routeRank[p.route]
+}
 
 // Match returns the route of the host with the longest prefix that matches the path, or nil if
 // no route matches.
--- a/route/ruleset/ruleset_test.go
+++ b/route/ruleset/ruleset_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -66,3 +68,36 @@
 		}
 	}
 }
+
+// Guards against a node that runs out of memory by a configuration with many priorities, since it
+// keeps all pairs of them.
+func TestManyPrioritiesTakeLittleMemory(t *testing.T) {
+	const many = 1500
+	var routes []*Route
+	teams := map[string]*Team{}
+	for i := range many {
+		priority := i + many/2
+		routes = append(routes, &Route{Host: "h", Prefix: "/" + strconv.Itoa(i) + "/", Priority: i})
+		teams[strconv.Itoa(i)] = &Team{Priority: &priority}
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	r := Build(1, Limits{}, nil, routes, teams)
+	runtime.ReadMemStats(&after)
+	if mb := (after.TotalAlloc - before.TotalAlloc) >> 20; mb > 16 {
+		t.Errorf("%d MB are allocated", mb)
+	}
+	// Requests of routes that are more urgent than all teams have one rank for each priority,
+	// those of each team one for each route.
+	for _, c := range []struct {
+		team        *Team
+		route, want int
+	}{
+		{nil, 0, 0}, {nil, 749, 749}, {teams["0"], 0, 750}, {teams["0"], many - 1, 750 + many - 1},
+		{teams["1"], 0, 750 + many}, {nil, 751, 750 + many + 751},
+	} {
+		if got := r.Rank(c.team, routes[c.route]); got != c.want {
+			t.Errorf("rank %d on route %d, want %d", got, c.route, c.want)
+		}
+	}
+}
