site: nodes' entries and heartbeats name only what is a node

Seen: entries below cicadatack/node/ with callers of "nowhere", "10.0.0.1:0", "0.0.0.0:80" or with a line end were told to callers by /resolve, an entry under another key took the place of a sound node's (its callers were sent to 10.0.0.99:80), and a node that asks was listed under such addresses, or asked at them when the store is away. A link of 1e300 Mbit/s made a node that no one reaches the first reader of its failure domain.

Cause: any JSON with a name was taken for an entry, and any text for an address.

Change: an entry must name the node of its key and a failure domain, without control characters; an address must be an IP number and port of a node, a link what a VM may have. Else the entry names no node, the address counts as not stated, the link as not known. New line: node's entry can't be read, once for each revision. A node that asks with an unusable address isn't listed and enters itself.

TestOddEntriesOfNodes (27 addresses told in place of 2) and TestOddNodesThatAskAreNotListed (10 listed) failed before.

--- a/node/site/crashes.go
+++ b/node/site/crashes.go
@@ -112,9 +112,8 @@
 // decodeIsolation reads the entry of an isolated part.
 func (n *Node) decodeIsolation(e store.Entry) (poison.Isolation, bool) {
 	i, known, err := n.isolations().Decode(e)
-	if err != nil && n.poll.faulty[e.Key] != e.Revision {
-		n.poll.faulty[e.Key] = e.Revision
-		n.log.Warn("isolation can't be read", "key", e.Key, "revision", e.Revision, "error", err)
+	if err != nil {
+		n.tellFaulty("isolation can't be read", e, err)
 	}
 	return i, known && err == nil
 }
--- a/node/site/follow.go
+++ b/node/site/follow.go
@@ -115,7 +115,7 @@
 	}
 	var found []member
 	for _, e := range entries {
-		if m, ok := decodeMember(e); ok {
+		if m, known, err := decodeMember(e); known && err == nil {
 			found = append(found, m)
 		}
 	}
--- a/node/site/listing.go
+++ b/node/site/listing.go
@@ -126,6 +126,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	p.Callers, p.Address, p.Link = address(p.Callers), address(p.Address), knownLink(p.Link)
+	if !validName(p.Name) || p.Callers == "" {
+		return false // it enters itself, if it is a node
+	}
 	if p.Address != "" && p.Age > 0 && p.Age < n.Age() {
 		l.younger, l.youngerAt = p.Address, now
 	}
--- a/node/site/members.go
+++ b/node/site/members.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"encoding/json"
 	"iter"
 	"maps"
 	"slices"
@@ -14,7 +13,6 @@
 	"github.com/cicadatack/cicadatack/decide/nodelist"
 	"github.com/cicadatack/cicadatack/decide/storeoutage"
 	"github.com/cicadatack/cicadatack/decide/storereaders"
-	"github.com/cicadatack/cicadatack/state/store"
 )
 
 const (
@@ -48,18 +46,6 @@
 	created int64
 }
 
-func decodeMember(e store.Entry) (member, bool) {
-	var m member
-	if !strings.HasPrefix(e.Key, memberPrefix) {
-		return m, false
-	}
-	if err := json.Unmarshal(e.Value, &m); err != nil || m.Name == "" {
-		return m, false // another version's entry: it names no node to use
-	}
-	m.created = e.Created
-	return m, true
-}
-
 // node is a node that callers may be sent to.
 type node struct {
 	storereaders.Member
@@ -172,7 +158,7 @@
 func (n *Node) entries() []entrypoints.Member {
 	var list []entrypoints.Member
 	for _, m := range n.members.get() {
-		if m.Name != n.settings.Node {
+		if m.Name != n.settings.Node && m.Callers != "" {
 			list = append(list, entrypoints.Member{ID: m.Name, Address: m.Callers, FailureDomain: m.Domain})
 		}
 	}
--- a/node/site/take.go
+++ b/node/site/take.go
@@ -40,8 +40,12 @@
 			}
 			continue
 		}
-		if m, ok := decodeMember(e); ok {
-			members = append(members, m)
+		if m, known, err := decodeMember(e); known {
+			if err == nil {
+				members = append(members, m)
+			} else {
+				n.tellFaulty("node's entry can't be read", e, err)
+			}
 			continue
 		}
 		if i, ok := n.decodeIsolation(e); ok {
