site: messages of other nodes are bounded

Seen: a message to the door for other nodes was read to its end, however long; one that doesn't end takes the process's memory.

Cause: the generated servers read a whole body before they decode it.

Change: 4 MiB, some times what 10,000 replicas take. The other door has had a bound.

Answers to a node's own questions are bounded by their timeout of 150 ms alone, as before.

--- a/node/site/peers.go
+++ b/node/site/peers.go
@@ -24,6 +24,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(bookingspb.BookingsPathPrefix, n.bookings.Handler())
 	mux.Handle("/", n.copy.Handler())
+	exchanges := http.MaxBytesHandler(mux, maxMessageBytes)
 	forwarded := n.counted(n.door.ForwardedHandler())
 	// A mux would redirect paths that it does not find clean; requests are passed on as they are.
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -31,10 +32,14 @@
 			forwarded.ServeHTTP(w, r)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		exchanges.ServeHTTP(w, r)
 	})
 }
 
+// maxMessageBytes bounds a message of another node: some times what bookings on 10,000 replicas and
+// evidence of crashes take.
+const maxMessageBytes = 4 << 20
+
 // shareEvery is between two exchanges of bookings: about the time in which a node of
 // today's fleets is sent one request, so that little is booked unseen.
 const shareEvery = 300 * time.Millisecond
