reads: ages and revisions that no reader has are not taken

An entry with revision 2^63-1 was taken; as a node takes nothing older than what it has, it follows that entry no more, the configuration for one. An answer of revision 2^63-1 kept a node from taking any other's answers for as long as it ran, so that it called the store itself.

Cause: microseconds were multiplied unchecked, and revisions of others were compared with the store's unchecked.

--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -147,10 +147,19 @@
 	}
 	return c.listener.Heard(Peer{
 		Name: request.GetNode(), Callers: request.GetCallers(), Address: request.GetAddress(),
-		Age: max(0, time.Duration(request.GetAgeMicros())*time.Microsecond), Link: request.GetLinkMbps(),
+		Age: max(0, ageFromWire(request.GetAgeMicros())), Link: request.GetLinkMbps(),
 	})
 }
 
+// maxAge is more than any read is old; it keeps the conversion to a time.Duration in range.
+const maxAge = 24 * time.Hour
+
+// ageFromWire converts an age. One below 0 stays negative.
+func ageFromWire(micros int64) time.Duration {
+	const most = int64(maxAge / time.Microsecond)
+	return time.Duration(min(max(micros, -most), most)) * time.Microsecond
+}
+
 // Leave implements readspb.Reads.
 func (c *Copy) Leave(_ context.Context, request *readspb.LeaveRequest) (*readspb.LeaveResponse, error) {
 	if c.listener != nil {
@@ -184,10 +193,11 @@
 	}
 }
 
-// Took notes a read of the store that the node has made itself.
+// Took notes a read of the store that the node has made itself. The store is never behind what
+// other nodes have read there: a higher revision was none of the store's, and would keep this node
+// from taking any answer.
 func (a *Asker) Took(r Read) {
-	a.since = r.Revision
-	a.floor = max(a.floor, r.Revision)
+	a.since, a.floor = r.Revision, r.Revision
 	a.known = make(map[string]store.Entry, len(r.Entries))
 	for _, e := range r.Entries {
 		a.known[e.Key] = e
@@ -232,7 +242,7 @@
 	}
 	// The read began at least its age before the answer, which is not before the
 	// question.
-	age := time.Duration(response.AgeMicros) * time.Microsecond
+	age := ageFromWire(response.AgeMicros)
 	if age <= 0 {
 		return Read{}, Error.New("%s dates its read ahead, by %v", address, -age)
 	}
@@ -273,6 +283,9 @@
 	}
 	entries := make([]store.Entry, 0, len(content.Keys))
 	for _, k := range content.Keys {
+		if k.Revision < 0 || k.Revision-maxAhead > answer.Revision {
+			return nil, Error.New("%.100q has revision %d in a read of revision %d", k.Key, k.Revision, answer.Revision)
+		}
 		e, ok := changed[k.Key]
 		if !ok {
 			e, ok = a.known[k.Key]
@@ -288,6 +301,12 @@
 	return sorted(entries), nil
 }
 
+// maxAhead is how far the revision of an entry may lie above that of the read. A read takes several
+// calls, and entries may change between them; no store makes a million changes meanwhile. A node
+// takes nothing older than what it has, so that a revision which is none of the store's would keep
+// it from following an entry.
+const maxAhead = 1 << 20
+
 func sorted(entries []store.Entry) []store.Entry {
 	slices.SortFunc(entries, func(x, y store.Entry) int { return cmp.Compare(x.Key, y.Key) })
 	return entries
