bookings: amounts that no replica holds are passed over

Seen: a booking of +Inf from another node counted as one: the replica's room is taken at all nodes of the failure domain while such messages come, and differences of sums with it are no number.

Cause: only amounts of at most 0 and NaN were left out.

Change: amounts over 1e15 are left out too.

--- a/fleet/bookings/bookings.go
+++ b/fleet/bookings/bookings.go
@@ -248,13 +248,16 @@
 	return wire
 }
 
+// maxAmount is more than any replica has room for, in tokens times layers.
+const maxAmount = 1e15
+
 // fromWire reads what another node told. Of lists of different lengths, which no node
 // writes, the part that both have counts.
 func fromWire(wire *bookingspb.Held) reservations.Totals {
 	held := reservations.Totals{NodeCount: int(max(0, wire.GetNodes())), ReservedByReplica: map[string]float64{}}
 	amounts := wire.GetAmounts()
 	for i, replica := range wire.GetReplicas() {
-		if i < len(amounts) && amounts[i] > 0 {
+		if i < len(amounts) && amounts[i] > 0 && amounts[i] <= maxAmount {
 			held.ReservedByReplica[replica] += float64(amounts[i])
 		}
 	}
--- a/fleet/bookings/bookings_test.go
+++ b/fleet/bookings/bookings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -94,6 +95,8 @@
 		"nothing":          nil,
 		"lists differ":     {Nodes: 1, Replicas: []string{"r", "s"}, Amounts: []float32{5}},
 		"negative":         {Nodes: -3, Replicas: []string{"r"}, Amounts: []float32{-5}},
+		"infinite":         {Nodes: math.MaxInt32, Replicas: []string{"r"}, Amounts: []float32{float32(math.Inf(1))}},
+		"no number":        {Nodes: 1, Replicas: []string{"r"}, Amounts: []float32{float32(math.NaN())}},
 		"the same replica": {Nodes: 1, Replicas: []string{"r", "r"}, Amounts: []float32{2, 3}},
 	} {
 		held := fromWire(wire)
