membership: incarnations that no start has are passed over

Seen: a peer tells a node an incarnation of 2^63-1 of itself. Its refutation overflows to a negative one; no peer takes a message of such a sender any more ("sender is incomplete"), until the node is restarted. In the simulation the refutations went on without end (the test ended by the recursion of its network).

Cause: the incarnation is raised by one, unchecked.

Change: incarnations after the year 9999 are dropped, as they come from the wire and as they are merged.

TestImpossibleIncarnations failed before.

--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -51,7 +51,7 @@
 	out := make([]Member, 0, len(list))
 	for _, w := range list {
 		m := memberFromWire(w)
-		if m.Name == "" || m.Address == "" || m.Incarnation <= 0 || m.State < membership.Joining || m.State > membership.Gone {
+		if m.Name == "" || m.Address == "" || m.Incarnation <= 0 || m.Incarnation > membership.MaxIncarnation || m.State < membership.Joining || m.State > membership.Gone {
 			continue
 		}
 		out = append(out, m)
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -46,6 +46,10 @@
 	Slot uint32
 }
 
+// MaxIncarnation is later than any start of a node, in Unix milliseconds: the end of the year 9999.
+// A refutation adds one to the incarnation that it refutes, which must not overflow.
+const MaxIncarnation = 253_402_300_799_999
+
 // supersedes says whether m is later news than old about the same node.
 func (m Member) supersedes(old Member) bool {
 	if m.Incarnation != old.Incarnation {
--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -508,3 +509,25 @@
 		}
 	}
 }
+
+// Guards against a node that no other listens to any more: one has told an incarnation of it that no
+// start has, and its refutation overflows.
+func TestImpossibleIncarnations(t *testing.T) {
+	s := newSim(t, 5, 2).settled()
+	m := s.machines["vm-0000"]
+	before := m.Self()
+	for _, odd := range []int64{math.MaxInt64, math.MaxInt64 - 1, MaxIncarnation + 1} {
+		sender, _ := m.Member("vm-0001")
+		own, other, unknown := before, sender, Member{Name: "vm-9999", Address: "a", Incarnation: odd, State: Live}
+		own.Incarnation, own.State = odd, Suspect
+		other.Incarnation, other.State = odd, Gone
+		m.Step(s.now, Received{Message{Sender: sender, Updates: []Member{own, other, unknown}, Table: []Member{own, other, unknown}}})
+	}
+	if self := m.Self(); self.Incarnation != before.Incarnation {
+		t.Errorf("incarnation %d, want %d", self.Incarnation, before.Incarnation)
+	}
+	if _, known := m.Member("vm-9999"); known {
+		t.Error("a node of an impossible incarnation is known")
+	}
+	s.settled()
+}
--- a/fleet/membership/merge.go
+++ b/fleet/membership/merge.go
@@ -73,6 +73,9 @@
 
 // merge takes one piece of news.
 func (m *Machine) merge(now time.Time, u Member) {
+	if u.Incarnation > MaxIncarnation {
+		return // no node has said that
+	}
 	if u.Name == m.cfg.Self.Name {
 		m.mergeSelf(now, u)
 		return
