isolation: a stored number of trials can't become negative

Seen: an entry with trials 2^63-1 whose versions no replica has any more; the first request with the part claims a trial and stores -2^63, which other nodes can't read, so that the part is isolated no more there; the next request ends with a panic (index out of range in TrialDue), its caller without an answer.

Cause: the number is raised by one and used as an index.

Change: a stored number counts as 2^20 at most, the part stays isolated; where it is used, numbers that no node counts make no trial due.

That the panic ends one request and not the process was read, not played.

--- a/decide/poison/isolation.go
+++ b/decide/poison/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -164,6 +165,9 @@
 		return Isolation{}, false
 	}
 	next := i.Isolation
+	if next.Trials < 0 || next.Trials == math.MaxInt {
+		return Isolation{}, false // no node counts so
+	}
 	next.Trials++
 	if t.isNewVersion(i, versions) {
 		next.Versions = append(slices.Clone(i.Versions), versions...)
--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -511,3 +512,21 @@
 		t.Error("isolated anew")
 	}
 }
+
+// Guards against a node that ends since the number of trials of an isolation becomes negative.
+func TestOddNumbersOfTrials(t *testing.T) {
+	for _, trials := range []int{math.MaxInt, -1, math.MinInt} {
+		n := newNode()
+		n.Update(n.now, Isolation{Part: bad, Versions: []string{"v1"}, Trials: trials, Revision: 3})
+		for range 3 {
+			n.now = n.now.Add(3 * time.Hour)
+			next, due := n.TrialDue(n.now, bad, []string{"v2"}, 0)
+			if due {
+				t.Errorf("%d trials: one is due", trials)
+				next.Revision++
+				n.Update(n.now, next)
+			}
+		}
+		n.want(t, bad, Isolated)
+	}
+}
--- a/state/isolation/isolation.go
+++ b/state/isolation/isolation.go
@@ -55,6 +55,10 @@
 	Incarnation int64  `json:"incarnation,omitempty"`
 }
 
+// maxTrials is more than nodes ever count. A higher number counts as this one, so that adding to it
+// can't make it negative.
+const maxTrials = 1 << 20
+
 // keyBytes of a hash stand for a part in its key, whose length the store limits.
 const keyBytes = 16
 
@@ -76,7 +80,7 @@
 	if r.Service == "" || r.Part == "" || r.Trials < 0 {
 		return i, true, Error.New("%s names no part", e.Key)
 	}
-	i = poison.Isolation{Part: poison.Part{Service: r.Service, ID: r.Part}, Versions: r.Versions, Trials: r.Trials, Revision: e.Revision}
+	i = poison.Isolation{Part: poison.Part{Service: r.Service, ID: r.Part}, Versions: r.Versions, Trials: min(r.Trials, maxTrials), Revision: e.Revision}
 	for _, c := range r.Crashes {
 		i.Crashes = append(i.Crashes, poison.Process{Replica: c.Replica, Incarnation: c.Incarnation})
 	}
