store: a list that doesn't go on is an error

Seen: a store that answers each page with the same one and says that more follows is called without end (399 calls in 2 s, as many as the node's budget allows), and the entries pile up until the process has no memory left.

Cause: only an empty page was refused.

Change: a page must end at a later key than the one before; else the read fails with ErrProtocol, and what was read before stays in force.

TestListThatDoesNotGoOnIsAnError failed before.

--- a/state/store/client.go
+++ b/state/store/client.go
@@ -152,7 +152,12 @@
 		if len(page.Entries) == 0 {
 			return nil, 0, Error.Wrap(fmt.Errorf("%w: an empty page below %q that is not the last", ErrProtocol, prefix))
 		}
-		after = page.Entries[len(page.Entries)-1].Key
+		last := page.Entries[len(page.Entries)-1].Key
+		// A list that doesn't go on would be read until the process has no memory left.
+		if last <= after {
+			return nil, 0, Error.Wrap(fmt.Errorf("%w: a page below %q ends at %.200q, not after %.200q", ErrProtocol, prefix, last, after))
+		}
+		after = last
 	}
 }
 
--- a/state/store/client_test.go
+++ b/state/store/client_test.go
@@ -128,3 +128,23 @@
 		t.Errorf("%v, %v", entries, err)
 	}
 }
+
+// circlingWire gives the same page again and again, and says that more follows.
+type circlingWire struct{ fakeWire }
+
+func (w *circlingWire) Page(context.Context, string, string) (Page, error) {
+	w.calls++
+	return Page{Entries: []Entry{{Key: "/l/a", Revision: 3}, {Key: "/l/b", Revision: 4}}, Revision: 9, More: true}, nil
+}
+
+// Guards against a node that runs out of memory, and calls the store without end, since a list does
+// not go on from one page to the next.
+func TestListThatDoesNotGoOnIsAnError(t *testing.T) {
+	wire := &circlingWire{}
+	client := New(wire, Config{CallTimeout: time.Second, Backoff: time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if entries, err := client.List(ctx, "/l/"); !errors.Is(err, ErrProtocol) || wire.calls != 2 {
+		t.Errorf("%d entries in %d calls, %v", len(entries), wire.calls, err)
+	}
+}
