plan: versions can't overflow

Seen: an engine that reports placement_version 2^63-1 raises the plan of its replica above that, which overflows to -2^63; the record's versions are negative from then on, and engines that check fencing numbers refuse all orders of the model in the failure domain.

Cause: max(version, reported)+1, unchecked.

Change: no plan is raised above 2^53, and a record whose version is negative or over 2^62 can't be read, which leaves it as it is, like one of another format.

TestOddVersions failed before, FuzzDecode at two of its four seeds.

--- a/state/plan/plan.go
+++ b/state/plan/plan.go
@@ -33,6 +33,14 @@
 // Format is the version of the record that this program reads.
 const Format = 1
 
+const (
+	// maxReported is the highest version of a report that a plan is raised above. Engines that
+	// report more took it from nobody who plans.
+	maxReported = 1 << 53
+	// maxVersion is the highest version of a record. Changes add to it one at a time.
+	maxVersion = 1 << 62
+)
+
 // agreeAttempts bounds how often a change starts again from another's plan.
 const agreeAttempts = 8
 
@@ -77,10 +85,11 @@
 // Raise puts a replica's plan under a version above the one given, with the
 // stages as they are. It returns false, and changes nothing, if it already is.
 // An engine that checks fencing numbers and took a higher one from someone else
-// would otherwise refuse the plan for ever.
+// would otherwise refuse the plan for ever. Above maxReported no plan is raised: a version that
+// overflows would make all engines refuse.
 func (r *Record) Raise(replica string, above int64) bool {
 	planned, ok := r.Replicas[replica]
-	if !ok || planned.Version > above {
+	if !ok || planned.Version > above || above > maxReported {
 		return false
 	}
 	r.Version = max(r.Version, above) + 1
@@ -92,7 +101,7 @@
 // RaiseAdapters does the same for the fencing number of a replica's adapters.
 func (r *Record) RaiseAdapters(replica string, above int64) bool {
 	planned, ok := r.Replicas[replica]
-	if !ok || planned.AdapterVersion > above {
+	if !ok || planned.AdapterVersion > above || above > maxReported {
 		return false
 	}
 	r.Version = max(r.Version, above) + 1
@@ -154,6 +163,9 @@
 	if record.Format != Format {
 		return Record{}, Error.Wrap(fmt.Errorf("%w: format %d, this program reads %d", ErrBadRecord, record.Format, Format))
 	}
+	if record.Version < 0 || record.Version > maxVersion {
+		return Record{}, Error.Wrap(fmt.Errorf("%w: version %d", ErrBadRecord, record.Version))
+	}
 	if record.Replicas == nil {
 		record.Replicas = map[string]Replica{}
 	}
--- a/state/plan/plan_test.go
+++ b/state/plan/plan_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"strings"
 	"sync"
 	"testing"
 
@@ -133,3 +135,46 @@
 }
 
 var _ store.ReadSwapper = (*storetest.Client)(nil)
+
+// Guards against engines that refuse all orders of a domain since one of them reports a number above
+// which the record's version overflows.
+func TestOddVersions(t *testing.T) {
+	r := &Record{Replicas: map[string]Replica{}}
+	r.Put("r1", stages("e1"), "")
+	for _, above := range []int64{math.MaxInt64, math.MaxInt64 - 1, maxReported + 1} {
+		if r.Raise("r1", above) || r.RaiseAdapters("r1", above) {
+			t.Errorf("raised above %d, to %d", above, r.Version)
+		}
+	}
+	r.Put("r2", stages("e2"), "")
+	if r.Version != 2 || r.Replicas["r2"].Version != 2 {
+		t.Errorf("%+v", r)
+	}
+	for _, text := range []string{`{"format":1,"version":9223372036854775807}`, `{"format":1,"version":-1}`, `{"format":1,"version":1e30}`, `{"format":1,"replicas":[]}`} {
+		if read, err := decode([]byte(text)); !errors.Is(err, ErrBadRecord) {
+			t.Errorf("%s: %+v, %v", text, read, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"format":1,"version":3,"replicas":{"r1":{"version":3,"stages":[{"endpoint":"e1","first":0,"last":7}]}}}`))
+	f.Add([]byte(`{"format":1,"version":9223372036854775807,"replicas":{"r1":{"version":-1}}}`))
+	f.Add([]byte(`{"format":1,"version":1e30}`))
+	f.Add([]byte(strings.Repeat(`{"replicas":`, 20000)))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, err := decode(value)
+		if err != nil {
+			if !errors.Is(err, ErrBadRecord) {
+				t.Errorf("another error: %v", err)
+			}
+			return
+		}
+		before := r.Version
+		r.Raise("r1", math.MaxInt64)
+		r.Put("r1", stages("e1"), "another")
+		if r.Version < before {
+			t.Errorf("version %d after %d", r.Version, before)
+		}
+	})
+}
