plainservice: a kept status that is none is answered with 502

Seen: an order's result with a status such as 0, from another node or from the ledger, makes the HTTP server panic (invalid WriteHeader code); the caller of an order that was placed gets a closed connection.

Change: a status outside 200 to 599 is answered 502, outcome done, answer not kept.

--- a/route/plainservice/order.go
+++ b/route/plainservice/order.go
@@ -181,14 +181,9 @@
 // was too long to record, the refusal says so: an empty body would look like the whole
 // answer.
 func (p *plainCall) replayResult(w http.ResponseWriter, r *ledger.Result) {
-	if r.Truncated {
+	if refusal := notKeptRefusal(r); refusal != nil {
 		w.Header().Set(outcome.HeaderReplayed, "1")
-		p.respond(w)(nil, &outcome.Refusal{
-			Status:  r.Status,
-			Code:    "answer_not_kept",
-			Message: "the order was placed; its answer was too long to keep",
-			Outcome: outcome.Done,
-		})
+		p.respond(w)(nil, refusal)
 		return
 	}
 	header := http.Header{}
@@ -198,3 +193,26 @@
 	header.Set(outcome.HeaderReplayed, "1")
 	p.writeAnswer(w, &relay.Answer{Status: r.Status, Header: header, Body: r.Body})
 }
+
+// notKeptRefusal answers an order that was placed and whose answer can't be given back. It returns
+// nil if the answer was kept.
+func notKeptRefusal(r *ledger.Result) *outcome.Refusal {
+	refusal := &outcome.Refusal{
+		Status:  r.Status,
+		Code:    "answer_not_kept",
+		Message: "the order was placed; its answer was too long to keep",
+		Outcome: outcome.Done,
+	}
+	switch {
+	case r.Status < http.StatusOK || r.Status > maxStatus:
+		refusal.Status = http.StatusBadGateway
+		refusal.Message = "the order was placed; what was kept of its answer can't be read"
+	case !r.Truncated:
+		return nil
+	}
+	return refusal
+}
+
+// maxStatus is the highest status of an answer. The HTTP server panics at one that has more digits,
+// and takes one below 200 for no final answer.
+const maxStatus = 599
