service: figures of load reports are taken in the range that engines have

Seen: step_micros of 2^63-1 and the like wrap to any time per token; one of hours makes the queue of a node that has just started refuse all requests as too late, and none gets through whose time would be measured. age_ms wraps to a negative age.

Change: a step over a minute counts as not known, ages are 0 to an hour, counts 0 to 2^20.

TestOddLoadReports is of new functions and has not been run on the old code; the refusals were read in decide/admission, not played.

--- a/route/service/leaving.go
+++ b/route/service/leaving.go
@@ -28,17 +28,43 @@
 func (s *Service) RecordLoad(endpoint string, l engineapi.Load) {
 	s.setMark(endpoint, balance.SourceEndpoint, l.Draining)
 	s.MarkLoadPolled(endpoint, s.now())
-	s.updateTokenTime(endpoint, time.Duration(l.StepMicros)*time.Microsecond)
+	s.updateTokenTime(endpoint, stepTime(l.StepMicros))
 	for _, replica := range s.ReplicasOf(endpoint) {
 		s.Picker.Report(replica, balance.LoadReport{
-			RunningRequests: l.Running,
-			WaitingRequests: l.Waiting,
-			Age:             time.Duration(l.AgeMillis) * time.Millisecond,
+			RunningRequests: requests(l.Running),
+			WaitingRequests: requests(l.Waiting),
+			Age:             reportAge(l.AgeMillis),
 			Leaving:         s.anyLeaving(replica, balance.SourceEndpoint),
 		})
 	}
 }
 
+const (
+	// maxStepTime is longer than any engine takes for a token; with a longer one every request
+	// would be refused as too late.
+	maxStepTime = time.Minute
+	// maxReportAge is older than any report that is used.
+	maxReportAge = time.Hour
+	// maxRequests is more than any endpoint works on, so that sums stay in range.
+	maxRequests = 1 << 20
+)
+
+// stepTime converts a report's time per token; 0, which is not known, for one that no engine has.
+func stepTime(micros int64) time.Duration {
+	if micros < 0 || micros > maxStepTime.Microseconds() {
+		return 0
+	}
+	return time.Duration(micros) * time.Microsecond
+}
+
+// reportAge converts the age of a report. One of the future is of now.
+func reportAge(millis int64) time.Duration {
+	return time.Duration(min(max(millis, 0), maxReportAge.Milliseconds())) * time.Millisecond
+}
+
+// requests returns a report's number of requests in the range of numbers that endpoints have.
+func requests(reported int) int { return min(max(reported, 0), maxRequests) }
+
 // ReplicasOf returns the replicas that have the endpoint as a stage.
 func (s *Service) ReplicasOf(endpoint string) []string {
 	s.mu.Lock()
