stream: times of spans are taken in the range that stages have

Seen: a span of 2^63-1 us makes the sum of a hop's times overflow: a mean of 3e18 us, or less than none, is told to the planner, which moves layers by it. A gap of hours stays in the replica's average for hundreds of tokens, in which it doesn't count as stalled in time.

Change: a span counts as 0 to a minute.

TestOddSpanTimes failed before (hops of 3.07e18 and -3.07e18 us).

--- a/route/stream/gap.go
+++ b/route/stream/gap.go
@@ -60,11 +60,18 @@
 func gapOf(wait time.Duration, spans []engineapi.Span) time.Duration {
 	micros := int64(0)
 	for i := range spans {
-		micros += spans[i].Micros
+		micros += spanMicros(spans[i])
 	}
 	return max(wait, time.Duration(micros)*time.Microsecond)
 }
 
+// maxSpanMicros is longer than any stage takes for a token. Averages over the tokens of a replica
+// would keep a longer one for hundreds of tokens, in which the replica would not count as stalled.
+const maxSpanMicros = int64(time.Minute / time.Microsecond)
+
+// spanMicros returns the time of a span as far as a stage can take it.
+func spanMicros(s engineapi.Span) int64 { return min(max(s.Micros, 0), maxSpanMicros) }
+
 const (
 	gapShards      = 16
 	maxGapsInShard = 512
--- a/route/stream/hops.go
+++ b/route/stream/hops.go
@@ -24,7 +24,7 @@
 		return
 	}
 	for i := range spans {
-		h.totalMicros[i] += spans[i].Micros
+		h.totalMicros[i] += spanMicros(spans[i])
 	}
 	h.tokens++
 }
