settings: times that no duration holds are refused

Seen: drain.limit_s or fleet.interval_ms of 2^63-1 are accepted and wrap to times below 0: a node would drop what is underway at once, or exchange without a pause.

TestFaultsAllAtOnce has one more case, which failed before (accepted).

--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -160,10 +160,13 @@
 	address(f, "store.address", s.Store.Address, true)
 	notNegative(f, "store.calls_per_second", s.Store.CallsPerSecond)
 	notNegative(f, "store.timeout_ms", s.Store.TimeoutMillis)
+	atMost(f, "store.timeout_ms", s.Store.TimeoutMillis, maxMillis)
 	oneOf(f, "log.level", s.Log.Level, "", "trace", "debug", "info", "warn", "error")
 	oneOf(f, "log.format", s.Log.Format, "", "json", "text")
 	notNegative(f, "drain.limit_s", s.Drain.LimitSeconds)
+	atMost(f, "drain.limit_s", s.Drain.LimitSeconds, maxDrainSeconds)
 	notNegative(f, "fleet.interval_ms", s.Fleet.IntervalMillis)
+	atMost(f, "fleet.interval_ms", s.Fleet.IntervalMillis, maxMillis)
 	notNegative(f, "load.polls_per_second", s.Load.PollsPerSecond)
 	atMost(f, "load.polls_per_second", s.Load.PollsPerSecond, maxPolls)
 	notNegative(f, "load.cache_event_polls_per_second", s.Load.CacheEventPollsPerSecond)
@@ -258,4 +261,8 @@
 	// maxPolls asks 3,000 endpoints every 3 s, and leaves a pause between two
 	// polls that a timer can keep.
 	maxPolls = 1000
+	// maxMillis, a day, and maxDrainSeconds, 30 days, are above any use and keep the
+	// conversions to a time.Duration in range.
+	maxMillis       = 24 * 60 * 60 * 1000
+	maxDrainSeconds = 30 * 24 * 60 * 60
 )
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -67,6 +67,11 @@
 		{"more polls than the clock can tell apart", strings.Replace(sound, `"name"`, `"load": {"polls_per_second": 2000000000}, "name"`, 1), []string{
 			"load.polls_per_second: 2000000000 is over 1000",
 		}},
+		{"times that no duration holds", strings.Replace(sound, `"name"`,
+			`"drain": {"limit_s": 9223372036854775807}, "fleet": {"interval_ms": 9223372036854775}, "name"`, 1), []string{
+			"drain.limit_s: 9223372036854775807 is over 2592000",
+			"fleet.interval_ms: 9223372036854775 is over 86400000",
+		}},
 		{"a field twice", strings.Replace(sound, `"name"`, `"name": "entry-2", "name"`, 1), []string{"name: the field appears twice"}},
 	}
 	for _, c := range cases {
