docsync: records of revisions that no store reaches are passed over

Seen: a peer tells a record of revision 2^63-1 whose body has the digest that it states: it is in force, and no document of the store is taken after it; the node tells it on, so that this holds for the fleet until all nodes are restarted.

Cause: the highest revision wins, whatever it is.

Change: what a peer tells of revisions over 2^53 is passed over, records as well as what it holds. A lower revision that the store never had can't be told apart from one that this node has not read yet.

TestRevisionsThatNoStoreReaches failed before.

--- a/fleet/docsync/machine.go
+++ b/fleet/docsync/machine.go
@@ -210,6 +210,8 @@
 	}
 	if in.Source == FromStore {
 		m.ready = true
+	} else if in.Record.Revision > maxRevision {
+		return Batch{} // no store has had it
 	}
 	if in.Record.Revision <= m.latest.Revision {
 		return Batch{Conflict: conflicting(in.Record.Holding(), m.latest.Holding())}
@@ -243,6 +245,9 @@
 
 // heard compares a peer's record with the one held: the digest repair.
 func (m *Machine) heard(in Heard) Batch {
+	if in.Holding.Revision > maxRevision {
+		return Batch{} // no store has had it
+	}
 	if !m.ready {
 		m.answers[in.Peer] = in.Holding.Revision
 		m.settle()
--- a/fleet/docsync/machine_test.go
+++ b/fleet/docsync/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -219,3 +220,18 @@
 		}
 	}
 }
+
+// Guards against a fleet in which no document comes into force any more, since a peer has told a
+// record of a revision that no store reaches.
+func TestRevisionsThatNoStoreReaches(t *testing.T) {
+	for _, odd := range []int64{math.MaxInt64, maxRevision + 1, math.MinInt64, -1} {
+		m := machineOf(fleet(3, 1), 0)
+		learn(m, 4, FromStore)
+		if batch := m.Step(Heard{Peer: vm(1), Holding: Holding{Revision: odd, Mark: 1}}); batch.Fetch != "" || batch.Conflict {
+			t.Errorf("heard of revision %d: %+v", odd, batch)
+		}
+		if learn(m, odd, FromPeer).Accepted != nil || learn(m, 5, FromPeer).Accepted == nil {
+			t.Errorf("after revision %d revision %d is in force, want 5", odd, m.Latest().Revision)
+		}
+	}
+}
--- a/fleet/docsync/record.go
+++ b/fleet/docsync/record.go
@@ -17,6 +17,10 @@
 	Body   []byte
 }
 
+// maxRevision is above any that a store reaches. Records only rise, so that a node would keep one of a
+// revision beyond it for good.
+const maxRevision = 1 << 53
+
 // DigestOf returns the hex SHA-256 of a body.
 func DigestOf(body []byte) string {
 	sum := sha256.Sum256(body)
