--- a/decide/layers/layers.go
+++ b/decide/layers/layers.go
@@ -96,8 +96,9 @@
 }
 
 // MaxModelLayers is the largest number of layers of a model, and the highest end of a span that
-// a replica can state. The memory and the time that a plan takes grow with this number.
-const MaxModelLayers = 4096
+// a replica can state. It is several times the layers of the largest models: the memory that a plan
+// takes grows with this number, its time with the square.
+const MaxModelLayers = 1024
 
 // Model describes the number and memory of a model's layers.
 type Model struct {
