standin/link: pass on resets of connections

What was seen: in the soak with stray bytes, an unframed answer that its replica broke off came to its caller as a complete one after 46 of 120 events.

Cause: the link closed the connection to the node in the usual way when the one to the replica was reset. An answer without a length is complete then. Soaks through links did not test answers that are broken off.

Change: the link resets the other connection. TestResetIsPassedOn failed before (the connection ended with no error).

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -3,8 +3,10 @@
 package link
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -190,11 +192,22 @@
 			passed += n
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to)
+			}
 			return
 		}
 	}
 }
 
+// resetOnClose makes the coming close of a connection reset it, so that its peer does not take what came
+// for the whole.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it fails if the connection is closed already
+	}
+}
+
 // allowed returns how many of n bytes a connection passes on that has passed on so many already, and
 // whether it ends then.
 func (l *Link) allowed(passed, n int, direction Direction) (bytes int, ends bool) {
