standin/site: a view leaves entries of other writers as they are

A view decoded each entry of a replica and encoded it again, with numbers as floating point, and put the address of a link in place of any address. So a node behind a view never read a number that is too large, and a port out of range became a sound one. Only addresses of replicas are replaced now, and the other fields keep their bytes.

--- a/standin/site/view.go
+++ b/standin/site/view.go
@@ -115,18 +115,30 @@
 		return
 	}
 	id, isReplica := strings.CutPrefix(key, "servers/")
-	var entry map[string]any
+	var entry map[string]json.RawMessage
 	if !isReplica || json.Unmarshal(value, &entry) != nil {
 		return
 	}
-	address, ok := entry["addr"].(string)
-	if !ok {
-		return
+	var address string
+	if json.Unmarshal(entry["addr"], &address) != nil || !v.isReplica(address) {
+		return // another writer's entry stays as it is
 	}
-	entry["addr"] = v.linkTo(id, address)
+	entry["addr"] = mustMarshal(v.linkTo(id, address))
 	item["value"] = mustMarshal(mustMarshal(entry)) // bytes become base64
 }
 
+// isReplica reports whether an address is, or was, that of a replica.
+func (v *View) isReplica(address string) bool {
+	for _, r := range v.site.Replicas() {
+		if r.Address == address {
+			return true
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.links[address] != nil
+}
+
 // linkTo returns the address of the link to a replica, which it opens if there is none.
 func (v *View) linkTo(id, address string) string {
 	v.mu.Lock()
