standin/replica: forms of stray bytes, a share of runs, and a count

The list of forms moves from a test of node/site to the stand-in, unchanged, so that the soak can use it. Stray.Every leaves out most runs at a replica, and Fleet.Strays tells which requests have met stray bytes.

--- a/node/site/stray_bytes_test.go
+++ b/node/site/stray_bytes_test.go
@@ -13,34 +13,6 @@
 // strayEvents is the length of the streams of these tests.
 const strayEvents = 6
 
-// strayForm is a kind of bytes that are no part of a stream.
-type strayForm struct {
-	name string
-	// bytes returns the bytes after a number of events.
-	bytes func(after int) string
-}
-
-func always(bytes string) func(int) string { return func(int) string { return bytes } }
-
-var strayForms = []strayForm{
-	{"an event without an id", always("data: stray\n\n")},
-	{"an empty id", always("id:\ndata: stray\n\n")},
-	{"an id of text", always("id: x\ndata: stray\n\n")},
-	{"a negative id", always("id: -1\ndata: stray\n\n")},
-	{"an id that is too long", always("id: 99999999999999999999\ndata: stray\n\n")},
-	{"an id that is too high", always("id: 900\ndata: stray\n\n")},
-	{"an id that is higher than the next", func(after int) string { return fmt.Sprintf("id: %d\ndata: stray\n\n", after+3) }},
-	{"two ids", func(after int) string { return fmt.Sprintf("id: %d\nid: %d\ndata: stray\n\n", after+1, after+2) }},
-	{"the due id without data", func(after int) string { return fmt.Sprintf("id: %d\n\n", after+1) }},
-	{"bytes without a line end", always("\x00\xfestray")},
-	{"a line", always("stray bytes\n")},
-	{"a line and an empty one", always("stray bytes\r\n\r\n")},
-	{"a carriage return", always("\r")},
-	{"the head of an answer", always("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")},
-	{"an answer", always("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")},
-	{"a stream", always("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: stray\n\nid: 2\ndata: stray\n\n")},
-}
-
 // Guards against bytes of a faulty replica that reach callers as parts of a stream, and against
 // streams that they end as complete, or begin anew.
 func TestStrayBytesAreNoPartOfAStream(t *testing.T) {
@@ -53,11 +25,11 @@
 				settings := p.settings("front-1")
 				settings.Bounds.RetryRatio = 2 // each stream is resumed
 				node := p.node(settings)
-				for _, form := range strayForms {
+				for _, form := range replica.StrayForms {
 					for _, after := range []int{0, 3, strayEvents} {
 						p.playStray(node, form, replica.Fault{
 							Unframed: unframed,
-							Stray:    replica.Stray{Bytes: form.bytes(after), After: after, BreakOff: breakOff, Once: true},
+							Stray:    replica.Stray{Bytes: form.Bytes(after), After: after, BreakOff: breakOff, Once: true},
 						})
 					}
 				}
@@ -74,16 +46,16 @@
 	p.ConfigureEdited([]string{goodKey}, `"resumable":true`, `"resumable":false`)
 	node := p.node(p.settings("front-1"))
 	for _, unframed := range []bool{false, true} {
-		for _, form := range strayForms {
+		for _, form := range replica.StrayForms {
 			for _, after := range []int{0, 3, strayEvents} {
-				id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.name, " ", "-"), after, unframed)
-				p.setFaults(replica.Fault{Unframed: unframed, Stray: replica.Stray{Bytes: form.bytes(after), After: after}})
+				id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.Name, " ", "-"), after, unframed)
+				p.setFaults(replica.Fault{Unframed: unframed, Stray: replica.Stray{Bytes: form.Bytes(after), After: after}})
 				got := node.ask("POST", "/ask/x", id, goodKey)
 				refused := after == 0 && got.status == http.StatusBadGateway
 				cut := after > 0 && got.status == http.StatusOK && got.err != nil && wholeStream(got.body, id, after) == nil
 				whole := after == strayEvents && got.err == nil && wholeStream(got.body, id, strayEvents) == nil // white space at the end
 				if !refused && !cut && !whole {
-					t.Errorf("%s after event %d: %d, %v, %q", form.name, after, got.status, got.err, got.body)
+					t.Errorf("%s after event %d: %d, %v, %q", form.Name, after, got.status, got.err, got.body)
 				}
 			}
 		}
@@ -99,9 +71,9 @@
 	p.helperOn(settings)
 	node, _ := p.cutOffNode("front-1")
 	p.awaitHelpers(node, 1)
-	for _, form := range strayForms {
+	for _, form := range replica.StrayForms {
 		for _, after := range []int{0, 3, strayEvents} {
-			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.bytes(after), After: after, Once: true}})
+			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.Bytes(after), After: after, Once: true}})
 		}
 	}
 }
@@ -113,12 +85,12 @@
 }
 
 // playStray lets replicas send stray bytes, and checks that the caller gets the whole stream.
-func (p *platform) playStray(node *running, form strayForm, fault replica.Fault) {
+func (p *platform) playStray(node *running, form replica.StrayForm, fault replica.Fault) {
 	p.t.Helper()
 	p.setFaults(fault)
-	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(form.name, " ", "-"), fault.Stray.After)
+	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(form.Name, " ", "-"), fault.Stray.After)
 	got := node.ask("POST", "/ask/x", id, goodKey)
 	if err := wholeStream(got.body, id, strayEvents); got.status != http.StatusOK || got.err != nil || err != nil {
-		p.t.Errorf("%s after event %d: %d, %v, %v", form.name, fault.Stray.After, got.status, got.err, err)
+		p.t.Errorf("%s after event %d: %d, %v, %v", form.Name, fault.Stray.After, got.status, got.err, err)
 	}
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -68,25 +68,6 @@
 	RateLimit string
 }
 
-// Stray are bytes in a stream that are no part of it.
-type Stray struct {
-	// Bytes is empty for none.
-	Bytes string
-	// After is the number of events of the run before the bytes. If the run has no more events, they
-	// follow its last one.
-	After int
-	// BreakOff ends the connection after the bytes.
-	BreakOff bool
-	// Once leaves out all runs of a request but its first one, at whichever replica.
-	Once bool
-}
-
-// dueBefore reports whether the bytes come before the next event of a run.
-func (s Stray) dueBefore(sent int) bool { return s.Bytes != "" && s.After == sent }
-
-// dueAtEnd reports whether the bytes follow the last event of a run.
-func (s Stray) dueAtEnd(sent int) bool { return s.Bytes != "" && s.After >= sent }
-
 // Run is one run of a request at a replica.
 type Run struct {
 	Replica, Request string
@@ -120,11 +101,13 @@
 	problems []string
 	crash    Crash
 	crashes  []time.Time
+	// strays is the number of runs with stray bytes, by request.
+	strays map[string]int
 }
 
 // NewFleet returns an empty fleet for a model with that many layers.
 func NewFleet(layers int) *Fleet {
-	return &Fleet{layers: layers, byAddr: map[string]*Replica{}, aliases: map[string]string{}}
+	return &Fleet{layers: layers, byAddr: map[string]*Replica{}, aliases: map[string]string{}, strays: map[string]int{}}
 }
 
 // Alias makes an address stand for that of a replica in the paths of requests.
@@ -169,7 +152,9 @@
 	from, to  int
 	paths     map[string]chan string // a stream's detours, by request
 	prompts   prefillQueue
-	silence   silence
+	// streams is the number of streams that the replica has begun to answer.
+	streams int
+	silence silence
 }
 
 // Add starts a replica.
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -156,9 +156,7 @@
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if fault.Stray.Once && len(r.fleet.Runs(id)) > 1 {
-		fault.Stray = Stray{}
-	}
+	stray := r.strayIn(id, fault.Stray)
 	path := q.Header.Get("Hop-Count")
 	first, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -192,8 +190,8 @@
 				return
 			}
 		}
-		if fault.Stray.dueBefore(n - first - 1) {
-			writeStray(out, fault.Stray)
+		if stray.dueBefore(n - first - 1) {
+			r.writeStray(out, id, stray)
 		}
 		if fault.CutAfter > 0 && n > first+fault.CutAfter {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: to", n)
@@ -211,18 +209,8 @@
 			return
 		}
 	}
-	if fault.Stray.dueAtEnd(r.Events - first) {
-		writeStray(out, fault.Stray)
-	}
-}
-
-// writeStray writes bytes that are no part of the stream.
-func writeStray(out answerWriter, stray Stray) {
-	// A write fails if the caller has gone; the next one tells.
-	_, _ = out.Write([]byte(stray.Bytes))
-	_ = out.Flush()
-	if stray.BreakOff {
-		out.breakOff()
+	if stray.dueAtEnd(r.Events - first) {
+		r.writeStray(out, id, stray)
 	}
 }
 
