standin/replica: a crash in the middle of a stream never ends it as complete

Fault.EndAfter returned from the handler after the crash. If another request was ending the replica at that moment, the connections were still open, and the answer was ended as complete. The same was known of Crash.AfterEvents.

--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -167,12 +167,12 @@
 	for n := first + 1; n <= r.Events; n++ {
 		if fault.EndAfter > 0 && n > first+fault.EndAfter {
 			r.crash()
-			return
+			// Another request may be ending the replica, whose connections are still open then.
+			panic(http.ErrAbortHandler)
 		}
 		if ends && n > first+endsAfter {
 			r.crash()
-			// Another request may be ending the replica, whose connections are still open then.
-			panic(http.ErrAbortHandler)
+			panic(http.ErrAbortHandler) // for the same reason
 		}
 		for r.checkPath(path) != "" {
 			// A part is gone: the stream stands still until it is led around.
