e2e/soak: replicas send stray bytes, another writer odd entries

TestStrayBytes draws series of stray bytes (the forms of the stand-in, before, between and after events, framed and unframed, going on and breaking off, in one of one to three runs) that overlap with silent, crashing, dying and leaving replicas, nodes that are cut off, told to stop and killed, versions, and odd entries beside and in place of those of replicas. It judges what callers got byte by byte, and that half of the streams are served that met no fault but one stray run. Layers beyond the model's are left out until nodes outlive them.

All soaks now hold that no node ends unless it was told to or killed, and name the first wrong byte of a stream.

--- a/e2e/soak/judge_test.go
+++ b/e2e/soak/judge_test.go
@@ -26,6 +26,14 @@
 	for _, problem := range r.site.Fleet.Problems() {
 		r.t.Errorf("seed %d: %s", r.seed, problem)
 	}
+	for _, v := range r.vms {
+		if p := v.now(); p.Ended() {
+			r.noteEnd(v, p)
+		}
+	}
+	for _, each := range r.endedAlone {
+		r.t.Errorf("seed %d: a node ended by itself: %s", r.seed, each)
+	}
 	if counts[http.StatusOK] == 0 {
 		r.t.Errorf("seed %d: nobody was served: %v", r.seed, counts)
 	}
@@ -89,9 +97,21 @@
 	}
 	switch {
 	case !strings.HasPrefix(want.String(), a.body):
-		return fmt.Sprintf("events are missing, doubled or another's: ...%q", a.body[max(0, len(a.body)-120):])
+		at := differsAt(want.String(), a.body)
+		return fmt.Sprintf("events are missing, doubled or another's from byte %d of %d: ...%q", at, len(a.body),
+			a.body[max(0, at-60):min(len(a.body), at+100)])
 	case a.whole && a.body != want.String():
 		return fmt.Sprintf("it ended as whole after %d of %d bytes", len(a.body), want.Len())
 	}
 	return ""
 }
+
+// differsAt returns the place of the first byte that is not the one wanted.
+func differsAt(want, got string) int {
+	for i := range min(len(want), len(got)) {
+		if want[i] != got[i] {
+			return i
+		}
+	}
+	return min(len(want), len(got))
+}
--- a/e2e/soak/silent_test.go
+++ b/e2e/soak/silent_test.go
@@ -106,8 +106,13 @@
 }
 
 func newSilentRun(t *testing.T, bin string, seed uint64) *silentRun {
+	return newSilentRunOn(newRun(t, bin, seed, silentNodes, silentDomains))
+}
+
+// newSilentRunOn gives a run replicas and callers enough for silences.
+func newSilentRunOn(base *run) *silentRun {
 	r := &silentRun{
-		run:   newRun(t, bin, seed, silentNodes, silentDomains),
+		run:   base,
 		stops: map[string][]stopped{}, deaths: map[string]death{},
 	}
 	r.crowd.number, r.crowd.keepsConnections, r.events = silentCallers, true, silentEvents
@@ -160,13 +165,18 @@
 	if calm || r.draw.IntN(4) == 0 {
 		add(r.upTo(1500), r.dying())
 	}
+	perform(list)
+	time.Sleep(shortestSilence + r.upTo(1500))
+}
+
+// perform does all actions, each at its time.
+func perform(list []action) {
 	slices.SortStableFunc(list, func(a, b action) int { return int(a.after - b.after) })
 	began := time.Now()
 	for _, each := range list {
 		time.Sleep(time.Until(began.Add(each.after)))
 		each.do()
 	}
-	time.Sleep(shortestSilence + r.upTo(1500))
 }
 
 func (r *silentRun) upTo(ms int) time.Duration {
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/e2e/harness"
 	"github.com/cicadatack/cicadatack/standin/replica"
 	"github.com/cicadatack/cicadatack/standin/site"
 	"github.com/cicadatack/cicadatack/standin/storefake"
@@ -100,6 +101,9 @@
 	healMore func()
 	story    []string
 	began    time.Time
+	// told are the processes that were told to stop, and endedAlone those that ended though they were not.
+	told       map[*harness.Process]bool
+	endedAlone []string
 }
 
 func newRun(t *testing.T, bin string, seed uint64, nodes, domains int) *run {
@@ -116,6 +120,7 @@
 	r := &run{
 		t: t, seed: seed, draw: rand.New(rand.NewPCG(seed, 7)), site: site.New(),
 		key: "key-0", retired: map[string]time.Time{}, began: time.Now(), events: events,
+		told: map[*harness.Process]bool{},
 	}
 	t.Cleanup(r.site.Close)
 	r.site.Configure(r.key)
@@ -233,6 +238,9 @@
 }
 
 func (r *run) signal(v *vm, s os.Signal) {
+	if s == syscall.SIGTERM {
+		r.told[v.now()] = true
+	}
 	if err := v.now().Signal(s); err != nil {
 		r.tell("%s could not be told: %v", v.name, err)
 	}
@@ -241,13 +249,21 @@
 // revive starts nodes that have ended, as the platform does.
 func (r *run) revive() {
 	for _, v := range r.vms {
-		if v.now().Ended() {
+		if p := v.now(); p.Ended() {
+			r.noteEnd(v, p)
 			r.tell("%s starts again", v.name)
 			v.start(r.t)
 		}
 	}
 }
 
+// noteEnd notes a process that has ended and was not told to.
+func (r *run) noteEnd(v *vm, p *harness.Process) {
+	if !r.told[p] {
+		r.endedAlone = append(r.endedAlone, fmt.Sprintf("%s: %v\n%s", v.name, p.Wait(time.Second), v.log()))
+	}
+}
+
 // freeze stands a process still for up to a second and a half, and returns for how long.
 func (r *run) freeze(v *vm) time.Duration {
 	p := v.now()
--- /dev/null
+++ b/e2e/soak/stray_test.go
@@ -0,0 +1,266 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/standin/replica"
+)
+
+const (
+	strayRounds = 8
+	// A series of stray bytes lasts from shortestSeries on, longer by up to seriesRange ms.
+	shortestSeries = 800 * time.Millisecond
+	seriesRange    = 2000
+	// startsAgainBy bounds the time from a SIGTERM until the node takes requests again: it has usualGrace
+	// to end, is started again at the next round, and is in touch a while after.
+	startsAgainBy = usualGrace + inTouchAfter + 5*time.Second
+)
+
+// strayRun is a run in which replicas send stray bytes and another writer puts odd entries among theirs.
+type strayRun struct {
+	*silentRun
+	reach *reachRun
+	// upsets are the times in which replicas crash, die or leave.
+	upsets []period
+	// odd are the ids of odd entries that stand in place of no replica's.
+	odd []string
+}
+
+// Replicas send stray bytes in some of their streams: before, between and after the events, with chunks
+// and unframed, and go on or break off. Meanwhile replicas fall silent, crash, die and leave, nodes are
+// cut off from replicas and the store, told to stop and killed, versions follow each other, and another
+// writer puts odd entries among those of the replicas, drawn from a seed. No caller gets a piece that no
+// run of its request made, one twice or none of one, or a stream that ends as complete early; no node
+// ends by itself; most sound streams are served, and the promises of TestSoak hold.
+func TestStrayBytes(t *testing.T) {
+	bin := build(t)
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r := newStrayRun(t, bin, seed)
+			r.play(strayRounds, 0, r.round)
+			r.judgeAnswers()
+			r.judgeServed()
+			if t.Failed() {
+				t.Logf("what happened:\n%s", strings.Join(r.story, "\n"))
+				r.keepLogs()
+			}
+		})
+	}
+}
+
+func newStrayRun(t *testing.T, bin string, seed uint64) *strayRun {
+	reach := newReachRun(t, bin, seed, usualGrace)
+	r := &strayRun{silentRun: newSilentRunOn(reach.run), reach: reach}
+	r.site.Fleet.CrashBy(replica.Crash{DownFor: downFor})
+	healWays := r.healMore
+	r.healMore = func() {
+		healWays()
+		for _, id := range r.odd {
+			r.site.Forget(id)
+		}
+	}
+	return r
+}
+
+// round lets series of stray bytes overlap with odd entries and other faults.
+func (r *strayRun) round() {
+	r.revive()
+	r.reach.healDue()
+	var list []action
+	add := func(do func()) { list = append(list, action{r.upTo(2000), do}) }
+	for range 3 + r.draw.IntN(3) {
+		add(r.series())
+	}
+	for range 1 + r.draw.IntN(3) {
+		add(r.oddEntry())
+	}
+	for range 1 + r.draw.IntN(3) {
+		add(r.disturbance())
+	}
+	add(r.nextVersion())
+	perform(list)
+	time.Sleep(shortestSeries + r.upTo(1000))
+}
+
+// disturbance returns an action that is another fault of a replica, a node or a way.
+func (r *strayRun) disturbance() func() {
+	n, domain := r.draw.IntN(1<<10), domainNames[r.draw.IntN(len(domainNames))]
+	switch r.draw.IntN(9) {
+	case 0, 1, 2:
+		return func() { r.silence(shortestSilence, replica.LongQueue, r.chosen(n, 1)) }
+	case 3:
+		return func() {
+			r.upsets = append(r.upsets, lasting(forgottenAfter))
+			r.dying()()
+		}
+	case 4:
+		return func() { r.crash(r.chosen(n, 1)) }
+	case 5:
+		return func() { r.leave(r.chosen(n, 1)) }
+	case 6:
+		return func() { r.reach.cutOff(domain) }
+	}
+	return r.nodeFault()
+}
+
+// chosen returns at most count of the replicas that answer streams.
+func (r *strayRun) chosen(n, count int) []string {
+	ids := r.ids(func(c *replica.Replica) bool {
+		from, to := c.Holds()
+		return c.Model && from == 0 && to > 0
+	})
+	if len(ids) == 0 {
+		return nil
+	}
+	var list []string
+	for i := range min(count, len(ids)) {
+		list = append(list, ids[(n+i)%len(ids)])
+	}
+	return list
+}
+
+// spoil sets the fault of replicas for a time.
+func (r *strayRun) spoil(ids []string, fault replica.Fault, lasts time.Duration) {
+	for _, id := range ids {
+		if spoiled := r.site.Replica(id); spoiled != nil { // it may have left since
+			spoiled.SetFault(fault)
+			time.AfterFunc(lasts, func() { spoiled.SetFault(replica.Fault{}) })
+		}
+	}
+}
+
+// series returns an action that lets replicas send stray bytes for a time.
+func (r *strayRun) series() func() {
+	form := replica.StrayForms[r.draw.IntN(len(replica.StrayForms))]
+	after := []int{0, 1 + r.draw.IntN(silentEvents-1), 1 + r.draw.IntN(silentEvents-1), silentEvents}[r.draw.IntN(4)]
+	fault := replica.Fault{
+		Unframed: r.draw.IntN(2) == 0,
+		Stray: replica.Stray{
+			Bytes: form.Bytes(after), After: after, BreakOff: r.draw.IntN(2) == 0, Every: 1 + r.draw.IntN(3),
+		},
+	}
+	n, count, lasts := r.draw.IntN(1<<10), 1+r.draw.IntN(2), shortestSeries+r.upTo(seriesRange)
+	return func() {
+		ids := r.chosen(n, count)
+		r.tell("%v send %s after event %d for %v, unframed %v, breaking off %v, in one of %d runs",
+			ids, form.Name, after, lasts, fault.Unframed, fault.Stray.BreakOff, fault.Stray.Every)
+		r.spoil(ids, fault, lasts)
+	}
+}
+
+// crash lets replicas end in the middle of their streams and come back, for a time.
+func (r *strayRun) crash(ids []string) {
+	r.tell("%v crash", ids)
+	r.upsets = append(r.upsets, lasting(shortestSeries+downFor))
+	r.spoil(ids, replica.Fault{EndAfter: 1 + r.draw.IntN(silentEvents-1)}, shortestSeries)
+}
+
+// leave lets replicas announce that they leave, and end after drainTime; others come in their place.
+func (r *strayRun) leave(ids []string) {
+	for _, id := range ids {
+		leaving := r.site.Replica(id)
+		if leaving == nil {
+			continue // it has left already
+		}
+		config := leaving.Config
+		r.added++
+		config.ID = fmt.Sprint("i-new-", r.added)
+		r.tell("%s leaves, %s comes", id, config.ID)
+		r.add(config)
+		leaving.Announce()
+		ends := time.Now().Add(drainTime)
+		r.upsets = append(r.upsets, period{ends, ends.Add(forgottenAfter)})
+		time.AfterFunc(drainTime, func() {
+			r.site.Lose(id)
+			time.Sleep(forgottenAfter)
+			r.site.Forget(id)
+		})
+	}
+}
+
+// oddEntry returns an action that writes an odd entry beside those of the replicas, or in place of one.
+func (r *strayRun) oddEntry() func() {
+	entry := oddEntries[r.draw.IntN(len(oddEntries))]
+	n, inPlace := r.draw.IntN(1<<10), r.draw.IntN(3) == 0
+	return func() {
+		ids := r.ids(func(*replica.Replica) bool { return true })
+		id := ids[n%len(ids)]
+		if !inPlace {
+			r.added++
+			id = fmt.Sprint("i-odd-", r.added)
+			r.odd = append(r.odd, id)
+		}
+		r.tell("an odd entry of %s: %.100s", id, entry)
+		r.site.Put("servers/"+id, []byte(entry))
+	}
+}
+
+// judgeAnswers holds that callers got nothing but answers, and that there was something to judge.
+func (r *strayRun) judgeAnswers() {
+	for _, a := range r.crowd.all() {
+		if a.err != nil && strings.Contains(a.err.Error(), "malformed") {
+			r.t.Errorf("seed %d: %s at %s got bytes that are no answer: %v", r.seed, a.id, a.node, a.err)
+		}
+	}
+	if len(r.site.Fleet.Strays()) == 0 {
+		r.t.Errorf("seed %d: no stray bytes were sent", r.seed)
+	}
+}
+
+// judgeServed holds that most streams are served that met nothing but stray bytes in one run at most,
+// and that no node ends one that met none.
+func (r *strayRun) judgeServed() {
+	strays, runs := r.site.Fleet.Strays(), r.runsByRequest()
+	byStrays := make([]tries, 2)
+	for _, a := range r.crowd.all() {
+		met := strays[a.id]
+		if a.kind != stream || a.ended.IsZero() || met >= len(byStrays) || r.excused(a) {
+			continue
+		}
+		byStrays[met].all++
+		if a.status == http.StatusOK && a.whole {
+			continue
+		}
+		byStrays[met].failed++
+		if met == 0 && a.status == http.StatusOK && !a.left {
+			r.t.Errorf("seed %d: %s at %s is ended, and no replica of it: %s\n%s",
+				r.seed, a.id, a.node, r.course(a, runs[a.id]), strings.Join(r.linesAbout(a.id), "\n"))
+		}
+	}
+	r.t.Logf("seed %d: %d streams met stray bytes; failed of those without other faults, with no and one stray run: %+v",
+		r.seed, len(strays), byStrays)
+	for met, each := range byStrays {
+		if each.all >= enoughToJudge && each.servedShare() < minServed {
+			r.t.Errorf("seed %d: %d of %d streams with stray bytes in %d runs failed", r.seed, each.failed, each.all, met)
+		}
+	}
+}
+
+// excused reports whether a stream may have failed for reasons other than stray bytes.
+func (r *strayRun) excused(a asked) bool {
+	overlaps := func(p period) bool { return p.from.Before(a.ended) && p.to.After(a.sent) }
+	if slices.ContainsFunc(r.upsets, overlaps) {
+		return true
+	}
+	for _, s := range r.stops[a.node] {
+		away := period{s.at, s.at.Add(inTouchAfter)}
+		if !s.killed {
+			away.to = s.at.Add(startsAgainBy)
+		}
+		if s.excuses(a) || a.sent.After(away.from) && a.sent.Before(away.to) {
+			return true
+		}
+	}
+	for _, place := range r.reach.places {
+		isCut := func(c cut) bool { return c.domain == place.domain && overlaps(period{c.from, c.to.Add(inTouchAfter)}) }
+		if place.name == a.node && slices.ContainsFunc(r.reach.cuts, isCut) {
+			return true
+		}
+	}
+	return false
+}
