--- a/node/site/stray_bytes_test.go
+++ b/node/site/stray_bytes_test.go
@@ -14,34 +14,6 @@
 // strayEvents is the length of the streams of these tests.
 const strayEvents = 6
 
-// strayForm is a kind of bytes that are no part of a stream.
-type strayForm struct {
-	name string
-	// bytes returns the bytes after a number of events.
-	bytes func(after int) string
-}
-
-func always(bytes string) func(int) string { return func(int) string { return bytes } }
-
-var strayForms = []strayForm{
-	{"an event without an id", always("data: stray\n\n")},
-	{"an empty id", always("id:\ndata: stray\n\n")},
-	{"an id of text", always("id: x\ndata: stray\n\n")},
-	{"a negative id", always("id: -1\ndata: stray\n\n")},
-	{"an id that is too long", always("id: 99999999999999999999\ndata: stray\n\n")},
-	{"an id that is too high", always("id: 900\ndata: stray\n\n")},
-	{"an id that is higher than the next", func(after int) string { return fmt.Sprintf("id: %d\ndata: stray\n\n", after+3) }},
-	{"two ids", func(after int) string { return fmt.Sprintf("id: %d\nid: %d\ndata: stray\n\n", after+1, after+2) }},
-	{"the due id without data", func(after int) string { return fmt.Sprintf("id: %d\n\n", after+1) }},
-	{"bytes without a line end", always("\x00\xfestray")},
-	{"a line", always("stray bytes\n")},
-	{"a line and an empty one", always("stray bytes\r\n\r\n")},
-	{"a carriage return", always("\r")},
-	{"the head of an answer", always("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")},
-	{"an answer", always("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")},
-	{"a stream", always("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: stray\n\nid: 2\ndata: stray\n\n")},
-}
-
 // Guards against bytes of a faulty replica that reach callers as parts of a stream, and against
 // streams that they end as complete, or begin anew.
 func TestStrayBytesAreNoPartOfAStream(t *testing.T) {
@@ -52,11 +24,11 @@
 				p := newPlatform(t)
 				p.chains(strayEvents, time.Millisecond)
 				node := p.strayNode(false)
-				for _, form := range strayForms {
+				for _, form := range replica.StrayForms {
 					for _, after := range []int{0, 3, strayEvents} {
 						p.playStray(node, form, replica.Fault{
 							Unframed: unframed,
-							Stray:    replica.Stray{Bytes: form.bytes(after), After: after, BreakOff: breakOff, Once: true},
+							Stray:    replica.Stray{Bytes: form.Bytes(after), After: after, BreakOff: breakOff, Once: true},
 						})
 					}
 				}
@@ -73,17 +45,17 @@
 	p.ConfigureEdited([]string{goodKey}, `"resumable":true`, `"resumable":false`)
 	node := p.node(p.settings("front-1"))
 	for _, unframed := range []bool{false, true} {
-		for _, form := range strayForms {
+		for _, form := range replica.StrayForms {
 			for _, after := range []int{0, 3, strayEvents} {
-				id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.name, " ", "-"), after, unframed)
-				p.setFaults(replica.Fault{Unframed: unframed, Stray: replica.Stray{Bytes: form.bytes(after), After: after}})
+				id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.Name, " ", "-"), after, unframed)
+				p.setFaults(replica.Fault{Unframed: unframed, Stray: replica.Stray{Bytes: form.Bytes(after), After: after}})
 				got := node.ask("POST", "/ask/x", id, goodKey)
 				refused := after == 0 && got.status == http.StatusBadGateway
 				cut := after > 0 && got.status == http.StatusOK && got.err != nil && wholeStream(got.body, id, after) == nil
-				whitespace := form.name == "a carriage return" && after == strayEvents
+				whitespace := form.Name == "a carriage return" && after == strayEvents
 				whole := whitespace && got.err == nil && wholeStream(got.body, id, strayEvents) == nil
 				if !refused && !cut && !whole {
-					t.Errorf("%s after event %d: %d, %v, %q", form.name, after, got.status, got.err, got.body)
+					t.Errorf("%s after event %d: %d, %v, %q", form.Name, after, got.status, got.err, got.body)
 				}
 			}
 		}
@@ -95,9 +67,9 @@
 	p := newPlatform(t)
 	p.chains(strayEvents, time.Millisecond)
 	node := p.strayNode(true)
-	for _, form := range strayForms {
+	for _, form := range replica.StrayForms {
 		for _, after := range []int{0, 3, strayEvents} {
-			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.bytes(after), After: after, Once: true}})
+			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.Bytes(after), After: after, Once: true}})
 		}
 	}
 }
@@ -106,12 +78,12 @@
 // begin the stream anew for that caller, at the node and through two nodes.
 func TestStrayBytesAreNoPartOfAStreamThatItsCallerResumes(t *testing.T) {
 	const after = 3
-	forms := append([]strayForm{
-		{"an id of before", always("id: 1\ndata: stray\n\n")},
-		{"the caller's last id", always("id: 3\ndata: stray\n\n")},
-		{"an id of before and bytes", always("id: 1\ndata: stray\n\nstray\n")},
-		{"events of before", always("id: 1\ndata: stray\n\nid: 2\ndata: stray\n\n")},
-	}, strayForms...)
+	forms := append([]replica.StrayForm{
+		{Name: "an id of before", Bytes: func(int) string { return "id: 1\ndata: stray\n\n" }},
+		{Name: "the caller's last id", Bytes: func(int) string { return "id: 3\ndata: stray\n\n" }},
+		{Name: "an id of before and bytes", Bytes: func(int) string { return "id: 1\ndata: stray\n\nstray\n" }},
+		{Name: "events of before", Bytes: func(int) string { return "id: 1\ndata: stray\n\nid: 2\ndata: stray\n\n" }},
+	}, replica.StrayForms...)
 	for _, forwarded := range []bool{false, true} {
 		t.Run(fmt.Sprint("forwarded ", forwarded), func(t *testing.T) {
 			t.Parallel()
@@ -121,11 +93,11 @@
 			for _, form := range forms {
 				for _, sent := range []int{0, 2} {
 					for _, breakOff := range []bool{false, true} {
-						id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.name, " ", "-"), sent, breakOff)
-						p.setFaults(replica.Fault{Stray: replica.Stray{Bytes: form.bytes(after + sent), After: sent, BreakOff: breakOff, Once: true}})
+						id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.Name, " ", "-"), sent, breakOff)
+						p.setFaults(replica.Fault{Stray: replica.Stray{Bytes: form.Bytes(after + sent), After: sent, BreakOff: breakOff, Once: true}})
 						got := node.ask("POST", "/ask/x", id, goodKey, "Last-Event-Id", fmt.Sprint(after))
 						if got.status != http.StatusOK || got.err != nil || got.body != eventsAfter(after, id) {
-							t.Errorf("%s after %d more events, breaks off %v: %d, %v, %q", form.name, sent, breakOff, got.status, got.err, got.body)
+							t.Errorf("%s after %d more events, breaks off %v: %d, %v, %q", form.Name, sent, breakOff, got.status, got.err, got.body)
 						}
 					}
 				}
@@ -203,11 +175,11 @@
 }
 
 // playStray lets replicas send stray bytes, and checks that the caller gets the whole stream.
-func (p *platform) playStray(node *running, form strayForm, fault replica.Fault) {
+func (p *platform) playStray(node *running, form replica.StrayForm, fault replica.Fault) {
 	p.t.Helper()
-	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(form.name, " ", "-"), fault.Stray.After)
+	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(form.Name, " ", "-"), fault.Stray.After)
 	if err := p.strayServed(node, id, fault); err != nil {
-		p.t.Errorf("%s after event %d: %v", form.name, fault.Stray.After, err)
+		p.t.Errorf("%s after event %d: %v", form.Name, fault.Stray.After, err)
 	}
 }
 
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -162,9 +162,7 @@
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if fault.Stray.Once && len(r.fleet.Runs(id)) > 1 {
-		fault.Stray = Stray{}
-	}
+	stray := r.strayIn(id, fault.Stray)
 	path := q.Header.Get("Hop-Count")
 	first, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -175,12 +173,12 @@
 	for n := first + 1; n <= r.Events; n++ {
 		if fault.EndAfter > 0 && n > first+fault.EndAfter {
 			r.crash()
-			return
+			// Another request may be ending the replica, whose connections are still open then.
+			panic(http.ErrAbortHandler)
 		}
 		if ends && n > first+endsAfter {
 			r.crash()
-			// Another request may be ending the replica, whose connections are still open then.
-			panic(http.ErrAbortHandler)
+			panic(http.ErrAbortHandler) // for the same reason
 		}
 		for r.checkPath(path) != "" {
 			// A part is gone: the stream stands still until it is led around.
@@ -198,8 +196,8 @@
 				return
 			}
 		}
-		if fault.Stray.dueBefore(n - first - 1) {
-			writeStray(out, fault.Stray)
+		if stray.dueBefore(n - first - 1) {
+			r.writeStray(out, id, stray)
 		}
 		if fault.CutAfter > 0 && n > first+fault.CutAfter {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: to", n)
@@ -217,18 +215,8 @@
 			return
 		}
 	}
-	if fault.Stray.dueAtEnd(r.Events - first) {
-		writeStray(out, fault.Stray)
-	}
-}
-
-// writeStray writes bytes that are no part of the stream.
-func writeStray(out answerWriter, stray Stray) {
-	// A write fails if the caller has gone; the next one tells.
-	_, _ = out.Write([]byte(stray.Bytes))
-	_ = out.Flush()
-	if stray.BreakOff {
-		out.breakOff()
+	if stray.dueAtEnd(r.Events - first) {
+		r.writeStray(out, id, stray)
 	}
 }
 
