standin: engines that send stray bytes

The stand-in engine puts bytes that are no part of an answer behind any number of its events or before the head, in every answer or in the first attempt of a stream only, and goes on or breaks the connection off. Answers can end with their connection, without a length or chunks.

--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -26,12 +25,11 @@
 
 // answer is one answer underway on the first engine of a chain.
 type answer struct {
-	e       *Engine
-	s       *session
-	chat    engineapi.ChatRequest
-	w       io.Writer
-	flusher http.Flusher
-	state   uint64
+	e     *Engine
+	s     *session
+	chat  engineapi.ChatRequest
+	w     answerWriter
+	state uint64
 }
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
@@ -50,16 +48,10 @@
 	}
 	stop := context.AfterFunc(r.Context(), func() { e.callerGone(s) })
 	defer stop()
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	flusher, _ := w.(http.Flusher)
-	a := &answer{e: e, s: s, chat: chat, w: w, flusher: flusher}
+	a := &answer{e: e, s: s, chat: chat, w: begin(w, e.Faults(), s.epoch)}
 	err = a.run()
 	e.finish(s, err != nil)
-	if err != nil {
-		// Cuts the connection: an answer cut short must not look whole.
-		panic(http.ErrAbortHandler)
-	}
+	a.w.end(err == nil)
 }
 
 // callerGone stops the work of a stream whose caller hung up. A frozen engine
@@ -92,6 +84,9 @@
 	length := answerLength(a.chat.MaxTokens)
 	position := len(a.chat.Pipeline.ResumeTokens)
 	for ; position < length; position++ {
+		if err := a.sendStray(position); err != nil {
+			return err
+		}
 		if err := a.token(position); err != nil {
 			return err
 		}
@@ -156,13 +151,22 @@
 
 // end sends the event that closes an answer, and the marker after it.
 func (a *answer) end(position int) error {
+	if err := a.sendStray(position); err != nil {
+		return err
+	}
 	reason := finishLength
 	load := a.e.Load()
 	trace := engineapi.TokenTrace{Stream: a.s.stream, Epoch: a.s.epoch, Position: position, Load: &load}
 	if err := a.send("", trace, &reason); err != nil {
 		return err
 	}
-	return a.marker()
+	if err := a.sendStray(position + 1); err != nil {
+		return err
+	}
+	if err := a.marker(); err != nil {
+		return err
+	}
+	return a.sendStray(position + 2)
 }
 
 func (a *answer) marker() error {
@@ -191,11 +195,7 @@
 	return err
 }
 
-func (a *answer) flush() {
-	if a.flusher != nil {
-		a.flusher.Flush()
-	}
-}
+func (a *answer) flush() { a.w.Flush() }
 
 // errNoBlob reports that an exported KV cache could not be fetched.
 var errNoBlob = errors.New("the exported KV cache is not there")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,6 +23,7 @@
 	errHolding   = errors.New("the engine holds other layers")
 	errUnknown   = errors.New("the stream is not known here")
 	errOldOrder  = errors.New("the order's placement version is old")
+	errBrokenOff = errors.New("the answer is broken off")
 )
 
 const (
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -42,6 +42,10 @@
 	// seconds; empty for nothing.
 	Refuse     bool   `json:"refuse,omitempty"`
 	RetryAfter string `json:"retry_after,omitempty"`
+	// Stray are bytes that the engine sends with its answers. Unframed ends answers with their connection,
+	// without a length or chunks.
+	Stray    Stray `json:"stray,omitzero"`
+	Unframed bool  `json:"unframed,omitempty"`
 	// Drain reports draining and refuses new streams; those underway finish.
 	Drain bool `json:"drain,omitempty"`
 }
