engineclient: state the contract of an answer, and read by it

What callers saw: an answer of the own door whose only chain sends bytes that are no event of it is cut, although every token came: by an object without the protocol's fields, an error object, deep nesting or a lone carriage return. And sound streams failed altogether: several lines of data, lines that end with CR, events without data, a byte order mark. An engine that died in the middle of an event was logged as one that sends malformed events.

Cause: each line that begins with "data:" was taken for an event, and all other lines were passed over. What an answer consists of was nowhere stated. An event without a trace, with another index, without a position or with invalid UTF-8 (which the JSON library takes over) was an event like any other; only the check of its stream kept it from callers.

Change: the package documentation states the contract; the reader keeps to it. What breaks it is a Violation with a reason and its first bytes. It is dropped and the answer goes on, as each token names its stream, epoch and position and the closing event their number: a token that is lost with such bytes is found out. More than 64 violations and stray tokens, or an event without end, end the attempt; they do not count as progress of the chain, and the crash guard is told nothing of them. The end of an answer in the middle of an event is ErrTruncated.

--- a/route/engineclient/errors.go
+++ b/route/engineclient/errors.go
@@ -15,7 +15,7 @@
 var (
 	// ErrEventTooLong reports an event larger than MaxEventBytes.
 	ErrEventTooLong = errors.New("event exceeds the size limit")
-	// ErrMalformed reports an event that is not a chunk with one choice and a trace.
+	// ErrMalformed reports bytes that break the contract of an answer.
 	ErrMalformed = errors.New("malformed event")
 	// ErrTruncated reports a stream that ended before its closing marker.
 	ErrTruncated = errors.New("stream ended before the answer was complete")
--- a/route/engineclient/stream.go
+++ b/route/engineclient/stream.go
@@ -1,10 +1,11 @@
 package engineclient
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"math"
+	"unicode/utf8"
 
 	"github.com/goccy/go-json"
 
@@ -17,11 +18,12 @@
 
 const initialBufferBytes = 4 << 10
 
-// maxTrailingLines bounds the lines that Drain reads. The closing marker and the lines
-// around the marker are far fewer.
-const maxTrailingLines = 16
+// maxTrailingEvents bounds the events that Drain reads. The closing marker is the only one that a sound
+// engine sends.
+const maxTrailingEvents = 4
 
-var dataField = []byte("data:")
+// noPosition is the position of a trace that states none. No answer has it.
+const noPosition = math.MinInt
 
 // Event is one event of an answer.
 type Event struct {
@@ -46,8 +48,9 @@
 }
 
 // Next returns the next event. It returns io.EOF after the marker that closes a
-// complete answer, and an error that wraps ErrTruncated if the stream ended without
-// the marker.
+// complete answer, an error that wraps ErrTruncated if the stream ended without
+// the marker, and one that wraps a *Violation for bytes that break the contract of an answer. After a
+// violation that does not end the answer, Next may be called again.
 func (s *Stream) Next() (Event, error) {
 	event, err := s.decoder.Next()
 	if err == nil || errors.Is(err, io.EOF) {
@@ -56,14 +59,14 @@
 	return Event{}, sendError(s.address, StateUnknown, 0, err)
 }
 
-// Drain reads what follows the last event of an answer: the closing marker and the
-// end of the body. The connection can be reused only if its body was read to the end.
-// Without Drain each stream costs a connection, and a node that opens some hundred
-// streams a second to one engine runs out of local ports. The stream's context bounds
-// the time of Drain, and maxTrailingLines bounds the lines that it reads.
+// Drain reads what follows the closing event of an answer: the closing marker and the end of the body.
+// The connection can be reused only if its body was read to the end. Without Drain each stream costs a
+// connection, and a node that opens some hundred streams a second to one engine runs out of local
+// ports. The stream's context bounds the time of Drain, and maxTrailingEvents bounds the events that it
+// reads.
 func (s *Stream) Drain() {
-	for range maxTrailingLines {
-		if !s.decoder.lines.Scan() {
+	for range maxTrailingEvents {
+		if _, err := s.decoder.Next(); errors.Is(err, ErrTruncated) {
 			return
 		}
 	}
@@ -73,9 +76,9 @@
 // that its caller has disconnected.
 func (s *Stream) Close() { s.body.Close() }
 
-// Decoder decodes the server-sent events of an answer.
+// Decoder decodes the server-sent events of an answer. The package documentation states what they must be.
 type Decoder struct {
-	lines   *bufio.Scanner
+	blocks  blockReader
 	trace   engineapi.TokenTrace
 	choices []choice
 }
@@ -88,6 +91,7 @@
 }
 
 type choice struct {
+	Index int `json:"index"`
 	Delta struct {
 		Content string `json:"content"`
 	} `json:"delta"`
@@ -95,53 +99,59 @@
 }
 
 // NewDecoder returns a decoder that reads from r.
-func NewDecoder(r io.Reader) Decoder {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, initialBufferBytes), MaxEventBytes)
-	return Decoder{lines: lines}
-}
+func NewDecoder(r io.Reader) Decoder { return Decoder{blocks: newBlockReader(r)} }
 
-// Next returns the next event, io.EOF after the closing marker, or an error
-// that wraps ErrTruncated, ErrEventTooLong or ErrMalformed.
+// Next returns the next event, io.EOF after the closing marker, a *Violation, or an error that wraps
+// ErrTruncated. After a violation that does not end the answer, Next may be called again.
 func (d *Decoder) Next() (Event, error) {
-	for d.lines.Scan() {
-		data, ok := bytes.CutPrefix(d.lines.Bytes(), dataField)
-		if !ok {
-			continue // a comment, another field, or the empty line between events
-		}
-		data = bytes.TrimSpace(data)
-		if string(data) == engineapi.DoneMarker {
-			return Event{}, io.EOF
-		}
-		return d.decode(data)
+	data, unfinished, err := d.blocks.next()
+	if err != nil {
+		return Event{}, err
 	}
-	return Event{}, d.endError()
-}
-
-func (d *Decoder) endError() error {
-	err := d.lines.Err()
-	if errors.Is(err, bufio.ErrTooLong) {
-		return ErrEventTooLong
+	data = bytes.TrimSpace(data)
+	if string(data) == engineapi.DoneMarker {
+		return Event{}, io.EOF
 	}
-	return errors.Join(ErrTruncated, err)
+	event, violation := d.decode(data)
+	switch {
+	case violation == nil:
+		return event, nil
+	case unfinished:
+		return Event{}, ErrTruncated // the rest of the event is missing
+	}
+	return Event{}, violation
 }
 
-func (d *Decoder) decode(data []byte) (Event, error) {
+func (d *Decoder) decode(data []byte) (Event, *Violation) {
 	// Spans and choices are decoded into the same memory for each token. The memory
 	// is cleared first, because json leaves the fields that an event omits unchanged.
 	// If the memory were not cleared, a token would inherit a span or the text of an
 	// earlier token.
 	clear(d.trace.Spans[:cap(d.trace.Spans)])
 	clear(d.choices[:cap(d.choices)])
-	d.trace = engineapi.TokenTrace{Spans: d.trace.Spans[:0]}
+	d.trace = engineapi.TokenTrace{Spans: d.trace.Spans[:0], Position: noPosition}
 	decoded := chunk{Trace: &d.trace, Choices: d.choices[:0]}
-	if err := json.Unmarshal(data, &decoded); err != nil {
-		return Event{}, errors.Join(ErrMalformed, err)
+	if err := unmarshal(data, &decoded); err != nil {
+		violation := violates(ReasonJSON, data)
+		violation.Cause = err
+		return Event{}, violation
 	}
 	d.choices = decoded.Choices
-	if decoded.Trace == nil || len(decoded.Choices) != 1 {
-		return Event{}, ErrMalformed
+	if decoded.Trace == nil || decoded.Trace.Position == noPosition || len(decoded.Choices) != 1 || decoded.Choices[0].Index != 0 {
+		return Event{}, violates(ReasonForm, data)
 	}
 	first := &decoded.Choices[0]
 	return Event{Token: first.Delta.Content, Trace: *decoded.Trace, Finish: first.FinishReason}, nil
 }
+
+// errNotUTF8 reports data that is no JSON text, which is always UTF-8.
+var errNotUTF8 = errors.New("invalid UTF-8")
+
+// unmarshal decodes a JSON text. The library takes invalid UTF-8 over into strings, which the standard
+// library would replace.
+func unmarshal(data []byte, v any) error {
+	if !utf8.Valid(data) {
+		return errNotUTF8
+	}
+	return json.Unmarshal(data, v)
+}
--- a/route/stream/check.go
+++ b/route/stream/check.go
@@ -29,12 +29,14 @@
 	// WrongArtifact tokens were computed, on at least one stage, with other weights
 	// or another adapter than the chain's.
 	WrongArtifact
+	// StrayBytes are bytes that break the contract of an answer (engineclient.Violation).
+	StrayBytes
 )
 
 var reasonNames = [...]string{
 	"accepted", "foreign stream", "old epoch", "future epoch",
 	"wrong position", "skipped layer", "repeated layer", "bad span", "too long",
-	"other weights or adapter",
+	"other weights or adapter", "stray bytes",
 }
 
 // String returns the text used in metrics and logs.
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -28,14 +28,13 @@
 	// activityReportedAt is when a token was last reported to the chain prober.
 	activityReportedAt time.Time
 	hops               hopTimes
-	strayTokens        int
 	result             AttemptResult
 }
 
-// maxStrayTokens is how many tokens of earlier epochs or other streams a chain may send
-// in one epoch. Such tokens never reach the caller. A chain that sends more of them is
-// abandoned.
-const maxStrayTokens = 64
+// maxStray is how many tokens of earlier epochs or other streams, and how many violations of the
+// contract of an answer, a chain may send in one epoch. They never reach the caller. A chain that sends
+// more of them is abandoned.
+const maxStray = 64
 
 func (e *epoch) run(ctx context.Context) {
 	if err := e.verify(ctx); err != nil {
@@ -120,6 +119,10 @@
 func (e *epoch) handleEvent(ctx context.Context, stream *engineclient.Stream) bool {
 	waitStart := time.Now()
 	event, err := stream.Next()
+	var violation *engineclient.Violation
+	if errors.As(err, &violation) && !violation.EndsAnswer() {
+		return e.dropViolation(violation)
+	}
 	if err != nil {
 		e.handleStreamError(ctx, err)
 		return true
@@ -176,28 +179,49 @@
 func (e *epoch) dropStray(reason Reason) bool {
 	e.answer.summary.StrayTokens++
 	e.answer.runner.strayTokens.Add(1)
-	e.strayTokens++
-	if e.strayTokens <= maxStrayTokens {
-		return false
+	e.result.StrayTokens++
+	return e.drop(reason, nil)
+}
+
+// dropViolation drops and counts bytes that are no part of the answer, and reports whether the epoch has
+// ended. Like a stray token, they do not show that the chain works on this stream.
+func (e *epoch) dropViolation(violation *engineclient.Violation) bool {
+	e.result.Violations++
+	if e.result.Violation == nil {
+		e.result.Violation = violation
+	}
+	return e.drop(StrayBytes, violation)
+}
+
+// drop counts what is dropped. It ends the epoch if that is too much.
+func (e *epoch) drop(reason Reason, err error) bool {
+	if e.result.StrayTokens+e.result.Violations > maxStray {
+		return e.reject(reason, err)
 	}
-	return e.rejectToken(reason)
+	return false
 }
 
-func (e *epoch) rejectToken(reason Reason) bool {
+func (e *epoch) rejectToken(reason Reason) bool { return e.reject(reason, nil) }
+
+// reject ends the epoch, because the chain has sent what is no part of the answer.
+func (e *epoch) reject(reason Reason, err error) bool {
 	e.result.Reason = reason
-	e.setEnd(EndInvalidToken, nil)
+	e.setEnd(EndInvalidToken, err)
 	return true
 }
 
 // handleStreamError sets the end of an epoch whose stream failed.
 func (e *epoch) handleStreamError(ctx context.Context, err error) {
 	e.result.Silent = errors.Is(context.Cause(e.ctx), errStalled)
+	var violation *engineclient.Violation
 	switch {
 	case errors.Is(context.Cause(e.ctx), errStalled) && e.result.Tokens == 0:
 		e.result.Unresponsive = errors.Is(context.Cause(e.ctx), errUnresponsive)
 		e.setEnd(EndNoFirstToken, err)
 	case errors.Is(context.Cause(e.ctx), errStalled):
 		e.setEnd(EndStalled, err)
+	case errors.As(err, &violation):
+		e.reject(StrayBytes, err)
 	case errors.Is(err, io.EOF):
 		// The response ended with [DONE], but the closing event, which gives the
 		// number of tokens, is missing. Tokens may be missing too.
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cicadatack/cicadatack/route/engineclient"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/state/engineapi"
 	"github.com/zeebo/errs"
@@ -123,7 +124,8 @@
 	// lost, the first stage closed the stream because a later stage failed, or the closing
 	// event is missing.
 	EndConnectionLost
-	// EndInvalidToken epochs produced a token that TokenCheck rejected.
+	// EndInvalidToken epochs produced a token that TokenCheck rejected, or bytes that are no part of the
+	// answer.
 	EndInvalidToken
 	// EndSlow epochs were ended because their token gaps were far above the
 	// baseline gap. The answer continues on another chain.
@@ -144,7 +146,8 @@
 	End   End
 	// NotRun is set if the chain provably did no work.
 	NotRun bool
-	// Reason is why TokenCheck rejected a token, if End is EndInvalidToken.
+	// Reason is what was rejected, if End is EndInvalidToken. Err then has the bytes, if they were no
+	// token.
 	Reason Reason
 	// Unresponsive is set if End is EndNoFirstToken because the chain became
 	// unresponsive, not because FirstTokenTimeout passed.
@@ -161,6 +164,12 @@
 	Pushback headers.Pushback
 	// Tokens is how many tokens the epoch delivered.
 	Tokens int
+	// StrayTokens is how many tokens of earlier epochs or other streams the chain sent.
+	StrayTokens int
+	// Violations is how often the chain broke the contract of an answer. Violation is the first time, or
+	// nil.
+	Violations int
+	Violation  *engineclient.Violation
 	// FirstToken is the time from sending the request to the epoch's first token, or
 	// zero without a token.
 	FirstToken time.Duration
