engineclient: a closing event has no token

What callers saw: an answer that lacks its last token and looks whole (outcome done), from an engine whose closing event carries a token; or, with such an event in the middle of the stream, one that ends there as whole.

Cause: the event with a finish reason was taken for the end alone, and its text was passed over. Its position is that of the due token, so that the check of the end held as well.

Change: such an event is a violation of the contract. It is dropped; if it was the last token, the missing end shows the loss, and another chain goes on.

--- a/route/engineclient/contract_test.go
+++ b/route/engineclient/contract_test.go
@@ -122,6 +122,7 @@
 	{"an index", "data: " + strings.Replace(tokenEvent(0), `"index":0`, `"index":1`, 1) + "\n\n", ReasonForm, false},
 	{"two choices", "data: " + strings.Replace(tokenEvent(0), `"choices":[`, `"choices":[{},`, 1) + "\n\n", ReasonForm, false},
 	{"no choice", "data: {\"choices\":[],\"cicadatack\":{\"stream\":\"s\",\"epoch\":1,\"position\":0}}\n\n", ReasonForm, false},
+	{"a closing event with a token", "data: " + strings.Replace(tokenEvent(0), `null`, `"length"`, 1) + "\n\n", ReasonClosing, false},
 	{"null", "data: null\n\n", ReasonForm, false},
 	{"a number", "data: 7\n\n", ReasonJSON, false},
 	{"an array", "data: [[]]\n\n", ReasonJSON, false},
--- a/route/engineclient/decoder_test.go
+++ b/route/engineclient/decoder_test.go
@@ -66,7 +66,9 @@
 		if reason := chunk.Choices[0].FinishReason; reason != nil {
 			event.Finish = *reason
 		}
-		events = append(events, event)
+		if event.Finish == "" || event.Token == "" {
+			events = append(events, event)
+		}
 	}
 	return events
 }
--- a/route/engineclient/doc.go
+++ b/route/engineclient/doc.go
@@ -37,8 +37,8 @@
 //     states a position. Other fields are ignored. Names are compared and repeated names merged as
 //     encoding/json does it. A token may have an empty text.
 //   - Which stream, epoch, position and layers the trace must name, package stream says (TokenCheck).
-//   - The closing event has a finish reason. Its position is the number of tokens before it. It alone makes
-//     an answer complete; the marker without it does not.
+//   - The closing event has a finish reason and no token. Its position is the number of tokens before it.
+//     It alone makes an answer complete; the marker without it does not.
 //   - A line or an event is shorter than MaxEventBytes. What is longer ends the answer.
 //   - Behind the closing event come the marker and the end of the body. Other bytes there are ignored, and
 //     their connection is not reused.
--- a/route/engineclient/stream.go
+++ b/route/engineclient/stream.go
@@ -141,6 +141,9 @@
 		return Event{}, violates(ReasonForm, data)
 	}
 	first := &decoded.Choices[0]
+	if first.FinishReason != "" && first.Delta.Content != "" {
+		return Event{}, violates(ReasonClosing, data)
+	}
 	return Event{Token: first.Delta.Content, Trace: *decoded.Trace, Finish: first.FinishReason}, nil
 }
 
--- a/route/engineclient/violation.go
+++ b/route/engineclient/violation.go
@@ -14,6 +14,8 @@
 	// ReasonForm is an event without exactly one choice, with another index than 0, or without a trace
 	// that states a position.
 	ReasonForm Reason = "form"
+	// ReasonClosing is a closing event that carries a token.
+	ReasonClosing Reason = "closing"
 	// ReasonTooLong is a line or an event of more than MaxEventBytes.
 	ReasonTooLong Reason = "too_long"
 )
--- a/route/stream/stray_test.go
+++ b/route/stream/stray_test.go
@@ -59,6 +59,7 @@
 		{"a token without layers", strayEvent(" STRAY", "", own(failAt)), 2},
 		{"a closing event too early", closing(own(failAt - 1)), 2},
 		{"a closing event too late", closing(own(failAt + 1)), 2},
+		{"a closing event with a token", strayEvent(" STRAY", "stop", own(failAt)), 1},
 		{"a line", "STRAY\n", 1},
 		{"the head of an answer", "HTTP/1.1 200 OK\r\n\r\n", 1},
 		{"an event that is too long", "data: " + strings.Repeat("x", engineclient.MaxEventBytes), 2},
@@ -80,9 +81,14 @@
 	}
 }
 
-// Guards against an engine that keeps a caller waiting with stray bytes.
+// Guards against the last token of an answer that is lost because its event also ends the answer, and
+// against an engine that keeps a caller waiting with stray bytes.
 func TestAnswersWithTooManyViolationsGoOnElsewhere(t *testing.T) {
 	for name, stray := range map[string]standin.Stray{
+		"the last token in the closing event": {
+			Bytes: strayEvent(" STRAY", "stop", engineapi.TokenTrace{Stream: "violations", Epoch: 1, Position: testTokens - 1, Spans: allLayers()}),
+			After: testTokens - 1, BreakOff: true,
+		},
 		"a line again and again": {Bytes: strings.Repeat("STRAY\n", 2*maxStray), After: failAt},
 	} {
 		f := newFleet(t, 2, fastEngine, Options{})
