stream: an answer that goes on behind its closing event is not whole

What callers saw: an answer that ends in the middle and looks whole (outcome done), from an engine that sends a closing event with the due position and goes on with its tokens.

Cause: what follows the closing event was read for the sake of the connection only, and not looked at.

Change: Drain tells if a token of the same stream and epoch comes before the marker. The attempt then ends as rejected, "after the end", and another chain goes on. Other bytes behind the closing event are ignored as before, with or without the marker, and their connection is not used again.

--- a/route/engineclient/contract_test.go
+++ b/route/engineclient/contract_test.go
@@ -199,3 +199,32 @@
 		}
 	}
 }
+
+// Guards against a closing event that was none, behind which the answer goes on.
+func TestDrainTellsWhetherTheAnswerGoesOn(t *testing.T) {
+	token := "data: " + tokenEvent(contractTokens) + "\n\n"
+	otherEpoch := strings.Replace(token, `"epoch":1`, `"epoch":2`, 1)
+	for name, c := range map[string]struct {
+		behind string
+		goesOn bool
+	}{
+		"the marker":                  {"data: [DONE]\n\n", false},
+		"the end":                     {"", false},
+		"a token":                     {token + "data: [DONE]\n\n", true},
+		"comments and a token":        {": x\n\n" + token, true},
+		"a token behind the marker":   {"data: [DONE]\n\n" + token, false},
+		"a token of another epoch":    {otherEpoch + "data: [DONE]\n\n", false},
+		"the closing event again":     {"data: " + closingEvent(contractTokens) + "\n\n", false},
+		"stray bytes":                 {"HTTP/1.1 200 OK\r\n\r\n", false},
+		"an event without the fields": {"data: {\"usage\":{}}\n\ndata: [DONE]\n\n", false},
+	} {
+		stream := newStream("engine", io.NopCloser(strings.NewReader("data: "+closingEvent(contractTokens)+"\n\n"+c.behind)))
+		closing, err := stream.Next()
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		if err := stream.Drain(closing.Trace); (err != nil) != c.goesOn {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/route/engineclient/doc.go
+++ b/route/engineclient/doc.go
@@ -40,8 +40,9 @@
 //   - The closing event has a finish reason and no token. Its position is the number of tokens before it.
 //     It alone makes an answer complete; the marker without it does not.
 //   - A line or an event is shorter than MaxEventBytes. What is longer ends the answer.
-//   - Behind the closing event come the marker and the end of the body. Other bytes there are ignored, and
-//     their connection is not reused.
+//   - Behind the closing event come the marker and the end of the body. A token of the same epoch between
+//     the two shows that the closing event was none. Other bytes there are ignored, and their connection is
+//     not reused.
 //
 // An answer that ends in the middle of an event is ErrTruncated and no violation, as an engine that ends
 // may break off anywhere.
--- a/route/engineclient/stream.go
+++ b/route/engineclient/stream.go
@@ -64,12 +64,30 @@
 // connection, and a node that opens some hundred streams a second to one engine runs out of local
 // ports. The stream's context bounds the time of Drain, and maxTrailingEvents bounds the events that it
 // reads.
-func (s *Stream) Drain() {
+//
+// Drain returns a *Violation if a token of the same epoch follows before the marker: the answer goes on
+// then, and what looked like its closing event was no part of it. Other bytes behind the closing event
+// are ignored.
+func (s *Stream) Drain(closing engineapi.TokenTrace) error {
+	marked := false
 	for range maxTrailingEvents {
-		if _, err := s.decoder.Next(); errors.Is(err, ErrTruncated) {
-			return
+		event, err := s.decoder.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			marked = true
+		case errors.Is(err, ErrTruncated):
+			return nil
+		case err == nil && !marked && event.continues(closing):
+			return &Violation{Reason: ReasonAfterEnd, Bytes: event.Token}
 		}
 	}
+	return nil
+}
+
+// continues reports whether the event is a token of the epoch that a closing event has ended.
+func (e Event) continues(closing engineapi.TokenTrace) bool {
+	sameEpoch := e.Trace.Stream == closing.Stream && e.Trace.Epoch == closing.Epoch
+	return sameEpoch && e.Finish == "" && (e.Token != "" || len(e.Trace.Spans) > 0)
 }
 
 // Close ends the stream. Unless the complete answer has been read, the engine sees
--- a/route/engineclient/violation.go
+++ b/route/engineclient/violation.go
@@ -16,6 +16,8 @@
 	ReasonForm Reason = "form"
 	// ReasonClosing is a closing event that carries a token.
 	ReasonClosing Reason = "closing"
+	// ReasonAfterEnd is a token behind the closing event of its answer.
+	ReasonAfterEnd Reason = "after_end"
 	// ReasonTooLong is a line or an event of more than MaxEventBytes.
 	ReasonTooLong Reason = "too_long"
 )
--- a/route/stream/check.go
+++ b/route/stream/check.go
@@ -31,12 +31,14 @@
 	WrongArtifact
 	// StrayBytes are bytes that break the contract of an answer (engineclient.Violation).
 	StrayBytes
+	// AfterEnd tokens come behind the closing event of their epoch.
+	AfterEnd
 )
 
 var reasonNames = [...]string{
 	"accepted", "foreign stream", "old epoch", "future epoch",
 	"wrong position", "skipped layer", "repeated layer", "bad span", "too long",
-	"other weights or adapter", "stray bytes",
+	"other weights or adapter", "stray bytes", "after the end",
 }
 
 // String returns the text used in metrics and logs.
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -161,10 +161,12 @@
 	if reason != Accepted {
 		return e.rejectToken(reason)
 	}
+	e.watchdog.armDrain(drainTimeout)
+	if err := stream.Drain(event.Trace); err != nil {
+		return e.reject(AfterEnd, err)
+	}
 	e.answer.summary.FinishReason = event.Finish
 	e.setEnd(EndDone, nil)
-	e.watchdog.armDrain(drainTimeout)
-	stream.Drain()
 	return true
 }
 
--- a/route/stream/stray_test.go
+++ b/route/stream/stray_test.go
@@ -60,6 +60,7 @@
 		{"a closing event too early", closing(own(failAt - 1)), 2},
 		{"a closing event too late", closing(own(failAt + 1)), 2},
 		{"a closing event with a token", strayEvent(" STRAY", "stop", own(failAt)), 1},
+		{"a closing event behind which the answer goes on", closing(own(failAt)) + token(own(failAt)), 2},
 		{"a line", "STRAY\n", 1},
 		{"the head of an answer", "HTTP/1.1 200 OK\r\n\r\n", 1},
 		{"an event that is too long", "data: " + strings.Repeat("x", engineclient.MaxEventBytes), 2},
