stream: the load in a stray closing event counts for nothing

What operators saw: an engine taken for leaving, or for loaded or idle, by figures that another engine or an earlier attempt had sent.

Cause: the load in an event with a finish reason was taken over before the check of its stream, epoch and position. If the attempt failed later, this load was reported as the chain's.

Change: only the load of the closing event that ends the answer is taken.

Evidence: a closing event of another stream with running 2^40 and draining, then a broken connection: the failed attempt reported that load on the code before, and with this change alone taken back; none now.

--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -128,7 +128,6 @@
 		return true
 	}
 	if event.Finish != "" {
-		e.result.Load = event.Trace.Load
 		return e.handleEnd(event, stream)
 	}
 	reason := e.answer.check.Verify(&event.Trace)
@@ -166,6 +165,7 @@
 		return e.reject(AfterEnd, err)
 	}
 	e.answer.summary.FinishReason = event.Finish
+	e.result.Load = event.Trace.Load
 	e.setEnd(EndDone, nil)
 	return true
 }
--- a/route/stream/stray_test.go
+++ b/route/stream/stray_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// Guards against the load of another engine, or of no engine at all, that is taken for the load of the
+// chain because a stray closing event carries it.
+func TestStrayClosingEventReportsNoLoad(t *testing.T) {
+	f := newFleet(t, 2, fastEngine, Options{})
+	defer f.stop()
+	foreign := engineapi.TokenTrace{Stream: "another", Epoch: 1, Position: failAt, Load: &engineapi.Load{Running: 1 << 40, Draining: true}}
+	f.chains[0][0].Engine.SetFaults(standin.Faults{Stray: standin.Stray{Bytes: strayEvent("", "stop", foreign), After: failAt, BreakOff: true}})
+	if _, _, err := f.collect(context.Background(), request("load"), nil); err != nil {
+		t.Fatal(err)
+	}
+	if failed := f.results[0]; failed.End != EndConnectionLost || failed.Load != nil {
+		t.Errorf("ended with %s, load %+v", failed.End, failed.Load)
+	}
+}
+
 // Guards against an answer whose closing event or marker is sound, and that is run again because of
 // what its engine sends behind it.
 func TestBytesBehindTheAnswerAreIgnored(t *testing.T) {
