engineclient: a reply is exactly one JSON object

What operators saw: nothing. A reply of an engine or of a plain service's endpoint (load, what it holds, cache events, probes, exports) counted although other bytes or a second answer stood behind it, although less than its stated length came, or although it was null, which counts as a load of zero and as layer 0 held.

Cause: the first JSON value of the body was decoded, and nothing behind it was read before the reply counted.

Change: the whole body is read, up to the limit, and must be one object. What breaks this is a Violation, or ErrTruncated for a body that breaks off.

Evidence: TestRepliesAreOneObject; on the code before two reports, bytes and an answer behind a report, null, bytes without end and a body that is shorter than its length were taken for a sound report. What else follows from such a reply was not tried: reports are compared with the plan, loads and cache events are hints.

--- a/route/engineclient/client.go
+++ b/route/engineclient/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -164,12 +165,33 @@
 	if reply == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, MaxReplyBytes)).Decode(reply); err != nil {
+	if err := decodeReply(resp.Body, reply); err != nil {
 		return sendError(address, StateUnknown, 0, err)
 	}
 	return nil
 }
 
+// decodeReply decodes a reply, which is exactly one JSON object. Without the check for more, the first
+// value of two answers would be taken for the reply, and null for one whose figures are all zero.
+func decodeReply(body io.Reader, reply any) error {
+	data, err := io.ReadAll(io.LimitReader(body, MaxReplyBytes+1))
+	if err != nil {
+		return errors.Join(ErrTruncated, err)
+	}
+	switch {
+	case len(data) > MaxReplyBytes:
+		return violates(ReasonTooLong, data)
+	case !bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")):
+		return violates(ReasonJSON, data)
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		violation := violates(ReasonJSON, data)
+		violation.Cause = err
+		return violation
+	}
+	return nil
+}
+
 // send sends a request and returns the response if its status is 2xx.
 func (c *Client) send(ctx context.Context, method, address, path string, body any, policy retryPolicy) (*http.Response, error) {
 	// A request that never got a connection cannot have reached the engine,
--- a/route/engineclient/doc.go
+++ b/route/engineclient/doc.go
@@ -47,6 +47,8 @@
 // An answer that ends in the middle of an event is ErrTruncated and no violation, as an engine that ends
 // may break off anywhere.
 //
+// The answer to any other call is exactly one JSON object.
+//
 // Every read is bounded, so a faulty engine cannot fill the node's memory.
 //
 // A slot of an engine is its capacity to run one request. A chain is the sequence of
--- a/route/engineclient/errors.go
+++ b/route/engineclient/errors.go
@@ -13,7 +13,7 @@
 var Error = errs.Class("engine")
 
 var (
-	// ErrEventTooLong reports an event larger than MaxEventBytes.
+	// ErrEventTooLong reports an event larger than MaxEventBytes, or a reply larger than MaxReplyBytes.
 	ErrEventTooLong = errors.New("event exceeds the size limit")
 	// ErrMalformed reports bytes that break the contract of an answer.
 	ErrMalformed = errors.New("malformed event")
