modelservice: operators see what engines send that is no part of an answer

What operators saw: nothing of stray bytes, and of dropped tokens of other streams and earlier attempts only the sum in the finish line. tokens_dropped_total counted the attempts that a rejected token had ended, and no dropped token.

Change: tokens_dropped_total counts each dropped or rejected token and each violation of the contract, by reason (new: "stray bytes", "after the end"). A decision line of the new kind "drop" names the replica, what was wrong first with its bytes, and the counts, once an attempt.

TestStrayEventsAreNoPartOfTheAnswer asks for the count by reason; Summary had none before.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -208,12 +208,12 @@
 	scope.Gauge("load_control_admitted_per_second").Update(admittedPerSecond)
 }
 
-// Dropped counts tokens that the span check kept from a caller.
-func (m *Metrics) Dropped(service, reason string) {
+// Dropped counts tokens and stray bytes of engines that were kept from a caller.
+func (m *Metrics) Dropped(service, reason string, n int) {
 	m.scope.Tagged(map[string]string{
 		labelService: service,
 		labelReason:  reason,
-	}).Counter("tokens_dropped_total").Inc(1)
+	}).Counter("tokens_dropped_total").Inc(int64(n))
 }
 
 // Order counts an order by the state of its claim.
--- a/route/decisionlog/decisionlog.go
+++ b/route/decisionlog/decisionlog.go
@@ -41,7 +41,9 @@
 	PlaceOrder Kind = "place"
 	// Pushback records that an engine wants no requests for a time.
 	Pushback Kind = "pushback"
-	Finish   Kind = "finish"
+	// Drop keeps what an engine sent from the caller, because it is no part of the answer.
+	Drop   Kind = "drop"
+	Finish Kind = "finish"
 )
 
 // Alternative is a candidate of the balancer with its score. The lowest score is the
--- a/route/httpapi/stray_bytes_test.go
+++ b/route/httpapi/stray_bytes_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Guards against stray bytes that cut an answer which can go on without them, or that end it as complete
-// although no other chain can go on.
+// Guards against stray bytes that cut an answer which can go on without them, that end it as complete
+// although no other chain can go on, and that operators can't see.
 func TestStrayBytesAtTheOnlyChain(t *testing.T) {
 	ending := map[string]bool{
 		"the marker": true, "a long line": true, "lines": true, "bytes without a line end": true, "an answer": true, "a stream": true,
@@ -95,6 +95,9 @@
 				if whole == ending[name] || !strings.HasPrefix(referenceAnswer(), answer.text) {
 					t.Errorf("%s after event %d, stream %v: %d %s, complete %v, %q", name, after, stream, got.status, got.outcome(), answer.complete, answer.text)
 				}
+				if visible := name != "the marker" && name != "a carriage return"; visible && len(n.log.linesWith("kind=drop")) == 0 {
+					t.Errorf("%s after event %d: no decision line", name, after)
+				}
 			}
 		}
 	}
--- a/route/httpapi/testnode_test.go
+++ b/route/httpapi/testnode_test.go
@@ -263,7 +263,7 @@
 func (discardMetrics) Waited(string, time.Duration)     {}
 func (discardMetrics) Tokens(string, int)               {}
 func (discardMetrics) Resumed(string, string)           {}
-func (discardMetrics) Dropped(string, string)           {}
+func (discardMetrics) Dropped(string, string, int)      {}
 func (discardMetrics) Retried(string, string)           {}
 func (discardMetrics) Forwarded(string, string)         {}
 func (discardMetrics) Hedged(string, string)            {}
--- a/route/modelservice/chooser.go
+++ b/route/modelservice/chooser.go
@@ -172,6 +172,7 @@
 		Failure:          healthFailure(r),
 	})
 	c.observePushback(chain, r.Pushback)
+	c.recordDropped(chain, r)
 	if r.End == stream.EndMismatch || r.Reason == stream.WrongArtifact {
 		c.call.server.PlanObserver.ReportPlanMismatch(c.call.Service.Name, chain.Replica)
 	}
@@ -200,6 +201,30 @@
 	}
 }
 
+// recordDropped records that a chain has sent what is no part of the answer.
+func (c *chainChooser) recordDropped(chain stream.Chain, r stream.AttemptResult) {
+	if r.End != stream.EndInvalidToken && r.StrayTokens == 0 && r.Violations == 0 {
+		return
+	}
+	c.call.RecordDecision(decisionlog.Drop, chain.Replica, dropReason(r), map[string]float64{
+		"epoch": float64(r.Epoch), "tokens": float64(r.Tokens),
+		"stray_tokens": float64(r.StrayTokens), "violations": float64(r.Violations),
+	})
+}
+
+// dropReason says what was dropped: what ended the epoch, or else the first violation.
+func dropReason(r stream.AttemptResult) string {
+	switch {
+	case r.End == stream.EndInvalidToken && r.Err != nil:
+		return r.Reason.String() + ": " + r.Err.Error()
+	case r.End == stream.EndInvalidToken:
+		return r.Reason.String()
+	case r.Violation != nil:
+		return r.Violation.Error()
+	}
+	return "tokens of other streams or epochs"
+}
+
 func (c *chainChooser) recordChoice(choice balance.Choice) {
 	kind := decisionlog.Route
 	if len(c.epochs) > 1 {
--- a/route/modelservice/modelservice.go
+++ b/route/modelservice/modelservice.go
@@ -33,12 +33,12 @@
 )
 
 // Metrics counts the tokens of model calls, their failovers by cause (Resumed) and
-// their rejected tokens by reason (Dropped).
+// the tokens and stray bytes that were kept from callers by reason (Dropped).
 type Metrics interface {
 	FirstToken(service string, d time.Duration)
 	Tokens(service string, n int)
 	Resumed(service, reason string)
-	Dropped(service, reason string)
+	Dropped(service, reason string, n int)
 }
 
 // Chains resolves a replica of a model to its chain of engines.
@@ -186,9 +186,9 @@
 	m.server.Metrics.Tokens(name, summary.Tokens)
 	for _, recovery := range summary.Recoveries {
 		m.server.Metrics.Resumed(name, recovery.Cause.String())
-		if recovery.Cause == stream.EndInvalidToken {
-			m.server.Metrics.Dropped(name, recovery.Reason.String())
-		}
+	}
+	for reason, n := range summary.Dropped {
+		m.server.Metrics.Dropped(name, reason.String(), n)
 	}
 }
 
--- a/route/stream/answer.go
+++ b/route/stream/answer.go
@@ -152,6 +152,14 @@
 	a.failedAt = time.Time{}
 }
 
+// countDropped counts a token that is kept from the caller.
+func (a *answer) countDropped(reason Reason) {
+	if a.summary.Dropped == nil {
+		a.summary.Dropped = map[Reason]int{}
+	}
+	a.summary.Dropped[reason]++
+}
+
 // contextTokens estimates the number of tokens of the prompt and of the answer so far.
 // A chain needs all of them in its KV cache to continue the answer.
 func (a *answer) contextTokens() int {
--- a/route/stream/epoch.go
+++ b/route/stream/epoch.go
@@ -200,6 +200,7 @@
 	if e.result.StrayTokens+e.result.Violations > maxStray {
 		return e.reject(reason, err)
 	}
+	e.answer.countDropped(reason)
 	return false
 }
 
@@ -208,6 +209,7 @@
 // reject ends the epoch, because the chain has sent what is no part of the answer.
 func (e *epoch) reject(reason Reason, err error) bool {
 	e.result.Reason = reason
+	e.answer.countDropped(reason)
 	e.setEnd(EndInvalidToken, err)
 	return true
 }
--- a/route/stream/stray_test.go
+++ b/route/stream/stray_test.go
@@ -48,24 +48,25 @@
 	for _, c := range []struct {
 		name, bytes string
 		epochs      int
+		dropped     Reason
 	}{
-		{"a foreign token", token(foreign), 1},
-		{"a foreign closing event", closing(foreign), 1},
-		{"a token of an old epoch", token(old), 1},
-		{"a closing event of an old epoch", closing(old), 1},
-		{"a token of a later epoch", token(future), 2},
-		{"a token again", token(own(failAt - 1)), 2},
-		{"a token too early", token(own(failAt + 1)), 2},
-		{"a token without layers", strayEvent(" STRAY", "", own(failAt)), 2},
-		{"a closing event too early", closing(own(failAt - 1)), 2},
-		{"a closing event too late", closing(own(failAt + 1)), 2},
-		{"a closing event with a token", strayEvent(" STRAY", "stop", own(failAt)), 1},
-		{"a closing event behind which the answer goes on", closing(own(failAt)) + token(own(failAt)), 2},
-		{"a line", "STRAY\n", 1},
-		{"the head of an answer", "HTTP/1.1 200 OK\r\n\r\n", 1},
-		{"an event that is too long", "data: " + strings.Repeat("x", engineclient.MaxEventBytes), 2},
-		{"bytes that make a field of another name", "stray-", 2},
-		{"an event without the product's fields", "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n", 1},
+		{"a foreign token", token(foreign), 1, ForeignStream},
+		{"a foreign closing event", closing(foreign), 1, ForeignStream},
+		{"a token of an old epoch", token(old), 1, OldEpoch},
+		{"a closing event of an old epoch", closing(old), 1, OldEpoch},
+		{"a token of a later epoch", token(future), 2, FutureEpoch},
+		{"a token again", token(own(failAt - 1)), 2, WrongPosition},
+		{"a token too early", token(own(failAt + 1)), 2, WrongPosition},
+		{"a token without layers", strayEvent(" STRAY", "", own(failAt)), 2, SkippedLayer},
+		{"a closing event too early", closing(own(failAt - 1)), 2, WrongPosition},
+		{"a closing event too late", closing(own(failAt + 1)), 2, WrongPosition},
+		{"a closing event with a token", strayEvent(" STRAY", "stop", own(failAt)), 1, StrayBytes},
+		{"a closing event behind which the answer goes on", closing(own(failAt)) + token(own(failAt)), 2, AfterEnd},
+		{"a line", "STRAY\n", 1, StrayBytes},
+		{"the head of an answer", "HTTP/1.1 200 OK\r\n\r\n", 1, StrayBytes},
+		{"an event that is too long", "data: " + strings.Repeat("x", engineclient.MaxEventBytes), 2, StrayBytes},
+		{"bytes that make a field of another name", "stray-", 2, WrongPosition},
+		{"an event without the product's fields", "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n", 1, StrayBytes},
 	} {
 		for _, unframed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, unframed %v", c.name, unframed), func(t *testing.T) {
@@ -77,13 +78,16 @@
 				if err != nil || answer != expectedAnswer(req) || summary.Epochs != c.epochs || summary.Tokens != testTokens {
 					t.Errorf("%v, %q, %+v", err, answer, summary)
 				}
+				if summary.Dropped[c.dropped] != 1 || len(summary.Dropped) != 1 {
+					t.Errorf("dropped %v, want one: %s", summary.Dropped, c.dropped)
+				}
 			})
 		}
 	}
 }
 
 // Guards against the last token of an answer that is lost because its event also ends the answer, and
-// against an engine that keeps a caller waiting with stray bytes.
+// against an engine that fills a node's log.
 func TestAnswersWithTooManyViolationsGoOnElsewhere(t *testing.T) {
 	for name, stray := range map[string]standin.Stray{
 		"the last token in the closing event": {
--- a/route/stream/types.go
+++ b/route/stream/types.go
@@ -226,6 +226,9 @@
 	// StrayTokens is the number of dropped tokens, which belonged to earlier epochs or
 	// to other streams.
 	StrayTokens int
+	// Dropped is how many tokens were dropped or rejected, by reason, or nil. Bytes that are no token
+	// count as one.
+	Dropped map[Reason]int
 	// FirstToken is the time from Run to the first token.
 	FirstToken time.Duration
 	Recoveries []Recovery
