callforward: an answer without a length or chunks is not passed on

What callers would see: the beginning of an answer that looks whole, if the node that serves a forwarded call ends and its answer ended with its connection.

Cause: the end of the connection counted as the end of any answer. Nodes always state a length or chunks over HTTP/1.1, so that such an answer is none of a node (by reading; no case on real nodes is known).

Change: it is refused before its head, 502 no_answer, outcome unknown, and no other node is asked.

Evidence: TestStrayBytesOfForwardedAnswers; on the code before, "sou" of "sound" reached the caller with status 200 as whole. Its other cases held before and are kept: bytes and a second answer behind a length and behind chunks are not passed on, bodies that break off or go on with bytes that are no chunk are cut, bytes before the head give 502.

--- a/route/callforward/callforward.go
+++ b/route/callforward/callforward.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cicadatack/cicadatack/decide/forwarding"
 	"github.com/cicadatack/cicadatack/route/callparser"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
@@ -49,6 +51,9 @@
 	maxRefusalBytes = 16 << 10
 )
 
+// Error is the class of the errors of this package.
+var Error = errs.Class("callforward")
+
 // Codes of refusals.
 const (
 	codeUnreachable   = "unreachable"
@@ -209,9 +214,22 @@
 		CutOffFromAll: f.server.Forwarder.CutOffFromAll(), ElapsedMicros: f.server.Now().Sub(f.call.ArrivedAt).Microseconds(),
 	}.Set(q.Header)
 	answer, err = f.server.Transport.RoundTrip(q)
+	if err == nil && endsWithConnection(answer) {
+		answer.Body.Close()
+		return nil, true, errUnframed
+	}
 	return answer, dialed.Load(), err
 }
 
+// errUnframed means that an answer states neither a length nor chunks. Nodes send no such answers. The
+// end of the connection would be its end, so that an answer that is cut would look whole.
+var errUnframed = Error.New("the answer states neither a length nor chunks")
+
+// endsWithConnection reports whether the end of the connection is the end of an answer.
+func endsWithConnection(answer *http.Response) bool {
+	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 // refuseUnknown answers a call that another node may have run.
 func (f *forwardedCall) refuseUnknown(err error) {
 	refusal := &outcome.Refusal{
--- a/route/callforward/callforward_test.go
+++ b/route/callforward/callforward_test.go
@@ -337,3 +337,60 @@
 		t.Errorf("named: %v", caller.named)
 	}
 }
+
+// rawNode starts a node that answers each forwarded call with bytes and ends the connection.
+func rawNode(t *testing.T, answer string) (address string) {
+	t.Helper()
+	address, _ = nodeThat(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(conn, answer) // the other node may have left
+		_ = conn.Close()
+	})
+	return address
+}
+
+// Guards against bytes of another node's connection that reach the caller although they are no part of
+// the forwarded answer, and against answers that they make look whole.
+func TestStrayBytesOfForwardedAnswers(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\nCicadatack-Outcome: done\r\n"
+		second  = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+		length  = head + "Content-Length: 5\r\n\r\n"
+		chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	for _, c := range []struct {
+		name, answer string
+		status       int
+		cut          bool
+	}{
+		{"a length", length + "sound", http.StatusOK, false},
+		{"bytes behind a length", length + "soundstray", http.StatusOK, false},
+		{"an answer behind a length", length + "sound" + second, http.StatusOK, false},
+		{"chunks", chunked + "5\r\nsound\r\n0\r\n\r\n", http.StatusOK, false},
+		{"an answer behind chunks", chunked + "5\r\nsound\r\n0\r\n\r\n" + second, http.StatusOK, false},
+		{"less than the length", length + "sou", http.StatusOK, true},
+		{"chunks without an end", chunked + "5\r\nsound\r\n", http.StatusOK, true},
+		{"bytes among chunks", chunked + "5\r\nsound\r\nstray", http.StatusOK, true},
+		{"neither a length nor chunks", head + "\r\nsou", http.StatusBadGateway, false},
+		{"bytes before the head", "stray" + length + "sound", http.StatusBadGateway, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			second, secondCalls := nodeThat(t, serve)
+			f := &fleetOf{cutOff: true, nodes: []string{rawNode(t, c.answer), second}}
+			w := httptest.NewRecorder()
+			cut := func() (cut bool) {
+				defer func() { cut = recover() == http.ErrAbortHandler }()
+				serverOf(f).Forward(w, httptest.NewRequest("POST", "/services/bookings/x", nil), callOf(3), []byte("feed"))
+				return false
+			}()
+			sound := c.status != http.StatusOK || cut || w.Body.String() == "sound"
+			if w.Code != c.status || cut != c.cut || !sound || secondCalls.Load() > 0 {
+				t.Errorf("%d, cut %v, %q; the second node got %d calls", w.Code, cut, w.Body, secondCalls.Load())
+			}
+		})
+	}
+}
