--- a/route/stream/stray_test.go
+++ b/route/stream/stray_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cicadatack/cicadatack/route/engineclient"
 	standin "github.com/cicadatack/cicadatack/standin/engine"
@@ -122,6 +123,24 @@
 	}
 }
 
+// Guards against a chain that stands still and is kept because its stray bytes count as progress.
+func TestStrayBytesAreNoProgress(t *testing.T) {
+	foreign := strayEvent(" STRAY", "", engineapi.TokenTrace{Stream: "another", Epoch: 1, Spans: allLayers()})
+	for name, bytes := range map[string]string{
+		"lines": strings.Repeat("STRAY\n", 10), "foreign tokens": strings.Repeat(foreign, 10), "comments": strings.Repeat(": STRAY\n\n", 10),
+	} {
+		f := newFleet(t, 2, fastEngine, Options{})
+		f.chains[0][0].Engine.SetFaults(standin.Faults{CutNext: true, Stray: standin.Stray{Bytes: bytes}})
+		req := request("progress")
+		req.FirstTokenTimeout = 500 * time.Millisecond
+		answer, summary, err := f.collect(context.Background(), req, nil)
+		if err != nil || answer != expectedAnswer(req) || summary.Recoveries[0].Cause != EndNoFirstToken {
+			t.Errorf("%s: %v, %q, %+v", name, err, answer, summary)
+		}
+		f.stop()
+	}
+}
+
 // Guards against an answer whose closing event or marker is sound, and that is run again because of
 // what its engine sends behind it.
 func TestBytesBehindTheAnswerAreIgnored(t *testing.T) {
