--- a/route/engineclient/block.go
+++ b/route/engineclient/block.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/cicadatack/cicadatack/route/internal/sse"
 )
 
 // lineSplitter splits an answer into lines without their ends: LF, CRLF or CR.
@@ -41,34 +43,16 @@
 // firstLine returns the length of the first line and its length with its end; zeros if the line is not
 // complete.
 func firstLine(data []byte) (length, withEnd int) {
-	lf := bytes.IndexByte(data, '\n')
-	searched := data
-	if lf >= 0 {
-		searched = data[:lf]
-	}
-	cr := bytes.IndexByte(searched, '\r')
+	at := sse.FirstLineEnd(data)
 	switch {
-	case cr < 0 && lf < 0:
+	case at < 0:
 		return 0, 0
-	case cr < 0:
-		return lf, lf + 1
-	case cr+1 == lf:
-		return cr, lf + 1
+	case data[at] == '\r' && at+1 < len(data) && data[at+1] == '\n':
+		return at, at + 2
 	}
-	return cr, cr + 1
+	return at, at + 1
 }
 
-// Names of the fields that the standard knows.
-var (
-	fieldData  = []byte("data")
-	fieldID    = []byte("id")
-	fieldEvent = []byte("event")
-	fieldRetry = []byte("retry")
-)
-
-// byteOrderMark may precede the first line of an answer.
-var byteOrderMark = []byte("\ufeff")
-
 // blockReader reads the blocks of an answer: lines up to an empty one.
 type blockReader struct {
 	lines    *bufio.Scanner
@@ -125,7 +109,7 @@
 	line := b.lines.Bytes()
 	if !b.begun {
 		b.begun = true
-		return bytes.TrimPrefix(line, byteOrderMark)
+		return bytes.TrimPrefix(line, sse.ByteOrderMark)
 	}
 	return line
 }
@@ -146,11 +130,11 @@
 	}
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	switch {
-	case bytes.Equal(name, fieldData):
+	case bytes.Equal(name, sse.FieldData):
 		return b.addData(value)
-	case bytes.Equal(name, fieldID), bytes.Equal(name, fieldEvent), bytes.Equal(name, fieldRetry):
+	case bytes.Equal(name, sse.FieldID), bytes.Equal(name, sse.FieldEvent), bytes.Equal(name, sse.FieldRetry):
 		return nil
-	case hasColon && isFieldName(name):
+	case hasColon && sse.IsFieldName(name):
 		return nil
 	}
 	return violates(ReasonLine, line)
@@ -167,13 +151,3 @@
 	}
 	return nil
 }
-
-// isFieldName reports whether a name may be that of a field that the standard does not know.
-func isFieldName(name []byte) bool {
-	for _, c := range name {
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
-			return false
-		}
-	}
-	return len(name) > 0
-}
--- a/route/eventstream/block.go
+++ b/route/eventstream/block.go
@@ -1,6 +1,10 @@
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cicadatack/cicadatack/route/internal/sse"
+)
 
 // block is a block of an answer.
 type block struct {
@@ -20,29 +24,21 @@
 	id               int64
 }
 
-// Names of fields.
-var (
-	fieldData  = []byte("data")
-	fieldID    = []byte("id")
-	fieldEvent = []byte("event")
-	fieldRetry = []byte("retry")
-)
-
 // add reads a line that is not empty.
 func (f *fields) add(line []byte) *Violation {
 	if line[0] == ':' {
 		return nil
 	}
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
-	if bytes.Equal(name, fieldData) {
+	if bytes.Equal(name, sse.FieldData) {
 		return f.addData()
 	}
 	f.dataEnded = f.data > 0
 	switch {
-	case bytes.Equal(name, fieldID):
+	case bytes.Equal(name, sse.FieldID):
 		return f.addID(bytes.TrimSpace(value))
-	case bytes.Equal(name, fieldRetry):
-	case bytes.Equal(name, fieldEvent), hasColon && isFieldName(name):
+	case bytes.Equal(name, sse.FieldRetry):
+	case bytes.Equal(name, sse.FieldEvent), hasColon && sse.IsFieldName(name):
 		f.other = true
 	default:
 		return &Violation{Reason: ReasonLine}
@@ -68,16 +64,6 @@
 	return nil
 }
 
-// isFieldName reports whether a name may be that of a field that the standard does not know.
-func isFieldName(name []byte) bool {
-	for _, c := range name {
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
 // block returns the block that these fields make.
 func (f *fields) block() (block, *Violation) {
 	switch {
--- a/route/eventstream/scanner.go
+++ b/route/eventstream/scanner.go
@@ -1,6 +1,10 @@
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cicadatack/cicadatack/route/internal/sse"
+)
 
 // lineEnd is how the lines of an answer end. The first line decides.
 type lineEnd uint8
@@ -65,7 +69,7 @@
 // line returns the next complete line without its end; ok is false if it has not arrived yet.
 func (s *scanner) line() (line []byte, ok bool, violation *Violation) {
 	unsearched := s.bytes(span{max(s.offset, s.searched), s.end()})
-	at := firstLineEnd(unsearched)
+	at := sse.FirstLineEnd(unsearched)
 	if at < 0 {
 		s.searched = s.end()
 		return nil, false, nil
@@ -102,29 +106,13 @@
 	return endCR, 1
 }
 
-// byteOrderMark may precede the first line of an answer.
-var byteOrderMark = []byte("\ufeff")
-
 // withoutMark returns a line without the byte order mark that may precede the first one.
 func (s *scanner) withoutMark(line []byte) []byte {
-	if s.offset > 0 || !bytes.HasPrefix(line, byteOrderMark) {
+	if s.offset > 0 || !bytes.HasPrefix(line, sse.ByteOrderMark) {
 		return line
 	}
 	if s.dropMark {
-		s.start = len(byteOrderMark)
-	}
-	return line[len(byteOrderMark):]
-}
-
-// firstLineEnd returns where the first LF or CR is, -1 if there is none.
-func firstLineEnd(p []byte) int {
-	lf := bytes.IndexByte(p, '\n')
-	before := p
-	if lf >= 0 {
-		before = p[:lf]
-	}
-	if cr := bytes.IndexByte(before, '\r'); cr >= 0 {
-		return cr
+		s.start = len(sse.ByteOrderMark)
 	}
-	return lf
+	return line[len(sse.ByteOrderMark):]
 }
