engineclient: test of events that are nested deeply

The decoder of events is a library of its own, so the nesting limit of encoding/json does not hold there. An event is bounded to 64 KB, and a nested one of that size is malformed. No fault was found: the test passes on the code before.

--- a/route/engineclient/decoder_test.go
+++ b/route/engineclient/decoder_test.go
@@ -167,3 +167,17 @@
 	r.offset = (r.offset + n) % len(r.text)
 	return n, nil
 }
+
+// Guards against a process that runs out of stack because of an event that is nested deeply.
+func TestDeeplyNestedEventsAreMalformed(t *testing.T) {
+	depth := MaxEventBytes/2 - 64
+	for _, open := range []string{"[", `{"x":`} {
+		n := depth / len(open)
+		for _, data := range []string{strings.Repeat(open, n), `{"choices":` + strings.Repeat(open, n), `{"x":` + strings.Repeat(open, n)} {
+			d := NewDecoder(strings.NewReader("data: " + data + "\n\n"))
+			if _, err := d.Next(); !errors.Is(err, ErrMalformed) {
+				t.Errorf("%.20s...: %v", data, err)
+			}
+		}
+	}
+}
