streams: a resumed answer begins with an event

An answer to a resumed stream began with a stray carriage return, which ends an empty line and looks like no event until the next line ends otherwise; blocks that are no events were passed on at once when the stream had begun. They now wait for the first event of the attempt. The new case of TestResumedStreamIsContinuedByItsOwnEventsOnly failed before.

--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -73,8 +73,9 @@
 	// resumeAfter is the id of the last event that the caller has, if the stream is resumed.
 	resumeAfter string
 	head        headers.ResponseHead
-	// preface holds comments of a stream that came before its first event.
-	preface []byte
+	// hasEvent is set once an event of the attempt was passed on. preface holds the comments before it.
+	hasEvent bool
+	preface  []byte
 	// hedge is set if the attempt was begun as a hedge.
 	hedge *hedge
 	// forwarded is set if the attempt is made at another node, whose name and address are in
--- a/route/relay/resumed_test.go
+++ b/route/relay/resumed_test.go
@@ -37,6 +37,7 @@
 		"an id that is too high":            "id: 900\ndata: stray\n\n",
 		"only events of before":             "id: 1\ndata: stray\n\nid: 2\ndata: stray\n\n",
 		"events of before that go back":     "id: 3\ndata: 3\n\nid: 1\ndata: stray\n\nid: 4\ndata: stray\n\n",
+		"a carriage return before the rest": "\r" + eventsFrom(4),
 		"a byte order mark before the rest": "\ufeff" + eventsFrom(4),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -212,6 +212,7 @@
 		return callerGone(err)
 	}
 	written.events++
+	a.hasEvent = true
 	req.eventCount++
 	req.lastEvent.Advance(block.ID)
 	return nil
@@ -220,10 +221,10 @@
 // maxPrefaceBytes bounds the comments before the first event that are kept. Further ones are left out.
 const maxPrefaceBytes = 64 << 10
 
-// forwardComment writes a block that is no event. Before the first event it is kept, so that any answer
-// of another replica can still be sent instead.
+// forwardComment writes a block that is no event. Before the first event of the attempt it is kept: until
+// then any answer of another replica can still be sent instead, and stray bytes may look like a comment.
 func (a *attempt) forwardComment(data []byte, written *writtenBlocks) *attemptResult {
-	if !a.req.answerStarted {
+	if !a.hasEvent {
 		if len(a.preface)+len(data) <= maxPrefaceBytes {
 			a.preface = append(a.preface, data...)
 		}
