--- a/e2e/soak/stray_test.go
+++ b/e2e/soak/stray_test.go
@@ -195,7 +195,7 @@
 			id = fmt.Sprint("i-odd-", r.added)
 			r.odd = append(r.odd, id)
 		}
-		r.tell("an odd entry of %s: %.100s", id, entry)
+		r.tell("an odd entry of %s: %.200s", id, entry)
 		r.site.Put("servers/"+id, []byte(entry))
 	}
 }
