--- a/e2e/soak/odd_entries_test.go
+++ b/e2e/soak/odd_entries_test.go
@@ -49,6 +49,9 @@
 		{"kind", deep}, {"unknown", deep}, {"version", deep}, {"layers", deep},
 		{"layers", `"all"`}, {"layers", `{"from":"a"}`}, {"layers", `{"from":6,"target":2}`}, {"layers", `{"from":-4,"target":4}`},
 		{"layers", `{"from":0,"target":1e30}`}, {"layers", `[[0,8]]`},
+		// Beyond the model's.
+		{"layers", `{"from":0,"target":9}`}, {"layers", `{"from":0,"target":1000000000}`},
+		{"layers", `{"from":0,"target":9223372036854775807}`}, {"layers", `{"from":9223372036854775806,"target":9223372036854775807}`},
 	} {
 		list = append(list, oddEntry(each[0], each[1]))
 	}
