--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -166,6 +166,15 @@
 	}).Counter("hedges_total").Inc(1)
 }
 
+// StrayBytes counts streams in which a replica sent bytes that are no part of them, by what is wrong
+// with these.
+func (m *Metrics) StrayBytes(service, reason string) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelReason:  reason,
+	}).Counter("stray_bytes_total").Inc(1)
+}
+
 // ReplicaEnded counts the requests that were under way at a replica when its process ended.
 func (m *Metrics) ReplicaEnded(service string) {
 	m.service(service).Counter("requests_at_ended_replicas_total").Inc(1)
@@ -199,12 +208,12 @@
 	scope.Gauge("load_control_admitted_per_second").Update(admittedPerSecond)
 }
 
-// Dropped counts tokens that the span check kept from a caller.
-func (m *Metrics) Dropped(service, reason string) {
+// Dropped counts tokens and stray bytes of engines that were kept from a caller.
+func (m *Metrics) Dropped(service, reason string, n int) {
 	m.scope.Tagged(map[string]string{
 		labelService: service,
 		labelReason:  reason,
-	}).Counter("tokens_dropped_total").Inc(1)
+	}).Counter("tokens_dropped_total").Inc(int64(n))
 }
 
 // Order counts an order by the state of its claim.
@@ -288,6 +297,11 @@
 	m.scope.Tagged(map[string]string{labelService: service, "state": state}).Gauge("replicas").Update(float64(n))
 }
 
+// EntriesPassedOver sets how many entries of replicas name no replica to use.
+func (m *Metrics) EntriesPassedOver(n int) {
+	m.scope.Gauge("replica_entries_passed_over").Update(float64(n))
+}
+
 // RateLimits sets how many replicas of a service state a limit on requests, and the sum of
 // these limits in requests per second of all nodes together.
 func (m *Metrics) RateLimits(service string, replicas int, requestsPerSecond float64) {
--- /dev/null
+++ b/node/site/stray_bytes_test.go
@@ -0,0 +1,194 @@
+package site
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cicadatack/cicadatack/standin/replica"
+)
+
+// strayEvents is the length of the streams of these tests.
+const strayEvents = 6
+
+// Guards against bytes of a faulty replica that reach callers as parts of a stream, and against
+// streams that they end as complete, or begin anew.
+func TestStrayBytesAreNoPartOfAStream(t *testing.T) {
+	for _, unframed := range []bool{false, true} {
+		for _, breakOff := range []bool{false, true} {
+			t.Run(fmt.Sprintf("unframed %v, breaks off %v", unframed, breakOff), func(t *testing.T) {
+				t.Parallel()
+				p := newPlatform(t)
+				p.chains(strayEvents, time.Millisecond)
+				node := p.strayNode(false)
+				for _, form := range replica.StrayForms {
+					for _, after := range []int{0, 3, strayEvents} {
+						p.playStray(node, form, replica.Fault{
+							Unframed: unframed,
+							Stray:    replica.Stray{Bytes: form.Bytes(after), After: after, BreakOff: breakOff, Once: true},
+						})
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against stray bytes that are passed on, or end an answer as complete, where the stream can't be
+// resumed.
+func TestStrayBytesCutAStreamThatCannotBeResumed(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(strayEvents, time.Millisecond)
+	p.ConfigureEdited([]string{goodKey}, `"resumable":true`, `"resumable":false`)
+	node := p.node(p.settings("front-1"))
+	for _, unframed := range []bool{false, true} {
+		for _, form := range replica.StrayForms {
+			for _, after := range []int{0, 3, strayEvents} {
+				id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.Name, " ", "-"), after, unframed)
+				p.setFaults(replica.Fault{Unframed: unframed, Stray: replica.Stray{Bytes: form.Bytes(after), After: after}})
+				got := node.ask("POST", "/ask/x", id, goodKey)
+				refused := after == 0 && got.status == http.StatusBadGateway
+				cut := after > 0 && got.status == http.StatusOK && got.err != nil && wholeStream(got.body, id, after) == nil
+				whitespace := form.Name == "a carriage return" && after == strayEvents
+				whole := whitespace && got.err == nil && wholeStream(got.body, id, strayEvents) == nil
+				if !refused && !cut && !whole {
+					t.Errorf("%s after event %d: %d, %v, %q", form.Name, after, got.status, got.err, got.body)
+				}
+			}
+		}
+	}
+}
+
+// Guards against stray bytes that reach callers through two nodes.
+func TestStrayBytesAreNoPartOfAForwardedStream(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(strayEvents, time.Millisecond)
+	node := p.strayNode(true)
+	for _, form := range replica.StrayForms {
+		for _, after := range []int{0, 3, strayEvents} {
+			p.playStray(node, form, replica.Fault{Stray: replica.Stray{Bytes: form.Bytes(after), After: after, Once: true}})
+		}
+	}
+}
+
+// Guards against stray bytes that are taken for events that a caller who resumes a stream has, or that
+// begin the stream anew for that caller, at the node and through two nodes.
+func TestStrayBytesAreNoPartOfAStreamThatItsCallerResumes(t *testing.T) {
+	const after = 3
+	forms := append([]replica.StrayForm{
+		{Name: "an id of before", Bytes: func(int) string { return "id: 1\ndata: stray\n\n" }},
+		{Name: "the caller's last id", Bytes: func(int) string { return "id: 3\ndata: stray\n\n" }},
+		{Name: "an id of before and bytes", Bytes: func(int) string { return "id: 1\ndata: stray\n\nstray\n" }},
+		{Name: "events of before", Bytes: func(int) string { return "id: 1\ndata: stray\n\nid: 2\ndata: stray\n\n" }},
+	}, replica.StrayForms...)
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprint("forwarded ", forwarded), func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t)
+			p.chains(strayEvents, time.Millisecond)
+			node := p.strayNode(forwarded)
+			for _, form := range forms {
+				for _, sent := range []int{0, 2} {
+					for _, breakOff := range []bool{false, true} {
+						id := fmt.Sprintf("%s-%d-%v", strings.ReplaceAll(form.Name, " ", "-"), sent, breakOff)
+						p.setFaults(replica.Fault{Stray: replica.Stray{Bytes: form.Bytes(after + sent), After: sent, BreakOff: breakOff, Once: true}})
+						got := node.ask("POST", "/ask/x", id, goodKey, "Last-Event-Id", fmt.Sprint(after))
+						if got.status != http.StatusOK || got.err != nil || got.body != eventsAfter(after, id) {
+							t.Errorf("%s after %d more events, breaks off %v: %d, %v, %q", form.Name, sent, breakOff, got.status, got.err, got.body)
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// eventsAfter are the events of a stream after one of them.
+func eventsAfter(after int, id string) string {
+	var b strings.Builder
+	for n := after + 1; n <= strayEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d of %s\n\n", n, n, id)
+	}
+	return b.String()
+}
+
+// Guards against stray bytes of which no line tells.
+func TestStrayBytesAreLogged(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(strayEvents, time.Millisecond)
+	node := p.node(p.settings("front-1"))
+	if err := p.strayServed(node, "s1", replica.Fault{Stray: replica.Stray{Bytes: "data: stray\n\n", After: 3, Once: true}}); err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(p.log()) {
+		if strings.Contains(line, `"replica sends stray bytes"`) && strings.Contains(line, `"last_event":"3"`) && strings.Contains(line, `"request":"s1"`) {
+			return
+		}
+	}
+	t.Error("no line tells of the stray bytes")
+}
+
+// Guards against answers of any status that name no request and are passed on as the answer of one: a
+// faulty replica has sent bytes that belong to none.
+func TestAnswersThatNameNoRequestAreNotPassedOn(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(strayEvents, time.Millisecond)
+	node := p.strayNode(false)
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusInternalServerError} {
+		p.Replica("i-plain-0").SetFault(replica.Fault{Nameless: status})
+		for i := range 4 {
+			read := node.ask("GET", "/read/1", fmt.Sprintf("read-%d-%d", status, i), goodKey)
+			if read.status != http.StatusOK {
+				t.Errorf("a read was answered %d, a replica that answers well is there", read.status)
+			}
+			order := node.ask("POST", "/order/1", fmt.Sprintf("order-%d-%d", status, i), goodKey)
+			if order.status != http.StatusOK && order.status != http.StatusBadGateway {
+				t.Errorf("an order was answered %d", order.status)
+			}
+		}
+	}
+}
+
+// strayNode starts a node that has retries for each stream and sends to the replicas itself, or one that
+// has such a node serve its callers.
+func (p *platform) strayNode(forwarded bool) *running {
+	p.t.Helper()
+	settings := p.settings("front-2")
+	settings.Bounds.RetryRatio = 2
+	settings.FirstStart = true // it has its retries from the start
+	if !forwarded {
+		return p.node(settings)
+	}
+	p.helperOn(settings)
+	node, _ := p.cutOffNode("front-1")
+	p.awaitHelpers(node, 1)
+	return node
+}
+
+func (p *platform) setFaults(fault replica.Fault) {
+	for _, r := range p.Replicas() {
+		r.SetFault(fault)
+	}
+}
+
+// playStray lets replicas send stray bytes, and checks that the caller gets the whole stream.
+func (p *platform) playStray(node *running, form replica.StrayForm, fault replica.Fault) {
+	p.t.Helper()
+	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(form.Name, " ", "-"), fault.Stray.After)
+	if err := p.strayServed(node, id, fault); err != nil {
+		p.t.Errorf("%s after event %d: %v", form.Name, fault.Stray.After, err)
+	}
+}
+
+// strayServed asks for a stream of replicas with a fault. It fails if the caller does not get the whole one.
+func (p *platform) strayServed(node *running, id string, fault replica.Fault) error {
+	p.setFaults(fault)
+	got := node.ask("POST", "/ask/x", id, goodKey)
+	if err := wholeStream(got.body, id, strayEvents); got.status != http.StatusOK || got.err != nil || err != nil {
+		return fmt.Errorf("%d, %w", got.status, errors.Join(got.err, err))
+	}
+	return nil
+}
--- /dev/null
+++ b/route/eventstream/reader_test.go
@@ -0,0 +1,315 @@
+package eventstream
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// reading is what a reader makes of an answer.
+type reading struct {
+	// ids are those of the events that are not repeated.
+	ids       []int64
+	repeated  []int64
+	data      string
+	violation *Violation
+	rest      bool
+}
+
+// read reads an answer that arrives in pieces of a size.
+func read(after Position, answer string, size int, complete bool) reading {
+	r := NewReader(after)
+	var got reading
+	next := func() {
+		block, ok, err := r.Next()
+		for ; ok; block, ok, err = r.Next() {
+			got.data += string(block.Data)
+			switch {
+			case block.Repeated:
+				got.repeated = append(got.repeated, block.ID)
+			case block.Event:
+				got.ids = append(got.ids, block.ID)
+			}
+		}
+		errors.As(err, &got.violation)
+	}
+	for piece := range slices.Chunk([]byte(answer), size) {
+		r.Add(piece)
+		next()
+	}
+	if complete {
+		r.Complete()
+		next()
+	}
+	got.rest = r.Incomplete()
+	return got
+}
+
+func eventsUpTo(last int) string {
+	var b strings.Builder
+	for n := 1; n <= last; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// Guards against sound streams that are ended, or lose bytes, because their form is a less usual one.
+func TestSoundStreamsAreReadWhole(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		ids          []int64
+	}{
+		{"usual", eventsUpTo(3), []int64{1, 2, 3}},
+		{"from 0", "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", []int64{0, 1}},
+		{"CRLF", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", []int64{1, 2}},
+		{"LF and CRLF", "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n", []int64{1, 2}},
+		{"CR", "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", []int64{1, 2}},
+		{"byte order mark", "\ufeffid: 1\ndata: a\n\n", []int64{1}},
+		{"comments", ": ready\n\nid: 1\n: in an event\ndata: a\n\n:\n\nid: 2\ndata: b\n\n: end\n\n", []int64{1, 2}},
+		{"empty lines", "\n\nid: 1\ndata: a\n\n\n\nid: 2\ndata: b\n\n\n", []int64{1, 2}},
+		{"several lines of data", "id: 1\ndata: a\ndata: b\ndata\ndata:\n\nid: 2\ndata: b\n\n", []int64{1, 2}},
+		{"data before the id", "data: a\nid: 1\n\ndata: b\nid: 2\n\n", []int64{1, 2}},
+		{"no space after the colon", "id:1\ndata:a\n\nid:2\ndata:b\n\n", []int64{1, 2}},
+		{"event and retry", "retry: 500\n\nevent: token\nid: 1\ndata: a\nretry: 10\n\nevent\nid: 2\ndata: b\n\n", []int64{1, 2}},
+		{"fields of the replica's own", "weight-versions: 2\nid: 1\ndata: a\n\nid: 2\ndata: b\nx9: 1\n\n", []int64{1, 2}},
+		{"colons and bytes of all kinds in data", "id: 1\ndata: HTTP/1.1 200 OK: \x00\xff\n\n", []int64{1}},
+		{"ids that skip", "id: 2\ndata: a\n\nid: 4\ndata: b\n\nid: 6\ndata: c\n\nid: 7\ndata: d\n\n", []int64{2, 4, 6, 7}},
+		{"two events with a step of 2", "id: 2\ndata: a\n\nid: 4\ndata: b\n\n", []int64{2, 4}},
+		{"two events with a step of 10", "id: 10\ndata: a\n\nid: 20\ndata: b\n\n", []int64{10, 20}},
+		{"one event with a high id", "id: 17\ndata: a\n\n", []int64{17}},
+		{"a long event", "id: 1\ndata: " + strings.Repeat("a", 2000) + "\n\n", []int64{1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for size := 1; size <= len(c.answer); size++ {
+				got := read(Position{}, c.answer, size, true)
+				whole := strings.TrimRight(got.data, "\r\n") == strings.TrimRight(c.answer, "\r\n")
+				if !slices.Equal(got.ids, c.ids) || got.violation != nil || got.rest || !whole {
+					t.Fatalf("in pieces of %d: %v, %v, %q", size, got.ids, got.violation, got.data)
+				}
+			}
+		})
+	}
+}
+
+// Guards against bytes that are no part of a stream and are taken for an event, at each place where the
+// bytes that arrive may be divided.
+func TestStrayBytesEndTheStreamBeforeThem(t *testing.T) {
+	for _, c := range []struct {
+		name, stray string
+		reason      Reason
+	}{
+		{"no id", "data: a\n\n", ReasonID},
+		{"an empty id", "id:\ndata: a\n\n", ReasonID},
+		{"an id of text", "id: x\ndata: a\n\n", ReasonID},
+		{"a negative id", "id: -1\ndata: a\n\n", ReasonID},
+		{"an id with a sign", "id: +4\ndata: a\n\n", ReasonID},
+		{"a fraction", "id: 4.5\ndata: a\n\n", ReasonID},
+		{"an id that is too long", "id: 1000000000000000000\ndata: a\n\n", ReasonID},
+		{"two ids", "id: 4\nid: 5\ndata: a\n\n", ReasonID},
+		{"only a field of the replica's own", "weight-versions: 2\n\n", ReasonID},
+		{"no data", "id: 4\n\n", ReasonData},
+		{"data on both sides of an id", "data: a\nid: 4\ndata: b\n\n", ReasonData},
+		{"a line of data before an event", "data: a\n", ReasonData},
+		{"an id of before", "id: 3\ndata: a\n\n", ReasonOrder},
+		{"the beginning of a stream", eventsUpTo(2), ReasonOrder},
+		{"an id that is too high", "id: 900\ndata: a\n\n", ReasonJump},
+		{"an id that is above the next", "id: 6\ndata: a\n\n", ReasonJump},
+		{"bytes", "\x00\xffstray", ReasonLine},
+		{"a line", "stray bytes\n", ReasonLine},
+		{"a word", "stray\n", ReasonLine},
+		{"an answer", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray", ReasonLine},
+		{"a header", "Content-Length: 5\r\n\r\n", ReasonLine},
+		{"a carriage return", "\r", ReasonLine},
+		{"a carriage return in a line", "data: a\rb\n", ReasonLine},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			answer := eventsUpTo(3) + c.stray + "id: 4\ndata: token 4\n\nid: 5\ndata: token 5\n\n"
+			for size := 1; size <= len(answer); size++ {
+				got := read(Position{}, answer, size, true)
+				if !slices.Equal(got.ids, []int64{1, 2, 3}) || got.data != eventsUpTo(3) {
+					t.Fatalf("in pieces of %d: %v, %q", size, got.ids, got.data)
+				}
+				if v := got.violation; v == nil || v.Reason != c.reason || v.After != "3" || len(v.Bytes) > maxShownBytes {
+					t.Fatalf("in pieces of %d: %v", size, v)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an id that rises too far and is passed on before the next event or the end of the
+// answer tells whether it may be the stream's.
+func TestIDThatJumpsWaitsForTheNextEvent(t *testing.T) {
+	const jump = "id: 9\ndata: a\n\n"
+	for _, c := range []struct {
+		name, answer string
+		complete     bool
+		ids          []int64
+		violated     bool
+	}{
+		{"nothing follows yet", eventsUpTo(3) + jump, false, []int64{1, 2, 3}, false},
+		{"the end follows", eventsUpTo(3) + jump, true, []int64{1, 2, 3}, true},
+		{"a higher id follows", eventsUpTo(3) + jump + "id: 10\ndata: b\n\n", false, []int64{1, 2, 3, 9, 10}, false},
+		{"a comment and a higher id follow", eventsUpTo(3) + jump + ": c\n\nid: 10\ndata: b\n\n", false, []int64{1, 2, 3, 9, 10}, false},
+		{"a lower id follows", eventsUpTo(3) + jump + "id: 4\ndata: b\n\n", false, []int64{1, 2, 3}, true},
+		{"stray bytes follow", eventsUpTo(3) + jump + "stray\n\n", false, []int64{1, 2, 3}, true},
+		{"it is the first event", jump, false, nil, false},
+		{"it is the only event", jump, true, []int64{9}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := read(Position{}, c.answer, len(c.answer), c.complete)
+			if !slices.Equal(got.ids, c.ids) || (got.violation != nil) != c.violated {
+				t.Errorf("%v, %v", got.ids, got.violation)
+			}
+		})
+	}
+}
+
+// Guards against a resumed stream that is taken for stray bytes because its replica repeats events that
+// the caller has, and against stray bytes that are taken for such events.
+func TestResumedAnswersMayRepeatEvents(t *testing.T) {
+	for _, c := range []struct {
+		name, answer  string
+		repeated, ids []int64
+		reason        Reason
+	}{
+		{"nothing is repeated", "id: 10\ndata: a\n\n", nil, []int64{10}, ""},
+		{"nothing is left", "", nil, nil, ""},
+		{"two events are repeated", "id: 8\ndata: a\n\nid: 9\ndata: b\n\nid: 10\ndata: c\n\n", []int64{8, 9}, []int64{10}, ""},
+		{"the last event is repeated and nothing is left", "id: 9\ndata: a\n\n", []int64{9}, nil, ""},
+		{"a byte order mark", "\ufeffid: 10\ndata: a\n\n", nil, []int64{10}, ""},
+		{"repeated events go back", "id: 8\ndata: a\n\nid: 3\ndata: b\n\nid: 10\ndata: c\n\n", []int64{8}, nil, ReasonOrder},
+		{"it ends below the position", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int64{1, 2}, nil, ReasonEnd},
+		{"an id is too high", "id: 900\ndata: a\n\n", nil, nil, ReasonJump},
+		{"an id is too high and goes back", "id: 90\ndata: a\n\nid: 10\ndata: b\n\n", nil, nil, ReasonJump},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for size := 1; size <= max(1, len(c.answer)); size++ {
+				got := read(ParsePosition("9"), c.answer, size, true)
+				if !slices.Equal(got.ids, c.ids) || !slices.Equal(got.repeated, c.repeated) || strings.HasPrefix(got.data, "\ufeff") {
+					t.Fatalf("in pieces of %d: %v, repeated %v, %q", size, got.ids, got.repeated, got.data)
+				}
+				if (got.violation == nil) != (c.reason == "") || got.violation != nil && got.violation.Reason != c.reason {
+					t.Fatalf("in pieces of %d: %v", size, got.violation)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream whose steps are learned anew by each attempt: its first events would wait.
+func TestPositionKeepsTheStep(t *testing.T) {
+	var p Position
+	p.Advance(2)
+	p.Advance(4)
+	if got := read(p, "id: 6\ndata: a\n\n", 1, false); !slices.Equal(got.ids, []int64{6}) {
+		t.Errorf("%v", got.ids)
+	}
+}
+
+// Guards against a position of text, or of an id that is too long, that is taken for a number.
+func TestPositionsAreWholeNumbers(t *testing.T) {
+	for text, want := range map[string]string{
+		"": "", "x": "", "-1": "", "9223372036854775808": "", "0": "0", "12": "12", "999999999999999999": "999999999999999999",
+	} {
+		if got := ParsePosition(text).ID(); got != want {
+			t.Errorf("%q: %q", text, got)
+		}
+	}
+}
+
+// Guards against bytes that are kept without a bound: a block without an end, or what follows an event
+// that waits for the next one.
+func TestWhatIsKeptHasABound(t *testing.T) {
+	const held = "id: 9\ndata: a\n\n"
+	line, lines, comments := "data: "+strings.Repeat("a", MaxPendingBytes), strings.Repeat(": a\n", MaxPendingBytes/4+1), strings.Repeat(": a\n\n", MaxPendingBytes/4)
+	for _, answer := range []string{line, lines, held + line, held + lines, held + comments} {
+		if got := read(Position{}, answer, 64<<10, false); got.violation == nil || got.violation.Reason != ReasonTooLong {
+			t.Errorf("%d bytes: %v", len(answer), got.violation)
+		}
+	}
+	r := NewReader(Position{})
+	r.Add([]byte(comments))
+	if _, err := r.HasEvent(); err == nil {
+		t.Error("comments are kept without a bound while an event is waited for")
+	}
+}
+
+// Guards against work that grows with the square of what has arrived: each read would begin anew.
+func TestBytesAreScannedOnce(t *testing.T) {
+	const size, most = 64, 5 * time.Second // a few milliseconds each; a scan of all before takes minutes
+	for name, answer := range map[string]string{
+		"a long line":             "id: 1\ndata: " + strings.Repeat("a", MaxPendingBytes/2) + "\n\n",
+		"many lines":              "id: 1\n" + strings.Repeat("data: a\n", MaxPendingBytes/16) + "\n",
+		"comments after an event": "id: 9\ndata: a\n\n" + strings.Repeat(": a\n\n", MaxPendingBytes/10),
+		"comments":                strings.Repeat(": a\n\n", MaxPendingBytes/10),
+	} {
+		begun := time.Now()
+		r := NewReader(Position{})
+		for piece := range slices.Chunk([]byte(answer), size) {
+			r.Add(piece)
+			if _, err := r.HasEvent(); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if took := time.Since(begun); took > most {
+			t.Errorf("%s: %v", name, took)
+		}
+	}
+}
+
+// Guards against a hedge that wins by bytes that are no event of its stream.
+func TestOnlyEventsOfTheStreamCountAsAhead(t *testing.T) {
+	const strayEvent = "data: stray\n\n"
+	for answer, want := range map[string]bool{
+		": comment\n\n": false, "id: 3\ndata: a\n\n": false, "id: 4\ndata: a\n": false, strayEvent: false, "id: 9\ndata: a\n\n": false,
+		"id: 4\ndata: a\n\n": true, ": comment\n\nid: 3\ndata: a\n\nid: 4\ndata: a\n\n" + strayEvent: true,
+	} {
+		r := NewReader(ParsePosition("3"))
+		r.Add([]byte(answer))
+		got, err := r.HasEvent()
+		if got != want || (err != nil) != (answer == strayEvent) {
+			t.Errorf("%q: %v, %v", answer, got, err)
+		}
+		var data string
+		for b, ok, _ := r.Next(); ok; b, ok, _ = r.Next() {
+			data += string(b.Data)
+		}
+		if sound := strings.TrimSuffix(answer, strayEvent); want && data != sound {
+			t.Errorf("%q: Next returned %q", answer, data)
+		}
+	}
+}
+
+// The reader loses, invents and reorders no bytes, its events have rising ids and data, and how the bytes
+// are divided changes nothing.
+func FuzzReader(f *testing.F) {
+	for _, seed := range []string{
+		"id: 1\ndata: x\n\n\n\nid:2\r\n\r\n", eventsUpTo(3), ": c\rid: 1\rdata\r\r", "id: 1\rdata: a\r\r\n", "\ufeffid: 1\ndata: a\n\nid: 9\ndata: b\n\nid: 2\ndata: c\n\n",
+		"id: 1\ndata: a\n\nHTTP/1.1 200 OK\r\n\r\n", "retry: 1\n\nweight-versions: 1\nid: 5\ndata\n\n",
+	} {
+		f.Add([]byte(seed), 3, true, "")
+		f.Add([]byte(seed), 1, true, "1")
+	}
+	f.Fuzz(func(t *testing.T, answer []byte, size int, complete bool, after string) {
+		if size <= 0 || len(answer) == 0 {
+			return
+		}
+		position := ParsePosition(after)
+		got, whole := read(position, string(answer), size, complete), read(position, string(answer), len(answer), complete)
+		if !strings.HasPrefix(string(answer), got.data) && !strings.HasPrefix(string(answer), "\ufeff"+got.data) {
+			t.Errorf("%q became %q", answer, got.data)
+		}
+		if got.data != whole.data || !slices.Equal(got.ids, whole.ids) || (got.violation == nil) != (whole.violation == nil) {
+			t.Errorf("%q in pieces of %d: %q, %v; whole: %q, %v", answer, size, got.data, got.violation, whole.data, whole.violation)
+		}
+		for i := 1; i < len(got.ids); i++ {
+			if got.ids[i] <= got.ids[i-1] {
+				t.Errorf("%q: ids %v", answer, got.ids)
+			}
+		}
+	})
+}
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -16,6 +16,7 @@
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/crashguard"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
+	"github.com/cicadatack/cicadatack/route/eventstream"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/loadadmission"
 	"github.com/cicadatack/cicadatack/route/outcome"
@@ -70,6 +71,8 @@
 	Forwarded(service, result string)
 	// Hedged counts hedges by their result: took_over, not_needed, late or failed.
 	Hedged(service, result string)
+	// StrayBytes counts streams in which a replica sent bytes that are no part of them.
+	StrayBytes(service, reason string)
 	// Shed counts requests that this node refused because the service was saturated.
 	Shed(service string, priority int)
 }
@@ -185,7 +188,7 @@
 	// number of events that the caller has. lastEvent is the last of these events.
 	answerStarted bool
 	eventCount    int
-	lastEvent     eventPosition
+	lastEvent     eventstream.Position
 	// timeToFirstEvent is the time from the request's arrival to the first event. longestPause
 	// is the longest pause between two later events; eventsAtLongestPause is eventCount at the
 	// end of that pause.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -44,6 +44,8 @@
 	Twice bool
 	// Unproved leaves the proof out of answers.
 	Unproved bool
+	// Nameless is the status of the answers of a plain service, which then name no request; 0 for none.
+	Nameless int
 	// CutAfter ends a stream's connection after that many events, in the middle of
 	// the next one; zero does not.
 	CutAfter int
@@ -57,6 +59,8 @@
 	// EndAfter ends the replica's process after that many events of a stream, or bytes of an
 	// unframed plain answer; zero does not.
 	EndAfter int
+	// Stray are bytes that the replica writes into its streams.
+	Stray Stray
 	// Hang takes requests and answers nothing.
 	Hang bool
 	// Leaving says in all answers that the replica leaves, while its entry says nothing of it.
@@ -99,11 +103,13 @@
 	problems []string
 	crash    Crash
 	crashes  []time.Time
+	// strays is the number of runs with stray bytes, by request.
+	strays map[string]int
 }
 
 // NewFleet returns an empty fleet for a model with that many layers.
 func NewFleet(layers int) *Fleet {
-	return &Fleet{layers: layers, byAddr: map[string]*Replica{}, aliases: map[string]string{}}
+	return &Fleet{layers: layers, byAddr: map[string]*Replica{}, aliases: map[string]string{}, strays: map[string]int{}}
 }
 
 // Alias makes an address stand for that of a replica in the paths of requests.
@@ -148,7 +154,9 @@
 	from, to  int
 	paths     map[string]chan string // a stream's detours, by request
 	prompts   prefillQueue
-	silence   silence
+	// streams is the number of streams that the replica has begun to answer.
+	streams int
+	silence silence
 }
 
 // Add starts a replica.
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -103,6 +103,12 @@
 			return
 		}
 	}
+	if fault.Nameless > 0 {
+		w.Header().Del("Request-Id")
+		w.Header().Del("Server-Stamp")
+		w.WriteHeader(fault.Nameless)
+		return
+	}
 	text := "answer to " + q.Header.Get("Request-Id")
 	if fault.Unframed {
 		out, closeAnswer := answerTo(w, fault)
@@ -156,6 +162,7 @@
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
+	stray := r.strayIn(id, fault.Stray)
 	path := q.Header.Get("Hop-Count")
 	first, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -166,12 +173,12 @@
 	for n := first + 1; n <= r.Events; n++ {
 		if fault.EndAfter > 0 && n > first+fault.EndAfter {
 			r.crash()
-			return
+			// Another request may be ending the replica, whose connections are still open then.
+			panic(http.ErrAbortHandler)
 		}
 		if ends && n > first+endsAfter {
 			r.crash()
-			// Another request may be ending the replica, whose connections are still open then.
-			panic(http.ErrAbortHandler)
+			panic(http.ErrAbortHandler) // for the same reason
 		}
 		for r.checkPath(path) != "" {
 			// A part is gone: the stream stands still until it is led around.
@@ -189,6 +196,9 @@
 				return
 			}
 		}
+		if stray.dueBefore(n - first - 1) {
+			r.writeStray(out, id, stray)
+		}
 		if fault.CutAfter > 0 && n > first+fault.CutAfter {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: to", n)
 			_ = out.Flush()
@@ -205,6 +215,9 @@
 			return
 		}
 	}
+	if stray.dueAtEnd(r.Events - first) {
+		r.writeStray(out, id, stray)
+	}
 }
 
 // checkPath returns the address of the part that can't serve, "" if all can. What
