--- a/route/eventstream/reader.go
+++ b/route/eventstream/reader.go
@@ -27,9 +27,10 @@
 	// held is an event that waits for the next one; valid if holds is set.
 	held  block
 	holds bool
-	// found are blocks that Next has not returned, newEvents how many of them are events that are not
-	// repeated. returned is the end of the last block that it has returned.
+	// found[next:] are blocks that Next has not returned, newEvents how many of them are events that are
+	// not repeated. returned is the end of the last block that it has returned.
 	found     []block
+	next      int
 	newEvents int
 	returned  int
 	// complete is set once the answer has ended.
@@ -51,13 +52,14 @@
 // Next returns the next block; ok is false if it has not arrived yet. The error is a *Violation, and
 // is returned by all further calls as well.
 func (r *Reader) Next() (b Block, ok bool, err error) {
-	for len(r.found) == 0 {
+	for r.next == len(r.found) {
+		r.found, r.next = r.found[:0], 0
 		if more, err := r.find(); err != nil || !more {
 			return Block{}, false, err
 		}
 	}
-	first := r.found[0]
-	r.found = r.found[:copy(r.found, r.found[1:])]
+	first := r.found[r.next]
+	r.next++
 	r.returned = first.end
 	if first.event && !first.repeated {
 		r.newEvents--
@@ -123,7 +125,7 @@
 		r.held.end = b.end
 		return nil
 	case !b.event:
-		r.found = append(r.found, b)
+		r.addComment(b)
 		return nil
 	case r.holds && b.id <= r.held.id:
 		return &Violation{Reason: ReasonJump}
@@ -141,6 +143,16 @@
 	return nil
 }
 
+// addComment adds a block that is no event to found. Several in succession become one, so that many short
+// ones take no more memory than their bytes.
+func (r *Reader) addComment(b block) {
+	if last := len(r.found) - 1; last >= r.next && !r.found[last].event {
+		r.found[last].end = b.end
+		return
+	}
+	r.found = append(r.found, b)
+}
+
 // accept adds an event to found.
 func (r *Reader) accept(b block) {
 	r.last, r.answered = b.id, true
--- a/route/eventstream/reader_test.go
+++ b/route/eventstream/reader_test.go
@@ -246,15 +246,22 @@
 		"many lines":              "id: 1\n" + strings.Repeat("data: a\n", MaxPendingBytes/16) + "\n",
 		"comments after an event": "id: 9\ndata: a\n\n" + strings.Repeat(": a\n\n", MaxPendingBytes/10),
 		"comments":                strings.Repeat(": a\n\n", MaxPendingBytes/10),
+		"empty lines":             strings.Repeat("\n", MaxPendingBytes/2),
+		"repeated events":         eventsUpTo(MaxPendingBytes / 64),
 	} {
 		begun := time.Now()
 		r := NewReader(Position{})
+		if name == "repeated events" {
+			r = NewReader(ParsePosition("999999"))
+		}
 		for piece := range slices.Chunk([]byte(answer), size) {
 			r.Add(piece)
 			if _, err := r.HasEvent(); err != nil {
 				t.Errorf("%s: %v", name, err)
 			}
 		}
+		for _, ok, _ := r.Next(); ok; _, ok, _ = r.Next() {
+		}
 		if took := time.Since(begun); took > most {
 			t.Errorf("%s: %v", name, took)
 		}
