Review of the odd entries: what the new checks did to sound data

Only one to which no connection could be opened is left out now, and it is forgotten once it is listed no more. - A stray answer to a stream without a request id ended the hedge beside it.

--- a/route/callforward/callforward.go
+++ b/route/callforward/callforward.go
@@ -214,7 +214,7 @@
 		CutOffFromAll: f.server.Forwarder.CutOffFromAll(), ElapsedMicros: f.server.Now().Sub(f.call.ArrivedAt).Microseconds(),
 	}.Set(q.Header)
 	answer, err = f.server.Transport.RoundTrip(q)
-	if err == nil && endsWithConnection(answer) {
+	if err == nil && f.r.Method != http.MethodHead && endsWithConnection(answer) {
 		answer.Body.Close()
 		return nil, true, errUnframed
 	}
--- a/route/layerorders/layerorders.go
+++ b/route/layerorders/layerorders.go
@@ -16,6 +16,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +28,7 @@
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/replicareport"
 	"github.com/cicadatack/cicadatack/route/ruleset"
+	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
 // Error is the class of this package's errors.
@@ -78,9 +81,9 @@
 	mu             sync.Mutex
 	pendingOrders  map[string]pendingOrder
 	acceptedOrders map[string]orderCount
-	// unanswered has the replicas without layers that answered neither their last order nor the
-	// request for a report, each with the revision of its entry at that time.
-	unanswered     map[string]int64
+	// unreachable has the replicas without layers to which the last order could not be sent, each
+	// with the revision of the entry that the order was planned by.
+	unreachable    map[string]int64
 	plannedDomains map[string]bool // the domains that have had a first plan
 	firstListedAt  map[string]time.Time
 	countChangedAt map[string]time.Time
@@ -92,7 +95,7 @@
 func New(service string, client ReplicaClient, settleTime time.Duration, log hclog.Logger) *Controller {
 	return &Controller{
 		service: service, client: client, settleTime: settleTime, log: log.With("service", service),
-		pendingOrders: map[string]pendingOrder{}, acceptedOrders: map[string]orderCount{}, unanswered: map[string]int64{}, plannedDomains: map[string]bool{},
+		pendingOrders: map[string]pendingOrder{}, acceptedOrders: map[string]orderCount{}, unreachable: map[string]int64{}, plannedDomains: map[string]bool{},
 		firstListedAt: map[string]time.Time{}, countChangedAt: map[string]time.Time{}, replicaCounts: map[string]int{},
 	}
 }
@@ -101,12 +104,24 @@
 // list is the list of replicas, and revision is the store revision at which the list was
 // read. suspected reports whether a replica is thought to be down.
 func (k *Controller) Reconcile(ctx context.Context, now time.Time, model *ruleset.Model, domain string, revision int64, list []*replicalist.Replica, suspected func(id string) bool) {
+	k.forgetUnlisted(list)
 	replicas := replicasInDomain(domain, list)
 	for _, o := range k.plan(now, model, domain, replicas, suspected) {
 		go k.deliver(ctx, o.replica, revision, o.Order)
 	}
 }
 
+// forgetUnlisted forgets replicas that could not be reached and are listed no more.
+func (k *Controller) forgetUnlisted(list []*replicalist.Replica) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id := range k.unreachable {
+		if !slices.ContainsFunc(list, func(r *replicalist.Replica) bool { return r.ID == id }) {
+			delete(k.unreachable, id)
+		}
+	}
+}
+
 func replicasInDomain(domain string, list []*replicalist.Replica) []*replicalist.Replica {
 	var members []*replicalist.Replica
 	for _, r := range list {
@@ -178,8 +193,8 @@
 
 // plannerReplica returns a replica as input of the planner. Until the list of replicas
 // shows the result of a pending order, the replica counts as holding the ordered span. A replica
-// that did not answer is left out until it renews its entry: if the ordered layers counted as
-// held, other replicas would not be ordered to hold them.
+// that could not be reached is left out until it renews its entry: if the ordered layers counted
+// as held, other replicas would not be ordered to hold them.
 func (k *Controller) plannerReplica(now time.Time, model *ruleset.Model, r *replicalist.Replica, suspected bool) layers.Replica {
 	replica := layers.Replica{
 		ID: r.ID, MemoryMB: model.CardKinds[r.CardKind].MemoryMB, Held: r.Holds,
@@ -201,12 +216,12 @@
 	return replica
 }
 
-// leftOut reports whether a replica has not answered and has not renewed its entry since. The
+// leftOut reports whether a replica could not be reached and has not renewed its entry since. The
 // caller holds the lock.
 func (k *Controller) leftOut(r *replicalist.Replica) bool {
-	revision, ok := k.unanswered[r.ID]
+	revision, ok := k.unreachable[r.ID]
 	if ok && revision != r.Revision {
-		delete(k.unanswered, r.ID)
+		delete(k.unreachable, r.ID)
 		return false
 	}
 	return ok
@@ -232,42 +247,46 @@
 // not sent again, and the report decides which orders the replica is sent next.
 func (k *Controller) deliver(ctx context.Context, r *replicalist.Replica, revision int64, o layers.Order) {
 	expectedCount := k.expectedOrders(r)
-	if k.sendOrder(ctx, r, revision, expectedCount, o) {
+	err := k.sendOrder(ctx, r, revision, expectedCount, o)
+	if err == nil {
 		return
 	}
 	report, ok := k.fetchReport(ctx, r)
 	if !ok {
-		k.setUnanswered(r, o)
+		k.setUnreachable(r, o, err)
 		return
 	}
-	if report.AcceptedLayerOrders != expectedCount && report.Holds == r.Holds && !report.ExecutingLayerOrder && k.sendOrder(ctx, r, revision, report.AcceptedLayerOrders, o) {
+	if report.AcceptedLayerOrders != expectedCount && report.Holds == r.Holds && !report.ExecutingLayerOrder && k.sendOrder(ctx, r, revision, report.AcceptedLayerOrders, o) == nil {
 		return
 	}
 	k.clearPending(r.ID, report)
 }
 
-// setUnanswered records that a replica answered neither an order nor the request for a report. The
-// order of a replica that has layers may still arrive, and stays pending.
-func (k *Controller) setUnanswered(r *replicalist.Replica, o layers.Order) {
-	if o.Reason != layers.ReasonFill {
+// setUnreachable records that an order could not be sent to a replica without layers. An order that may
+// have been sent can still arrive, and stays pending.
+func (k *Controller) setUnreachable(r *replicalist.Replica, o layers.Order, err error) {
+	var failure *upstream.Failure
+	if !r.Holds.Empty() || !errors.As(err, &failure) || !failure.Unreachable {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.pendingOrders, r.ID)
-	k.unanswered[r.ID] = r.Revision
+	if p, ok := k.pendingOrders[r.ID]; ok && p.incarnation == r.Incarnation && p.span == o.Hold {
+		delete(k.pendingOrders, r.ID)
+	}
+	k.unreachable[r.ID] = r.Revision
 }
 
 // sendOrder sends an order that names the number of orders that the replica is expected to
-// have accepted. It reports whether the replica accepted the order.
-func (k *Controller) sendOrder(ctx context.Context, r *replicalist.Replica, revision, expectedCount int64, o layers.Order) bool {
+// have accepted. It returns nil if the replica accepted the order.
+func (k *Controller) sendOrder(ctx context.Context, r *replicalist.Replica, revision, expectedCount int64, o layers.Order) error {
 	err := k.client.Place(ctx, r.Address, r.ID, expectedCount, revision, o.Hold)
 	k.log.Info("layers ordered", "replica", r.ID, "domain", r.Domain, "kind", r.CardKind, "held", r.Holds, "hold", o.Hold,
 		"reason", o.Reason, "orders", expectedCount, "born", r.Incarnation, "revision", revision, "error", err)
 	if err == nil {
 		k.setAcceptedOrders(r, expectedCount+1)
 	}
-	return err == nil
+	return err
 }
 
 func (k *Controller) expectedOrders(r *replicalist.Replica) int64 {
--- a/route/layerorders/layerorders_test.go
+++ b/route/layerorders/layerorders_test.go
@@ -13,6 +13,7 @@
 	"github.com/cicadatack/cicadatack/route/replicalist"
 	"github.com/cicadatack/cicadatack/route/replicareport"
 	"github.com/cicadatack/cicadatack/route/ruleset"
+	"github.com/cicadatack/cicadatack/route/upstream"
 )
 
 var (
@@ -49,12 +50,14 @@
 	return e.byID[id]
 }
 
+var errUnreachable = &upstream.Failure{NotSent: true, Unreachable: true, Cause: errors.New("connection refused")}
+
 func (e *fakeReplicas) Place(_ context.Context, _, id string, acceptedOrders, _ int64, hold layers.Span) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer func() { e.calls <- id }()
 	if e.unreachable[id] {
-		return errors.New("connection refused")
+		return errUnreachable
 	}
 	if e.placeError != nil {
 		return e.placeError
@@ -73,7 +76,7 @@
 	defer e.mu.Unlock()
 	if e.unreachable[id] {
 		e.calls <- id
-		return replicareport.Report{}, errors.New("connection refused")
+		return replicareport.Report{}, errUnreachable
 	}
 	r := e.replica(id)
 	return replicareport.Report{AcceptedLayerOrders: r.acceptedOrders, Holds: r.holds}, nil
@@ -217,7 +220,7 @@
 	reconcile(0, e.list("a", "b", "c"))
 	reconcile(2*time.Second, e.list("a", "b", "c"))
 	awaitCalls(t, e, 4) // three orders, and a question to the replica that does not answer
-	awaitUnanswered(t, controller, 1)
+	awaitUnreachable(t, controller, 1)
 	for i := 1; !e.coverAll(); i++ {
 		if i > 20 {
 			t.Fatalf("layers without a holder: %v %v", e.byID["b"], e.byID["c"])
@@ -238,17 +241,17 @@
 	}
 }
 
-func awaitUnanswered(t *testing.T, k *Controller, n int) {
+func awaitUnreachable(t *testing.T, k *Controller, n int) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		k.mu.Lock()
-		got := len(k.unanswered)
+		got := len(k.unreachable)
 		k.mu.Unlock()
 		if got == n {
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("%d replicas count as not answering, want %d", got, n)
+			t.Fatalf("%d replicas count as unreachable, want %d", got, n)
 		}
 	}
 }
--- a/route/relay/stream.go
+++ b/route/relay/stream.go
@@ -104,7 +104,7 @@
 // event. Otherwise replicas that answer all requests this way would seem to serve none, and load
 // control would refuse nearly all requests.
 func (a *attempt) readInsteadOfStream(e *upstream.Exchange, monitor *pathMonitor) attemptResult {
-	failed := a.head.NotRun || a.head.Misdirected || e.StatusCode >= http.StatusInternalServerError
+	failed := a.head.NotRun || a.head.Misdirected || a.ofAnotherRequest() || e.StatusCode >= http.StatusInternalServerError
 	if !failed && !monitor.beginForward() {
 		return takenOver()
 	}
