--- a/node/site/listing.go
+++ b/node/site/listing.go
@@ -127,14 +127,11 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	p.Callers, p.Address, p.Link = address(p.Callers), address(p.Address), knownLink(p.Link)
-	if p.Name != "" && (!validName(p.Name) || p.Callers == "") {
-		return false // it is no node
-	}
 	if p.Address != "" && p.Age > 0 && p.Age < n.Age() {
 		l.younger, l.youngerAt = p.Address, now
 	}
-	if p.Name == "" {
-		return false // it has an entry of its own
+	if !validName(p.Name) || p.Callers == "" {
+		return false // it has an entry of its own, or is no node
 	}
 	listed := l.roll.Heartbeat(now, nodelist.Node{Name: p.Name, CallerAddress: p.Callers, PeerAddress: p.Address, LinkMbps: p.Link})
 	if !listed && !l.full {
