--- a/route/callforward/callforward_test.go
+++ b/route/callforward/callforward_test.go
@@ -394,3 +394,14 @@
 		})
 	}
 }
+
+// Guards against the answer to a HEAD that is refused because it states no length: it has no body that
+// could be cut.
+func TestForwardedHeadNeedsNoLength(t *testing.T) {
+	f := &fleetOf{cutOff: true, nodes: []string{rawNode(t, "HTTP/1.1 200 OK\r\nCicadatack-Outcome: done\r\n\r\n")}}
+	w := httptest.NewRecorder()
+	serverOf(f).Forward(w, httptest.NewRequest("HEAD", "/services/bookings/x", nil), callOf(3), nil)
+	if w.Code != http.StatusOK {
+		t.Errorf("%d, %q", w.Code, w.Body)
+	}
+}
--- a/route/layerorders/layerorders_test.go
+++ b/route/layerorders/layerorders_test.go
@@ -241,6 +241,26 @@
 	}
 }
 
+// Guards against a second order to a replica that may have taken the first one: it could carry that out
+// late.
+func TestReplicaThatMayHaveTakenAnOrderIsNotLeftOut(t *testing.T) {
+	k := newTestController(newFakeReplicas())
+	r := &replicalist.Replica{ID: "a", Incarnation: 1}
+	order := layers.Order{ID: "a", Hold: layers.Span{To: 4}, Reason: layers.ReasonFill}
+	k.pendingOrders["a"] = pendingOrder{incarnation: 1, span: order.Hold}
+	k.setUnreachable(r, order, &upstream.Failure{TimedOut: true, Cause: errors.New("no answer")})
+	if len(k.unreachable) > 0 || len(k.pendingOrders) == 0 {
+		t.Errorf("left out %v, pending %v", k.unreachable, k.pendingOrders)
+	}
+	k.setUnreachable(r, order, errUnreachable)
+	if len(k.unreachable) == 0 || len(k.pendingOrders) > 0 {
+		t.Errorf("left out %v, pending %v", k.unreachable, k.pendingOrders)
+	}
+	if k.forgetUnlisted(nil); len(k.unreachable) > 0 {
+		t.Errorf("kept though it is listed no more: %v", k.unreachable)
+	}
+}
+
 func awaitUnreachable(t *testing.T, k *Controller, n int) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
