--- a/node/site/listing.go
+++ b/node/site/listing.go
@@ -127,12 +127,12 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	p.Callers, p.Address, p.Link = address(p.Callers), address(p.Address), knownLink(p.Link)
+	if !validName(p.Name) || p.Callers == "" {
+		return false // it enters itself, if it is a node
+	}
 	if p.Address != "" && p.Age > 0 && p.Age < n.Age() {
 		l.younger, l.youngerAt = p.Address, now
 	}
-	if !validName(p.Name) || p.Callers == "" {
-		return false // it has an entry of its own, or is no node
-	}
 	listed := l.roll.Heartbeat(now, nodelist.Node{Name: p.Name, CallerAddress: p.Callers, PeerAddress: p.Address, LinkMbps: p.Link})
 	if !listed && !l.full {
 		l.full = true
