relay: answers that promise what no replica has said are logged and counted

A finish line of a request with one send is sampled, so that nine of ten of these left no trace. There is a warning with replica, status and sends now, and unproven_refusals_total by service and status. Which statuses promise it is said by the dialect of the callers; on the product's own listener a header names the outcome, and no status does.

Nothing changes for callers.

--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -26,6 +26,7 @@
 	labelService = "service"
 	labelOutcome = "outcome"
 	labelReason  = "reason"
+	labelStatus  = "status"
 	labelTeam    = "team"
 
 	labelPriority = "priority"
@@ -181,6 +182,15 @@
 	m.service(service).Counter("ignored_stream_bytes_total").Inc(int64(n))
 }
 
+// UnprovenRefusal counts answers of replicas to requests that may run once at most, whose status promises that the
+// request has not run, although the replica has not said so; by status.
+func (m *Metrics) UnprovenRefusal(service string, status int) {
+	m.scope.Tagged(map[string]string{
+		labelService: service,
+		labelStatus:  strconv.Itoa(status),
+	}).Counter("unproven_refusals_total").Inc(1)
+}
+
 // ReplicaEnded counts the requests that were under way at a replica when its process ended.
 func (m *Metrics) ReplicaEnded(service string) {
 	m.service(service).Counter("requests_at_ended_replicas_total").Inc(1)
--- a/route/headers/headers.go
+++ b/route/headers/headers.go
@@ -183,6 +183,9 @@
 	// DownstreamHeader returns an endpoint's headers without those of a single
 	// connection.
 	DownstreamHeader(h http.Header) http.Header
+	// PromisesNotRun reports whether callers take the status of an answer as a promise that the
+	// request has not run and never will.
+	PromisesNotRun(status int) bool
 	// NumericEventFields returns the names of the fields that events of endpoints' streams may have
 	// beside the id and the data. Their values are whole numbers.
 	NumericEventFields() []string
--- a/route/httpapi/testnode_test.go
+++ b/route/httpapi/testnode_test.go
@@ -269,6 +269,7 @@
 func (discardMetrics) Hedged(string, string)            {}
 func (discardMetrics) StrayBytes(string, string)        {}
 func (discardMetrics) IgnoredBytes(string, int)         {}
+func (discardMetrics) UnprovenRefusal(string, int)      {}
 func (discardMetrics) Shed(string, int)                 {}
 func (discardMetrics) Order(string, string)             {}
 
--- a/route/plainservice/codec.go
+++ b/route/plainservice/codec.go
@@ -41,6 +41,10 @@
 	return downstreamHeader(h)
 }
 
+// PromisesNotRun implements headers.Codec. No status promises it to callers of the product's own listener: a header
+// tells them the outcome.
+func (HeaderCodec) PromisesNotRun(int) bool { return false }
+
 // NumericEventFields implements headers.Codec. The product's own listener has no streams of plain services.
 func (HeaderCodec) NumericEventFields() []string { return nil }
 
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -207,6 +207,9 @@
 	if bad := a.invalidReason(); bad != "" && e.StatusCode < http.StatusMultipleChoices {
 		return invalidAnswer(bad)
 	}
+	if req.unproven(e.StatusCode) {
+		req.recordUnproven(e.StatusCode)
+	}
 	req.writeHead(e.StatusCode, e.Header, int(e.ContentLength))
 	req.answerStarted = true
 	if _, err := req.w.Write(first); err != nil {
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -75,6 +75,9 @@
 	StrayBytes(service, reason string)
 	// IgnoredBytes counts bytes in streams of replicas that are no events, and that receivers ignore.
 	IgnoredBytes(service string, n int)
+	// UnprovenRefusal counts answers of replicas whose status promises that the request has not run, although
+	// the replica has not said so.
+	UnprovenRefusal(service string, status int)
 	// Shed counts requests that this node refused because the service was saturated.
 	Shed(service string, priority int)
 }
@@ -212,7 +215,7 @@
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	state, cancel := s.newRequestState(ctx, w, r)
 	defer cancel()
-	answer, refusal := state.run()
+	answer, refusal := state.truthful(state.run())
 	switch {
 	case refusal != nil && refusal.Status == statusCallerGone:
 		s.Metrics.Request(r.Service, r.Team, ReasonCallerGone)
@@ -230,7 +233,7 @@
 func (s *Server) Do(ctx context.Context, r *Request) (*Answer, *outcome.Refusal) {
 	state, cancel := s.newRequestState(ctx, nil, r)
 	defer cancel()
-	return state.run()
+	return state.truthful(state.run())
 }
 
 // Refuse answers a request that its listener does not admit.
--- a/route/relay/shed_test.go
+++ b/route/relay/shed_test.go
@@ -36,6 +36,7 @@
 }
 func (testCodec) ParseResponse(int, http.Header) headers.ResponseHead { return headers.ResponseHead{} }
 func (testCodec) DownstreamHeader(h http.Header) http.Header          { return h.Clone() }
+func (testCodec) PromisesNotRun(int) bool                             { return false }
 func (testCodec) NumericEventFields() []string                        { return nil }
 func (testCodec) WriteRefusal(w http.ResponseWriter, _ headers.CallHead, r *outcome.Refusal) {
 	w.Header().Set("Refused", fmt.Sprintf("%s %s", r.Code, r.Outcome))
@@ -58,6 +59,7 @@
 func (noMetrics) Hedged(string, string)            {}
 func (noMetrics) StrayBytes(string, string)        {}
 func (noMetrics) IgnoredBytes(string, int)         {}
+func (noMetrics) UnprovenRefusal(string, int)      {}
 func (m noMetrics) Shed(_ string, priority int)    { m.shed[priority]++ }
 
 // requestInterval is the time between two requests. Rates count complete tenths of a second.
