relay: a status promises "not run" only if the replica has said so

The node passes the 503 on, with which it promises that the order has not run and never will. The caller sends it again, and another replica works on it too. The same with 429 and 408, and for streams that can't be resumed; at one node and through two.

Cause: a replica's answer was passed on by its status alone. From 500 on it counted as the endpoint's own failure, below as a complete answer, and nobody asked whether the status is a promise. By PROTOCOL only Not-Run states that a replica has not run a request.

A status that promises "not run" (the dialect of the callers says which do) is replaced by the node's own 502, outcome unknown, without the replica's stamp, unless the request is idempotent or the replica has stated it. Weighed: passing 503 on with the stamp keeps PROTOCOL's "returned unchanged" and breaks RULES' promise; a 500 or 504 with the stamp would break MIXED; closing the connection tells a caller less. Answers with 500, 504 and 404, true refusals and idempotent requests are as before.

--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -26,6 +26,7 @@
 	SilentLeft     Cause = "silent replica left"
 	ReplicaSlow    Cause = "replica slow"
 	ReplicaError   Cause = "replica's own error"
+	ReplicaUnclear Cause = "replica refused without proof"
 	NodeLost       Cause = "caller's node lost"
 	NodeLeaving    Cause = "caller's node leaving"
 	NodeStill      Cause = "node stood still"
@@ -40,7 +41,7 @@
 // causes lists all of them in order.
 var causes = []Cause{
 	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, PushedBack, ReplicaRefused, ReplicaGone,
-	StrayBytes, SilentLeft, ReplicaSlow, ReplicaError, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
+	StrayBytes, SilentLeft, ReplicaSlow, ReplicaError, ReplicaUnclear, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
 }
 
 // CauseOf is the cause with a name, as tables show it.
@@ -91,6 +92,7 @@
 	"overloaded":          Limited,
 	"team_limit":          Limited,
 	"unknown":             ReplicaGone,
+	"unproven_refusal":    ReplicaUnclear,
 	"in_doubt":            ReplicaGone,
 	"deadline":            ReplicaGone,
 }
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -69,6 +69,7 @@
 			about(1, "refuse", "no_room", `"status":503`), ReplicaRefused, Refused},
 		{"tries spent", retried("budget spent", "503 from 10.0.0.1:1") + about(1, "refuse", "no_room", `"status":503`), BudgetSpent, Refused},
 		{"answer lost", retried("may have run", "upstream: EOF") + about(1, "refuse", "unknown", `"status":502`), ReplicaGone, Failed},
+		{"refused without proof", retried("may have run", "the endpoint's own status 503") + about(1, "refuse", "unproven_refusal", `"status":502`), ReplicaUnclear, Failed},
 		{"own error", about(1, "finish", "done", `"status":500,"took_ms":3`), ReplicaError, Failed},
 		{"stray bytes cut", retried("too many attempts", `stray bytes after event "3" (id): "data: from the endpoint's own"`) +
 			about(1, "finish", "answer cut: unknown", `"took_ms":3`), StrayBytes, Failed},
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -208,7 +208,7 @@
 		return invalidAnswer(bad)
 	}
 	if req.unproven(e.StatusCode) {
-		req.recordUnproven(e.StatusCode)
+		return a.resultOfAnswer(&Answer{Status: e.StatusCode})
 	}
 	req.writeHead(e.StatusCode, e.Header, int(e.ContentLength))
 	req.answerStarted = true
--- a/route/relay/server.go
+++ b/route/relay/server.go
@@ -287,8 +287,11 @@
 	ReasonIsolatedPart = "isolated_part"
 	ReasonSuspectPart  = "suspect_part"
 	ReasonUnknown      = "unknown"
-	ReasonTimeout      = "timeout"
-	ReasonCallerGone   = "caller_gone"
+	// ReasonUnproven means that the endpoint's status promises that the request has not run, but the
+	// endpoint has not stated it.
+	ReasonUnproven   = "unproven_refusal"
+	ReasonTimeout    = "timeout"
+	ReasonCallerGone = "caller_gone"
 	// ReasonLeaving means that this node was told to stop.
 	ReasonLeaving = "leaving"
 	// ReasonOlderRules and ReasonNewerRules mean that the node to which a request was forwarded has an
