node/server: a stopped node waits for the calls that other nodes forward

It waits for its own callers and then closes the listener of its peers with the call under way; the caller is told 502 no_answer, also of an order that runs.

Change: the peers' listener is shut down after the callers' in the same way, within the limit of the drain if there is one. Until then exchanges between nodes go on.

--- a/node/server/drain.go
+++ b/node/server/drain.go
@@ -44,10 +44,8 @@
 	defer cancel()
 	s.fleet.Drain(ctx)
 	s.serveOn(ctx)
-	if err := s.callers.Shutdown(ctx); err != nil {
-		s.log.Error("drain limit reached, requests cut off", "underway", s.front.ActiveRequests(), "error", err)
-		s.callers.Close()
-	}
+	s.shutDown(ctx, s.callers)
+	s.shutDown(ctx, s.peers) // it serves the calls that other nodes forward
 	s.settleLast()
 	streams, cancelStreams := context.WithTimeout(context.Background(), streamsCloseTimeout)
 	defer cancelStreams()
@@ -57,6 +55,14 @@
 	s.log.Info("drained")
 }
 
+// shutDown closes a listener and waits until its requests have ended.
+func (s *Server) shutDown(ctx context.Context, server *http.Server) {
+	if err := server.Shutdown(ctx); err != nil {
+		s.log.Error("drain limit reached, requests cut off", "underway", s.front.ActiveRequests(), "error", err)
+		server.Close()
+	}
+}
+
 // drainContext has no end by default: a graceful shutdown interrupts nothing.
 func (s *Server) drainContext() (context.Context, context.CancelFunc) {
 	limit := s.settings.Drain.LimitSeconds
