node/server: a drain that reaches its limit answers calls of plain services

What callers saw (own door, drain.limit_s set): a call that was sent to an endpoint before the node was told to stop, and that lasts longer than the limit, ended with its connection and no answer, also an order.

Change: the same context ends the calls of the relay 0.1 s before the limit: 503 with the outcome unknown, orders 409 in_doubt. Streams of models are cut without an error event as before (docs/PROTOCOL.md).

Measured: TestLimitedDrainAnswersWhatItEnds failed before (EOF) and passes.

--- a/node/server/drain.go
+++ b/node/server/drain.go
@@ -43,6 +43,8 @@
 	ctx, cancel := s.drainContext()
 	defer cancel()
 	s.fleet.Drain(ctx)
+	release := s.endRequestsAtLimit()
+	defer release()
 	s.serveOn(ctx)
 	s.shutDown(ctx, s.callers)
 	s.shutDown(ctx, s.peers) // it serves the calls that other nodes forward
@@ -63,6 +65,17 @@
 	}
 }
 
+// endRequestsAtLimit ends the calls of plain services shortly before a limited drain ends, so that their callers
+// get an answer.
+func (s *Server) endRequestsAtLimit() (release func()) {
+	drain := s.drainState()
+	if !drain.Active() {
+		return func() {}
+	}
+	timer := time.AfterFunc(drain.LastAnswer()-drain.Elapsed, s.endRequests)
+	return func() { timer.Stop() }
+}
+
 // drainContext has no end by default: a graceful shutdown interrupts nothing.
 func (s *Server) drainContext() (context.Context, context.CancelFunc) {
 	limit := s.settings.Drain.LimitSeconds
--- a/node/server/secure_test.go
+++ b/node/server/secure_test.go
@@ -27,6 +27,11 @@
 
 // secureNode runs a node with certificates on all its listeners.
 func secureNode(t *testing.T, name, environment, storeAddress string, fleet tlstest.Authority) *Server {
+	return secureNodeWith(t, name, environment, storeAddress, fleet, settings.Drain{})
+}
+
+// secureNodeWith is secureNode for a node whose drain has a limit.
+func secureNodeWith(t *testing.T, name, environment, storeAddress string, fleet tlstest.Authority, drain settings.Drain) *Server {
 	p := tlstest.Write(t, t.TempDir(), 2, fleet, fleet)
 	files := &settings.TLS{Certificate: p.Certificate, Key: p.Key, Authorities: p.Authorities}
 	digest := sha256.Sum256([]byte(operatorKey))
@@ -39,6 +44,7 @@
 		Store: settings.Store{Address: storeAddress, CallsPerSecond: settings.DefaultStoreCalls},
 		Load:  settings.Load{PollsPerSecond: settings.DefaultPolls, CacheEventPollsPerSecond: settings.DefaultEventPolls},
 		Fleet: settings.Fleet{IntervalMillis: 50},
+		Drain: drain,
 	}, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -106,6 +106,9 @@
 	followed  followed
 	drainOnce sync.Once
 	drain     chan struct{}
+	// stopping is done once the calls of plain services have to end; endRequests ends it.
+	stopping    context.Context
+	endRequests context.CancelFunc
 
 	callers   *http.Server
 	peers     *http.Server
@@ -116,6 +119,7 @@
 // New returns a node whose addresses are open; Run serves on them.
 func New(cfg settings.Settings, log hclog.Logger) (*Server, error) {
 	s := &Server{settings: cfg, log: log, started: time.Now(), drain: make(chan struct{})}
+	s.stopping, s.endRequests = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -226,7 +230,7 @@
 			Lifecycle: desk,
 			Relay: &relay.Server{
 				HeaderCodec: plainservice.HeaderCodec{}, Pool: s.pool, Prober: s.prober, Metrics: s.metrics, Recorder: s.decisions, Log: s.log, Now: time.Now,
-				MaxBufferedBytes: plainservice.MaxAnswerBytes, Drain: s.drainState, Memory: s.answers,
+				MaxBufferedBytes: plainservice.MaxAnswerBytes, Drain: s.drainState, Memory: s.answers, Stopping: s.stopping,
 			},
 			Claims:  s.orders,
 			Metrics: s.metrics,
--- a/node/server/stop_test.go
+++ b/node/server/stop_test.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"crypto/tls"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/node/tlsfiles/tlstest"
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/relay"
@@ -87,3 +89,23 @@
 		}
 	}
 }
+
+// Guards against a caller whose connection closes without an answer when a drain reaches its limit: it is told that the
+// outcome is unknown.
+func TestLimitedDrainAnswersWhatItEnds(t *testing.T) {
+	endpoint := newSlowEndpoint(t)
+	defer close(endpoint.released)
+	address := newStore(t, endpoint.address)
+	node := secureNodeWith(t, "entry-1", "java", address, tlstest.NewAuthority(t), settings.Drain{LimitSeconds: 2})
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	t.Cleanup(client.CloseIdleConnections)
+	await(t, "the node serves", func() bool { return node.directory.Load() != nil })
+	go func() {
+		<-endpoint.begun
+		node.Drain()
+	}()
+	response, err := get(client, "https://"+node.listeners.callers.Addr().String()+"/services/bookings/slow")
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v", response, err)
+	}
+}
