node/site: a stopped node closes its listeners after the last answer is written

Cause: the node counts a request as ended when its handler returns; the server writes a short answer out after that. The window is microseconds, once a stop, for whatever ends last; an order is no exception.

--- a/node/site/listeners.go
+++ b/node/site/listeners.go
@@ -1,10 +1,12 @@
 package site
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -75,13 +77,24 @@
 	return failed
 }
 
+// closeTimeout bounds the wait for answers whose handlers have ended and that are still being written.
+const closeTimeout = 100 * time.Millisecond
+
+// close closes the listeners and the connections, each once its last answer is written.
 func (d *doors) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var group sync.WaitGroup
 	for _, s := range d.servers {
-		// The process ends; what is underway was waited for.
-		_ = s.Close()
+		group.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close() // the process ends; what is underway was waited for
+			}
+		})
 	}
+	group.Wait()
 	for _, l := range d.listeners {
-		_ = l.Close()
+		_ = l.Close() // those that no server has taken over
 	}
 }
 
