node/site: the grace period is not extended during a stop

Bounds are read anew, so the node accepts requests by the longer period, and the platform kills the process by the one that was in force when it sent SIGTERM: the connections end without an answer.

Cause: the time that is left was worked out from the present settings at each request.

Change: the period that was in force at the SIGTERM is kept; of that and the present one the shorter counts, whichever the platform goes by.

The harness does not kill nodes, so that a lost request was not brought about.

--- a/node/site/leave.go
+++ b/node/site/leave.go
@@ -26,9 +26,14 @@
 	return max(1, time.Since(n.started)-time.Duration(at))
 }
 
-// drain describes the time that this node has left once SIGTERM has come.
+// drain describes the time that this node has left once SIGTERM has come. Settings that change the grace period after
+// that never make it longer: the platform may go by the period that was in force.
 func (n *Node) drain() draining.Drain {
-	end := n.bounds().Grace - leaveMargin
+	grace := n.bounds().Grace
+	if atStop := n.graceAtStop.Load(); atStop > 0 {
+		grace = min(grace, time.Duration(atStop))
+	}
+	end := grace - leaveMargin
 	return draining.Drain{Elapsed: n.leavingFor(), AcceptFor: min(leaveTTLs*n.timing.EntryTTL, end), End: end}
 }
 
@@ -36,6 +41,7 @@
 // what is underway has ended. What has not ended in time is ended by the node, so that its
 // callers are answered.
 func (n *Node) leave(ctx context.Context) {
+	n.graceAtStop.Store(int64(n.bounds().Grace))
 	n.leaving.Store(int64(time.Since(n.started)))
 	n.log.Info("leaving", "underway", n.underway.Load())
 	go n.unlist(ctx)
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -122,8 +122,10 @@
 	crashes crashSharing
 
 	// leaving is when SIGTERM came, in nanoseconds after the start; zero before.
-	leaving  atomic.Int64
-	underway atomic.Int64
+	leaving atomic.Int64
+	// graceAtStop is the grace period that was in force then, in nanoseconds.
+	graceAtStop atomic.Int64
+	underway    atomic.Int64
 	// stopping is done once the requests that are still underway have to end; endRequests ends it.
 	stopping    context.Context
 	endRequests context.CancelFunc
--- a/node/site/stop_test.go
+++ b/node/site/stop_test.go
@@ -171,3 +171,21 @@
 		}
 	}
 }
+
+// Guards against requests that a stopped node accepts by a grace period which is changed during the stop, while the
+// platform kills the process by the one before.
+func TestGracePeriodIsNotExtendedDuringAStop(t *testing.T) {
+	p := newPlatform(t)
+	p.chains(3, time.Millisecond)
+	node := p.stoppable("front-1")
+	node.stop()
+	p.until("the node leaves", func() bool { return node.leavingFor() > 0 })
+	for grace, want := range map[time.Duration]time.Duration{10 * stopGrace: stopGrace, stopGrace / 2: stopGrace / 2} {
+		changed := node.bounds()
+		changed.Grace = grace
+		node.inForce.Store(&changed)
+		if got := node.drain().End; got != want-leaveMargin {
+			t.Errorf("with a grace period of %v the node ends after %v, want %v", grace, got, want-leaveMargin)
+		}
+	}
+}
