--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -66,8 +66,8 @@
 }
 
 // Nodes are killed, frozen, told to stop and cut off from the store, the store goes
-// away, replicas die, refuse, lose, double and break off answers, and keys are taken
-// away, drawn from a seed, while callers ask. Whatever happens, callers see whole
+// away, replicas die, refuse, with proof and without, lose, double and break off answers, and
+// keys are taken away, drawn from a seed, while callers ask. Whatever happens, callers see whole
 // events in order and no other's answer; an order runs at most once, and not at all if
 // its caller was told so; every layer runs once and in order; no key runs anything
 // after its time; and when the faults have ended everybody is served again.
@@ -323,6 +323,7 @@
 	id := ids[r.draw.IntN(len(ids))]
 	faults := []replica.Fault{
 		{Refuse: true}, {LoseAnswer: true}, {Twice: true}, {Unproved: true}, {CutAfter: 5}, {Hang: true},
+		{Unproven: http.StatusServiceUnavailable}, {Unproven: http.StatusTooManyRequests},
 	}
 	fault := faults[r.draw.IntN(len(faults))]
 	r.tell("%s: %+v", id, fault)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -46,6 +46,9 @@
 	Unproved bool
 	// Nameless is the status of the answers of a plain service, which then name no request; 0 for none.
 	Nameless int
+	// Unproven is the status of the answers of a plain service to requests that it has worked on. They don't say that
+	// these have not run; 0 for none.
+	Unproven int
 	// CutAfter ends a stream's connection after that many events, in the middle of
 	// the next one; zero does not.
 	CutAfter int
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -110,6 +110,10 @@
 		w.WriteHeader(fault.Nameless)
 		return
 	}
+	if fault.Unproven > 0 {
+		w.WriteHeader(fault.Unproven)
+		return
+	}
 	if r.answerEndless(w, q.Header.Get("Request-Id"), fault.Endless) {
 		return
 	}
