--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -116,7 +116,7 @@
 // read reads the body of an answer, as far as it is of use.
 func (a *attempt) read(e *upstream.Exchange) response {
 	if a.isRefusal() {
-		return response{exchange: e, err: a.discardBody(e)}
+		return response{exchange: e, err: a.discard(e)}
 	}
 	if a.ofAnotherRequest() || isSuccess(e.StatusCode) && a.head.InvalidReason != "" {
 		return response{exchange: e}
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -207,7 +207,7 @@
 	req.server.Forwarder.Named(req.Service, result.Serving)
 	a.head, a.replicaAtNode = req.server.HeaderCodec.ParseResponse(exchange.StatusCode, exchange.Header), result.Replica
 	if !understood || result.Refusal != nil {
-		_ = a.discardBody(exchange) // the connection is closed then
+		a.discardAndReuse(exchange)
 		exchange.Close()
 		res := a.refusedByNode(exchange.StatusCode, result.Refusal)
 		return nil, result, &res
--- a/route/relay/memory.go
+++ b/route/relay/memory.go
@@ -51,13 +51,16 @@
 	return nil
 }
 
-// discardBody reads the body of an answer that nobody gets, so that its connection can be reused.
-func (a *attempt) discardBody(e *upstream.Exchange) error {
-	err := e.Discard(maxDiscardedBytes, min(discardTimeout, a.req.Deadline.Sub(a.req.server.Now())))
-	if err == nil {
+// discard reads the body of an answer that nobody gets.
+func (a *attempt) discard(e *upstream.Exchange) error {
+	return e.Discard(maxDiscardedBytes, min(discardTimeout, a.req.Deadline.Sub(a.req.server.Now())))
+}
+
+// discardAndReuse reads the body of an answer that nobody gets, and keeps its connection if it ends.
+func (a *attempt) discardAndReuse(e *upstream.Exchange) {
+	if a.discard(e) == nil {
 		e.KeepAlive(a.head.IdleTimeout)
 	}
-	return err
 }
 
 // chargePending charges what a reader of events holds. It returns a result if the memory does not suffice:
--- a/route/relay/no_stream.go
+++ b/route/relay/no_stream.go
@@ -43,7 +43,7 @@
 func (a *attempt) resultWithoutStream(e *upstream.Exchange) attemptResult {
 	switch {
 	case a.head.NotRun || a.head.Misdirected:
-		_ = a.discardBody(e) // the connection is closed then
+		a.discardAndReuse(e)
 		return a.refusedResult(e.StatusCode)
 	case a.ofAnotherRequest():
 		if a.head.RequestID == "" && isSuccess(e.StatusCode) {
