relay: the node's own refusals that may have run are told as such

Words only, found by reading the diff: the branch of truthful() for the node's own refusals told of a status that an endpoint had answered. By reading no path leads there. It tells that the endpoint received the request and did not answer it, as the other refusals after a send do.

--- a/route/relay/promise.go
+++ b/route/relay/promise.go
@@ -15,7 +15,7 @@
 	case answer != nil && req.unproven(answer.Status):
 		return nil, req.refuseUnproven(answer.Status)
 	case refusal != nil && req.unproven(refusal.Status) && len(req.mayHaveRunOn) > 0:
-		return nil, req.refuseUnproven(refusal.Status)
+		return nil, refusalWithoutAnswer(req.lastResult)
 	}
 	return answer, refusal
 }
