--- a/node/server/server.go
+++ b/node/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/cicadatack/cicadatack/node/settings"
 	"github.com/cicadatack/cicadatack/node/tlsfiles"
 	"github.com/cicadatack/cicadatack/platform/kv"
+	"github.com/cicadatack/cicadatack/route/answermemory"
 	"github.com/cicadatack/cicadatack/route/chains"
 	"github.com/cicadatack/cicadatack/route/connprobe"
 	"github.com/cicadatack/cicadatack/route/crashguard"
@@ -78,6 +79,8 @@
 	guard      *crashguard.Guard
 	isolations isolation.Table
 	pool       *upstream.Pool
+	// answers is the memory for answers that are buffered.
+	answers    *answermemory.Budget
 	prober     *connprobe.Prober
 	reach      *reachability.Monitor
 	forwarder  *forwarder.Forwarder
@@ -103,6 +106,9 @@
 	followed  followed
 	drainOnce sync.Once
 	drain     chan struct{}
+	// stopping is done once the calls of plain services have to end; endRequests ends it.
+	stopping    context.Context
+	endRequests context.CancelFunc
 
 	callers   *http.Server
 	peers     *http.Server
@@ -113,6 +119,7 @@
 // New returns a node whose addresses are open; Run serves on them.
 func New(cfg settings.Settings, log hclog.Logger) (*Server, error) {
 	s := &Server{settings: cfg, log: log, started: time.Now(), drain: make(chan struct{})}
+	s.stopping, s.endRequests = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -148,6 +155,7 @@
 	}), time.Now)
 	s.leaving = newLeavingList(s.registry, s.log)
 	s.pool = upstream.New(time.Now)
+	s.answers = answermemory.New(answerMemory)
 	s.buildForwarding()
 	s.isolations = isolation.Table{Store: s.store, Prefix: isolation.Prefix + s.settings.Environment + "/" + s.settings.Slot + "/"}
 	s.guard = crashguard.New(crashguard.Config{
@@ -222,7 +230,7 @@
 			Lifecycle: desk,
 			Relay: &relay.Server{
 				HeaderCodec: plainservice.HeaderCodec{}, Pool: s.pool, Prober: s.prober, Metrics: s.metrics, Recorder: s.decisions, Log: s.log, Now: time.Now,
-				MaxBufferedBytes: plainservice.MaxAnswerBytes, Drain: s.drainState,
+				MaxBufferedBytes: plainservice.MaxAnswerBytes, Drain: s.drainState, Memory: s.answers, Stopping: s.stopping,
 			},
 			Claims:  s.orders,
 			Metrics: s.metrics,
@@ -230,6 +238,9 @@
 	}
 }
 
+// answerMemory bounds the memory of all answers of plain services that are buffered: eight of the longest.
+const answerMemory = 8 * plainservice.MaxAnswerBytes
+
 // Run serves until ctx ends or an operator asks for a drain; it then leaves
 // without cutting off a request, and returns nil.
 func (s *Server) Run(ctx context.Context) error {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -46,6 +46,9 @@
 	Unproved bool
 	// Nameless is the status of the answers of a plain service, which then name no request; 0 for none.
 	Nameless int
+	// Unproven is the status of the answers of a plain service to requests that it has worked on. They don't say that
+	// these have not run; 0 for none.
+	Unproven int
 	// CutAfter ends a stream's connection after that many events, in the middle of
 	// the next one; zero does not.
 	CutAfter int
@@ -68,6 +71,8 @@
 	RawStream *RawStream
 	// NoStream is what the replica answers to streams in place of a stream; nil for streams.
 	NoStream *NoStream
+	// Endless is what the replica answers to all requests in place of an answer; nil for answers.
+	Endless *Endless
 	// Hang takes requests and answers nothing.
 	Hang bool
 	// Leaving says in all answers that the replica leaves, while its entry says nothing of it.
