poison: crashes without a request are weighed against those with it

Callers saw sound calls refused as isolated_part while replicas were reset one after the other: a call that lasts longer than the time between two resets is sent again into a later one, and three ends isolate it for minutes, its repeats as well.

Cause: judgeOwn counted only the ends at which the request was. In a restart of one replica after the other there are ends without it too, before it came and while it waited for its next try.

Change: each such end within a minute before the first one, or since, makes one more end with the request necessary, up to five, as many as isolate a request that was answered before. Ends at one moment are one. Ends whose cause is known do not count. A request at which all ends happen is isolated after three as before.

The two new verdicts "not enough" fail on the code before.

--- a/decide/poison/hold.go
+++ b/decide/poison/hold.go
@@ -69,15 +69,30 @@
 // hasCrashesWithout reports whether one of the last crashes of a service, so many, does not count against a
 // part.
 func (t *Tracker) hasCrashesWithout(p Part, count int) bool {
-	var last []*crash
+	last := t.crashesOf(p.Service)
+	last = last[max(0, len(last)-count):]
+	return slices.ContainsFunc(last, func(c *crash) bool { return !t.countsAgainst(c, p) })
+}
+
+// crashesWithout returns the crashes of a part's service since a time at which the part was not exposed and
+// whose cause is not known, the earliest first.
+func (t *Tracker) crashesWithout(p Part, since time.Time) []*crash {
+	return slices.DeleteFunc(t.crashesOf(p.Service), func(c *crash) bool {
+		_, exposed := c.exposed[p]
+		return exposed || c.cause != (Part{}) || c.at.Before(since)
+	})
+}
+
+// crashesOf returns the crashes of a service that were not refuted, the earliest first.
+func (t *Tracker) crashesOf(service string) []*crash {
+	var list []*crash
 	for _, c := range t.crashes {
-		if !c.refuted && c.of(p.Service) {
-			last = append(last, c)
+		if !c.refuted && c.of(service) {
+			list = append(list, c)
 		}
 	}
-	slices.SortFunc(last, func(a, b *crash) int { return b.at.Compare(a.at) })
-	last = last[:min(len(last), count)]
-	return slices.ContainsFunc(last, func(c *crash) bool { return !t.countsAgainst(c, p) })
+	slices.SortFunc(list, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return list
 }
 
 // of reports whether the replica of a crash belongs to a service.
--- a/decide/poison/request_test.go
+++ b/decide/poison/request_test.go
@@ -69,6 +69,28 @@
 				early(n, system, badRequest)
 			}
 		}, badRequest, Clear},
+		{"three crashes in turn with others are not enough", func(n *node) {
+			n.serve(10, system)
+			for range 3 {
+				late(n, system)
+				late(n, system, badRequest)
+			}
+		}, badRequest, Suspect},
+		{"nor are three after others", func(n *node) {
+			crashes(3, late, system)(n)
+			crashes(3, late, system, badRequest)(n)
+		}, badRequest, Suspect},
+		{"five are, whatever else crashes", func(n *node) {
+			crashes(5, late, system)(n)
+			crashes(5, late, system, badRequest)(n)
+		}, badRequest, Isolated},
+		{"others at one moment are one", func(n *node) {
+			n.serve(10, system)
+			for i := range 8 {
+				n.Crashed(n.now, Crash{Process: Process{fmt.Sprint("rack-", i), 1}, Exposed: []Exposure{{Part: system, SentAge: time.Second}}})
+			}
+			crashes(4, late, system, badRequest)(n)
+		}, badRequest, Isolated},
 		{"crashes at the same moment are one", func(n *node) {
 			n.serve(10, system)
 			for i := range 5 {
--- a/decide/poison/verdict.go
+++ b/decide/poison/verdict.go
@@ -7,6 +7,8 @@
 	// never answered. manyCrashes that overlap isolate it as well.
 	isolateAfter = 3
 	manyCrashes  = 5
+	// maxOwnCrashes is the number of crashes that isolate a request, whatever else crashes.
+	maxOwnCrashes = 5
 	// suspectRepeatedAfter is the number of crashes, one after the other, that make a request suspect,
 	// or a part to which answers have begun and never become complete.
 	suspectRepeatedAfter = 2
@@ -111,11 +113,20 @@
 // judgeOwn judges a request that was never answered. It may be sent again after the first crash, which
 // has most likely another cause. Copies of one request are rarely at several replicas at a time, so
 // crashes at different moments count although the copies overlap.
+//
+// Replicas that are restarted one after the other may break off one long request at several of them. They
+// end without the request as well, before it came or while it waited, and each such crash is weighed
+// against one with it.
 func (t *Tracker) judgeOwn(now time.Time, p Part, list []*crash) Verdict {
 	if !t.answering(now, p.Service) {
 		return Clear
 	}
-	return verdictOf(max(consecutive(list, p), moments(list)), suspectRepeatedAfter, isolateAfter)
+	count, needed := max(consecutive(list, p), moments(list)), isolateAfter
+	if count >= isolateAfter {
+		without := t.crashesWithout(p, list[0].at.Add(-recentFor))
+		needed = min(isolateAfter+moments(without), maxOwnCrashes)
+	}
+	return verdictOf(count, suspectRepeatedAfter, needed)
 }
 
 // judgeAnswered judges a part to which there were complete answers before the crashes. The answers since
