e2e: an engine that crashes on a message crashes on each call with it

Cause: a fault of the stand-in. A trap was taken by the first call that fits; if that call was left before its token, as happens on a slow machine, the engine never crashed again, marked calls were answered, and the message counted as one that had been answered before, which needs more evidence.

--- a/e2e/rig/rig_test.go
+++ b/e2e/rig/rig_test.go
@@ -1,8 +1,11 @@
 package rig
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 )
 
@@ -46,3 +49,22 @@
 		seen[ip] = true
 	}
 }
+
+// Guards against a fault that a test believes to be in force after a call that was given up early has
+// taken it away.
+func TestTrapForEachCallStaysWhenCallsEndEarly(t *testing.T) {
+	tokens := 0
+	h := newTrapped(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for i := range tokens {
+			fmt.Fprintf(w, `{"position":%d,}`, i)
+		}
+	}))
+	sprung := 0
+	h.set(&Trap{Path: "/chat", Body: "marked", When: AtToken, Token: 3, Each: true, Spring: func() { sprung++ }})
+	for _, tokens = range []int{0, 2, 5, 1, 4} {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/chat", strings.NewReader("a marked call")))
+	}
+	if sprung != 2 {
+		t.Errorf("sprung %d times in two calls that came so far", sprung)
+	}
+}
--- a/e2e/rig/trap.go
+++ b/e2e/rig/trap.go
@@ -24,7 +24,8 @@
 	AtToken
 )
 
-// Trap springs once, at one moment of the first call that fits.
+// Trap springs once, at one moment of the first call that fits, or with Each at that moment of
+// each of them.
 type Trap struct {
 	// Path is the end of the call's path, Body a part of its body.
 	Path string
@@ -36,6 +37,9 @@
 	// the same answer had the tokens before it: a chain that is left for slowness
 	// on a busy machine must not take the step away.
 	Token int
+	// Each lets the trap stay for further calls that fit, so that a call that ends before
+	// its moment does not take it away.
+	Each bool
 	// Spring is run at that moment; the call waits for it.
 	Spring func()
 }
@@ -135,6 +139,8 @@
 		case trap.Skip > 0:
 			trap.Skip--
 			rest = append(rest, trap)
+		case trap.Each:
+			fit, rest = append(fit, trap), append(rest, trap)
 		default:
 			fit = append(fit, trap)
 		}
