--- a/decide/poison/doc.go
+++ b/decide/poison/doc.go
@@ -38,6 +38,8 @@
 //     to which answers begin and never become complete, is suspect after suspectRepeatedAfter crashes:
 //     a first crash under a new request mostly has another cause. What was answered needs more: see
 //     suspectAnsweredAfter and isolateAnsweredAfter.
+//   - If replicas also crash without a request, as in a restart of one after the other, it takes one
+//     crash more for each such moment to isolate it, up to maxOwnCrashes.
 //   - If replicas crash faster than answers become complete, a part that was at the last crashes, and that
 //     most requests do not have, is held back for HoldFor at most; see held.
 //   - Suspect parts are sent to one replica at a time by each node, and a request with one is not
