httpanswer: an answer that ends before its request is written is not whole

Callers saw: a replica answers a long upload at once with a 200 (or 404) without a length, sends a part of its body and resets the connection while the upload is being written; the caller gets the part as a complete answer. At the own door an order is kept as done with it. A stream ends at a part of its events.

Cause: the kernel reports a reset once. Where the write of the request and the read of the answer wait at the same time, the write may get the report, and the read then gets a plain end, which ends an answer without a length. The replica lives on, so that the check of its port finds nothing either.

Change: what an answer is, is decided in one package, state/httpanswer, through which all that reads answers reads them: route/upstream (replicas, plain services, reports, health checks, forwarded requests), and as a RoundTripper the engines' client, the calls that nodes forward, the exchanges between nodes, the store's client and cicadactl. An answer that ends with its connection is whole only if its request was written to the end before; whether it was, is known once the connection is closed, so that nothing is waited for. Answers with a length or chunks are whole as before, early ones too.

--- a/fleet/bookings/bookings.go
+++ b/fleet/bookings/bookings.go
@@ -18,6 +18,7 @@
 	"github.com/cicadatack/cicadatack/decide/reservations"
 	"github.com/cicadatack/cicadatack/fleet/bookings/bookingspb"
 	"github.com/cicadatack/cicadatack/fleet/evidence"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // Error is the class of this layer's errors.
@@ -67,7 +68,7 @@
 func New(name string, now func() time.Time, own func() map[string]float64, seen func() []peerreports.Observation, limits RateLimits) *Exchange {
 	return &Exchange{
 		name: name, now: now, own: own, seen: seen, limits: limits,
-		client: &http.Client{Timeout: timeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+		client: &http.Client{Timeout: timeout, Transport: httpanswer.Checked(&http.Transport{IdleConnTimeout: 30 * time.Second}, nil)},
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/cicadatack/cicadatack/fleet/drainnotice"
 	"github.com/cicadatack/cicadatack/fleet/exchange"
 	"github.com/cicadatack/cicadatack/fleet/membership"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 	"github.com/cicadatack/cicadatack/state/wait"
 	"github.com/hashicorp/go-hclog"
 )
@@ -89,8 +90,8 @@
 		vms:       vms,
 		documents: documents,
 		log:       log.Named("fleet"),
-		client:    &http.Client{Transport: cfg.Transport},
-		orders:    &http.Client{Transport: ordersTransport(cfg.Transport)},
+		client:    &http.Client{Transport: httpanswer.Checked(cfg.Transport, nil)},
+		orders:    &http.Client{Transport: httpanswer.Checked(ordersTransport(cfg.Transport), nil)},
 	}
 	f.running, f.stop = context.WithCancel(context.Background())
 	f.records.machine = docsync.New(docsync.Config{
--- a/fleet/reads/reads.go
+++ b/fleet/reads/reads.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cicadatack/cicadatack/fleet/reads/readspb"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 	"github.com/cicadatack/cicadatack/state/store"
 )
 
@@ -188,7 +189,7 @@
 	return &Asker{
 		clock:  clock,
 		self:   self,
-		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}},
+		client: &http.Client{Timeout: askTimeout, Transport: httpanswer.Checked(&http.Transport{IdleConnTimeout: 30 * time.Second}, nil)},
 		known:  map[string]store.Entry{},
 	}
 }
--- a/node/cmd/cicadactl/nodes.go
+++ b/node/cmd/cicadactl/nodes.go
@@ -15,6 +15,7 @@
 	"github.com/cicadatack/cicadatack/node/operators"
 	"github.com/cicadatack/cicadatack/route/decisionlog"
 	"github.com/cicadatack/cicadatack/route/httpapi"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 type statusCommand struct {
@@ -210,7 +211,7 @@
 // client reaches nodes in the clear, or over TLS if authorities are named.
 func (args *arguments) client() (*http.Client, string, error) {
 	if args.Authorities == "" {
-		return http.DefaultClient, "http://", nil
+		return clearClient, "http://", nil
 	}
 	pem, err := os.ReadFile(args.Authorities)
 	if err != nil {
@@ -220,7 +221,14 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, "", Error.New("%s holds no certificate in PEM form", args.Authorities)
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}, "https://", nil
+	return newClient(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}), "https://", nil
+}
+
+// clearClient reaches nodes in the clear.
+var clearClient = newClient(http.DefaultTransport.(*http.Transport).Clone())
+
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: httpanswer.Checked(t, nil)}
 }
 
 func (args *arguments) get(ctx context.Context, address string, as caller, into any) error {
--- a/node/losses/cause.go
+++ b/node/losses/cause.go
@@ -23,6 +23,7 @@
 	ReplicaRefused Cause = "replica refused"
 	ReplicaGone    Cause = "replica broke off or did not answer"
 	StrayBytes     Cause = "replica sent stray bytes"
+	UnsoundAnswer  Cause = "replica sent no sound answer"
 	SilentLeft     Cause = "silent replica left"
 	ReplicaSlow    Cause = "replica slow"
 	ReplicaError   Cause = "replica's own error"
@@ -41,7 +42,7 @@
 // causes lists all of them in order.
 var causes = []Cause{
 	LostPart, BusyLinks, Rereading, OthersReread, NoRoom, NoCover, Stale, BudgetSpent, PushedBack, ReplicaRefused, ReplicaGone,
-	StrayBytes, SilentLeft, ReplicaSlow, ReplicaError, ReplicaUnclear, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
+	StrayBytes, UnsoundAnswer, SilentLeft, ReplicaSlow, ReplicaError, ReplicaUnclear, NodeLost, NodeLeaving, NodeStill, FleetStarted, CallerLeft, Limited, ShedLoad, CrashingPart, Unexplained,
 }
 
 // CauseOf is the cause with a name, as tables show it.
--- a/node/losses/line.go
+++ b/node/losses/line.go
@@ -114,6 +114,7 @@
 	words string
 	cause Cause
 }{
+	{"unsound answer", UnsoundAnswer},
 	{"stray bytes after event", StrayBytes},
 	{"no stream of events", StrayBytes},
 	{"the endpoint's own", ReplicaError},
--- a/node/losses/losses_test.go
+++ b/node/losses/losses_test.go
@@ -71,6 +71,7 @@
 		{"answer lost", retried("may have run", "upstream: EOF") + about(1, "refuse", "unknown", `"status":502`), ReplicaGone, Failed},
 		{"refused without proof", retried("may have run", "the endpoint's own status 503") + about(1, "refuse", "unproven_refusal", `"status":502`), ReplicaUnclear, Failed},
 		{"own error", about(1, "finish", "done", `"status":500,"took_ms":3`), ReplicaError, Failed},
+		{"an answer that is none", retried("allowed", `10.0.0.1:1 (may have run): upstream: unsound answer (request_unwritten): the connection ended`) + lateStream(3, 560, 50, 2000, none), UnsoundAnswer, Late},
 		{"stray bytes cut", retried("too many attempts", `stray bytes after event "3" (id): "data: from the endpoint's own"`) +
 			about(1, "finish", "answer cut: unknown", `"took_ms":3`), StrayBytes, Failed},
 		{"stray bytes and a second try", retried("allowed", `stray bytes after event "" (line): "x"`) + lateStream(3, 560, 50, 2000, none), StrayBytes, Late},
--- a/node/server/forwarding.go
+++ b/node/server/forwarding.go
@@ -17,6 +17,7 @@
 	"github.com/cicadatack/cicadatack/route/forwarder"
 	"github.com/cicadatack/cicadatack/route/reachability"
 	"github.com/cicadatack/cicadatack/state/document"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // buildForwarding builds what finds out that this node reaches no endpoint of a service, and
@@ -52,7 +53,7 @@
 		transport.TLSClientConfig = s.peerFiles.MutualClient()
 	}
 	return &callforward.Server{
-		Forwarder: s.forwarder, Transport: transport, Scheme: cmp.Or(peers.Scheme, "http"),
+		Forwarder: s.forwarder, Transport: httpanswer.Checked(transport, s.pool.OnFault), Scheme: cmp.Or(peers.Scheme, "http"),
 		Revisions: catchup.New(s.revision, s.fleet.Refresh, s.metrics.CatchUp),
 		Recorder:  s.decisions, Metrics: s.metrics, Now: time.Now,
 	}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -155,13 +155,14 @@
 	}), time.Now)
 	s.leaving = newLeavingList(s.registry, s.log)
 	s.pool = upstream.New(time.Now)
+	s.pool.OnFault = s.metrics.FaultObserver(s.log)
 	s.answers = answermemory.New(answerMemory)
 	s.buildForwarding()
 	s.isolations = isolation.Table{Store: s.store, Prefix: isolation.Prefix + s.settings.Environment + "/" + s.settings.Slot + "/"}
 	s.guard = crashguard.New(crashguard.Config{
 		Prober: s.prober, Metrics: s.metrics, Log: s.log, Now: time.Now, Versions: s.weights, Store: isolationStore{s.isolations}, Seed: rand.Uint64(),
 	})
-	s.engines = engineclient.NewObserved(s.reach.ObserveDial)
+	s.engines = engineclient.NewObserved(s.reach.ObserveDial, s.pool.OnFault)
 	s.streams = stream.New(s.engines, nil, stream.Options{MaxExecutions: streamEpochs, MaxAttempts: 2 * streamEpochs, OnCacheLost: s.cacheLost})
 	s.orderPeers = newOrderPeers(s)
 	s.orders = ledger.New(s.store, s.settings.Environment, ledger.Config{Peers: s.orderPeers})
--- a/node/site/site.go
+++ b/node/site/site.go
@@ -177,6 +177,8 @@
 		n.prober.ObserveDial(address, connected)
 	}
 	n.peerPool = upstream.New(time.Now)
+	n.pool.OnFault = n.metrics.FaultObserver(log)
+	n.peerPool.OnFault = n.pool.OnFault
 	n.forwarder = forwarder.New(settings.Node, settings.Domain, n.seed, n.reach, time.Now)
 	n.reports = replicareport.New(engineCalls{n}, time.Now)
 	n.inForce.Store(&settings.Bounds)
--- a/route/callforward/callforward.go
+++ b/route/callforward/callforward.go
@@ -21,6 +21,7 @@
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/relay"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // Metrics counts forwarded calls by what came of them.
@@ -214,7 +215,7 @@
 		CutOffFromAll: f.server.Forwarder.CutOffFromAll(), ElapsedMicros: f.server.Now().Sub(f.call.ArrivedAt).Microseconds(),
 	}.Set(q.Header)
 	answer, err = f.server.Transport.RoundTrip(q)
-	if err == nil && f.r.Method != http.MethodHead && endsWithConnection(answer) {
+	if err == nil && f.r.Method != http.MethodHead && httpanswer.EndsWithConnection(answer) {
 		answer.Body.Close()
 		return nil, true, errUnframed
 	}
@@ -225,11 +226,6 @@
 // end of the connection would be its end, so that an answer that is cut would look whole.
 var errUnframed = Error.New("the answer states neither a length nor chunks")
 
-// endsWithConnection reports whether the end of the connection is the end of an answer.
-func endsWithConnection(answer *http.Response) bool {
-	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-}
-
 // refuseUnknown answers a call that another node may have run. The error is for the log: it may have bytes
 // of the other node.
 func (f *forwardedCall) refuseUnknown(err error) {
--- a/route/engineclient/client.go
+++ b/route/engineclient/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/state/engineapi"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 const (
@@ -54,20 +55,24 @@
 	if transport == nil {
 		transport = newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return newClient(transport, nil)
+}
+
+func newClient(transport http.RoundTripper, onFault httpanswer.OnFault) *Client {
+	return &Client{http: &http.Client{Transport: httpanswer.Checked(transport, onFault)}}
 }
 
 // NewObserved returns a client that calls onDial with the result of each attempt to open a
-// connection, unless the caller ended the attempt.
-func NewObserved(onDial func(address string, connected bool)) *Client {
+// connection, unless the caller ended the attempt, and onFault for answers that are none.
+func NewObserved(onDial func(address string, connected bool), onFault httpanswer.OnFault) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return New(newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+	return newClient(newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err == nil || ctx.Err() == nil {
 			onDial(address, err == nil)
 		}
 		return conn, err
-	}))
+	}), onFault)
 }
 
 func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
--- a/route/upstream/exchange.go
+++ b/route/upstream/exchange.go
@@ -7,13 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // Request is a request to one endpoint.
@@ -96,8 +95,9 @@
 	address    string
 	conn       *conn
 	stopCancel func() bool
-	// writing is set while the rest of a long request is being written in the background.
-	writing      atomic.Bool
+	// writeEnded is closed when the write of the request has ended, with writeErr.
+	writeEnded   chan struct{}
+	writeErr     error
 	bodyComplete bool // the body was read to its end
 	closed       bool
 }
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Exchange{pool: p, address: r.Address, conn: c}
+	e := &Exchange{pool: p, address: r.Address, conn: c, writeEnded: make(chan struct{})}
 	e.stopCancel = context.AfterFunc(ctx, func() { p.discard(r.Address, c) })
 	if err := e.roundTrip(r); err != nil {
 		e.Close()
@@ -128,7 +128,7 @@
 	}
 	response, err := e.readHead(r)
 	if err != nil {
-		return &Failure{Address: r.Address, TimedOut: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
+		return e.pool.failure(r.Address, err)
 	}
 	e.Response = response
 	return nil
@@ -140,25 +140,40 @@
 	if len(r.Body) <= maxInlineWriteBytes {
 		return e.writeAll(r, append(head, r.Body...))
 	}
-	e.writing.Store(true)
-	go func() {
-		// An endpoint that has answered may stop reading, and the write then fails. The only
-		// consequence of the error is that the connection is not reused.
-		if e.writeAll(r, append(head, r.Body...)) == nil {
-			e.writing.Store(false)
-		}
-	}()
+	// An endpoint that has answered may stop reading, and the write then fails. The connection is not
+	// reused then, and an answer that ends with it is not whole.
+	go func() { _ = e.writeAll(r, append(head, r.Body...)) }()
 	return nil
 }
 
 func (e *Exchange) writeAll(r Request, data []byte) error {
 	n, err := e.conn.Write(data)
+	e.writeErr = err
+	close(e.writeEnded)
 	if err != nil {
 		return &Failure{Address: r.Address, NotSent: n == 0, Cause: Error.Wrap(err)}
 	}
 	return nil
 }
 
+// written closes the connection, so that a write that is under way ends, and reports whether the request was
+// written to its end.
+func (e *Exchange) written() bool {
+	e.pool.discard(e.address, e.conn)
+	<-e.writeEnded
+	return e.writeErr == nil
+}
+
+// hasWritten reports whether the request has been written to its end by now.
+func (e *Exchange) hasWritten() bool {
+	select {
+	case <-e.writeEnded:
+		return e.writeErr == nil
+	default:
+		return false
+	}
+}
+
 // encodeHead encodes the request line and the headers. The target is sent as it was received,
 // because a library that parses and formats the target may change its encoding.
 func encodeHead(r Request) []byte {
@@ -176,17 +191,13 @@
 // readHead reads the heads of answers until one of them belongs to the request. Stray answers
 // come from endpoints that answer twice, and must not reach this caller.
 func (e *Exchange) readHead(r Request) (*http.Response, error) {
-	request := &http.Request{Method: r.Method}
 	e.conn.head.limit()
 	defer e.conn.head.lift()
 	for strays := 0; ; {
-		response, err := http.ReadResponse(e.conn.reader, request)
+		response, err := httpanswer.Read(e.conn.reader, r.Method, e.written)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		dropConnectionHeaders(response.Header)
 		if r.Matches == nil || r.Matches(response.Header) {
 			return response, nil
@@ -229,14 +240,14 @@
 		e.bodyComplete = true
 		return n, io.EOF
 	}
-	return n, &Failure{Address: e.address, TimedOut: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
+	return n, e.pool.failure(e.address, err)
 }
 
 // EndsWithConnection reports whether the answer states neither a length nor chunks, so that the end of
 // the connection is its end. Read can't tell then whether the answer is complete: a process that is
 // killed closes its connections as well.
 func (e *Exchange) EndsWithConnection() bool {
-	return e.ContentLength < 0 && len(e.TransferEncoding) == 0
+	return httpanswer.EndsWithConnection(e.Response)
 }
 
 // ErrTooLong is the error of ReadAll for a body of maxBytes or more.
@@ -308,7 +319,7 @@
 // its end and no further bytes have been received. keepFor is how long the endpoint keeps the
 // connection open while it is idle. Close must still be called.
 func (e *Exchange) KeepAlive(keepFor time.Duration) {
-	if e.closed || !e.bodyComplete || e.Response.Close || e.writing.Load() || e.conn.reader.Buffered() > 0 {
+	if e.closed || !e.bodyComplete || e.Response.Close || !e.hasWritten() || e.conn.reader.Buffered() > 0 {
 		return
 	}
 	if !e.stopCancel() {
--- a/route/upstream/pool.go
+++ b/route/upstream/pool.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // Error is the class of the errors of this package.
@@ -29,6 +33,8 @@
 	// OnDial, if not nil, is called with the result of each attempt to open a connection, unless
 	// the caller ended the attempt. It is set before use.
 	OnDial func(address string, connected bool)
+	// OnFault, if not nil, is told of answers that are none. It is set before use.
+	OnFault httpanswer.OnFault
 
 	now  func() time.Time
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -113,6 +119,14 @@
 	return conns
 }
 
+// failure returns the failure of a request whose answer could not be read.
+func (p *Pool) failure(address string, err error) *Failure {
+	if fault := (*httpanswer.Fault)(nil); errors.As(err, &fault) && p.OnFault != nil {
+		p.OnFault(address, fault)
+	}
+	return &Failure{Address: address, TimedOut: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
+}
+
 func (p *Pool) reportDial(address string, connected bool) {
 	if p.OnDial != nil {
 		p.OnDial(address, connected)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -71,6 +71,8 @@
 	RawStream *RawStream
 	// NoStream is what the replica answers to streams in place of a stream; nil for streams.
 	NoStream *NoStream
+	// Early is what the replica answers to long uploads before it has read them; nil for answers.
+	Early *Early
 	// Endless is what the replica answers to all requests in place of an answer; nil for answers.
 	Endless *Endless
 	// Hang takes requests and answers nothing.
--- a/standin/replica/request.go
+++ b/standin/replica/request.go
@@ -37,6 +37,9 @@
 			return
 		}
 	}
+	if r.answerEarly(w, q, fault.Early) {
+		return
+	}
 	r.note(q)
 	if fault.LoseAnswer {
 		reset(w)
@@ -72,11 +75,16 @@
 	var body strings.Builder
 	// A body that breaks off is noted as far as it came.
 	_, _ = bufio.NewReader(q.Body).WriteTo(&body)
-	r.fleet.mu.Lock()
-	defer r.fleet.mu.Unlock()
-	r.fleet.runs = append(r.fleet.runs, Run{
-		Replica: r.ID, Request: q.Header.Get("Request-Id"), Header: q.Header.Clone(),
-		Method: q.Method, Target: q.RequestURI, Body: body.String(), At: time.Now(),
+	r.fleet.noteRun(r.ID, q, body.String())
+}
+
+// noteRun notes a run of a request, whose body was read.
+func (f *Fleet) noteRun(replica string, q *http.Request, body string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs = append(f.runs, Run{
+		Replica: replica, Request: q.Header.Get("Request-Id"), Header: q.Header.Clone(),
+		Method: q.Method, Target: q.RequestURI, Body: body, At: time.Now(),
 	})
 }
 
--- /dev/null
+++ b/state/httpanswer/fault.go
@@ -0,0 +1,22 @@
+package httpanswer
+
+import "fmt"
+
+// Reason says what is wrong with bytes that are no answer.
+type Reason string
+
+// Reasons.
+const (
+	// ReasonUnwritten is an end of the connection before the request was written, in place of that of the answer.
+	ReasonUnwritten Reason = "request_unwritten"
+)
+
+// Fault is the error of bytes that are no answer.
+type Fault struct {
+	Reason Reason
+	// Detail is for the log: it may have bytes that the sender has sent.
+	Detail string
+}
+
+// Error returns the reason and the detail.
+func (f *Fault) Error() string { return fmt.Sprintf("unsound answer (%s): %s", f.Reason, f.Detail) }
