httpanswer: a status outside 100 to 599 is no answer

Callers saw: a replica in trouble answers with a status of 000, and the caller gets an answer: what stands behind the head.

Cause: every status below 200 counted as that of an interim answer, so that 000, 001, 099 and +20 (Go's parser takes any number of three characters) were passed over, and the body was read as the next head. At clients of the standard library, and for 600 to 999 everywhere, nothing asked whether the status is one: the answer was passed on. The hypothesis that a node writes status 0 to its caller did not hold.

Change: httpanswer.Read passes over 100 to 199 only; a final status is 200 to 599 (RFC 9110, section 15), for readers of their own and for those of the standard library's client. The connection of such an answer is closed: the standard client would keep one whose answer has no body, and take what follows for the answer to its next request. A refusal with such a status proves nothing, whatever it says of the request.

The exchanges between nodes and cicadactl refused all of them already: their tests stay.

--- a/node/cmd/cicadactl/nodes_test.go
+++ b/node/cmd/cicadactl/nodes_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/cicadatack/cicadatack/node/operators"
+	"github.com/cicadatack/cicadatack/state/httpanswer/answertest"
 )
 
 // A key that is missing or wrong, and a listener that speaks TLS to a command
@@ -71,3 +72,11 @@
 	waiting.Close()
 	d.fails(&statusCommand{Node: at}, "connection refused", "is the node up")
 }
+
+// Guards against answers of nodes whose head is none, and that are shown as the node's state.
+func TestBrokenHeadsAreNotShown(t *testing.T) {
+	d := &desk{t: t}
+	for _, answer := range answertest.BrokenHeads("{}") {
+		d.fails(&statusCommand{Node: answertest.Serve(t, func(string) string { return answer })})
+	}
+}
--- /dev/null
+++ b/route/engineclient/broken_heads_test.go
@@ -0,0 +1,29 @@
+package engineclient
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cicadatack/cicadatack/state/engineapi"
+	"github.com/cicadatack/cicadatack/state/httpanswer/answertest"
+)
+
+// Guards against replies and streams of an engine whose head is none, and against one that says in such a head that
+// it has not run a call.
+func TestBrokenHeadsAreNoAnswers(t *testing.T) {
+	client := New(nil)
+	defer client.CloseIdle()
+	for name, answer := range answertest.BrokenHeads(`{"model":"toy"}`, engineapi.HeaderNotRun+": 1\r\n") {
+		address := answertest.Serve(t, func(string) string { return answer })
+		if report, err := client.HoldingReport(context.Background(), address); err == nil || NotRun(err) || HTTPStatus(err) != 0 {
+			t.Errorf("%s: %+v, %v", name, report, err)
+		}
+		stream, err := client.Open(context.Background(), address, engineapi.ChatRequest{})
+		if err == nil {
+			stream.Close()
+		}
+		if err == nil || NotRun(err) || HTTPStatus(err) != 0 {
+			t.Errorf("%s: a stream: %v", name, err)
+		}
+	}
+}
--- a/route/httpapi/broken_answers_test.go
+++ b/route/httpapi/broken_answers_test.go
@@ -1,6 +1,7 @@
 package httpapi_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"testing"
 
 	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/state/httpanswer/answertest"
 )
 
 // answerRaw writes the bytes of an answer and ends the connection.
@@ -30,9 +32,28 @@
 	}
 	order := strings.Repeat("flour ", 680_000)
 	for i := range 12 {
-		key := []string{"", "key-" + string(rune('a'+i))}[i%2]
+		key := []string{"", fmt.Sprint("key-", i)}[i%2]
 		if got := n.send(orderRequest(key, order)); got.status < http.StatusBadRequest || got.outcome() != outcome.Unknown {
 			t.Errorf("order with key %q: %d %s %q", key, got.status, got.outcome(), got.body)
 		}
 	}
 }
+
+// Guards against answers of plain endpoints whose head is none, and that callers get or that are kept for an order.
+func TestAnswersWithBrokenHeadsReachNoCaller(t *testing.T) {
+	n := newTestNode(t, testNodeConfig{})
+	i := 0
+	for name, answer := range answertest.BrokenHeads("STRAY") {
+		i++
+		n.respond = func(w http.ResponseWriter, _ *http.Request) { answerRaw(w, answer, func(*net.TCPConn) {}) }
+		for _, request := range []apiRequest{
+			orderRequest("", "flour"), orderRequest(fmt.Sprint("key-", i), "flour"), orderRequest(fmt.Sprint("key-", i), "flour"),
+			{method: http.MethodGet, path: "/services/stock-ledger/stock", key: teamKey},
+		} {
+			got := n.send(request)
+			if got.status < http.StatusBadRequest || got.outcome() != outcome.Unknown || strings.Contains(got.body, "STRAY") {
+				t.Errorf("%s: %s: %d %s %q", name, request.method, got.status, got.outcome(), got.body)
+			}
+		}
+	}
+}
--- a/state/httpanswer/fault.go
+++ b/state/httpanswer/fault.go
@@ -9,6 +9,8 @@
 const (
 	// ReasonUnwritten is an end of the connection before the request was written, in place of that of the answer.
 	ReasonUnwritten Reason = "request_unwritten"
+	// ReasonStatus is a status that is none.
+	ReasonStatus Reason = "status"
 )
 
 // Fault is the error of bytes that are no answer.
--- a/state/httpanswer/read.go
+++ b/state/httpanswer/read.go
@@ -17,10 +17,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			judgeBody(response, written)
-			return response, nil
+		if isInterim(response.StatusCode) {
+			continue
 		}
+		if err := judgeHead(response); err != nil {
+			return nil, err
+		}
+		judgeBody(response, written)
+		return response, nil
 	}
 }
 
--- a/state/httpanswer/transport.go
+++ b/state/httpanswer/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -35,6 +36,11 @@
 	if err != nil {
 		return nil, t.observe(address, err)
 	}
+	if err := judgeHead(response); err != nil {
+		write.closeConn()
+		response.Body.Close()
+		return nil, t.observe(address, err)
+	}
 	judgeBody(response, func() bool { return write.wait(request.Context()) })
 	response.Body = &observedBody{ReadCloser: response.Body, observe: func(err error) error { return t.observe(address, err) }}
 	return response, nil
@@ -70,6 +76,7 @@
 // requestWrite is the write of a request, on the connection that it was sent on last.
 type requestWrite struct {
 	mu    sync.Mutex
+	conn  net.Conn
 	ended chan struct{} // nil before the first connection
 	over  bool          // ended is closed
 	err   error
@@ -77,9 +84,10 @@
 
 func (w *requestWrite) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			w.conn = info.Conn
 			w.ended, w.over, w.err = make(chan struct{}), false, nil
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -94,6 +102,16 @@
 	}
 }
 
+// closeConn closes the connection of an answer that is none. The sender of the request may keep it otherwise, and
+// what follows on it would be the answer to a later request.
+func (w *requestWrite) closeConn() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != nil {
+		w.conn.Close()
+	}
+}
+
 // writeEndTimeout bounds the wait for the end of a write whose connection is being closed.
 const writeEndTimeout = time.Second
 
