httpanswer: a name with a blank or a control byte is no field of an answer

Callers saw: a replica in trouble sends a head in which the name of a field holds a blank; the caller gets an answer, with a body that is not the replica's: "Content-Length : 2" and "Transfer-Encoding : chunked" don't frame it, so that the bytes of the chunks, or whatever comes until the connection ends, are its body.

Cause: the standard library's parser accepts blanks in names and keeps such names as they are; it refuses control bytes, tabs, DEL, bytes beyond ASCII, other marks and empty names. Its server leaves such lines out, so that the line itself was never passed on. No metric or log told of the lines.

Change: httpanswer accepts tokens only (RFC 9110, section 5.6.2), in the heads of final and interim answers and in trailers. What the library refuses by itself has the same reason now, `field`. A refusal with such a line proves nothing. Sound marks and folded values are accepted as before (TestSoundHeadsAreAnswers).

--- a/node/cmd/cicadactl/nodes_test.go
+++ b/node/cmd/cicadactl/nodes_test.go
@@ -76,7 +76,7 @@
 // Guards against answers of nodes whose head is none, and that are shown as the node's state.
 func TestBrokenHeadsAreNotShown(t *testing.T) {
 	d := &desk{t: t}
-	for _, answer := range answertest.BrokenHeads("{}") {
+	for _, answer := range answertest.Broken("{}") {
 		d.fails(&statusCommand{Node: answertest.Serve(t, func(string) string { return answer })})
 	}
 }
--- a/node/site/broken_heads_test.go
+++ b/node/site/broken_heads_test.go
@@ -24,14 +24,14 @@
 			p.chains(strayEvents, time.Millisecond)
 			node := p.strayNode(forwarded)
 			n := 0
-			for name := range answertest.BrokenHeads("STRAY") {
+			for name := range answertest.Broken("STRAY") {
 				n++
 				p.setFaults(replica.Fault{})
 				p.until("the replicas are used again", func() bool {
 					return node.ask("GET", "/read/1", fmt.Sprint("sound-", n, time.Now().UnixNano()), goodKey).status == http.StatusOK
 				})
 				p.setFaults(replica.Fault{Raw: func(id string, _ int) string {
-					return answertest.BrokenHeads("STRAY", namedLines(id))[name]
+					return answertest.Broken("STRAY", namedLines(id))[name]
 				}})
 				for method, path := range map[string]string{"GET": "/read/1", "POST": "/order/1"} {
 					id := fmt.Sprint(method, "-", n)
--- a/route/engineclient/broken_heads_test.go
+++ b/route/engineclient/broken_heads_test.go
@@ -13,11 +13,15 @@
 func TestBrokenHeadsAreNoAnswers(t *testing.T) {
 	client := New(nil)
 	defer client.CloseIdle()
-	for name, answer := range answertest.BrokenHeads(`{"model":"toy"}`, engineapi.HeaderNotRun+": 1\r\n") {
+	const notRun = engineapi.HeaderNotRun + ": 1\r\n"
+	for name, answer := range answertest.Broken(`{"model":"toy"}`, notRun) {
 		address := answertest.Serve(t, func(string) string { return answer })
 		if report, err := client.HoldingReport(context.Background(), address); err == nil || NotRun(err) || HTTPStatus(err) != 0 {
 			t.Errorf("%s: %+v, %v", name, report, err)
 		}
+	}
+	for name, answer := range answertest.BrokenHeads(`{"model":"toy"}`, notRun) {
+		address := answertest.Serve(t, func(string) string { return answer })
 		stream, err := client.Open(context.Background(), address, engineapi.ChatRequest{})
 		if err == nil {
 			stream.Close()
--- a/route/httpapi/broken_answers_test.go
+++ b/route/httpapi/broken_answers_test.go
@@ -43,12 +43,12 @@
 func TestAnswersWithBrokenHeadsReachNoCaller(t *testing.T) {
 	n := newTestNode(t, testNodeConfig{})
 	i := 0
-	for name, answer := range answertest.BrokenHeads("STRAY") {
+	for name, answer := range answertest.Broken("STRAY") {
 		i++
 		n.respond = func(w http.ResponseWriter, _ *http.Request) { answerRaw(w, answer, func(*net.TCPConn) {}) }
 		for _, request := range []apiRequest{
 			orderRequest("", "flour"), orderRequest(fmt.Sprint("key-", i), "flour"), orderRequest(fmt.Sprint("key-", i), "flour"),
-			{method: http.MethodGet, path: "/services/stock-ledger/stock", key: teamKey},
+			{method: http.MethodGet, path: "/services/stock-ledger/stock", key: teamKey, header: map[string]string{outcome.HeaderTimeout: "150"}},
 		} {
 			got := n.send(request)
 			if got.status < http.StatusBadRequest || got.outcome() != outcome.Unknown || strings.Contains(got.body, "STRAY") {
--- a/route/upstream/heads_test.go
+++ b/route/upstream/heads_test.go
@@ -29,9 +29,13 @@
 func TestBrokenHeadsAreNoAnswers(t *testing.T) {
 	pool := New(time.Now)
 	defer pool.Close()
-	for name, answer := range answertest.BrokenHeads("body", idLine) {
+	for name, answer := range answertest.Broken("body", idLine) {
 		address := answertest.Serve(t, func(string) string { return answer })
-		for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodHead} {
+		methods := []string{http.MethodGet, http.MethodPost}
+		if _, inHead := answertest.BrokenHeads("")[name]; inHead {
+			methods = append(methods, http.MethodHead)
+		}
+		for _, method := range methods {
 			e, body, err := ask(pool, method, address)
 			if err == nil {
 				t.Errorf("%s: %s: %d %v %q", name, method, e.StatusCode, e.Header, body)
@@ -48,7 +52,7 @@
 	pool := New(time.Now)
 	defer pool.Close()
 	const sound = "HTTP/1.1 200 OK\r\n" + idLine + "Content-Length: 4\r\n\r\nbody"
-	for name, answer := range answertest.BrokenHeads("body", idLine) {
+	for name, answer := range answertest.Broken("body", idLine) {
 		answers := []string{sound, answer}
 		address := answertest.Serve(t, func(string) string {
 			next := answers[0]
--- a/state/httpanswer/body.go
+++ b/state/httpanswer/body.go
@@ -26,9 +26,9 @@
 func (b *body) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if errors.Is(err, io.EOF) {
-		err = b.judgeEnd()
+		return n, b.judgeEnd()
 	}
-	return n, err
+	return n, asFault(err)
 }
 
 // judgeEnd returns io.EOF if the answer is sound.
@@ -36,5 +36,8 @@
 	if b.endsWithConnection && !b.written() {
 		return &Fault{Reason: ReasonUnwritten, Detail: "the connection ended while the request was being written"}
 	}
+	if err := judgeFields(b.response.Trailer); err != nil {
+		return err
+	}
 	return io.EOF
 }
--- a/state/httpanswer/fault.go
+++ b/state/httpanswer/fault.go
@@ -1,6 +1,10 @@
 package httpanswer
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"net/textproto"
+)
 
 // Reason says what is wrong with bytes that are no answer.
 type Reason string
@@ -11,6 +15,8 @@
 	ReasonUnwritten Reason = "request_unwritten"
 	// ReasonStatus is a status that is none.
 	ReasonStatus Reason = "status"
+	// ReasonField is a line of a head or a trailer that is no field.
+	ReasonField Reason = "field"
 )
 
 // Fault is the error of bytes that are no answer.
@@ -22,3 +28,11 @@
 
 // Error returns the reason and the detail.
 func (f *Fault) Error() string { return fmt.Sprintf("unsound answer (%s): %s", f.Reason, f.Detail) }
+
+// asFault returns the *Fault that an error of the standard library stands for, or the error.
+func asFault(err error) error {
+	if malformed := textproto.ProtocolError(""); errors.As(err, &malformed) {
+		return &Fault{Reason: ReasonField, Detail: fmt.Sprintf("%.100q", string(malformed))}
+	}
+	return err
+}
--- a/state/httpanswer/head_test.go
+++ b/state/httpanswer/head_test.go
@@ -25,7 +25,7 @@
 // Guards against heads that are none, and of which a client of the standard library makes an answer, and against
 // the bytes behind them that it takes for the answer to its next request.
 func TestBrokenHeadsAreNoAnswers(t *testing.T) {
-	for name, answer := range answertest.BrokenHeads("body") {
+	for name, answer := range answertest.Broken("body") {
 		address := answertest.Serve(t, func(string) string { return answer })
 		client := checkedClient(t, nil)
 		for range 3 {
@@ -48,7 +48,7 @@
 
 // Guards against faults whose reason is not told.
 func TestReasonsOfBrokenHeads(t *testing.T) {
-	for name, answer := range answertest.BrokenHeads("body") {
+	for name, answer := range answertest.Broken("body") {
 		address := answertest.Serve(t, func(string) string { return answer })
 		_, _, err := get(checkedClient(t, nil), address)
 		var fault *httpanswer.Fault
--- a/state/httpanswer/read.go
+++ b/state/httpanswer/read.go
@@ -15,9 +15,12 @@
 	for {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
-			return nil, err
+			return nil, asFault(err)
 		}
 		if isInterim(response.StatusCode) {
+			if err := judgeFields(response.Header); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if err := judgeHead(response); err != nil {
--- a/state/httpanswer/transport.go
+++ b/state/httpanswer/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 )
@@ -34,7 +35,7 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), write.trace()))
 	response, err := t.sender.RoundTrip(request)
 	if err != nil {
-		return nil, t.observe(address, err)
+		return nil, t.observe(address, asFault(err))
 	}
 	if err := judgeHead(response); err != nil {
 		write.closeConn()
@@ -84,6 +85,7 @@
 
 func (w *requestWrite) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return judgeFields(header) },
 		GotConn: func(info httptrace.GotConnInfo) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
