upstream: the write of a request and the body of an answer get files of their own

exchange.go held the life of an exchange, the write of its request, the head and the body of its answer: 350 lines.

--- a/route/upstream/exchange.go
+++ b/route/upstream/exchange.go
@@ -1,13 +1,11 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -82,10 +80,6 @@
 	maxStrayAnswers = 2
 	// maxStrayBytes bounds the body of one stray answer.
 	maxStrayBytes = 64 << 10
-	// maxInlineWriteBytes is the body length up to which a request is written before its answer
-	// is read. Such a body fits the socket's send buffer, so the write does not block. The write
-	// of a longer body would block if the endpoint answered before reading the request.
-	maxInlineWriteBytes = 8 << 10
 )
 
 // Exchange is one request on a connection, with its answer.
@@ -134,60 +128,6 @@
 	return nil
 }
 
-// write sends the request. The body of a long request is written in the background.
-func (e *Exchange) write(r Request) error {
-	head := encodeHead(r)
-	if len(r.Body) <= maxInlineWriteBytes {
-		return e.writeAll(r, append(head, r.Body...))
-	}
-	// An endpoint that has answered may stop reading, and the write then fails. The connection is not
-	// reused then, and an answer that ends with it is not whole.
-	go func() { _ = e.writeAll(r, append(head, r.Body...)) }()
-	return nil
-}
-
-func (e *Exchange) writeAll(r Request, data []byte) error {
-	n, err := e.conn.Write(data)
-	e.writeErr = err
-	close(e.writeEnded)
-	if err != nil {
-		return &Failure{Address: r.Address, NotSent: n == 0, Cause: Error.Wrap(err)}
-	}
-	return nil
-}
-
-// written closes the connection, so that a write that is under way ends, and reports whether the request was
-// written to its end.
-func (e *Exchange) written() bool {
-	e.pool.discard(e.address, e.conn)
-	<-e.writeEnded
-	return e.writeErr == nil
-}
-
-// hasWritten reports whether the request has been written to its end by now.
-func (e *Exchange) hasWritten() bool {
-	select {
-	case <-e.writeEnded:
-		return e.writeErr == nil
-	default:
-		return false
-	}
-}
-
-// encodeHead encodes the request line and the headers. The target is sent as it was received,
-// because a library that parses and formats the target may change its encoding.
-func encodeHead(r Request) []byte {
-	var b bytes.Buffer
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// Writes to a bytes.Buffer don't fail.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
 // readHead reads the heads of answers until one of them belongs to the request. Stray answers
 // come from endpoints that answer twice, and must not reach this caller.
 func (e *Exchange) readHead(r Request) (*http.Response, error) {
@@ -226,95 +166,6 @@
 	}
 }
 
-// Read reads from the body. It fails if nothing arrives within the timeout. io.EOF means that
-// the answer is complete. Other errors are *Failure.
-func (e *Exchange) Read(p []byte, timeout time.Duration) (int, error) {
-	if err := e.conn.SetReadDeadline(e.pool.now().Add(timeout)); err != nil {
-		return 0, &Failure{Address: e.address, Cause: Error.Wrap(err)}
-	}
-	n, err := e.Body.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF):
-		e.bodyComplete = true
-		return n, io.EOF
-	}
-	return n, e.pool.failure(e.address, err)
-}
-
-// EndsWithConnection reports whether the answer states neither a length nor chunks, so that the end of
-// the connection is its end. Read can't tell then whether the answer is complete: a process that is
-// killed closes its connections as well.
-func (e *Exchange) EndsWithConnection() bool {
-	return httpanswer.EndsWithConnection(e.Response)
-}
-
-// ErrTooLong is the error of ReadAll for a body of maxBytes or more.
-var ErrTooLong = errors.New("the answer exceeds the buffer limit")
-
-const (
-	// firstBufferBytes and maxFirstBufferBytes bound the first buffer for a body, by the length that the
-	// answer states. The buffer grows with what has been received: an endpoint may state any length.
-	firstBufferBytes    = 512
-	maxFirstBufferBytes = 32 << 10
-)
-
-// ReadAll reads the body to its end. It fails if the body does not end within the timeout. If
-// the body has maxBytes or more, ReadAll returns the bytes read so far and ErrTooLong.
-func (e *Exchange) ReadAll(maxBytes int, timeout time.Duration) ([]byte, error) {
-	return e.ReadGrowing(maxBytes, timeout, func(int) error { return nil })
-}
-
-// ReadGrowing is ReadAll for a buffer that may not grow to maxBytes. grow is called with the size of each
-// larger buffer. If it fails, ReadGrowing returns the bytes read so far and its error.
-func (e *Exchange) ReadGrowing(maxBytes int, timeout time.Duration, grow func(bytes int) error) ([]byte, error) {
-	deadline := e.pool.now().Add(timeout)
-	stated := min(e.ContentLength, maxFirstBufferBytes) + 1 // with room to see the end
-	body := make([]byte, 0, min(max(firstBufferBytes, int(stated)), maxBytes))
-	for {
-		if len(body) >= maxBytes {
-			return body, ErrTooLong
-		}
-		if len(body) == cap(body) {
-			size := min(2*cap(body), maxBytes)
-			if err := grow(size); err != nil {
-				return body, err
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := e.Read(body[len(body):cap(body)], deadline.Sub(e.pool.now()))
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// Discard reads the body to its end without keeping it, so that the connection can be reused. It fails if
-// the body has maxBytes or more, or does not end within the timeout.
-func (e *Exchange) Discard(maxBytes int, timeout time.Duration) error {
-	deadline := e.pool.now().Add(timeout)
-	var buffer [firstBufferBytes]byte
-	for read := 0; read < maxBytes; {
-		n, err := e.Read(buffer[:], deadline.Sub(e.pool.now()))
-		read += n
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return ErrTooLong
-}
-
-// MoreReceived reports whether bytes have been received behind the answer, which was read to its end.
-func (e *Exchange) MoreReceived() bool { return e.bodyComplete && e.conn.received() }
-
 // KeepAlive ends the exchange and returns its connection to the pool, if the answer was read to
 // its end and no further bytes have been received. keepFor is how long the endpoint keeps the
 // connection open while it is idle. Close must still be called.
