--- a/e2e/soak/endless_test.go
+++ b/e2e/soak/endless_test.go
@@ -123,6 +123,11 @@
 		return 0
 	}
 	q.Host = site.Host
+	return r.discardAnswer(q, id)
+}
+
+// discardAnswer sends a request with an id. It returns the status, 0 for no whole answer.
+func (r *run) discardAnswer(q *http.Request, id string) int {
 	for name, value := range map[string]string{
 		"Request-Id": id, "Deadline-Ms": fmt.Sprint(endlessTimeout.Milliseconds()), "Authorization": "Token " + r.key, "Token-Count": "10,20",
 	} {
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -325,8 +325,14 @@
 		{Refuse: true}, {LoseAnswer: true}, {Twice: true}, {Unproved: true}, {CutAfter: 5}, {Hang: true},
 		{Unproven: http.StatusServiceUnavailable}, {Unproven: http.StatusTooManyRequests},
 	}
+	name, broken := brokenHead(r.draw)
+	faults = append(faults, broken)
 	fault := faults[r.draw.IntN(len(faults))]
-	r.tell("%s: %+v", id, fault)
+	if fault.Raw != nil {
+		r.tell("%s: %s", id, name)
+	} else {
+		r.tell("%s: %+v", id, fault)
+	}
 	r.site.Replica(id).SetFault(fault)
 }
 
