--- a/route/upstream/exchange.go
+++ b/route/upstream/exchange.go
@@ -1,19 +1,16 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cicadatack/cicadatack/decide/health"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // Request is a request to one endpoint.
@@ -83,10 +80,6 @@
 	maxStrayAnswers = 2
 	// maxStrayBytes bounds the body of one stray answer.
 	maxStrayBytes = 64 << 10
-	// maxInlineWriteBytes is the body length up to which a request is written before its answer
-	// is read. Such a body fits the socket's send buffer, so the write does not block. The write
-	// of a longer body would block if the endpoint answered before reading the request.
-	maxInlineWriteBytes = 8 << 10
 )
 
 // Exchange is one request on a connection, with its answer.
@@ -96,8 +89,9 @@
 	address    string
 	conn       *conn
 	stopCancel func() bool
-	// writing is set while the rest of a long request is being written in the background.
-	writing      atomic.Bool
+	// writeEnded is closed when the write of the request has ended, with writeErr.
+	writeEnded   chan struct{}
+	writeErr     error
 	bodyComplete bool // the body was read to its end
 	closed       bool
 }
@@ -110,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Exchange{pool: p, address: r.Address, conn: c}
+	e := &Exchange{pool: p, address: r.Address, conn: c, writeEnded: make(chan struct{})}
 	e.stopCancel = context.AfterFunc(ctx, func() { p.discard(r.Address, c) })
 	if err := e.roundTrip(r); err != nil {
 		e.Close()
@@ -128,65 +122,22 @@
 	}
 	response, err := e.readHead(r)
 	if err != nil {
-		return &Failure{Address: r.Address, TimedOut: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
+		return e.pool.failure(r.Address, err)
 	}
 	e.Response = response
 	return nil
 }
 
-// write sends the request. The body of a long request is written in the background.
-func (e *Exchange) write(r Request) error {
-	head := encodeHead(r)
-	if len(r.Body) <= maxInlineWriteBytes {
-		return e.writeAll(r, append(head, r.Body...))
-	}
-	e.writing.Store(true)
-	go func() {
-		// An endpoint that has answered may stop reading, and the write then fails. The only
-		// consequence of the error is that the connection is not reused.
-		if e.writeAll(r, append(head, r.Body...)) == nil {
-			e.writing.Store(false)
-		}
-	}()
-	return nil
-}
-
-func (e *Exchange) writeAll(r Request, data []byte) error {
-	n, err := e.conn.Write(data)
-	if err != nil {
-		return &Failure{Address: r.Address, NotSent: n == 0, Cause: Error.Wrap(err)}
-	}
-	return nil
-}
-
-// encodeHead encodes the request line and the headers. The target is sent as it was received,
-// because a library that parses and formats the target may change its encoding.
-func encodeHead(r Request) []byte {
-	var b bytes.Buffer
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// Writes to a bytes.Buffer don't fail.
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
 // readHead reads the heads of answers until one of them belongs to the request. Stray answers
 // come from endpoints that answer twice, and must not reach this caller.
 func (e *Exchange) readHead(r Request) (*http.Response, error) {
-	request := &http.Request{Method: r.Method}
 	e.conn.head.limit()
 	defer e.conn.head.lift()
 	for strays := 0; ; {
-		response, err := http.ReadResponse(e.conn.reader, request)
+		response, err := httpanswer.Read(e.conn.reader, r.Method, e.written)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		dropConnectionHeaders(response.Header)
 		if r.Matches == nil || r.Matches(response.Header) {
 			return response, nil
@@ -215,100 +166,11 @@
 	}
 }
 
-// Read reads from the body. It fails if nothing arrives within the timeout. io.EOF means that
-// the answer is complete. Other errors are *Failure.
-func (e *Exchange) Read(p []byte, timeout time.Duration) (int, error) {
-	if err := e.conn.SetReadDeadline(e.pool.now().Add(timeout)); err != nil {
-		return 0, &Failure{Address: e.address, Cause: Error.Wrap(err)}
-	}
-	n, err := e.Body.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF):
-		e.bodyComplete = true
-		return n, io.EOF
-	}
-	return n, &Failure{Address: e.address, TimedOut: errors.Is(err, os.ErrDeadlineExceeded), Cause: Error.Wrap(err)}
-}
-
-// EndsWithConnection reports whether the answer states neither a length nor chunks, so that the end of
-// the connection is its end. Read can't tell then whether the answer is complete: a process that is
-// killed closes its connections as well.
-func (e *Exchange) EndsWithConnection() bool {
-	return e.ContentLength < 0 && len(e.TransferEncoding) == 0
-}
-
-// ErrTooLong is the error of ReadAll for a body of maxBytes or more.
-var ErrTooLong = errors.New("the answer exceeds the buffer limit")
-
-const (
-	// firstBufferBytes and maxFirstBufferBytes bound the first buffer for a body, by the length that the
-	// answer states. The buffer grows with what has been received: an endpoint may state any length.
-	firstBufferBytes    = 512
-	maxFirstBufferBytes = 32 << 10
-)
-
-// ReadAll reads the body to its end. It fails if the body does not end within the timeout. If
-// the body has maxBytes or more, ReadAll returns the bytes read so far and ErrTooLong.
-func (e *Exchange) ReadAll(maxBytes int, timeout time.Duration) ([]byte, error) {
-	return e.ReadGrowing(maxBytes, timeout, func(int) error { return nil })
-}
-
-// ReadGrowing is ReadAll for a buffer that may not grow to maxBytes. grow is called with the size of each
-// larger buffer. If it fails, ReadGrowing returns the bytes read so far and its error.
-func (e *Exchange) ReadGrowing(maxBytes int, timeout time.Duration, grow func(bytes int) error) ([]byte, error) {
-	deadline := e.pool.now().Add(timeout)
-	stated := min(e.ContentLength, maxFirstBufferBytes) + 1 // with room to see the end
-	body := make([]byte, 0, min(max(firstBufferBytes, int(stated)), maxBytes))
-	for {
-		if len(body) >= maxBytes {
-			return body, ErrTooLong
-		}
-		if len(body) == cap(body) {
-			size := min(2*cap(body), maxBytes)
-			if err := grow(size); err != nil {
-				return body, err
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := e.Read(body[len(body):cap(body)], deadline.Sub(e.pool.now()))
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// Discard reads the body to its end without keeping it, so that the connection can be reused. It fails if
-// the body has maxBytes or more, or does not end within the timeout.
-func (e *Exchange) Discard(maxBytes int, timeout time.Duration) error {
-	deadline := e.pool.now().Add(timeout)
-	var buffer [firstBufferBytes]byte
-	for read := 0; read < maxBytes; {
-		n, err := e.Read(buffer[:], deadline.Sub(e.pool.now()))
-		read += n
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return ErrTooLong
-}
-
-// MoreReceived reports whether bytes have been received behind the answer, which was read to its end.
-func (e *Exchange) MoreReceived() bool { return e.bodyComplete && e.conn.received() }
-
 // KeepAlive ends the exchange and returns its connection to the pool, if the answer was read to
 // its end and no further bytes have been received. keepFor is how long the endpoint keeps the
 // connection open while it is idle. Close must still be called.
 func (e *Exchange) KeepAlive(keepFor time.Duration) {
-	if e.closed || !e.bodyComplete || e.Response.Close || e.writing.Load() || e.conn.reader.Buffered() > 0 {
+	if e.closed || !e.bodyComplete || e.Response.Close || !e.hasWritten() || e.conn.reader.Buffered() > 0 {
 		return
 	}
 	if !e.stopCancel() {
