httpanswer: an answer that the transport has unpacked states its length

The standard client reports no length for an answer that it has unpacked, which then passed for one that ends with its connection. Found by reading: nodes' answers are not packed, and such an answer was refused only if it came before its request was written.

--- a/state/httpanswer/read.go
+++ b/state/httpanswer/read.go
@@ -34,5 +34,5 @@
 // EndsWithConnection reports whether an answer states neither a length nor chunks, so that the end of its
 // connection is its end.
 func EndsWithConnection(r *http.Response) bool {
-	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed
 }
