--- a/route/upstream/doc.go
+++ b/route/upstream/doc.go
@@ -16,5 +16,6 @@
 //   - The client decides by itself when to open connections, but an endpoint accepts only a
 //     limited number of connections from all nodes together.
 //
-// Requests are encoded and answers parsed with the standard library's functions.
+// Requests are encoded with the standard library's functions. Package httpanswer reads the answers and decides
+// what is one.
 package upstream
