--- a/node/site/early_answers_test.go
+++ b/node/site/early_answers_test.go
@@ -23,9 +23,9 @@
 }
 
 // earlyAnswer is the head of an answer without a length, and a part of its body.
-func earlyAnswer(status string) func(id string) string {
+func earlyAnswer(status, part string) func(id string) string {
 	return func(id string) string {
-		return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\nConnection: close\r\n\r\na part"
+		return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\nConnection: close\r\n\r\n" + part
 	}
 }
 
@@ -39,7 +39,7 @@
 			node := p.uploadNode(forwarded)
 			for n, status := range []string{"200 OK", "404 Not Found"} {
 				for _, after := range []time.Duration{0, 30 * time.Millisecond} {
-					p.setFaults(replica.Fault{Early: &replica.Early{Answer: earlyAnswer(status), ResetAfter: after}})
+					p.setFaults(replica.Fault{Early: &replica.Early{Answer: earlyAnswer(status, "a part"), ResetAfter: after}})
 					for i := range 6 {
 						id := fmt.Sprintf("upload-%d-%d-%d", n, after, i)
 						if got := node.upload(http.MethodPost, "/order/1", id, goodKey, bytes.NewReader(longUpload)); got.status < http.StatusInternalServerError && got.err == nil {
@@ -61,6 +61,28 @@
 	}
 }
 
+// Guards against such parts that are longer than a node buffers, so that they are passed on as they come, and against
+// reads that end at one.
+func TestLongAnswersThatAreResetDuringTheUploadAreCut(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forwarded %v", forwarded), func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t)
+			node := p.uploadNode(forwarded)
+			p.setFaults(replica.Fault{Early: &replica.Early{Answer: earlyAnswer("200 OK", longAnswer), ResetAfter: 200 * time.Millisecond}})
+			for i := range 6 {
+				for _, path := range []string{"/order/1", "/read/1"} {
+					id := fmt.Sprintf("long%s-%d", strings.ReplaceAll(path, "/", "-"), i)
+					got := node.upload(http.MethodPost, path, id, goodKey, bytes.NewReader(longUpload))
+					if got.status < http.StatusInternalServerError && got.err == nil {
+						t.Errorf("%s: %d with %d bytes\n%s", id, got.status, len(got.body), p.linesAbout(id))
+					}
+				}
+			}
+		})
+	}
+}
+
 // Guards against streams that end at a part of an answer, and that no other replica goes on with.
 func TestStreamsAreResetDuringTheUpload(t *testing.T) {
 	p := newPlatform(t)
