upstream: the name of what ends a write says so

Exchange.written closed the connection, which its name hid: endWrite. The comment of ReasonUnwritten took two readings. No line of logic is changed.

--- a/route/upstream/exchange.go
+++ b/route/upstream/exchange.go
@@ -134,7 +134,7 @@
 	e.conn.head.limit()
 	defer e.conn.head.lift()
 	for strays := 0; ; {
-		response, err := httpanswer.Read(e.conn.reader, r.Method, e.written)
+		response, err := httpanswer.Read(e.conn.reader, r.Method, e.endWrite)
 		if err != nil {
 			return nil, err
 		}
--- a/route/upstream/write.go
+++ b/route/upstream/write.go
@@ -33,9 +33,9 @@
 	return nil
 }
 
-// written closes the connection, so that a write that is under way ends, and reports whether the request was
-// written to its end.
-func (e *Exchange) written() bool {
+// endWrite closes the connection, so that a write that is under way ends, and reports whether the request was
+// written to its end. It implements httpanswer.Written.
+func (e *Exchange) endWrite() bool {
 	e.pool.discard(e.address, e.conn)
 	<-e.writeEnded
 	return e.writeErr == nil
--- a/state/httpanswer/fault.go
+++ b/state/httpanswer/fault.go
@@ -11,7 +11,7 @@
 
 // Reasons.
 const (
-	// ReasonUnwritten is an end of the connection before the request was written, in place of that of the answer.
+	// ReasonUnwritten is that the connection of an answer without a length ended before the request was written.
 	ReasonUnwritten Reason = "request_unwritten"
 	// ReasonStatus is a status that is none.
 	ReasonStatus Reason = "status"
