relay, engineclient, callforward: a refusal that turns out to be no answer proves nothing

What callers saw: an order was told not to have run (503), and had been sent to two replicas, after a replica had said Not-Run in a sound head and then sent trailers with names that are none, or reset the connection while the upload was still being written. Forwarded orders and calls the same; a call was run by a second node.

Cause: the body's end is judged where it is read (httpanswer), but those who believe a refusal left the judgement out: attempt.classify and resultWithoutStream in the relay, refusals of other nodes at both doors, and the engines' client, which read the body only behind its verdict.

Change: httpanswer.IsFault tells whether an error is that of bytes that are no answer. Each of these readers reads a refusal to its end, within the bounds they had, before it believes it; after a fault the outcome is unknown. A refusal that is too long, or shorter than its stated length, counts as before. The engines' client also fails for a reply without content whose end is none.

--- a/route/callforward/answer.go
+++ b/route/callforward/answer.go
@@ -11,6 +11,7 @@
 	"github.com/cicadatack/cicadatack/route/outcome"
 	"github.com/cicadatack/cicadatack/route/plainservice"
 	"github.com/cicadatack/cicadatack/state/document"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // A node answers a forwarded call in one of four ways: with a refusal, a stream of events, a model's answer
@@ -51,7 +52,11 @@
 		if answer.StatusCode < http.StatusBadRequest {
 			return errNoAnswer
 		}
-		readRefusal(answer).write(f.w)
+		refused, err := readRefusal(answer)
+		if err != nil {
+			return err
+		}
+		refused.write(f.w)
 		return nil
 	case model && f.wantsStream() && isStream(answer):
 		return f.passStream(answer)
@@ -162,19 +167,25 @@
 	request, replayed string
 }
 
+// saysNotRun reports whether the head of an answer says that the call has not run.
+func saysNotRun(answer *http.Response) bool {
+	return answer.Header.Get(outcome.Header) == string(outcome.NotRun)
+}
+
 // refusalOf returns the refusal of a node after which another node may serve the call, or nil.
-func refusalOf(answer *http.Response) *refusedAnswer {
-	if answer.Header.Get(outcome.Header) != string(outcome.NotRun) {
-		return nil
+func refusalOf(answer *http.Response) (*refusedAnswer, error) {
+	if !saysNotRun(answer) {
+		return nil, nil
 	}
 	if answer.StatusCode != http.StatusServiceUnavailable && answer.StatusCode != http.StatusTooManyRequests {
-		return nil
+		return nil, nil
 	}
 	return readRefusal(answer)
 }
 
-// readRefusal reads the refusal of a node. Where its body is none, or breaks off, the words are this node's.
-func readRefusal(answer *http.Response) *refusedAnswer {
+// readRefusal reads the refusal of a node. Where its body is none, or breaks off, the words are this node's. It fails
+// if the refusal turns out to be no answer: the call may have run.
+func readRefusal(answer *http.Response) (*refusedAnswer, error) {
 	refused := &refusedAnswer{
 		Refusal: outcome.Refusal{
 			Status: answer.StatusCode, Code: codeRefused, Message: "the node that was to serve the call refused it",
@@ -183,10 +194,13 @@
 		request: answer.Header.Get(outcome.HeaderRequest), replayed: answer.Header.Get(outcome.HeaderReplayed),
 	}
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxRefusalBytes))
+	if httpanswer.IsFault(err) {
+		return nil, Error.Wrap(err)
+	}
 	if told, ok := decodeRefusal(data); err == nil && ok && told.Outcome == refused.Outcome {
 		refused.Code, refused.Message, refused.RetryAfter = told.Code, told.Message, time.Duration(told.RetryAfterMillis)*time.Millisecond
 	}
-	return refused
+	return refused, nil
 }
 
 // decodeRefusal decodes the JSON of a refusal. Fields that this release does not know are left out.
--- a/route/callforward/broken_heads_test.go
+++ b/route/callforward/broken_heads_test.go
@@ -1,6 +1,7 @@
 package callforward
 
 import (
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,10 +13,15 @@
 )
 
 // Guards against answers of another node whose head is none, and that callers get, and against a second node that is
-// asked because of a refusal in such a head.
+// asked because of a refusal with such a head or such trailers.
 func TestBrokenHeadsAreNoAnswers(t *testing.T) {
 	for _, said := range []outcome.Outcome{outcome.Done, outcome.NotRun} {
-		for name, answer := range answertest.BrokenHeads("STRAY", outcome.Header+": "+string(said)+"\r\n") {
+		line := outcome.Header + ": " + string(said) + "\r\n"
+		broken := answertest.BrokenHeads("STRAY", line)
+		if said == outcome.NotRun {
+			maps.Copy(broken, answertest.BrokenTrailers("503 Service Unavailable", "STRAY", line))
+		}
+		for name, answer := range broken {
 			second, calls := nodeThat(t, serve)
 			s := serverOf(&fleetOf{cutOff: true, nodes: []string{answertest.Serve(t, func(string) string { return answer }), second}})
 			s.Transport = httpanswer.Checked(s.Transport, nil)
--- a/route/callforward/callforward.go
+++ b/route/callforward/callforward.go
@@ -158,13 +158,17 @@
 	}
 	defer answer.Body.Close()
 	s.Forwarder.Named(f.call.Service.Name, result.Serving)
-	if refused := refusalOf(answer); refused != nil {
+	refused, err := refusalOf(answer)
+	if refused != nil {
 		if refused.Status == http.StatusTooManyRequests {
 			return refused, forwarding.NoCapacity
 		}
 		return refused, forwarding.CannotServe
 	}
-	if err := f.passOn(answer); err != nil {
+	if err == nil {
+		err = f.passOn(answer)
+	}
+	if err != nil {
 		f.refuseUnknown(err)
 		return nil, forwarding.Canceled // answered: another node must not be asked
 	}
@@ -184,14 +188,17 @@
 			return nil, headers.ForwardResult{}, sent, err
 		}
 		result, _ = headers.TakeForwardResult(answer.Header) // a node that serves the call states none
-		refused := answer.Header.Get(outcome.Header) == string(outcome.NotRun)
-		if !refused || result.Revision <= f.sentRevision || sends == maxSends {
+		if !saysNotRun(answer) || result.Revision <= f.sentRevision || sends == maxSends {
 			return answer, result, sent, nil
 		}
 		if f.server.Revisions.CatchUp(f.r.Context(), result.Revision) < result.Revision {
 			return answer, result, sent, nil
 		}
+		_, err = readRefusal(answer)
 		answer.Body.Close()
+		if err != nil {
+			return nil, headers.ForwardResult{}, sent, err
+		}
 	}
 }
 
--- a/route/engineclient/broken_heads_test.go
+++ b/route/engineclient/broken_heads_test.go
@@ -31,3 +31,20 @@
 		}
 	}
 }
+
+// Guards against a call that runs twice: an engine says that it has not run it, in an answer that turns out to be none
+// at its end.
+func TestRefusalsWithBrokenTrailersProveNothing(t *testing.T) {
+	client := New(nil)
+	defer client.CloseIdle()
+	for name, answer := range answertest.BrokenTrailers("503 Service Unavailable", "{}", engineapi.HeaderNotRun+": 1\r\n") {
+		address := answertest.Serve(t, func(string) string { return answer })
+		stream, err := client.Open(context.Background(), address, engineapi.ChatRequest{})
+		if err == nil {
+			stream.Close()
+		}
+		if err == nil || NotRun(err) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/route/engineclient/client.go
+++ b/route/engineclient/client.go
@@ -166,11 +166,13 @@
 	if err != nil {
 		return err
 	}
-	defer drainAndClose(resp.Body)
-	if reply == nil {
-		return nil
+	if reply != nil {
+		err = decodeReply(resp.Body, reply)
+	}
+	if end := drainAndClose(resp.Body); err == nil && httpanswer.IsFault(end) {
+		err = end
 	}
-	if err := decodeReply(resp.Body, reply); err != nil {
+	if err != nil {
 		return sendError(address, StateUnknown, 0, err)
 	}
 	return nil
@@ -225,7 +227,9 @@
 	if resp.StatusCode/100 == 2 {
 		return resp, nil
 	}
-	defer drainAndClose(resp.Body)
+	if err := drainAndClose(resp.Body); httpanswer.IsFault(err) {
+		return nil, sendError(address, StateUnknown, 0, err)
+	}
 	return nil, Error.Wrap(&SendError{
 		Endpoint: address, State: stateAfterRefusal(resp, connsUsed.Load()), HTTPStatus: resp.StatusCode,
 		Pushback: headers.ParsePushback(resp.StatusCode, resp.Header),
@@ -233,7 +237,7 @@
 }
 
 // stateAfterRefusal returns StateNotRun if the engine says that it did not run the
-// call. If the transport had already sent the call on a connection that broke, the
+// call, in an answer that is one. If the transport had already sent the call on a connection that broke, the
 // state is StateUnknown, because a refusal of the second attempt says nothing about the
 // first attempt.
 func stateAfterRefusal(resp *http.Response, connsUsed int32) State {
@@ -269,8 +273,12 @@
 }
 
 // drainAndClose reads the rest of a body before it closes the body, so that the
-// connection can be reused.
-func drainAndClose(body io.ReadCloser) {
-	io.CopyN(io.Discard, body, MaxReplyBytes)
-	body.Close()
+// connection can be reused. The error is why the body has not ended.
+func drainAndClose(body io.ReadCloser) error {
+	defer body.Close()
+	_, err := io.CopyN(io.Discard, body, MaxReplyBytes)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
 }
--- a/route/relay/attempt.go
+++ b/route/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cicadatack/cicadatack/route/headers"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // deadlineMargin is subtracted from the remaining time that is passed on to the endpoint, so
@@ -209,6 +210,15 @@
 	return 0, false
 }
 
+// resultOfRefusal classifies a refusal whose body has ended with an error, or with none. A refusal that turns out to
+// be no answer proves nothing: the request may have run. One that is too long, or cut behind its head, is believed.
+func (a *attempt) resultOfRefusal(status int, err error) attemptResult {
+	if httpanswer.IsFault(err) {
+		return a.resultOfError(err)
+	}
+	return a.refusedResult(status)
+}
+
 // refusedResult classifies a refusal: an answer that says that the request did not run.
 func (a *attempt) refusedResult(status int) attemptResult {
 	if a.pushedBack() {
--- a/route/relay/buffered.go
+++ b/route/relay/buffered.go
@@ -152,7 +152,7 @@
 		if r.err == nil {
 			e.KeepAlive(a.head.IdleTimeout)
 		}
-		return a.refusedResult(e.StatusCode)
+		return a.resultOfRefusal(e.StatusCode, r.err)
 	case a.ofAnotherRequest():
 		// The connection is closed: the answer to this request may follow.
 		return invalidAnswer(detailOtherRequest)
--- a/route/relay/forward.go
+++ b/route/relay/forward.go
@@ -17,6 +17,7 @@
 	"github.com/cicadatack/cicadatack/route/ruleset"
 	"github.com/cicadatack/cicadatack/route/targets"
 	"github.com/cicadatack/cicadatack/route/upstream"
+	"github.com/cicadatack/cicadatack/state/httpanswer"
 )
 
 // Forwarder finds nodes that serve requests on behalf of this node.
@@ -207,8 +208,12 @@
 	req.server.Forwarder.Named(req.Service, result.Serving)
 	a.head, a.replicaAtNode = req.server.HeaderCodec.ParseResponse(exchange.StatusCode, exchange.Header), result.Replica
 	if !understood || result.Refusal != nil {
-		a.discardAndReuse(exchange)
+		err := a.discardAndReuse(exchange)
 		exchange.Close()
+		if httpanswer.IsFault(err) {
+			res := a.resultOfError(err)
+			return nil, headers.ForwardResult{}, &res
+		}
 		res := a.refusedByNode(exchange.StatusCode, result.Refusal)
 		return nil, result, &res
 	}
--- a/route/relay/memory.go
+++ b/route/relay/memory.go
@@ -56,11 +56,14 @@
 	return e.Discard(maxDiscardedBytes, min(discardTimeout, a.req.Deadline.Sub(a.req.server.Now())))
 }
 
-// discardAndReuse reads the body of an answer that nobody gets, and keeps its connection if it ends.
-func (a *attempt) discardAndReuse(e *upstream.Exchange) {
-	if a.discard(e) == nil {
+// discardAndReuse reads the body of an answer that nobody gets, and keeps its connection if it ends. The error is
+// why it does not end.
+func (a *attempt) discardAndReuse(e *upstream.Exchange) error {
+	err := a.discard(e)
+	if err == nil {
 		e.KeepAlive(a.head.IdleTimeout)
 	}
+	return err
 }
 
 // chargePending charges what a reader of events holds. It returns a result if the memory does not suffice:
--- a/route/relay/no_stream.go
+++ b/route/relay/no_stream.go
@@ -43,8 +43,7 @@
 func (a *attempt) resultWithoutStream(e *upstream.Exchange) attemptResult {
 	switch {
 	case a.head.NotRun || a.head.Misdirected:
-		a.discardAndReuse(e)
-		return a.refusedResult(e.StatusCode)
+		return a.resultOfRefusal(e.StatusCode, a.discardAndReuse(e))
 	case a.ofAnotherRequest():
 		if a.head.RequestID == "" && isSuccess(e.StatusCode) {
 			a.recordNoStream(e) // an answer that names another request may only be late
--- a/state/httpanswer/answertest/heads.go
+++ b/state/httpanswer/answertest/heads.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 )
 
@@ -45,7 +46,7 @@
 		heads[fieldName+name+", in an interim answer"] = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n" + sound
 	}
 	for name, line := range map[string]string{"a blank before the colon": "Transfer-Encoding : chunked\r\n", "a blank": "Transfer Encoding: chunked\r\n"} {
-		heads[fieldName+"of the chunks, with "+name] = chunked(line+more+closes, body, "")
+		heads[fieldName+"of the chunks, with "+name] = chunked("200 OK", line+more+closes, body, "")
 	}
 	return heads
 }
@@ -53,16 +54,23 @@
 const chunkedLine = "Transfer-Encoding: chunked\r\n"
 
 // chunked returns an answer whose body is one chunk.
-func chunked(lines, body, trailers string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\n%x\r\n%s\r\n0\r\n%s\r\n", lines, len(body), body, trailers)
+func chunked(status, lines, body, trailers string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s\r\n%x\r\n%s\r\n0\r\n%s\r\n", status, lines, len(body), body, trailers)
+}
+
+// BrokenTrailers returns answers with a status whose trailers are none, each around a body, by name.
+func BrokenTrailers(status, body string, lines ...string) map[string]string {
+	broken := map[string]string{}
+	for name, line := range brokenLines {
+		broken[fieldName+name+", in the trailers"] = chunked(status, chunkedLine+strings.Join(lines, ""), body, line+"\r\n")
+	}
+	return broken
 }
 
 // Broken returns BrokenHeads, and answers whose trailers are none.
 func Broken(body string, lines ...string) map[string]string {
 	broken := BrokenHeads(body, lines...)
-	for name, line := range brokenLines {
-		broken[fieldName+name+", in the trailers"] = chunked(chunkedLine+strings.Join(lines, ""), body, line+"\r\n")
-	}
+	maps.Copy(broken, BrokenTrailers("200 OK", body, lines...))
 	return broken
 }
 
@@ -73,7 +81,7 @@
 		"interim answers before": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + answer("200 OK", more, body),
 		"no reason":              answer("200", more, body),
 		"all marks in a name":    answer("200 OK", more+"X!#$%&'*+-.^_`|~9: a\r\n", body),
-		"trailers":               chunked(chunkedLine+"Trailer: T\r\n"+more, body, "T: 1\r\nU: 2\r\n"),
+		"trailers":               chunked("200 OK", chunkedLine+"Trailer: T\r\n"+more, body, "T: 1\r\nU: 2\r\n"),
 		"a folded line":          answer("200 OK", more+"X: a\r\n b\r\n", body),
 	}
 	for _, status := range []int{200, 201, 226, 299, 400, 404, 451, 499, 500, 511, 599} {
--- a/state/httpanswer/fault.go
+++ b/state/httpanswer/fault.go
@@ -29,6 +29,13 @@
 // Error returns the reason and the detail.
 func (f *Fault) Error() string { return fmt.Sprintf("unsound answer (%s): %s", f.Reason, f.Detail) }
 
+// IsFault reports whether an error is that of bytes that are no answer. Nothing that such bytes say is to be trusted,
+// whatever their head was.
+func IsFault(err error) bool {
+	fault := (*Fault)(nil)
+	return errors.As(err, &fault)
+}
+
 // asFault returns the *Fault that an error of the standard library stands for, or the error.
 func asFault(err error) error {
 	if malformed := textproto.ProtocolError(""); errors.As(err, &malformed) {
