poison: the end of a replica's next process counts, also while the list shows the former one

Hypotheses: (A) ends under the request are not counted; (B) enough are counted late, because replicas also end without it, and every node sends it meanwhile; (C) the evidence does not reach the nodes in time. A predicts 'part isolated' lines that name fewer replicas than have ended, B as many ends as are needed and several sends at one time, C nodes that isolate at different times.

All nodes isolate within 0.1 s, which speaks against C.

Cause: a crash is known by replica and incarnation, and the incarnation comes from a list that is behind. A replica that starts again serves before the list shows its new incarnation.

Change: a request that was sent a second or more after the end of a process was at a later one, so its crash is another one; both ends must be certain, as a port that closes connections takes requests as well. Such a crash has no known incarnation and is merged with what others see of it within a second.

A test is changed: 'the same crash seen by several nodes is one' let nodes see one end by requests that were sent up to four seconds after it, to a process that had ended, which cannot be. They are sent before the end now, which asks the same of the rule; a new case asks it of ends that are not certain with the requests as they were.

Measured: TestEndsUnderAnIncarnationThatIsOutdatedCount failed before (1 end known in place of 3; 4 where another node does not know the incarnation).

--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -116,9 +116,16 @@
 		}, subject, Suspect},
 		{"the same crash seen by several nodes is one", func(n *node) {
 			n.serve(10, system)
-			for range 5 {
+			for i := range 5 {
+				n.now = n.now.Add(time.Second)
+				n.Crashed(n.now, Crash{Process: Process{"i-1", 1}, Exposed: []Exposure{{Part: bad, SentAge: time.Duration(i)*time.Second + time.Millisecond}}})
+			}
+		}, bad, Suspect},
+		{"an end that is not certain is one, whatever was sent to the port after it", func(n *node) {
+			n.serve(10, system)
+			for i := range 5 {
 				n.now = n.now.Add(time.Second)
-				n.Crashed(n.now, Crash{Process: Process{"i-1", 1}, Exposed: []Exposure{{Part: bad, SentAge: time.Millisecond}}})
+				n.Crashed(n.now, Crash{Process: Process{"i-1", 1}, Uncertain: i > 0, Exposed: []Exposure{{Part: bad, SentAge: time.Millisecond}}})
 			}
 		}, bad, Suspect},
 		{"a crash of an unknown incarnation seen by several nodes is one", func(n *node) {
--- a/decide/poison/request_test.go
+++ b/decide/poison/request_test.go
@@ -299,3 +299,35 @@
 		t.Error("not refuted by a process whose incarnation is not known")
 	}
 }
+
+// Guards against ends of a replica that count as one because the list of replicas is behind: a replica starts
+// again, gets requests under its former incarnation, and ends again.
+func TestEndsUnderAnIncarnationThatIsOutdatedCount(t *testing.T) {
+	for name, incarnation := range map[string]func(i int64) int64{
+		"no node's list is in time":   func(int64) int64 { return 1 },
+		"another node's list is":      func(i int64) int64 { return i },
+		"another node's shows no one": func(int64) int64 { return 0 },
+	} {
+		n, other := newNode(), newNode()
+		n.serve(10, system)
+		other.serve(10, system)
+		end := func(at *node, incarnation int64, sentAge time.Duration) {
+			at.Crashed(n.now, Crash{Process: Process{"i-1", incarnation}, Exposed: []Exposure{{Part: badRequest, SentAge: sentAge}}})
+		}
+		for i := range int64(3) {
+			n.now = n.now.Add(2 * time.Second)
+			end(n, 1, 300*time.Millisecond)
+			end(n, 1, 300*time.Millisecond)
+			n.now = n.now.Add(200 * time.Millisecond)
+			end(other, incarnation(i+1), 500*time.Millisecond)
+			n.Merge(n.now, other.Share(n.now))
+			other.Merge(n.now, n.Share(n.now))
+		}
+		end(n, 1, 7*time.Second) // the first end, noticed late
+		for _, each := range []*node{n, other} {
+			if found := len(each.exposures(badRequest)); found != 3 {
+				t.Errorf("%s: %d ends are known, want 3", name, found)
+			}
+		}
+	}
+}
--- a/decide/poison/tracker.go
+++ b/decide/poison/tracker.go
@@ -138,7 +138,7 @@
 // node did not know of the crash, or of a part that was exposed to it.
 func (t *Tracker) Crashed(now time.Time, c Crash) bool {
 	at := now.Add(-c.Age)
-	id := t.process(c.Process, at)
+	id := t.process(now, c)
 	known := t.crashes[id]
 	isNew := known == nil
 	if isNew {
@@ -192,18 +192,35 @@
 
 // process returns the identity under which a crash is kept. If the incarnation is not known, the
 // crashes of a replica within sameCrash are one.
-func (t *Tracker) process(p Process, at time.Time) Process {
-	if p.Incarnation != 0 {
-		return p
+func (t *Tracker) process(now time.Time, c Crash) Process {
+	named := c.Process.Incarnation != 0 && !t.isOutdated(now, c)
+	if named && t.crashes[c.Process] != nil {
+		return c.Process
 	}
-	for id, c := range t.crashes {
-		if id.Replica == p.Replica && id.Incarnation < 0 && c.at.Sub(at).Abs() < sameCrash {
+	for id, known := range t.crashes {
+		isNear := id.Replica == c.Process.Replica && known.at.Sub(now.Add(-c.Age)).Abs() < sameCrash
+		if isNear && (!named || id.Incarnation < 0) {
 			return id
 		}
 	}
+	if named {
+		return c.Process
+	}
 	t.nextUnnamed--
-	p.Incarnation = t.nextUnnamed
-	return p
+	return Process{Replica: c.Process.Replica, Incarnation: t.nextUnnamed}
+}
+
+// isOutdated reports whether the process that is known to have crashed under a crash's identity was an
+// earlier one. A list that is behind shows a replica that has started again under its former incarnation;
+// what was sent long after the end of that one has reached the next. Both ends must be certain: a port that
+// closes connections takes requests as well.
+func (t *Tracker) isOutdated(now time.Time, c Crash) bool {
+	known := t.crashes[c.Process]
+	if known == nil || known.uncertain || c.Uncertain {
+		return false
+	}
+	startedBy := known.at.Add(sameCrash)
+	return slices.ContainsFunc(c.Exposed, func(e Exposure) bool { return now.Add(-e.SentAge).After(startedBy) })
 }
 
 // expose records that a part was at a replica that crashed, and reports whether that is new.
