poison, crashguard: nodes take turns with a request under which three replicas ended

A request that ends replicas reached four and more of them at one time, from as many nodes, after it had ended three; callers of sound requests were broken off at all of these.

Cause: a replica that died of another cause makes a fourth or fifth end necessary before the request is isolated, and until then each node has one such request at a replica at a time. With N nodes that are N replicas.

Change: of a request that would be isolated if no replica had ended without it, and that was never answered, each node draws the time after the last end from which it may begin it: nodes go in steps of 0.6 s, twice as many at each as at the one before, the last after 4.8 s. A step is enough for the replica to end and for all nodes to know. No node needs a list of the others, and the number of sends does not grow with them. What a node has begun, such as a stream that broke off, goes on as before. Refused requests are told at once, with the time until the node's turn.

Weighed: a claim in the store (exact, but a call for each, and none while the store is away); one node chosen by its name (a request that comes to the others is refused for as long as that node gets none); crashes kept in the store (for restarts of all nodes; not built).

--- a/decide/poison/tracker.go
+++ b/decide/poison/tracker.go
@@ -38,6 +38,8 @@
 	answers         map[string]*serviceAnswers // by service
 	// ids yields the IDs of this node's answers.
 	ids rand.Source
+	// turnSeed is another number at each node; see turn.
+	turnSeed uint64
 	// toShare are the answered parts that other nodes are told of, with the time since when.
 	toShare map[Part]time.Time
 	// nextUnnamed is the incarnation that stands for the next unknown one; see process.
@@ -50,7 +52,7 @@
 // New returns a Tracker without evidence. ids must yield other numbers at each node and at each start.
 func New(ids rand.Source) *Tracker {
 	return &Tracker{
-		ids:     ids,
+		ids: ids, turnSeed: ids.Uint64(),
 		crashes: map[Process]*crash{}, suspects: map[Part][]*crash{}, answers: map[string]*serviceAnswers{},
 		toShare: map[Part]time.Time{}, isolated: map[Part]*isolation{}, lifted: map[Part]time.Time{},
 	}
--- a/route/crashguard/guard.go
+++ b/route/crashguard/guard.go
@@ -142,6 +142,11 @@
 	return &Refusal{Part: part, Verdict: poison.Suspect, RetryAfter: suspectRetryAfter}
 }
 
+// refuseUntil returns the refusal of a request that other nodes may find out about until then.
+func refuseUntil(part poison.Part, turnIn time.Duration) *Refusal {
+	return &Refusal{Part: part, Verdict: poison.Suspect, RetryAfter: max(turnIn, suspectRetryAfter)}
+}
+
 // worst returns the part with the gravest verdict.
 func (g *Guard) worst(parts []poison.Part) (poison.Part, poison.Verdict) {
 	g.mu.Lock()
@@ -172,7 +177,7 @@
 }
 
 // takeTurn lets a request with suspect parts run if no other request of this node with one of them
-// is at a replica.
+// is at a replica, and if it is this node's turn to begin it. One that this node has begun goes on.
 func (g *Guard) takeTurn(r *Request) *Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -184,9 +189,15 @@
 		return nil
 	}
 	for _, p := range r.parts {
-		if other := g.turns[p]; other != nil && other != r && g.tracker.Verdict(g.Now(), p) == poison.Suspect {
+		if g.tracker.Verdict(g.Now(), p) != poison.Suspect {
+			continue
+		}
+		if other := g.turns[p]; other != nil && other != r {
 			return refuse(p, poison.Suspect)
 		}
+		if turnIn := g.tracker.TurnIn(g.Now(), p); turnIn > 0 && r.sentAt.IsZero() {
+			return refuseUntil(p, turnIn)
+		}
 	}
 	for _, p := range r.parts {
 		if g.turns[p] == nil {
