httpanswer: a reset during the upload is judged alike, whoever is told of it

Cause: the kernel reports a reset once, to the write of the request or to the read of the answer. If the write gets it, the answer ends as unwritten, a fault. If the read gets it, it was an error like any other, and a refusal counts after such an error.

Change: body.Read judges a reset as it judges the plain end. Answers with a stated length or chunks, and those whose request was written, are as before: what is cut there fails by itself.

--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -325,7 +325,7 @@
 		{Refuse: true}, {LoseAnswer: true}, {Twice: true}, {Unproved: true}, {CutAfter: 5}, {Hang: true},
 		{Unproven: http.StatusServiceUnavailable}, {Unproven: http.StatusTooManyRequests},
 	}
-	name, broken := brokenHead(r.draw)
+	name, broken := brokenAnswer(r.draw)
 	faults = append(faults, broken)
 	fault := faults[r.draw.IntN(len(faults))]
 	if fault.Raw != nil {
--- a/state/httpanswer/body.go
+++ b/state/httpanswer/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 )
 
 // body judges the end of an answer.
@@ -25,16 +26,26 @@
 // Read reads from the body.
 func (b *body) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		return n, b.judgeEnd()
+	case errors.Is(err, syscall.ECONNRESET) && b.isUnwritten():
+		return n, errUnwritten
 	}
 	return n, asFault(err)
 }
 
+// errUnwritten is the end of an answer that ended with its connection before its request was written.
+var errUnwritten = &Fault{Reason: ReasonUnwritten, Detail: "the connection ended while the request was being written"}
+
+// isUnwritten reports whether the answer ends with its connection, and its request was not written before. The
+// reset that ends it is told once, to the write of the request or to the read of the answer.
+func (b *body) isUnwritten() bool { return b.endsWithConnection && !b.written() }
+
 // judgeEnd returns io.EOF if the answer is sound.
 func (b *body) judgeEnd() error {
-	if b.endsWithConnection && !b.written() {
-		return &Fault{Reason: ReasonUnwritten, Detail: "the connection ended while the request was being written"}
+	if b.isUnwritten() {
+		return errUnwritten
 	}
 	if err := judgeFields(b.response.Trailer); err != nil {
 		return err
