--- a/node/site/early_answers_test.go
+++ b/node/site/early_answers_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Guards against an order that another replica runs as well: a refusal says that it has not run, and is reset during the
+// upload.
+func TestRefusalsThatAreResetDuringTheUploadProveNothing(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forwarded %v", forwarded), func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t)
+			node := p.uploadNode(forwarded)
+			p.setFaults(replica.Fault{Early: &replica.Early{ResetAfter: 30 * time.Millisecond, Answer: func(id string) string {
+				return "HTTP/1.1 " + refusalStatus + "\r\n" + refusalLines(id) + "Connection: close\r\n\r\na part"
+			}}})
+			for i := range 6 {
+				id := fmt.Sprint("refused-", i)
+				got := node.upload(http.MethodPost, "/order/1", id, goodKey, bytes.NewReader(longUpload))
+				isUnknown := got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout
+				if runs := len(p.Fleet.Runs(id)); !isUnknown && got.err == nil || runs > 1 {
+					t.Errorf("%s: %d %.200q after %d runs\n%s", id, got.status, got.body, runs, p.linesAbout(id))
+				}
+			}
+		})
+	}
+}
+
 // Guards against streams that end at a part of an answer, and that no other replica goes on with.
 func TestStreamsAreResetDuringTheUpload(t *testing.T) {
 	p := newPlatform(t)
