Tests: refusals with broken ends at the own door

What callers saw: at the own door an order whose endpoint refused it in an answer that is none at its end was told 'not run', as at the platform's.

--- a/route/httpapi/broken_answers_test.go
+++ b/route/httpapi/broken_answers_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/cicadatack/cicadatack/route/outcome"
+	"github.com/cicadatack/cicadatack/state/engineapi"
 	"github.com/cicadatack/cicadatack/state/httpanswer/answertest"
 )
 
@@ -57,3 +58,27 @@
 		}
 	}
 }
+
+// Guards against an order that is told not to have run, and is sent to another endpoint: a refusal says that it has not,
+// and turns out to be no answer by its trailers, or by a reset during the upload.
+func TestRefusalsWithBrokenEndsProveNothing(t *testing.T) {
+	const refusal, notRun = "503 Service Unavailable", engineapi.HeaderNotRun + ": 1\r\n"
+	n := newTestNode(t, testNodeConfig{})
+	order := func(name, body string) {
+		for _, key := range []string{"", "key " + name} {
+			if got := n.send(orderRequest(key, body)); got.outcome() != outcome.Unknown {
+				t.Errorf("%s, key %q: %d %s %q", name, key, got.status, got.outcome(), got.body)
+			}
+		}
+	}
+	for name, answer := range answertest.BrokenTrailers(refusal, "STRAY", notRun) {
+		n.respond = func(w http.ResponseWriter, _ *http.Request) { answerRaw(w, answer, func(*net.TCPConn) {}) }
+		order(name, "flour")
+	}
+	n.respond = func(w http.ResponseWriter, _ *http.Request) {
+		answerRaw(w, "HTTP/1.1 "+refusal+"\r\n"+notRun+"\r\na part", func(conn *net.TCPConn) { _ = conn.SetLinger(0) })
+	}
+	for i := range 6 {
+		order(fmt.Sprint("reset ", i), strings.Repeat("flour ", 680_000))
+	}
+}
